--- /dev/null
+++ b/Makefile
@@ -0,0 +1,112 @@
+# bambootally: build, tests, models, scenarios, benches.
+# Every .c file under src/{types,decide,wire,edge} goes into the library;
+# every file in src/bin, standins/bin, tests, bench and examples/programs is
+# a program of its own.
+
+VARIANT ?= release
+PACKAGES = glib-2.0 gio-2.0 libsoup-3.0 libtirpc libxxhash json-glib-1.0 gsl
+B = build/$(VARIANT)
+CC = gcc
+WARN = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes -Werror
+CFLAGS_release = -O2 -g
+CFLAGS_asan = -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer
+PKG_CFLAGS := $(shell pkg-config --cflags $(PACKAGES) 2>/dev/null)
+PKG_LIBS := $(shell pkg-config --libs $(PACKAGES) 2>/dev/null) -llog4c -lcunit -lm
+CFLAGS = -std=gnu11 -D_GNU_SOURCE $(CFLAGS_$(VARIANT)) $(WARN) -Isrc -I. $(PKG_CFLAGS)
+LDLIBS = $(PKG_LIBS)
+
+LIB_SRC := $(wildcard src/types/*.c src/decide/*.c src/wire/*.c src/edge/*.c src/tool/*.c)
+STAND_SRC := $(wildcard standins/*.c)
+SCN_SRC := $(wildcard scenarios/*.c)
+BIN_SRC := $(wildcard src/bin/*.c)
+STANDBIN_SRC := $(wildcard standins/bin/*.c)
+TEST_SRC := $(wildcard tests/test_*.c)
+BENCH_SRC := $(wildcard bench/bench_*.c)
+SCNBIN_SRC := $(wildcard scenarios/bin/*.c)
+SHOW_SRC := $(wildcard examples/programs/*.c)
+ALL_SRC := $(LIB_SRC) $(STAND_SRC) $(SCN_SRC) $(BIN_SRC) $(STANDBIN_SRC) \
+	$(TEST_SRC) $(BENCH_SRC) $(SCNBIN_SRC) $(SHOW_SRC)
+HEADERS := $(wildcard src/*/*.h standins/*.h scenarios/*.h tests/*.h bench/*.h)
+
+LIB = $(B)/libbambootally.a
+STANDLIB = $(B)/libstandins.a
+SCNLIB = $(B)/libscenario.a
+BINS := $(BIN_SRC:src/bin/%.c=$(B)/%)
+STANDBINS := $(STANDBIN_SRC:standins/bin/%.c=$(B)/%)
+TESTS := $(TEST_SRC:tests/%.c=$(B)/%)
+BENCHES := $(BENCH_SRC:bench/%.c=$(B)/%)
+SCNBINS := $(SCNBIN_SRC:scenarios/bin/%.c=$(B)/%)
+SHOWS := $(SHOW_SRC:examples/programs/%.c=$(B)/show_%)
+
+.PHONY: all check lint format format-check tidy test asan-test scenarios \
+	model demo bench packages clean chaos
+.SECONDARY:
+
+all: $(BINS) $(STANDBINS) $(BENCHES) $(SCNBINS) $(SHOWS)
+
+$(B)/obj/%.o: %.c
+	@mkdir -p $(dir $@)
+	@echo "  CC $<"
+	@$(CC) $(CFLAGS) -MMD -MP -c $< -o $@
+
+$(LIB): $(LIB_SRC:%.c=$(B)/obj/%.o)
+	@rm -f $@
+	@ar rcs $@ $^
+$(STANDLIB): $(STAND_SRC:%.c=$(B)/obj/%.o)
+	@rm -f $@
+	@ar rcs $@ $^
+$(SCNLIB): $(SCN_SRC:%.c=$(B)/obj/%.o)
+	@rm -f $@
+	@ar rcs $@ $^
+
+LINK = $(CC) $(CFLAGS) $< $(filter %.a,$^) -o $@ $(LDLIBS)
+$(BINS): $(B)/%: $(B)/obj/src/bin/%.o $(LIB)
+	@$(LINK)
+$(STANDBINS): $(B)/%: $(B)/obj/standins/bin/%.o $(STANDLIB) $(LIB)
+	@$(LINK)
+$(TESTS): $(B)/%: $(B)/obj/tests/%.o $(SCNLIB) $(STANDLIB) $(LIB)
+	@$(LINK)
+$(BENCHES): $(B)/%: $(B)/obj/bench/%.o $(STANDLIB) $(LIB)
+	@$(LINK)
+$(SCNBINS): $(B)/%: $(B)/obj/scenarios/bin/%.o $(SCNLIB) $(STANDLIB) $(LIB)
+	@$(LINK)
+$(SHOWS): $(B)/show_%: $(B)/obj/examples/programs/%.o $(LIB)
+	@$(LINK)
+
+-include $(ALL_SRC:%.c=$(B)/obj/%.d)
+
+packages:
+	@sh .ci/packages
+
+# The checks CI runs.
+check: format-check tidy all asan-test scenarios model
+	@echo "check: all passed"
+
+lint: format-check tidy
+
+format:
+	clang-format -i $(ALL_SRC) $(HEADERS)
+format-check:
+	clang-format --dry-run -Werror $(ALL_SRC) $(HEADERS)
+tidy:
+	@printf '%s\n' $(ALL_SRC) | xargs -P 8 -n 4 sh -c \
+	  'clang-tidy --quiet "$$@" -- -std=gnu11 -D_GNU_SOURCE -Isrc -I. $(PKG_CFLAGS) 2>/dev/null' sh
+
+asan-test:
+	$(MAKE) VARIANT=asan test
+test: all $(TESTS)
+	@sh tests/run.sh $(B) $(notdir $(TESTS))
+
+scenarios: all
+	@if [ -x scenarios/run.sh ]; then sh scenarios/run.sh $(B); fi
+model:
+	@if [ -x spec/run.sh ]; then sh spec/run.sh; fi
+demo: packages
+	$(MAKE) all
+	sh examples/demo.sh $(B) wales
+bench: all
+	sh bench/run.sh $(B)
+chaos: all
+	sh scenarios/chaos.sh $(B)
+clean:
+	rm -rf build out
--- /dev/null
+++ b/src/bin/bambootallyd.c
@@ -0,0 +1,139 @@
+#include "edge/journal.h"
+#include "edge/node.h"
+
+#include <argp.h>
+#include <glib-unix.h>
+#include <signal.h>
+#include <stdio.h>
+#include <sys/random.h>
+
+/* The daemon beside each backend server: reads its settings and runs one
+   node.  Exit status 1: the settings are not right; 2: it cannot listen.  */
+
+#define EXIT_SETTINGS 1
+#define EXIT_LISTEN 2
+
+const char *argp_program_version = "bambootallyd 0.1";
+
+static const struct argp_option options[]
+    = { { "settings", 's', "FILE", 0, "Read the settings from FILE", 0 },
+        { "check", 'c', NULL, 0, "Check the settings and exit", 0 },
+        { 0 } };
+
+/* The command line.  */
+struct arguments
+{
+  const char *settings; /* the settings file */
+  gboolean check;       /* only check it */
+};
+
+/* Take in one option.  */
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  struct arguments *arguments = state->input;
+
+  switch (key)
+    {
+    case 's':
+      arguments->settings = arg;
+      return 0;
+    case 'c':
+      arguments->check = TRUE;
+      return 0;
+    case ARGP_KEY_END:
+      if (arguments->settings == NULL)
+        argp_usage (state);
+      return 0;
+    default:
+      return ARGP_ERR_UNKNOWN;
+    }
+}
+
+/* Stop gracefully on SIGTERM.  */
+static gboolean
+on_term (gpointer data)
+{
+  struct event event = { .kind = EVENT_DRAIN };
+
+  node_feed (data, &event);
+  return G_SOURCE_CONTINUE;
+}
+
+/* Stop at once on SIGINT.  */
+static gboolean
+on_interrupt (gpointer data)
+{
+  struct node *node = data;
+
+  g_main_loop_quit (node->loop);
+  return G_SOURCE_CONTINUE;
+}
+
+/* Print the faults of the settings.  */
+static void
+print_faults (const GArray *faults)
+{
+  guint i;
+
+  for (i = 0; i < faults->len; i++)
+    {
+      char *text = fault_format (&g_array_index (faults, struct fault, i));
+      fprintf (stderr, "%s\n", text);
+      g_free (text);
+    }
+}
+
+/* Run a node until it has left.  */
+static int
+run (const struct settings *settings)
+{
+  static struct node node;
+  enum err code;
+
+  if (journal_open (settings->log_level) != 0)
+    fprintf (stderr, "bambootallyd: the journal does not open: %s\n",
+             err_name (ERR_IO));
+  signal (SIGPIPE, SIG_IGN);
+  code = node_init (&node, settings);
+  if (code != ERR_NONE)
+    {
+      fprintf (stderr, "bambootallyd: cannot listen: %s\n", err_name (code));
+      return EXIT_LISTEN;
+    }
+  g_unix_signal_add (SIGTERM, on_term, &node);
+  g_unix_signal_add (SIGINT, on_interrupt, &node);
+  g_main_loop_run (node.loop);
+  node_clear (&node);
+  journal_close ();
+  return 0;
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp argp
+      = { options, parse_option,
+          NULL,    "Run one node of the router beside a backend server.",
+          NULL,    NULL,
+          NULL };
+  struct arguments arguments = { 0 };
+  struct settings settings;
+  GArray *faults = g_array_new (FALSE, TRUE, sizeof (struct fault));
+  enum err code;
+
+  argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  code = settings_read (&settings, arguments.settings, faults);
+  print_faults (faults);
+  g_array_free (faults, TRUE);
+  if (code != ERR_NONE)
+    return EXIT_SETTINGS;
+  if (arguments.check)
+    return 0;
+  if (getrandom (&settings.core.incarnation, sizeof settings.core.incarnation,
+                 0)
+          < 0
+      || getrandom (&settings.core.seed, sizeof settings.core.seed, 0) < 0)
+    return EXIT_LISTEN;
+  return run (&settings);
+}
--- /dev/null
+++ b/src/decide/config_read.c
@@ -0,0 +1,311 @@
+#include "decide/config_read.h"
+
+#include "types/ini.h"
+
+#include <string.h>
+
+#define SLICES_MAX 262144        /* slices of one service */
+#define SLICES_DEFAULT 96        /* slices where none are given */
+#define TIMEOUT_MIN_MSEC 10      /* shortest timeout of a request */
+#define TIMEOUT_MAX_MSEC 3600000 /* longest timeout: an hour, for uploads */
+#define TIMEOUT_DEFAULT_MSEC 10000
+#define QUEUE_MAX 10000 /* requests that may wait at one server */
+#define QUEUE_DEFAULT 32
+#define WEIGHT_MAX 1000 /* percent */
+#define WEIGHT_DEFAULT 100
+#define SEGMENT_MAX 16 /* segments of a path */
+
+static const struct ini_field config_fields[] = {
+  { "place", "region", INI_NAME, TRUE, 0, 0, NULL },
+  { "service", "divided", INI_FLAG, TRUE, 0, 0, NULL },
+  { "service", "slices", INI_NUMBER, FALSE, 1, SLICES_MAX, NULL },
+  { "service", "timeout-ms", INI_NUMBER, FALSE, TIMEOUT_MIN_MSEC,
+    TIMEOUT_MAX_MSEC, NULL },
+  { "service", "queue", INI_NUMBER, FALSE, 0, QUEUE_MAX, NULL },
+  { "server", "place", INI_NAME, TRUE, 0, 0, NULL },
+  { "server", "service", INI_NAME, TRUE, 0, 0, NULL },
+  { "server", "weight", INI_NUMBER, FALSE, 0, WEIGHT_MAX, NULL },
+  { "rule", "service", INI_NAME, TRUE, 0, 0, NULL },
+  { "rule", "path", INI_TEXT, TRUE, 0, PATH_SIZE, NULL },
+  { "rule", "methods", INI_TEXT, FALSE, 0, NAME_SIZE, NULL },
+  { "rule", "key-segment", INI_NUMBER, FALSE, 1, SEGMENT_MAX, NULL },
+  { "rule", "key-header", INI_NAME, FALSE, 0, 0, NULL },
+  { "rule", "run", INI_CHOICE, TRUE, 0, 0, "idempotent|once" },
+  { "rule", "priority", INI_CHOICE, FALSE, 0, 0, "high|normal|low" },
+  { "binding", "service", INI_NAME, TRUE, 0, 0, NULL },
+  { "binding", "key", INI_TEXT, TRUE, 0, KEY_SIZE, NULL },
+  { "binding", "server", INI_NAME, TRUE, 0, 0, NULL },
+};
+
+static const struct ini_schema config_schema
+    = { config_fields, G_N_ELEMENTS (config_fields),
+        "place|service|server|rule|binding", "" };
+
+/* Read the objects */
+
+/* Read a place.  */
+static void
+read_place (struct config *config, const struct ini *ini,
+            const struct ini_section *section)
+{
+  struct config_place place = { 0 };
+
+  g_strlcpy (place.name, section->name, sizeof place.name);
+  ini_copy (ini, section, "region", place.region, sizeof place.region);
+  g_array_append_val (config->places, place);
+}
+
+/* Read a service.  */
+static void
+read_service (struct config *config, const struct ini *ini,
+              const struct ini_section *section)
+{
+  struct config_service service = { 0 };
+
+  g_strlcpy (service.name, section->name, sizeof service.name);
+  service.divided = ini_flag (ini, section, "divided", FALSE);
+  service.slices
+      = (guint32)ini_number (ini, section, "slices", SLICES_DEFAULT);
+  service.timeout_msec
+      = (guint32)ini_number (ini, section, "timeout-ms", TIMEOUT_DEFAULT_MSEC);
+  service.queue = (guint32)ini_number (ini, section, "queue", QUEUE_DEFAULT);
+  if (!service.divided)
+    service.slices = 0;
+  g_array_append_val (config->services, service);
+}
+
+/* Read a server.  */
+static void
+read_server (struct config *config, const struct ini *ini,
+             const struct ini_section *section)
+{
+  struct config_server server = { 0 };
+
+  g_strlcpy (server.name, section->name, sizeof server.name);
+  ini_copy (ini, section, "place", server.place, sizeof server.place);
+  ini_copy (ini, section, "service", server.service, sizeof server.service);
+  server.weight = (guint32)ini_number (ini, section, "weight", WEIGHT_DEFAULT);
+  g_array_append_val (config->servers, server);
+}
+
+/* Read a rule.  */
+static void
+read_rule (struct config *config, const struct ini *ini,
+           const struct ini_section *section)
+{
+  struct config_rule rule = { 0 };
+  char word[NAME_SIZE];
+
+  g_strlcpy (rule.name, section->name, sizeof rule.name);
+  ini_copy (ini, section, "service", rule.service, sizeof rule.service);
+  ini_copy (ini, section, "path", rule.path, sizeof rule.path);
+  ini_copy (ini, section, "methods", rule.methods, sizeof rule.methods);
+  ini_copy (ini, section, "key-header", rule.header, sizeof rule.header);
+  rule.segment = (guint32)ini_number (ini, section, "key-segment", 0);
+  if (rule.segment != 0)
+    rule.source = KEY_SEGMENT;
+  else if (rule.header[0] != '\0')
+    rule.source = KEY_HEADER;
+  ini_copy (ini, section, "run", word, sizeof word);
+  rule.run_class = strcmp (word, "once") == 0 ? RUN_ONCE : RUN_IDEMPOTENT;
+  ini_copy (ini, section, "priority", word, sizeof word);
+  rule.priority = strcmp (word, "high") == 0  ? PRIORITY_HIGH
+                  : strcmp (word, "low") == 0 ? PRIORITY_LOW
+                                              : PRIORITY_NORMAL;
+  g_array_append_val (config->rules, rule);
+}
+
+/* Read a binding.  */
+static void
+read_binding (struct config *config, const struct ini *ini,
+              const struct ini_section *section)
+{
+  struct config_binding binding = { 0 };
+
+  g_strlcpy (binding.name, section->name, sizeof binding.name);
+  ini_copy (ini, section, "service", binding.service, sizeof binding.service);
+  ini_copy (ini, section, "key", binding.key, sizeof binding.key);
+  ini_copy (ini, section, "server", binding.server, sizeof binding.server);
+  g_array_append_val (config->bindings, binding);
+}
+
+/* Read the object that SECTION describes.  */
+static void
+read_object (struct config *config, const struct ini *ini,
+             const struct ini_section *section)
+{
+  if (strcmp (section->kind, "place") == 0)
+    read_place (config, ini, section);
+  else if (strcmp (section->kind, "service") == 0)
+    read_service (config, ini, section);
+  else if (strcmp (section->kind, "server") == 0)
+    read_server (config, ini, section);
+  else if (strcmp (section->kind, "rule") == 0)
+    read_rule (config, ini, section);
+  else if (strcmp (section->kind, "binding") == 0)
+    read_binding (config, ini, section);
+}
+
+/* Check the references */
+
+/* Add a fault unless KEY of SECTION names an object, which FOUND is.  */
+static void
+check_reference (const struct ini *ini, const struct ini_section *section,
+                 const char *key, const void *found, GArray *faults)
+{
+  char *value = ini_text (ini, section, key);
+
+  if (found == NULL && value[0] != '\0')
+    ini_fault (ini, faults, FAULT_DANGLING, section, key, value);
+  g_free (value);
+}
+
+/* Tell whether A and B match some request both.  */
+static gboolean
+rules_overlap (const struct config_rule *a, const struct config_rule *b)
+{
+  char **methods;
+  gboolean both = FALSE;
+  guint i;
+
+  if (strcmp (a->path, b->path) != 0)
+    return FALSE;
+  if (a->methods[0] == '\0' || b->methods[0] == '\0')
+    return TRUE;
+  methods = g_strsplit (a->methods, ",", -1);
+  for (i = 0; methods[i] != NULL; i++)
+    {
+      char **others = g_strsplit (b->methods, ",", -1);
+      both = both || g_strv_contains ((const char *const *)others, methods[i]);
+      g_strfreev (others);
+    }
+  g_strfreev (methods);
+  return both;
+}
+
+/* Check the rule of SECTION: its service, its key, and that no other rule
+   matches the same requests.  */
+static void
+check_rule (const struct config *config, const struct ini *ini,
+            const struct ini_section *section, const struct config_rule *rule,
+            GArray *faults)
+{
+  const struct config_service *service
+      = config_find_service (config, rule->service);
+  guint i;
+
+  check_reference (ini, section, "service", service, faults);
+  if (rule->path[0] != '/')
+    ini_fault (ini, faults, FAULT_VALUE, section, "path", rule->path);
+  if (rule->segment != 0 && rule->header[0] != '\0')
+    ini_fault (ini, faults, FAULT_DUPLICATE, section, "key-header",
+               rule->header);
+  if (service != NULL && service->divided && rule->source == KEY_NONE)
+    ini_fault (ini, faults, FAULT_MISSING, section, "key-segment", NULL);
+  if (service != NULL && !service->divided && rule->source != KEY_NONE)
+    ini_fault (ini, faults, FAULT_VALUE, section,
+               rule->segment != 0 ? "key-segment" : "key-header",
+               "service is not divided");
+  for (i = 0; i < config->rules->len; i++)
+    {
+      const struct config_rule *other
+          = &g_array_index (config->rules, struct config_rule, i);
+      if (other == rule)
+        return;
+      if (rules_overlap (other, rule))
+        ini_fault (ini, faults, FAULT_OVERLAP, section, "path", other->name);
+    }
+}
+
+/* Check the references of the object that SECTION describes.  */
+static void
+check_object (const struct config *config, const struct ini *ini,
+              const struct ini_section *section, GArray *faults)
+{
+  char name[KEY_SIZE];
+  guint i;
+
+  if (strcmp (section->kind, "server") == 0)
+    {
+      ini_copy (ini, section, "place", name, sizeof name);
+      check_reference (ini, section, "place", config_find_place (config, name),
+                       faults);
+    }
+  if (strcmp (section->kind, "server") == 0
+      || strcmp (section->kind, "binding") == 0)
+    {
+      ini_copy (ini, section, "service", name, sizeof name);
+      check_reference (ini, section, "service",
+                       config_find_service (config, name), faults);
+    }
+  if (strcmp (section->kind, "binding") == 0)
+    {
+      ini_copy (ini, section, "server", name, sizeof name);
+      check_reference (ini, section, "server",
+                       config_find_server (config, name), faults);
+    }
+  if (strcmp (section->kind, "rule") != 0)
+    return;
+  for (i = 0; i < config->rules->len; i++)
+    {
+      const struct config_rule *rule
+          = &g_array_index (config->rules, struct config_rule, i);
+      if (strcmp (rule->name, section->name) == 0)
+        {
+          check_rule (config, ini, section, rule, faults);
+          return;
+        }
+    }
+}
+
+/* Read TEXT, called FILE in faults, into CONFIG, and check it as one set.
+   Return ERR_INVALID if it has faults, each of which is added to FAULTS; the
+   caller clears CONFIG either way.  */
+enum err
+config_read (struct config *config, const char *file, const char *text,
+             GArray *faults)
+{
+  struct ini ini;
+  guint before = faults->len;
+  guint i;
+
+  config_init (config);
+  ini_read (&ini, file, text, &config_schema, faults);
+  for (i = 0; i < ini.sections->len; i++)
+    read_object (config, &ini,
+                 &g_array_index (ini.sections, struct ini_section, i));
+  for (i = 0; i < ini.sections->len; i++)
+    check_object (config, &ini,
+                  &g_array_index (ini.sections, struct ini_section, i),
+                  faults);
+  ini_clear (&ini);
+  return faults->len > before ? ERR_INVALID : ERR_NONE;
+}
+
+/* Add a fault for each thing that AFTER changes but that is fixed once
+   BEFORE has said it: the slices of a service, and that it is divided.  */
+void
+config_compare (const struct config *before, const struct config *after,
+                const char *file, GArray *faults)
+{
+  guint i;
+
+  for (i = 0; i < before->services->len; i++)
+    {
+      const struct config_service *old
+          = &g_array_index (before->services, struct config_service, i);
+      const struct config_service *new
+          = config_find_service (after, old->name);
+      struct fault *fault;
+      if (new == NULL
+          || (new->divided == old->divided &&new->slices == old->slices))
+        continue;
+      fault = fault_add (faults, FAULT_FIXED);
+      g_strlcpy (fault->file, file, sizeof fault->file);
+      g_snprintf (fault->section, sizeof fault->section, "service %s",
+                  old->name);
+      g_strlcpy (fault->key,
+                 new->divided != old->divided ? "divided" : "slices",
+                 sizeof fault->key);
+    }
+}
--- /dev/null
+++ b/src/decide/config_read.h
@@ -0,0 +1,15 @@
+#ifndef BAMBOOTALLY_CONFIG_READ_H
+#define BAMBOOTALLY_CONFIG_READ_H
+
+#include "types/config.h"
+#include "types/err.h"
+#include "types/fault.h"
+
+/* Reads and checks a configuration as one set.  */
+
+enum err config_read (struct config *config, const char *file,
+                      const char *text, GArray *faults);
+void config_compare (const struct config *before, const struct config *after,
+                     const char *file, GArray *faults);
+
+#endif
--- /dev/null
+++ b/src/decide/core.c
@@ -0,0 +1,231 @@
+#include "decide/core.h"
+
+#include "decide/flight.h"
+#include "decide/fold.h"
+#include "decide/member.h"
+#include "decide/plan.h"
+#include "decide/route.h"
+#include "decide/timing.h"
+
+#include <string.h>
+
+/* Set up a node that has read nothing yet.  */
+void
+core_init (struct core *core, const struct core_settings *settings)
+{
+  memset (core, 0, sizeof *core);
+  core->settings = *settings;
+  view_init (&core->view);
+  lease_init (&core->lease);
+  witness_init (&core->witness);
+  gate_init (&core->gate);
+  outbox_init (&core->outbox, settings->incarnation);
+  table_init (&core->flights, sizeof (struct flight));
+  core->attempt = settings->seed;
+}
+
+/* Release what CORE holds.  */
+void
+core_clear (struct core *core)
+{
+  view_clear (&core->view);
+  witness_clear (&core->witness);
+  gate_clear (&core->gate);
+  outbox_clear (&core->outbox);
+  table_clear (&core->flights);
+}
+
+/* The log */
+
+/* Fold records that were read.  */
+static void
+take_records (struct core *core, const struct event_records *event, gint64 now,
+              struct actions *out)
+{
+  const struct view_service *service;
+  guint i;
+
+  for (i = 0; i < event->count; i++)
+    {
+      const struct log_entry *entry = &event->items[i];
+      outbox_on_record (&core->outbox, &entry->record);
+      fold_record (&core->view, entry->offset, &entry->record, out);
+      if (entry->record.kind == RECORD_JOIN
+          || entry->record.kind == RECORD_CONFIG)
+        core->settled_at = now + SETTLE_USEC;
+    }
+  if (event->from_log && core->log_down)
+    {
+      core->log_down = FALSE;
+      actions_add (out, ACTION_NOTE)->u.note.id = NOTE_LOG_UP;
+    }
+  if (event->at_tail)
+    {
+      core->at_tail = TRUE;
+      outbox_on_tail (&core->outbox, event->begun, now, out);
+    }
+  service = view_find_service (&core->view, core->settings.service);
+  core->gate.limit = service != NULL ? service->config.queue : 0;
+}
+
+/* Note that the log cannot be read.  */
+static void
+take_log_failed (struct core *core, const struct event_log_failed *event,
+                 struct actions *out)
+{
+  struct note *note;
+
+  if (core->log_down)
+    return;
+  core->log_down = TRUE;
+  note = &actions_add (out, ACTION_NOTE)->u.note;
+  note->id = NOTE_LOG_DOWN;
+  note->code = event->code;
+}
+
+/* The backend server */
+
+/* The server announced itself.  */
+static void
+take_server_up (struct core *core, const struct event_server_up *event,
+                struct actions *out)
+{
+  gboolean again = core->has_server && core->gate.slots == event->slots;
+
+  core->server = *event;
+  core->has_server = TRUE;
+  core->gate.slots = event->slots;
+  if (again)
+    return;
+  actions_add (out, ACTION_NOTE)->u.note.id = NOTE_SERVER_UP;
+}
+
+/* The server cannot be reached.  */
+static void
+take_server_down (struct core *core, struct actions *out)
+{
+  if (core->gate.slots == 0)
+    return;
+  core->gate.slots = 0;
+  actions_add (out, ACTION_NOTE)->u.note.id = NOTE_SERVER_DOWN;
+}
+
+/* Other nodes */
+
+/* Answer a call from another node.  */
+static void
+take_peer_call (struct core *core, const struct event_peer_call *event,
+                gint64 now, struct actions *out)
+{
+  struct action_reply *action = &actions_add (out, ACTION_REPLY)->u.reply;
+  struct peer_reply *reply = &action->body;
+
+  action->call = event->call;
+  action->xid = event->xid;
+  reply->kind = event->body.kind;
+  if (event->body.to != core->settings.incarnation)
+    {
+      reply->code = ERR_NOT_FOUND;
+      return;
+    }
+  switch (event->body.kind)
+    {
+    case PEER_RENEW:
+      witness_on_renew (&core->witness, &event->body.u.renew, core->view.next,
+                        now, &reply->u.renew);
+      break;
+    case PEER_PROMISE:
+      witness_on_promise (&core->witness, &event->body.u.promise, now,
+                          &reply->u.promise);
+      break;
+    case PEER_FOLDED:
+    case PEER_RELEASED:
+    case PEER_FETCH:
+    case PEER_CERTIFIED:
+      break;
+    }
+}
+
+/* Take in the reply of another node.  */
+static void
+take_peer_reply (struct core *core, const struct event_peer_reply *event)
+{
+  if (event->body.code != ERR_NONE)
+    return;
+  switch (event->body.kind)
+    {
+    case PEER_RENEW:
+      lease_on_reply (&core->lease, &core->view, core->self, event->peer,
+                      &event->body.u.renew);
+      break;
+    case PEER_PROMISE:
+    case PEER_FOLDED:
+    case PEER_RELEASED:
+    case PEER_FETCH:
+    case PEER_CERTIFIED:
+      break;
+    }
+}
+
+/* Do what is due at NOW.  */
+static void
+step_all (struct core *core, gint64 now, struct actions *out)
+{
+  member_step (core, now, out);
+  lease_step (&core->lease, &core->view, core->self, now, &core->call_serial,
+              out);
+  plan_step (core, now, out);
+  route_step (core, now, out);
+  outbox_send (&core->outbox, now, out);
+}
+
+/* Take in EVENT at NOW, in monotonic microseconds, and add to OUT what is to
+   be done.  */
+void
+core_step (struct core *core, const struct event *event, gint64 now,
+           struct actions *out)
+{
+  switch (event->kind)
+    {
+    case EVENT_TICK:
+      step_all (core, now, out);
+      break;
+    case EVENT_RECORDS:
+      take_records (core, &event->u.records, now, out);
+      step_all (core, now, out);
+      break;
+    case EVENT_LOG_FAILED:
+      take_log_failed (core, &event->u.log_failed, out);
+      break;
+    case EVENT_APPENDED:
+      outbox_on_appended (&core->outbox, event->u.appended.serial,
+                          event->u.appended.code, now, out);
+      break;
+    case EVENT_SERVER_UP:
+      take_server_up (core, &event->u.server_up, out);
+      break;
+    case EVENT_SERVER_DOWN:
+      take_server_down (core, out);
+      break;
+    case EVENT_REQUEST:
+      route_request (core, &event->u.request, now, out);
+      break;
+    case EVENT_ENDED:
+      route_ended (core, &event->u.ended, now, out);
+      break;
+    case EVENT_GONE:
+      route_gone (core, event->u.gone.exchange, now, out);
+      break;
+    case EVENT_PEER_CALL:
+      take_peer_call (core, &event->u.peer_call, now, out);
+      break;
+    case EVENT_PEER_REPLY:
+      take_peer_reply (core, &event->u.peer_reply);
+      break;
+    case EVENT_SERVER_LOAD:
+    case EVENT_GRANTED:
+    case EVENT_DRAIN:
+    case EVENT_SNAPSHOT:
+      break;
+    }
+}
--- /dev/null
+++ b/src/decide/core.h
@@ -0,0 +1,41 @@
+#ifndef BAMBOOTALLY_CORE_H
+#define BAMBOOTALLY_CORE_H
+
+#include "decide/core_settings.h"
+#include "decide/gate.h"
+#include "decide/lease.h"
+#include "decide/outbox.h"
+#include "decide/witness.h"
+#include "types/event.h"
+#include "types/view.h"
+
+/* All decisions of one node.  It is told events with the time and answers
+   with actions; it has no socket, clock or main loop.  */
+
+struct core
+{
+  struct core_settings settings; /* who this node is */
+  struct view view;              /* what the log adds up to */
+  struct handle self;            /* this node in the view */
+  struct lease lease;            /* its lease */
+  struct witness witness;        /* its acks to others */
+  struct gate gate;              /* admission to its server */
+  struct outbox outbox;          /* its records on their way */
+  struct table flights;          /* struct flight, by the edge's handles */
+  struct event_server_up server; /* what its server announced */
+  gboolean has_server;           /* whether the server announced itself */
+  gboolean at_tail;              /* the log has been read to its tail once */
+  gboolean joined;               /* this node has been in the view */
+  gboolean log_down;             /* the last read of the log failed */
+  gint64 settled_at;             /* members have settled from then on */
+  guint64 call_serial;           /* serial of the last call to a node */
+  guint64 attempt;               /* number of the last attempt */
+  guint32 turn;                  /* takes members in turn */
+};
+
+void core_init (struct core *core, const struct core_settings *settings);
+void core_clear (struct core *core);
+void core_step (struct core *core, const struct event *event, gint64 now,
+                struct actions *out);
+
+#endif
--- /dev/null
+++ b/src/decide/core_settings.h
@@ -0,0 +1,21 @@
+#ifndef BAMBOOTALLY_CORE_SETTINGS_H
+#define BAMBOOTALLY_CORE_SETTINGS_H
+
+#include "types/record.h"
+
+/* What a node knows of itself when it starts.  */
+
+struct core_settings
+{
+  guint64 incarnation;     /* drawn at random at each start */
+  char host[NAME_SIZE];    /* name of the host */
+  char zone[NAME_SIZE];    /* place it stands in */
+  char region[NAME_SIZE];  /* region of that place */
+  char service[NAME_SIZE]; /* service of the backend server beside it */
+  struct address front;    /* where callers reach it */
+  struct address peer;     /* where nodes reach it */
+  guint32 slots;           /* slots of the server, until it says otherwise */
+  guint64 seed;            /* for random choices */
+};
+
+#endif
--- /dev/null
+++ b/src/decide/fold.c
@@ -0,0 +1,62 @@
+#include "decide/fold.h"
+
+/* Add a note about the record at OFFSET; good until the next action.  */
+struct note *
+fold_note (struct actions *out, enum note_id id, guint64 offset)
+{
+  struct note *note = &actions_add (out, ACTION_NOTE)->u.note;
+
+  note->id = id;
+  note->offset = offset;
+  return note;
+}
+
+/* Fold the record at OFFSET into VIEW.  A record below view->next has been
+   folded before and is passed over, so that a view never goes back.  */
+void
+fold_record (struct view *view, guint64 offset, const struct record *record,
+             struct actions *out)
+{
+  if (offset < view->next)
+    return;
+  view->next = offset + 1;
+  if (record->version > RECORD_VERSION)
+    {
+      fold_note (out, NOTE_RECORD_UNKNOWN, offset)->amount = record->version;
+      return;
+    }
+  switch (record->kind)
+    {
+    case RECORD_CONFIG:
+      fold_config (view, offset, &record->body.config, out);
+      break;
+    case RECORD_JOIN:
+      fold_join (view, offset, &record->body.join, out);
+      break;
+    case RECORD_LEAVING:
+      fold_leaving (view, offset, &record->body.leaving, out);
+      break;
+    case RECORD_OUT:
+      fold_out (view, offset, &record->body.out, out);
+      break;
+    case RECORD_WITNESS:
+      fold_witness (view, offset, &record->body.witness, out);
+      break;
+    case RECORD_ASSIGN:
+      fold_assign (view, offset, &record->body.slices, out);
+      break;
+    case RECORD_MOVE:
+    case RECORD_SUCCESSOR:
+      fold_move (view, offset, &record->body.slices, out);
+      break;
+    case RECORD_MOVED:
+      fold_moved (view, offset, &record->body.slices, out);
+      break;
+    case RECORD_HOT:
+      fold_hot (view, offset, &record->body.hot, out);
+      break;
+    case RECORD_SUSPECT:
+    case RECORD_SNAPSHOT:
+      break;
+    }
+}
--- /dev/null
+++ b/src/decide/fold_config.c
@@ -0,0 +1,86 @@
+#include "decide/fold.h"
+
+#include "decide/config_read.h"
+
+#include <string.h>
+
+/* Tell the services of VIEW what the configuration now says of them.  */
+static void
+apply_services (struct view *view)
+{
+  guint i;
+
+  for (i = 0; i < view->services->len; i++)
+    {
+      struct view_service *service = g_ptr_array_index (view->services, i);
+      service->configured = FALSE;
+    }
+  for (i = 0; i < view->config.services->len; i++)
+    {
+      const struct config_service *config
+          = &g_array_index (view->config.services, struct config_service, i);
+      struct view_service *service = view_add_service (view, config->name);
+      service->config = *config;
+      service->configured = TRUE;
+      if (service->slices->len < config->slices)
+        g_array_set_size (service->slices, config->slices);
+    }
+}
+
+/* Compare AFTER with every service the log has ever configured, also with
+   those that a later configuration left out.  */
+static void
+compare_with_view (const struct view *view, const struct config *after,
+                   GArray *faults)
+{
+  struct config before;
+  guint i;
+
+  config_init (&before);
+  for (i = 0; i < view->services->len; i++)
+    {
+      const struct view_service *service
+          = g_ptr_array_index (view->services, i);
+      if (service->slices->len > 0 || service->configured)
+        g_array_append_val (before.services, service->config);
+    }
+  config_compare (&before, after, "log", faults);
+  config_clear (&before);
+}
+
+/* Put a configuration in force if it was made from the one in force and has
+   no faults; otherwise drop it.  */
+void
+fold_config (struct view *view, guint64 offset,
+             const struct record_config *body, struct actions *out)
+{
+  struct config config;
+  GArray *faults;
+  enum err code;
+
+  if (body->base != view->config_offset)
+    {
+      fold_note (out, NOTE_CONFIG_CONFLICT, offset)->code = ERR_CONFLICT;
+      return;
+    }
+  faults = g_array_new (FALSE, TRUE, sizeof (struct fault));
+  code = config_read (&config, "log", body->text, faults);
+  compare_with_view (view, &config, faults);
+  if (code != ERR_NONE || faults->len > 0)
+    {
+      fold_note (out, NOTE_CONFIG_CONFLICT, offset)->code = ERR_INVALID;
+      config_clear (&config);
+      g_array_free (faults, TRUE);
+      return;
+    }
+  g_array_free (faults, TRUE);
+  config_clear (&view->config);
+  view->config = config;
+  g_free (view->config_text);
+  view->config_text = g_strdup (body->text);
+  g_strlcpy (view->config_author, body->author, sizeof view->config_author);
+  view->config_offset = offset;
+  view->has_config = TRUE;
+  apply_services (view);
+  fold_note (out, NOTE_CONFIG_FORCE, offset);
+}
--- /dev/null
+++ b/src/decide/gate.h
@@ -0,0 +1,43 @@
+#ifndef BAMBOOTALLY_GATE_H
+#define BAMBOOTALLY_GATE_H
+
+#include "types/request.h"
+
+/* Admission to the backend server beside this node: its slots, and a short
+   queue by priority and then by deadline.  */
+
+/* A request that waits for a slot.  */
+struct gate_waiter
+{
+  struct handle exchange; /* the request */
+  enum priority priority; /* its priority */
+  gint64 deadline;        /* monotonic microseconds */
+};
+
+struct gate
+{
+  guint32 slots;   /* requests the server runs at once; 0 while it is down */
+  guint32 busy;    /* slots in use */
+  guint32 limit;   /* requests that may wait */
+  GArray *waiting; /* struct gate_waiter, first to run first */
+};
+
+/* What the gate says of a request.  */
+enum gate_verdict
+{
+  GATE_RUN,   /* it has a slot */
+  GATE_WAIT,  /* it waits in the queue */
+  GATE_REFUSE /* it is refused and has not run */
+};
+
+void gate_init (struct gate *gate);
+void gate_clear (struct gate *gate);
+enum gate_verdict gate_admit (struct gate *gate, struct handle exchange,
+                              const struct request *request, gint64 now,
+                              enum reason *reason);
+void gate_release (struct gate *gate);
+gboolean gate_next (struct gate *gate, struct handle *exchange);
+gboolean gate_expire (struct gate *gate, gint64 now, struct handle *exchange);
+void gate_forget (struct gate *gate, struct handle exchange);
+
+#endif
--- /dev/null
+++ b/src/decide/lease.c
@@ -0,0 +1,251 @@
+#include "decide/lease.h"
+
+#include "decide/timing.h"
+
+#include <string.h>
+
+/* Majorities */
+
+/* What is known of the witness INCARNATION, or NULL.  */
+static struct lease_witness *
+find_peer (struct lease *lease, guint64 incarnation)
+{
+  guint i;
+
+  for (i = 0; i < lease->count; i++)
+    if (lease->peers[i].incarnation == incarnation)
+      return &lease->peers[i];
+  return NULL;
+}
+
+/* The send time that a majority of the COUNT witnesses in SET has acked at
+   least; G_MININT64 for an empty set, which can hold no lease.  */
+static gint64
+majority_acked (struct lease *lease, const guint64 *set, guint32 count)
+{
+  gint64 acked[WITNESS_MAX];
+  guint32 i;
+  guint32 k;
+
+  if (count == 0)
+    return G_MININT64;
+  for (i = 0; i < count; i++)
+    {
+      const struct lease_witness *peer = find_peer (lease, set[i]);
+      gint64 value = peer != NULL ? peer->acked : G_MININT64;
+      for (k = i; k > 0 && acked[k - 1] < value; k--)
+        acked[k] = acked[k - 1];
+      acked[k] = value;
+    }
+  return acked[count / 2];
+}
+
+/* Tell whether a majority of SET has acked FLOOR.  */
+static gboolean
+majority_floor (const struct lease *lease, const guint64 *set, guint32 count,
+                guint64 floor)
+{
+  guint32 acks = 0;
+  guint32 i;
+
+  for (i = 0; i < count; i++)
+    {
+      const struct lease_witness *peer
+          = find_peer ((struct lease *)lease, set[i]);
+      if (peer != NULL && peer->floor >= floor)
+        acks++;
+    }
+  return acks > count / 2;
+}
+
+/* Tell whether a majority of the witnesses that count now has acked FLOOR: a
+   giving-up at FLOOR is then complete.  */
+gboolean
+lease_floor_acked (const struct lease *lease, const struct view *view,
+                   struct handle self, guint64 floor)
+{
+  const struct view_node *node = view_node_at (view, self);
+
+  if (node == NULL || node->witness_count == 0)
+    return FALSE;
+  if (!majority_floor (lease, node->witnesses, node->witness_count, floor))
+    return FALSE;
+  return !lease->joint
+         || majority_floor (lease, node->before, node->before_count, floor);
+}
+
+/* Work out when the lease ends from what the witnesses have acked.  */
+static void
+update_until (struct lease *lease, const struct view_node *node)
+{
+  gint64 acked = majority_acked (lease, node->witnesses, node->witness_count);
+
+  if (lease->joint)
+    {
+      gint64 before = majority_acked (lease, node->before, node->before_count);
+      acked = MIN (acked, before);
+    }
+  if (acked > 0 && acked + LEASE_USEC > lease->until)
+    lease->until = acked + LEASE_USEC;
+}
+
+/* Witness sets */
+
+/* Add the witnesses of SET to PEERS, keeping what is known of them.  */
+static guint32
+collect_peers (struct lease *lease, struct lease_witness *peers, guint32 count,
+               const guint64 *set, guint32 size)
+{
+  guint32 i;
+  guint32 k;
+
+  for (i = 0; i < size; i++)
+    {
+      const struct lease_witness *known = find_peer (lease, set[i]);
+      for (k = 0; k < count; k++)
+        if (peers[k].incarnation == set[i])
+          break;
+      if (k < count)
+        continue;
+      memset (&peers[count], 0, sizeof peers[count]);
+      peers[count].incarnation = set[i];
+      if (known != NULL)
+        peers[count] = *known;
+      count++;
+    }
+  return count;
+}
+
+/* Take over the witness sets of NODE, this node.  A change of the set is a
+   giving-up: it raises the floor, and the set before counts until its
+   majority has acked that floor.  */
+static void
+follow_sets (struct lease *lease, const struct view_node *node)
+{
+  struct lease_witness peers[2 * WITNESS_MAX];
+  guint32 count = 0;
+
+  if (lease->epoch == node->witness_epoch)
+    return;
+  count = collect_peers (lease, peers, count, node->witnesses,
+                         node->witness_count);
+  count
+      = collect_peers (lease, peers, count, node->before, node->before_count);
+  memcpy (lease->peers, peers, sizeof peers);
+  lease->count = count;
+  lease->epoch = node->witness_epoch;
+  lease->joint = node->before_count > 0;
+  lease->floor = MAX (lease->floor, node->witness_epoch);
+  lease->next_send = 0;
+}
+
+/* Stop counting the set before once its majority has acked the change.  */
+static void
+end_joint (struct lease *lease, const struct view_node *node)
+{
+  if (lease->joint
+      && majority_floor (lease, node->before, node->before_count,
+                         lease->epoch))
+    lease->joint = FALSE;
+}
+
+/* Renewals */
+
+/* Set up a lease that is not held.  */
+void
+lease_init (struct lease *lease)
+{
+  memset (lease, 0, sizeof *lease);
+}
+
+/* Send a renewal to every witness that is in the view.  */
+static void
+send_renewals (struct lease *lease, const struct view *view, guint64 self,
+               gint64 now, guint64 *serial, struct actions *out)
+{
+  struct lease_round *round;
+  guint32 i;
+
+  lease->round++;
+  lease->next_send = now + RENEW_EVERY_USEC;
+  round = &lease->rounds[lease->round % LEASE_ROUNDS];
+  round->round = lease->round;
+  round->sent = now;
+  round->floor = lease->floor;
+  for (i = 0; i < lease->count; i++)
+    {
+      const struct view_node *peer = view_node_at (
+          view, view_find_node (view, lease->peers[i].incarnation));
+      struct action_call *call;
+      if (peer == NULL)
+        continue;
+      call = &actions_add (out, ACTION_CALL)->u.call;
+      call->serial = ++*serial;
+      call->peer = lease->peers[i].incarnation;
+      call->to = peer->join.peer;
+      call->deadline = now + CALL_TIMEOUT_USEC;
+      call->body.kind = PEER_RENEW;
+      call->body.to = call->peer;
+      call->body.u.renew.incarnation = self;
+      call->body.u.renew.round = lease->round;
+      call->body.u.renew.floor = lease->floor;
+      call->body.u.renew.folded = view->next;
+    }
+}
+
+/* Note that the lease has come or gone since the last step.  */
+static void
+note_change (struct lease *lease, gint64 now, struct actions *out)
+{
+  gboolean held = lease_is_held (lease, now);
+
+  if (held == lease->held)
+    return;
+  lease->held = held;
+  actions_add (out, ACTION_NOTE)->u.note.id
+      = held ? NOTE_LEASE_HELD : NOTE_LEASE_LAPSED;
+}
+
+/* Renew when it is time.  SERIAL numbers the calls.  */
+void
+lease_step (struct lease *lease, const struct view *view, struct handle self,
+            gint64 now, guint64 *serial, struct actions *out)
+{
+  const struct view_node *node = view_node_at (view, self);
+
+  if (node != NULL)
+    {
+      follow_sets (lease, node);
+      if (lease->count > 0 && now >= lease->next_send)
+        send_renewals (lease, view, node->join.incarnation, now, serial, out);
+    }
+  note_change (lease, now, out);
+}
+
+/* Take in the answer of the witness PEER to a renewal.  */
+void
+lease_on_reply (struct lease *lease, const struct view *view,
+                struct handle self, guint64 peer,
+                const struct peer_renew_reply *reply)
+{
+  const struct view_node *node = view_node_at (view, self);
+  const struct lease_round *round
+      = &lease->rounds[reply->round % LEASE_ROUNDS];
+  struct lease_witness *witness = find_peer (lease, peer);
+
+  if (node == NULL || witness == NULL || !reply->granted
+      || round->round != reply->round)
+    return;
+  witness->acked = MAX (witness->acked, round->sent);
+  witness->floor = MAX (witness->floor, round->floor);
+  witness->folded = MAX (witness->folded, reply->folded);
+  end_joint (lease, node);
+  update_until (lease, node);
+}
+
+/* Tell whether the lease is held at NOW.  */
+gboolean
+lease_is_held (const struct lease *lease, gint64 now)
+{
+  return now < lease->until;
+}
--- /dev/null
+++ b/src/decide/outbox.h
@@ -0,0 +1,43 @@
+#ifndef BAMBOOTALLY_OUTBOX_H
+#define BAMBOOTALLY_OUTBOX_H
+
+#include "types/action.h"
+
+/* Records that this node has proposed and not yet read back.  An append whose
+   answer was lost is found again by its serial when it is read.  */
+
+/* How far an append has come.  */
+enum outbox_state
+{
+  OUTBOX_SENT,     /* no answer yet */
+  OUTBOX_APPENDED, /* on the log, not yet read back */
+  OUTBOX_FAILED,   /* it was refused; it goes out again */
+  OUTBOX_UNSURE    /* it may be on the log; a read will tell */
+};
+
+struct outbox_item
+{
+  struct record record;    /* what was proposed */
+  enum outbox_state state; /* how far it is */
+  gint64 since;            /* when the state began, monotonic usec */
+};
+
+struct outbox
+{
+  guint64 writer; /* incarnation of this node */
+  guint64 serial; /* serial of the last record */
+  GArray *items;  /* struct outbox_item */
+};
+
+void outbox_init (struct outbox *outbox, guint64 writer);
+void outbox_clear (struct outbox *outbox);
+struct record *outbox_propose (struct outbox *outbox, enum record_kind kind);
+void outbox_send (struct outbox *outbox, gint64 now, struct actions *out);
+gboolean outbox_has (const struct outbox *outbox, enum record_kind kind);
+void outbox_on_appended (struct outbox *outbox, guint64 serial, enum err code,
+                         gint64 now, struct actions *out);
+void outbox_on_record (struct outbox *outbox, const struct record *record);
+void outbox_on_tail (struct outbox *outbox, gint64 begun, gint64 now,
+                     struct actions *out);
+
+#endif
--- /dev/null
+++ b/src/decide/pick.c
@@ -0,0 +1,98 @@
+#include "decide/pick.h"
+
+#include "decide/core.h"
+#include "decide/own.h"
+#include "decide/slice.h"
+
+#include <string.h>
+
+/* Pick the owner of the key of REQUEST.  */
+static struct pick
+pick_owner (const struct core *core, const struct view_service *service,
+            struct request *request, gint64 now)
+{
+  struct pick pick = { PICK_NONE, HANDLE_NONE, REASON_NO_OWNER, { 0, 0 } };
+  const struct view_slice *slice;
+  struct own_right right;
+
+  request->slice = slice_of_key (service, request->key);
+  right = own_check (core, service, request->slice, now);
+  slice = view_slice_at (service, request->slice);
+  if (right.serves)
+    {
+      pick.kind = PICK_OWN;
+      pick.fence = right.fence;
+      return pick;
+    }
+  if (slice == NULL || view_node_at (&core->view, slice->owner) == NULL)
+    return pick;
+  pick.fence.offset = slice->epoch;
+  pick.reason = right.reason;
+  if (!handle_equal (slice->owner, core->self))
+    {
+      pick.kind = PICK_PEER;
+      pick.node = slice->owner;
+    }
+  return pick;
+}
+
+/* Pick a node of a service that is not divided: this one if it serves the
+   service and has a slot, otherwise one of the same zone, otherwise any.  */
+static struct pick
+pick_member (struct core *core, const struct view_service *service,
+             const struct request *request)
+{
+  struct pick pick = { PICK_NONE, HANDLE_NONE, REASON_NO_SERVER, { 0, 0 } };
+  guint i;
+  guint start;
+
+  if (strcmp (core->settings.service, service->config.name) == 0
+      && (request->from_peer || core->gate.busy < core->gate.slots))
+    {
+      pick.kind = PICK_OWN;
+      return pick;
+    }
+  if (service->members->len == 0)
+    return pick;
+  start = core->turn++;
+  for (i = 0; i < service->members->len; i++)
+    {
+      struct handle h = g_array_index (service->members, struct handle,
+                                       (start + i) % service->members->len);
+      const struct view_node *node = view_node_at (&core->view, h);
+      if (node->state != NODE_LIVE || handle_equal (h, core->self))
+        continue;
+      if (pick.kind == PICK_PEER
+          && strcmp (node->join.zone, core->settings.zone) != 0)
+        continue;
+      pick.kind = PICK_PEER;
+      pick.node = h;
+      if (strcmp (node->join.zone, core->settings.zone) == 0)
+        break;
+    }
+  return pick;
+}
+
+/* Pick the node that is to serve REQUEST, whose slice is filled in.  TRIES
+   counts the attempts made from here.  */
+struct pick
+pick_node (struct core *core, struct request *request, guint32 tries,
+           gint64 now)
+{
+  struct pick none = { PICK_NONE, HANDLE_NONE, REASON_NO_RULE, { 0, 0 } };
+  const struct view_service *service
+      = view_find_service (&core->view, request->service);
+  struct pick pick;
+
+  (void)tries;
+  if (service == NULL || !service->configured)
+    return none;
+  pick = service->config.divided ? pick_owner (core, service, request, now)
+                                 : pick_member (core, service, request);
+  if (pick.kind == PICK_PEER && request->from_peer)
+    {
+      pick.kind = PICK_NONE;
+      pick.reason = REASON_NOT_OWNER;
+    }
+  return pick;
+}
--- /dev/null
+++ b/src/decide/pick.h
@@ -0,0 +1,30 @@
+#ifndef BAMBOOTALLY_PICK_H
+#define BAMBOOTALLY_PICK_H
+
+#include "types/request.h"
+#include "types/view.h"
+
+struct core;
+
+/* Picks the node that is to serve a request.  */
+
+/* What was picked.  */
+enum pick_kind
+{
+  PICK_OWN,  /* this node */
+  PICK_PEER, /* another node */
+  PICK_NONE  /* no node, for the reason given */
+};
+
+struct pick
+{
+  enum pick_kind kind; /* what was picked */
+  struct handle node;  /* the node, with PICK_PEER */
+  enum reason reason;  /* why not, with PICK_NONE */
+  struct fence fence;  /* fence to serve under or known */
+};
+
+struct pick pick_node (struct core *core, struct request *request,
+                       guint32 tries, gint64 now);
+
+#endif
--- /dev/null
+++ b/src/decide/route.h
@@ -0,0 +1,19 @@
+#ifndef BAMBOOTALLY_ROUTE_H
+#define BAMBOOTALLY_ROUTE_H
+
+#include "types/action.h"
+#include "types/event.h"
+
+struct core;
+
+/* Where requests go, and what happens when an attempt ends.  */
+
+void route_request (struct core *core, const struct event_request *event,
+                    gint64 now, struct actions *out);
+void route_ended (struct core *core, const struct event_ended *event,
+                  gint64 now, struct actions *out);
+void route_gone (struct core *core, struct handle exchange, gint64 now,
+                 struct actions *out);
+void route_step (struct core *core, gint64 now, struct actions *out);
+
+#endif
--- /dev/null
+++ b/src/decide/rule.h
@@ -0,0 +1,16 @@
+#ifndef BAMBOOTALLY_RULE_H
+#define BAMBOOTALLY_RULE_H
+
+#include "types/config.h"
+#include "types/reason.h"
+
+/* Finds the rule that a request falls under.  */
+
+/* Tells the value of a header, or NULL.  */
+typedef const char *rule_header_fn (gpointer data, const char *name);
+
+enum reason rule_match (const struct config *config, const char *method,
+                        const char *path, rule_header_fn *header,
+                        gpointer data, struct request *request);
+
+#endif
--- /dev/null
+++ b/src/decide/timing.h
@@ -0,0 +1,18 @@
+#ifndef BAMBOOTALLY_TIMING_H
+#define BAMBOOTALLY_TIMING_H
+
+#include <glib.h>
+
+/* The times that ownership and retries rely on, in microseconds.  */
+
+#define LEASE_USEC ((gint64)1500000)          /* a lease lasts this long */
+#define LEASE_DRIFT_USEC ((gint64)30000)      /* 2 % for clocks' rates */
+#define RENEW_EVERY_USEC ((gint64)400000)     /* renewals are sent so often */
+#define SILENT_AFTER_USEC ((gint64)1250000)   /* a holder is then suspected */
+#define COLLECT_STAGGER_USEC ((gint64)200000) /* between collectors */
+#define CALL_TIMEOUT_USEC ((gint64)600000)    /* a call between nodes */
+#define SETTLE_USEC ((gint64)500000)          /* joins are let come in */
+#define RETRY_AFTER_USEC ((gint64)50000)      /* wait before routing again */
+#define TICK_USEC ((gint64)50000)             /* the core is woken so often */
+
+#endif
--- /dev/null
+++ b/src/decide/witness.h
@@ -0,0 +1,37 @@
+#ifndef BAMBOOTALLY_WITNESS_H
+#define BAMBOOTALLY_WITNESS_H
+
+#include "types/peer_msg.h"
+#include "types/table.h"
+
+/* What this node has acked and promised as a witness of others.  It is kept
+   in memory only: a process that starts again is a new incarnation, and no
+   witness set names it.  */
+
+struct witness_ack
+{
+  guint64 holder;    /* whose renewals */
+  gint64 last;       /* when the last one was acked, monotonic usec */
+  guint64 floor;     /* highest floor acked */
+  guint64 folded;    /* how far the holder has folded */
+  gboolean promised; /* never to be acked again */
+};
+
+struct witness
+{
+  GHashTable *acks; /* incarnation to struct witness_ack */
+};
+
+void witness_init (struct witness *witness);
+void witness_clear (struct witness *witness);
+struct witness_ack *witness_find (const struct witness *witness,
+                                  guint64 holder);
+void witness_on_renew (struct witness *witness, const struct peer_renew *call,
+                       guint64 folded, gint64 now,
+                       struct peer_renew_reply *reply);
+void witness_on_promise (struct witness *witness,
+                         const struct peer_promise *call, gint64 now,
+                         struct peer_promise_reply *reply);
+void witness_forget (struct witness *witness, guint64 holder);
+
+#endif
--- /dev/null
+++ b/src/edge/admin.c
@@ -0,0 +1,245 @@
+#include "edge/node.h"
+
+#include "decide/explain.h"
+#include "edge/json.h"
+
+#include <string.h>
+
+/* What operators and the backend server ask over HTTP.  */
+
+/* Answers */
+
+/* Answer with STATUS and TEXT, which it frees.  */
+static void
+answer (SoupServerMessage *message, guint status, const char *type, char *text)
+{
+  soup_server_message_set_status (message, status, NULL);
+  soup_server_message_set_response (message, type, SOUP_MEMORY_TAKE, text,
+                                    strlen (text));
+}
+
+/* Answer with an error.  */
+static void
+answer_error (SoupServerMessage *message, guint status, enum err code)
+{
+  JsonBuilder *builder = json_builder_new ();
+
+  json_builder_begin_object (builder);
+  json_add_text (builder, "error", err_name (code));
+  json_add_number (builder, "code", code);
+  json_builder_end_object (builder);
+  answer (message, status, "application/json", json_finish (builder));
+}
+
+/* Status */
+
+/* Add what the view says of one node.  */
+static void
+add_node (JsonBuilder *builder, const struct view_node *node)
+{
+  static const char *const states[] = { "live", "leaving", "retired" };
+
+  json_builder_begin_object (builder);
+  json_add_incarnation (builder, "node", node->join.incarnation);
+  json_add_text (builder, "host", node->join.host);
+  json_add_text (builder, "zone", node->join.zone);
+  json_add_text (builder, "service", node->join.service);
+  json_add_text (builder, "server", node->join.server);
+  json_add_text (builder, "state", states[node->state]);
+  json_add_number (builder, "slices", node->owned);
+  json_add_number (builder, "witnesses", node->witness_count);
+  json_add_number (builder, "joined", (gint64)node->join_offset);
+  json_builder_end_object (builder);
+}
+
+/* Answer with what this node knows.  */
+static void
+answer_status (struct node *node, SoupServerMessage *message)
+{
+  const struct core *core = &node->core;
+  const struct view *view = &core->view;
+  gint64 now = g_get_monotonic_time ();
+  JsonBuilder *builder = json_builder_new ();
+  struct handle h = table_next (&view->nodes, HANDLE_NONE);
+
+  json_builder_begin_object (builder);
+  json_add_incarnation (builder, "node", core->settings.incarnation);
+  json_add_text (builder, "host", core->settings.host);
+  json_add_text (builder, "zone", core->settings.zone);
+  json_add_number (builder, "next", (gint64)view->next);
+  json_add_number (builder, "config", (gint64)view->config_offset);
+  json_add_flag (builder, "config_in_force", view->has_config);
+  json_add_flag (builder, "joined", handle_is_set (core->self));
+  json_add_flag (builder, "log_up", !core->log_down);
+  json_add_flag (builder, "lease_held", lease_is_held (&core->lease, now));
+  json_add_number (builder, "lease_left_ms",
+                   MAX (0, core->lease.until - now) / USEC_PER_MSEC);
+  json_add_number (builder, "slots", core->gate.slots);
+  json_add_number (builder, "busy", core->gate.busy);
+  json_add_number (builder, "queued", core->gate.waiting->len);
+  json_builder_set_member_name (builder, "nodes");
+  json_builder_begin_array (builder);
+  for (; handle_is_set (h); h = table_next (&view->nodes, h))
+    add_node (builder, view_node_at (view, h));
+  json_builder_end_array (builder);
+  json_builder_end_object (builder);
+  answer (message, SOUP_STATUS_OK, "application/json", json_finish (builder));
+}
+
+/* Explain */
+
+/* Add the owner of a key.  */
+static void
+add_owner (JsonBuilder *builder, const struct explanation *explanation)
+{
+  const struct record_join *join = &explanation->owner.join;
+  char *front = address_format (join->front);
+  guint i;
+
+  json_add_text (builder, "server", join->server);
+  json_add_text (builder, "host", join->host);
+  json_add_text (builder, "zone", join->zone);
+  json_add_incarnation (builder, "node", join->incarnation);
+  json_add_text (builder, "front", front);
+  json_add_number (builder, "since", (gint64)explanation->since);
+  json_builder_set_member_name (builder, "successors");
+  json_builder_begin_array (builder);
+  for (i = 0; i < SUCCESSOR_MAX; i++)
+    if (explanation->successor[i] != 0)
+      {
+        char text[17];
+        g_snprintf (text, sizeof text, "%016" G_GINT64_MODIFIER "x",
+                    explanation->successor[i]);
+        json_builder_add_string_value (builder, text);
+      }
+  json_builder_end_array (builder);
+  if (explanation->cause == EXPLAIN_MOVING)
+    {
+      json_add_text (builder, "moving_to", explanation->to.join.server);
+      json_add_number (builder, "move", (gint64)explanation->move);
+    }
+  g_free (front);
+}
+
+/* Answer who owns a key and why.  */
+static void
+answer_explain (struct node *node, SoupServerMessage *message,
+                GHashTable *query)
+{
+  const char *service
+      = query != NULL ? g_hash_table_lookup (query, "service") : NULL;
+  const char *key = query != NULL ? g_hash_table_lookup (query, "key") : NULL;
+  struct explanation explanation;
+  JsonBuilder *builder;
+
+  if (service == NULL || key == NULL || key[0] == '\0')
+    {
+      answer_error (message, SOUP_STATUS_BAD_REQUEST, ERR_INVALID);
+      return;
+    }
+  if (explain_key (&node->core, service, key, g_get_monotonic_time (),
+                   &explanation)
+      != ERR_NONE)
+    {
+      answer_error (message, SOUP_STATUS_NOT_FOUND, ERR_NOT_FOUND);
+      return;
+    }
+  builder = json_builder_new ();
+  json_builder_begin_object (builder);
+  json_add_text (builder, "service", service);
+  json_add_text (builder, "key", key);
+  json_add_text (builder, "why", explain_cause_name (explanation.cause));
+  if (explanation.cause != EXPLAIN_UNDIVIDED)
+    {
+      json_add_number (builder, "slice", explanation.slice);
+      json_add_flag (builder, "hot", explanation.hot);
+    }
+  if (explanation.cause == EXPLAIN_ASSIGNED
+      || explanation.cause == EXPLAIN_MOVING)
+    add_owner (builder, &explanation);
+  json_builder_end_object (builder);
+  answer (message, SOUP_STATUS_OK, "application/json", json_finish (builder));
+}
+
+/* The rest */
+
+/* Answer with the configuration in force and where it stands.  */
+static void
+answer_config (struct node *node, SoupServerMessage *message)
+{
+  const struct view *view = &node->core.view;
+  char *offset = g_strdup_printf ("%" G_GUINT64_FORMAT, view->config_offset);
+
+  soup_message_headers_append (
+      soup_server_message_get_response_headers (message), "Config-Offset",
+      offset);
+  answer (message, SOUP_STATUS_OK, "text/plain",
+          g_strdup (view->config_text != NULL ? view->config_text : ""));
+  g_free (offset);
+}
+
+/* The backend server announces itself.  */
+static void
+take_announce (struct node *node, SoupServerMessage *message,
+               GHashTable *query)
+{
+  struct event event = { .kind = EVENT_SERVER_UP };
+  const char *server
+      = query != NULL ? g_hash_table_lookup (query, "server") : NULL;
+  const char *address
+      = query != NULL ? g_hash_table_lookup (query, "address") : NULL;
+  const char *slots
+      = query != NULL ? g_hash_table_lookup (query, "slots") : NULL;
+  const char *checks
+      = query != NULL ? g_hash_table_lookup (query, "checks-fences") : NULL;
+
+  if (server == NULL || address == NULL || slots == NULL
+      || address_parse (address, &node->server) != ERR_NONE)
+    {
+      answer_error (message, SOUP_STATUS_BAD_REQUEST, ERR_INVALID);
+      return;
+    }
+  g_strlcpy (event.u.server_up.server, server,
+             sizeof event.u.server_up.server);
+  event.u.server_up.slots = (guint32)g_ascii_strtoull (slots, NULL, 10);
+  event.u.server_up.checks_fences
+      = checks != NULL && strcmp (checks, "yes") == 0;
+  node_feed (node, &event);
+  answer (message, SOUP_STATUS_OK, "text/plain", g_strdup ("ok\n"));
+}
+
+/* Begin a graceful stop.  */
+static void
+take_drain (struct node *node, SoupServerMessage *message)
+{
+  struct event event = { .kind = EVENT_DRAIN };
+
+  node_feed (node, &event);
+  answer (message, SOUP_STATUS_ACCEPTED, "text/plain",
+          g_strdup ("draining\n"));
+}
+
+/* Answer an operator or the backend server.  PATH is without its prefix.  */
+void
+admin_handle (struct node *node, SoupServerMessage *message, const char *path,
+              GHashTable *query)
+{
+  gboolean post
+      = strcmp (soup_server_message_get_method (message), "POST") == 0;
+
+  if (strcmp (path, "status") == 0)
+    answer_status (node, message);
+  else if (strcmp (path, "counters") == 0)
+    answer (message, SOUP_STATUS_OK, "text/plain",
+            counters_format (&node->counters));
+  else if (strcmp (path, "explain") == 0)
+    answer_explain (node, message, query);
+  else if (strcmp (path, "config") == 0)
+    answer_config (node, message);
+  else if (strcmp (path, "announce") == 0 && post)
+    take_announce (node, message, query);
+  else if (strcmp (path, "drain") == 0 && post)
+    take_drain (node, message);
+  else
+    answer_error (message, SOUP_STATUS_NOT_FOUND, ERR_NOT_FOUND);
+}
--- /dev/null
+++ b/src/edge/exchange.c
@@ -0,0 +1,278 @@
+#include "edge/exchange.h"
+
+#include "edge/headers.h"
+#include "edge/node.h"
+#include "wire/wire_forward.h"
+
+#include <string.h>
+
+/* Life */
+
+/* Add a request that came from a source of KIND.  */
+struct exchange *
+exchange_add (struct node *node, enum source_kind kind)
+{
+  struct handle h = table_add (&node->exchanges);
+  struct exchange *exchange = table_get (&node->exchanges, h);
+
+  exchange->node = node;
+  exchange->self = h;
+  exchange->source.kind = kind;
+  exchange->length = -1;
+  exchange->head.length = -1;
+  body_init (&exchange->in);
+  body_init (&exchange->out);
+  return exchange;
+}
+
+/* The request under H, or NULL if it has gone.  */
+struct exchange *
+exchange_at (const struct node *node, struct handle h)
+{
+  return table_get (&node->exchanges, h);
+}
+
+/* Forget a request; what is under way towards its target is dropped.  */
+void
+exchange_remove (struct exchange *exchange)
+{
+  target_drop (exchange);
+  switch (exchange->source.kind)
+    {
+    case SOURCE_CALLER:
+      source_caller_detach (exchange);
+      break;
+    case SOURCE_PEER:
+      {
+        struct stream_key key = { exchange->source.u.peer.link.bits,
+                                  exchange->source.u.peer.stream };
+        g_hash_table_remove (exchange->node->streams, &key);
+      }
+      break;
+    }
+  body_clear (&exchange->in);
+  body_clear (&exchange->out);
+  g_clear_pointer (&exchange->headers, soup_message_headers_unref);
+  g_clear_pointer (&exchange->head.headers, soup_message_headers_unref);
+  g_free (exchange->method);
+  g_free (exchange->path);
+  table_remove (&exchange->node->exchanges, exchange->self);
+}
+
+/* Have the core decide about a request.  */
+void
+exchange_begin (struct exchange *exchange)
+{
+  struct event event = { .kind = EVENT_REQUEST };
+
+  event.u.request.exchange = exchange->self;
+  event.u.request.request = exchange->request;
+  node_feed (exchange->node, &event);
+}
+
+/* The source has gone away: have the work cancelled, and forget it.  */
+void
+exchange_gone (struct exchange *exchange)
+{
+  struct node *node = exchange->node;
+  struct event event = { .kind = EVENT_GONE };
+
+  event.u.gone.exchange = exchange->self;
+  exchange_remove (exchange);
+  node_feed (node, &event);
+}
+
+/* Towards the target */
+
+/* Drop the attempt under way, so that another one can begin.  */
+void
+target_drop (struct exchange *exchange)
+{
+  struct node *node = exchange->node;
+
+  switch (exchange->target.kind)
+    {
+    case TARGET_NONE:
+      break;
+    case TARGET_SERVER:
+      g_hash_table_remove (
+          node->server_calls,
+          GUINT_TO_POINTER (exchange->target.u.server.call.bits));
+      http_abort (&node->http, exchange->target.u.server.call);
+      break;
+    case TARGET_PEER:
+      {
+        struct link_tag tag = { 0 };
+        links_call_on (&node->links, exchange->target.u.peer.link, RPC_CANCEL,
+                       wire_forward_stream, &exchange->target.u.peer.stream,
+                       &tag, exchange->request.deadline);
+      }
+      break;
+    }
+  memset (&exchange->target, 0, sizeof exchange->target);
+}
+
+/* The core wants the attempt of H stopped.  */
+void
+exchange_cancel (struct node *node, struct handle h)
+{
+  struct exchange *exchange = exchange_at (node, h);
+
+  if (exchange != NULL)
+    target_drop (exchange);
+}
+
+/* Pass on what there is of the request's body, and let the source go on.  */
+void
+exchange_pump_in (struct exchange *exchange)
+{
+  switch (exchange->target.kind)
+    {
+    case TARGET_NONE:
+      break;
+    case TARGET_SERVER:
+      target_server_pump (exchange);
+      break;
+    case TARGET_PEER:
+      target_peer_pump (exchange);
+      break;
+    }
+  if (body_is_full (&exchange->in))
+    return;
+  switch (exchange->source.kind)
+    {
+    case SOURCE_CALLER:
+      source_caller_resume (exchange);
+      break;
+    case SOURCE_PEER:
+      source_peer_resume (exchange);
+      break;
+    }
+}
+
+/* The attempt has ended: tell the core, and pass on what there is.  */
+void
+exchange_target_ended (struct exchange *exchange, enum outcome outcome,
+                       enum reason reason)
+{
+  struct node *node = exchange->node;
+  struct handle self = exchange->self;
+  struct event event = { .kind = EVENT_ENDED };
+
+  memset (&exchange->target, 0, sizeof exchange->target);
+  event.u.ended.exchange = self;
+  event.u.ended.outcome = outcome;
+  event.u.ended.reason = reason;
+  event.u.ended.replayable = exchange->in.replayable && !exchange->has_answer;
+  if (outcome == OUTCOME_DONE)
+    {
+      node->counters.outcomes[OUTCOME_DONE]++;
+      exchange->out.end = TRUE;
+    }
+  node_feed (node, &event);
+  exchange = exchange_at (node, self);
+  if (exchange != NULL && outcome == OUTCOME_DONE)
+    exchange_pump_out (exchange);
+}
+
+/* Towards the source */
+
+/* Pass on what there is of the answer.  The request may be gone after.  */
+void
+exchange_pump_out (struct exchange *exchange)
+{
+  switch (exchange->source.kind)
+    {
+    case SOURCE_CALLER:
+      source_caller_pump (exchange);
+      break;
+    case SOURCE_PEER:
+      source_peer_pump (exchange);
+      break;
+    }
+}
+
+/* The HTTP status that goes with an outcome other than done.  */
+static guint
+status_of (enum outcome outcome, enum reason reason)
+{
+  if (outcome == OUTCOME_UNKNOWN)
+    return SOUP_STATUS_GATEWAY_TIMEOUT;
+  switch (reason)
+    {
+    case REASON_NO_RULE:
+      return SOUP_STATUS_NOT_FOUND;
+    case REASON_NO_KEY:
+    case REASON_BAD_REQUEST:
+      return SOUP_STATUS_BAD_REQUEST;
+    case REASON_NO_STAMP:
+    case REASON_OLD_STAMP:
+    case REASON_DUPLICATE:
+      return SOUP_STATUS_CONFLICT;
+    default:
+      return SOUP_STATUS_SERVICE_UNAVAILABLE;
+    }
+}
+
+/* Fill in an answer of this node's own to ACTION.  */
+static void
+fill_answer (struct exchange *exchange, const struct action_answer *action)
+{
+  struct answer_head *head = &exchange->head;
+  char *text = g_strdup_printf ("{\"outcome\":\"%s\",\"reason\":\"%s\"}\n",
+                                outcome_name (action->outcome),
+                                reason_name (action->reason));
+
+  g_clear_pointer (&head->headers, soup_message_headers_unref);
+  head->headers = soup_message_headers_new (SOUP_MESSAGE_HEADERS_MULTIPART);
+  head->status = status_of (action->outcome, action->reason);
+  head->length = (gint64)strlen (text);
+  head->stamp = action->stamp;
+  soup_message_headers_append (head->headers, "Content-Type",
+                               "application/json");
+  soup_message_headers_append (head->headers, HEADER_OUTCOME,
+                               outcome_name (action->outcome));
+  soup_message_headers_append (head->headers, HEADER_REASON,
+                               reason_name (action->reason));
+  if (action->retry_msec > 0)
+    {
+      char *seconds
+          = g_strdup_printf ("%u", (action->retry_msec + 999) / 1000);
+      soup_message_headers_append (head->headers, "Retry-After", seconds);
+      g_free (seconds);
+    }
+  body_add (&exchange->out, (const guint8 *)text, strlen (text));
+  exchange->out.end = TRUE;
+  exchange->has_answer = TRUE;
+  g_free (text);
+}
+
+/* End a request with the outcome that the core decided.  An answer that has
+   begun is broken off, so that it is never taken for whole.  */
+void
+exchange_answer (struct node *node, const struct action_answer *action)
+{
+  struct exchange *exchange = exchange_at (node, action->exchange);
+
+  if (exchange == NULL)
+    return;
+  node->counters.outcomes[action->outcome]++;
+  node->counters.refused[action->reason]++;
+  target_drop (exchange);
+  switch (exchange->source.kind)
+    {
+    case SOURCE_CALLER:
+      if (exchange->has_answer)
+        source_caller_break (exchange);
+      else
+        {
+          fill_answer (exchange, action);
+          source_caller_resume (exchange);
+          source_caller_pump (exchange);
+        }
+      break;
+    case SOURCE_PEER:
+      source_peer_break (exchange, action);
+      break;
+    }
+}
--- /dev/null
+++ b/src/edge/exchange.h
@@ -0,0 +1,160 @@
+#ifndef BAMBOOTALLY_EXCHANGE_H
+#define BAMBOOTALLY_EXCHANGE_H
+
+#include "edge/body.h"
+#include "edge/http.h"
+#include "edge/link.h"
+#include "types/action.h"
+#include "types/forward_msg.h"
+
+struct node;
+
+/* A request on its way through this process: where it came from, where it
+   goes, and the two bodies between.  */
+
+/* Where a request came from.  */
+enum source_kind
+{
+  SOURCE_CALLER, /* a caller, over HTTP */
+  SOURCE_PEER    /* another node, over ONC RPC */
+};
+
+/* A caller.  */
+struct source_caller
+{
+  SoupServerMessage *message; /* the request, a reference of its own */
+  gboolean begun;             /* the core was told of it */
+  gboolean received;          /* the request's body has come whole */
+  gboolean paused;            /* the request's body is held back */
+  gboolean head_sent;         /* the answer's head has gone out */
+  gboolean writing;           /* a part of the answer is being written */
+  gboolean ended;             /* the answer was ended */
+};
+
+/* Another node.  */
+struct source_peer
+{
+  struct handle link;  /* the connection it came on */
+  guint64 stream;      /* the peer's name for it */
+  guint32 open_xid;    /* call that waits for the head */
+  gboolean head_sent;  /* the head has gone out */
+  gboolean read_waits; /* a read waits for bytes */
+  guint32 read_xid;    /* that call */
+  gboolean data_waits; /* a data call waits until there is room */
+  guint32 data_xid;    /* that call */
+  gboolean ended;      /* the end of the answer has gone out */
+};
+
+struct source
+{
+  enum source_kind kind;
+  union
+  {
+    struct source_caller caller;
+    struct source_peer peer;
+  } u;
+};
+
+/* Where a request goes.  */
+enum target_kind
+{
+  TARGET_NONE,   /* nowhere yet */
+  TARGET_SERVER, /* the backend server, over HTTP */
+  TARGET_PEER    /* the owner's node, over ONC RPC */
+};
+
+/* The backend server.  */
+struct target_server
+{
+  struct handle call; /* the HTTP call */
+  guint64 attempt_id; /* must be echoed */
+};
+
+/* The owner's node.  */
+struct target_peer
+{
+  struct handle link;    /* the connection to it */
+  guint64 stream;        /* this node's name for the attempt */
+  gboolean data_pending; /* a data call has not been answered */
+  gboolean end_sent;     /* the end of the request's body has gone out */
+  gboolean read_pending; /* a read call has not been answered */
+};
+
+struct target
+{
+  enum target_kind kind;
+  gboolean has_head; /* the answer's head has come */
+  union
+  {
+    struct target_server server;
+    struct target_peer peer;
+  } u;
+};
+
+/* The head of an answer.  */
+struct answer_head
+{
+  guint status;                /* HTTP status */
+  SoupMessageHeaders *headers; /* headers to hand on */
+  gint64 length;               /* bytes in the body, -1 if not known */
+  struct stamp stamp;          /* stamp to hand to the caller */
+};
+
+struct exchange
+{
+  struct node *node;           /* the process */
+  struct handle self;          /* its handle */
+  struct source source;        /* where it came from */
+  struct target target;        /* where it goes */
+  struct request request;      /* as routing sees it */
+  char *method;                /* HTTP method */
+  char *path;                  /* path and query */
+  SoupMessageHeaders *headers; /* headers to hand on */
+  gint64 length;               /* bytes in the request's body, -1 unknown */
+  struct body in;              /* the request's body */
+  struct body out;             /* the answer's body */
+  struct answer_head head;     /* the answer's head */
+  gboolean has_answer;         /* the head is filled in */
+};
+
+/* Life.  */
+struct exchange *exchange_add (struct node *node, enum source_kind kind);
+struct exchange *exchange_at (const struct node *node, struct handle h);
+void exchange_remove (struct exchange *exchange);
+void exchange_begin (struct exchange *exchange);
+void exchange_gone (struct exchange *exchange);
+
+/* Towards the target.  */
+void exchange_run (struct node *node, const struct action_run *action);
+void exchange_forward (struct node *node, const struct action_forward *action);
+void exchange_cancel (struct node *node, struct handle h);
+void exchange_pump_in (struct exchange *exchange);
+void exchange_target_ended (struct exchange *exchange, enum outcome outcome,
+                            enum reason reason);
+void exchange_reply (struct node *node, const struct link_event *event);
+void target_server_pump (struct exchange *exchange);
+void target_peer_pump (struct exchange *exchange);
+void target_peer_pull (struct exchange *exchange);
+void target_drop (struct exchange *exchange);
+
+/* Towards the source.  */
+void exchange_answer (struct node *node, const struct action_answer *action);
+void exchange_pump_out (struct exchange *exchange);
+void source_caller_attach (struct node *node, SoupServerMessage *message);
+void source_caller_handle (struct node *node, SoupServerMessage *message);
+void source_caller_received (struct exchange *exchange);
+void source_caller_pump (struct exchange *exchange);
+void source_caller_resume (struct exchange *exchange);
+void source_caller_break (struct exchange *exchange);
+void source_caller_detach (struct exchange *exchange);
+void source_peer_open (struct node *node, const struct link_event *event);
+void source_peer_data (struct node *node, const struct link_event *event);
+void source_peer_read (struct node *node, const struct link_event *event);
+void source_peer_cancel (struct node *node, const struct link_event *event);
+void source_peer_closed (struct node *node, struct handle link);
+void source_peer_pump (struct exchange *exchange);
+void source_peer_resume (struct exchange *exchange);
+void source_peer_break (struct exchange *exchange,
+                        const struct action_answer *action);
+
+#endif
--- /dev/null
+++ b/src/edge/http.c
@@ -0,0 +1,316 @@
+#include "edge/http.h"
+#include "edge/http_answer.h"
+
+#include <string.h>
+
+#define IDLE_MAX 256u      /* idle connections kept in all */
+#define CHUNK_LINE_SIZE 32 /* bytes of a chunk's size line */
+
+/* Connections */
+
+/* An idle connection spoke or ended: it is of no more use.  */
+static void
+on_idle_event (struct conn *conn, const struct conn_event *event,
+               gpointer data)
+{
+  struct http *http = data;
+  guint i;
+
+  (void)event;
+  for (i = 0; i < http->idle->len; i++)
+    {
+      struct http_idle *idle = g_ptr_array_index (http->idle, i);
+      if (idle->conn == conn)
+        {
+          g_ptr_array_remove_index_fast (http->idle, i);
+          return;
+        }
+    }
+}
+
+/* Close and free an idle connection.  */
+static void
+idle_free (gpointer data)
+{
+  struct http_idle *idle = data;
+
+  if (idle->conn != NULL)
+    conn_close (idle->conn);
+  g_free (idle);
+}
+
+/* Keep CONN for later calls to TO.  */
+static void
+keep_idle (struct http *http, struct address to, struct conn *conn)
+{
+  struct http_idle *idle;
+
+  if (http->idle->len >= IDLE_MAX || conn->received->len > 0)
+    {
+      conn_close (conn);
+      return;
+    }
+  idle = g_new0 (struct http_idle, 1);
+  idle->to = to;
+  idle->conn = conn;
+  conn_watch (conn, on_idle_event, http);
+  conn_pause (conn, FALSE);
+  g_ptr_array_add (http->idle, idle);
+}
+
+/* Take an idle connection to TO, the one used last, or NULL.  */
+static struct conn *
+take_idle (struct http *http, struct address to)
+{
+  guint i;
+
+  for (i = http->idle->len; i > 0; i--)
+    {
+      struct http_idle *idle = g_ptr_array_index (http->idle, i - 1);
+      if (address_equal (idle->to, to))
+        {
+          struct conn *conn = idle->conn;
+          idle->conn = NULL;
+          g_ptr_array_remove_index (http->idle, i - 1);
+          return conn;
+        }
+    }
+  return NULL;
+}
+
+/* Close the idle connections to TO.  */
+void
+http_drop_idle (struct http *http, struct address to)
+{
+  struct conn *conn = take_idle (http, to);
+
+  for (; conn != NULL; conn = take_idle (http, to))
+    conn_close (conn);
+}
+
+/* Calls */
+
+/* End CALL with CODE and tell its owner.  */
+static void
+end_call (struct http_call *call, enum err code)
+{
+  struct http *http = call->http;
+  struct http_event event = { .kind = HTTP_ENDED,
+                              .call = call->self,
+                              .code = code,
+                              .sent = call->conn->sent || call->reused };
+  http_event_fn *fn = call->fn;
+  gpointer data = call->data;
+
+  if (code == ERR_NONE && call->keep && call->request_done
+      && conn_unsent (call->conn) == 0)
+    keep_idle (http, call->to, call->conn);
+  else
+    conn_close (call->conn);
+  table_remove (&http->calls, call->self);
+  fn (&event, data);
+}
+
+/* Something happened on the connection of a call.  */
+static void
+on_call_event (struct conn *conn, const struct conn_event *event,
+               gpointer data)
+{
+  struct http_call *call = data;
+  struct http *http = call->http;
+  struct handle self = call->self;
+  struct http_event told = { .call = self };
+  enum err code;
+
+  (void)conn;
+  switch (event->kind)
+    {
+    case CONN_OPENED:
+      break;
+    case CONN_RECEIVED:
+      code = http_answer_read (call);
+      call = table_get (&http->calls, self);
+      if (call == NULL)
+        return;
+      if (code != ERR_UNAVAILABLE)
+        {
+          end_call (call, code);
+          return;
+        }
+      told.kind = HTTP_FLUSH;
+      call->fn (&told, call->data);
+      break;
+    case CONN_DRAINED:
+      told.kind = HTTP_DRAINED;
+      call->fn (&told, call->data);
+      break;
+    case CONN_CLOSED:
+      code = event->code;
+      if (call->has_head)
+        code = call->framing == HTTP_BY_CLOSE ? ERR_NONE : ERR_TRUNCATED;
+      call->keep = FALSE;
+      end_call (call, code);
+      break;
+    }
+}
+
+/* Write the head of a request.  */
+static void
+send_head (struct http_call *call, const struct http_request *request)
+{
+  GString *text = g_string_new (NULL);
+  char *host = address_format (request->to);
+  SoupMessageHeadersIter iter;
+  const char *name;
+  const char *value;
+
+  g_string_append_printf (text, "%s %s HTTP/1.1\r\nHost: %s\r\n",
+                          request->method, request->target, host);
+  if (request->headers != NULL)
+    {
+      soup_message_headers_iter_init (&iter, request->headers);
+      while (soup_message_headers_iter_next (&iter, &name, &value))
+        g_string_append_printf (text, "%s: %s\r\n", name, value);
+    }
+  if (call->chunked_out)
+    g_string_append (text, "Transfer-Encoding: chunked\r\n\r\n");
+  else
+    g_string_append_printf (
+        text, "Content-Length: %" G_GINT64_FORMAT "\r\n\r\n", request->length);
+  conn_send (call->conn, (const guint8 *)text->str, text->len);
+  g_string_free (text, TRUE);
+  g_free (host);
+}
+
+/* Begin a call.  Its events go to FN with DATA, never from within this
+   function.  The body is written by http_write and ended by http_finish,
+   also where it is empty.  */
+struct handle
+http_start (struct http *http, const struct http_request *request,
+            http_event_fn *fn, gpointer data)
+{
+  struct handle h = table_add (&http->calls);
+  struct http_call *call = table_get (&http->calls, h);
+
+  call->http = http;
+  call->self = h;
+  call->to = request->to;
+  call->fn = fn;
+  call->data = data;
+  call->deadline = request->deadline;
+  call->chunked_out = request->length < 0;
+  call->head_method = strcmp (request->method, "HEAD") == 0;
+  call->keep = TRUE;
+  call->conn = take_idle (http, request->to);
+  if (call->conn != NULL)
+    {
+      call->reused = TRUE;
+      conn_watch (call->conn, on_call_event, call);
+    }
+  else
+    call->conn = conn_open (request->to, on_call_event, call);
+  send_head (call, request);
+  return h;
+}
+
+/* Add COUNT bytes to the body of a request.  */
+void
+http_write (struct http *http, struct handle h, const guint8 *bytes,
+            gsize count)
+{
+  struct http_call *call = table_get (&http->calls, h);
+  char line[CHUNK_LINE_SIZE];
+
+  if (call == NULL || count == 0)
+    return;
+  if (call->chunked_out)
+    {
+      int length = g_snprintf (line, sizeof line, "%zx\r\n", count);
+      conn_send (call->conn, (const guint8 *)line, (gsize)length);
+    }
+  conn_send (call->conn, bytes, count);
+  if (call->chunked_out)
+    conn_send (call->conn, (const guint8 *)"\r\n", 2);
+}
+
+/* End the body of a request.  */
+void
+http_finish (struct http *http, struct handle h)
+{
+  struct http_call *call = table_get (&http->calls, h);
+
+  if (call == NULL || call->request_done)
+    return;
+  call->request_done = TRUE;
+  if (call->chunked_out)
+    conn_send (call->conn, (const guint8 *)"0\r\n\r\n", 5);
+}
+
+/* Bytes of the request that wait to be sent.  */
+gsize
+http_unsent (struct http *http, struct handle h)
+{
+  struct http_call *call = table_get (&http->calls, h);
+
+  return call != NULL ? conn_unsent (call->conn) : 0;
+}
+
+/* Stop or go on reading the answer.  */
+void
+http_pause (struct http *http, struct handle h, gboolean paused)
+{
+  struct http_call *call = table_get (&http->calls, h);
+
+  if (call != NULL)
+    conn_pause (call->conn, paused);
+}
+
+/* Drop a call without telling its owner; the server sees the connection
+   close.  */
+void
+http_abort (struct http *http, struct handle h)
+{
+  struct http_call *call = table_get (&http->calls, h);
+
+  if (call == NULL)
+    return;
+  conn_close (call->conn);
+  table_remove (&http->calls, h);
+}
+
+/* End the calls whose deadline has passed.  */
+void
+http_expire (struct http *http, gint64 now)
+{
+  struct handle h = table_next (&http->calls, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&http->calls, h))
+    {
+      struct http_call *call = table_get (&http->calls, h);
+      if (call->deadline <= now)
+        {
+          call->keep = FALSE;
+          end_call (call, ERR_TIMEOUT);
+        }
+    }
+}
+
+/* Set up a client.  */
+void
+http_init (struct http *http)
+{
+  table_init (&http->calls, sizeof (struct http_call));
+  http->idle = g_ptr_array_new_with_free_func (idle_free);
+}
+
+/* Drop all calls, untold, and all connections.  */
+void
+http_clear (struct http *http)
+{
+  struct handle h = table_next (&http->calls, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&http->calls, h))
+    http_abort (http, h);
+  table_clear (&http->calls);
+  g_ptr_array_free (http->idle, TRUE);
+}
--- /dev/null
+++ b/src/edge/link.c
@@ -0,0 +1,334 @@
+#include "edge/link.h"
+
+#include <string.h>
+
+/* Ending */
+
+/* Tell that the call WAITING will get no reply.  */
+static void
+tell_lost (struct links *links, struct handle h,
+           const struct link_call *waiting, enum err code)
+{
+  struct link_event event = { .kind = LINK_REPLY,
+                              .link = h,
+                              .xid = waiting->xid,
+                              .procedure = waiting->procedure,
+                              .tag = waiting->tag,
+                              .code = code };
+
+  links->fn (&event, links->data);
+}
+
+/* Forget a connection that has ended and tell whose calls are lost.  */
+static void
+end_link (struct link *link, enum err code)
+{
+  struct links *links = link->links;
+  struct handle h = link->self;
+  GHashTable *calls = link->calls;
+  struct link_event event = { .kind = LINK_CLOSED, .link = h };
+  GHashTableIter iter;
+  gpointer value;
+
+  if (link->conn->opened)
+    code = ERR_CLOSED;
+  conn_close (link->conn);
+  table_remove (&links->table, h);
+  g_hash_table_iter_init (&iter, calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    tell_lost (links, h, value, code);
+  g_hash_table_destroy (calls);
+  links->fn (&event, links->data);
+}
+
+/* Messages */
+
+/* Take in one message.  Return FALSE if the connection must end.  */
+static gboolean
+take_message (struct link *link, const guint8 *bytes, gsize length)
+{
+  struct links *links = link->links;
+  struct rpc_header header;
+  struct link_event event = { .link = link->self };
+  struct link_call *waiting;
+
+  if (rpc_read_header (bytes, length, &header) != ERR_NONE)
+    return FALSE;
+  event.xid = header.xid;
+  event.bytes = bytes + header.length;
+  event.length = length - header.length;
+  if (header.is_call)
+    {
+      event.kind = LINK_CALL;
+      event.procedure = header.procedure;
+      links->fn (&event, links->data);
+      return TRUE;
+    }
+  waiting = g_hash_table_lookup (link->calls, GUINT_TO_POINTER (header.xid));
+  if (waiting == NULL)
+    return TRUE;
+  event.kind = LINK_REPLY;
+  event.code = header.code;
+  event.procedure = waiting->procedure;
+  event.tag = waiting->tag;
+  g_hash_table_remove (link->calls, GUINT_TO_POINTER (header.xid));
+  links->fn (&event, links->data);
+  return TRUE;
+}
+
+/* Take in the messages that have come whole.  */
+static void
+take_messages (struct link *link)
+{
+  struct links *links = link->links;
+  struct handle h = link->self;
+  struct conn *conn = link->conn;
+  gsize at = 0;
+
+  conn->refs++;
+  while (conn->received->len - at >= RPC_MARK_BYTES)
+    {
+      guint32 mark;
+      gsize length;
+      memcpy (&mark, conn->received->data + at, sizeof mark);
+      length = GUINT32_FROM_BE (mark) & 0x7fffffffu;
+      if (length > RPC_MESSAGE_BYTES_MAX)
+        {
+          end_link (link, ERR_TOO_LARGE);
+          at = conn->received->len;
+          break;
+        }
+      if (conn->received->len - at - RPC_MARK_BYTES < length)
+        break;
+      if (!take_message (link, conn->received->data + at + RPC_MARK_BYTES,
+                         length))
+        {
+          end_link (link, ERR_MALFORMED);
+          at = conn->received->len;
+          break;
+        }
+      at += RPC_MARK_BYTES + length;
+      if (table_get (&links->table, h) == NULL)
+        break;
+    }
+  conn_take (conn, MIN (at, conn->received->len));
+  conn_unref (conn);
+}
+
+/* Something happened on a connection.  */
+static void
+on_link_event (struct conn *conn, const struct conn_event *event,
+               gpointer data)
+{
+  struct link *link = data;
+
+  (void)conn;
+  switch (event->kind)
+    {
+    case CONN_OPENED:
+    case CONN_DRAINED:
+      break;
+    case CONN_RECEIVED:
+      take_messages (link);
+      break;
+    case CONN_CLOSED:
+      end_link (link, event->code);
+      break;
+    }
+}
+
+/* Connections */
+
+/* Add a connection, to TO or, with a SOCKET, from a peer.  */
+static struct link *
+add_link (struct links *links, struct address to, GSocket *socket)
+{
+  struct handle h = table_add (&links->table);
+  struct link *link = table_get (&links->table, h);
+
+  link->links = links;
+  link->self = h;
+  link->to = to;
+  link->calls = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+  link->conn = socket != NULL ? conn_adopt (socket, on_link_event, link)
+                              : conn_open (to, on_link_event, link);
+  return link;
+}
+
+/* Find the connection that leads to TO, or make one.  */
+static struct link *
+find_link (struct links *links, struct address to)
+{
+  struct handle h = table_next (&links->table, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&links->table, h))
+    {
+      struct link *link = table_get (&links->table, h);
+      if (link->to.port != 0 && address_equal (link->to, to))
+        return link;
+    }
+  return add_link (links, to, NULL);
+}
+
+/* Accept the peers that connect.  */
+static gboolean
+on_acceptable (GSocket *socket, GIOCondition condition, gpointer data)
+{
+  struct links *links = data;
+  struct address none = { 0, 0 };
+  GSocket *peer = g_socket_accept (socket, NULL, NULL);
+
+  (void)condition;
+  if (peer != NULL)
+    add_link (links, none, peer);
+  return G_SOURCE_CONTINUE;
+}
+
+/* Interface */
+
+/* Listen at AT.  Events go to FN with DATA.  */
+enum err
+links_init (struct links *links, struct address at, link_event_fn *fn,
+            gpointer data)
+{
+  enum err code;
+
+  memset (links, 0, sizeof *links);
+  table_init (&links->table, sizeof (struct link));
+  links->fn = fn;
+  links->data = data;
+  links->listener = conn_listen (at, &code);
+  if (links->listener == NULL)
+    return code;
+  links->accept = g_socket_create_source (links->listener, G_IO_IN, NULL);
+  g_source_set_callback (links->accept, G_SOURCE_FUNC (on_acceptable), links,
+                         NULL);
+  g_source_attach (links->accept, NULL);
+  return ERR_NONE;
+}
+
+/* Close all connections, untold.  */
+void
+links_clear (struct links *links)
+{
+  struct handle h = table_next (&links->table, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&links->table, h))
+    {
+      struct link *link = table_get (&links->table, h);
+      conn_close (link->conn);
+      g_hash_table_destroy (link->calls);
+    }
+  table_clear (&links->table);
+  if (links->accept != NULL)
+    {
+      g_source_destroy (links->accept);
+      g_source_unref (links->accept);
+    }
+  g_clear_object (&links->listener);
+}
+
+/* Call PROCEDURE with ITEM on a connection; FALSE if it has ended.  */
+gboolean
+links_call_on (struct links *links, struct handle h,
+               enum rpc_procedure procedure, wire_filter *filter,
+               const void *item, const struct link_tag *tag, gint64 deadline)
+{
+  struct link *link = table_get (&links->table, h);
+  struct link_call *waiting;
+  GByteArray *bytes;
+
+  if (link == NULL)
+    return FALSE;
+  waiting = g_new0 (struct link_call, 1);
+  waiting->xid = ++link->next_xid;
+  waiting->procedure = procedure;
+  waiting->tag = *tag;
+  waiting->deadline = deadline;
+  g_hash_table_insert (link->calls, GUINT_TO_POINTER (waiting->xid), waiting);
+  bytes = g_byte_array_new ();
+  rpc_write_call (bytes, waiting->xid, procedure, filter, item);
+  conn_send (link->conn, bytes->data, bytes->len);
+  g_byte_array_unref (bytes);
+  return TRUE;
+}
+
+/* Call PROCEDURE with ITEM on the connection to TO, making one if there is
+   none.  Return the connection's handle; the reply comes as LINK_REPLY with
+   TAG, ERR_TIMEOUT once DEADLINE has passed.  */
+struct handle
+links_call (struct links *links, struct address to,
+            enum rpc_procedure procedure, wire_filter *filter,
+            const void *item, const struct link_tag *tag, gint64 deadline)
+{
+  struct handle h = find_link (links, to)->self;
+
+  links_call_on (links, h, procedure, filter, item, tag, deadline);
+  return h;
+}
+
+/* Reply to the call XID that came on a connection.  */
+void
+links_reply (struct links *links, struct handle h, guint32 xid, enum err code,
+             wire_filter *filter, const void *item)
+{
+  struct link *link = table_get (&links->table, h);
+  GByteArray *bytes;
+
+  if (link == NULL)
+    return;
+  bytes = g_byte_array_new ();
+  rpc_write_reply (bytes, xid, code, filter, item);
+  conn_send (link->conn, bytes->data, bytes->len);
+  g_byte_array_unref (bytes);
+}
+
+/* Give up the calls of one connection whose deadline has passed.  */
+static void
+expire_calls (struct links *links, struct link *link, gint64 now)
+{
+  struct handle h = link->self;
+  GArray *lost = g_array_new (FALSE, FALSE, sizeof (struct link_call));
+  GHashTableIter iter;
+  gpointer value;
+  guint i;
+
+  g_hash_table_iter_init (&iter, link->calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct link_call *)value)->deadline <= now)
+      {
+        g_array_append_vals (lost, value, 1);
+        g_hash_table_iter_remove (&iter);
+      }
+  for (i = 0; i < lost->len; i++)
+    tell_lost (links, h, &g_array_index (lost, struct link_call, i),
+               ERR_TIMEOUT);
+  g_array_free (lost, TRUE);
+}
+
+/* Give up the calls whose deadline has passed.  */
+void
+links_expire (struct links *links, gint64 now)
+{
+  struct handle h = table_next (&links->table, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&links->table, h))
+    expire_calls (links, table_get (&links->table, h), now);
+}
+
+/* Close the connection that leads to TO; its calls are lost.  */
+void
+links_drop (struct links *links, struct address to)
+{
+  struct handle h = table_next (&links->table, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&links->table, h))
+    {
+      struct link *link = table_get (&links->table, h);
+      if (link->to.port != 0 && address_equal (link->to, to))
+        {
+          end_link (link, ERR_CLOSED);
+          return;
+        }
+    }
+}
--- /dev/null
+++ b/src/edge/log_client.c
@@ -0,0 +1,262 @@
+#include "edge/log_client.h"
+
+#include "wire/wire_record.h"
+
+#include <string.h>
+
+#define READ_WAIT_MSEC 700                    /* a read waits for records */
+#define READ_TIMEOUT_USEC ((gint64)2000000)   /* a read may take */
+#define READ_AGAIN_USEC ((gint64)250000)      /* pause after a failure */
+#define READ_MAX_RECORDS 500                  /* records in one answer */
+#define APPEND_TIMEOUT_USEC ((gint64)2000000) /* an append may take */
+
+/* An append under way.  */
+struct log_append
+{
+  struct log_client *client; /* whose */
+  guint64 serial;            /* of the record */
+  struct handle call;        /* the HTTP call */
+  guint status;              /* of the answer */
+  GString *body;             /* of the answer: the offset */
+};
+
+/* Reading */
+
+/* Tell that the read failed, and read again after a pause.  */
+static void
+read_failed (struct log_client *client, enum err code)
+{
+  struct event event = { .kind = EVENT_LOG_FAILED };
+
+  event.u.log_failed.code = code;
+  event.u.log_failed.first = client->first;
+  client->retry_at = g_get_monotonic_time () + READ_AGAIN_USEC;
+  client->fn (&event, client->data);
+}
+
+/* Tell the records that the read answered.  */
+static void
+read_done (struct log_client *client)
+{
+  struct event event = { .kind = EVENT_RECORDS };
+  GArray *entries = g_array_new (FALSE, FALSE, sizeof (struct log_entry));
+  enum err code
+      = record_read_batch (entries, client->body->data, client->body->len);
+
+  if (code == ERR_NONE)
+    {
+      if (entries->len > 0)
+        client->next
+            = g_array_index (entries, struct log_entry, entries->len - 1)
+                  .offset
+              + 1;
+      event.u.records.items = (const struct log_entry *)entries->data;
+      event.u.records.count = entries->len;
+      event.u.records.next = client->next;
+      event.u.records.at_tail = client->next >= client->tail;
+      event.u.records.from_log = TRUE;
+      event.u.records.begun = client->begun;
+      client->fn (&event, client->data);
+    }
+  else
+    read_failed (client, code);
+  record_clear_entries (entries);
+  g_array_free (entries, TRUE);
+}
+
+/* The number in the header NAME, or OTHERWISE.  */
+static guint64
+header_number (SoupMessageHeaders *headers, const char *name,
+               guint64 otherwise)
+{
+  const char *value = soup_message_headers_get_one (headers, name);
+
+  return value != NULL ? g_ascii_strtoull (value, NULL, 10) : otherwise;
+}
+
+/* Something happened to the read.  */
+static void
+on_read_event (const struct http_event *event, gpointer data)
+{
+  struct log_client *client = data;
+
+  switch (event->kind)
+    {
+    case HTTP_HEAD:
+      client->status = event->status;
+      client->first = header_number (event->headers, "Log-First", 0);
+      client->tail = header_number (event->headers, "Log-Tail", G_MAXUINT64);
+      break;
+    case HTTP_DATA:
+      g_byte_array_append (client->body, event->bytes, (guint)event->count);
+      break;
+    case HTTP_FLUSH:
+    case HTTP_DRAINED:
+      break;
+    case HTTP_ENDED:
+      client->read = HANDLE_NONE;
+      if (event->code != ERR_NONE)
+        read_failed (client, event->code);
+      else if (client->status == SOUP_STATUS_OK)
+        read_done (client);
+      else
+        read_failed (client, client->status == SOUP_STATUS_GONE
+                                 ? ERR_GONE
+                                 : ERR_UNAVAILABLE);
+      break;
+    }
+}
+
+/* Begin a read if none is under way.  */
+void
+log_client_step (struct log_client *client, gint64 now)
+{
+  struct http_request request = { 0 };
+  char *target;
+
+  if (handle_is_set (client->read) || now < client->retry_at)
+    return;
+  target = g_strdup_printf (
+      "/streams/%s?from=%" G_GUINT64_FORMAT "&max=%d&wait-ms=%d",
+      client->stream, client->next, READ_MAX_RECORDS, READ_WAIT_MSEC);
+  request.to = client->address;
+  request.method = "GET";
+  request.target = target;
+  request.deadline = now + READ_TIMEOUT_USEC;
+  client->begun = now;
+  client->status = 0;
+  g_byte_array_set_size (client->body, 0);
+  client->read = http_start (client->http, &request, on_read_event, client);
+  http_finish (client->http, client->read);
+  g_free (target);
+}
+
+/* Read from NEXT on from now on.  */
+void
+log_client_seek (struct log_client *client, guint64 next)
+{
+  http_abort (client->http, client->read);
+  client->read = HANDLE_NONE;
+  client->next = next;
+  client->retry_at = 0;
+}
+
+/* Appending */
+
+/* Release an append.  */
+static void
+append_free (gpointer data)
+{
+  struct log_append *append = data;
+
+  g_string_free (append->body, TRUE);
+  g_free (append);
+}
+
+/* Tell how an append ended, and release it.  */
+static void
+append_done (struct log_append *append, enum err code)
+{
+  struct log_client *client = append->client;
+  struct event event = { .kind = EVENT_APPENDED };
+
+  event.u.appended.serial = append->serial;
+  event.u.appended.code = code;
+  event.u.appended.offset = g_ascii_strtoull (append->body->str, NULL, 10);
+  g_hash_table_remove (client->appends, append);
+  client->fn (&event, client->data);
+}
+
+/* The error that an ended append stands for.  Only what proves that nothing
+   was written counts as that.  */
+static enum err
+append_code (const struct log_append *append, const struct http_event *event)
+{
+  if (event->code != ERR_NONE)
+    return event->sent ? ERR_EFFECT : ERR_REFUSED;
+  if (append->status == SOUP_STATUS_OK)
+    return ERR_NONE;
+  return append->status == SOUP_STATUS_SERVICE_UNAVAILABLE ? ERR_UNAVAILABLE
+                                                           : ERR_EFFECT;
+}
+
+/* Something happened to an append.  */
+static void
+on_append_event (const struct http_event *event, gpointer data)
+{
+  struct log_append *append = data;
+
+  switch (event->kind)
+    {
+    case HTTP_HEAD:
+      append->status = event->status;
+      break;
+    case HTTP_DATA:
+      g_string_append_len (append->body, (const char *)event->bytes,
+                           (gssize)event->count);
+      break;
+    case HTTP_FLUSH:
+    case HTTP_DRAINED:
+      break;
+    case HTTP_ENDED:
+      append_done (append, append_code (append, event));
+      break;
+    }
+}
+
+/* Append RECORD; EVENT_APPENDED tells how it ended.  */
+void
+log_client_append (struct log_client *client, const struct record *record,
+                   gint64 now)
+{
+  GByteArray *bytes = record_encode (record);
+  struct log_append *append = g_new0 (struct log_append, 1);
+  struct http_request request = { 0 };
+  char *target = g_strdup_printf ("/streams/%s", client->stream);
+
+  append->client = client;
+  append->serial = record->serial;
+  append->body = g_string_new (NULL);
+  g_hash_table_add (client->appends, append);
+  request.to = client->address;
+  request.method = "POST";
+  request.target = target;
+  request.length = bytes->len;
+  request.deadline = now + APPEND_TIMEOUT_USEC;
+  append->call = http_start (client->http, &request, on_append_event, append);
+  http_write (client->http, append->call, bytes->data, bytes->len);
+  http_finish (client->http, append->call);
+  g_byte_array_unref (bytes);
+  g_free (target);
+}
+
+/* Set up a client for STREAM of the service at ADDRESS.  */
+void
+log_client_init (struct log_client *client, struct http *http,
+                 struct address address, const char *stream, log_client_fn *fn,
+                 gpointer data)
+{
+  memset (client, 0, sizeof *client);
+  client->http = http;
+  client->address = address;
+  g_strlcpy (client->stream, stream, sizeof client->stream);
+  client->fn = fn;
+  client->data = data;
+  client->body = g_byte_array_new ();
+  client->appends = g_hash_table_new_full (NULL, NULL, append_free, NULL);
+}
+
+/* Drop what is under way, untold.  */
+void
+log_client_clear (struct log_client *client)
+{
+  GHashTableIter iter;
+  gpointer key;
+
+  http_abort (client->http, client->read);
+  g_hash_table_iter_init (&iter, client->appends);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    http_abort (client->http, ((struct log_append *)key)->call);
+  g_hash_table_destroy (client->appends);
+  g_byte_array_unref (client->body);
+}
--- /dev/null
+++ b/src/edge/node.h
@@ -0,0 +1,48 @@
+#ifndef BAMBOOTALLY_NODE_H
+#define BAMBOOTALLY_NODE_H
+
+#include "decide/core.h"
+#include "edge/counters.h"
+#include "edge/exchange.h"
+#include "edge/log_client.h"
+#include "edge/settings.h"
+
+/* One node: the core and its edges on one loop.  */
+
+struct node
+{
+  struct settings settings; /* its settings */
+  struct core core;         /* its decisions */
+  GMainLoop *loop;          /* the one loop */
+  struct http http;         /* calls to the log and the server */
+  struct links links;       /* other nodes */
+  struct log_client log;    /* the log */
+  SoupServer *front;        /* callers, operators and the server */
+  struct table exchanges;   /* struct exchange */
+  GHashTable *streams;      /* struct stream_key to exchange handle */
+  GHashTable *server_calls; /* bits of HTTP call to bits of exchange */
+  struct address server;    /* the backend server's address */
+  guint64 last_stream;      /* name of the last attempt passed on */
+  struct counters counters; /* what it has counted */
+  GQueue *later;            /* events that came during another */
+  gboolean feeding;         /* an event is being taken in */
+  guint tick;               /* the timer */
+};
+
+/* An incoming stream: names are unique on one connection.  */
+struct stream_key
+{
+  guint32 link;   /* bits of the connection's handle */
+  guint64 stream; /* the peer's name */
+};
+
+enum err node_init (struct node *node, const struct settings *settings);
+void node_clear (struct node *node);
+void node_feed (struct node *node, const struct event *event);
+void node_do (struct node *node, const struct action *action);
+enum err front_init (struct node *node);
+void front_clear (struct node *node);
+void admin_handle (struct node *node, SoupServerMessage *message,
+                   const char *path, GHashTable *query);
+
+#endif
--- /dev/null
+++ b/src/edge/node_do.c
@@ -0,0 +1,67 @@
+#include "edge/node.h"
+
+#include "edge/journal.h"
+#include "wire/wire_peer.h"
+
+/* Call another node for control.  */
+static void
+do_call (struct node *node, const struct action_call *action)
+{
+  struct link_tag tag = { .serial = action->serial, .peer = action->peer };
+
+  node->counters.control_calls++;
+  links_call (&node->links, action->to, RPC_PEER, wire_peer_call,
+              &action->body, &tag, action->deadline);
+}
+
+/* Do what the core wants.  */
+void
+node_do (struct node *node, const struct action *action)
+{
+  switch (action->kind)
+    {
+    case ACTION_APPEND:
+      node->counters.appends++;
+      log_client_append (&node->log, &action->u.append.record,
+                         g_get_monotonic_time ());
+      break;
+    case ACTION_CALL:
+      do_call (node, &action->u.call);
+      break;
+    case ACTION_REPLY:
+      links_reply (&node->links, action->u.reply.call, action->u.reply.xid,
+                   ERR_NONE, wire_peer_reply, &action->u.reply.body);
+      break;
+    case ACTION_FORWARD:
+      node->counters.forwarded++;
+      exchange_forward (node, &action->u.forward);
+      break;
+    case ACTION_RUN:
+      node->counters.run++;
+      exchange_run (node, &action->u.run);
+      break;
+    case ACTION_ANSWER:
+      exchange_answer (node, &action->u.answer);
+      break;
+    case ACTION_CANCEL:
+      exchange_cancel (node, action->u.cancel.exchange);
+      break;
+    case ACTION_NOTE:
+      if (action->u.note.id == NOTE_ROUTE_RETRY)
+        node->counters.retried++;
+      journal_note (&action->u.note);
+      break;
+    case ACTION_FETCH:
+      if (!action->u.fetch.from_peer)
+        log_client_seek (&node->log, action->u.fetch.offset);
+      break;
+    case ACTION_SUSPECT_CONNECTION:
+      http_drop_idle (&node->http, node->server);
+      break;
+    case ACTION_GRANT:
+      break;
+    case ACTION_EXIT:
+      g_main_loop_quit (node->loop);
+      break;
+    }
+}
--- /dev/null
+++ b/src/edge/settings.c
@@ -0,0 +1,112 @@
+#include "edge/settings.h"
+
+#include "types/ini.h"
+
+#include <string.h>
+
+#define SLOTS_MAX 100000 /* slots of one backend server */
+
+static const struct ini_field settings_fields[] = {
+  { "node", "host", INI_NAME, TRUE, 0, 0, NULL },
+  { "node", "zone", INI_NAME, TRUE, 0, 0, NULL },
+  { "node", "region", INI_NAME, TRUE, 0, 0, NULL },
+  { "node", "service", INI_NAME, TRUE, 0, 0, NULL },
+  { "node", "front", INI_ADDRESS, TRUE, 0, 0, NULL },
+  { "node", "peer", INI_ADDRESS, TRUE, 0, 0, NULL },
+  { "log", "address", INI_ADDRESS, TRUE, 0, 0, NULL },
+  { "log", "stream", INI_NAME, TRUE, 0, 0, NULL },
+  { "journal", "level", INI_CHOICE, FALSE, 0, 0, "error|info|debug" },
+};
+
+static const struct ini_schema settings_schema
+    = { settings_fields, G_N_ELEMENTS (settings_fields), "",
+        "node|log|journal" };
+
+/* Read the address of KEY.  */
+static void
+read_address (const struct ini *ini, const struct ini_section *section,
+              const char *key, struct address *address)
+{
+  char *text = ini_text (ini, section, key);
+
+  address_parse (text, address);
+  g_free (text);
+}
+
+/* Read the values of SECTION, which has been checked.  */
+static void
+read_section (struct settings *settings, const struct ini *ini,
+              const struct ini_section *section)
+{
+  struct core_settings *core = &settings->core;
+
+  if (strcmp (section->kind, "node") == 0)
+    {
+      ini_copy (ini, section, "host", core->host, sizeof core->host);
+      ini_copy (ini, section, "zone", core->zone, sizeof core->zone);
+      ini_copy (ini, section, "region", core->region, sizeof core->region);
+      ini_copy (ini, section, "service", core->service, sizeof core->service);
+      read_address (ini, section, "front", &core->front);
+      read_address (ini, section, "peer", &core->peer);
+    }
+  else if (strcmp (section->kind, "log") == 0)
+    {
+      read_address (ini, section, "address", &settings->log);
+      ini_copy (ini, section, "stream", settings->log_stream,
+                sizeof settings->log_stream);
+    }
+  else if (strcmp (section->kind, "journal") == 0)
+    ini_copy (ini, section, "level", settings->log_level,
+              sizeof settings->log_level);
+}
+
+/* Add a fault for each section that must be there and is not.  */
+static void
+check_sections (const struct ini *ini, GArray *faults)
+{
+  static const char *const kinds[] = { "node", "log" };
+  guint i;
+  guint k;
+
+  for (i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      struct ini_section missing = { 0 };
+      gboolean found = FALSE;
+      for (k = 0; k < ini->sections->len; k++)
+        found
+            = found
+              || strcmp (
+                     kinds[i],
+                     g_array_index (ini->sections, struct ini_section, k).kind)
+                     == 0;
+      g_strlcpy (missing.kind, kinds[i], sizeof missing.kind);
+      if (!found)
+        ini_fault (ini, faults, FAULT_MISSING, &missing, NULL, NULL);
+    }
+}
+
+/* Read the settings in FILE.  Return ERR_INVALID, with each fault added to
+   FAULTS, if they are not right.  */
+enum err
+settings_read (struct settings *settings, const char *file, GArray *faults)
+{
+  struct ini ini;
+  char *text = NULL;
+  guint i;
+
+  memset (settings, 0, sizeof *settings);
+  g_strlcpy (settings->log_level, "info", sizeof settings->log_level);
+  if (!g_file_get_contents (file, &text, NULL, NULL))
+    {
+      g_strlcpy (fault_add (faults, FAULT_FILE)->file, file, PATH_SIZE);
+      return ERR_INVALID;
+    }
+  ini_read (&ini, file, text, &settings_schema, faults);
+  check_sections (&ini, faults);
+  for (i = 0; i < ini.sections->len; i++)
+    read_section (settings, &ini,
+                  &g_array_index (ini.sections, struct ini_section, i));
+  ini_clear (&ini);
+  g_free (text);
+  return faults->len > 0 ? ERR_INVALID : ERR_NONE;
+}
--- /dev/null
+++ b/src/edge/source_caller.c
@@ -0,0 +1,311 @@
+#include "edge/exchange.h"
+
+#include "decide/rule.h"
+#include "edge/headers.h"
+#include "edge/node.h"
+
+#include <string.h>
+
+#define EXCHANGE_DATA "bambootally-exchange" /* the exchange of a message */
+
+/* The request that a message carries, or NULL.  */
+static struct exchange *
+exchange_of (SoupServerMessage *message, struct node *node)
+{
+  struct handle h = { GPOINTER_TO_UINT (
+      g_object_get_data (G_OBJECT (message), EXCHANGE_DATA)) };
+
+  return exchange_at (node, h);
+}
+
+/* The request's body */
+
+/* A part of the request's body came.  */
+static void
+on_got_chunk (SoupServerMessage *message, GBytes *chunk, gpointer data)
+{
+  struct node *node = data;
+  struct exchange *exchange = exchange_of (message, node);
+  gsize count;
+  const guint8 *bytes = g_bytes_get_data (chunk, &count);
+
+  if (exchange == NULL || exchange->has_answer)
+    return;
+  node->counters.bytes_in += count;
+  body_add (&exchange->in, bytes, count);
+  if (exchange->source.u.caller.begun)
+    exchange_pump_in (exchange);
+  exchange = exchange_of (message, node);
+  if (exchange == NULL || !body_is_full (&exchange->in)
+      || exchange->has_answer)
+    return;
+  exchange->source.u.caller.paused = TRUE;
+  soup_server_message_pause (message);
+}
+
+/* Let the caller send more of the request's body.  */
+void
+source_caller_resume (struct exchange *exchange)
+{
+  struct source_caller *caller = &exchange->source.u.caller;
+
+  if (!caller->paused)
+    return;
+  caller->paused = FALSE;
+  soup_server_message_unpause (caller->message);
+}
+
+/* The request's body has come whole.  */
+void
+source_caller_received (struct exchange *exchange)
+{
+  struct source_caller *caller = &exchange->source.u.caller;
+  struct node *node = exchange->node;
+  struct handle self = exchange->self;
+
+  caller->received = TRUE;
+  exchange->in.end = TRUE;
+  soup_server_message_pause (caller->message);
+  if (!caller->begun)
+    {
+      caller->begun = TRUE;
+      exchange_begin (exchange);
+    }
+  else
+    exchange_pump_in (exchange);
+  exchange = exchange_at (node, self);
+  if (exchange != NULL)
+    source_caller_pump (exchange);
+}
+
+/* The answer */
+
+/* Send the head of the answer.  */
+static void
+send_head (struct exchange *exchange)
+{
+  struct source_caller *caller = &exchange->source.u.caller;
+  const struct answer_head *head = &exchange->head;
+  SoupMessageHeaders *headers
+      = soup_server_message_get_response_headers (caller->message);
+  SoupMessageHeadersIter iter;
+  const char *name;
+  const char *value;
+
+  soup_server_message_set_status (caller->message, head->status, NULL);
+  soup_message_headers_iter_init (&iter, head->headers);
+  while (soup_message_headers_iter_next (&iter, &name, &value))
+    soup_message_headers_append (headers, name, value);
+  if (soup_message_headers_get_one (headers, HEADER_OUTCOME) == NULL)
+    soup_message_headers_append (headers, HEADER_OUTCOME,
+                                 outcome_name (OUTCOME_DONE));
+  if (head->stamp.time != 0)
+    {
+      char *stamp = headers_format_stamp (head->stamp);
+      soup_message_headers_append (headers, HEADER_STAMP, stamp);
+      g_free (stamp);
+    }
+  if (head->length >= 0)
+    soup_message_headers_set_content_length (headers, head->length);
+  else
+    soup_message_headers_set_encoding (headers, SOUP_ENCODING_CHUNKED);
+  soup_message_body_set_accumulate (
+      soup_server_message_get_response_body (caller->message), FALSE);
+  caller->head_sent = TRUE;
+}
+
+/* Hand the next part of the answer's body to libsoup.  */
+static void
+send_part (struct exchange *exchange)
+{
+  struct source_caller *caller = &exchange->source.u.caller;
+  SoupMessageBody *body
+      = soup_server_message_get_response_body (caller->message);
+  gsize left = body_left (&exchange->out);
+
+  if (left > 0)
+    {
+      soup_message_body_append (body, SOUP_MEMORY_COPY,
+                                body_next (&exchange->out), left);
+      body_pass (&exchange->out, left);
+      caller->writing = TRUE;
+    }
+  if (body_is_passed (&exchange->out) && !caller->ended)
+    {
+      soup_message_body_complete (body);
+      caller->ended = TRUE;
+    }
+  soup_server_message_unpause (caller->message);
+}
+
+/* Pass on what there is of the answer, one part at a time.  */
+void
+source_caller_pump (struct exchange *exchange)
+{
+  struct source_caller *caller = &exchange->source.u.caller;
+
+  if (!exchange->has_answer || !caller->received || caller->writing
+      || caller->ended)
+    return;
+  if (!caller->head_sent)
+    send_head (exchange);
+  else if (body_left (&exchange->out) == 0 && !exchange->out.end)
+    return;
+  send_part (exchange);
+  if (exchange->target.kind == TARGET_SERVER)
+    http_pause (&exchange->node->http, exchange->target.u.server.call, FALSE);
+  else
+    target_peer_pull (exchange);
+}
+
+/* A part of the answer was written.  */
+static void
+on_wrote_chunk (SoupServerMessage *message, gpointer data)
+{
+  struct exchange *exchange = exchange_of (message, data);
+
+  if (exchange == NULL)
+    return;
+  exchange->source.u.caller.writing = FALSE;
+  source_caller_pump (exchange);
+}
+
+/* Break the connection off, so that the answer is not taken for whole.  */
+void
+source_caller_break (struct exchange *exchange)
+{
+  SoupServerMessage *message = exchange->source.u.caller.message;
+  GSocket *socket = soup_server_message_get_socket (message);
+
+  if (socket != NULL)
+    g_socket_shutdown (socket, TRUE, TRUE, NULL);
+  soup_server_message_unpause (message);
+}
+
+/* The message is over: answered, or the caller went away.  */
+static void
+on_finished (SoupServerMessage *message, gpointer data)
+{
+  struct exchange *exchange = exchange_of (message, data);
+
+  if (exchange == NULL)
+    return;
+  if (exchange->source.u.caller.ended)
+    exchange_remove (exchange);
+  else
+    exchange_gone (exchange);
+}
+
+/* Begin and end */
+
+/* Look up a header for a rule.  */
+static const char *
+find_header (gpointer data, const char *name)
+{
+  return soup_message_headers_get_one (data, name);
+}
+
+/* Fill in what routing needs to know.  */
+static enum reason
+fill_request (struct exchange *exchange, SoupMessageHeaders *headers)
+{
+  struct request *request = &exchange->request;
+  const struct config *config = &exchange->node->core.view.config;
+  const char *id = soup_message_headers_get_one (headers, HEADER_ID);
+  const char *stamp = soup_message_headers_get_one (headers, HEADER_STAMP);
+  const char *timeout = soup_message_headers_get_one (headers, HEADER_TIMEOUT);
+  const struct config_service *service;
+  enum reason reason = rule_match (config, exchange->method, exchange->path,
+                                   find_header, headers, request);
+  gint64 msec;
+
+  if (reason != REASON_NONE)
+    return reason;
+  if ((id != NULL && strlen (id) >= sizeof request->id)
+      || (stamp != NULL && !headers_parse_stamp (stamp, &request->stamp)))
+    return REASON_BAD_REQUEST;
+  if (id != NULL)
+    g_strlcpy (request->id, id, sizeof request->id);
+  service = config_find_service (config, request->service);
+  msec = service->timeout_msec;
+  if (timeout != NULL && g_ascii_strtoll (timeout, NULL, 10) > 0)
+    msec = MIN (msec, g_ascii_strtoll (timeout, NULL, 10));
+  request->deadline = g_get_monotonic_time () + msec * USEC_PER_MSEC;
+  return REASON_NONE;
+}
+
+/* End a request that no rule covers.  */
+static void
+refuse (struct exchange *exchange, enum reason reason)
+{
+  struct action_answer action = { .exchange = exchange->self,
+                                  .outcome = OUTCOME_NOT_RUN,
+                                  .reason = reason };
+
+  exchange_answer (exchange->node, &action);
+}
+
+/* A caller's request begins: its headers have come.  A short body is waited
+   for; a long one is passed on as it comes.  */
+void
+source_caller_attach (struct node *node, SoupServerMessage *message)
+{
+  struct exchange *exchange = exchange_add (node, SOURCE_CALLER);
+  struct source_caller *caller = &exchange->source.u.caller;
+  SoupMessageHeaders *headers
+      = soup_server_message_get_request_headers (message);
+  GUri *uri = soup_server_message_get_uri (message);
+  const char *query = g_uri_get_query (uri);
+  enum reason reason;
+
+  node->counters.requests++;
+  caller->message = g_object_ref (message);
+  g_object_set_data (G_OBJECT (message), EXCHANGE_DATA,
+                     GUINT_TO_POINTER (exchange->self.bits));
+  exchange->method = g_strdup (soup_server_message_get_method (message));
+  exchange->path
+      = g_strdup_printf ("%s%s%s", g_uri_get_path (uri),
+                         query != NULL ? "?" : "", query != NULL ? query : "");
+  exchange->headers = headers_copy (headers);
+  if (soup_message_headers_get_encoding (headers) != SOUP_ENCODING_CHUNKED)
+    exchange->length = soup_message_headers_get_content_length (headers);
+  soup_message_body_set_accumulate (
+      soup_server_message_get_request_body (message), FALSE);
+  g_signal_connect (message, "got-chunk", G_CALLBACK (on_got_chunk), node);
+  g_signal_connect (message, "wrote-chunk", G_CALLBACK (on_wrote_chunk), node);
+  g_signal_connect (message, "finished", G_CALLBACK (on_finished), node);
+  reason = fill_request (exchange, headers);
+  if (reason != REASON_NONE)
+    {
+      caller->begun = TRUE;
+      refuse (exchange, reason);
+    }
+  else if (exchange->length < 0 || exchange->length > BODY_CHUNK_BYTES)
+    {
+      caller->begun = TRUE;
+      exchange_begin (exchange);
+    }
+}
+
+/* Let go of the message.  */
+void
+source_caller_detach (struct exchange *exchange)
+{
+  SoupServerMessage *message = exchange->source.u.caller.message;
+
+  g_signal_handlers_disconnect_by_data (message, exchange->node);
+  g_object_unref (message);
+}
+
+/* The request's body has come whole: MESSAGE carries a request, or it was
+   ended already.  */
+void
+source_caller_handle (struct node *node, SoupServerMessage *message)
+{
+  struct exchange *exchange = exchange_of (message, node);
+
+  if (exchange != NULL)
+    source_caller_received (exchange);
+  else
+    soup_server_message_set_status (message, SOUP_STATUS_NOT_FOUND, NULL);
+}
--- /dev/null
+++ b/src/edge/source_peer.c
@@ -0,0 +1,265 @@
+#include "edge/exchange.h"
+
+#include "edge/headers.h"
+#include "edge/node.h"
+#include "wire/wire_forward.h"
+
+#include <string.h>
+
+/* Find the request that a peer calls STREAM.  */
+static struct exchange *
+find_stream (struct node *node, struct handle link, guint64 stream)
+{
+  struct stream_key key = { link.bits, stream };
+  struct handle h
+      = { GPOINTER_TO_UINT (g_hash_table_lookup (node->streams, &key)) };
+
+  return exchange_at (node, h);
+}
+
+/* Replies */
+
+/* Reply to a call to open that the request ended without an answer.  */
+static void
+reply_refusal (struct node *node, struct handle link, guint32 xid,
+               const struct action_answer *action)
+{
+  struct forward_head head = { .outcome = action->outcome,
+                               .reason = action->reason,
+                               .stamp = action->stamp,
+                               .retry_msec = action->retry_msec,
+                               .headers = (char *)"" };
+
+  links_reply (&node->links, link, xid, ERR_NONE, wire_forward_head, &head);
+}
+
+/* The next bytes of the answer's body.  */
+static guint32
+next_bytes (struct exchange *exchange, guint8 **bytes, gboolean *end)
+{
+  gsize count = MIN (body_left (&exchange->out), BODY_QUEUE_BYTES);
+
+  *bytes = (guint8 *)body_next (&exchange->out);
+  *end = exchange->out.end && count == body_left (&exchange->out);
+  return (guint32)count;
+}
+
+/* Note that COUNT bytes went out, and let the target go on.  */
+static void
+bytes_went (struct exchange *exchange, guint32 count, gboolean end)
+{
+  body_pass (&exchange->out, count);
+  exchange->source.u.peer.ended = end;
+  if (exchange->target.kind == TARGET_SERVER && !body_is_full (&exchange->out))
+    http_pause (&exchange->node->http, exchange->target.u.server.call, FALSE);
+}
+
+/* Reply with the head and the first bytes.  */
+static void
+send_head (struct exchange *exchange)
+{
+  struct source_peer *peer = &exchange->source.u.peer;
+  struct forward_head head = { .outcome = OUTCOME_DONE };
+
+  head.status = exchange->head.status;
+  head.length = exchange->head.length;
+  head.stamp = exchange->head.stamp;
+  head.headers = headers_format (exchange->head.headers);
+  head.count = next_bytes (exchange, &head.bytes, &head.end);
+  links_reply (&exchange->node->links, peer->link, peer->open_xid, ERR_NONE,
+               wire_forward_head, &head);
+  peer->head_sent = TRUE;
+  bytes_went (exchange, head.count, head.end);
+  g_free (head.headers);
+}
+
+/* Reply to the read that waits with the next bytes.  */
+static void
+send_more (struct exchange *exchange)
+{
+  struct source_peer *peer = &exchange->source.u.peer;
+  struct forward_more more = { .outcome = OUTCOME_DONE };
+
+  more.count = next_bytes (exchange, &more.bytes, &more.end);
+  links_reply (&exchange->node->links, peer->link, peer->read_xid, ERR_NONE,
+               wire_forward_more, &more);
+  peer->read_waits = FALSE;
+  bytes_went (exchange, more.count, more.end);
+}
+
+/* Pass on what there is of the answer.  The request is gone once the end has
+   gone out.  */
+void
+source_peer_pump (struct exchange *exchange)
+{
+  struct source_peer *peer = &exchange->source.u.peer;
+
+  if (exchange->has_answer && !peer->head_sent)
+    send_head (exchange);
+  else if (peer->read_waits
+           && (body_left (&exchange->out) > 0 || exchange->out.end))
+    send_more (exchange);
+  if (peer->ended)
+    exchange_remove (exchange);
+}
+
+/* Let the peer send more of the request's body.  */
+void
+source_peer_resume (struct exchange *exchange)
+{
+  struct source_peer *peer = &exchange->source.u.peer;
+
+  if (!peer->data_waits)
+    return;
+  peer->data_waits = FALSE;
+  links_reply (&exchange->node->links, peer->link, peer->data_xid, ERR_NONE,
+               NULL, NULL);
+}
+
+/* End a request with the outcome in ACTION, also one whose answer has
+   begun, and forget it.  */
+void
+source_peer_break (struct exchange *exchange,
+                   const struct action_answer *action)
+{
+  struct source_peer *peer = &exchange->source.u.peer;
+  struct forward_more more
+      = { .outcome = OUTCOME_UNKNOWN, .reason = action->reason };
+
+  source_peer_resume (exchange);
+  if (!peer->head_sent)
+    reply_refusal (exchange->node, peer->link, peer->open_xid, action);
+  else if (peer->read_waits)
+    links_reply (&exchange->node->links, peer->link, peer->read_xid, ERR_NONE,
+                 wire_forward_more, &more);
+  exchange_remove (exchange);
+}
+
+/* Calls */
+
+/* Make a request of what a peer has opened.  */
+static void
+begin_open (struct node *node, const struct link_event *event,
+            const struct forward_open *open)
+{
+  struct exchange *exchange = exchange_add (node, SOURCE_PEER);
+  struct stream_key key = { event->link.bits, open->stream };
+
+  exchange->source.u.peer.link = event->link;
+  exchange->source.u.peer.stream = open->stream;
+  exchange->source.u.peer.open_xid = event->xid;
+  exchange->request = open->request;
+  exchange->request.from_peer = TRUE;
+  exchange->request.deadline += g_get_monotonic_time ();
+  exchange->method = g_strdup (open->method);
+  exchange->path = g_strdup (open->target);
+  exchange->headers = headers_parse (open->headers);
+  exchange->length = open->length;
+  body_add (&exchange->in, open->bytes, open->count);
+  exchange->in.end = open->end;
+  g_hash_table_insert (node->streams, g_memdup2 (&key, sizeof key),
+                       GUINT_TO_POINTER (exchange->self.bits));
+  node->counters.from_peers++;
+  node->counters.bytes_in += open->count;
+  exchange_begin (exchange);
+}
+
+/* A peer passes a request on to here.  */
+void
+source_peer_open (struct node *node, const struct link_event *event)
+{
+  struct forward_open open = { 0 };
+  struct action_answer wrong
+      = { .outcome = OUTCOME_NOT_RUN, .reason = REASON_NOT_OWNER };
+
+  if (wire_decode (wire_forward_open, &open, event->bytes, event->length)
+      != ERR_NONE)
+    {
+      links_reply (&node->links, event->link, event->xid, ERR_MALFORMED, NULL,
+                   NULL);
+      return;
+    }
+  if (open.to != node->settings.core.incarnation)
+    reply_refusal (node, event->link, event->xid, &wrong);
+  else
+    begin_open (node, event, &open);
+  xdr_free ((xdrproc_t)wire_forward_open, (char *)&open);
+}
+
+/* A peer sends more of a request's body.  The reply waits until there is room
+   for the next part; a request that is gone takes it and forgets it.  */
+void
+source_peer_data (struct node *node, const struct link_event *event)
+{
+  struct forward_data data = { 0 };
+  struct exchange *exchange = NULL;
+
+  if (wire_decode (wire_forward_data, &data, event->bytes, event->length)
+      == ERR_NONE)
+    exchange = find_stream (node, event->link, data.stream);
+  if (exchange == NULL)
+    links_reply (&node->links, event->link, event->xid, ERR_NONE, NULL, NULL);
+  else
+    {
+      node->counters.bytes_in += data.count;
+      body_add (&exchange->in, data.bytes, data.count);
+      exchange->in.end = data.end;
+      exchange->source.u.peer.data_waits = TRUE;
+      exchange->source.u.peer.data_xid = event->xid;
+      exchange_pump_in (exchange);
+    }
+  xdr_free ((xdrproc_t)wire_forward_data, (char *)&data);
+}
+
+/* A peer asks for more of an answer's body.  */
+void
+source_peer_read (struct node *node, const struct link_event *event)
+{
+  guint64 stream = 0;
+  struct exchange *exchange = NULL;
+  struct forward_more gone
+      = { .outcome = OUTCOME_UNKNOWN, .reason = REASON_TRUNCATED };
+
+  if (wire_decode (wire_forward_stream, &stream, event->bytes, event->length)
+      == ERR_NONE)
+    exchange = find_stream (node, event->link, stream);
+  if (exchange == NULL)
+    {
+      links_reply (&node->links, event->link, event->xid, ERR_NONE,
+                   wire_forward_more, &gone);
+      return;
+    }
+  exchange->source.u.peer.read_waits = TRUE;
+  exchange->source.u.peer.read_xid = event->xid;
+  source_peer_pump (exchange);
+}
+
+/* A peer gives a request up.  */
+void
+source_peer_cancel (struct node *node, const struct link_event *event)
+{
+  guint64 stream = 0;
+  struct exchange *exchange = NULL;
+
+  if (wire_decode (wire_forward_stream, &stream, event->bytes, event->length)
+      == ERR_NONE)
+    exchange = find_stream (node, event->link, stream);
+  if (exchange != NULL)
+    exchange_gone (exchange);
+  links_reply (&node->links, event->link, event->xid, ERR_NONE, NULL, NULL);
+}
+
+/* A connection from a peer has ended: its requests are given up.  */
+void
+source_peer_closed (struct node *node, struct handle link)
+{
+  struct handle h = table_next (&node->exchanges, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&node->exchanges, h))
+    {
+      struct exchange *exchange = exchange_at (node, h);
+      if (exchange->source.kind == SOURCE_PEER
+          && handle_equal (exchange->source.u.peer.link, link))
+        exchange_gone (exchange);
+    }
+}
--- /dev/null
+++ b/src/tool/tool.c
@@ -0,0 +1,179 @@
+#include "tool/tool.h"
+
+#include "edge/json.h"
+
+#include <stdio.h>
+
+/* Asking */
+
+/* A question under way.  */
+struct question
+{
+  struct tool_answer *answer; /* what comes of it */
+  GMainLoop *loop;            /* runs until it has */
+};
+
+/* Something happened to the question.  */
+static void
+on_event (const struct http_event *event, gpointer data)
+{
+  struct question *question = data;
+  struct tool_answer *answer = question->answer;
+  const char *config;
+
+  switch (event->kind)
+    {
+    case HTTP_HEAD:
+      answer->status = event->status;
+      config = soup_message_headers_get_one (event->headers, "Config-Offset");
+      answer->config
+          = config != NULL ? g_ascii_strtoull (config, NULL, 10) : 0;
+      break;
+    case HTTP_DATA:
+      g_string_append_len (answer->body, (const char *)event->bytes,
+                           (gssize)event->count);
+      break;
+    case HTTP_FLUSH:
+    case HTTP_DRAINED:
+      break;
+    case HTTP_ENDED:
+      answer->code = event->code;
+      answer->sent = event->sent;
+      g_main_loop_quit (question->loop);
+      break;
+    }
+}
+
+/* Give up questions that take too long.  */
+static gboolean
+on_timer (gpointer data)
+{
+  http_expire (data, g_get_monotonic_time ());
+  return G_SOURCE_CONTINUE;
+}
+
+/* Ask METHOD TARGET of the server at TO, with COUNT bytes, and wait for the
+   answer; clear it with tool_answer_clear.  */
+void
+tool_ask (struct tool_answer *answer, struct address to, const char *method,
+          const char *target, const guint8 *bytes, gsize count,
+          gint64 timeout_usec)
+{
+  struct http http;
+  struct question question = { answer, g_main_loop_new (NULL, FALSE) };
+  struct http_request request = { 0 };
+  struct handle call;
+  guint timer;
+
+  answer->code = ERR_TIMEOUT;
+  answer->status = 0;
+  answer->config = 0;
+  answer->body = g_string_new (NULL);
+  http_init (&http);
+  request.to = to;
+  request.method = method;
+  request.target = target;
+  request.length = (gint64)count;
+  request.deadline = g_get_monotonic_time () + timeout_usec;
+  call = http_start (&http, &request, on_event, &question);
+  http_write (&http, call, bytes, count);
+  http_finish (&http, call);
+  timer = g_timeout_add (50, on_timer, &http);
+  g_main_loop_run (question.loop);
+  g_source_remove (timer);
+  http_clear (&http);
+  g_main_loop_unref (question.loop);
+}
+
+/* Release an answer.  */
+void
+tool_answer_clear (struct tool_answer *answer)
+{
+  g_string_free (answer->body, TRUE);
+}
+
+/* Printing */
+
+/* Print an error, as JSON on request.  */
+void
+tool_print_error (const struct tool *tool, const char *what, enum err code)
+{
+  if (tool->json)
+    printf ("{\"error\":\"%s\",\"code\":%d,\"what\":\"%s\"}\n",
+            err_name (code), (int)code, what);
+  else
+    fprintf (stderr, "bambootally: %s: %s (%d)\n", what, err_name (code),
+             (int)code);
+}
+
+/* Add one fault to a JSON array.  */
+static void
+add_fault (JsonBuilder *builder, const struct fault *fault)
+{
+  json_builder_begin_object (builder);
+  json_add_text (builder, "fault", fault_kind_name (fault->kind));
+  json_add_text (builder, "file", fault->file);
+  json_add_number (builder, "line", fault->line);
+  json_add_text (builder, "section", fault->section);
+  json_add_text (builder, "key", fault->key);
+  json_add_text (builder, "value", fault->value);
+  json_builder_end_object (builder);
+}
+
+/* Print faults: a line each, or a JSON array on request.  */
+void
+tool_print_faults (const struct tool *tool, const GArray *faults)
+{
+  JsonBuilder *builder;
+  char *text;
+  guint i;
+
+  if (!tool->json)
+    {
+      for (i = 0; i < faults->len; i++)
+        {
+          text = fault_format (&g_array_index (faults, struct fault, i));
+          fprintf (stderr, "%s\n", text);
+          g_free (text);
+        }
+      return;
+    }
+  builder = json_builder_new ();
+  json_builder_begin_array (builder);
+  for (i = 0; i < faults->len; i++)
+    add_fault (builder, &g_array_index (faults, struct fault, i));
+  json_builder_end_array (builder);
+  text = json_finish (builder);
+  printf ("%s\n", text);
+  g_free (text);
+}
+
+/* Ask the node for TARGET and print the answer as it is.  */
+int
+tool_show (const struct tool *tool, const char *method, const char *target)
+{
+  struct tool_answer answer;
+  int status = TOOL_OK;
+
+  tool_ask (&answer, tool->node, method, target, NULL, 0, tool->timeout_usec);
+  if (answer.code != ERR_NONE)
+    {
+      tool_print_error (tool, "node", answer.code);
+      status = TOOL_UNREACHED;
+    }
+  else if (answer.status == SOUP_STATUS_NOT_FOUND)
+    {
+      tool_print_error (tool, target, ERR_NOT_FOUND);
+      status = TOOL_NOT_FOUND;
+    }
+  else if (answer.status >= SOUP_STATUS_BAD_REQUEST)
+    {
+      tool_print_error (tool, target, ERR_INVALID);
+      status = TOOL_USAGE;
+    }
+  else
+    printf ("%s%s", answer.body->str,
+            g_str_has_suffix (answer.body->str, "\n") ? "" : "\n");
+  tool_answer_clear (&answer);
+  return status;
+}
--- /dev/null
+++ b/src/tool/tool_commands.c
@@ -0,0 +1,71 @@
+#include "tool/tool.h"
+
+#include "decide/config_read.h"
+
+#include <stdio.h>
+
+/* Check a configuration file: check FILE.  */
+int
+tool_check (const struct tool *tool)
+{
+  GArray *faults = g_array_new (FALSE, TRUE, sizeof (struct fault));
+  struct config config;
+  char *text = NULL;
+  int status = TOOL_OK;
+
+  if (!g_file_get_contents (tool->words[1], &text, NULL, NULL))
+    g_strlcpy (fault_add (faults, FAULT_FILE)->file, tool->words[1],
+               PATH_SIZE);
+  else
+    {
+      config_read (&config, tool->words[1], text, faults);
+      config_clear (&config);
+    }
+  if (faults->len > 0)
+    {
+      tool_print_faults (tool, faults);
+      status = TOOL_INVALID;
+    }
+  else if (!tool->json)
+    printf ("%s: no faults\n", tool->words[1]);
+  g_array_free (faults, TRUE);
+  g_free (text);
+  return status;
+}
+
+/* Show what a node knows: status.  */
+int
+tool_status (const struct tool *tool)
+{
+  return tool_show (tool, "GET", "/bambootally/status");
+}
+
+/* Show a node's counters: counters.  */
+int
+tool_counters (const struct tool *tool)
+{
+  return tool_show (tool, "GET", "/bambootally/counters");
+}
+
+/* Show who owns a key and why: explain SERVICE KEY.  */
+int
+tool_explain (const struct tool *tool)
+{
+  char *service = g_uri_escape_string (tool->words[1], NULL, FALSE);
+  char *key = g_uri_escape_string (tool->words[2], NULL, FALSE);
+  char *target = g_strdup_printf ("/bambootally/explain?service=%s&key=%s",
+                                  service, key);
+  int status = tool_show (tool, "GET", target);
+
+  g_free (target);
+  g_free (key);
+  g_free (service);
+  return status;
+}
+
+/* Begin a graceful stop of a node: drain.  */
+int
+tool_drain (const struct tool *tool)
+{
+  return tool_show (tool, "POST", "/bambootally/drain");
+}
--- /dev/null
+++ b/src/types/action.c
@@ -0,0 +1,78 @@
+#include "types/action.h"
+
+#include <string.h>
+
+/* Release what one action owns.  */
+static void
+action_release (struct action *action)
+{
+  switch (action->kind)
+    {
+    case ACTION_APPEND:
+      record_clear (&action->u.append.record);
+      break;
+    case ACTION_REPLY:
+      if (action->u.reply.body.kind == PEER_FETCH)
+        g_free (action->u.reply.body.u.fetch.bytes);
+      break;
+    case ACTION_CALL:
+    case ACTION_FORWARD:
+    case ACTION_RUN:
+    case ACTION_ANSWER:
+    case ACTION_CANCEL:
+    case ACTION_GRANT:
+    case ACTION_NOTE:
+    case ACTION_FETCH:
+    case ACTION_SUSPECT_CONNECTION:
+    case ACTION_EXIT:
+      break;
+    }
+}
+
+/* Set up an empty list.  */
+void
+actions_init (struct actions *actions)
+{
+  actions->items = g_array_new (FALSE, TRUE, sizeof (struct action));
+}
+
+/* Release the list and what its actions own.  */
+void
+actions_clear (struct actions *actions)
+{
+  actions_empty (actions);
+  g_array_free (actions->items, TRUE);
+  actions->items = NULL;
+}
+
+/* Remove all actions and release what they own.  */
+void
+actions_empty (struct actions *actions)
+{
+  guint i;
+
+  for (i = 0; i < actions->items->len; i++)
+    action_release (&g_array_index (actions->items, struct action, i));
+  g_array_set_size (actions->items, 0);
+}
+
+/* Add an action of KIND with zero fields; good until the next addition.  */
+struct action *
+actions_add (struct actions *actions, enum action_kind kind)
+{
+  struct action *action;
+
+  g_array_set_size (actions->items, actions->items->len + 1);
+  action = &g_array_index (actions->items, struct action,
+                           actions->items->len - 1);
+  memset (action, 0, sizeof *action);
+  action->kind = kind;
+  return action;
+}
+
+/* The action at place I, which must be below the length.  */
+const struct action *
+actions_at (const struct actions *actions, guint i)
+{
+  return &g_array_index (actions->items, struct action, i);
+}
--- /dev/null
+++ b/src/types/action.h
@@ -0,0 +1,145 @@
+#ifndef BAMBOOTALLY_ACTION_H
+#define BAMBOOTALLY_ACTION_H
+
+#include "types/peer_msg.h"
+#include "types/record.h"
+#include "types/request.h"
+#include "types/note.h"
+
+/* What the core wants done.  */
+
+enum action_kind
+{
+  ACTION_APPEND,             /* append a record to the log */
+  ACTION_CALL,               /* call another node */
+  ACTION_REPLY,              /* reply to another node's call */
+  ACTION_FORWARD,            /* pass a request on to another node */
+  ACTION_RUN,                /* have the backend server run a request */
+  ACTION_ANSWER,             /* end a request with an outcome and no body */
+  ACTION_CANCEL,             /* stop the attempt of a request */
+  ACTION_GRANT,              /* tell the backend server what it owns */
+  ACTION_NOTE,               /* log a numbered event */
+  ACTION_FETCH,              /* read the log, or a peer, from an offset */
+  ACTION_SUSPECT_CONNECTION, /* probe and replace connections to a peer */
+  ACTION_EXIT                /* the node has left */
+};
+
+/* Append a record.  The record belongs to the action.  */
+struct action_append
+{
+  struct record record;
+};
+
+/* Call another node.  */
+struct action_call
+{
+  guint64 serial;        /* comes back with the reply */
+  guint64 peer;          /* incarnation */
+  struct address to;     /* where it listens */
+  gint64 deadline;       /* when to give up, monotonic usec */
+  struct peer_call body; /* what to say */
+};
+
+/* Reply to a call.  */
+struct action_reply
+{
+  struct handle call;     /* connection the call came on */
+  guint32 xid;            /* its number there */
+  struct peer_reply body; /* what to say; bytes in it belong to it */
+};
+
+/* Pass a request on.  */
+struct action_forward
+{
+  struct handle exchange; /* the request */
+  guint64 peer;           /* incarnation of the owner's node */
+  struct address to;      /* where it listens */
+  struct request request; /* the request as it goes on the wire */
+  struct fence fence;     /* fence that the sender knows */
+};
+
+/* Have the backend server run a request.  */
+struct action_run
+{
+  struct handle exchange; /* the request */
+  guint64 attempt_id;     /* echoed by the server */
+  struct fence fence;     /* fence of the slice */
+  gint64 deadline;        /* monotonic usec */
+  struct stamp stamp;     /* stamp for the answer */
+};
+
+/* End a request.  */
+struct action_answer
+{
+  struct handle exchange; /* the request */
+  enum outcome outcome;   /* how it ended */
+  enum reason reason;     /* why */
+  struct stamp stamp;     /* stamp to send under, if one is offered */
+  guint32 retry_msec;     /* when to try again, 0 for no advice */
+  struct address hint;    /* front of the owner's node, port 0 for none */
+};
+
+/* Stop an attempt.  */
+struct action_cancel
+{
+  struct handle exchange;
+};
+
+/* Tell the backend server what it owns.  */
+struct action_grant
+{
+  guint64 serial;          /* comes back with the answer */
+  guint32 slice;           /* which slice */
+  gboolean revoke;         /* the slice is no longer the server's */
+  struct fence fence;      /* the grant's fence */
+  char service[NAME_SIZE]; /* of which service */
+};
+
+/* Read from an offset.  */
+struct action_fetch
+{
+  guint64 offset;     /* first offset wanted */
+  gboolean from_peer; /* read from a peer in place of the log */
+  guint64 peer;       /* incarnation of that peer */
+  struct address to;  /* where it listens */
+};
+
+/* Probe the connections to a peer or to the server.  */
+struct action_suspect_connection
+{
+  guint64 peer; /* incarnation, 0 for the backend server */
+};
+
+/* An action.  */
+struct action
+{
+  enum action_kind kind;
+  union
+  {
+    struct action_append append;
+    struct action_call call;
+    struct action_reply reply;
+    struct action_forward forward;
+    struct action_run run;
+    struct action_answer answer;
+    struct action_cancel cancel;
+    struct action_grant grant;
+    struct action_fetch fetch;
+    struct action_suspect_connection suspect;
+    struct note note;
+  } u;
+};
+
+/* Actions in the order in which they are to be done.  */
+struct actions
+{
+  GArray *items; /* struct action */
+};
+
+void actions_init (struct actions *actions);
+void actions_clear (struct actions *actions);
+void actions_empty (struct actions *actions);
+struct action *actions_add (struct actions *actions, enum action_kind kind);
+const struct action *actions_at (const struct actions *actions, guint i);
+
+#endif
--- /dev/null
+++ b/src/types/config_place.h
@@ -0,0 +1,14 @@
+#ifndef BAMBOOTALLY_CONFIG_PLACE_H
+#define BAMBOOTALLY_CONFIG_PLACE_H
+
+#include "types/limits.h"
+
+/* A place: one zone of the fleet.  */
+
+struct config_place
+{
+  char name[NAME_SIZE];   /* name of the zone */
+  char region[NAME_SIZE]; /* region it lies in */
+};
+
+#endif
--- /dev/null
+++ b/src/types/forward_msg.h
@@ -0,0 +1,60 @@
+#ifndef BAMBOOTALLY_FORWARD_MSG_H
+#define BAMBOOTALLY_FORWARD_MSG_H
+
+#include "types/request.h"
+
+/* How a request travels from the node it entered at to the owner's node.  The
+   caller of these calls pulls the answer, so that each side holds no more
+   than it asked for.  */
+
+/* Begin a request.  */
+struct forward_open
+{
+  guint64 stream;         /* the sender's name for it, unique a connection */
+  guint64 to;             /* incarnation that is meant */
+  struct request request; /* deadline: microseconds left, on the wire */
+  struct fence fence;     /* fence that the sender knows */
+  char *method;           /* HTTP method */
+  char *target;           /* path and query */
+  char *headers;          /* header lines, each ended by CR LF */
+  gint64 length;          /* bytes in the body, -1 if not known */
+  guint32 count;          /* bytes of the body that follow */
+  guint8 *bytes;          /* they */
+  gboolean end;           /* the body ends with them */
+};
+
+/* The head of the answer, or how the request ended without one.  */
+struct forward_head
+{
+  enum outcome outcome; /* OUTCOME_DONE if there is a head */
+  enum reason reason;   /* why there is none */
+  struct stamp stamp;   /* stamp to hand to the caller */
+  guint32 retry_msec;   /* when to try again, 0 for no advice */
+  guint32 status;       /* HTTP status */
+  char *headers;        /* header lines */
+  gint64 length;        /* bytes in the body, -1 if not known */
+  guint32 count;        /* bytes of the body that follow */
+  guint8 *bytes;        /* they */
+  gboolean end;         /* the body ends with them */
+};
+
+/* More of the body of a request; the reply says that it was taken.  */
+struct forward_data
+{
+  guint64 stream; /* the request */
+  guint32 count;  /* bytes that follow */
+  guint8 *bytes;  /* they */
+  gboolean end;   /* the body ends with them */
+};
+
+/* More of the body of an answer, in reply to a read.  */
+struct forward_more
+{
+  enum outcome outcome; /* OUTCOME_DONE, or the answer broke off */
+  enum reason reason;   /* why it broke off */
+  guint32 count;        /* bytes that follow */
+  guint8 *bytes;        /* they */
+  gboolean end;         /* the body ends with them */
+};
+
+#endif
--- /dev/null
+++ b/src/types/ini.c
@@ -0,0 +1,363 @@
+#include "types/ini.h"
+
+#include "types/address.h"
+
+#include <string.h>
+
+/* Read */
+
+/* Write the group name of SECTION into BUFFER and return it.  */
+const char *
+ini_group (const struct ini_section *section, char *buffer, gsize size)
+{
+  g_snprintf (buffer, (gulong)size, "%s%s%s", section->kind,
+              section->name[0] != '\0' ? " " : "", section->name);
+  return buffer;
+}
+
+/* Add a fault about KEY of SECTION (both may be NULL) with its line.  */
+struct fault *
+ini_fault (const struct ini *ini, GArray *faults, enum fault_kind kind,
+           const struct ini_section *section, const char *key,
+           const char *value)
+{
+  struct fault *fault = fault_add (faults, kind);
+
+  g_strlcpy (fault->file, ini->file, sizeof fault->file);
+  if (section != NULL)
+    {
+      ini_group (section, fault->section, sizeof fault->section);
+      fault->line = section->line;
+    }
+  if (key != NULL)
+    {
+      char *at = g_strdup_printf ("%s\n%s", fault->section, key);
+      gpointer line = g_hash_table_lookup (ini->lines, at);
+      g_strlcpy (fault->key, key, sizeof fault->key);
+      if (line != NULL)
+        fault->line = GPOINTER_TO_UINT (line);
+      g_free (at);
+    }
+  if (value != NULL)
+    g_strlcpy (fault->value, value, sizeof fault->value);
+  return fault;
+}
+
+/* Note where SECTION stands, and a fault if it has stood before.  */
+static void
+scan_section (struct ini *ini, const char *line, guint number, GArray *faults)
+{
+  struct ini_section section = { .line = number };
+  char group[2 * NAME_SIZE];
+  char *inner = g_strndup (line + 1, strcspn (line + 1, "]"));
+  char **words = g_strsplit (g_strstrip (inner), " ", 2);
+  guint i;
+
+  g_strlcpy (section.kind, words[0] != NULL ? words[0] : "",
+             sizeof section.kind);
+  if (words[0] != NULL && words[1] != NULL)
+    g_strlcpy (section.name, g_strstrip (words[1]), sizeof section.name);
+  ini_group (&section, group, sizeof group);
+  for (i = 0; i < ini->sections->len; i++)
+    {
+      const struct ini_section *other
+          = &g_array_index (ini->sections, struct ini_section, i);
+      if (strcmp (other->kind, section.kind) == 0
+          && strcmp (other->name, section.name) == 0)
+        ini_fault (ini, faults, FAULT_DUPLICATE, &section, NULL, group);
+    }
+  g_array_append_val (ini->sections, section);
+  g_strfreev (words);
+  g_free (inner);
+}
+
+/* Note where a key stands, and a fault if it has stood before.  */
+static void
+scan_key (struct ini *ini, const char *line, guint number, GArray *faults)
+{
+  const struct ini_section *section;
+  char group[2 * NAME_SIZE];
+  char *key = g_strndup (line, strcspn (line, "="));
+  char *at;
+
+  g_strstrip (key);
+  if (ini->sections->len == 0)
+    {
+      g_free (key);
+      return;
+    }
+  section = &g_array_index (ini->sections, struct ini_section,
+                            ini->sections->len - 1);
+  at = g_strdup_printf ("%s\n%s", ini_group (section, group, sizeof group),
+                        key);
+  if (g_hash_table_contains (ini->lines, at))
+    ini_fault (ini, faults, FAULT_DUPLICATE, section, key, NULL)->line
+        = number;
+  g_hash_table_replace (ini->lines, at, GUINT_TO_POINTER (number));
+  g_free (key);
+}
+
+/* Walk over the lines of TEXT, for line numbers and duplicates, which
+   GKeyFile does not tell.  */
+static void
+scan_lines (struct ini *ini, const char *text, GArray *faults)
+{
+  char **lines = g_strsplit (text, "\n", -1);
+  guint i;
+
+  for (i = 0; lines[i] != NULL; i++)
+    {
+      const char *line = g_strstrip (lines[i]);
+      if (line[0] == '[')
+        scan_section (ini, line, i + 1, faults);
+      else if (line[0] != '#' && line[0] != '\0')
+        scan_key (ini, line, i + 1, faults);
+    }
+  g_strfreev (lines);
+}
+
+/* Check */
+
+/* Tell whether WORD stands in LIST, words with '|' between.  */
+static gboolean
+word_in (const char *word, const char *list)
+{
+  char **words = g_strsplit (list, "|", -1);
+  gboolean found = g_strv_contains ((const char *const *)words, word);
+
+  g_strfreev (words);
+  return found && word[0] != '\0';
+}
+
+/* Tell whether TEXT is a name.  */
+static gboolean
+is_name (const char *text)
+{
+  const char *c;
+
+  for (c = text; *c != '\0'; c++)
+    if (!g_ascii_isalnum (*c) && strchr ("-_.", *c) == NULL)
+      return FALSE;
+  return text[0] != '\0' && strlen (text) < NAME_SIZE;
+}
+
+/* Check that VALUE is a number within the bounds of FIELD.  */
+static void
+check_number (const struct ini *ini, const struct ini_section *section,
+              const struct ini_field *field, const char *value, GArray *faults)
+{
+  gint64 number = 0;
+  GError *error = NULL;
+  struct fault *fault;
+
+  if (g_ascii_string_to_signed (value, 10, field->low, field->high, &number,
+                                &error))
+    return;
+  fault = ini_fault (ini, faults,
+                     error->code == G_NUMBER_PARSER_ERROR_OUT_OF_BOUNDS
+                         ? FAULT_RANGE
+                         : FAULT_VALUE,
+                     section, field->key, value);
+  fault->low = field->low;
+  fault->high = field->high;
+  g_error_free (error);
+}
+
+/* Check the form of VALUE against FIELD.  */
+static void
+check_value (const struct ini *ini, const struct ini_section *section,
+             const struct ini_field *field, const char *value, GArray *faults)
+{
+  struct address address;
+  gboolean good = TRUE;
+
+  switch (field->type)
+    {
+    case INI_NAME:
+      good = is_name (value);
+      break;
+    case INI_TEXT:
+      good = value[0] != '\0'
+             && (field->high == 0 || strlen (value) < (gsize)field->high);
+      break;
+    case INI_NUMBER:
+      check_number (ini, section, field, value, faults);
+      break;
+    case INI_FLAG:
+      good = word_in (value, "yes|no");
+      break;
+    case INI_ADDRESS:
+      good = address_parse (value, &address) == ERR_NONE;
+      break;
+    case INI_CHOICE:
+      good = word_in (value, field->choices);
+      break;
+    }
+  if (!good)
+    ini_fault (ini, faults, FAULT_VALUE, section, field->key, value);
+}
+
+/* Find the field of KEY in a section of KIND, or NULL.  */
+static const struct ini_field *
+find_field (const struct ini_schema *schema, const char *kind, const char *key)
+{
+  guint i;
+
+  for (i = 0; i < schema->count; i++)
+    if (strcmp (schema->fields[i].kind, kind) == 0
+        && strcmp (schema->fields[i].key, key) == 0)
+      return &schema->fields[i];
+  return NULL;
+}
+
+/* Check the keys that stand in SECTION.  */
+static void
+check_keys (const struct ini *ini, const struct ini_section *section,
+            const struct ini_schema *schema, GArray *faults)
+{
+  char group[2 * NAME_SIZE];
+  char **keys = g_key_file_get_keys (
+      ini->keys, ini_group (section, group, sizeof group), NULL, NULL);
+  guint i;
+
+  for (i = 0; keys != NULL && keys[i] != NULL; i++)
+    {
+      const struct ini_field *field
+          = find_field (schema, section->kind, keys[i]);
+      char *value = ini_text (ini, section, keys[i]);
+      if (field == NULL)
+        ini_fault (ini, faults, FAULT_UNKNOWN, section, keys[i], NULL);
+      else
+        check_value (ini, section, field, value, faults);
+      g_free (value);
+    }
+  g_strfreev (keys);
+}
+
+/* Check that the keys SECTION must have are there.  */
+static void
+check_required (const struct ini *ini, const struct ini_section *section,
+                const struct ini_schema *schema, GArray *faults)
+{
+  char group[2 * NAME_SIZE];
+  guint i;
+
+  ini_group (section, group, sizeof group);
+  for (i = 0; i < schema->count; i++)
+    if (schema->fields[i].required
+        && strcmp (schema->fields[i].kind, section->kind) == 0
+        && !g_key_file_has_key (ini->keys, group, schema->fields[i].key, NULL))
+      ini_fault (ini, faults, FAULT_MISSING, section, schema->fields[i].key,
+                 NULL);
+}
+
+/* Check the kind and name of SECTION; return FALSE if the kind is unknown. */
+static gboolean
+check_kind (const struct ini *ini, const struct ini_section *section,
+            const struct ini_schema *schema, GArray *faults)
+{
+  if (word_in (section->kind, schema->named_kinds))
+    {
+      if (!is_name (section->name))
+        ini_fault (ini, faults, FAULT_VALUE, section, NULL, section->name);
+      return TRUE;
+    }
+  if (word_in (section->kind, schema->single_kinds)
+      && section->name[0] == '\0')
+    return TRUE;
+  ini_fault (ini, faults, FAULT_KIND, section, NULL, section->kind);
+  return FALSE;
+}
+
+/* Read TEXT, called FILE in faults, and check it against SCHEMA.  Each fault
+   is added to FAULTS, an array of struct fault.  FILE must outlive INI.  */
+void
+ini_read (struct ini *ini, const char *file, const char *text,
+          const struct ini_schema *schema, GArray *faults)
+{
+  GError *error = NULL;
+  guint i;
+
+  ini->file = file;
+  ini->keys = g_key_file_new ();
+  ini->sections = g_array_new (FALSE, TRUE, sizeof (struct ini_section));
+  ini->lines = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  scan_lines (ini, text, faults);
+  if (!g_key_file_load_from_data (ini->keys, text, (gsize)-1, G_KEY_FILE_NONE,
+                                  &error))
+    {
+      ini_fault (ini, faults, FAULT_SYNTAX, NULL, NULL, error->message);
+      g_error_free (error);
+      return;
+    }
+  for (i = 0; i < ini->sections->len; i++)
+    {
+      const struct ini_section *section
+          = &g_array_index (ini->sections, struct ini_section, i);
+      if (!check_kind (ini, section, schema, faults))
+        continue;
+      check_keys (ini, section, schema, faults);
+      check_required (ini, section, schema, faults);
+    }
+}
+
+/* Release what INI holds.  */
+void
+ini_clear (struct ini *ini)
+{
+  g_key_file_free (ini->keys);
+  g_array_free (ini->sections, TRUE);
+  g_hash_table_destroy (ini->lines);
+  memset (ini, 0, sizeof *ini);
+}
+
+/* Values */
+
+/* The text of KEY in SECTION without blanks around it, or an empty text; free
+   it with g_free.  */
+char *
+ini_text (const struct ini *ini, const struct ini_section *section,
+          const char *key)
+{
+  char group[2 * NAME_SIZE];
+  char *value = g_key_file_get_string (
+      ini->keys, ini_group (section, group, sizeof group), key, NULL);
+
+  return value != NULL ? g_strstrip (value) : g_strdup ("");
+}
+
+/* Copy the text of KEY to TO, an empty text if there is none.  */
+void
+ini_copy (const struct ini *ini, const struct ini_section *section,
+          const char *key, char *to, gsize size)
+{
+  char *value = ini_text (ini, section, key);
+
+  g_strlcpy (to, value, size);
+  g_free (value);
+}
+
+/* The number of KEY, or OTHERWISE if it is not there.  */
+gint64
+ini_number (const struct ini *ini, const struct ini_section *section,
+            const char *key, gint64 otherwise)
+{
+  char *value = ini_text (ini, section, key);
+  gint64 number
+      = value[0] != '\0' ? g_ascii_strtoll (value, NULL, 10) : otherwise;
+
+  g_free (value);
+  return number;
+}
+
+/* The yes or no of KEY, or OTHERWISE if it is not there.  */
+gboolean
+ini_flag (const struct ini *ini, const struct ini_section *section,
+          const char *key, gboolean otherwise)
+{
+  char *value = ini_text (ini, section, key);
+  gboolean flag = value[0] != '\0' ? strcmp (value, "yes") == 0 : otherwise;
+
+  g_free (value);
+  return flag;
+}
--- /dev/null
+++ b/src/types/outcome.c
@@ -0,0 +1,17 @@
+#include "types/outcome.h"
+
+/* Name an outcome as callers see it in Bambootally-Outcome.  */
+const char *
+outcome_name (enum outcome outcome)
+{
+  switch (outcome)
+    {
+    case OUTCOME_DONE:
+      return "done";
+    case OUTCOME_NOT_RUN:
+      return "not-run";
+    case OUTCOME_UNKNOWN:
+      return "unknown";
+    }
+  return "unnamed";
+}
--- /dev/null
+++ b/src/types/peer_msg.h
@@ -0,0 +1,120 @@
+#ifndef BAMBOOTALLY_PEER_MSG_H
+#define BAMBOOTALLY_PEER_MSG_H
+
+#include "types/err.h"
+#include <glib.h>
+
+/* What nodes say to each other about ownership and the log.  A call and its
+   reply share a kind.  */
+
+enum peer_kind
+{
+  PEER_RENEW = 1,    /* holder to witness: renew my lease */
+  PEER_PROMISE = 2,  /* collector to witness: never ack that one again */
+  PEER_FOLDED = 3,   /* successor to owner: I have folded up to here */
+  PEER_RELEASED = 4, /* old owner to new: the slice is yours */
+  PEER_FETCH = 5,    /* give me records or a snapshot of the view */
+  PEER_CERTIFIED = 6 /* collector to peers: that node owns nothing */
+};
+
+/* Renew a lease.  */
+struct peer_renew
+{
+  guint64 incarnation; /* the holder */
+  guint64 round;       /* number of the renewal, rising */
+  guint64 floor;       /* highest offset whose giving-up has begun */
+  guint64 folded;      /* offset up to which the holder has folded */
+};
+
+/* Ask for a promise never to ack an incarnation again.  */
+struct peer_promise
+{
+  guint64 target;    /* the incarnation to remove */
+  guint64 collector; /* who asks */
+};
+
+/* Tell how far the sender has folded.  */
+struct peer_folded
+{
+  guint64 incarnation; /* the sender */
+  guint64 offset;      /* all records below this are folded */
+};
+
+/* Tell the receiver of a move that a majority acked the floor.  */
+struct peer_released
+{
+  guint64 incarnation; /* the old owner */
+  guint64 offset;      /* offset of the move */
+};
+
+/* Ask for records from OFFSET on.  */
+struct peer_fetch
+{
+  guint64 offset;    /* first offset wanted */
+  guint32 max_bytes; /* most bytes of records to answer with */
+  gboolean snapshot; /* a snapshot is wanted if the records are gone */
+};
+
+/* A certificate that an incarnation owns nothing.  */
+struct peer_certified
+{
+  guint64 target;    /* the incarnation */
+  guint64 floor;     /* highest floor among the promises */
+  guint64 collector; /* who collected it */
+};
+
+/* A call between nodes.  */
+struct peer_call
+{
+  enum peer_kind kind;
+  guint64 to; /* incarnation that is meant; another one answers not-found */
+  union
+  {
+    struct peer_renew renew;
+    struct peer_promise promise;
+    struct peer_folded folded;
+    struct peer_released released;
+    struct peer_fetch fetch;
+    struct peer_certified certified;
+  } u;
+};
+
+/* Answer to a renewal.  */
+struct peer_renew_reply
+{
+  gboolean granted; /* whether the witness acks */
+  guint64 round;    /* the renewal it answers */
+  guint64 folded;   /* offset up to which the witness has folded */
+};
+
+/* Answer to a request for a promise.  */
+struct peer_promise_reply
+{
+  gboolean promised; /* whether the witness promises */
+  gint64 remaining;  /* microseconds until its last ack has lapsed */
+  guint64 floor;     /* highest floor that it acked */
+};
+
+/* Answer to a fetch: records as they stand on the log, or a snapshot.  */
+struct peer_fetch_reply
+{
+  guint64 next;      /* offset to fetch from next */
+  gboolean snapshot; /* the bytes are a snapshot up to next */
+  guint32 length;    /* bytes that follow */
+  guint8 *bytes;     /* allocated by g_malloc */
+};
+
+/* A reply between nodes.  */
+struct peer_reply
+{
+  enum peer_kind kind;
+  enum err code; /* ERR_NONE, or why there is no answer */
+  union
+  {
+    struct peer_renew_reply renew;
+    struct peer_promise_reply promise;
+    struct peer_fetch_reply fetch;
+  } u;
+};
+
+#endif
--- /dev/null
+++ b/src/types/table.c
@@ -0,0 +1,151 @@
+#include "types/table.h"
+
+#include <string.h>
+
+#define TABLE_BLOCK 64u /* cells in a block */
+
+/* What stands in front of each item.  */
+struct cell
+{
+  guint32 generation; /* generation of the row */
+  guint32 used;       /* whether the row holds an item */
+};
+
+/* Find the cell of a row that has been used before.  */
+static struct cell *
+cell_at (const struct table *table, guint32 row)
+{
+  guint8 *block = g_ptr_array_index (table->blocks, row / TABLE_BLOCK);
+
+  return (struct cell *)(block + (row % TABLE_BLOCK) * table->cell_size);
+}
+
+/* Find the item that stands behind CELL.  */
+static void *
+item_of (struct cell *cell)
+{
+  return cell + 1;
+}
+
+/* Make sure that row exists, growing the table by whole blocks.  */
+static void
+grow_to (struct table *table, guint32 row)
+{
+  while (table->blocks->len * TABLE_BLOCK <= row)
+    g_ptr_array_add (table->blocks,
+                     g_malloc0 (table->cell_size * TABLE_BLOCK));
+  if (row >= table->rows)
+    table->rows = row + 1;
+}
+
+/* Set up an empty table for items of ITEM_SIZE bytes.  */
+void
+table_init (struct table *table, gsize item_size)
+{
+  memset (table, 0, sizeof *table);
+  table->item_size = item_size;
+  table->cell_size = (sizeof (struct cell) + item_size + 7u) & ~(gsize)7u;
+  table->blocks = g_ptr_array_new_with_free_func (g_free);
+  table->free_rows = g_array_new (FALSE, FALSE, sizeof (guint32));
+}
+
+/* Release all that the table holds.  What items point at is the caller's.  */
+void
+table_clear (struct table *table)
+{
+  if (table->blocks != NULL)
+    g_ptr_array_free (table->blocks, TRUE);
+  if (table->free_rows != NULL)
+    g_array_free (table->free_rows, TRUE);
+  memset (table, 0, sizeof *table);
+}
+
+/* Add an item of zero bytes and return its handle.  A table that is full
+   (2^22 rows) stops the program: it is a bug to let one grow so far.  */
+struct handle
+table_add (struct table *table)
+{
+  guint32 row = table->rows;
+  struct cell *cell;
+
+  if (table->free_rows->len > 0)
+    {
+      guint32 last = table->free_rows->len - 1;
+      row = g_array_index (table->free_rows, guint32, last);
+      g_array_set_size (table->free_rows, last);
+    }
+  g_assert (row <= HANDLE_INDEX_MASK);
+  grow_to (table, row);
+  cell = cell_at (table, row);
+  cell->generation = (cell->generation + 1u) & HANDLE_GENERATION_MASK;
+  if (cell->generation == 0)
+    cell->generation = 1;
+  cell->used = 1;
+  memset (item_of (cell), 0, table->item_size);
+  table->count++;
+  return handle_make (row, cell->generation);
+}
+
+/* Add or find the item under H, a handle that another table gave out.  A
+   table is filled either by table_add or by table_mirror, never by both.  An
+   item of an older generation in that row is replaced by zero bytes.  */
+void *
+table_mirror (struct table *table, struct handle h)
+{
+  struct cell *cell;
+
+  grow_to (table, handle_index (h));
+  cell = cell_at (table, handle_index (h));
+  if (cell->used && cell->generation == handle_generation (h))
+    return item_of (cell);
+  if (!cell->used)
+    table->count++;
+  cell->used = 1;
+  cell->generation = handle_generation (h);
+  memset (item_of (cell), 0, table->item_size);
+  return item_of (cell);
+}
+
+/* Find the item under H, or NULL if it has been removed.  */
+void *
+table_get (const struct table *table, struct handle h)
+{
+  struct cell *cell;
+
+  if (!handle_is_set (h) || handle_index (h) >= table->rows)
+    return NULL;
+  cell = cell_at (table, handle_index (h));
+  if (!cell->used || cell->generation != handle_generation (h))
+    return NULL;
+  return item_of (cell);
+}
+
+/* Remove the item under H.  Return FALSE if there was none.  */
+gboolean
+table_remove (struct table *table, struct handle h)
+{
+  guint32 row = handle_index (h);
+
+  if (table_get (table, h) == NULL)
+    return FALSE;
+  cell_at (table, row)->used = 0;
+  g_array_append_val (table->free_rows, row);
+  table->count--;
+  return TRUE;
+}
+
+/* Walk the table: the first handle in use after AFTER, HANDLE_NONE to start.
+   Returns HANDLE_NONE at the end.  Removing the item just visited is safe.  */
+struct handle
+table_next (const struct table *table, struct handle after)
+{
+  guint32 row = handle_is_set (after) ? handle_index (after) + 1 : 0;
+
+  for (; row < table->rows; row++)
+    {
+      struct cell *cell = cell_at (table, row);
+      if (cell->used)
+        return handle_make (row, cell->generation);
+    }
+  return HANDLE_NONE;
+}
--- /dev/null
+++ b/src/wire/wire_forward.c
@@ -0,0 +1,99 @@
+#include "wire/wire_forward.h"
+
+/* An outcome with its reason.  */
+static bool_t
+wire_outcome (XDR *xdr, enum outcome *outcome, enum reason *reason)
+{
+  enum_t a = (enum_t)*outcome;
+  enum_t b = (enum_t)*reason;
+
+  if (!xdr_enum (xdr, &a) || !xdr_enum (xdr, &b))
+    return FALSE;
+  *outcome = (enum outcome)a;
+  *reason = (enum reason)b;
+  return a >= OUTCOME_DONE && a <= OUTCOME_UNKNOWN;
+}
+
+/* What routing knows of a request.  */
+static bool_t
+wire_request (XDR *xdr, struct request *request)
+{
+  enum_t run_class = (enum_t)request->run_class;
+  enum_t priority = (enum_t)request->priority;
+
+  if (!wire_text (xdr, request->service, sizeof request->service)
+      || !wire_text (xdr, request->key, sizeof request->key)
+      || !xdr_enum (xdr, &run_class) || !xdr_enum (xdr, &priority)
+      || !wire_text (xdr, request->id, sizeof request->id)
+      || !wire_stamp (xdr, &request->stamp)
+      || !wire_u64 (xdr, &request->digest)
+      || !wire_i64 (xdr, &request->deadline)
+      || !xdr_uint32_t (xdr, &request->attempt))
+    return FALSE;
+  request->run_class = (enum run_class)run_class;
+  request->priority = (enum priority)priority;
+  return run_class >= RUN_IDEMPOTENT && run_class <= RUN_ONCE
+         && priority >= PRIORITY_HIGH && priority < PRIORITY_COUNT;
+}
+
+/* The beginning of a request.  */
+bool_t
+wire_forward_open (XDR *xdr, void *item)
+{
+  struct forward_open *open = item;
+
+  return wire_u64 (xdr, &open->stream) && wire_u64 (xdr, &open->to)
+         && wire_request (xdr, &open->request)
+         && wire_fence (xdr, &open->fence)
+         && wire_string (xdr, &open->method, NAME_SIZE)
+         && wire_string (xdr, &open->target, HEADERS_BYTES_MAX)
+         && wire_string (xdr, &open->headers, HEADERS_BYTES_MAX)
+         && wire_i64 (xdr, &open->length)
+         && wire_blob (xdr, &open->bytes, &open->count, BODY_QUEUE_BYTES)
+         && wire_flag (xdr, &open->end);
+}
+
+/* The head of an answer.  */
+bool_t
+wire_forward_head (XDR *xdr, void *item)
+{
+  struct forward_head *head = item;
+
+  return wire_outcome (xdr, &head->outcome, &head->reason)
+         && wire_stamp (xdr, &head->stamp)
+         && xdr_uint32_t (xdr, &head->retry_msec)
+         && xdr_uint32_t (xdr, &head->status)
+         && wire_string (xdr, &head->headers, HEADERS_BYTES_MAX)
+         && wire_i64 (xdr, &head->length)
+         && wire_blob (xdr, &head->bytes, &head->count, BODY_QUEUE_BYTES)
+         && wire_flag (xdr, &head->end);
+}
+
+/* More of the body of a request.  */
+bool_t
+wire_forward_data (XDR *xdr, void *item)
+{
+  struct forward_data *data = item;
+
+  return wire_u64 (xdr, &data->stream)
+         && wire_blob (xdr, &data->bytes, &data->count, BODY_QUEUE_BYTES)
+         && wire_flag (xdr, &data->end);
+}
+
+/* More of the body of an answer.  */
+bool_t
+wire_forward_more (XDR *xdr, void *item)
+{
+  struct forward_more *more = item;
+
+  return wire_outcome (xdr, &more->outcome, &more->reason)
+         && wire_blob (xdr, &more->bytes, &more->count, BODY_QUEUE_BYTES)
+         && wire_flag (xdr, &more->end);
+}
+
+/* The name of a stream: ITEM is a guint64.  */
+bool_t
+wire_forward_stream (XDR *xdr, void *item)
+{
+  return wire_u64 (xdr, item);
+}
--- /dev/null
+++ b/src/wire/wire_peer.c
@@ -0,0 +1,88 @@
+#include "wire/wire_peer.h"
+
+/* The body of a call.  */
+static bool_t
+wire_call_body (XDR *xdr, struct peer_call *call)
+{
+  switch (call->kind)
+    {
+    case PEER_RENEW:
+      return wire_u64 (xdr, &call->u.renew.incarnation)
+             && wire_u64 (xdr, &call->u.renew.round)
+             && wire_u64 (xdr, &call->u.renew.floor)
+             && wire_u64 (xdr, &call->u.renew.folded);
+    case PEER_PROMISE:
+      return wire_u64 (xdr, &call->u.promise.target)
+             && wire_u64 (xdr, &call->u.promise.collector);
+    case PEER_FOLDED:
+      return wire_u64 (xdr, &call->u.folded.incarnation)
+             && wire_u64 (xdr, &call->u.folded.offset);
+    case PEER_RELEASED:
+      return wire_u64 (xdr, &call->u.released.incarnation)
+             && wire_u64 (xdr, &call->u.released.offset);
+    case PEER_FETCH:
+      return wire_u64 (xdr, &call->u.fetch.offset)
+             && xdr_uint32_t (xdr, &call->u.fetch.max_bytes)
+             && wire_flag (xdr, &call->u.fetch.snapshot);
+    case PEER_CERTIFIED:
+      return wire_u64 (xdr, &call->u.certified.target)
+             && wire_u64 (xdr, &call->u.certified.floor)
+             && wire_u64 (xdr, &call->u.certified.collector);
+    }
+  return FALSE;
+}
+
+/* A call between nodes: ITEM is a struct peer_call.  */
+bool_t
+wire_peer_call (XDR *xdr, void *item)
+{
+  struct peer_call *call = item;
+  enum_t kind = (enum_t)call->kind;
+
+  if (!xdr_enum (xdr, &kind) || !wire_u64 (xdr, &call->to))
+    return FALSE;
+  call->kind = (enum peer_kind)kind;
+  return wire_call_body (xdr, call);
+}
+
+/* The body of a reply without error.  */
+static bool_t
+wire_reply_body (XDR *xdr, struct peer_reply *reply)
+{
+  switch (reply->kind)
+    {
+    case PEER_RENEW:
+      return wire_flag (xdr, &reply->u.renew.granted)
+             && wire_u64 (xdr, &reply->u.renew.round)
+             && wire_u64 (xdr, &reply->u.renew.folded);
+    case PEER_PROMISE:
+      return wire_flag (xdr, &reply->u.promise.promised)
+             && wire_i64 (xdr, &reply->u.promise.remaining)
+             && wire_u64 (xdr, &reply->u.promise.floor);
+    case PEER_FETCH:
+      return wire_u64 (xdr, &reply->u.fetch.next)
+             && wire_flag (xdr, &reply->u.fetch.snapshot)
+             && wire_blob (xdr, &reply->u.fetch.bytes, &reply->u.fetch.length,
+                           FETCH_BYTES_MAX);
+    case PEER_FOLDED:
+    case PEER_RELEASED:
+    case PEER_CERTIFIED:
+      return TRUE;
+    }
+  return FALSE;
+}
+
+/* A reply between nodes: ITEM is a struct peer_reply.  */
+bool_t
+wire_peer_reply (XDR *xdr, void *item)
+{
+  struct peer_reply *reply = item;
+  enum_t kind = (enum_t)reply->kind;
+  enum_t code = (enum_t)reply->code;
+
+  if (!xdr_enum (xdr, &kind) || !xdr_enum (xdr, &code))
+    return FALSE;
+  reply->kind = (enum peer_kind)kind;
+  reply->code = (enum err)code;
+  return reply->code != ERR_NONE || wire_reply_body (xdr, reply);
+}
--- /dev/null
+++ b/src/wire/wire_record.c
@@ -0,0 +1,231 @@
+#include "wire/wire_record.h"
+
+#include "wire/wire.h"
+
+#include <string.h>
+
+#define TEXT_MAX (RECORD_BYTES_MAX / 2) /* bytes of a configuration */
+#define SLICES_PER_RECORD_MAX 4096u     /* slices in one record */
+#define FRAME_HEADER_BYTES 12u          /* offset and length */
+
+/* Bodies */
+
+/* A configuration.  */
+static bool_t
+wire_config (XDR *xdr, struct record_config *body)
+{
+  return wire_u64 (xdr, &body->base)
+         && wire_string (xdr, &body->text, TEXT_MAX)
+         && wire_text (xdr, body->author, sizeof body->author);
+}
+
+/* A node that joins.  */
+static bool_t
+wire_join (XDR *xdr, struct record_join *body)
+{
+  return wire_u64 (xdr, &body->incarnation)
+         && wire_text (xdr, body->host, sizeof body->host)
+         && wire_text (xdr, body->zone, sizeof body->zone)
+         && wire_text (xdr, body->service, sizeof body->service)
+         && wire_text (xdr, body->server, sizeof body->server)
+         && wire_address (xdr, &body->front) && wire_address (xdr, &body->peer)
+         && xdr_uint32_t (xdr, &body->slots)
+         && wire_flag (xdr, &body->checks_fences);
+}
+
+/* A node that is out.  */
+static bool_t
+wire_out (XDR *xdr, struct record_out *body)
+{
+  return wire_u64 (xdr, &body->incarnation) && wire_u64 (xdr, &body->floor)
+         && xdr_uint32_t (xdr, &body->cause);
+}
+
+/* A witness set.  */
+static bool_t
+wire_witness (XDR *xdr, struct record_witness *body)
+{
+  guint32 i;
+
+  if (!wire_u64 (xdr, &body->incarnation) || !wire_u64 (xdr, &body->epoch)
+      || !xdr_uint32_t (xdr, &body->count) || body->count > WITNESS_MAX)
+    return FALSE;
+  for (i = 0; i < body->count; i++)
+    if (!wire_u64 (xdr, &body->set[i]))
+      return FALSE;
+  return TRUE;
+}
+
+/* One slice.  */
+static bool_t
+wire_slice (XDR *xdr, struct record_slice *body)
+{
+  guint i;
+
+  if (!xdr_uint32_t (xdr, &body->slice) || !wire_u64 (xdr, &body->epoch)
+      || !wire_u64 (xdr, &body->owner))
+    return FALSE;
+  for (i = 0; i < SUCCESSOR_MAX; i++)
+    if (!wire_u64 (xdr, &body->successor[i]))
+      return FALSE;
+  return TRUE;
+}
+
+/* Slices of one service.  */
+static bool_t
+wire_slices (XDR *xdr, struct record_slices *body)
+{
+  return wire_text (xdr, body->service, sizeof body->service)
+         && xdr_array (xdr, (char **)&body->items, &body->count,
+                       SLICES_PER_RECORD_MAX, sizeof (struct record_slice),
+                       (xdrproc_t)wire_slice);
+}
+
+/* A hot key.  */
+static bool_t
+wire_hot (XDR *xdr, struct record_hot *body)
+{
+  return wire_text (xdr, body->service, sizeof body->service)
+         && wire_text (xdr, body->key, sizeof body->key)
+         && wire_flag (xdr, &body->drop) && wire_slice (xdr, &body->slice);
+}
+
+/* A suspect.  */
+static bool_t
+wire_suspect (XDR *xdr, struct record_suspect *body)
+{
+  return wire_u64 (xdr, &body->digest) && wire_u64 (xdr, &body->incarnation);
+}
+
+/* A chunk of a snapshot.  */
+static bool_t
+wire_snapshot (XDR *xdr, struct record_snapshot *body)
+{
+  return wire_u64 (xdr, &body->offset) && xdr_uint32_t (xdr, &body->chunk)
+         && xdr_uint32_t (xdr, &body->chunks)
+         && wire_blob (xdr, &body->bytes, &body->length, RECORD_BYTES_MAX);
+}
+
+/* The body that KIND says.  */
+static bool_t
+wire_body (XDR *xdr, enum record_kind kind, union record_body *body)
+{
+  switch (kind)
+    {
+    case RECORD_CONFIG:
+      return wire_config (xdr, &body->config);
+    case RECORD_JOIN:
+      return wire_join (xdr, &body->join);
+    case RECORD_LEAVING:
+      return wire_u64 (xdr, &body->leaving.incarnation);
+    case RECORD_OUT:
+      return wire_out (xdr, &body->out);
+    case RECORD_WITNESS:
+      return wire_witness (xdr, &body->witness);
+    case RECORD_ASSIGN:
+    case RECORD_MOVE:
+    case RECORD_MOVED:
+    case RECORD_SUCCESSOR:
+      return wire_slices (xdr, &body->slices);
+    case RECORD_HOT:
+      return wire_hot (xdr, &body->hot);
+    case RECORD_SUSPECT:
+      return wire_suspect (xdr, &body->suspect);
+    case RECORD_SNAPSHOT:
+      return wire_snapshot (xdr, &body->snapshot);
+    }
+  return FALSE;
+}
+
+/* Records */
+
+/* A whole record; a later version decodes without its body.  */
+static bool_t
+wire_record (XDR *xdr, void *item)
+{
+  struct record *record = item;
+  enum_t kind = (enum_t)record->kind;
+
+  if (!xdr_uint32_t (xdr, &record->version) || !xdr_enum (xdr, &kind)
+      || !wire_u64 (xdr, &record->writer) || !wire_u64 (xdr, &record->serial))
+    return FALSE;
+  record->kind = (enum record_kind)kind;
+  if (record->version > RECORD_VERSION)
+    return TRUE;
+  return wire_body (xdr, record->kind, &record->body);
+}
+
+/* Encode RECORD; free the bytes with g_byte_array_unref.  NULL if it is
+   larger than a record may be.  */
+GByteArray *
+record_encode (const struct record *record)
+{
+  return wire_encode (wire_record, record, RECORD_BYTES_MAX);
+}
+
+/* Decode LENGTH bytes into RECORD; clear it with record_clear.  */
+enum err
+record_decode (struct record *record, const guint8 *bytes, gsize length)
+{
+  memset (record, 0, sizeof *record);
+  return wire_decode (wire_record, record, bytes, length);
+}
+
+/* Add one framed record to TO.  */
+void
+record_write_frame (GByteArray *to, guint64 offset, const guint8 *bytes,
+                    guint32 length)
+{
+  guint64 offset_be = GUINT64_TO_BE (offset);
+  guint32 length_be = GUINT32_TO_BE (length);
+
+  g_byte_array_append (to, (const guint8 *)&offset_be, sizeof offset_be);
+  g_byte_array_append (to, (const guint8 *)&length_be, sizeof length_be);
+  g_byte_array_append (to, bytes, length);
+}
+
+/* Decode framed records into ENTRIES, an array of struct log_entry.  A record
+   whose body does not decode keeps its place with a version that the fold
+   passes over, so that one bad record does not stop the log.  */
+enum err
+record_read_batch (GArray *entries, const guint8 *bytes, gsize length)
+{
+  gsize at = 0;
+
+  while (at < length)
+    {
+      struct log_entry entry;
+      guint64 offset_be;
+      guint32 length_be;
+      if (length - at < FRAME_HEADER_BYTES)
+        return ERR_MALFORMED;
+      memcpy (&offset_be, bytes + at, sizeof offset_be);
+      memcpy (&length_be, bytes + at + sizeof offset_be, sizeof length_be);
+      at += FRAME_HEADER_BYTES;
+      if (length - at < GUINT32_FROM_BE (length_be))
+        return ERR_MALFORMED;
+      entry.offset = GUINT64_FROM_BE (offset_be);
+      if (record_decode (&entry.record, bytes + at,
+                         GUINT32_FROM_BE (length_be))
+          != ERR_NONE)
+        {
+          memset (&entry.record, 0, sizeof entry.record);
+          entry.record.version = G_MAXUINT32;
+          entry.record.kind = RECORD_SUSPECT;
+        }
+      g_array_append_val (entries, entry);
+      at += GUINT32_FROM_BE (length_be);
+    }
+  return ERR_NONE;
+}
+
+/* Release the records of ENTRIES and empty it.  */
+void
+record_clear_entries (GArray *entries)
+{
+  guint i;
+
+  for (i = 0; i < entries->len; i++)
+    record_clear (&g_array_index (entries, struct log_entry, i).record);
+  g_array_set_size (entries, 0);
+}
--- /dev/null
+++ b/src/wire/wire_record.h
@@ -0,0 +1,23 @@
+#ifndef BAMBOOTALLY_WIRE_RECORD_H
+#define BAMBOOTALLY_WIRE_RECORD_H
+
+#include "types/event.h"
+#include "types/record.h"
+#include "types/err.h"
+
+/* Records as bytes of the log.  The header says the version and the length of
+   the body, so that a record of a later version can be passed over.  */
+
+GByteArray *record_encode (const struct record *record);
+enum err record_decode (struct record *record, const guint8 *bytes,
+                        gsize length);
+
+/* The framing of several records in one answer of the log: offset and length
+   before each, both big-endian.  */
+enum err record_read_batch (GArray *entries, const guint8 *bytes,
+                            gsize length);
+void record_write_frame (GByteArray *to, guint64 offset, const guint8 *bytes,
+                         guint32 length);
+void record_clear_entries (GArray *entries);
+
+#endif
--- /dev/null
+++ b/standins/back_work.h
@@ -0,0 +1,12 @@
+#ifndef STANDIN_BACK_WORK_H
+#define STANDIN_BACK_WORK_H
+
+#include "standins/back_server.h"
+
+/* One request that a backend server runs.  */
+
+void back_work_begin (struct back_server *back, SoupServerMessage *message,
+                      const char *path);
+void back_work_received (SoupServerMessage *message, GHashTable *query);
+
+#endif
--- /dev/null
+++ b/standins/bin/standin_log.c
@@ -0,0 +1,46 @@
+#include "standins/log_server.h"
+
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+
+/* The log service stand-in as a process.  */
+
+static const struct argp_option options[]
+    = { { "listen", 'l', "IP:PORT", 0, "Listen there", 0 }, { 0 } };
+
+/* Take in one option.  */
+static error_t
+parse_option (int key, char *arg, struct argp_state *state)
+{
+  struct address *at = state->input;
+
+  if (key == 'l')
+    {
+      if (address_parse (arg, at) != ERR_NONE)
+        argp_error (state, "not an address: %s", arg);
+      return 0;
+    }
+  return ARGP_ERR_UNKNOWN;
+}
+
+int
+main (int argc, char **argv)
+{
+  static const struct argp argp
+      = { options, parse_option, NULL, "Stand in for the platform's log.",
+          NULL,    NULL,         NULL };
+  struct address at = { 0, 0 };
+  struct log_server log;
+  GMainLoop *loop = g_main_loop_new (NULL, FALSE);
+
+  argp_parse (&argp, argc, argv, 0, NULL, &at);
+  signal (SIGPIPE, SIG_IGN);
+  if (log_server_init (&log, at) != ERR_NONE)
+    {
+      fprintf (stderr, "standin_log: cannot listen\n");
+      return 1;
+    }
+  g_main_loop_run (loop);
+  return 0;
+}
--- /dev/null
+++ b/standins/caller.h
@@ -0,0 +1,42 @@
+#ifndef STANDIN_CALLER_H
+#define STANDIN_CALLER_H
+
+#include "edge/http.h"
+#include "types/outcome.h"
+
+/* A caller that sends requests one after another on several connections and
+   checks each answer: its status, its outcome, that it carries the id and key
+   of the request, and for uploads the digest of what was sent.  */
+
+struct caller_settings
+{
+  struct address node; /* front of the node */
+  const char *method;  /* HTTP method */
+  const char *path;    /* path; a '%' stands for a key number */
+  guint32 keys;        /* key numbers to draw from, 0 for none */
+  guint32 count;       /* requests to send */
+  guint32 parallel;    /* requests under way at once */
+  gint64 upload;       /* bytes of each request's body */
+  guint64 seed;        /* for the key numbers */
+  gint64 timeout_usec; /* longest time a request may take */
+  gint64 until;        /* stop sending then, monotonic usec; 0: count */
+  gint64 pause_usec;   /* wait between two requests of one connection */
+  gboolean quiet;      /* print totals only */
+};
+
+struct caller_totals
+{
+  guint64 done;    /* whole answers */
+  guint64 not_run; /* ended as not run */
+  guint64 unknown; /* ended as unknown */
+  guint64 broken;  /* no answer, or one cut short */
+  guint64 crossed; /* answers to another request */
+  guint64 other;   /* any other status */
+  GArray *usec;    /* gint64: how long each whole answer took */
+};
+
+void caller_run (const struct caller_settings *settings,
+                 struct caller_totals *totals);
+gint64 caller_percentile (const struct caller_totals *totals, double share);
+
+#endif
--- /dev/null
+++ b/standins/log_server.h
@@ -0,0 +1,27 @@
+#ifndef STANDIN_LOG_SERVER_H
+#define STANDIN_LOG_SERVER_H
+
+#include "standins/log_store.h"
+#include "types/address.h"
+
+#include <libsoup/soup.h>
+
+/* The platform's log service, as docs/PLATFORM.md describes it, with switches
+   for its faults.  */
+
+struct log_server
+{
+  SoupServer *server;     /* the HTTP server */
+  struct log_store store; /* the records */
+  GPtrArray *waiting;     /* struct log_wait: reads that wait for records */
+  gint64 outage_until;    /* answers 503 until then, monotonic usec */
+  guint delay_msec;       /* every answer is late by this */
+  guint drop_answers;     /* appends to take effect without an answer */
+  guint64 appends;        /* appends taken */
+  guint64 reads;          /* reads answered */
+};
+
+enum err log_server_init (struct log_server *log, struct address at);
+void log_server_clear (struct log_server *log);
+
+#endif
--- /dev/null
+++ b/standins/log_store.c
@@ -0,0 +1,58 @@
+#include "standins/log_store.h"
+
+#include "wire/wire_record.h"
+
+/* Set up an empty store.  */
+void
+log_store_init (struct log_store *store)
+{
+  store->records
+      = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+  store->first = 1;
+  store->retain = 0;
+}
+
+/* Release the records.  */
+void
+log_store_clear (struct log_store *store)
+{
+  g_ptr_array_free (store->records, TRUE);
+}
+
+/* The offset after the last record.  */
+guint64
+log_store_tail (const struct log_store *store)
+{
+  return store->first + store->records->len;
+}
+
+/* Append RECORD and return its offset; drop what is over the retention.  */
+guint64
+log_store_append (struct log_store *store, GBytes *record)
+{
+  g_ptr_array_add (store->records, g_bytes_ref (record));
+  while (store->retain > 0 && store->records->len > store->retain)
+    {
+      g_ptr_array_remove_index (store->records, 0);
+      store->first++;
+    }
+  return log_store_tail (store) - 1;
+}
+
+/* The framed records from offset FROM on, at most MAX of them.  */
+GByteArray *
+log_store_read (const struct log_store *store, guint64 from, guint32 max)
+{
+  GByteArray *bytes = g_byte_array_new ();
+  guint64 offset;
+
+  for (offset = from; offset < log_store_tail (store) && max > 0;
+       offset++, max--)
+    {
+      gsize length;
+      const guint8 *data = g_bytes_get_data (
+          g_ptr_array_index (store->records, offset - store->first), &length);
+      record_write_frame (bytes, offset, data, (guint32)length);
+    }
+  return bytes;
+}
--- /dev/null
+++ b/tests/suite.h
@@ -0,0 +1,28 @@
+#ifndef TESTS_SUITE_H
+#define TESTS_SUITE_H
+
+#include <CUnit/Basic.h>
+
+/* Runs the one suite of a test program.  */
+
+/* Run TESTS as the suite NAME; the exit status is 0 if all passed and at
+   least one assertion ran.  */
+static inline int
+suite_run (const char *name, CU_TestInfo *tests)
+{
+  CU_SuiteInfo suites[]
+      = { { name, NULL, NULL, NULL, NULL, tests }, CU_SUITE_INFO_NULL };
+  int failed;
+
+  if (CU_initialize_registry () != CUE_SUCCESS
+      || CU_register_suites (suites) != CUE_SUCCESS)
+    return 2;
+  CU_basic_set_mode (CU_BRM_VERBOSE);
+  CU_basic_run_tests ();
+  failed
+      = CU_get_number_of_failures () > 0 || CU_get_number_of_asserts () == 0;
+  CU_cleanup_registry ();
+  return failed ? 1 : 0;
+}
+
+#endif
