--- a/src/bin/bambootally.c
+++ b/src/bin/bambootally.c
@@ -98,9 +98,10 @@
     NULL,
     NULL
   };
-  struct tool tool = { .stream = "bambootally",
-                       .author = "operator",
-                       .timeout_usec = TIMEOUT_DEFAULT_SEC * G_USEC_PER_SEC };
+  struct tool tool
+      = { .stream = "bambootally",
+          .author = "operator",
+          .timeout_usec = (gint64)TIMEOUT_DEFAULT_SEC * G_USEC_PER_SEC };
   gsize i;
 
   argp_err_exit_status = TOOL_USAGE;
--- a/src/bin/bambootallyd.c
+++ b/src/bin/bambootallyd.c
@@ -1,8 +1,8 @@
 #include "edge/journal.h"
 #include "edge/node.h"
+#include "edge/signals.h"
 
 #include <argp.h>
-#include <glib-unix.h>
 #include <signal.h>
 #include <stdio.h>
 #include <sys/random.h>
@@ -23,8 +23,8 @@
 /* The command line.  */
 struct arguments
 {
-  const char *settings; /* the settings file */
-  gboolean check;       /* only check it */
+  char *settings; /* the settings file */
+  gboolean check; /* only check it */
 };
 
 /* Take in one option.  */
@@ -50,24 +50,17 @@
     }
 }
 
-/* Stop gracefully on SIGTERM.  */
-static gboolean
-on_term (gpointer data)
-{
-  struct event event = { .kind = EVENT_DRAIN };
-
-  node_feed (data, &event);
-  return G_SOURCE_CONTINUE;
-}
-
-/* Stop at once on SIGINT.  */
-static gboolean
-on_interrupt (gpointer data)
+/* Stop gracefully on SIGTERM, at once on SIGINT.  */
+static void
+on_signal (int number, gpointer data)
 {
   struct node *node = data;
+  struct event event = { .kind = EVENT_DRAIN };
 
-  g_main_loop_quit (node->loop);
-  return G_SOURCE_CONTINUE;
+  if (number == SIGTERM)
+    node_feed (node, &event);
+  else
+    g_main_loop_quit (node->loop);
 }
 
 /* Print the faults of the settings.  */
@@ -88,7 +81,9 @@
 static int
 run (const struct settings *settings)
 {
+  static const int numbers[] = { SIGTERM, SIGINT };
   static struct node node;
+  struct signals signals;
   enum err code;
 
   if (journal_open (settings->log_level) != 0)
@@ -101,9 +96,9 @@
       fprintf (stderr, "bambootallyd: cannot listen: %s\n", err_name (code));
       return EXIT_LISTEN;
     }
-  g_unix_signal_add (SIGTERM, on_term, &node);
-  g_unix_signal_add (SIGINT, on_interrupt, &node);
+  signals_init (&signals, numbers, G_N_ELEMENTS (numbers), on_signal, &node);
   g_main_loop_run (node.loop);
+  signals_clear (&signals);
   node_clear (&node);
   journal_close ();
   return 0;
--- a/src/decide/member.c
+++ b/src/decide/member.c
@@ -5,8 +5,7 @@
 
 #include <string.h>
 
-#define WITNESS_WANTED 3u /* witnesses of a node in a fleet of today's size   \
-                           */
+#define WITNESS_WANTED 3u /* witnesses of a node */
 
 /* Propose the join of this node once it has read the log to its tail and its
    server has announced itself.  */
--- a/src/types/ini.c
+++ b/src/types/ini.c
@@ -123,10 +123,11 @@
 word_in (const char *word, const char *list)
 {
   char **words = g_strsplit (list, "|", -1);
-  gboolean found = g_strv_contains ((const char *const *)words, word);
+  gboolean found = word != NULL && word[0] != '\0'
+                   && g_strv_contains ((const char *const *)words, word);
 
   g_strfreev (words);
-  return found && word[0] != '\0';
+  return found;
 }
 
 /* Tell whether TEXT is a name.  */
--- a/tests/test_wire_forward.c
+++ b/tests/test_wire_forward.c
@@ -25,6 +25,8 @@
   open.fence.offset = 21;
   bytes = wire_encode (wire_forward_open, &open, 65536);
   CU_ASSERT_PTR_NOT_NULL_FATAL (bytes);
+  if (bytes == NULL)
+    return;
   CU_ASSERT_EQUAL (
       wire_decode (wire_forward_open, &back, bytes->data, bytes->len),
       ERR_NONE);
