--- /dev/null
+++ b/tests/test_body.c
@@ -0,0 +1,57 @@
+#include "edge/body.h"
+#include "tests/suite.h"
+
+#include <string.h>
+
+/* A short body can be sent again from its start.  */
+static void
+test_replay (void)
+{
+  struct body body;
+
+  body_init (&body);
+  body_add (&body, (const guint8 *)"abc", 3);
+  body_pass (&body, 2);
+  CU_ASSERT_EQUAL (body_left (&body), 1);
+  CU_ASSERT_TRUE (body.replayable);
+  body_rewind (&body);
+  CU_ASSERT_EQUAL (memcmp (body_next (&body), "abc", 3), 0);
+  body.end = TRUE;
+  CU_ASSERT_FALSE (body_is_passed (&body));
+  body_pass (&body, 3);
+  CU_ASSERT_TRUE (body_is_passed (&body));
+  body_clear (&body);
+}
+
+/* A long body stays within its bound, and then cannot be sent again.  */
+static void
+test_bound (void)
+{
+  static guint8 part[BODY_CHUNK_BYTES];
+  struct body body;
+  guint i;
+
+  body_init (&body);
+  for (i = 0; i < 100; i++)
+    {
+      CU_ASSERT_FALSE (body_is_full (&body));
+      body_add (&body, part, sizeof part);
+      CU_ASSERT_TRUE (body.bytes->len <= 2 * BODY_QUEUE_BYTES);
+      body_pass (&body, sizeof part);
+    }
+  CU_ASSERT_FALSE (body.replayable);
+  for (i = 0; !body_is_full (&body) && i < 100; i++)
+    body_add (&body, part, sizeof part);
+  CU_ASSERT_EQUAL (body_left (&body), BODY_QUEUE_BYTES);
+  body_clear (&body);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[] = { { "replay", test_replay },
+                                 { "bound", test_bound },
+                                 CU_TEST_INFO_NULL };
+
+  return suite_run ("body", tests);
+}
--- /dev/null
+++ b/tests/test_http.c
@@ -0,0 +1,223 @@
+#include "edge/http.h"
+#include "tests/suite.h"
+
+#include <string.h>
+
+/* The HTTP client against a server that answers whatever bytes a case says,
+   in one part a write.  */
+
+#define CALL_USEC ((gint64)2000000) /* a call may take so long */
+
+/* One case under way.  */
+struct run
+{
+  GMainLoop *loop;          /* runs until the call has ended */
+  GSocket *listener;        /* where the client connects */
+  struct conn *peer;        /* the server's end */
+  const char *const *parts; /* what it answers */
+  gboolean close;           /* whether it closes after that */
+  GString *body;            /* what the client told of the body */
+  guint status;             /* the status it told */
+  enum err code;            /* how the call ended */
+  gboolean sent;            /* whether bytes left */
+  guint heads;              /* heads told */
+};
+
+/* Something came at the server's end: answer once.  */
+static void
+on_peer (struct conn *conn, const struct conn_event *event, gpointer data)
+{
+  struct run *run = data;
+
+  if (event->kind != CONN_RECEIVED)
+    return;
+  for (; run->parts != NULL && *run->parts != NULL; run->parts++)
+    conn_send (conn, (const guint8 *)*run->parts, strlen (*run->parts));
+  if (run->close)
+    {
+      run->peer = NULL;
+      conn_close (conn);
+    }
+}
+
+/* The client connects.  */
+static gboolean
+on_accept (GSocket *socket, GIOCondition condition, gpointer data)
+{
+  struct run *run = data;
+
+  (void)condition;
+  run->peer = conn_adopt (g_socket_accept (socket, NULL, NULL), on_peer, run);
+  return G_SOURCE_CONTINUE;
+}
+
+/* The client tells an event.  */
+static void
+on_event (const struct http_event *event, gpointer data)
+{
+  struct run *run = data;
+
+  switch (event->kind)
+    {
+    case HTTP_HEAD:
+      run->status = event->status;
+      run->heads++;
+      break;
+    case HTTP_DATA:
+      g_string_append_len (run->body, (const char *)event->bytes,
+                           (gssize)event->count);
+      break;
+    case HTTP_FLUSH:
+    case HTTP_DRAINED:
+      break;
+    case HTTP_ENDED:
+      run->code = event->code;
+      run->sent = event->sent;
+      g_main_loop_quit (run->loop);
+      break;
+    }
+}
+
+/* Give up calls whose deadline has passed.  */
+static gboolean
+on_timer (gpointer data)
+{
+  http_expire (data, g_get_monotonic_time ());
+  return G_SOURCE_CONTINUE;
+}
+
+/* Call a server that answers PARTS and then closes if CLOSE is set.  */
+static void
+run_case (struct run *run, const char *const *parts, gboolean close,
+          gint64 usec)
+{
+  struct address at = { 0x7f000001, 0 };
+  struct http_request request = { .method = "GET", .target = "/" };
+  struct http http;
+  GSocketAddress *local;
+  GSource *source;
+  enum err code;
+  guint timer;
+
+  memset (run, 0, sizeof *run);
+  run->loop = g_main_loop_new (NULL, FALSE);
+  run->body = g_string_new (NULL);
+  run->parts = parts;
+  run->close = close;
+  run->listener = conn_listen (at, &code);
+  local = g_socket_get_local_address (run->listener, NULL);
+  at.port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (local));
+  g_object_unref (local);
+  source = g_socket_create_source (run->listener, G_IO_IN, NULL);
+  g_source_set_callback (source, G_SOURCE_FUNC (on_accept), run, NULL);
+  g_source_attach (source, NULL);
+  http_init (&http);
+  request.to = at;
+  request.deadline = g_get_monotonic_time () + usec;
+  http_finish (&http, http_start (&http, &request, on_event, run));
+  timer = g_timeout_add (10, on_timer, &http);
+  g_main_loop_run (run->loop);
+  g_source_remove (timer);
+  http_clear (&http);
+  if (run->peer != NULL)
+    conn_close (run->peer);
+  g_source_destroy (source);
+  g_source_unref (source);
+  g_object_unref (run->listener);
+  g_main_loop_unref (run->loop);
+}
+
+/* An answer with a length, in parts cut at odd places.  */
+static void
+test_length (void)
+{
+  static const char *const parts[]
+      = { "HTTP/1.1 200 O", "K\r\nContent-Length: 5\r\n\r", "\nhe", "llo",
+          NULL };
+  struct run run;
+
+  run_case (&run, parts, FALSE, CALL_USEC);
+  CU_ASSERT_EQUAL (run.code, ERR_NONE);
+  CU_ASSERT_EQUAL (run.status, 200);
+  CU_ASSERT_STRING_EQUAL (run.body->str, "hello");
+  g_string_free (run.body, TRUE);
+}
+
+/* An answer in chunks, after an interim answer.  */
+static void
+test_chunks (void)
+{
+  static const char *const parts[]
+      = { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 201 Created\r\n"
+          "Transfer-Encoding: chunked\r\n\r\n3\r\nabc",
+          "\r\n2;x=y\r\nde\r\n0\r\n", "T: v\r\n\r\n", NULL };
+  struct run run;
+
+  run_case (&run, parts, FALSE, CALL_USEC);
+  CU_ASSERT_EQUAL (run.code, ERR_NONE);
+  CU_ASSERT_EQUAL (run.status, 201);
+  CU_ASSERT_EQUAL (run.heads, 1);
+  CU_ASSERT_STRING_EQUAL (run.body->str, "abcde");
+  g_string_free (run.body, TRUE);
+}
+
+/* An answer cut short is never whole.  */
+static void
+test_cut_short (void)
+{
+  static const char *const length[]
+      = { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhel", NULL };
+  static const char *const chunks[]
+      = { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+          "3\r\nabc\r\n",
+          NULL };
+  struct run run;
+
+  run_case (&run, length, TRUE, CALL_USEC);
+  CU_ASSERT_EQUAL (run.code, ERR_TRUNCATED);
+  g_string_free (run.body, TRUE);
+  run_case (&run, chunks, TRUE, CALL_USEC);
+  CU_ASSERT_EQUAL (run.code, ERR_TRUNCATED);
+  g_string_free (run.body, TRUE);
+}
+
+/* No answer: the call ends at its deadline, and bytes had left.  */
+static void
+test_silence (void)
+{
+  struct run run;
+
+  run_case (&run, NULL, FALSE, 50000);
+  CU_ASSERT_EQUAL (run.code, ERR_TIMEOUT);
+  CU_ASSERT_TRUE (run.sent);
+  g_string_free (run.body, TRUE);
+}
+
+/* Bytes that are no answer, and a chunk size that is no number.  */
+static void
+test_malformed (void)
+{
+  static const char *const parts[] = { "what?\r\n\r\n", NULL };
+  static const char *const chunk[]
+      = { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+          NULL };
+  struct run run;
+
+  run_case (&run, parts, FALSE, CALL_USEC);
+  CU_ASSERT_EQUAL (run.code, ERR_MALFORMED);
+  g_string_free (run.body, TRUE);
+  run_case (&run, chunk, FALSE, CALL_USEC);
+  CU_ASSERT_EQUAL (run.code, ERR_MALFORMED);
+  g_string_free (run.body, TRUE);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[]
+      = { { "length", test_length },       { "chunks", test_chunks },
+          { "cut short", test_cut_short }, { "silence", test_silence },
+          { "malformed", test_malformed }, CU_TEST_INFO_NULL };
+
+  return suite_run ("http", tests);
+}
