Fold: owners out and restarted, passing moves on, hot keys

Cause: a slice whose owner, receiver or successor went kept handles of nodes that were out; a restart left slices with the dead incarnation; hot keys were dropped unread. Change: fold_owner passes slices on when a node is out or retired; a pending move passes to the next receiver as a new move, so that fences rise; a join names the node it retires, so that a late append of a dead process retires nobody; fold_hot gives a key its own slice and takes it away. Only the node itself replaces its witness set. Ruled out: keeping the offset of a passed move: the fence of the next receiver would equal that of the one before.

--- a/src/decide/fold.c
+++ b/src/decide/fold.c
@@ -40,6 +40,8 @@
       fold_out (view, offset, &record->body.out, out);
       break;
     case RECORD_WITNESS:
+      if (record->writer != record->body.witness.incarnation)
+        break;
       fold_witness (view, offset, &record->body.witness, out);
       break;
     case RECORD_ASSIGN:
--- a/src/decide/fold_node.c
+++ b/src/decide/fold_node.c
@@ -1,34 +1,50 @@
 #include "decide/fold.h"
 
+#include "decide/fold_owner.h"
+
 #include <string.h>
 
-/* Retire nodes whose address JOIN takes: a process that holds their port
-   proves that they are dead.  */
-static void
-retire_predecessors (struct view *view, const struct record_join *join)
+/* The node that has not been retired from ADDRESS, or none.  */
+static struct handle
+holder_of (const struct view *view, struct address address)
 {
   struct handle h = table_next (&view->nodes, HANDLE_NONE);
 
   for (; handle_is_set (h); h = table_next (&view->nodes, h))
     {
-      struct view_node *node = view_node_at (view, h);
-      if (node->join.incarnation != join->incarnation
-          && address_equal (node->join.peer, join->peer))
-        node->state = NODE_RETIRED;
+      const struct view_node *node = view_node_at (view, h);
+      if (node->state != NODE_RETIRED
+          && address_equal (node->join.peer, address))
+        return h;
     }
+  return HANDLE_NONE;
 }
 
-/* Add a node, unless it is in the view or has been out.  */
+/* Add a node, unless it is in the view or has been out.  It retires the node
+   that held its address, because a process that holds a port proves that the
+   one before it is dead.  The join must name that node: an append of a dead
+   process that takes effect late then cannot retire the one after it.  */
 void
 fold_join (struct view *view, guint64 offset, const struct record_join *body,
            struct actions *out)
 {
+  struct handle before = holder_of (view, body->peer);
   struct note *note;
 
   if (handle_is_set (view_find_node (view, body->incarnation))
       || view_was_out (view, body->incarnation))
     return;
-  retire_predecessors (view, body);
+  if (handle_is_set (before)
+      && view_incarnation (view, before) != body->retires)
+    {
+      fold_note (out, NOTE_PLACE_DROPPED, offset)->node = body->incarnation;
+      return;
+    }
+  if (handle_is_set (before))
+    {
+      view_node_at (view, before)->state = NODE_RETIRED;
+      fold_owner_retired (view, before, offset);
+    }
   view_add_node (view, body, offset);
   note = fold_note (out, NOTE_NODE_JOIN, offset);
   note->node = body->incarnation;
@@ -36,6 +52,26 @@
   g_strlcpy (note->text, body->host, sizeof note->text);
 }
 
+/* Remove a node and pass its slices on.  An operator who declares a node dead
+   knows no floor: its receivers may have been told `released', so they get
+   what they wait for.  */
+void
+fold_out (struct view *view, guint64 offset, const struct record_out *body,
+          struct actions *out)
+{
+  struct handle gone = view_find_node (view, body->incarnation);
+  guint64 floor = body->cause == OUT_DECLARED ? G_MAXUINT64 : body->floor;
+  struct note *note;
+
+  if (!handle_is_set (gone))
+    return;
+  view_remove_node (view, gone);
+  fold_owner_out (view, gone, floor, offset);
+  note = fold_note (out, NOTE_NODE_OUT, offset);
+  note->node = body->incarnation;
+  note->amount = body->cause;
+}
+
 /* Mark a node that wants no new work.  */
 void
 fold_leaving (struct view *view, guint64 offset,
@@ -59,7 +95,7 @@
   struct view_node *node
       = view_node_at (view, view_find_node (view, body->incarnation));
 
-  if (node == NULL || node->witness_epoch != body->epoch
+  if (node == NULL || node->witness_epoch != body->epoch || body->count == 0
       || body->count > WITNESS_MAX)
     return;
   node->before_count = node->witness_count;
--- a/src/decide/fold_slice.c
+++ b/src/decide/fold_slice.c
@@ -1,27 +1,8 @@
 #include "decide/fold.h"
 
-#include <string.h>
-
-/* Give SLICE an owner as of OFFSET and end its pending move.  */
-static void
-set_owner (struct view *view, struct view_slice *slice, struct handle owner,
-           const struct handle *successors, guint64 offset)
-{
-  struct view_node *old = view_node_at (view, slice->owner);
-  struct view_node *new = view_node_at (view, owner);
+#include "decide/fold_owner.h"
 
-  if (old != NULL)
-    old->owned--;
-  if (new != NULL)
-    new->owned++;
-  slice->owner = new != NULL ? owner : HANDLE_NONE;
-  if (successors != slice->successor)
-    memcpy (slice->successor, successors, sizeof slice->successor);
-  slice->epoch = offset;
-  slice->move = 0;
-  slice->to = HANDLE_NONE;
-  memset (slice->to_successor, 0, sizeof slice->to_successor);
-}
+#include <string.h>
 
 /* The slice that ITEM names, if its epoch is the one expected.  */
 static struct view_slice *
@@ -33,15 +14,45 @@
   return slice != NULL && slice->epoch == item->epoch ? slice : NULL;
 }
 
-/* Find the handles of the successors that ITEM names.  */
+/* Find the handles of the successors that ITEM names, leaving out those that
+   may not own slices of SERVICE.  */
 static void
-find_successors (const struct view *view, const struct record_slice *item,
-                 struct handle *successors)
+find_successors (const struct view *view, const struct view_service *service,
+                 const struct record_slice *item, struct handle *successors)
 {
   guint i;
 
   for (i = 0; i < SUCCESSOR_MAX; i++)
-    successors[i] = view_find_node (view, item->successor[i]);
+    {
+      successors[i] = view_find_node (view, item->successor[i]);
+      if (!fold_may_own (view, service, successors[i]))
+        successors[i] = HANDLE_NONE;
+    }
+}
+
+/* Tell whether SLICE, which is pending no move, may go to the node under TO:
+   to another node if that one is live, or to its owner, which then only
+   changes its successors.  */
+static gboolean
+may_move (const struct view *view, const struct view_service *service,
+          const struct view_slice *slice, struct handle to)
+{
+  if (slice->move != 0 || !fold_is_alive (view, slice->owner))
+    return FALSE;
+  return handle_equal (slice->owner, to) || fold_may_own (view, service, to);
+}
+
+/* Tell whether slice NUMBER is a hashed one or that of a hot key.  */
+static gboolean
+in_use (const struct view_service *service, guint32 number)
+{
+  guint32 place = number - service->config.slices;
+
+  if (number < service->config.slices)
+    return TRUE;
+  return place < service->hot->len
+         && g_array_index (service->hot, struct view_hot, place).key[0]
+                != '\0';
 }
 
 /* Give slices without an owner the owners that BODY names.  */
@@ -60,19 +71,20 @@
       struct view_slice *slice = expected_slice (service, item);
       struct handle owner = view_find_node (view, item->owner);
       if (slice == NULL || view_node_at (view, slice->owner) != NULL
-          || !handle_is_set (owner))
+          || !in_use (service, item->slice)
+          || !fold_may_own (view, service, owner))
         {
           dropped++;
           continue;
         }
-      find_successors (view, item, successors);
-      set_owner (view, slice, owner, successors, offset);
+      find_successors (view, service, item, successors);
+      fold_set_owner (view, slice, owner, successors, offset);
     }
   if (dropped > 0)
     fold_note (out, NOTE_PLACE_DROPPED, offset)->amount = dropped;
 }
 
-/* Begin the moves that BODY names.  */
+/* Begin the moves that BODY names, to nodes that may own the slices.  */
 void
 fold_move (struct view *view, guint64 offset, const struct record_slices *body,
            struct actions *out)
@@ -86,15 +98,14 @@
       const struct record_slice *item = &body->items[i];
       struct view_slice *slice = expected_slice (service, item);
       struct handle to = view_find_node (view, item->owner);
-      if (slice == NULL || slice->move != 0 || !handle_is_set (to)
-          || view_node_at (view, slice->owner) == NULL)
+      if (slice == NULL || !may_move (view, service, slice, to))
         {
           dropped++;
           continue;
         }
       slice->move = offset;
       slice->to = to;
-      find_successors (view, item, slice->to_successor);
+      find_successors (view, service, item, slice->to_successor);
     }
   if (dropped > 0)
     fold_note (out, NOTE_PLACE_DROPPED, offset)->amount = dropped;
@@ -115,86 +126,15 @@
       const struct record_slice *item = &body->items[i];
       struct view_slice *slice = view_slice_at (service, item->slice);
       struct handle successors[SUCCESSOR_MAX];
-      if (slice == NULL || slice->move == 0 || slice->move != item->epoch)
+      if (slice == NULL || slice->move == 0 || slice->move != item->epoch
+          || !handle_equal (slice->to, view_find_node (view, item->owner)))
         {
           dropped++;
           continue;
         }
       memcpy (successors, slice->to_successor, sizeof successors);
-      set_owner (view, slice, slice->to, successors, offset);
+      fold_set_owner (view, slice, slice->to, successors, offset);
     }
   if (dropped > 0)
     fold_note (out, NOTE_PLACE_DROPPED, offset)->amount = dropped;
 }
-
-/* Pass SLICE on after its owner has gone out with FLOOR: to the receiver of
-   its move if the giving-up had begun, otherwise to its first successor that
-   is not out.  */
-static void
-inherit_slice (struct view *view, struct view_slice *slice, guint64 floor,
-               guint64 offset)
-{
-  struct handle chain[1 + SUCCESSOR_MAX] = { HANDLE_NONE };
-  struct handle rest[SUCCESSOR_MAX] = { HANDLE_NONE };
-  guint i;
-
-  if (slice->move != 0 && floor >= slice->move)
-    {
-      chain[0] = slice->to;
-      memcpy (&chain[1], slice->to_successor, sizeof slice->to_successor);
-    }
-  else
-    memcpy (chain, slice->successor, sizeof slice->successor);
-  for (i = 0; i < G_N_ELEMENTS (chain); i++)
-    if (view_node_at (view, chain[i]) != NULL)
-      break;
-  if (i == G_N_ELEMENTS (chain))
-    {
-      set_owner (view, slice, HANDLE_NONE, rest, offset);
-      return;
-    }
-  if (i + 1 < G_N_ELEMENTS (chain))
-    memcpy (rest, &chain[i + 1],
-            (G_N_ELEMENTS (chain) - i - 1) * sizeof rest[0]);
-  set_owner (view, slice, chain[i], rest, offset);
-}
-
-/* Remove a node and pass its slices on.  */
-void
-fold_out (struct view *view, guint64 offset, const struct record_out *body,
-          struct actions *out)
-{
-  struct handle gone = view_find_node (view, body->incarnation);
-  struct note *note;
-  guint i;
-  guint k;
-
-  if (!handle_is_set (gone))
-    return;
-  view_remove_node (view, gone);
-  for (i = 0; i < view->services->len; i++)
-    {
-      struct view_service *service = g_ptr_array_index (view->services, i);
-      for (k = 0; k < service->slices->len; k++)
-        {
-          struct view_slice *slice = view_slice_at (service, k);
-          if (handle_equal (slice->owner, gone))
-            inherit_slice (view, slice, body->floor, offset);
-        }
-    }
-  note = fold_note (out, NOTE_NODE_OUT, offset);
-  note->node = body->incarnation;
-  note->amount = body->cause;
-}
-
-/* Give a hot key a slice of its own, owned as its hashed slice is, or take it
-   away again once both are owned alike.  */
-void
-fold_hot (struct view *view, guint64 offset, const struct record_hot *body,
-          struct actions *out)
-{
-  struct view_service *service = view_find_service (view, body->service);
-
-  (void)service;
-  fold_note (out, NOTE_PLACE_DROPPED, offset);
-}
--- a/src/decide/member.c
+++ b/src/decide/member.c
@@ -7,6 +7,22 @@
 
 #define WITNESS_WANTED 3u /* witnesses of a node */
 
+/* The node that the log still shows at ADDRESS, 0 if there is none.  */
+static guint64
+predecessor (const struct view *view, struct address address)
+{
+  struct handle h = table_next (&view->nodes, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&view->nodes, h))
+    {
+      const struct view_node *node = view_node_at (view, h);
+      if (node->state != NODE_RETIRED
+          && address_equal (node->join.peer, address))
+        return node->join.incarnation;
+    }
+  return 0;
+}
+
 /* Propose the join of this node once it has read the log to its tail and its
    server has announced itself.  */
 static void
@@ -17,6 +33,7 @@
       = &outbox_propose (&core->outbox, RECORD_JOIN)->body.join;
 
   join->incarnation = settings->incarnation;
+  join->retires = predecessor (&core->view, settings->peer);
   g_strlcpy (join->host, settings->host, sizeof join->host);
   g_strlcpy (join->zone, settings->zone, sizeof join->zone);
   g_strlcpy (join->service, settings->service, sizeof join->service);
--- a/src/types/record.h
+++ b/src/types/record.h
@@ -36,6 +36,7 @@
 struct record_join
 {
   guint64 incarnation;     /* the node's */
+  guint64 retires;         /* node whose address it took over, or 0 */
   char host[NAME_SIZE];    /* name of the host, unique among live nodes */
   char zone[NAME_SIZE];    /* place the host stands in */
   char service[NAME_SIZE]; /* service of its backend server */
--- a/src/wire/wire_record.c
+++ b/src/wire/wire_record.c
@@ -23,7 +23,7 @@
 static bool_t
 wire_join (XDR *xdr, struct record_join *body)
 {
-  return wire_u64 (xdr, &body->incarnation)
+  return wire_u64 (xdr, &body->incarnation) && wire_u64 (xdr, &body->retires)
          && wire_text (xdr, body->host, sizeof body->host)
          && wire_text (xdr, body->zone, sizeof body->zone)
          && wire_text (xdr, body->service, sizeof body->service)
