Ownership: removal, certificates, takeover, moves, going out

Cause: a silent owner stayed owner for ever, a move was never carried out, and a node whose witnesses were gone hung without a lease. Change: removal collects promises into a certificate, takeover serves by it, move gives slices up in the order of their offsets, hold keeps what may still run elsewhere, member ends an incarnation that is out and starts a new one. A witness acks only nodes that its view shows alive, so that a promise may be forgotten once its node is out. Ruled out: raising the floor past a move that has not begun: a certificate with a lower floor would let a successor serve what the log gives to the receiver.

--- a/src/bin/bambootallyd.c
+++ b/src/bin/bambootallyd.c
@@ -77,31 +77,60 @@
     }
 }
 
-/* Run a node until it has left.  */
-static int
-run (const struct settings *settings)
+/* Draw a new incarnation.  */
+static enum err
+draw_incarnation (struct settings *settings)
+{
+  struct core_settings *core = &settings->core;
+
+  if (getrandom (&core->incarnation, sizeof core->incarnation, 0) < 0
+      || getrandom (&core->seed, sizeof core->seed, 0) < 0)
+    return ERR_IO;
+  return ERR_NONE;
+}
+
+/* Run one incarnation of a node until it has left.  AGAIN tells whether
+   another one is to follow.  */
+static enum err
+run_incarnation (struct settings *settings, gboolean *again)
 {
   static const int numbers[] = { SIGTERM, SIGINT };
   static struct node node;
   struct signals signals;
-  enum err code;
+  enum err code = draw_incarnation (settings);
 
-  if (journal_open (settings->log_level) != 0)
-    fprintf (stderr, "bambootallyd: the journal does not open: %s\n",
-             err_name (ERR_IO));
-  signal (SIGPIPE, SIG_IGN);
-  code = node_init (&node, settings);
+  *again = FALSE;
+  if (code == ERR_NONE)
+    code = node_init (&node, settings);
   if (code != ERR_NONE)
-    {
-      fprintf (stderr, "bambootallyd: cannot listen: %s\n", err_name (code));
-      return EXIT_LISTEN;
-    }
+    return code;
   signals_init (&signals, numbers, G_N_ELEMENTS (numbers), on_signal, &node);
   g_main_loop_run (node.loop);
+  *again = node.again;
   signals_clear (&signals);
   node_clear (&node);
+  return ERR_NONE;
+}
+
+/* Run a node until it has left for good.  */
+static int
+run (struct settings *settings)
+{
+  gboolean again;
+  enum err code;
+
+  if (journal_open (settings->log_level) != 0)
+    fprintf (stderr, "bambootallyd: the journal does not open: %s\n",
+             err_name (ERR_IO));
+  signal (SIGPIPE, SIG_IGN);
+  do
+    code = run_incarnation (settings, &again);
+  while (code == ERR_NONE && again);
   journal_close ();
-  return 0;
+  if (code == ERR_NONE)
+    return 0;
+  fprintf (stderr, "bambootallyd: cannot listen: %s\n", err_name (code));
+  return EXIT_LISTEN;
 }
 
 int
@@ -125,10 +154,5 @@
     return EXIT_SETTINGS;
   if (arguments.check)
     return 0;
-  if (getrandom (&settings.core.incarnation, sizeof settings.core.incarnation,
-                 0)
-          < 0
-      || getrandom (&settings.core.seed, sizeof settings.core.seed, 0) < 0)
-    return EXIT_LISTEN;
   return run (&settings);
 }
--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -1,9 +1,12 @@
 #include "decide/core.h"
 
+#include "decide/certificate.h"
 #include "decide/flight.h"
 #include "decide/fold.h"
+#include "decide/fold_owner.h"
 #include "decide/member.h"
 #include "decide/plan.h"
+#include "decide/removal.h"
 #include "decide/route.h"
 #include "decide/timing.h"
 
@@ -18,6 +21,11 @@
   view_init (&core->view);
   lease_init (&core->lease);
   witness_init (&core->witness);
+  peers_init (&core->peers);
+  table_init (&core->removals, sizeof (struct removal));
+  table_init (&core->certificates, sizeof (struct certificate));
+  hold_init (&core->hold);
+  moves_init (&core->moves);
   gate_init (&core->gate);
   outbox_init (&core->outbox, settings->incarnation);
   table_init (&core->flights, sizeof (struct flight));
@@ -30,6 +38,11 @@
 {
   view_clear (&core->view);
   witness_clear (&core->witness);
+  peers_clear (&core->peers);
+  table_clear (&core->removals);
+  table_clear (&core->certificates);
+  hold_clear (&core->hold);
+  moves_clear (&core->moves);
   gate_clear (&core->gate);
   outbox_clear (&core->outbox);
   table_clear (&core->flights);
@@ -49,6 +62,7 @@
     {
       const struct log_entry *entry = &event->items[i];
       outbox_on_record (&core->outbox, &entry->record);
+      hold_before_record (core, entry, now);
       fold_record (&core->view, entry->offset, &entry->record, out);
       if (entry->record.kind == RECORD_JOIN
           || entry->record.kind == RECORD_CONFIG)
@@ -112,55 +126,80 @@
 
 /* Other nodes */
 
+/* Answer a renewal.  */
+static void
+take_renew (struct core *core, const struct peer_renew *call, gint64 now,
+            struct peer_renew_reply *reply)
+{
+  struct handle holder = view_find_node (&core->view, call->incarnation);
+
+  peers_note_folded (&core->peers, call->incarnation, call->folded);
+  witness_on_renew (&core->witness, call, fold_is_alive (&core->view, holder),
+                    core->view.next, now, reply);
+}
+
 /* Answer a call from another node.  */
 static void
 take_peer_call (struct core *core, const struct event_peer_call *event,
                 gint64 now, struct actions *out)
 {
-  struct action_reply *action = &actions_add (out, ACTION_REPLY)->u.reply;
-  struct peer_reply *reply = &action->body;
+  const struct peer_call *call = &event->body;
+  struct peer_reply reply = { .kind = call->kind };
+  struct action_reply *action;
 
+  if (call->to != core->settings.incarnation)
+    reply.code = ERR_NOT_FOUND;
+  else
+    switch (call->kind)
+      {
+      case PEER_RENEW:
+        take_renew (core, &call->u.renew, now, &reply.u.renew);
+        break;
+      case PEER_PROMISE:
+        witness_on_promise (&core->witness, &call->u.promise, now,
+                            &reply.u.promise);
+        break;
+      case PEER_FOLDED:
+        peers_note_folded (&core->peers, call->u.folded.incarnation,
+                           call->u.folded.offset);
+        break;
+      case PEER_RELEASED:
+        moves_on_released (core, &call->u.released);
+        break;
+      case PEER_CERTIFIED:
+        certificate_on_call (core, &call->u.certified, now, out);
+        break;
+      case PEER_FETCH:
+        break;
+      }
+  action = &actions_add (out, ACTION_REPLY)->u.reply;
   action->call = event->call;
   action->xid = event->xid;
-  reply->kind = event->body.kind;
-  if (event->body.to != core->settings.incarnation)
-    {
-      reply->code = ERR_NOT_FOUND;
-      return;
-    }
-  switch (event->body.kind)
-    {
-    case PEER_RENEW:
-      witness_on_renew (&core->witness, &event->body.u.renew, core->view.next,
-                        now, &reply->u.renew);
-      break;
-    case PEER_PROMISE:
-      witness_on_promise (&core->witness, &event->body.u.promise, now,
-                          &reply->u.promise);
-      break;
-    case PEER_FOLDED:
-    case PEER_RELEASED:
-    case PEER_FETCH:
-    case PEER_CERTIFIED:
-      break;
-    }
+  action->body = reply;
 }
 
 /* Take in the reply of another node.  */
 static void
-take_peer_reply (struct core *core, const struct event_peer_reply *event)
+take_peer_reply (struct core *core, const struct event_peer_reply *event,
+                 gint64 now, struct actions *out)
 {
-  if (event->body.code != ERR_NONE)
+  const struct peer_reply *reply = &event->body;
+
+  if (reply->code != ERR_NONE)
     return;
-  switch (event->body.kind)
+  switch (reply->kind)
     {
     case PEER_RENEW:
-      lease_on_reply (&core->lease, &core->view, core->self, event->peer,
-                      &event->body.u.renew);
+      peers_note_folded (&core->peers, event->peer, reply->u.renew.folded);
+      lease_on_reply (&core->lease, event->peer, &reply->u.renew);
       break;
     case PEER_PROMISE:
+      removal_on_reply (core, event, now, out);
+      break;
     case PEER_FOLDED:
     case PEER_RELEASED:
+      moves_on_reply (core, event);
+      break;
     case PEER_FETCH:
     case PEER_CERTIFIED:
       break;
@@ -172,8 +211,11 @@
 step_all (struct core *core, gint64 now, struct actions *out)
 {
   member_step (core, now, out);
-  lease_step (&core->lease, &core->view, core->self, now, &core->call_serial,
-              out);
+  moves_step (core, now, out);
+  lease_step (&core->lease, &core->view, core->self, moves_limit (core), now,
+              &core->call_serial, out);
+  removal_step (core, now, out);
+  certificate_step (core, now, out);
   plan_step (core, now, out);
   route_step (core, now, out);
   outbox_send (&core->outbox, now, out);
@@ -185,6 +227,9 @@
 core_step (struct core *core, const struct event *event, gint64 now,
            struct actions *out)
 {
+  if (now - core->stepped_at > PAUSE_USEC)
+    core->witness.awake_since = now;
+  core->stepped_at = now;
   switch (event->kind)
     {
     case EVENT_TICK:
@@ -220,7 +265,7 @@
       take_peer_call (core, &event->u.peer_call, now, out);
       break;
     case EVENT_PEER_REPLY:
-      take_peer_reply (core, &event->u.peer_reply);
+      take_peer_reply (core, &event->u.peer_reply, now, out);
       break;
     case EVENT_SERVER_LOAD:
     case EVENT_GRANTED:
--- a/src/decide/core.h
+++ b/src/decide/core.h
@@ -3,8 +3,11 @@
 
 #include "decide/core_settings.h"
 #include "decide/gate.h"
+#include "decide/hold.h"
 #include "decide/lease.h"
+#include "decide/move.h"
 #include "decide/outbox.h"
+#include "decide/peers.h"
 #include "decide/witness.h"
 #include "types/event.h"
 #include "types/view.h"
@@ -19,6 +22,12 @@
   struct handle self;            /* this node in the view */
   struct lease lease;            /* its lease */
   struct witness witness;        /* its acks to others */
+  struct peers peers;            /* how far others have folded */
+  struct table removals;         /* struct removal */
+  guint64 removal_seen;          /* view that removals were taken from */
+  struct table certificates;     /* struct certificate */
+  struct hold hold;              /* what keeps it from serving slices */
+  struct moves moves;            /* moves that concern it */
   struct gate gate;              /* admission to its server */
   struct outbox outbox;          /* its records on their way */
   struct table flights;          /* struct flight, by the edge's handles */
@@ -26,11 +35,16 @@
   gboolean has_server;           /* whether the server announced itself */
   gboolean at_tail;              /* the log has been read to its tail once */
   gboolean joined;               /* this node has been in the view */
-  gboolean log_down;             /* the last read of the log failed */
-  gint64 settled_at;             /* members have settled from then on */
-  guint64 call_serial;           /* serial of the last call to a node */
-  guint64 attempt;               /* number of the last attempt */
-  guint32 turn;                  /* takes members in turn */
+  gboolean wants_out;            /* it has been leaving */
+  gboolean is_leaving_fleet; /* it is out or goes out, and serves nothing */
+  gboolean exited;           /* it has asked to be ended */
+  gint64 exit_at;            /* it is ended then, work in flight or not */
+  gint64 stepped_at;         /* when the last event was taken in */
+  gboolean log_down;         /* the last read of the log failed */
+  gint64 settled_at;         /* members have settled from then on */
+  guint64 call_serial;       /* serial of the last call to a node */
+  guint64 attempt;           /* number of the last attempt */
+  guint32 turn;              /* takes members in turn */
 };
 
 void core_init (struct core *core, const struct core_settings *settings);
--- /dev/null
+++ b/src/decide/hold.c
@@ -0,0 +1,153 @@
+#include "decide/hold.h"
+
+#include "decide/certificate.h"
+#include "decide/core.h"
+
+/* Set up without anything held.  */
+void
+hold_init (struct hold *hold)
+{
+  hold->waits = g_array_new (FALSE, TRUE, sizeof (struct hold_wait));
+  hold->given = g_hash_table_new_full (NULL, NULL, NULL, g_free);
+}
+
+/* Release what HOLD holds.  */
+void
+hold_clear (struct hold *hold)
+{
+  g_array_free (hold->waits, TRUE);
+  g_hash_table_destroy (hold->given);
+  hold->waits = NULL;
+  hold->given = NULL;
+}
+
+/* Waits */
+
+/* How long a request may still run at the server of NODE once NODE owns
+   nothing; none if that server checks fences.  */
+gint64
+hold_timeout (const struct view *view, const struct view_node *node)
+{
+  const struct view_service *service;
+
+  if (node->join.checks_fences)
+    return 0;
+  service = view_find_service (view, node->join.service);
+  return service != NULL ? (gint64)service->config.timeout_msec * USEC_PER_MSEC
+                         : 0;
+}
+
+/* Hold the slices that get EPOCH until UNTIL.  */
+static void
+add_wait (struct hold *hold, guint64 epoch, gint64 until)
+{
+  struct hold_wait wait = { epoch, until };
+
+  g_array_append_val (hold->waits, wait);
+}
+
+/* Hold what the record at EPOCH takes from INCARNATION, if its server does
+   not check fences.  */
+static void
+wait_for_node (struct core *core, guint64 incarnation, guint64 epoch,
+               gint64 now)
+{
+  const struct view_node *node
+      = view_node_at (&core->view, view_find_node (&core->view, incarnation));
+  const struct certificate *certificate = certificate_find (core, incarnation);
+  gint64 since = certificate != NULL ? MIN (now, certificate->valid_at) : now;
+
+  if (node == NULL || node->join.checks_fences)
+    return;
+  add_wait (&core->hold, epoch, since + hold_timeout (&core->view, node));
+}
+
+/* Forget the waits that are over.  */
+static void
+forget_waits (struct hold *hold, gint64 now)
+{
+  guint i = 0;
+
+  while (i < hold->waits->len)
+    if (g_array_index (hold->waits, struct hold_wait, i).until <= now)
+      g_array_remove_index_fast (hold->waits, i);
+    else
+      i++;
+}
+
+/* Look at a record that is about to be folded.  Slices without an owner may
+   have belonged to any node that has gone lately.  */
+void
+hold_before_record (struct core *core, const struct log_entry *entry,
+                    gint64 now)
+{
+  const struct record *record = &entry->record;
+
+  if (record->version > RECORD_VERSION || entry->offset < core->view.next)
+    return;
+  forget_waits (&core->hold, now);
+  switch (record->kind)
+    {
+    case RECORD_OUT:
+      wait_for_node (core, record->body.out.incarnation, entry->offset, now);
+      break;
+    case RECORD_JOIN:
+      wait_for_node (core, record->body.join.retires, entry->offset, now);
+      break;
+    case RECORD_ASSIGN:
+      if (hold_latest (&core->hold) > now)
+        add_wait (&core->hold, entry->offset, hold_latest (&core->hold));
+      break;
+    default:
+      break;
+    }
+}
+
+/* Tell whether a slice whose owner was named at EPOCH must still wait.  */
+gboolean
+hold_waits (const struct hold *hold, guint64 epoch, gint64 now)
+{
+  guint i;
+
+  for (i = 0; i < hold->waits->len; i++)
+    {
+      const struct hold_wait *wait
+          = &g_array_index (hold->waits, struct hold_wait, i);
+      if (wait->epoch == epoch && wait->until > now)
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* When the last wait ends; G_MININT64 if there is none.  */
+gint64
+hold_latest (const struct hold *hold)
+{
+  gint64 latest = G_MININT64;
+  guint i;
+
+  for (i = 0; i < hold->waits->len; i++)
+    latest
+        = MAX (latest, g_array_index (hold->waits, struct hold_wait, i).until);
+  return latest;
+}
+
+/* Slices given up */
+
+/* This node begins to give up SLICE, which it has owned since EPOCH.  */
+void
+hold_give_up (struct hold *hold, guint32 slice, guint64 epoch)
+{
+  g_hash_table_replace (hold->given, GUINT_TO_POINTER (slice),
+                        g_memdup2 (&epoch, sizeof epoch));
+}
+
+/* Tell whether this node has begun to give up SLICE since EPOCH.  */
+gboolean
+hold_gave_up (const struct hold *hold, guint32 slice, guint64 epoch)
+{
+  const guint64 *given
+      = g_hash_table_lookup (hold->given, GUINT_TO_POINTER (slice));
+
+  return given != NULL && *given == epoch;
+}
--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -61,28 +61,54 @@
 /* Tell whether a majority of the witnesses that count now has acked FLOOR: a
    giving-up at FLOOR is then complete.  */
 gboolean
-lease_floor_acked (const struct lease *lease, const struct view *view,
-                   struct handle self, guint64 floor)
+lease_floor_acked (const struct lease *lease, guint64 floor)
 {
-  const struct view_node *node = view_node_at (view, self);
-
-  if (node == NULL || node->witness_count == 0)
+  if (!majority_floor (lease, lease->set, lease->set_count, floor))
     return FALSE;
-  if (!majority_floor (lease, node->witnesses, node->witness_count, floor))
+  return !lease->joint
+         || majority_floor (lease, lease->before, lease->before_count, floor);
+}
+
+/* Tell whether a majority of SET is neither out nor retired in VIEW.  */
+static gboolean
+majority_alive (const struct view *view, const guint64 *set, guint32 count)
+{
+  guint32 alive = 0;
+  guint32 i;
+
+  for (i = 0; i < count; i++)
+    {
+      const struct view_node *node
+          = view_node_at (view, view_find_node (view, set[i]));
+      if (node != NULL && node->state != NODE_RETIRED)
+        alive++;
+    }
+  return alive > count / 2;
+}
+
+/* Tell whether the lease can be renewed ever again: a set whose majority is
+   gone can ack neither a renewal nor the set after it.  */
+gboolean
+lease_can_renew (const struct lease *lease, const struct view *view)
+{
+  if (lease->set_count == 0)
+    return TRUE;
+  if (!majority_alive (view, lease->set, lease->set_count))
     return FALSE;
   return !lease->joint
-         || majority_floor (lease, node->before, node->before_count, floor);
+         || majority_alive (view, lease->before, lease->before_count);
 }
 
 /* Work out when the lease ends from what the witnesses have acked.  */
 static void
-update_until (struct lease *lease, const struct view_node *node)
+update_until (struct lease *lease)
 {
-  gint64 acked = majority_acked (lease, node->witnesses, node->witness_count);
+  gint64 acked = majority_acked (lease, lease->set, lease->set_count);
 
   if (lease->joint)
     {
-      gint64 before = majority_acked (lease, node->before, node->before_count);
+      gint64 before
+          = majority_acked (lease, lease->before, lease->before_count);
       acked = MIN (acked, before);
     }
   if (acked > 0 && acked + LEASE_USEC > lease->until)
@@ -116,39 +142,57 @@
   return count;
 }
 
-/* Take over the witness sets of NODE, this node.  A change of the set is a
-   giving-up: it raises the floor, and the set before counts until its
-   majority has acked that floor.  */
+/* Put the witness set of NODE, this node, in force.  A change of the set is a
+   giving-up: it raises the floor, and the set before counts until its majority
+   has acked that floor.  Giving-ups begin in the order of their offsets, so it
+   waits while an earlier one, at LIMIT, has not begun.  The first set gives
+   nothing up, since there was no lease before it.  */
 static void
-follow_sets (struct lease *lease, const struct view_node *node)
+follow_sets (struct lease *lease, const struct view_node *node, guint64 limit)
 {
   struct lease_witness peers[2 * WITNESS_MAX];
   guint32 count = 0;
 
-  if (lease->epoch == node->witness_epoch)
+  if (lease->epoch == node->witness_epoch || lease->joint)
+    return;
+  if (lease->set_count > 0 && node->witness_epoch > limit)
     return;
   count = collect_peers (lease, peers, count, node->witnesses,
                          node->witness_count);
-  count
-      = collect_peers (lease, peers, count, node->before, node->before_count);
+  count = collect_peers (lease, peers, count, lease->set, lease->set_count);
   memcpy (lease->peers, peers, sizeof peers);
   lease->count = count;
+  memcpy (lease->before, lease->set, sizeof lease->before);
+  lease->before_count = lease->set_count;
+  memcpy (lease->set, node->witnesses, sizeof lease->set);
+  lease->set_count = node->witness_count;
   lease->epoch = node->witness_epoch;
-  lease->joint = node->before_count > 0;
-  lease->floor = MAX (lease->floor, node->witness_epoch);
+  lease->joint = lease->before_count > 0;
+  if (lease->joint)
+    lease->floor = MAX (lease->floor, lease->epoch);
   lease->next_send = 0;
 }
 
 /* Stop counting the set before once its majority has acked the change.  */
 static void
-end_joint (struct lease *lease, const struct view_node *node)
+end_joint (struct lease *lease)
 {
   if (lease->joint
-      && majority_floor (lease, node->before, node->before_count,
+      && majority_floor (lease, lease->before, lease->before_count,
                          lease->epoch))
     lease->joint = FALSE;
 }
 
+/* Raise the floor: a giving-up at FLOOR has begun.  */
+void
+lease_raise_floor (struct lease *lease, guint64 floor)
+{
+  if (floor <= lease->floor)
+    return;
+  lease->floor = floor;
+  lease->next_send = 0;
+}
+
 /* Renewals */
 
 /* Set up a lease that is not held.  */
@@ -206,16 +250,17 @@
       = held ? NOTE_LEASE_HELD : NOTE_LEASE_LAPSED;
 }
 
-/* Renew when it is time.  SERIAL numbers the calls.  */
+/* Renew when it is time.  No giving-up past LIMIT may begin yet.  SERIAL
+   numbers the calls.  */
 void
 lease_step (struct lease *lease, const struct view *view, struct handle self,
-            gint64 now, guint64 *serial, struct actions *out)
+            guint64 limit, gint64 now, guint64 *serial, struct actions *out)
 {
   const struct view_node *node = view_node_at (view, self);
 
   if (node != NULL)
     {
-      follow_sets (lease, node);
+      follow_sets (lease, node, limit);
       if (lease->count > 0 && now >= lease->next_send)
         send_renewals (lease, view, node->join.incarnation, now, serial, out);
     }
@@ -224,23 +269,22 @@
 
 /* Take in the answer of the witness PEER to a renewal.  */
 void
-lease_on_reply (struct lease *lease, const struct view *view,
-                struct handle self, guint64 peer,
+lease_on_reply (struct lease *lease, guint64 peer,
                 const struct peer_renew_reply *reply)
 {
-  const struct view_node *node = view_node_at (view, self);
   const struct lease_round *round
       = &lease->rounds[reply->round % LEASE_ROUNDS];
   struct lease_witness *witness = find_peer (lease, peer);
 
-  if (node == NULL || witness == NULL || !reply->granted
-      || round->round != reply->round)
+  if (witness == NULL)
+    return;
+  witness->refused = !reply->granted;
+  if (!reply->granted || round->round != reply->round)
     return;
   witness->acked = MAX (witness->acked, round->sent);
   witness->floor = MAX (witness->floor, round->floor);
-  witness->folded = MAX (witness->folded, reply->folded);
-  end_joint (lease, node);
-  update_until (lease, node);
+  end_joint (lease);
+  update_until (lease);
 }
 
 /* Tell whether the lease is held at NOW.  */
--- a/src/decide/lease.h
+++ b/src/decide/lease.h
@@ -16,7 +16,7 @@
   guint64 incarnation; /* the witness */
   gint64 acked;        /* when the newest renewal it acked was sent */
   guint64 floor;       /* highest floor it acked */
-  guint64 folded;      /* how far it says it has folded */
+  gboolean refused;    /* its last answer was no */
 };
 
 /* A renewal that was sent.  */
@@ -27,14 +27,20 @@
   guint64 floor; /* floor that it carried */
 };
 
+/* The witness sets in force are copies: a set that stands on the log is taken
+   over only when its giving-up may begin.  */
 struct lease
 {
+  guint64 set[WITNESS_MAX];                /* witnesses in force */
+  guint32 set_count;                       /* how many */
+  guint64 before[WITNESS_MAX];             /* witnesses of the set before */
+  guint32 before_count;                    /* how many */
   guint64 round;                           /* number of the last renewal */
   gint64 next_send;                        /* when the next renewal is due */
   struct lease_round rounds[LEASE_ROUNDS]; /* by round modulo */
   struct lease_witness peers[2 * WITNESS_MAX]; /* witnesses of both sets */
   guint32 count;                               /* peers in use */
-  guint64 epoch;  /* witness set that peers were taken from */
+  guint64 epoch;                               /* offset of the set in force */
   gboolean joint; /* the set before still counts */
   guint64 floor;  /* floor of the next renewal */
   gint64 until;   /* the lease ends then */
@@ -43,13 +49,13 @@
 
 void lease_init (struct lease *lease);
 void lease_step (struct lease *lease, const struct view *view,
-                 struct handle self, gint64 now, guint64 *serial,
-                 struct actions *out);
-void lease_on_reply (struct lease *lease, const struct view *view,
-                     struct handle self, guint64 peer,
+                 struct handle self, guint64 limit, gint64 now,
+                 guint64 *serial, struct actions *out);
+void lease_on_reply (struct lease *lease, guint64 peer,
                      const struct peer_renew_reply *reply);
+void lease_raise_floor (struct lease *lease, guint64 floor);
+gboolean lease_can_renew (const struct lease *lease, const struct view *view);
 gboolean lease_is_held (const struct lease *lease, gint64 now);
-gboolean lease_floor_acked (const struct lease *lease, const struct view *view,
-                            struct handle self, guint64 floor);
+gboolean lease_floor_acked (const struct lease *lease, guint64 floor);
 
 #endif
--- /dev/null
+++ b/src/decide/move.c
@@ -0,0 +1,320 @@
+#include "decide/move.h"
+
+#include "decide/core.h"
+#include "decide/flight.h"
+#include "decide/fold_owner.h"
+#include "decide/move_take.h"
+#include "decide/peers.h"
+#include "decide/slice.h"
+
+#include <string.h>
+
+#define RELEASE_AGAIN_USEC ((gint64)300000) /* between calls to a receiver */
+
+/* Life */
+
+/* Set up without moves.  */
+void
+moves_init (struct moves *moves)
+{
+  moves->seen = 0;
+  moves->pending = g_array_new (FALSE, TRUE, sizeof (guint32));
+  moves->gives = g_array_new (FALSE, TRUE, sizeof (struct move_give));
+  moves->released = g_array_new (FALSE, TRUE, sizeof (struct move_release));
+  moves->tells = g_array_new (FALSE, TRUE, sizeof (struct move_tell));
+}
+
+/* Release what MOVES holds.  */
+void
+moves_clear (struct moves *moves)
+{
+  g_array_free (moves->pending, TRUE);
+  g_array_free (moves->gives, TRUE);
+  g_array_free (moves->released, TRUE);
+  g_array_free (moves->tells, TRUE);
+}
+
+/* The service of this node, or NULL.  */
+static struct view_service *
+own_service (const struct core *core)
+{
+  return view_find_service (&core->view, core->settings.service);
+}
+
+/* The pending slice at place I, with its number in NUMBER if not NULL.  */
+static const struct view_slice *
+pending_at (const struct core *core, guint i, guint32 *number)
+{
+  guint32 slice = g_array_index (core->moves.pending, guint32, i);
+
+  if (number != NULL)
+    *number = slice;
+  return view_slice_at (own_service (core), slice);
+}
+
+/* Tell whether a pending move of SLICE concerns this node.  */
+static gboolean
+concerns_self (const struct core *core, const struct view_slice *slice)
+{
+  guint i;
+
+  if (slice->move == 0)
+    return FALSE;
+  for (i = 0; i < SUCCESSOR_MAX; i++)
+    if (handle_equal (slice->successor[i], core->self))
+      return TRUE;
+  return handle_equal (slice->owner, core->self)
+         || handle_equal (slice->to, core->self);
+}
+
+/* Tell whether a slice that this node owns is pending GIVE.  */
+static gboolean
+give_is_pending (const struct core *core, const struct move_give *give)
+{
+  guint i;
+
+  for (i = 0; i < core->moves.pending->len; i++)
+    {
+      const struct view_slice *slice = pending_at (core, i, NULL);
+      if (handle_equal (slice->owner, core->self) && slice->move == give->move
+          && handle_equal (slice->to, give->to))
+        return TRUE;
+    }
+  return FALSE;
+}
+
+/* Take the moves that concern this node from the view, if it has changed.  */
+static void
+follow_view (struct core *core)
+{
+  const struct view_service *service = own_service (core);
+  guint32 i;
+
+  if (core->moves.seen == core->view.next)
+    return;
+  core->moves.seen = core->view.next;
+  g_array_set_size (core->moves.pending, 0);
+  for (i = 0; i < service->slices->len; i++)
+    if (concerns_self (core, view_slice_at (service, i)))
+      g_array_append_val (core->moves.pending, i);
+  for (i = core->moves.gives->len; i > 0; i--)
+    if (!give_is_pending (
+            core, &g_array_index (core->moves.gives, struct move_give, i - 1)))
+      g_array_remove_index_fast (core->moves.gives, i - 1);
+  move_take_follow (core, service);
+}
+
+/* Beginning to give up */
+
+/* The offset of the first move of this node's slices that has not begun;
+   G_MAXUINT64 if there is none.  No giving-up past it may begin: the floor
+   then tells for certain which moves have begun.  */
+guint64
+moves_limit (const struct core *core)
+{
+  guint64 limit = G_MAXUINT64;
+  guint i;
+
+  for (i = 0; i < core->moves.pending->len; i++)
+    {
+      const struct view_slice *slice = pending_at (core, i, NULL);
+      if (handle_equal (slice->owner, core->self)
+          && slice->move > core->lease.floor)
+        limit = MIN (limit, slice->move);
+    }
+  return limit;
+}
+
+/* Tell whether each successor of SLICE that is alive has folded its move.  */
+static gboolean
+successors_folded (const struct core *core, const struct view_slice *slice)
+{
+  guint i;
+
+  for (i = 0; i < SUCCESSOR_MAX; i++)
+    {
+      struct handle h = slice->successor[i];
+      if (fold_is_alive (&core->view, h) && !handle_equal (h, core->self)
+          && !peers_has_folded (
+              &core->peers, view_incarnation (&core->view, h), slice->move))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* Tell whether the move at OFFSET may begin: the successors of all its slices
+   have folded it, and no witness set before it waits to be taken over.  */
+static gboolean
+may_begin (const struct core *core, guint64 offset)
+{
+  const struct view_node *self = view_node_at (&core->view, core->self);
+  guint i;
+
+  if (self->witness_epoch < offset && self->witness_epoch != core->lease.epoch)
+    return FALSE;
+  for (i = 0; i < core->moves.pending->len; i++)
+    {
+      const struct view_slice *slice = pending_at (core, i, NULL);
+      if (handle_equal (slice->owner, core->self) && slice->move == offset
+          && !successors_folded (core, slice))
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* Begin the move at OFFSET: admit no more for its slices and raise the floor.
+   Where only the successors change, this node goes on serving.  */
+static void
+begin (struct core *core, guint64 offset, struct actions *out)
+{
+  guint i;
+
+  for (i = 0; i < core->moves.pending->len; i++)
+    {
+      guint32 number;
+      const struct view_slice *slice = pending_at (core, i, &number);
+      struct move_give give = { .move = slice->move, .to = slice->to };
+      struct note *note;
+      guint k;
+      if (!handle_equal (slice->owner, core->self) || slice->move != offset)
+        continue;
+      if (!handle_equal (slice->to, core->self))
+        hold_give_up (&core->hold, number, slice->epoch);
+      for (k = 0; k < core->moves.gives->len; k++)
+        {
+          const struct move_give *known
+              = &g_array_index (core->moves.gives, struct move_give, k);
+          if (known->move == give.move && handle_equal (known->to, give.to))
+            break;
+        }
+      if (k == core->moves.gives->len)
+        g_array_append_val (core->moves.gives, give);
+      note = &actions_add (out, ACTION_NOTE)->u.note;
+      note->id = NOTE_PLACE_RELEASED;
+      note->offset = offset;
+      note->slice = number;
+      note->has_slice = TRUE;
+      note->node = view_incarnation (&core->view, slice->to);
+    }
+  lease_raise_floor (&core->lease, offset);
+}
+
+/* Ending the giving-up */
+
+/* Count the requests of SLICE that the server beside this node runs or is to
+   run.  A key may have become hot since its request came.  */
+guint
+moves_in_flight (const struct core *core, const struct view_service *service,
+                 guint32 slice)
+{
+  struct handle h = table_next (&core->flights, HANDLE_NONE);
+  guint count = 0;
+
+  for (; handle_is_set (h); h = table_next (&core->flights, h))
+    {
+      const struct flight *flight = table_get (&core->flights, h);
+      if ((flight->phase == FLIGHT_RUNNING || flight->phase == FLIGHT_QUEUED)
+          && strcmp (flight->request.service, service->config.name) == 0
+          && slice_of_key (service, flight->request.key) == slice)
+        count++;
+    }
+  return count;
+}
+
+/* Tell whether no work is in flight for the slices of GIVE.  */
+static gboolean
+is_drained (const struct core *core, const struct move_give *give)
+{
+  const struct view_service *service = own_service (core);
+  guint i;
+
+  for (i = 0; i < core->moves.pending->len; i++)
+    {
+      guint32 number;
+      const struct view_slice *slice = pending_at (core, i, &number);
+      if (handle_equal (slice->owner, core->self) && slice->move == give->move
+          && handle_equal (slice->to, give->to)
+          && moves_in_flight (core, service, number) > 0)
+        return FALSE;
+    }
+  return TRUE;
+}
+
+/* Tell the receiver of GIVE that its slices are free.  */
+static void
+send_released (struct core *core, struct move_give *give, gint64 now,
+               struct actions *out)
+{
+  const struct view_node *to = view_node_at (&core->view, give->to);
+  struct action_call *call;
+
+  if (to == NULL || now < give->next_send)
+    return;
+  call = peers_call (core, to, PEER_RELEASED, now, out);
+  call->body.u.released.incarnation = core->settings.incarnation;
+  call->body.u.released.offset = give->move;
+  give->serial = call->serial;
+  give->next_send = now + RELEASE_AGAIN_USEC;
+}
+
+/* End GIVE, if a majority has acked the floor and no work is in flight.  */
+static void
+finish (struct core *core, struct move_give *give, gint64 now,
+        struct actions *out)
+{
+  if (!lease_floor_acked (&core->lease, give->move))
+    return;
+  if (!handle_equal (give->to, core->self))
+    {
+      if (is_drained (core, give))
+        send_released (core, give, now, out);
+      return;
+    }
+  if (!give->proposed)
+    move_take_propose (core, core->settings.incarnation, give->move);
+  give->proposed = TRUE;
+}
+
+/* Do what moves need now.  */
+void
+moves_step (struct core *core, gint64 now, struct actions *out)
+{
+  guint64 next;
+  guint i;
+
+  if (!fold_is_alive (&core->view, core->self) || own_service (core) == NULL)
+    return;
+  follow_view (core);
+  next = moves_limit (core);
+  while (next != G_MAXUINT64 && may_begin (core, next))
+    {
+      begin (core, next, out);
+      next = moves_limit (core);
+    }
+  for (i = 0; i < core->moves.gives->len; i++)
+    finish (core, &g_array_index (core->moves.gives, struct move_give, i), now,
+            out);
+  move_take_step (core, now, out);
+}
+
+/* A node answered a call about moves.  */
+void
+moves_on_reply (struct core *core, const struct event_peer_reply *reply)
+{
+  guint i;
+
+  for (i = 0; i < core->moves.gives->len; i++)
+    {
+      struct move_give *give
+          = &g_array_index (core->moves.gives, struct move_give, i);
+      if (give->serial == reply->serial)
+        give->next_send = G_MAXINT64;
+    }
+  for (i = 0; i < core->moves.tells->len; i++)
+    {
+      struct move_tell *tell
+          = &g_array_index (core->moves.tells, struct move_tell, i);
+      if (tell->serial == reply->serial)
+        tell->acked = MAX (tell->acked, tell->told);
+    }
+}
--- a/src/decide/own.c
+++ b/src/decide/own.c
@@ -1,6 +1,47 @@
 #include "decide/own.h"
 
 #include "decide/core.h"
+#include "decide/fold_owner.h"
+#include "decide/move.h"
+#include "decide/takeover.h"
+
+/* Tell whether this node, the owner of SLICE on the log, may serve it, lease
+   apart, and under which fence.  */
+static gboolean
+owner_serves (const struct core *core, const struct view_slice *entry,
+              guint32 slice, gint64 now, struct own_right *right)
+{
+  gboolean given = hold_gave_up (&core->hold, slice, entry->epoch);
+
+  right->fence.offset = entry->epoch;
+  if (hold_waits (&core->hold, entry->epoch, now))
+    {
+      right->reason = REASON_LEASE;
+      return FALSE;
+    }
+  if (entry->move == 0 || !given)
+    return TRUE;
+  /* A slice that was given up comes back when its receivers have gone.  */
+  right->fence.offset = entry->move;
+  return handle_equal (entry->to, core->self)
+         && core->lease.floor >= entry->move;
+}
+
+/* Tell whether this node may serve SLICE by certificate, lease apart, and
+   under which fence.  */
+static gboolean
+successor_serves (const struct core *core, const struct view_slice *entry,
+                  gint64 now, struct own_right *right)
+{
+  struct takeover takeover = takeover_check (core, entry, core->self);
+
+  if (!takeover.due)
+    return FALSE;
+  right->fence.offset = entry->epoch;
+  right->fence.takeover = takeover.count;
+  right->reason = REASON_LEASE;
+  return now >= takeover.serve_at;
+}
 
 /* Tell whether this node may serve SLICE of SERVICE at NOW.  */
 struct own_right
@@ -10,10 +51,20 @@
   struct own_right right = { FALSE, REASON_NOT_OWNER, { 0, 0 } };
   const struct view_slice *entry = view_slice_at (service, slice);
 
-  if (entry == NULL || !handle_is_set (core->self)
-      || !handle_equal (entry->owner, core->self))
+  if (entry == NULL || core->is_leaving_fleet
+      || !fold_is_alive (&core->view, core->self))
+    return right;
+  if (handle_equal (entry->owner, core->self))
+    right.serves = owner_serves (core, entry, slice, now, &right);
+  else if (entry->move != 0 && handle_equal (entry->to, core->self))
+    {
+      right.fence.offset = entry->move;
+      right.serves = moves_was_released (core, entry);
+    }
+  else
+    right.serves = successor_serves (core, entry, now, &right);
+  if (!right.serves)
     return right;
-  right.fence.offset = entry->epoch;
   right.serves = lease_is_held (&core->lease, now);
   right.reason = right.serves ? REASON_NONE : REASON_LEASE;
   return right;
--- /dev/null
+++ b/src/decide/peers.c
@@ -0,0 +1,59 @@
+#include "decide/peers.h"
+
+#include "decide/core.h"
+#include "decide/timing.h"
+
+/* Set up without knowledge of any node.  */
+void
+peers_init (struct peers *peers)
+{
+  peers->folded
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+}
+
+/* Release what PEERS holds.  */
+void
+peers_clear (struct peers *peers)
+{
+  g_hash_table_destroy (peers->folded);
+  peers->folded = NULL;
+}
+
+/* A node said that it has folded all records below OFFSET.  */
+void
+peers_note_folded (struct peers *peers, guint64 incarnation, guint64 offset)
+{
+  const guint64 *known = g_hash_table_lookup (peers->folded, &incarnation);
+
+  if (known != NULL && *known >= offset)
+    return;
+  g_hash_table_replace (peers->folded,
+                        g_memdup2 (&incarnation, sizeof incarnation),
+                        g_memdup2 (&offset, sizeof offset));
+}
+
+/* Tell whether a node said that it has folded the record at OFFSET.  */
+gboolean
+peers_has_folded (const struct peers *peers, guint64 incarnation,
+                  guint64 offset)
+{
+  const guint64 *known = g_hash_table_lookup (peers->folded, &incarnation);
+
+  return known != NULL && *known > offset;
+}
+
+/* Call NODE; the body is to be filled in before the next action is added.  */
+struct action_call *
+peers_call (struct core *core, const struct view_node *node,
+            enum peer_kind kind, gint64 now, struct actions *out)
+{
+  struct action_call *call = &actions_add (out, ACTION_CALL)->u.call;
+
+  call->serial = ++core->call_serial;
+  call->peer = node->join.incarnation;
+  call->to = node->join.peer;
+  call->deadline = now + CALL_TIMEOUT_USEC;
+  call->body.kind = kind;
+  call->body.to = call->peer;
+  return call;
+}
--- /dev/null
+++ b/src/decide/takeover.c
@@ -0,0 +1,71 @@
+#include "decide/takeover.h"
+
+#include "decide/certificate.h"
+#include "decide/core.h"
+#include "decide/fold_owner.h"
+
+/* Tell whether the node under H is proved to own nothing: it is out or
+   retired, or there is a certificate and this node has folded up to its
+   floor.  Put into SERVE_AT when its requests have ended.  */
+static gboolean
+is_gone (const struct core *core, struct handle h, gint64 *serve_at)
+{
+  const struct view_node *node = view_node_at (&core->view, h);
+  const struct certificate *certificate;
+
+  if (!fold_is_alive (&core->view, h))
+    return TRUE;
+  certificate = certificate_find (core, node->join.incarnation);
+  if (certificate == NULL || core->view.next <= certificate->floor)
+    return FALSE;
+  *serve_at = MAX (*serve_at,
+                   certificate->valid_at + hold_timeout (&core->view, node));
+  return TRUE;
+}
+
+/* Tell whether it is the turn of SUCCESSOR to serve SLICE: the owner and each
+   successor before it are gone.  A slice whose move has been folded is left
+   to the log, because its receiver may have been told `released'.  */
+struct takeover
+takeover_check (const struct core *core, const struct view_slice *slice,
+                struct handle successor)
+{
+  struct takeover takeover = { FALSE, 0, 0 };
+  guint i;
+
+  if (slice->move != 0 || view_node_at (&core->view, slice->owner) == NULL
+      || !is_gone (core, slice->owner, &takeover.serve_at))
+    return takeover;
+  for (i = 0; i < SUCCESSOR_MAX; i++)
+    {
+      if (handle_equal (slice->successor[i], successor))
+        {
+          takeover.due = TRUE;
+          takeover.count = i + 1;
+          takeover.serve_at
+              = MAX (takeover.serve_at, hold_latest (&core->hold));
+          return takeover;
+        }
+      if (!is_gone (core, slice->successor[i], &takeover.serve_at))
+        return takeover;
+    }
+  return takeover;
+}
+
+/* The node that most likely serves SLICE: the successor whose turn it is by
+   certificate, or else the owner on the log.  */
+struct handle
+own_probable_owner (const struct core *core,
+                    const struct view_service *service, guint32 slice)
+{
+  const struct view_slice *entry = view_slice_at (service, slice);
+  guint i;
+
+  if (entry == NULL)
+    return HANDLE_NONE;
+  for (i = 0; i < SUCCESSOR_MAX; i++)
+    if (fold_is_alive (&core->view, entry->successor[i])
+        && takeover_check (core, entry, entry->successor[i]).due)
+      return entry->successor[i];
+  return entry->owner;
+}
--- /dev/null
+++ b/src/decide/takeover.h
@@ -0,0 +1,25 @@
+#ifndef BAMBOOTALLY_TAKEOVER_H
+#define BAMBOOTALLY_TAKEOVER_H
+
+#include "types/view.h"
+
+struct core;
+
+/* Taking slices over by certificate, before the log tells of it.  */
+
+/* What is known of a successor's turn.  */
+struct takeover
+{
+  gboolean due;    /* its turn has come */
+  guint32 count;   /* takeovers since the record that named the owner */
+  gint64 serve_at; /* when it may serve, monotonic usec */
+};
+
+struct takeover takeover_check (const struct core *core,
+                                const struct view_slice *slice,
+                                struct handle successor);
+struct handle own_probable_owner (const struct core *core,
+                                  const struct view_service *service,
+                                  guint32 slice);
+
+#endif
--- a/src/decide/timing.h
+++ b/src/decide/timing.h
@@ -13,6 +13,7 @@
 #define CALL_TIMEOUT_USEC ((gint64)600000)    /* a call between nodes */
 #define SETTLE_USEC ((gint64)500000)          /* joins are let come in */
 #define RETRY_AFTER_USEC ((gint64)50000)      /* wait before routing again */
+#define PAUSE_USEC ((gint64)500000)           /* the process was stopped */
 #define TICK_USEC ((gint64)50000)             /* the core is woken so often */
 
 #endif
--- a/src/decide/witness.c
+++ b/src/decide/witness.c
@@ -6,6 +6,7 @@
 void
 witness_init (struct witness *witness)
 {
+  witness->awake_since = 0;
   witness->acks
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
 }
@@ -39,22 +40,49 @@
   return ack;
 }
 
-/* Ack a renewal unless the holder's removal has been promised.  FOLDED tells
-   the holder how far this node has folded.  */
+/* Expect renewals of HOLDER from NOW on.  */
+void
+witness_watch (struct witness *witness, guint64 holder, gint64 now)
+{
+  struct witness_ack *ack = find_or_add (witness, holder);
+
+  if (ack->last == 0)
+    ack->last = now;
+}
+
+/* Tell whether a holder has been silent for too long.  After a pause of this
+   process its renewals get the time to come in again.  */
+gboolean
+witness_is_silent (const struct witness *witness,
+                   const struct witness_ack *ack, gint64 now)
+{
+  gint64 since = MAX (ack->last, witness->awake_since);
+
+  return now - since >= SILENT_AFTER_USEC;
+}
+
+/* Ack a renewal unless the holder's removal has been promised, or the holder
+   is not KNOWN as a node that is neither out nor retired: a promise may be
+   forgotten once the log shows its holder out.  FOLDED tells the holder how
+   far this node has folded.  */
 void
 witness_on_renew (struct witness *witness, const struct peer_renew *call,
-                  guint64 folded, gint64 now, struct peer_renew_reply *reply)
+                  gboolean known, guint64 folded, gint64 now,
+                  struct peer_renew_reply *reply)
 {
-  struct witness_ack *ack = find_or_add (witness, call->incarnation);
+  struct witness_ack *ack;
 
   reply->round = call->round;
   reply->folded = folded;
+  reply->granted = FALSE;
+  if (!known)
+    return;
+  ack = find_or_add (witness, call->incarnation);
   reply->granted = !ack->promised;
   if (ack->promised)
     return;
   ack->last = now;
   ack->floor = MAX (ack->floor, call->floor);
-  ack->folded = MAX (ack->folded, call->folded);
 }
 
 /* Promise never to ack the target again, if it has been silent here too.  A
@@ -68,7 +96,8 @@
 
   if (ack->last == 0)
     ack->last = now;
-  reply->promised = ack->promised || now - ack->last >= SILENT_AFTER_USEC;
+  reply->target = call->target;
+  reply->promised = ack->promised || witness_is_silent (witness, ack, now);
   if (!reply->promised)
     return;
   ack->promised = TRUE;
--- a/src/decide/witness.h
+++ b/src/decide/witness.h
@@ -13,13 +13,13 @@
   guint64 holder;    /* whose renewals */
   gint64 last;       /* when the last one was acked, monotonic usec */
   guint64 floor;     /* highest floor acked */
-  guint64 folded;    /* how far the holder has folded */
   gboolean promised; /* never to be acked again */
 };
 
 struct witness
 {
-  GHashTable *acks; /* incarnation to struct witness_ack */
+  GHashTable *acks;   /* incarnation to struct witness_ack */
+  gint64 awake_since; /* this process has run without a pause since then */
 };
 
 void witness_init (struct witness *witness);
@@ -27,11 +27,14 @@
 struct witness_ack *witness_find (const struct witness *witness,
                                   guint64 holder);
 void witness_on_renew (struct witness *witness, const struct peer_renew *call,
-                       guint64 folded, gint64 now,
+                       gboolean known, guint64 folded, gint64 now,
                        struct peer_renew_reply *reply);
 void witness_on_promise (struct witness *witness,
                          const struct peer_promise *call, gint64 now,
                          struct peer_promise_reply *reply);
+void witness_watch (struct witness *witness, guint64 holder, gint64 now);
+gboolean witness_is_silent (const struct witness *witness,
+                            const struct witness_ack *ack, gint64 now);
 void witness_forget (struct witness *witness, guint64 holder);
 
 #endif
--- a/src/edge/node.h
+++ b/src/edge/node.h
@@ -27,6 +27,7 @@
   GQueue *later;            /* events that came during another */
   gboolean feeding;         /* an event is being taken in */
   guint tick;               /* the timer */
+  gboolean again;           /* it is to start as a new incarnation */
 };
 
 /* An incoming stream: names are unique on one connection.  */
--- a/src/edge/node_do.c
+++ b/src/edge/node_do.c
@@ -61,6 +61,7 @@
     case ACTION_GRANT:
       break;
     case ACTION_EXIT:
+      node->again = action->u.exit.again;
       g_main_loop_quit (node->loop);
       break;
     }
--- a/src/types/action.h
+++ b/src/types/action.h
@@ -110,6 +110,12 @@
   guint64 peer; /* incarnation, 0 for the backend server */
 };
 
+/* The node has left.  */
+struct action_exit
+{
+  gboolean again; /* it is to start again as a new incarnation */
+};
+
 /* An action.  */
 struct action
 {
@@ -126,6 +132,7 @@
     struct action_grant grant;
     struct action_fetch fetch;
     struct action_suspect_connection suspect;
+    struct action_exit exit;
     struct note note;
   } u;
 };
--- a/src/types/peer_msg.h
+++ b/src/types/peer_msg.h
@@ -90,6 +90,7 @@
 /* Answer to a request for a promise.  */
 struct peer_promise_reply
 {
+  guint64 target;    /* the incarnation it is about */
   gboolean promised; /* whether the witness promises */
   gint64 remaining;  /* microseconds until its last ack has lapsed */
   guint64 floor;     /* highest floor that it acked */
--- a/src/wire/wire_peer.c
+++ b/src/wire/wire_peer.c
@@ -56,7 +56,8 @@
              && wire_u64 (xdr, &reply->u.renew.round)
              && wire_u64 (xdr, &reply->u.renew.folded);
     case PEER_PROMISE:
-      return wire_flag (xdr, &reply->u.promise.promised)
+      return wire_u64 (xdr, &reply->u.promise.target)
+             && wire_flag (xdr, &reply->u.promise.promised)
              && wire_i64 (xdr, &reply->u.promise.remaining)
              && wire_u64 (xdr, &reply->u.promise.floor);
     case PEER_FETCH:
