Tests of lease, witness, removal and moves over a few cores

A fake log and calls that arrive a step later join up to nine cores; after each step no slice may be served by two. Case and cause are named in each test.

--- a/src/decide/removal.h
+++ b/src/decide/removal.h
@@ -10,8 +10,9 @@
 /* Collecting promises from the witnesses of a node that has fallen silent,
    until they are a certificate.  */
 
-#define REMOVAL_PROMISES (4u * WITNESS_MAX) /* promises kept for one target   \
-                                             */
+#define REMOVAL_PROMISES                                                      \
+  (4u * WITNESS_MAX) /* promises kept for one target                          \
+                      */
 
 /* A promise that was given.  It holds for good.  */
 struct removal_promise
--- /dev/null
+++ b/tests/test_lease.c
@@ -0,0 +1,216 @@
+#include "tests/fleet.h"
+#include "tests/suite.h"
+
+#include "decide/certificate.h"
+#include "decide/timing.h"
+
+static struct fleet fleet; /* the nodes under test */
+
+/* Append a witness set of COUNT nodes from FIRST on for node 1, which is kept
+   from proposing sets itself.  */
+static guint64
+set_witnesses (guint64 first, guint32 count)
+{
+  const struct view_node *node
+      = view_node_at (&fleet.cores[0].view, fleet.cores[0].self);
+
+  fleet.skip = RECORD_WITNESS;
+  return fleet_append (&fleet,
+                       make_witness (1, node->witness_epoch, first, count));
+}
+
+/* Cut node I off from node 1, or let it speak again.  */
+static void
+cut_from_first (int i, gboolean cut)
+{
+  fleet.cut[i][0] = fleet.cut[0][i] = cut;
+}
+
+/* The lease ends LEASE_USEC after the last acked renewal was sent.  */
+static void
+test_lapse (void)
+{
+  gint64 until;
+
+  fleet_init (&fleet, 6, TRUE);
+  fleet_run (&fleet, 1000000);
+  until = fleet.cores[0].lease.until;
+  CU_ASSERT_TRUE (until <= fleet.now + LEASE_USEC);
+  CU_ASSERT_TRUE (until > fleet.now + LEASE_USEC - 2 * RENEW_EVERY_USEC);
+  fleet_isolate (&fleet, 0, TRUE);
+  fleet_run (&fleet, until - fleet.now - FLEET_STEP_USEC);
+  CU_ASSERT_EQUAL (fleet_server (&fleet, 0), 0);
+  fleet_run (&fleet, 2 * FLEET_STEP_USEC);
+  CU_ASSERT_FALSE (fleet_right (&fleet, 0, 0).serves);
+  CU_ASSERT_EQUAL (fleet_right (&fleet, 0, 0).reason, REASON_LEASE);
+  CU_ASSERT_EQUAL (fleet.two_owners, 0);
+  fleet_clear (&fleet);
+}
+
+/* While a new set takes over, the lease needs a majority of both; once the
+   majority of the old one has acked the change, only of the new one.  */
+static void
+test_change (void)
+{
+  guint64 epoch;
+
+  fleet_init (&fleet, 9, TRUE);
+  set_witnesses (2, 3);
+  fleet_run (&fleet, 500000);
+  CU_ASSERT_FALSE (fleet.cores[0].lease.joint);
+  cut_from_first (1, TRUE);
+  cut_from_first (2, TRUE);
+  cut_from_first (3, TRUE);
+  epoch = set_witnesses (5, 3);
+  fleet_run (&fleet, 600000);
+  CU_ASSERT_TRUE (fleet.cores[0].lease.joint);
+  CU_ASSERT_EQUAL (fleet.cores[0].lease.floor, epoch);
+  CU_ASSERT_FALSE (lease_floor_acked (&fleet.cores[0].lease, epoch));
+  fleet_run (&fleet, 1000000);
+  CU_ASSERT_FALSE (lease_is_held (&fleet.cores[0].lease, fleet.now));
+  CU_ASSERT_EQUAL (fleet.two_owners, 0);
+  fleet_clear (&fleet);
+  fleet_init (&fleet, 9, TRUE);
+  set_witnesses (2, 3);
+  fleet_run (&fleet, 500000);
+  set_witnesses (5, 3);
+  fleet_run (&fleet, 500000);
+  CU_ASSERT_FALSE (fleet.cores[0].lease.joint);
+  cut_from_first (1, TRUE);
+  cut_from_first (2, TRUE);
+  cut_from_first (3, TRUE);
+  fleet_run (&fleet, 3000000);
+  CU_ASSERT_TRUE (lease_is_held (&fleet.cores[0].lease, fleet.now));
+  CU_ASSERT_EQUAL (fleet_server (&fleet, 0), 0);
+  CU_ASSERT_EQUAL (fleet.two_owners, 0);
+  fleet_clear (&fleet);
+}
+
+/* A set that the node has not begun to give up: the set before counts alone.
+   Node 1 does not read the change, and the new witnesses hear nothing.  */
+static void
+test_removed_before_change (void)
+{
+  fleet_init (&fleet, 9, TRUE);
+  set_witnesses (2, 3);
+  fleet_run (&fleet, 500000);
+  fleet.lags[0] = TRUE;
+  set_witnesses (5, 3);
+  fleet_run (&fleet, 3000000);
+  CU_ASSERT_EQUAL (fleet_server (&fleet, 0), 0);
+  CU_ASSERT_FALSE (fleet.exited[0]);
+  fleet.up[0] = FALSE;
+  CU_ASSERT_EQUAL (fleet_wait (&fleet, 0, 4000000), 1);
+  CU_ASSERT_EQUAL (fleet.two_owners, 0);
+  fleet_clear (&fleet);
+}
+
+/* Once the change is complete the old set is no certificate, and the new one
+   is enough though the old witnesses are gone.  */
+static void
+test_removed_after_change (void)
+{
+  fleet_init (&fleet, 9, TRUE);
+  set_witnesses (2, 3);
+  fleet_run (&fleet, 500000);
+  set_witnesses (5, 3);
+  fleet_run (&fleet, 1000000);
+  cut_from_first (1, TRUE);
+  cut_from_first (2, TRUE);
+  cut_from_first (3, TRUE);
+  fleet_run (&fleet, 4000000);
+  CU_ASSERT_PTR_NULL (certificate_find (&fleet.cores[1], 1));
+  CU_ASSERT_EQUAL (fleet_server (&fleet, 0), 0);
+  fleet.up[0] = fleet.up[2] = fleet.up[3] = FALSE;
+  CU_ASSERT_EQUAL (fleet_wait (&fleet, 0, 4000000), 1);
+  CU_ASSERT_EQUAL (fleet.two_owners, 0);
+  fleet_clear (&fleet);
+}
+
+/* A collector that knows only the old set folds up to the floor before it
+   certifies, and finds the new set there.  */
+static void
+test_collector_lags (void)
+{
+  int i;
+
+  fleet_init (&fleet, 9, TRUE);
+  set_witnesses (2, 3);
+  fleet_run (&fleet, 500000);
+  for (i = 1; i <= 3; i++)
+    fleet.lags[i] = TRUE;
+  set_witnesses (5, 3);
+  fleet_run (&fleet, 1000000);
+  for (i = 1; i <= 3; i++)
+    cut_from_first (i, TRUE);
+  fleet_run (&fleet, 4000000);
+  for (i = 1; i <= 3; i++)
+    CU_ASSERT_PTR_NULL (certificate_find (&fleet.cores[i], 1));
+  CU_ASSERT_EQUAL (fleet_server (&fleet, 0), 0);
+  CU_ASSERT_EQUAL (fleet.two_owners, 0);
+  fleet_clear (&fleet);
+}
+
+/* A set that waits behind a move which has not begun is not taken over.  */
+static void
+test_change_in_order (void)
+{
+  guint64 move;
+
+  fleet_init (&fleet, 9, TRUE);
+  set_witnesses (2, 3);
+  fleet_run (&fleet, 500000);
+  fleet.lags[1] = TRUE;
+  move = fleet_append (
+      &fleet,
+      make_slice (RECORD_MOVE, 0, fleet_slice (&fleet, 0)->epoch, 5, 6, 3));
+  set_witnesses (5, 3);
+  fleet_run (&fleet, 1000000);
+  CU_ASSERT_TRUE (fleet.cores[0].lease.floor < move);
+  fleet.lags[1] = FALSE;
+  fleet_run (&fleet, 1000000);
+  CU_ASSERT_TRUE (fleet.cores[0].lease.floor > move);
+  CU_ASSERT_EQUAL (fleet_server (&fleet, 0), 4);
+  CU_ASSERT_EQUAL (fleet.two_owners, 0);
+  fleet_clear (&fleet);
+}
+
+/* A node whose witnesses are gone on the log goes out with its own floor and
+   comes back as a new incarnation.  */
+static void
+test_no_witnesses (void)
+{
+  struct record out;
+
+  fleet_init (&fleet, 9, TRUE);
+  set_witnesses (7, 3);
+  fleet_run (&fleet, 500000);
+  fleet.up[6] = fleet.up[7] = FALSE;
+  out = make_out (7, 0, OUT_DECLARED);
+  fleet_append (&fleet, out);
+  out = make_out (8, 0, OUT_DECLARED);
+  fleet_append (&fleet, out);
+  fleet_run (&fleet, LEASE_USEC + 500000);
+  CU_ASSERT_TRUE (fleet.exited[0]);
+  CU_ASSERT_FALSE (fleet_right (&fleet, 0, 0).serves);
+  CU_ASSERT_TRUE (view_was_out (&fleet.cores[1].view, 1));
+  CU_ASSERT_EQUAL (fleet_server (&fleet, 0), 1);
+  CU_ASSERT_EQUAL (fleet.two_owners, 0);
+  fleet_clear (&fleet);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[]
+      = { { "lapse", test_lapse },
+          { "change", test_change },
+          { "removed before change", test_removed_before_change },
+          { "removed after change", test_removed_after_change },
+          { "collector lags", test_collector_lags },
+          { "change in order", test_change_in_order },
+          { "no witnesses", test_no_witnesses },
+          CU_TEST_INFO_NULL };
+
+  return suite_run ("lease", tests);
+}
--- /dev/null
+++ b/tests/test_witness.c
@@ -0,0 +1,117 @@
+#include "decide/timing.h"
+#include "decide/witness.h"
+#include "tests/suite.h"
+
+#include <string.h>
+
+#define HOLDER 7u /* incarnation whose lease is witnessed */
+#define START ((gint64)10000000)
+
+/* Let WITNESS take in a renewal of HOLDER with FLOOR at NOW.  */
+static gboolean
+renew (struct witness *witness, gboolean known, guint64 floor, gint64 now)
+{
+  struct peer_renew call
+      = { .incarnation = HOLDER, .round = 3, .floor = floor };
+  struct peer_renew_reply reply = { 0 };
+
+  witness_on_renew (witness, &call, known, 5, now, &reply);
+  CU_ASSERT_EQUAL (reply.round, 3);
+  CU_ASSERT_EQUAL (reply.folded, 5);
+  return reply.granted;
+}
+
+/* Ask WITNESS for a promise about HOLDER at NOW.  */
+static struct peer_promise_reply
+promise (struct witness *witness, gint64 now)
+{
+  struct peer_promise call = { .target = HOLDER, .collector = 1 };
+  struct peer_promise_reply reply = { 0 };
+
+  witness_on_promise (witness, &call, now, &reply);
+  CU_ASSERT_EQUAL (reply.target, HOLDER);
+  return reply;
+}
+
+/* A promise is given to the silence of a holder only, and holds for good.  */
+static void
+test_promise (void)
+{
+  struct witness witness;
+  struct peer_promise_reply reply;
+  gint64 late = START + SILENT_AFTER_USEC;
+
+  witness_init (&witness);
+  CU_ASSERT_TRUE (renew (&witness, TRUE, 4, START));
+  CU_ASSERT_FALSE (promise (&witness, late - 1).promised);
+  CU_ASSERT_TRUE (renew (&witness, TRUE, 3, START + 1));
+  CU_ASSERT_FALSE (promise (&witness, late).promised);
+  reply = promise (&witness, late + 1);
+  CU_ASSERT_TRUE (reply.promised);
+  CU_ASSERT_EQUAL (reply.floor, 4);
+  CU_ASSERT_EQUAL (reply.remaining,
+                   LEASE_USEC + LEASE_DRIFT_USEC - SILENT_AFTER_USEC);
+  CU_ASSERT_FALSE (renew (&witness, TRUE, 9, late + 2));
+  reply = promise (&witness, late + LEASE_USEC);
+  CU_ASSERT_TRUE (reply.promised);
+  CU_ASSERT_EQUAL (reply.floor, 4);
+  CU_ASSERT_EQUAL (reply.remaining, 0);
+  witness_clear (&witness);
+}
+
+/* A holder that the view does not show alive is never acked, also after its
+   promise has been forgotten.  */
+static void
+test_unknown_holder (void)
+{
+  struct witness witness;
+
+  witness_init (&witness);
+  CU_ASSERT_FALSE (renew (&witness, FALSE, 0, START));
+  CU_ASSERT_TRUE (renew (&witness, TRUE, 0, START));
+  CU_ASSERT_TRUE (promise (&witness, START + SILENT_AFTER_USEC).promised);
+  witness_forget (&witness, HOLDER);
+  CU_ASSERT_FALSE (renew (&witness, FALSE, 0, START + LEASE_USEC));
+  witness_clear (&witness);
+}
+
+/* A holder that has never renewed counts as silent from when it was first
+   expected to.  */
+static void
+test_never_renewed (void)
+{
+  struct witness witness;
+
+  witness_init (&witness);
+  witness_watch (&witness, HOLDER, START);
+  CU_ASSERT_FALSE (promise (&witness, START + SILENT_AFTER_USEC - 1).promised);
+  CU_ASSERT_TRUE (promise (&witness, START + SILENT_AFTER_USEC).promised);
+  witness_clear (&witness);
+}
+
+/* After a pause of the witness the holder's silence counts from its end.  */
+static void
+test_pause (void)
+{
+  struct witness witness;
+  gint64 woke = START + 10 * LEASE_USEC;
+
+  witness_init (&witness);
+  CU_ASSERT_TRUE (renew (&witness, TRUE, 0, START));
+  witness.awake_since = woke;
+  CU_ASSERT_FALSE (promise (&witness, woke + 1).promised);
+  CU_ASSERT_TRUE (promise (&witness, woke + SILENT_AFTER_USEC).promised);
+  witness_clear (&witness);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[] = { { "promise", test_promise },
+                                 { "unknown holder", test_unknown_holder },
+                                 { "never renewed", test_never_renewed },
+                                 { "pause", test_pause },
+                                 CU_TEST_INFO_NULL };
+
+  return suite_run ("witness", tests);
+}
