A test language for scripted scenarios on a world of a few cores

Change: GScanner reads one statement a line; a world drives several cores under scripted time with a fake log, network, servers and callers, and checks after every step that no slice has two owners, no once request runs twice, no run was answered as not run, fences rise and no configuration goes back.

--- /dev/null
+++ b/scenarios/bin/scenario.c
@@ -0,0 +1,38 @@
+#include "scenarios/script.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* scenario [-v] FILE: run one scenario and print its line.  */
+int
+main (int argc, char **argv)
+{
+  gboolean verbose = argc == 3 && strcmp (argv[1], "-v") == 0;
+  struct script script;
+  char *name;
+  gboolean passed;
+
+  if (argc != 2 && !verbose)
+    {
+      fprintf (stderr, "usage: scenario [-v] FILE\n");
+      return 2;
+    }
+  if (script_run (&script, argv[argc - 1], verbose) != ERR_NONE)
+    {
+      fprintf (stderr, "scenario: cannot read %s\n", argv[argc - 1]);
+      return 2;
+    }
+  passed = script.fault[0] == '\0';
+  name = g_path_get_basename (argv[argc - 1]);
+  printf ("%-28s %-16s %-44s %s", name, script.invariant->str,
+          script.failures->str, passed ? "holds" : "FAILED: ");
+  if (!passed)
+    printf ("%s", script.fault);
+  else if (script.slowest > 0)
+    printf (", served after %.2f s at most",
+            (double)script.slowest / G_USEC_PER_SEC);
+  printf ("\n");
+  g_free (name);
+  script_clear (&script);
+  return passed ? 0 : 1;
+}
--- /dev/null
+++ b/scenarios/check.c
@@ -0,0 +1,113 @@
+#include "scenarios/check.h"
+
+#include "decide/own.h"
+
+#include <string.h>
+
+/* Count the nodes whose servers accept requests for SLICE now, and put the
+   last of them into OWNER.  A frozen node counts: its clock goes on.  */
+guint
+check_owners (const struct world *world, guint32 slice, guint *owner)
+{
+  guint owners = 0;
+  guint n;
+
+  for (n = 0; n < world->count; n++)
+    {
+      const struct sim_node *node = &world->nodes[n];
+      const struct view_service *service;
+      if (!node->alive)
+        continue;
+      service = view_find_service (&node->core.view, WORLD_SERVICE);
+      if (service == NULL
+          || !own_check (&node->core, service, slice, world->now).serves)
+        continue;
+      owners++;
+      *owner = n;
+    }
+  return owners;
+}
+
+/* Count the runs of the request ID.  */
+guint
+check_runs (const struct world *world, const char *id)
+{
+  guint count = 0;
+  guint i;
+
+  for (i = 0; i < world->runs->len; i++)
+    if (strcmp (g_array_index (world->runs, struct fake_run, i).id, id) == 0)
+      count++;
+  return count;
+}
+
+/* No slice has two owners.  */
+static void
+check_one_owner (struct world *world)
+{
+  guint32 slice;
+  guint owner = 0;
+
+  for (slice = 0; slice < world->slices; slice++)
+    if (check_owners (world, slice, &owner) > 1)
+      world_fault (world, "slice %u has two owners at %.3f s", slice,
+                   (double)world->now / G_USEC_PER_SEC);
+}
+
+/* A request that must run once has not run twice, and a slice's fences do not
+   fall from run to run.  */
+static void
+check_last_run (struct world *world)
+{
+  const struct fake_run *run;
+
+  if (world->runs->len == world->runs_checked)
+    return;
+  world->runs_checked = world->runs->len;
+  run = &g_array_index (world->runs, struct fake_run, world->runs->len - 1);
+  if (run->run_class == RUN_ONCE && check_runs (world, run->id) > 1)
+    world_fault (world, "request %s ran twice", run->id);
+  if (world->slices == 0)
+    return;
+  if (fence_compare (run->fence, world->fences[run->slice]) < 0)
+    world_fault (world, "request %s ran under an old fence", run->id);
+  world->fences[run->slice] = run->fence;
+}
+
+/* What was answered as not run has not run: check the sending numbered I.  */
+void
+check_sending (struct world *world, guint i)
+{
+  const struct sending *sending
+      = &g_array_index (world->sendings, struct sending, i);
+
+  if (sending->answered && sending->outcome == OUTCOME_NOT_RUN && sending->ran)
+    world_fault (world, "request %s ran and was answered not run",
+                 sending->id);
+}
+
+/* No node's configuration goes back.  */
+static void
+check_config (struct world *world)
+{
+  guint n;
+
+  for (n = 0; n < world->count; n++)
+    {
+      struct sim_node *node = &world->nodes[n];
+      if (!node->alive)
+        continue;
+      if (node->core.view.config_offset < node->config_seen)
+        world_fault (world, "the configuration of n%u went back", n + 1);
+      node->config_seen = node->core.view.config_offset;
+    }
+}
+
+/* Check WORLD.  */
+void
+check_world (struct world *world)
+{
+  check_one_owner (world);
+  check_last_run (world);
+  check_config (world);
+}
--- /dev/null
+++ b/scenarios/check.h
@@ -0,0 +1,13 @@
+#ifndef SCENARIO_CHECK_H
+#define SCENARIO_CHECK_H
+
+#include "scenarios/world.h"
+
+/* What must hold at every moment of a world.  */
+
+void check_world (struct world *world);
+void check_sending (struct world *world, guint i);
+guint check_owners (const struct world *world, guint32 slice, guint *owner);
+guint check_runs (const struct world *world, const char *id);
+
+#endif
--- /dev/null
+++ b/scenarios/fake_log.c
@@ -0,0 +1,74 @@
+#include "scenarios/fake_log.h"
+
+#include "decide/fold.h"
+
+/* Release one entry.  */
+static void
+entry_clear (gpointer data)
+{
+  record_clear (&((struct log_entry *)data)->record);
+}
+
+/* Set up an empty log.  */
+void
+fake_log_init (struct fake_log *log)
+{
+  log->entries = g_array_new (FALSE, TRUE, sizeof (struct log_entry));
+  g_array_set_clear_func (log->entries, entry_clear);
+  log->first = 1;
+  log->retain = 0;
+  log->down = FALSE;
+  log->delay = 0;
+  log->lose = 0;
+  view_init (&log->view);
+}
+
+/* Release the records.  */
+void
+fake_log_clear (struct fake_log *log)
+{
+  g_array_free (log->entries, TRUE);
+  view_clear (&log->view);
+}
+
+/* The offset after the last record.  */
+guint64
+fake_log_tail (const struct fake_log *log)
+{
+  return log->first + log->entries->len;
+}
+
+/* The record at OFFSET, which must be retained.  */
+const struct log_entry *
+fake_log_at (const struct fake_log *log, guint64 offset)
+{
+  return &g_array_index (log->entries, struct log_entry, offset - log->first);
+}
+
+/* Append RECORD and put its place into OFFSET.  Return what the writer is
+   told: ERR_EFFECT where the answer is lost.  */
+enum err
+fake_log_append (struct fake_log *log, const struct record *record,
+                 guint64 *offset)
+{
+  struct log_entry entry = { .offset = fake_log_tail (log) };
+  struct actions notes;
+
+  if (log->down)
+    return ERR_UNAVAILABLE;
+  record_copy (&entry.record, record);
+  g_array_append_val (log->entries, entry);
+  actions_init (&notes);
+  fold_record (&log->view, entry.offset, &entry.record, &notes);
+  actions_clear (&notes);
+  while (log->retain > 0 && log->entries->len > log->retain)
+    {
+      g_array_remove_index (log->entries, 0);
+      log->first++;
+    }
+  *offset = entry.offset;
+  if (log->lose == 0)
+    return ERR_NONE;
+  log->lose--;
+  return ERR_EFFECT;
+}
--- /dev/null
+++ b/scenarios/fake_net.h
@@ -0,0 +1,25 @@
+#ifndef SCENARIO_FAKE_NET_H
+#define SCENARIO_FAKE_NET_H
+
+#include <glib.h>
+
+/* The network between nodes: each pair may be cut, and messages take time. */
+
+#define NODES_MAX 16u /* nodes in a world */
+
+struct fake_net
+{
+  gboolean cut[NODES_MAX][NODES_MAX]; /* nothing passes, from, to */
+  gint64 delay;                       /* one way, microseconds */
+  gint64 jitter;                      /* added at random, up to so much */
+  GRand *random;                      /* draws the jitter */
+};
+
+void fake_net_init (struct fake_net *net, guint32 seed);
+void fake_net_clear (struct fake_net *net);
+void fake_net_cut (struct fake_net *net, guint a, guint b, gboolean cut);
+void fake_net_heal (struct fake_net *net);
+gboolean fake_net_passes (const struct fake_net *net, guint from, guint to);
+gint64 fake_net_time (struct fake_net *net);
+
+#endif
--- /dev/null
+++ b/scenarios/script_random.c
@@ -0,0 +1,147 @@
+#include "scenarios/script.h"
+
+#include <string.h>
+
+/* Random runs: failures drawn from a seed, with the standing checks, and an
+   end at which everything heals and every slice must be served again.  */
+
+#define STEP_MIN_USEC 20000    /* between two failures */
+#define STEP_MAX_USEC 900000   /* between two failures */
+#define FREEZE_MIN_USEC 100000 /* a node is frozen for */
+#define FREEZE_MAX_USEC 4000000
+#define HEALED_USEC 20000000 /* all is served again after the last failure */
+
+/* A node drawn from RANDOM.  */
+static guint
+draw_node (struct script *script, GRand *random)
+{
+  return (guint)g_rand_int_range (random, 0, (gint32)script->world.count);
+}
+
+/* Kill a node that runs, unless another has been killed; otherwise start the
+   one that was.  */
+static void
+kill_or_start (struct script *script, GRand *random)
+{
+  struct world *world = &script->world;
+  guint n;
+
+  for (n = 0; n < world->count; n++)
+    if (!world->nodes[n].alive)
+      {
+        world_start_node (world, n);
+        return;
+      }
+  world_kill (world, draw_node (script, random));
+}
+
+/* Send a request that must run once; every third one repeats the id of the
+   one before.  */
+static void
+send_once (struct script *script, GRand *random)
+{
+  struct request request
+      = { .run_class = RUN_ONCE, .priority = PRIORITY_NORMAL };
+
+  if (g_rand_int_range (random, 0, 3) > 0)
+    script->probes++;
+  g_strlcpy (request.service, WORLD_SERVICE, sizeof request.service);
+  g_snprintf (request.id, sizeof request.id, "once-%u", script->probes);
+  if (script->world.slices > 0)
+    g_snprintf (request.key, sizeof request.key, "k%u", script->probes % 20);
+  request.digest = script->probes + 1;
+  request.deadline = script->world.now + G_USEC_PER_SEC;
+  world_request (&script->world, draw_node (script, random), &request, FALSE);
+}
+
+/* Do one failure, or end one.  */
+static void
+random_step (struct script *script, GRand *random)
+{
+  struct world *world = &script->world;
+  guint a = draw_node (script, random);
+  guint b = draw_node (script, random);
+  char name[NAME_SIZE];
+
+  switch (g_rand_int_range (random, 0, 12))
+    {
+    case 0:
+      kill_or_start (script, random);
+      break;
+    case 1:
+      world_freeze (
+          world, a,
+          world->now
+              + g_rand_int_range (random, FREEZE_MIN_USEC, FREEZE_MAX_USEC));
+      break;
+    case 2:
+      if (a != b)
+        fake_net_cut (&world->net, a, b, TRUE);
+      break;
+    case 3:
+      fake_net_heal (&world->net);
+      break;
+    case 4:
+      world->log.down = !world->log.down;
+      break;
+    case 5:
+      world->log.lose++;
+      break;
+    case 6:
+      g_snprintf (name, sizeof name, "c-%u", world->publications->len);
+      world_publish (world, name, "op1");
+      if (g_rand_int_range (random, 0, 2) == 0)
+        world_publish (world, name, "op2");
+      break;
+    default:
+      send_once (script, random);
+      send_once (script, random);
+      break;
+    }
+}
+
+/* End every failure.  */
+static void
+heal_all (struct script *script)
+{
+  struct world *world = &script->world;
+  guint n;
+
+  fake_net_heal (&world->net);
+  world->log.down = FALSE;
+  world->log.lose = 0;
+  for (n = 0; n < world->count; n++)
+    if (!world->nodes[n].alive)
+      world_start_node (world, n);
+}
+
+/* random seed=S steps=N.  */
+void
+script_random (struct script *script)
+{
+  GRand *random;
+  guint steps = 0;
+  guint i;
+
+  while (!script_at_end (script) && script->fault[0] == '\0')
+    {
+      if (script_word (script, "seed") && script_char (script, '='))
+        script->seed = (guint32)script_number (script);
+      else if (script_word (script, "steps") && script_char (script, '='))
+        steps = (guint)script_number (script);
+      else
+        script_fail (script, "line %u: seed= and steps= are wanted",
+                     script->scanner->line);
+    }
+  random = g_rand_new_with_seed (script->seed);
+  for (i = 0; i < steps && script->fault[0] == '\0'; i++)
+    {
+      random_step (script, random);
+      script_run_until (script, script->world.now
+                                    + g_rand_int_range (random, STEP_MIN_USEC,
+                                                        STEP_MAX_USEC));
+    }
+  g_rand_free (random);
+  heal_all (script);
+  script_run_until (script, script->world.now + HEALED_USEC);
+}
--- /dev/null
+++ b/scenarios/world.c
@@ -0,0 +1,308 @@
+#include "scenarios/world.h"
+
+#include "decide/timing.h"
+#include "scenarios/check.h"
+
+#include <stdarg.h>
+#include <stdio.h>
+#include <string.h>
+
+#define READ_EVERY_USEC 50000 /* a node reads the log so often */
+
+/* Moments */
+
+/* Order two moments by time, then by when they were made.  */
+static gint
+moment_compare (gconstpointer a, gconstpointer b, gpointer data)
+{
+  const struct moment *left = a;
+  const struct moment *right = b;
+
+  (void)data;
+  if (left->at != right->at)
+    return left->at < right->at ? -1 : 1;
+  return left->serial < right->serial ? -1 : left->serial > right->serial;
+}
+
+/* Add a moment of KIND that concerns node N at AT.  Only the time and serial
+   order it, so that the rest may be filled in later.  */
+struct moment *
+world_add (struct world *world, gint64 at, enum moment_kind kind, guint n)
+{
+  struct moment *moment = g_new0 (struct moment, 1);
+
+  moment->at = at;
+  moment->serial = ++world->moment_serial;
+  moment->kind = kind;
+  moment->node = n;
+  moment->incarnation = world->nodes[n].incarnation;
+  g_sequence_insert_sorted (world->moments, moment, moment_compare, NULL);
+  return moment;
+}
+
+/* Release a moment and the bytes of a fetch that it carries.  */
+static void
+moment_free (gpointer data)
+{
+  struct moment *moment = data;
+  struct peer_reply *reply = &moment->event.u.peer_reply.body;
+
+  if (moment->kind == MOMENT_EVENT && moment->event.kind == EVENT_PEER_REPLY
+      && reply->kind == PEER_FETCH)
+    g_free (reply->u.fetch.bytes);
+  g_free (moment);
+}
+
+/* Remember the first broken property.  */
+void
+world_fault (struct world *world, const char *format, ...)
+{
+  va_list args;
+
+  if (world->fault[0] != '\0')
+    return;
+  va_start (args, format);
+  g_vsnprintf (world->fault, sizeof world->fault, format, args);
+  va_end (args);
+  if (world->verbose)
+    printf ("%9.3f FAULT %s\n", (double)world->now / G_USEC_PER_SEC,
+            world->fault);
+}
+
+/* Life */
+
+/* Set up an empty world; SEED draws the delays of the network.  */
+void
+world_init (struct world *world, guint32 seed)
+{
+  memset (world, 0, sizeof *world);
+  world->now = G_USEC_PER_SEC;
+  fake_log_init (&world->log);
+  fake_net_init (&world->net, seed);
+  world->moments = g_sequence_new (moment_free);
+  table_init (&world->exchanges, sizeof (struct sim_exchange));
+  table_init (&world->calls, sizeof (struct sim_call));
+  world->sendings = g_array_new (FALSE, TRUE, sizeof (struct sending));
+  world->runs = g_array_new (FALSE, TRUE, sizeof (struct fake_run));
+  world->publications = g_array_new (FALSE, TRUE, sizeof (struct publication));
+  world->stamps
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+/* Release what the world holds.  */
+void
+world_clear (struct world *world)
+{
+  guint n;
+
+  for (n = 0; n < world->count; n++)
+    if (world->nodes[n].alive)
+      core_clear (&world->nodes[n].core);
+  g_sequence_free (world->moments);
+  fake_log_clear (&world->log);
+  fake_net_clear (&world->net);
+  table_clear (&world->exchanges);
+  table_clear (&world->calls);
+  g_array_free (world->sendings, TRUE);
+  g_array_free (world->runs, TRUE);
+  g_array_free (world->publications, TRUE);
+  g_hash_table_destroy (world->stamps);
+}
+
+/* Start COUNT nodes in ZONES zones, with a service of SLICES slices.  */
+void
+world_start (struct world *world, guint count, guint zones, guint32 slices)
+{
+  guint n;
+
+  world->count = MIN (count, NODES_MAX);
+  world->zones = MAX (1, zones);
+  world->slices = MIN (slices, SLICES_MAX);
+  for (n = 0; n < world->count; n++)
+    {
+      g_snprintf (world->nodes[n].zone, NAME_SIZE, "%c",
+                  (char)('a' + n % world->zones));
+      fake_server_init (&world->nodes[n].server);
+      world_start_node (world, n);
+    }
+}
+
+/* The node whose process is INCARNATION; the count of nodes if none is.  */
+guint
+world_find (const struct world *world, guint64 incarnation)
+{
+  guint n;
+
+  for (n = 0; n < world->count; n++)
+    if (world->nodes[n].incarnation == incarnation)
+      break;
+  return n;
+}
+
+/* The loop */
+
+/* Give EVENT to the core of node N and do what it wants.  */
+void
+world_feed (struct world *world, guint n, const struct event *event)
+{
+  struct actions actions;
+  guint i;
+
+  actions_init (&actions);
+  core_step (&world->nodes[n].core, event, world->now, &actions);
+  for (i = 0; i < actions.items->len; i++)
+    if (world->nodes[n].alive)
+      world_do (world, n, actions_at (&actions, i));
+  actions_clear (&actions);
+}
+
+/* A node's timer: feed it and set it again.  */
+static void
+do_tick (struct world *world, guint n)
+{
+  struct event event = { .kind = EVENT_TICK };
+
+  world_add (world, world->now + TICK_USEC, MOMENT_TICK, n);
+  world_feed (world, n, &event);
+}
+
+/* A node's read of the log ends: feed it what is there.  */
+static void
+do_read (struct world *world, guint n)
+{
+  struct sim_node *node = &world->nodes[n];
+  const struct fake_log *log = &world->log;
+  struct event event = { .kind = EVENT_RECORDS };
+
+  world_add (world, world->now + READ_EVERY_USEC + log->delay, MOMENT_READ, n);
+  if (log->down || node->next < log->first)
+    {
+      event.kind = EVENT_LOG_FAILED;
+      event.u.log_failed.code = log->down ? ERR_UNAVAILABLE : ERR_GONE;
+      event.u.log_failed.first = log->first;
+    }
+  else
+    {
+      event.u.records.count = (guint32)(fake_log_tail (log) - node->next);
+      if (event.u.records.count > 0)
+        event.u.records.items = fake_log_at (log, node->next);
+      node->next = fake_log_tail (log);
+      event.u.records.next = node->next;
+      event.u.records.at_tail = TRUE;
+      event.u.records.from_log = TRUE;
+      event.u.records.begun = world->now - log->delay;
+    }
+  world_feed (world, n, &event);
+}
+
+/* A server runs again, or its node has started: it announces itself.  */
+static void
+do_server_up (struct world *world, guint n)
+{
+  struct event event = { .kind = EVENT_SERVER_UP };
+
+  if (world->now < world->nodes[n].server.up_at)
+    return;
+  world->nodes[n].server.up = TRUE;
+  g_snprintf (event.u.server_up.server, NAME_SIZE, "server-%u", n + 1);
+  event.u.server_up.slots = world->nodes[n].core.settings.slots;
+  event.u.server_up.checks_fences = world->nodes[n].server.checks;
+  world_feed (world, n, &event);
+}
+
+/* An event reaches a node, unless it is the deadline of a call that has
+   ended.  */
+static void
+do_event (struct world *world, const struct moment *moment)
+{
+  if (handle_is_set (moment->handle)
+      && !table_remove (&world->calls, moment->handle))
+    return;
+  world_feed (world, moment->node, &moment->event);
+}
+
+/* Let MOMENT happen.  */
+static void
+happen (struct world *world, const struct moment *moment)
+{
+  switch (moment->kind)
+    {
+    case MOMENT_TICK:
+      do_tick (world, moment->node);
+      break;
+    case MOMENT_READ:
+      do_read (world, moment->node);
+      break;
+    case MOMENT_EVENT:
+      do_event (world, moment);
+      break;
+    case MOMENT_CALL:
+      world_call (world, moment);
+      break;
+    case MOMENT_ENDED:
+      world_ended (world, moment);
+      break;
+    case MOMENT_RAN:
+      world_ran (world, moment);
+      break;
+    case MOMENT_ANSWER:
+      world_answer (world, moment);
+      break;
+    case MOMENT_PUBLISH:
+      world_append (world, moment);
+      break;
+    case MOMENT_SERVER_UP:
+      do_server_up (world, moment->node);
+      break;
+    }
+}
+
+/* Tell whether MOMENT concerns a process, and that process has ended.  */
+static gboolean
+is_void (const struct world *world, const struct moment *moment)
+{
+  const struct sim_node *node = &world->nodes[moment->node];
+
+  if (moment->kind == MOMENT_ANSWER || moment->kind == MOMENT_PUBLISH)
+    return FALSE;
+  return !node->alive || node->incarnation != moment->incarnation;
+}
+
+/* Tell whether MOMENT has to wait until its node is no longer frozen.  */
+static gboolean
+is_held_up (const struct world *world, const struct moment *moment)
+{
+  return moment->kind != MOMENT_ANSWER && moment->kind != MOMENT_PUBLISH
+         && world->nodes[moment->node].frozen_until > world->now;
+}
+
+/* Let everything happen that is due up to UNTIL, checking after each.  */
+void
+world_run_until (struct world *world, gint64 until)
+{
+  for (;;)
+    {
+      GSequenceIter *first = g_sequence_get_begin_iter (world->moments);
+      struct moment *moment;
+      if (g_sequence_iter_is_end (first))
+        break;
+      moment = g_sequence_get (first);
+      if (moment->at > until)
+        break;
+      world->now = MAX (world->now, moment->at);
+      if (!is_void (world, moment) && is_held_up (world, moment))
+        {
+          moment->at = world->nodes[moment->node].frozen_until;
+          g_sequence_sort_changed (first, moment_compare, NULL);
+          continue;
+        }
+      if (!is_void (world, moment))
+        {
+          happen (world, moment);
+          check_world (world);
+        }
+      g_sequence_remove (first);
+    }
+  world->now = MAX (world->now, until);
+  check_world (world);
+}
--- /dev/null
+++ b/scenarios/world_do.c
@@ -0,0 +1,213 @@
+#include "scenarios/world.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* What the cores want done, done on the fakes.  */
+
+#define APPEND_USEC 4000  /* an append takes */
+#define LOST_USEC 500000  /* after that an answer counts as lost */
+#define REFUSED_USEC 2000 /* a refused connection is known */
+
+/* Calls */
+
+/* Call another node.  A call that has no answer by its deadline fails.  */
+static void
+do_call (struct world *world, guint n, const struct action_call *action)
+{
+  struct handle h = table_add (&world->calls);
+  struct sim_call *call = table_get (&world->calls, h);
+  guint to = world_find (world, action->peer);
+  struct moment *moment;
+
+  call->from = n;
+  call->from_incarnation = world->nodes[n].incarnation;
+  call->to = to;
+  call->peer = action->peer;
+  call->serial = action->serial;
+  moment = world_add (world, action->deadline, MOMENT_EVENT, n);
+  moment->handle = h;
+  moment->event.kind = EVENT_PEER_REPLY;
+  moment->event.u.peer_reply.serial = action->serial;
+  moment->event.u.peer_reply.peer = action->peer;
+  moment->event.u.peer_reply.body.kind = 0;
+  moment->event.u.peer_reply.body.code = ERR_TIMEOUT;
+  if (to == world->count || !world->nodes[to].alive
+      || !fake_net_passes (&world->net, n, to))
+    return;
+  moment = world_add (world, world->now + fake_net_time (&world->net),
+                      MOMENT_CALL, to);
+  moment->handle = h;
+  moment->event.kind = EVENT_PEER_CALL;
+  moment->event.u.peer_call.call = h;
+  moment->event.u.peer_call.xid = (guint32)action->serial;
+  moment->event.u.peer_call.body = action->body;
+}
+
+/* A call reaches its node.  */
+void
+world_call (struct world *world, const struct moment *moment)
+{
+  if (table_get (&world->calls, moment->handle) != NULL)
+    world_feed (world, moment->node, &moment->event);
+}
+
+/* Send the reply to a call back, if it can pass.  */
+static void
+do_reply (struct world *world, guint n, const struct action_reply *action)
+{
+  const struct sim_call *call = table_get (&world->calls, action->call);
+  struct moment *moment;
+
+  if (call == NULL || !fake_net_passes (&world->net, n, call->from)
+      || world->nodes[call->from].incarnation != call->from_incarnation)
+    return;
+  moment = world_add (world, world->now + fake_net_time (&world->net),
+                      MOMENT_EVENT, call->from);
+  moment->event.kind = EVENT_PEER_REPLY;
+  moment->event.u.peer_reply.serial = call->serial;
+  moment->event.u.peer_reply.peer = call->peer;
+  moment->event.u.peer_reply.body = action->body;
+  if (action->body.kind == PEER_FETCH)
+    moment->event.u.peer_reply.body.u.fetch.bytes
+        = g_memdup2 (action->body.u.fetch.bytes, action->body.u.fetch.length);
+  table_remove (&world->calls, action->call);
+}
+
+/* The log */
+
+/* Append a record; the answer comes later, or counts as lost.  */
+static void
+do_append (struct world *world, guint n, const struct record *record)
+{
+  struct event event = { .kind = EVENT_APPENDED };
+  gint64 takes = APPEND_USEC + world->log.delay;
+
+  event.u.appended.serial = record->serial;
+  event.u.appended.code
+      = fake_log_append (&world->log, record, &event.u.appended.offset);
+  if (event.u.appended.code == ERR_EFFECT)
+    {
+      event.u.appended.offset = 0;
+      takes += LOST_USEC;
+    }
+  world_add (world, world->now + takes, MOMENT_EVENT, n)->event = event;
+}
+
+/* Requests */
+
+/* Pass a request on to another node.  It ends as unknown if nothing is heard
+   by its deadline, and as not run if the process is not there.  */
+static void
+do_forward (struct world *world, guint n, const struct action_forward *action)
+{
+  struct sim_exchange *exchange
+      = table_get (&world->exchanges, action->exchange);
+  guint to = world_find (world, action->peer);
+  struct handle onward;
+  struct sim_exchange *other;
+  struct moment *moment;
+
+  if (exchange == NULL)
+    return;
+  onward = table_add (&world->exchanges);
+  exchange = table_get (&world->exchanges, action->exchange);
+  exchange->onward = onward;
+  other = table_get (&world->exchanges, onward);
+  other->request = action->request;
+  other->request.from_peer = TRUE;
+  other->origin = action->exchange;
+  other->sending = exchange->sending;
+  other->node = to;
+  other->incarnation = action->peer;
+  moment = world_add (world, action->request.deadline, MOMENT_ENDED, n);
+  moment->handle = action->exchange;
+  moment->event.u.request.exchange = onward;
+  moment->outcome = OUTCOME_UNKNOWN;
+  moment->reason = REASON_PEER_LOST;
+  if (to == world->count || !world->nodes[to].alive)
+    {
+      table_remove (&world->exchanges, onward);
+      moment = world_add (world, world->now + REFUSED_USEC, MOMENT_ENDED, n);
+      moment->handle = action->exchange;
+      moment->event.u.request.exchange = onward;
+      moment->outcome = OUTCOME_NOT_RUN;
+      moment->reason = REASON_PEER_LOST;
+      return;
+    }
+  if (!fake_net_passes (&world->net, n, to))
+    {
+      table_remove (&world->exchanges, onward);
+      return;
+    }
+  world->nodes[to].exchanges++;
+  moment = world_add (world, world->now + fake_net_time (&world->net),
+                      MOMENT_EVENT, to);
+  moment->event.kind = EVENT_REQUEST;
+  moment->event.u.request.exchange = onward;
+  moment->event.u.request.request = other->request;
+}
+
+/* Print what a core notes.  */
+static void
+do_note (const struct world *world, guint n, const struct note *note)
+{
+  if (!world->verbose)
+    return;
+  printf ("%9.3f n%u %s key=%s slice=%u node=%" G_GUINT64_FORMAT
+          " offset=%" G_GUINT64_FORMAT " code=%d amount=%" G_GINT64_FORMAT
+          " %s\n",
+          (double)world->now / G_USEC_PER_SEC, n + 1, note_name (note->id),
+          note->key, note->slice, note->node, note->offset, note->code,
+          note->amount, note->text);
+}
+
+/* The node ends by itself.  */
+static void
+do_exit (struct world *world, guint n)
+{
+  world_kill (world, n);
+  world->nodes[n].left = TRUE;
+}
+
+/* Do what the core of node N wants.  */
+void
+world_do (struct world *world, guint n, const struct action *action)
+{
+  switch (action->kind)
+    {
+    case ACTION_APPEND:
+      do_append (world, n, &action->u.append.record);
+      break;
+    case ACTION_CALL:
+      do_call (world, n, &action->u.call);
+      break;
+    case ACTION_REPLY:
+      do_reply (world, n, &action->u.reply);
+      break;
+    case ACTION_FORWARD:
+      do_forward (world, n, &action->u.forward);
+      break;
+    case ACTION_RUN:
+      world_run (world, n, &action->u.run);
+      break;
+    case ACTION_ANSWER:
+      world_end_exchange (world, action);
+      break;
+    case ACTION_CANCEL:
+      break;
+    case ACTION_NOTE:
+      do_note (world, n, &action->u.note);
+      break;
+    case ACTION_FETCH:
+      if (!action->u.fetch.from_peer)
+        world->nodes[n].next = action->u.fetch.offset;
+      break;
+    case ACTION_GRANT:
+    case ACTION_SUSPECT_CONNECTION:
+      break;
+    case ACTION_EXIT:
+      do_exit (world, n);
+      break;
+    }
+}
--- /dev/null
+++ b/scenarios/world_node.c
@@ -0,0 +1,137 @@
+#include "scenarios/world.h"
+
+#include <stdio.h>
+#include <string.h>
+
+/* Starting, stopping and freezing nodes, and operators.  */
+
+#define SERVER_UP_AFTER_USEC 100000 /* a server announces itself */
+#define START_STEP_USEC 1700        /* timers of nodes are apart */
+#define PUBLISH_AFTER_USEC 50000    /* from an operator's read to its append */
+#define PUBLISH_AGAIN_USEC 500000   /* an operator tries again */
+#define SERVER_SLOTS 20             /* slots of a server */
+#define FRONT_PORT 1000             /* ports are made up */
+#define PEER_PORT 2000
+
+/* Start a process for node N.  */
+void
+world_start_node (struct world *world, guint n)
+{
+  struct sim_node *node = &world->nodes[n];
+  struct core_settings settings;
+
+  memset (&settings, 0, sizeof settings);
+  settings.incarnation = 1000 * ++world->incarnations + n + 1;
+  settings.seed = settings.incarnation;
+  g_snprintf (settings.host, NAME_SIZE, "host-%u", n + 1);
+  g_strlcpy (settings.zone, node->zone, NAME_SIZE);
+  g_strlcpy (settings.region, "r", NAME_SIZE);
+  g_strlcpy (settings.service, WORLD_SERVICE, NAME_SIZE);
+  settings.front.port = (guint16)(FRONT_PORT + n);
+  settings.peer.port = (guint16)(PEER_PORT + n);
+  settings.slots = SERVER_SLOTS;
+  core_init (&node->core, &settings);
+  node->incarnation = settings.incarnation;
+  node->alive = TRUE;
+  node->left = FALSE;
+  node->frozen_until = 0;
+  node->next = 1;
+  node->config_seen = 0;
+  node->exchanges = 0;
+  world_add (world, world->now + START_STEP_USEC * (n + 1), MOMENT_TICK, n);
+  world_add (world, world->now + START_STEP_USEC * (n + 1), MOMENT_READ, n);
+  world_add (world, world->now + SERVER_UP_AFTER_USEC, MOMENT_SERVER_UP, n);
+}
+
+/* End the process of node N at once.  */
+void
+world_kill (struct world *world, guint n)
+{
+  struct sim_node *node = &world->nodes[n];
+
+  if (!node->alive)
+    return;
+  world_lose_exchanges (world, n);
+  node->alive = FALSE;
+  core_clear (&node->core);
+}
+
+/* Let node N take no step before UNTIL.  */
+void
+world_freeze (struct world *world, guint n, gint64 until)
+{
+  world->nodes[n].frozen_until = until;
+}
+
+/* Ask node N to leave.  */
+void
+world_drain (struct world *world, guint n)
+{
+  struct event event = { .kind = EVENT_DRAIN };
+
+  world_add (world, world->now, MOMENT_EVENT, n)->event = event;
+}
+
+/* Operators */
+
+/* The text of the configuration numbered NUMBER: it differs from others in
+   the length of the queue.  */
+static char *
+config_text (const struct world *world, guint number)
+{
+  GString *text = g_string_new (NULL);
+  guint i;
+
+  for (i = 0; i < world->zones; i++)
+    g_string_append_printf (text, "[place %c]\nregion = r\n\n",
+                            (char)('a' + i));
+  g_string_append_printf (text, "[service %s]\ndivided = %s\n", WORLD_SERVICE,
+                          world->slices > 0 ? "yes" : "no");
+  if (world->slices > 0)
+    g_string_append_printf (text, "slices = %u\n", world->slices);
+  g_string_append_printf (text, "timeout-ms = 1000\nqueue = %u\n\n",
+                          10 + number);
+  g_string_append_printf (
+      text, "[rule any]\nservice = %s\npath = /k/\n%srun = once\n",
+      WORLD_SERVICE, world->slices > 0 ? "key-segment = 2\n" : "");
+  return g_string_free (text, FALSE);
+}
+
+/* An operator reads the configuration in force and soon appends one made
+   from it.  */
+void
+world_publish (struct world *world, const char *name, const char *author)
+{
+  struct publication publication = { .base = world->log.view.config_offset };
+
+  g_strlcpy (publication.name, name, NAME_SIZE);
+  g_strlcpy (publication.author, author, NAME_SIZE);
+  g_array_append_val (world->publications, publication);
+  world_add (world, world->now + PUBLISH_AFTER_USEC, MOMENT_PUBLISH, 0)
+      ->sending
+      = world->publications->len - 1;
+}
+
+/* The operator's append: it is tried again while the log is down, and what
+   came of it is read back from the log.  */
+void
+world_append (struct world *world, const struct moment *moment)
+{
+  struct publication *publication = &g_array_index (
+      world->publications, struct publication, moment->sending);
+  struct record record = { .version = RECORD_VERSION, .kind = RECORD_CONFIG };
+
+  record.serial = moment->sending + 1;
+  record.body.config.base = publication->base;
+  record.body.config.text = config_text (world, moment->sending);
+  g_strlcpy (record.body.config.author, publication->author, NAME_SIZE);
+  if (fake_log_append (&world->log, &record, &publication->offset)
+      == ERR_UNAVAILABLE)
+    world_add (world, world->now + PUBLISH_AGAIN_USEC, MOMENT_PUBLISH, 0)
+        ->sending
+        = moment->sending;
+  else
+    publication->accepted
+        = world->log.view.config_offset == publication->offset;
+  record_clear (&record);
+}
