--- a/scenarios/script_random.c
+++ b/scenarios/script_random.c
@@ -40,7 +40,7 @@
 send_request (struct script *script, GRand *random)
 {
   struct request request
-      = { .run_class = RUN_ONCE, .priority = PRIORITY_NORMAL };
+      = { .run_class = script->run_class, .priority = PRIORITY_NORMAL };
 
   if (g_rand_int_range (random, 0, 3) > 0)
     script->probes++;
