--- a/src/decide/admit.c
+++ b/src/decide/admit.c
@@ -75,9 +75,12 @@
 /* Tell whether this node takes REQUEST as new work.  What it owns it serves
    until that has been moved away.  */
 static gboolean
-takes_work (const struct core *core, const struct request *request)
+takes_work (const struct core *core, const struct request *request, gint64 now)
 {
-  return service_of (core, request)->config.divided || drain_takes_work (core);
+  if (service_of (core, request)->config.divided)
+    return TRUE;
+  return request->run_class == RUN_ONCE ? drain_takes_stamped (core, now)
+                                        : drain_takes_work (core);
 }
 
 /* Bring the request EXCHANGE to the server beside this node.  */
@@ -90,7 +93,7 @@
 
   if (!pass_once (core, exchange, now, out))
     return;
-  if (!takes_work (core, &flight->request))
+  if (!takes_work (core, &flight->request, now))
     {
       reply_not_run (core, exchange, REASON_DRAINING, out);
       return;
--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -194,7 +194,7 @@
     {
     case EVENT_TICK:
       step_all (core, now, out);
-      drain_step (core, event->u.tick.exchanges, out);
+      drain_step (core, event->u.tick.exchanges, now, out);
       outbox_send (&core->outbox, now, out);
       break;
     case EVENT_RECORDS:
--- a/src/decide/drain.c
+++ b/src/decide/drain.c
@@ -19,6 +19,18 @@
   return node != NULL ? node->state == NODE_LIVE : !core->joined;
 }
 
+/* Tell whether this node takes work of an undivided service that carries its
+   stamp: a caller that was offered one has a while to use it.  */
+gboolean
+drain_takes_stamped (const struct core *core, gint64 now)
+{
+  const struct view_node *node = view_node_at (&core->view, core->self);
+
+  return drain_takes_work (core)
+         || (node != NULL && node->state == NODE_LEAVING
+             && now < core->drain.linger_until);
+}
+
 /* Tell whether a record that this node is out is on its way.  */
 gboolean
 drain_is_closing (const struct core *core)
@@ -74,7 +86,8 @@
 /* Take the next step of leaving.  EXCHANGES are the requests that the edge
    still has in its hands.  */
 void
-drain_step (struct core *core, guint32 exchanges, struct actions *out)
+drain_step (struct core *core, guint32 exchanges, gint64 now,
+            struct actions *out)
 {
   const struct view_node *node = view_node_at (&core->view, core->self);
   gboolean idle = exchanges == 0 && core->flights.count == 0;
@@ -83,7 +96,10 @@
     return;
   if (node != NULL && node->state == NODE_LIVE)
     propose_leaving (core);
-  else if (node != NULL && node->owned == 0 && idle)
+  else if (node != NULL && core->drain.linger_until == 0)
+    core->drain.linger_until = now + DRAIN_LINGER_USEC;
+  else if (node != NULL && node->owned == 0 && idle
+           && now >= core->drain.linger_until)
     propose_out (core, out);
   else if (idle && is_out (core))
     {
