Drain: answers of a leaving node ask callers to connect elsewhere

Cause: a caller on a kept connection goes on sending to a leaving node until it exits, and then finds the connection closed. Change: Connection: close on every answer from the time the node was asked to leave.

--- a/src/edge/source_caller.c
+++ b/src/edge/source_caller.c
@@ -80,7 +80,8 @@
 
 /* The answer */
 
-/* Send the head of the answer.  */
+/* Send the head of the answer.  A node that leaves has callers connect to
+   another one.  */
 static void
 send_head (struct exchange *exchange)
 {
@@ -105,6 +106,8 @@
       soup_message_headers_append (headers, HEADER_STAMP, stamp);
       g_free (stamp);
     }
+  if (exchange->node->core.drain.asked)
+    soup_message_headers_replace (headers, "Connection", "close");
   if (head->length >= 0)
     soup_message_headers_set_content_length (headers, head->length);
   else
