Routing: a retry budget, breakers, the successor of a lost owner

Cause: an idempotent request whose first attempt may have run and whose last was refused was answered not run, which is false; retries were bounded a request but not a node; a lost owner was asked again and again. Ruled out: charging attempts that reached no node (they cost no server, and a lost node would spend the budget of all). When the owner is lost its first successor is asked, which refuses unless it serves; then the owner again.

--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -1,5 +1,6 @@
 #include "decide/core.h"
 
+#include "decide/breaker.h"
 #include "decide/flight.h"
 #include "decide/fold.h"
 #include "decide/member.h"
@@ -22,6 +23,8 @@
   witness_init (&core->witness);
   gate_init (&core->gate);
   once_init (&core->once);
+  retry_budget_init (&core->retries);
+  table_init (&core->breakers, sizeof (struct breaker));
   outbox_init (&core->outbox, settings->incarnation);
   table_init (&core->flights, sizeof (struct flight));
   core->attempt = settings->seed;
@@ -35,6 +38,7 @@
   witness_clear (&core->witness);
   gate_clear (&core->gate);
   once_clear (&core->once);
+  table_clear (&core->breakers);
   outbox_clear (&core->outbox);
   table_clear (&core->flights);
 }
--- a/src/decide/core.h
+++ b/src/decide/core.h
@@ -7,6 +7,7 @@
 #include "decide/lease.h"
 #include "decide/once.h"
 #include "decide/outbox.h"
+#include "decide/retry.h"
 #include "decide/witness.h"
 #include "types/event.h"
 #include "types/view.h"
@@ -23,6 +24,9 @@
   struct witness witness;        /* its acks to others */
   struct gate gate;              /* admission to its server */
   struct once once;              /* ids of requests that run once */
+  struct retry_budget retries;   /* retries that may be made */
+  struct table breakers;         /* struct breaker, by nodes' handles */
+  guint64 draws;                 /* random numbers drawn */
   struct drain drain;            /* the graceful stop */
   struct outbox outbox;          /* its records on their way */
   struct table flights;          /* struct flight, by the edge's handles */
--- a/src/decide/drain.h
+++ b/src/decide/drain.h
@@ -12,8 +12,9 @@
    no slice, since others may read that it is out before it does.  While the
    log is down it waits, and serves what it owns.  */
 
-#define DRAIN_LINGER_USEC ((gint64)2000000) /* stamps given out are honoured  \
-                                             */
+#define DRAIN_LINGER_USEC                                                     \
+  ((gint64)2000000) /* stamps given out are honoured                          \
+                     */
 
 struct drain
 {
--- a/src/decide/flight.h
+++ b/src/decide/flight.h
@@ -22,6 +22,8 @@
   guint32 tries;           /* attempts made from here */
   struct fence fence;      /* fence it was admitted under */
   gboolean remembered;     /* its id is in the memory of ids */
+  gboolean may_have_run;   /* an attempt ended as unknown */
+  gboolean owner_lost;     /* the last attempt found no way to the node */
 };
 
 #endif
--- a/src/decide/pick.c
+++ b/src/decide/pick.c
@@ -1,15 +1,42 @@
 #include "decide/pick.h"
 
+#include "decide/breaker.h"
 #include "decide/core.h"
 #include "decide/own.h"
 #include "decide/slice.h"
 
 #include <string.h>
 
+/* Tell whether requests may be sent to the node H.  */
+static gboolean
+is_reached (const struct core *core, struct handle h, gint64 now)
+{
+  const struct breaker *breaker = table_get (&core->breakers, h);
+
+  return breaker == NULL || breaker_lets_pass (breaker, now);
+}
+
+/* The node to send requests for SLICE to: its owner, or the successor that
+   may serve in its place if the owner is LOST.  That one refuses if it does
+   not serve.  */
+static struct handle
+node_of_slice (const struct core *core, const struct view_slice *slice,
+               gboolean lost, gint64 now)
+{
+  struct handle next = slice->successor[0];
+
+  if (!lost && is_reached (core, slice->owner, now))
+    return slice->owner;
+  if (view_node_at (&core->view, next) == NULL
+      || handle_equal (next, core->self) || !is_reached (core, next, now))
+    return slice->owner;
+  return next;
+}
+
 /* Pick the owner of the key of REQUEST.  */
 static struct pick
 pick_owner (const struct core *core, const struct view_service *service,
-            struct request *request, gint64 now)
+            struct request *request, gboolean lost, gint64 now)
 {
   struct pick pick = { PICK_NONE, HANDLE_NONE, REASON_NO_OWNER, { 0, 0 } };
   const struct view_slice *slice;
@@ -28,11 +55,16 @@
     return pick;
   pick.fence.offset = slice->epoch;
   pick.reason = right.reason;
-  if (!handle_equal (slice->owner, core->self))
+  if (handle_equal (slice->owner, core->self))
+    return pick;
+  if (request->from_peer)
     {
-      pick.kind = PICK_PEER;
-      pick.node = slice->owner;
+      pick.reason = REASON_NOT_OWNER;
+      return pick;
     }
+  pick.node = node_of_slice (core, slice, lost, now);
+  pick.reason = REASON_PEER_LOST;
+  pick.kind = is_reached (core, pick.node, now) ? PICK_PEER : PICK_NONE;
   return pick;
 }
 
@@ -73,7 +105,7 @@
    service and has a slot, otherwise one of the same zone, otherwise any.  */
 static struct pick
 pick_member (struct core *core, const struct view_service *service,
-             const struct request *request)
+             const struct request *request, gint64 now)
 {
   struct pick pick = { PICK_NONE, HANDLE_NONE, REASON_NO_SERVER, { 0, 0 } };
   guint i;
@@ -97,7 +129,8 @@
       struct handle h = g_array_index (service->members, struct handle,
                                        (start + i) % service->members->len);
       const struct view_node *node = view_node_at (&core->view, h);
-      if (node->state != NODE_LIVE || handle_equal (h, core->self))
+      if (node->state != NODE_LIVE || handle_equal (h, core->self)
+          || !is_reached (core, h, now))
         continue;
       if (pick.kind == PICK_PEER
           && strcmp (node->join.zone, core->settings.zone) != 0)
@@ -110,10 +143,10 @@
   return pick;
 }
 
-/* Pick the node that is to serve REQUEST, whose slice is filled in.  TRIES
-   counts the attempts made from here.  */
+/* Pick the node that is to serve REQUEST, whose slice is filled in.  LOST
+   tells that the last attempt could not reach the owner's node.  */
 struct pick
-pick_node (struct core *core, struct request *request, guint32 tries,
+pick_node (struct core *core, struct request *request, gboolean lost,
            gint64 now)
 {
   struct pick none = { PICK_NONE, HANDLE_NONE, REASON_NO_RULE, { 0, 0 } };
@@ -121,11 +154,11 @@
       = view_find_service (&core->view, request->service);
   struct pick pick;
 
-  (void)tries;
   if (service == NULL || !service->configured)
     return none;
-  pick = service->config.divided ? pick_owner (core, service, request, now)
-                                 : pick_member (core, service, request);
+  pick = service->config.divided
+             ? pick_owner (core, service, request, lost, now)
+             : pick_member (core, service, request, now);
   if (pick.kind == PICK_PEER && request->from_peer)
     {
       pick.kind = PICK_NONE;
--- a/src/decide/pick.h
+++ b/src/decide/pick.h
@@ -25,6 +25,6 @@
 };
 
 struct pick pick_node (struct core *core, struct request *request,
-                       guint32 tries, gint64 now);
+                       gboolean lost, gint64 now);
 
 #endif
--- a/src/decide/reply.c
+++ b/src/decide/reply.c
@@ -21,6 +21,16 @@
   return note;
 }
 
+/* How a request ends whose last attempt ended as OUTCOME: it is not proved
+   that it has not run if an attempt before may have.  */
+static enum outcome
+overall (const struct flight *flight, enum outcome outcome)
+{
+  if (outcome == OUTCOME_NOT_RUN && flight->may_have_run)
+    return OUTCOME_UNKNOWN;
+  return outcome;
+}
+
 /* End the request EXCHANGE as END says and forget it.  An id that is
    remembered for it is forgotten too if it has not run.  */
 void
@@ -35,7 +45,7 @@
     once_forget (&core->once, &flight->request);
   action = &actions_add (out, ACTION_ANSWER)->u.answer;
   action->exchange = exchange;
-  action->outcome = end->outcome;
+  action->outcome = overall (flight, end->outcome);
   action->reason = end->reason;
   action->stamp = end->stamp;
   action->retry_msec = end->retry_msec;
--- a/src/decide/route.c
+++ b/src/decide/route.c
@@ -1,40 +1,41 @@
 #include "decide/route.h"
 
 #include "decide/admit.h"
+#include "decide/breaker.h"
 #include "decide/core.h"
 #include "decide/flight.h"
 #include "decide/pick.h"
 #include "decide/reply.h"
+#include "decide/slice.h"
 #include "decide/timing.h"
 
 #include <string.h>
 
-#define TRIES_MAX 6u /* attempts from one node for one request */
-
 /* Ways */
 
-/* Pass the request EXCHANGE on to NODE.  */
+/* Pass the request EXCHANGE on to the node that was picked.  */
 static void
-forward (struct core *core, struct handle exchange, struct handle node,
-         struct fence fence, struct actions *out)
+forward (struct core *core, struct handle exchange, const struct pick *pick,
+         gint64 now, struct actions *out)
 {
   struct flight *flight = table_get (&core->flights, exchange);
-  const struct view_node *peer = view_node_at (&core->view, node);
+  const struct view_node *peer = view_node_at (&core->view, pick->node);
   struct action_forward *action;
   struct note *note;
 
+  breaker_on_sent (table_mirror (&core->breakers, pick->node), now);
   flight->phase = FLIGHT_FORWARDED;
   flight->peer = peer->join.incarnation;
   flight->request.attempt++;
   note = reply_note (out, NOTE_ROUTE_FORWARD, &flight->request);
   note->node = flight->peer;
-  note->offset = fence.offset;
+  note->offset = pick->fence.offset;
   action = &actions_add (out, ACTION_FORWARD)->u.forward;
   action->exchange = exchange;
   action->peer = flight->peer;
   action->to = peer->join.peer;
   action->request = flight->request;
-  action->fence = fence;
+  action->fence = pick->fence;
 }
 
 /* Let the request EXCHANGE wait and be routed again, or end it as not run for
@@ -44,15 +45,17 @@
              gint64 now, struct actions *out)
 {
   struct flight *flight = table_get (&core->flights, exchange);
+  guint64 draw = slice_rank (core->settings.seed, ++core->draws);
+  gint64 retry_at = now + retry_wait (flight->tries, draw);
 
-  if (flight->request.from_peer || flight->tries >= TRIES_MAX
-      || now + RETRY_AFTER_USEC >= flight->request.deadline)
+  if (flight->request.from_peer || flight->tries >= RETRY_TRIES_MAX
+      || retry_at >= flight->request.deadline)
     {
       reply_not_run (core, exchange, reason, out);
       return;
     }
   flight->phase = FLIGHT_WAITING;
-  flight->retry_at = now + RETRY_AFTER_USEC * (1 << flight->tries);
+  flight->retry_at = retry_at;
   reply_note (out, NOTE_ROUTE_RETRY, &flight->request)->code = reason;
 }
 
@@ -83,9 +86,11 @@
           struct actions *out)
 {
   struct flight *flight = table_get (&core->flights, exchange);
-  struct pick pick = pick_node (core, &flight->request, flight->tries, now);
+  struct pick pick
+      = pick_node (core, &flight->request, flight->owner_lost, now);
 
   flight->tries++;
+  flight->owner_lost = FALSE;
   flight->fence = pick.fence;
   switch (pick.kind)
     {
@@ -93,7 +98,7 @@
       admit_request (core, exchange, now, out);
       break;
     case PICK_PEER:
-      forward (core, exchange, pick.node, pick.fence, out);
+      forward (core, exchange, &pick, now, out);
       break;
     case PICK_NONE:
       end_unpicked (core, exchange, pick.reason, now, out);
@@ -111,30 +116,11 @@
   struct flight *flight = table_mirror (&core->flights, event->exchange);
 
   flight->request = event->request;
+  if (!event->request.from_peer)
+    retry_budget_earn (&core->retries);
   dispatch (core, event->exchange, now, out);
 }
 
-/* Tell whether an attempt that ended so may be followed by another one.  */
-static gboolean
-may_retry (const struct flight *flight, const struct event_ended *event)
-{
-  if (!event->replayable || flight->request.from_peer)
-    return FALSE;
-  switch (event->outcome)
-    {
-    case OUTCOME_DONE:
-      return FALSE;
-    case OUTCOME_NOT_RUN:
-      return event->reason == REASON_NOT_OWNER || event->reason == REASON_LEASE
-             || event->reason == REASON_PEER_LOST
-             || event->reason == REASON_DRAINING
-             || event->reason == REASON_SERVER_DOWN;
-    case OUTCOME_UNKNOWN:
-      return flight->request.run_class == RUN_IDEMPOTENT;
-    }
-  return FALSE;
-}
-
 /* Forget the id of FLIGHT if its attempt here has not run.  */
 static void
 forget_not_run (struct core *core, struct flight *flight, enum outcome outcome)
@@ -158,6 +144,52 @@
   reply_send (core, event->exchange, &end, out);
 }
 
+/* Learn from an attempt at another node whether that can be reached.  */
+static void
+learn_reach (struct core *core, struct flight *flight,
+             const struct event_ended *event, gint64 now, struct actions *out)
+{
+  struct handle node = view_find_node (&core->view, flight->peer);
+  gboolean lost = event->reason == REASON_PEER_LOST;
+  struct breaker *breaker;
+  struct note *note;
+
+  if (event->reason == REASON_DEADLINE || !handle_is_set (node))
+    return;
+  flight->owner_lost = lost;
+  breaker = table_mirror (&core->breakers, node);
+  if (!breaker_on_ended (breaker, lost ? BREAKER_LOST : BREAKER_REACHED, now))
+    return;
+  note = &actions_add (out, ACTION_NOTE)->u.note;
+  note->id = NOTE_ROUTE_BREAKER;
+  note->node = flight->peer;
+  note->code = event->reason;
+}
+
+/* Tell whether the request of FLIGHT is sent again after EVENT.  */
+static gboolean
+wants_retry (struct core *core, const struct flight *flight,
+             const struct event_ended *event)
+{
+  return retry_is_safe (&flight->request, event)
+         && (!retry_is_charged (event) || retry_budget_spend (&core->retries));
+}
+
+/* An attempt ended without a whole answer.  */
+static void
+take_failure (struct core *core, struct flight *flight,
+              const struct event_ended *event, gint64 now, struct actions *out)
+{
+  reply_note (out, NOTE_ROUTE_ENDED, &flight->request)->code = event->reason;
+  forget_not_run (core, flight, event->outcome);
+  if (event->outcome == OUTCOME_UNKNOWN)
+    flight->may_have_run = TRUE;
+  if (wants_retry (core, flight, event))
+    wait_or_end (core, event->exchange, event->reason, now, out);
+  else
+    end_as (core, event, out);
+}
+
 /* An attempt ended.  */
 void
 route_ended (struct core *core, const struct event_ended *event, gint64 now,
@@ -169,18 +201,12 @@
     return;
   if (flight->phase == FLIGHT_RUNNING)
     gate_release (&core->gate);
+  if (flight->phase == FLIGHT_FORWARDED)
+    learn_reach (core, flight, event, now, out);
   if (event->outcome == OUTCOME_DONE)
     table_remove (&core->flights, event->exchange);
   else
-    {
-      reply_note (out, NOTE_ROUTE_ENDED, &flight->request)->code
-          = event->reason;
-      forget_not_run (core, flight, event->outcome);
-      if (may_retry (flight, event))
-        wait_or_end (core, event->exchange, event->reason, now, out);
-      else
-        end_as (core, event, out);
-    }
+    take_failure (core, flight, event, now, out);
   admit_next (core, now, out);
 }
 
--- a/src/types/note.c
+++ b/src/types/note.c
@@ -16,6 +16,7 @@
   { NOTE_ROUTE_QUEUED, "route-queued" },
   { NOTE_ROUTE_CANCELLED, "route-cancelled" },
   { NOTE_ONCE_REPEAT, "once-repeat" },
+  { NOTE_ROUTE_BREAKER, "route-breaker" },
   { NOTE_PLACE_ASSIGN, "place-assign" },
   { NOTE_PLACE_MOVE, "place-move" },
   { NOTE_PLACE_OWNED, "place-owned" },
--- a/src/types/note.h
+++ b/src/types/note.h
@@ -18,6 +18,7 @@
   NOTE_ROUTE_QUEUED = 105,    /* waits for a slot */
   NOTE_ROUTE_CANCELLED = 106, /* the caller went away */
   NOTE_ONCE_REPEAT = 107,     /* a request id seen before */
+  NOTE_ROUTE_BREAKER = 108,   /* a node is lost to requests, or back */
   /* 200: placement */
   NOTE_PLACE_ASSIGN = 200,   /* proposes owners */
   NOTE_PLACE_MOVE = 201,     /* proposes a move */
--- /dev/null
+++ b/tests/test_route.c
@@ -0,0 +1,204 @@
+#include "decide/retry.h"
+#include "decide/timing.h"
+#include "tests/request_fixture.h"
+
+/* The incarnation that a request is passed on to, 0 if to none.  */
+static guint64
+forwarded_to (const struct fixture *f)
+{
+  const struct action *action = fixture_find (f, ACTION_FORWARD);
+
+  return action != NULL ? action->u.forward.peer : 0;
+}
+
+/* A request of run class RUN_CLASS for SERVICE that arrives in time for many
+   attempts.  */
+static struct request
+patient (const char *service, enum run_class run_class)
+{
+  struct request request = fixture_request (
+      service, strcmp (service, "pay") == 0 ? "" : "k", "a");
+
+  request.run_class = run_class;
+  request.deadline = FIXTURE_START + 60 * (gint64)1000000;
+  return request;
+}
+
+/* A request that must run once ends as unknown with its first attempt that
+   may have run; it is not sent again.  */
+static void
+test_once_unknown_ends (void)
+{
+  struct fixture f;
+  struct request request = patient ("far", RUN_ONCE);
+  struct handle exchange;
+
+  fixture_begin (&f, "desk");
+  exchange = fixture_arrive (&f, &request, FIXTURE_START);
+  CU_ASSERT_EQUAL (forwarded_to (&f), 2);
+  fixture_ended (&f, exchange, OUTCOME_UNKNOWN, REASON_PEER_LOST,
+                 FIXTURE_START);
+  CU_ASSERT_TRUE (fixture_answered (&f, OUTCOME_UNKNOWN, REASON_PEER_LOST));
+  fixture_tick (&f, 1, FIXTURE_START + 10000000);
+  CU_ASSERT_EQUAL (forwarded_to (&f), 0);
+  fixture_end (&f);
+}
+
+/* A request one of whose attempts may have run is never answered as not run,
+   however its last attempt ends.  */
+static void
+test_unknown_stays (void)
+{
+  struct fixture f;
+  struct request request = patient ("far", RUN_IDEMPOTENT);
+  struct handle exchange;
+  gint64 now = FIXTURE_START;
+
+  fixture_begin (&f, "desk");
+  exchange = fixture_arrive (&f, &request, now);
+  fixture_ended (&f, exchange, OUTCOME_UNKNOWN, REASON_PEER_LOST, now);
+  CU_ASSERT_PTR_NULL (fixture_find (&f, ACTION_ANSWER));
+  now += 1000000;
+  fixture_tick (&f, 1, now);
+  CU_ASSERT_NOT_EQUAL (forwarded_to (&f), 0);
+  fixture_ended (&f, exchange, OUTCOME_NOT_RUN, REASON_OVERLOAD, now);
+  CU_ASSERT_TRUE (fixture_answered (&f, OUTCOME_UNKNOWN, REASON_OVERLOAD));
+  fixture_end (&f);
+}
+
+/* When the owner cannot be reached the successor is asked, which knows whether
+   it serves in its place; then the owner again.  */
+static void
+test_successor_is_tried (void)
+{
+  struct fixture f;
+  struct request request = patient ("far", RUN_ONCE);
+  struct handle exchange;
+  gint64 now = FIXTURE_START;
+
+  fixture_begin (&f, "desk");
+  exchange = fixture_arrive (&f, &request, now);
+  fixture_ended (&f, exchange, OUTCOME_NOT_RUN, REASON_PEER_LOST, now);
+  now += 1000000;
+  fixture_tick (&f, 1, now);
+  CU_ASSERT_EQUAL (forwarded_to (&f), 3);
+  fixture_ended (&f, exchange, OUTCOME_NOT_RUN, REASON_NOT_OWNER, now);
+  now += 1000000;
+  fixture_tick (&f, 1, now);
+  CU_ASSERT_EQUAL (forwarded_to (&f), 2);
+  fixture_end (&f);
+}
+
+/* Once an owner has been lost often, its successor is asked at once, and a
+   node that nobody answers for is waited for without sending.  */
+static void
+test_breaker (void)
+{
+  struct fixture f;
+  struct request request = patient ("far", RUN_ONCE);
+  guint i;
+
+  fixture_begin (&f, "desk");
+  for (i = 0; i < 5; i++)
+    {
+      struct handle exchange = fixture_arrive (&f, &request, FIXTURE_START);
+      CU_ASSERT_EQUAL (forwarded_to (&f), 2);
+      fixture_ended (&f, exchange, OUTCOME_UNKNOWN, REASON_PEER_LOST,
+                     FIXTURE_START);
+    }
+  for (i = 0; i < 5; i++)
+    {
+      struct handle exchange = fixture_arrive (&f, &request, FIXTURE_START);
+      CU_ASSERT_EQUAL (forwarded_to (&f), 3);
+      fixture_ended (&f, exchange, OUTCOME_UNKNOWN, REASON_PEER_LOST,
+                     FIXTURE_START);
+    }
+  fixture_arrive (&f, &request, FIXTURE_START);
+  CU_ASSERT_EQUAL (forwarded_to (&f), 0);
+  CU_ASSERT_PTR_NULL (fixture_find (&f, ACTION_ANSWER));
+  fixture_tick (&f, 1, FIXTURE_START + 1000000);
+  CU_ASSERT_EQUAL (forwarded_to (&f), 2);
+  fixture_end (&f);
+}
+
+/* With the budget spent, attempts that cost a server are not repeated.  */
+static void
+test_budget_runs_out (void)
+{
+  struct fixture f;
+  struct request request = patient ("far", RUN_IDEMPOTENT);
+  guint waiting = 0;
+  guint i;
+
+  fixture_begin (&f, "desk");
+  for (i = 0; i < 100; i++)
+    {
+      struct handle exchange = fixture_arrive (&f, &request, FIXTURE_START);
+      fixture_ended (&f, exchange, OUTCOME_NOT_RUN, REASON_LEASE,
+                     FIXTURE_START);
+      if (fixture_find (&f, ACTION_ANSWER) == NULL)
+        waiting++;
+    }
+  CU_ASSERT_TRUE (waiting >= 20 && waiting <= 32);
+  fixture_end (&f);
+}
+
+/* A request that waits in the queue while the lease lapses is not run.  */
+static void
+test_lease_lapses_in_queue (void)
+{
+  struct fixture f;
+  struct request request = patient ("desk", RUN_IDEMPOTENT);
+  struct handle first;
+
+  fixture_begin (&f, "desk");
+  request.from_peer = TRUE;
+  first = fixture_arrive (&f, &request, FIXTURE_START);
+  fixture_arrive (&f, &request, FIXTURE_START);
+  fixture_arrive (&f, &request, FIXTURE_START);
+  CU_ASSERT_PTR_NULL (fixture_find (&f, ACTION_RUN));
+  f.core.lease.until = FIXTURE_START + 1;
+  fixture_ended (&f, first, OUTCOME_DONE, REASON_NONE, FIXTURE_START + 2);
+  CU_ASSERT_PTR_NULL (fixture_find (&f, ACTION_RUN));
+  CU_ASSERT_TRUE (fixture_answered (&f, OUTCOME_NOT_RUN, REASON_LEASE));
+  CU_ASSERT_EQUAL (f.core.gate.busy, 1);
+  fixture_end (&f);
+}
+
+/* A caller that goes away has its work cancelled, and its slot goes to the
+   next in the queue.  */
+static void
+test_caller_goes_away (void)
+{
+  struct fixture f;
+  struct request request = patient ("desk", RUN_IDEMPOTENT);
+  struct event gone = { .kind = EVENT_GONE };
+
+  fixture_begin (&f, "desk");
+  gone.u.gone.exchange = fixture_arrive (&f, &request, FIXTURE_START);
+  fixture_arrive (&f, &request, FIXTURE_START);
+  fixture_arrive (&f, &request, FIXTURE_START);
+  fixture_step (&f, &gone, FIXTURE_START);
+  CU_ASSERT_PTR_NOT_NULL (fixture_find (&f, ACTION_CANCEL));
+  CU_ASSERT_PTR_NOT_NULL (fixture_find (&f, ACTION_RUN));
+  fixture_ended (&f, gone.u.gone.exchange, OUTCOME_DONE, REASON_NONE,
+                 FIXTURE_START);
+  CU_ASSERT_EQUAL (f.core.gate.busy, 2);
+  fixture_end (&f);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[]
+      = { { "once unknown ends", test_once_unknown_ends },
+          { "unknown stays", test_unknown_stays },
+          { "successor is tried", test_successor_is_tried },
+          { "breaker", test_breaker },
+          { "budget runs out", test_budget_runs_out },
+          { "lease lapses in queue", test_lease_lapses_in_queue },
+          { "caller goes away", test_caller_goes_away },
+          CU_TEST_INFO_NULL };
+
+  return suite_run ("route", tests);
+}
