--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -1,5 +1,6 @@
 #include "decide/core.h"
 
+#include "decide/breaker.h"
 #include "decide/certificate.h"
 #include "decide/flight.h"
 #include "decide/fold.h"
@@ -12,6 +13,8 @@
 
 #include <string.h>
 
+#define ONCE_SWEEP_PER_STEP 256u /* remembered ids looked at */
+
 /* Set up a node that has read nothing yet.  */
 void
 core_init (struct core *core, const struct core_settings *settings)
@@ -27,6 +30,9 @@
   hold_init (&core->hold);
   moves_init (&core->moves);
   gate_init (&core->gate);
+  once_init (&core->once);
+  retry_budget_init (&core->retries);
+  table_init (&core->breakers, sizeof (struct breaker));
   outbox_init (&core->outbox, settings->incarnation);
   table_init (&core->flights, sizeof (struct flight));
   core->attempt = settings->seed;
@@ -44,6 +50,8 @@
   hold_clear (&core->hold);
   moves_clear (&core->moves);
   gate_clear (&core->gate);
+  once_clear (&core->once);
+  table_clear (&core->breakers);
   outbox_clear (&core->outbox);
   table_clear (&core->flights);
 }
@@ -218,6 +226,7 @@
   certificate_step (core, now, out);
   plan_step (core, now, out);
   route_step (core, now, out);
+  once_sweep (&core->once, ONCE_SWEEP_PER_STEP, now);
   outbox_send (&core->outbox, now, out);
 }
 
@@ -234,6 +243,8 @@
     {
     case EVENT_TICK:
       step_all (core, now, out);
+      drain_step (core, event->u.tick.exchanges, now, out);
+      outbox_send (&core->outbox, now, out);
       break;
     case EVENT_RECORDS:
       take_records (core, &event->u.records, now, out);
@@ -267,9 +278,11 @@
     case EVENT_PEER_REPLY:
       take_peer_reply (core, &event->u.peer_reply, now, out);
       break;
+    case EVENT_DRAIN:
+      drain_begin (core);
+      break;
     case EVENT_SERVER_LOAD:
     case EVENT_GRANTED:
-    case EVENT_DRAIN:
     case EVENT_SNAPSHOT:
       break;
     }
--- a/src/decide/core.h
+++ b/src/decide/core.h
@@ -2,12 +2,15 @@
 #define BAMBOOTALLY_CORE_H
 
 #include "decide/core_settings.h"
+#include "decide/drain.h"
 #include "decide/gate.h"
 #include "decide/hold.h"
 #include "decide/lease.h"
 #include "decide/move.h"
+#include "decide/once.h"
 #include "decide/outbox.h"
 #include "decide/peers.h"
+#include "decide/retry.h"
 #include "decide/witness.h"
 #include "types/event.h"
 #include "types/view.h"
@@ -29,6 +32,11 @@
   struct hold hold;              /* what keeps it from serving slices */
   struct moves moves;            /* moves that concern it */
   struct gate gate;              /* admission to its server */
+  struct once once;              /* ids of requests that run once */
+  struct retry_budget retries;   /* retries that may be made */
+  struct table breakers;         /* struct breaker, by nodes' handles */
+  guint64 draws;                 /* random numbers drawn */
+  struct drain drain;            /* the graceful stop */
   struct outbox outbox;          /* its records on their way */
   struct table flights;          /* struct flight, by the edge's handles */
   struct event_server_up server; /* what its server announced */
--- a/src/decide/fold_node.c
+++ b/src/decide/fold_node.c
@@ -52,6 +52,15 @@
   g_strlcpy (note->text, body->host, sizeof note->text);
 }
 
+/* Tell whether NODE has come to own slices since it proposed that it has
+   left.  It serves nothing while it waits to read that back, so the record
+   can be dropped.  */
+static gboolean
+left_too_early (const struct view_node *node, const struct record_out *body)
+{
+  return body->cause == OUT_LEFT && node->owned > 0;
+}
+
 /* Remove a node and pass its slices on.  An operator who declares a node dead
    knows no floor: its receivers may have been told `released', so they get
    what they wait for.  */
@@ -65,6 +74,11 @@
 
   if (!handle_is_set (gone))
     return;
+  if (left_too_early (view_node_at (view, gone), body))
+    {
+      fold_note (out, NOTE_PLACE_DROPPED, offset)->node = body->incarnation;
+      return;
+    }
   view_remove_node (view, gone);
   fold_owner_out (view, gone, floor, offset);
   note = fold_note (out, NOTE_NODE_OUT, offset);
--- a/src/decide/member.c
+++ b/src/decide/member.c
@@ -48,16 +48,18 @@
 
 /* Going out */
 
-/* Propose that INCARNATION, which owns nothing or is this node, is out.  */
+/* Propose that INCARNATION, which owns nothing or is this node, is out for
+   CAUSE.  */
 static void
-propose_out (struct core *core, guint64 incarnation, guint64 floor)
+propose_out (struct core *core, guint64 incarnation, guint64 floor,
+             enum out_cause cause)
 {
   struct record_out *body
       = &outbox_propose (&core->outbox, RECORD_OUT)->body.out;
 
   body->incarnation = incarnation;
   body->floor = floor;
-  body->cause = OUT_LEFT;
+  body->cause = cause;
 }
 
 /* A node whose lease has lapsed and can never be renewed serves nothing from
@@ -70,7 +72,8 @@
       || lease_can_renew (&core->lease, &core->view))
     return;
   core->is_leaving_fleet = TRUE;
-  propose_out (core, core->settings.incarnation, core->lease.floor);
+  propose_out (core, core->settings.incarnation, core->lease.floor,
+               OUT_GAVE_UP);
 }
 
 /* Propose that the node before this one at its address is out, once it owns
@@ -88,7 +91,7 @@
       if (node->state == NODE_RETIRED && node->owned == 0
           && address_equal (node->join.peer, core->settings.peer))
         {
-          propose_out (core, node->join.incarnation, 0);
+          propose_out (core, node->join.incarnation, 0, OUT_LEFT);
           return;
         }
     }
@@ -111,11 +114,14 @@
 
 /* End a node that the log shows out or retired: it admits nothing, and what
    its server still runs gets a while to answer.  It comes back as a new
-   incarnation unless it had wanted to leave.  */
+   incarnation unless it had wanted to leave.  The end of a graceful stop is
+   the business of drain.  */
 static void
 leave (struct core *core, gint64 now, struct actions *out)
 {
   core->is_leaving_fleet = TRUE;
+  if (core->drain.asked)
+    return;
   if (core->exit_at == 0)
     core->exit_at = now + EXIT_GRACE_USEC;
   if (core->exited || (has_work (core) && now < core->exit_at))
@@ -153,7 +159,8 @@
     return;
   if (!core->joined)
     {
-      if (core->has_server && !outbox_has (&core->outbox, RECORD_JOIN))
+      if (core->has_server && !core->drain.asked
+          && !outbox_has (&core->outbox, RECORD_JOIN))
         propose_join (core);
       return;
     }
--- a/src/decide/own.c
+++ b/src/decide/own.c
@@ -51,7 +51,7 @@
   struct own_right right = { FALSE, REASON_NOT_OWNER, { 0, 0 } };
   const struct view_slice *entry = view_slice_at (service, slice);
 
-  if (entry == NULL || core->is_leaving_fleet
+  if (entry == NULL || core->is_leaving_fleet || drain_is_closing (core)
       || !fold_is_alive (&core->view, core->self))
     return right;
   if (handle_equal (entry->owner, core->self))
--- a/src/types/record.h
+++ b/src/types/record.h
@@ -66,7 +66,8 @@
 {
   OUT_CERTIFICATE = 0, /* a majority of its witnesses promised */
   OUT_LEFT = 1,        /* it left by itself, owning nothing */
-  OUT_DECLARED = 2     /* an operator declared it dead */
+  OUT_DECLARED = 2,    /* an operator declared it dead */
+  OUT_GAVE_UP = 3      /* its lease could never be renewed again */
 };
 
 /* The witnesses of a node.  */
