Placement: balance on join, vacate leaving nodes, successors spread over zones

Cause: only slices without an owner were placed, each by a pass over all members; a node that joined got nothing, one that left kept its slices, and successors that were out were never replaced. Ruled out: a heap of our own (GSequence sorts, and lets one walk past hosts that are taken); a least gain as a share of the mean, under which a join moved nothing at all, since one slice of 32 gains too little; vacating a retired node, which can release nothing and whose successors would be kept from taking over by the move. Change: struct place holds the members sorted by zone for the time of one plan; plan_make fills one record of at most 512 slices: owners first, then moves off leaving nodes, successors, balance. Three members come to plan, 2 s apart, if what stands out stays.

--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -20,6 +20,7 @@
   witness_init (&core->witness);
   gate_init (&core->gate);
   outbox_init (&core->outbox, settings->incarnation);
+  planner_init (&core->planner);
   table_init (&core->flights, sizeof (struct flight));
   core->attempt = settings->seed;
 }
@@ -32,6 +33,7 @@
   witness_clear (&core->witness);
   gate_clear (&core->gate);
   outbox_clear (&core->outbox);
+  planner_clear (&core->planner);
   table_clear (&core->flights);
 }
 
--- a/src/decide/core.h
+++ b/src/decide/core.h
@@ -5,6 +5,7 @@
 #include "decide/gate.h"
 #include "decide/lease.h"
 #include "decide/outbox.h"
+#include "decide/planner.h"
 #include "decide/witness.h"
 #include "types/event.h"
 #include "types/view.h"
@@ -21,6 +22,7 @@
   struct witness witness;        /* its acks to others */
   struct gate gate;              /* admission to its server */
   struct outbox outbox;          /* its records on their way */
+  struct planner planner;        /* its plans of placement */
   struct table flights;          /* struct flight, by the edge's handles */
   struct event_server_up server; /* what its server announced */
   gboolean has_server;           /* whether the server announced itself */
--- /dev/null
+++ b/src/decide/place.h
@@ -0,0 +1,47 @@
+#ifndef BAMBOOTALLY_PLACE_H
+#define BAMBOOTALLY_PLACE_H
+
+#include "decide/place_member.h"
+#include "decide/place_zone.h"
+#include "types/record.h"
+#include "types/view.h"
+
+/* The members of one service with what they carry, for the time of one plan.
+   Finding the least loaded member takes time by the number of zones, and a
+   change of load by the logarithm of the members of its zone.  */
+
+#define PLACE_NONE G_MAXUINT32 /* no member */
+
+struct place
+{
+  const struct view_service *service; /* whose members */
+  const GArray *weights;              /* gdouble by slice; short or NULL: 1 */
+  GArray *members;                    /* struct place_member */
+  GArray *zones;                      /* struct place_zone */
+  GHashTable *rows;                   /* handle bits to row plus one */
+  GByteArray *planned;                /* by slice: it is in the plan */
+  gdouble load;                       /* of all members */
+  gdouble capacity;                   /* of the live members */
+  guint32 live;                       /* live members */
+};
+
+void place_init (struct place *place, const struct view *view,
+                 const struct view_service *service, const GArray *weights);
+void place_clear (struct place *place);
+struct place_member *place_at (const struct place *place, guint32 row);
+guint32 place_row (const struct place *place, struct handle node);
+gdouble place_weight (const struct place *place, guint32 slice);
+gdouble place_share (const struct place_member *member);
+gdouble place_mean (const struct place *place);
+guint32 place_least (const struct place *place);
+guint32 place_most (const struct place *place);
+guint32 place_spread (const struct place *place);
+struct place_zone *place_zone_at (const struct place *place, guint32 row);
+gint place_compare_load (gconstpointer a, gconstpointer b, gpointer data);
+gint place_compare_standing (gconstpointer a, gconstpointer b, gpointer data);
+void place_set_aside (struct place *place, guint32 row);
+void place_add_load (struct place *place, guint32 row, gdouble load);
+void place_successors (struct place *place, guint32 owner,
+                       struct record_slice *item);
+
+#endif
--- /dev/null
+++ b/tests/test_plan.c
@@ -0,0 +1,225 @@
+#include "standins/fleet.h"
+#include "decide/timing.h"
+#include "tests/suite.h"
+
+#include <string.h>
+
+#define NOW ((gint64)1000000)
+#define ROUNDS 32u
+
+/* A fleet of COUNT nodes over three zones, with all slices assigned.  */
+static void
+start (struct fleet *fleet, struct planner *planner, guint32 slices,
+       guint32 count)
+{
+  guint i;
+
+  fleet_init (fleet, slices);
+  planner_init (planner);
+  for (i = 0; i < count; i++)
+    fleet_join (fleet, i % 3, 20);
+  fleet_plan (fleet, planner, NOW, ROUNDS);
+}
+
+/* Release both.  */
+static void
+stop (struct fleet *fleet, struct planner *planner)
+{
+  planner_clear (planner);
+  fleet_clear (fleet);
+}
+
+/* Slices are assigned evenly, and then there is nothing left to plan.  */
+static void
+test_assign (void)
+{
+  struct planner planner;
+  struct fleet fleet;
+
+  start (&fleet, &planner, 96, 3);
+  CU_ASSERT_EQUAL (fleet_owned (&fleet, 1), 32);
+  CU_ASSERT_EQUAL (fleet_owned (&fleet, 2), 32);
+  CU_ASSERT_EQUAL (fleet_owned (&fleet, 3), 32);
+  CU_ASSERT_EQUAL (fleet_plan (&fleet, &planner, NOW, ROUNDS), 0);
+  stop (&fleet, &planner);
+}
+
+/* A node that leaves loses every slice in one plan, and no other moves.  */
+static void
+test_leave (void)
+{
+  struct planner planner;
+  struct fleet fleet;
+
+  start (&fleet, &planner, 96, 4);
+  fleet_leave (&fleet, 2);
+  CU_ASSERT_EQUAL (fleet_plan (&fleet, &planner, NOW, 1), 24);
+  CU_ASSERT_EQUAL (fleet_owned (&fleet, 2), 0);
+  CU_ASSERT_EQUAL (fleet_owned (&fleet, 1), 32);
+  stop (&fleet, &planner);
+}
+
+/* A node that joins is given its share and nothing else moves.  */
+static void
+test_join (void)
+{
+  struct planner planner;
+  struct fleet fleet;
+  guint32 moved;
+
+  start (&fleet, &planner, 96, 3);
+  fleet_join (&fleet, 0, 20);
+  moved = fleet_plan (&fleet, &planner, NOW, ROUNDS);
+  CU_ASSERT_EQUAL (moved, fleet_owned (&fleet, 4));
+  CU_ASSERT_TRUE (moved >= 22 && moved <= 24);
+  stop (&fleet, &planner);
+}
+
+/* Twice the slots, twice the slices.  */
+static void
+test_weight (void)
+{
+  struct planner planner;
+  struct fleet fleet;
+
+  fleet_init (&fleet, 90);
+  planner_init (&planner);
+  fleet_join (&fleet, 0, 10);
+  fleet_join (&fleet, 1, 20);
+  fleet_plan (&fleet, &planner, NOW, ROUNDS);
+  CU_ASSERT_EQUAL (fleet_owned (&fleet, 1), 30);
+  CU_ASSERT_EQUAL (fleet_owned (&fleet, 2), 60);
+  stop (&fleet, &planner);
+}
+
+/* After a loss the successors are named anew: live and in other zones.  */
+static void
+test_loss (void)
+{
+  struct planner planner;
+  struct fleet fleet;
+  const struct view_service *service;
+  guint i;
+  guint k;
+
+  start (&fleet, &planner, 96, 9);
+  fleet_out (&fleet, 5);
+  fleet_plan (&fleet, &planner, NOW, ROUNDS);
+  service = fleet_service (&fleet);
+  for (i = 0; i < service->slices->len; i++)
+    for (k = 0; k < SUCCESSOR_MAX; k++)
+      {
+        const struct view_slice *slice = view_slice_at (service, i);
+        const struct view_node *owner
+            = view_node_at (&fleet.view, slice->owner);
+        const struct view_node *next
+            = view_node_at (&fleet.view, slice->successor[k]);
+        CU_ASSERT_TRUE_FATAL (owner != NULL && next != NULL);
+        if (owner != NULL && next != NULL)
+          CU_ASSERT_STRING_NOT_EQUAL (owner->join.zone, next->join.zone);
+      }
+  stop (&fleet, &planner);
+}
+
+/* The slices of a retired node stay: it can release none, and a move would
+   keep its successors from taking them.  */
+static void
+test_retired_stays (void)
+{
+  struct planner planner;
+  struct fleet fleet;
+
+  start (&fleet, &planner, 96, 3);
+  view_node_at (&fleet.view, view_find_node (&fleet.view, 2))->state
+      = NODE_RETIRED;
+  fleet_plan (&fleet, &planner, NOW, ROUNDS);
+  CU_ASSERT_EQUAL (fleet_owned (&fleet, 2), 32);
+  stop (&fleet, &planner);
+}
+
+/* Give SLICE of FLEET the weight that makes its owner the heavier by far.  */
+static void
+set_weights (struct planner *planner, guint32 heavy, gdouble weight)
+{
+  guint32 i;
+
+  g_array_set_size (planner->weights, 8);
+  for (i = 0; i < 8; i++)
+    g_array_index (planner->weights, gdouble, i) = i == heavy ? weight : 1;
+}
+
+/* A slice moved for balance stays while it rests, however the weights turn,
+   and may move again afterwards.  */
+static void
+test_rest (void)
+{
+  struct planner planner;
+  struct fleet fleet;
+  struct handle owner;
+  guint32 slice = 0;
+
+  start (&fleet, &planner, 8, 2);
+  set_weights (&planner, 0, 3);
+  CU_ASSERT_EQUAL (fleet_plan (&fleet, &planner, NOW, ROUNDS), 1);
+  while (slice < 8 && !planner_rests (&planner, slice, NOW))
+    slice++;
+  CU_ASSERT_FATAL (slice < 8);
+  owner = view_slice_at (fleet_service (&fleet), slice)->owner;
+  set_weights (&planner, slice, 2);
+  CU_ASSERT_TRUE (fleet_plan (&fleet, &planner, NOW + 1, ROUNDS) > 0);
+  CU_ASSERT_TRUE (handle_equal (
+      view_slice_at (fleet_service (&fleet), slice)->owner, owner));
+  CU_ASSERT_FALSE (planner_rests (&planner, slice, NOW + EVEN_REST_USEC));
+  stop (&fleet, &planner);
+}
+
+/* Set the weight of one more slice of NODE, from FROM on; return the next.  */
+static guint32
+weigh_one (struct fleet *fleet, struct planner *planner, guint64 node,
+           guint32 from, gdouble weight)
+{
+  const struct view_service *service = fleet_service (fleet);
+
+  while (view_incarnation (&fleet->view, view_slice_at (service, from)->owner)
+         != node)
+    from++;
+  g_array_index (planner->weights, gdouble, from) = weight;
+  return from + 1;
+}
+
+/* A gap of 1 in 31 between two nodes is left alone although a move would
+   close it; a gap of 3 is not.  */
+static void
+test_threshold (void)
+{
+  struct planner planner;
+  struct fleet fleet;
+  guint32 next;
+  guint i;
+
+  start (&fleet, &planner, 64, 2);
+  g_array_set_size (planner.weights, 64);
+  for (i = 0; i < 64; i++)
+    g_array_index (planner.weights, gdouble, i) = 1;
+  weigh_one (&fleet, &planner, 1, 0, 0.5);
+  next = weigh_one (&fleet, &planner, 2, 0, 0.5);
+  next = weigh_one (&fleet, &planner, 2, next, 0.01);
+  CU_ASSERT_EQUAL (fleet_plan (&fleet, &planner, NOW, ROUNDS), 0);
+  next = weigh_one (&fleet, &planner, 2, next, 0.01);
+  weigh_one (&fleet, &planner, 2, next, 0.01);
+  CU_ASSERT_EQUAL (fleet_plan (&fleet, &planner, NOW, ROUNDS), 1);
+  stop (&fleet, &planner);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[]
+      = { { "assign", test_assign }, { "leave", test_leave },
+          { "join", test_join },     { "weight", test_weight },
+          { "loss", test_loss },     { "retired stays", test_retired_stays },
+          { "rest", test_rest },     { "threshold", test_threshold },
+          CU_TEST_INFO_NULL };
+
+  return suite_run ("plan", tests);
+}
