--- a/Makefile
+++ b/Makefile
@@ -22,15 +22,17 @@
 STANDBIN_SRC := $(wildcard standins/bin/*.c)
 TEST_SRC := $(wildcard tests/test_*.c)
 BENCH_SRC := $(wildcard bench/bench_*.c)
+BENCHLIB_SRC := $(filter-out $(BENCH_SRC),$(wildcard bench/*.c))
 SCNBIN_SRC := $(wildcard scenarios/bin/*.c)
 SHOW_SRC := $(wildcard examples/programs/*.c)
 ALL_SRC := $(LIB_SRC) $(STAND_SRC) $(SCN_SRC) $(BIN_SRC) $(STANDBIN_SRC) \
-	$(TEST_SRC) $(BENCH_SRC) $(SCNBIN_SRC) $(SHOW_SRC)
+	$(TEST_SRC) $(BENCH_SRC) $(BENCHLIB_SRC) $(SCNBIN_SRC) $(SHOW_SRC)
 HEADERS := $(wildcard src/*/*.h standins/*.h scenarios/*.h tests/*.h bench/*.h)
 
 LIB = $(B)/libbambootally.a
 STANDLIB = $(B)/libstandins.a
 SCNLIB = $(B)/libscenario.a
+BENCHLIB = $(B)/libbench.a
 BINS := $(BIN_SRC:src/bin/%.c=$(B)/%)
 STANDBINS := $(STANDBIN_SRC:standins/bin/%.c=$(B)/%)
 TESTS := $(TEST_SRC:tests/%.c=$(B)/%)
@@ -55,6 +57,9 @@
 $(STANDLIB): $(STAND_SRC:%.c=$(B)/obj/%.o)
 	@rm -f $@
 	@ar rcs $@ $^
+$(BENCHLIB): $(BENCHLIB_SRC:%.c=$(B)/obj/%.o)
+	@rm -f $@
+	@ar rcs $@ $^
 $(SCNLIB): $(SCN_SRC:%.c=$(B)/obj/%.o)
 	@rm -f $@
 	@ar rcs $@ $^
@@ -66,7 +71,7 @@
 	@$(LINK)
 $(TESTS): $(B)/%: $(B)/obj/tests/%.o $(SCNLIB) $(STANDLIB) $(LIB)
 	@$(LINK)
-$(BENCHES): $(B)/%: $(B)/obj/bench/%.o $(STANDLIB) $(LIB)
+$(BENCHES): $(B)/%: $(B)/obj/bench/%.o $(BENCHLIB) $(STANDLIB) $(LIB)
 	@$(LINK)
 $(SCNBINS): $(B)/%: $(B)/obj/scenarios/bin/%.o $(SCNLIB) $(STANDLIB) $(LIB)
 	@$(LINK)
--- /dev/null
+++ b/bench/bench_plan.c
@@ -0,0 +1,78 @@
+#include "bench/scale.h"
+
+#include <stdio.h>
+
+/* What planning costs by the number of members: a plan that finds nothing to
+   do, and all plans after a join, a leave, a loss and the loss of one data
+   centre, with the records and slices that they take.  */
+
+#define ROUNDS 4096u     /* plans made at most */
+#define SAMPLES 20u      /* plans that are timed */
+#define CENTRE_SHARE 11u /* one node in so many is lost with its centre */
+
+/* Make all plans that FLEET wants now and print what they took.  */
+static void
+print_plans (struct fleet *fleet, struct planner *planner, const char *what,
+             guint32 nodes, gint64 now)
+{
+  guint64 next = fleet->view.next;
+  char text[NAME_SIZE];
+  struct scale_mark mark = scale_begin ();
+  guint32 moved = fleet_plan (fleet, planner, now, ROUNDS);
+  struct scale_cost cost = scale_end (mark);
+
+  g_snprintf (text, sizeof text, "%s, all plans", what);
+  scale_print (text, nodes, (gdouble)cost.usec / 1000, "ms");
+  g_snprintf (text, sizeof text, "%s, slices moved", what);
+  scale_print (text, nodes, moved, "slices");
+  g_snprintf (text, sizeof text, "%s, records", what);
+  scale_print (text, nodes, (gdouble)(fleet->view.next - next), "records");
+}
+
+/* Measure the plans for NODES members.  */
+static void
+run_size (guint32 nodes)
+{
+  gint64 now = G_USEC_PER_SEC;
+  struct scale_mark mark;
+  struct scale_cost cost;
+  struct planner planner;
+  struct fleet fleet;
+  guint32 i;
+
+  fleet_init (&fleet, nodes * SCALE_SLICES_A_NODE);
+  scale_join_all (&fleet, nodes);
+  planner_init (&planner);
+  print_plans (&fleet, &planner, "start", nodes, now);
+  mark = scale_begin ();
+  for (i = 0; i < SAMPLES; i++)
+    fleet_plan (&fleet, &planner, now, 1);
+  cost = scale_end (mark);
+  scale_print ("plan that finds nothing", nodes,
+               (gdouble)cost.usec / 1000 / SAMPLES, "ms");
+  scale_print ("memory of a planner", nodes, (gdouble)cost.bytes / 1024,
+               "KiB");
+  fleet_join (&fleet, 0, SCALE_SLOTS);
+  print_plans (&fleet, &planner, "join", nodes, now);
+  fleet_leave (&fleet, 2);
+  print_plans (&fleet, &planner, "leave", nodes, now + G_USEC_PER_SEC);
+  fleet_out (&fleet, 3);
+  print_plans (&fleet, &planner, "loss", nodes, now + 100 * G_USEC_PER_SEC);
+  for (i = CENTRE_SHARE; i <= nodes; i += CENTRE_SHARE)
+    fleet_out (&fleet, i);
+  print_plans (&fleet, &planner, "lost data centre", nodes,
+               now + 200 * G_USEC_PER_SEC);
+  planner_clear (&planner);
+  fleet_clear (&fleet);
+}
+
+int
+main (void)
+{
+  guint i;
+
+  printf ("| what | nodes | value | unit |\n|---|---|---|---|\n");
+  for (i = 0; i < G_N_ELEMENTS (scale_sizes); i++)
+    run_size (scale_sizes[i]);
+  return 0;
+}
