Plans go on in bounded steps, from one record to the next

Cause: each record of 512 slices began a new pass over all members and slices, in one step of the loop: 104 ms a pass at 17,000 members, 11.2 s of processor time for a fresh start of that size. Ruled out: pacing alone, which would keep a leaving server for ten seconds; a pass kept up to date by each record folded, which ties the fold to plans. Change: a pass is a planner's stage and cursor; plan_advance does about 16,384 units of it and stops when a record is full. Members are found by the row of their handle instead of a hash table, and nothing in a pass points into the view. Slices that a folded move takes elsewhere rest on every planner. Conclusion: planning is linear and bounded; what is left is the memory of a pass, 3.3 MiB at 17,000 members.

--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -51,6 +51,10 @@
     {
       const struct log_entry *entry = &event->items[i];
       outbox_on_record (&core->outbox, &entry->record);
+      planner_on_record (
+          &core->planner, &core->view,
+          view_find_service (&core->view, core->settings.service),
+          &entry->record, now);
       fold_record (&core->view, entry->offset, &entry->record, out);
       if (entry->record.kind == RECORD_JOIN
           || entry->record.kind == RECORD_CONFIG)
--- a/src/decide/place.c
+++ b/src/decide/place.c
@@ -18,19 +18,15 @@
 guint32
 place_row (const struct place *place, struct handle node)
 {
-  guint32 found = GPOINTER_TO_UINT (
-      g_hash_table_lookup (place->rows, GUINT_TO_POINTER (node.bits)));
-
-  return found == 0 ? PLACE_NONE : found - 1;
-}
-
-/* What SLICE weighs.  */
-gdouble
-place_weight (const struct place *place, guint32 slice)
-{
-  if (place->weights == NULL || slice >= place->weights->len)
-    return 1.0;
-  return g_array_index (place->weights, gdouble, slice);
+  guint32 index = handle_index (node);
+  guint32 row;
+
+  if (!handle_is_set (node) || index >= place->rows->len)
+    return PLACE_NONE;
+  row = g_array_index (place->rows, guint32, index);
+  if (row == 0 || !handle_equal (place_at (place, row - 1)->node, node))
+    return PLACE_NONE;
+  return row - 1;
 }
 
 /* Order */
--- a/src/decide/place.h
+++ b/src/decide/place.h
@@ -14,29 +14,29 @@
 
 struct place
 {
-  const struct view_service *service; /* whose members */
-  const GArray *weights;              /* gdouble by slice; short or NULL: 1 */
-  GArray *members;                    /* struct place_member */
-  GArray *zones;                      /* struct place_zone */
-  GHashTable *rows;                   /* handle bits to row plus one */
-  GByteArray *planned;                /* by slice: it is in the plan */
-  gdouble load;                       /* of all members */
-  gdouble capacity;                   /* of the live members */
-  guint32 live;                       /* live members */
+  GArray *members;  /* struct place_member */
+  GArray *zones;    /* struct place_zone */
+  GArray *rows;     /* guint32 by index of the node's handle: row plus one */
+  gdouble load;     /* of all members */
+  gdouble capacity; /* of the live members */
+  guint32 live;     /* live members */
 };
 
-void place_init (struct place *place, const struct view *view,
-                 const struct view_service *service, const GArray *weights);
+void place_init (struct place *place);
 void place_clear (struct place *place);
+void place_add_member (struct place *place, const struct view *view,
+                       struct handle h);
+void place_count (struct place *place, const struct view_slice *slice,
+                  gdouble weight);
+void place_order (struct place *place, guint32 row);
 struct place_member *place_at (const struct place *place, guint32 row);
+struct place_zone *place_zone_at (const struct place *place, guint32 row);
 guint32 place_row (const struct place *place, struct handle node);
-gdouble place_weight (const struct place *place, guint32 slice);
 gdouble place_share (const struct place_member *member);
 gdouble place_mean (const struct place *place);
 guint32 place_least (const struct place *place);
 guint32 place_most (const struct place *place);
 guint32 place_spread (const struct place *place);
-struct place_zone *place_zone_at (const struct place *place, guint32 row);
 gint place_compare_load (gconstpointer a, gconstpointer b, gpointer data);
 gint place_compare_standing (gconstpointer a, gconstpointer b, gpointer data);
 void place_set_aside (struct place *place, guint32 row);
--- a/src/decide/place_build.c
+++ b/src/decide/place_build.c
@@ -1,5 +1,7 @@
 #include "decide/place.h"
 
+#include "decide/slice.h"
+
 #include <string.h>
 
 #define PERCENT 100.0
@@ -8,19 +10,20 @@
 static guint32
 find_zone (struct place *place, const char *name)
 {
-  struct place_zone zone = { .name = name };
+  struct place_zone zone;
   guint32 i;
 
   for (i = 0; i < place->zones->len; i++)
     if (strcmp (place_zone_at (place, i)->name, name) == 0)
       return i;
+  g_strlcpy (zone.name, name, sizeof zone.name);
   zone.by_load = g_sequence_new (NULL);
   zone.by_standing = g_sequence_new (NULL);
   g_array_append_val (place->zones, zone);
   return i;
 }
 
-/* The slots of NODE, weighted as CONFIG says of its server.  */
+/* The slots of NODE, weighted as the configuration says of its server.  */
 static gdouble
 capacity_of (const struct view *view, const struct view_node *node)
 {
@@ -33,45 +36,74 @@
   return server != NULL ? slots * server->weight / PERCENT : slots;
 }
 
-/* Add the member under H.  */
-static void
-add_member (struct place *place, const struct view *view, struct handle h)
+/* Set up a place without members.  */
+void
+place_init (struct place *place)
+{
+  memset (place, 0, sizeof *place);
+  place->members = g_array_new (FALSE, TRUE, sizeof (struct place_member));
+  place->zones = g_array_new (FALSE, TRUE, sizeof (struct place_zone));
+  place->rows = g_array_new (FALSE, TRUE, sizeof (guint32));
+}
+
+/* Release what PLACE holds.  */
+void
+place_clear (struct place *place)
+{
+  guint i;
+
+  for (i = 0; i < place->zones->len; i++)
+    {
+      g_sequence_free (place_zone_at (place, i)->by_load);
+      g_sequence_free (place_zone_at (place, i)->by_standing);
+    }
+  g_array_free (place->zones, TRUE);
+  g_array_free (place->members, TRUE);
+  g_array_free (place->rows, TRUE);
+  memset (place, 0, sizeof *place);
+}
+
+/* Add the node under H, which carries nothing yet.  */
+void
+place_add_member (struct place *place, const struct view *view,
+                  struct handle h)
 {
   const struct view_node *node = view_node_at (view, h);
   struct place_member member = { .node = h };
-  guint32 row = place->members->len;
 
+  if (node == NULL || place_row (place, h) != PLACE_NONE)
+    return;
   member.incarnation = node->join.incarnation;
-  member.host = node->join.host;
-  member.server = node->join.server;
+  member.host = slice_hash_text (node->join.host);
   member.capacity = capacity_of (view, node);
   member.live = node->state == NODE_LIVE && member.capacity > 0;
   member.leaving = node->state == NODE_LEAVING;
   member.capacity = MAX (member.capacity, 1.0 / PERCENT);
   member.zone = find_zone (place, node->join.zone);
   g_array_append_val (place->members, member);
-  g_hash_table_insert (place->rows, GUINT_TO_POINTER (h.bits),
-                       GUINT_TO_POINTER (row + 1));
+  if (handle_index (h) >= place->rows->len)
+    g_array_set_size (place->rows, handle_index (h) + 1);
+  g_array_index (place->rows, guint32, handle_index (h)) = place->members->len;
   if (!member.live)
     return;
   place->capacity += member.capacity;
   place->live++;
 }
 
-/* Count what the slice NUMBER lays on its owner, or on the receiver of its
+/* Count what SLICE of WEIGHT lays on its owner, or on the receiver of its
    move, and on its successors.  */
-static void
-count_slice (struct place *place, guint32 number)
+void
+place_count (struct place *place, const struct view_slice *slice,
+             gdouble weight)
 {
-  const struct view_slice *slice = view_slice_at (place->service, number);
   gboolean moves = slice->move != 0;
   guint32 row = place_row (place, moves ? slice->to : slice->owner);
   guint i;
 
   if (row == PLACE_NONE)
     return;
-  place_at (place, row)->load += place_weight (place, number);
-  place->load += place_weight (place, number);
+  place_at (place, row)->load += weight;
+  place->load += weight;
   for (i = 0; i < SUCCESSOR_MAX; i++)
     {
       row = place_row (place,
@@ -81,70 +113,19 @@
     }
 }
 
-/* Put the live members into the order of their zones.  */
-static void
-sort_members (struct place *place)
-{
-  guint32 i;
-
-  for (i = 0; i < place->members->len; i++)
-    {
-      struct place_member *member = place_at (place, i);
-      struct place_zone *zone = place_zone_at (place, member->zone);
-      if (!member->live)
-        continue;
-      member->by_load
-          = g_sequence_append (zone->by_load, GUINT_TO_POINTER (i));
-      member->by_standing
-          = g_sequence_append (zone->by_standing, GUINT_TO_POINTER (i));
-    }
-  for (i = 0; i < place->zones->len; i++)
-    {
-      g_sequence_sort (place_zone_at (place, i)->by_load, place_compare_load,
-                       place);
-      g_sequence_sort (place_zone_at (place, i)->by_standing,
-                       place_compare_standing, place);
-    }
-}
-
-/* Set up PLACE from the members and slices of SERVICE, which have WEIGHTS.
-   PLACE must not be moved in memory and the view must not change.  */
-void
-place_init (struct place *place, const struct view *view,
-            const struct view_service *service, const GArray *weights)
-{
-  guint i;
-
-  memset (place, 0, sizeof *place);
-  place->service = service;
-  place->weights = weights;
-  place->members = g_array_new (FALSE, TRUE, sizeof (struct place_member));
-  place->zones = g_array_new (FALSE, TRUE, sizeof (struct place_zone));
-  place->rows = g_hash_table_new (NULL, NULL);
-  place->planned = g_byte_array_new ();
-  g_byte_array_set_size (place->planned, service->slices->len);
-  memset (place->planned->data, 0, service->slices->len);
-  for (i = 0; i < service->members->len; i++)
-    add_member (place, view,
-                g_array_index (service->members, struct handle, i));
-  for (i = 0; i < service->slices->len; i++)
-    count_slice (place, i);
-  sort_members (place);
-}
-
-/* Release what PLACE holds.  */
+/* Put the member in ROW, whose load has been counted, into the order of its
+   zone if it is live.  */
 void
-place_clear (struct place *place)
+place_order (struct place *place, guint32 row)
 {
-  guint i;
+  struct place_member *member = place_at (place, row);
+  struct place_zone *zone = place_zone_at (place, member->zone);
 
-  for (i = 0; i < place->zones->len; i++)
-    {
-      g_sequence_free (place_zone_at (place, i)->by_load);
-      g_sequence_free (place_zone_at (place, i)->by_standing);
-    }
-  g_array_free (place->zones, TRUE);
-  g_array_free (place->members, TRUE);
-  g_hash_table_destroy (place->rows);
-  g_byte_array_unref (place->planned);
+  if (!member->live)
+    return;
+  member->by_load = g_sequence_insert_sorted (
+      zone->by_load, GUINT_TO_POINTER (row), place_compare_load, place);
+  member->by_standing
+      = g_sequence_insert_sorted (zone->by_standing, GUINT_TO_POINTER (row),
+                                  place_compare_standing, place);
 }
--- a/src/decide/place_member.h
+++ b/src/decide/place_member.h
@@ -4,18 +4,18 @@
 #include "types/handle.h"
 #include <glib.h>
 
-/* A member of a service as placement sees it.  */
+/* A member of a service as placement sees it.  It points at nothing of the
+   view, which may change while a plan goes on.  */
 
 struct place_member
 {
   struct handle node;         /* in the view */
   guint64 incarnation;        /* its name in records */
-  const char *host;           /* owned by the view */
-  const char *server;         /* owned by the view */
+  guint64 host;               /* hash of its host's name */
   guint32 zone;               /* row in the zones */
+  guint32 standing;           /* slices that it is a successor of */
   gdouble capacity;           /* slots, weighted by the configuration */
   gdouble load;               /* weight of the slices it owns or receives */
-  guint32 standing;           /* slices that it is a successor of */
   gboolean live;              /* whether it may be given slices */
   gboolean leaving;           /* whether its slices are to go */
   GSequenceIter *by_load;     /* its place in its zone, or NULL */
--- a/src/decide/place_successor.c
+++ b/src/decide/place_successor.c
@@ -1,7 +1,5 @@
 #include "decide/place.h"
 
-#include <string.h>
-
 /* Tell whether the member in ROW stands on the host of one of the COUNT
    members in TAKEN.  */
 static gboolean
@@ -11,8 +9,7 @@
   guint i;
 
   for (i = 0; i < count; i++)
-    if (strcmp (place_at (place, row)->host, place_at (place, taken[i])->host)
-        == 0)
+    if (place_at (place, row)->host == place_at (place, taken[i])->host)
       return TRUE;
   return FALSE;
 }
--- a/src/decide/place_zone.h
+++ b/src/decide/place_zone.h
@@ -1,13 +1,14 @@
 #ifndef BAMBOOTALLY_PLACE_ZONE_H
 #define BAMBOOTALLY_PLACE_ZONE_H
 
+#include "types/limits.h"
 #include <glib.h>
 
 /* The live members of one zone in sorted order.  */
 
 struct place_zone
 {
-  const char *name;       /* owned by the view */
+  char name[NAME_SIZE];   /* its name */
   GSequence *by_load;     /* rows of members, least load a slot first */
   GSequence *by_standing; /* rows, least successions a slot first */
 };
--- a/src/decide/plan.c
+++ b/src/decide/plan.c
@@ -1,7 +1,7 @@
 #include "decide/plan.h"
 
 #include "decide/core.h"
-#include "decide/plan_batch.h"
+#include "decide/plan_pass.h"
 #include "decide/slice.h"
 #include "decide/timing.h"
 
@@ -30,87 +30,84 @@
   return rank;
 }
 
-/* Propose what BATCH holds for SERVICE.  */
+/* Propose ITEMS of SERVICE in a record of KIND, if there are any.  */
 static void
 propose (struct core *core, const struct view_service *service,
-         const struct plan_batch *batch, struct actions *out)
+         enum record_kind kind, const GArray *items, struct actions *out)
 {
-  struct note *note = &actions_add (out, ACTION_NOTE)->u.note;
+  struct note *note;
   struct record_slices *body;
 
-  note->id
-      = batch->kind == RECORD_ASSIGN ? NOTE_PLACE_ASSIGN : NOTE_PLACE_MOVE;
-  note->amount = batch->items->len;
+  if (items->len == 0)
+    return;
+  note = &actions_add (out, ACTION_NOTE)->u.note;
+  note->id = kind == RECORD_ASSIGN ? NOTE_PLACE_ASSIGN : NOTE_PLACE_MOVE;
+  note->amount = items->len;
   g_strlcpy (note->service, service->config.name, sizeof note->service);
-  body = &outbox_propose (&core->outbox, batch->kind)->body.slices;
+  body = &outbox_propose (&core->outbox, kind)->body.slices;
   g_strlcpy (body->service, service->config.name, sizeof body->service);
-  body->count = batch->items->len;
-  body->items = g_memdup2 (batch->items->data,
-                           batch->items->len * sizeof (struct record_slice));
+  body->count = items->len;
+  body->items
+      = g_memdup2 (items->data, items->len * sizeof (struct record_slice));
 }
 
-/* Tell whether it is this node's turn to propose BATCH, which is not empty.
-   The node of rank 0 does so at once; another one only if what stands out
-   first has stood out for PLAN_STAGGER_USEC for each rank before it.  */
+/* Tell whether a pass is to begin.  The node of rank 0 begins when something
+   changed, and after a while although nothing did, since weights change;
+   another one only if something changed and no plan has come for
+   PLAN_STAGGER_USEC for each rank before it.  */
 static gboolean
-is_due (struct planner *planner, const struct plan_batch *batch, guint32 rank,
-        gint64 now)
+is_due (struct planner *planner, const struct view_service *service,
+        const struct core *core, gint64 now)
 {
-  const struct record_slice *first
-      = &g_array_index (batch->items, struct record_slice, 0);
-  guint64 head = slice_rank (first->epoch, first->slice);
+  guint32 rank;
 
-  if (planner->act_at == 0 || planner->head != head)
-    planner->act_at = now + rank * PLAN_STAGGER_USEC;
-  planner->head = head;
-  return now >= planner->act_at;
+  if (!planner->changed && now < planner->quiet)
+    return FALSE;
+  rank = rank_of_self (core, service);
+  if (rank == 0)
+    return TRUE;
+  if (rank < PLANNERS && planner->changed)
+    return now >= planner->wake + rank * PLAN_STAGGER_USEC;
+  planner->changed = FALSE;
+  planner->quiet = now + PLAN_QUIET_USEC;
+  return FALSE;
 }
 
-/* Make a plan for SERVICE and propose it if it is this node's turn.  */
+/* Go on planning for SERVICE and propose what comes of it.  */
 static void
 plan_service (struct core *core, const struct view_service *service,
-              guint32 rank, gint64 now, struct actions *out)
+              gint64 now, struct actions *out)
 {
   struct planner *planner = &core->planner;
   struct plan_batch batch;
 
-  plan_batch_init (&batch);
-  plan_make (planner, &core->view, service, now, &batch);
-  if (batch.items->len == 0)
+  if (planner->stage != PLAN_IDLE && now >= planner->until)
+    planner_stop (planner);
+  if (planner->stage == PLAN_IDLE)
     {
-      planner->act_at = 0;
-      planner->seen = core->view.next;
-      planner->next_quiet = now + PLAN_QUIET_USEC;
-    }
-  else if (is_due (planner, &batch, rank, now))
-    {
-      planner->act_at = 0;
-      plan_batch_rest (&batch, planner, now);
-      propose (core, service, &batch, out);
+      if (!is_due (planner, service, core, now))
+        return;
+      planner_begin (planner, now);
     }
+  plan_batch_init (&batch);
+  plan_advance (planner, &core->view, service, now, PLAN_STEP_UNITS, &batch);
+  propose (core, service, RECORD_ASSIGN, batch.assigns, out);
+  propose (core, service, RECORD_MOVE, batch.moves, out);
   plan_batch_clear (&batch);
 }
 
-/* Plan, if it is time, the members have settled and this node ranks high
-   enough.  */
+/* Plan if the members have settled and what was proposed has been read
+   back.  */
 void
 plan_step (struct core *core, gint64 now, struct actions *out)
 {
-  struct planner *planner = &core->planner;
   const struct view_service *service;
-  guint32 rank;
 
-  if (now < planner->next || now < core->settled_at
-      || !handle_is_set (core->self)
-      || (planner->seen == core->view.next && now < planner->next_quiet))
-    return;
-  planner->next = now + PLAN_EVERY_USEC;
-  service = view_find_service (&core->view, core->settings.service);
-  if (service == NULL || !service->configured || !service->config.divided
+  if (!handle_is_set (core->self) || now < core->settled_at
       || outbox_has (&core->outbox, RECORD_ASSIGN)
       || outbox_has (&core->outbox, RECORD_MOVE))
     return;
-  rank = rank_of_self (core, service);
-  if (rank < PLANNERS)
-    plan_service (core, service, rank, now, out);
+  service = view_find_service (&core->view, core->settings.service);
+  if (service != NULL && service->configured && service->config.divided)
+    plan_service (core, service, now, out);
 }
--- a/src/decide/plan_rules.c
+++ b/src/decide/plan_rules.c
@@ -1,4 +1,23 @@
-#include "decide/plan_batch.h"
+#include "decide/plan_pass.h"
+
+/* The least loaded member that is still live in VIEW, or PLACE_NONE.  */
+guint32
+plan_receiver (struct planner *planner, const struct view *view)
+{
+  struct place *place = &planner->place;
+  guint32 row = place_least (place);
+
+  while (row != PLACE_NONE)
+    {
+      const struct view_node *node
+          = view_node_at (view, place_at (place, row)->node);
+      if (node != NULL && node->state == NODE_LIVE)
+        return row;
+      place_set_aside (place, row);
+      row = place_least (place);
+    }
+  return PLACE_NONE;
+}
 
 /* Tell whether SLICE is hashed to or the slice of a hot key.  */
 static gboolean
@@ -12,47 +31,6 @@
          && g_array_index (service->hot, struct view_hot, hot).key[0] != '\0';
 }
 
-/* Give an owner to the slices that have none.  */
-void
-plan_assign (struct place *place, struct plan_batch *batch)
-{
-  guint32 i;
-
-  batch->kind = RECORD_ASSIGN;
-  for (i = 0; i < place->service->slices->len && !plan_batch_full (batch); i++)
-    {
-      const struct view_slice *slice = view_slice_at (place->service, i);
-      guint32 owner = place_least (place);
-      if (owner == PLACE_NONE)
-        break;
-      if (!handle_is_set (slice->owner) && in_use (place->service, i))
-        plan_batch_add (batch, place, i, owner);
-    }
-  if (batch->items->len == 0)
-    batch->kind = RECORD_MOVE;
-}
-
-/* Move slices off nodes that leave, to the least loaded.  */
-void
-plan_vacate (struct place *place, struct plan_batch *batch)
-{
-  guint32 i;
-
-  for (i = 0; i < place->service->slices->len && !plan_batch_full (batch); i++)
-    {
-      const struct view_slice *slice = view_slice_at (place->service, i);
-      guint32 from = place_row (place, slice->owner);
-      guint32 to = place_least (place);
-      if (to == PLACE_NONE)
-        return;
-      if (from != PLACE_NONE && slice->move == 0
-          && place_at (place, from)->leaving)
-        plan_batch_add (batch, place, i, to);
-    }
-}
-
-/* Successors */
-
 /* Tell whether the member in ROW stands in one of the COUNT zones.  */
 static gboolean
 in_zones (const struct place *place, guint32 row, const guint32 *zones,
@@ -66,19 +44,20 @@
   return FALSE;
 }
 
-/* Tell whether the successors of SLICE are all live, as many as there can be,
-   and spread over SPREAD zones together with its owner.  */
+/* Tell whether the successors of SLICE, owned by the member in OWNER, are all
+   live, as many as there can be, and spread together with it over as many
+   zones as there can be.  */
 static gboolean
-is_spread (const struct place *place, const struct view_slice *slice,
-           guint32 spread)
+is_spread (const struct planner *planner, const struct view_slice *slice,
+           guint32 owner)
 {
-  guint32 zones[1 + SUCCESSOR_MAX];
+  const struct place *place = &planner->place;
+  guint32 zones[1 + SUCCESSOR_MAX] = { place_at (place, owner)->zone };
   guint32 wanted = MIN (SUCCESSOR_MAX, place->live - 1);
   guint32 found = 0;
   guint32 count = 1;
   guint32 i;
 
-  zones[0] = place_at (place, place_row (place, slice->owner))->zone;
   for (i = 0; i < SUCCESSOR_MAX; i++)
     {
       guint32 row = place_row (place, slice->successor[i]);
@@ -90,25 +69,49 @@
       if (!in_zones (place, row, zones, count))
         zones[count++] = place_at (place, row)->zone;
     }
-  return found >= wanted && count >= spread;
+  return found >= wanted && count >= planner->spread;
 }
 
-/* Name new successors where one is out or leaves or the spread is wanting: a
-   move of the slice to its own owner.  */
+/* Give SLICE to the least loaded member, in a record of ITEMS.  */
+static void
+give (struct planner *planner, const struct view *view,
+      const struct view_slice *slice, guint32 number, GArray *items)
+{
+  guint32 to = plan_receiver (planner, view);
+
+  if (to != PLACE_NONE)
+    plan_batch_add (items, planner, slice, number, to);
+}
+
+/* Look at the slice NUMBER: give it an owner if it has none; move it off a
+   node that leaves; name new successors, by a move to its own owner, where one
+   is out or leaves or the spread is wanting; otherwise it may be moved for
+   balance, unless it rests.  A retired owner can release nothing, and a move
+   would keep its successors from taking over: its slices stay.  */
 void
-plan_respread (struct place *place, struct plan_batch *batch)
+plan_rule (struct planner *planner, const struct view *view,
+           const struct view_service *service, guint32 number, gint64 now,
+           struct plan_batch *batch)
 {
-  guint32 spread = place_spread (place);
-  guint32 i;
+  const struct view_slice *slice = view_slice_at (service, number);
+  guint32 owner = place_row (&planner->place, slice->owner);
 
-  for (i = 0; i < place->service->slices->len && !plan_batch_full (batch); i++)
+  if (!handle_is_set (slice->owner))
     {
-      const struct view_slice *slice = view_slice_at (place->service, i);
-      guint32 owner = place_row (place, slice->owner);
-      if (owner == PLACE_NONE || slice->move != 0 || place->planned->data[i]
-          || !place_at (place, owner)->live
-          || is_spread (place, slice, spread))
-        continue;
-      plan_batch_add (batch, place, i, owner);
+      if (in_use (service, number))
+        give (planner, view, slice, number, batch->assigns);
+      return;
     }
+  if (slice->move != 0 && !handle_equal (slice->to, slice->owner))
+    planner->moving++;
+  if (owner == PLACE_NONE || slice->move != 0)
+    return;
+  if (place_at (&planner->place, owner)->leaving)
+    give (planner, view, slice, number, batch->moves);
+  else if (!place_at (&planner->place, owner)->live)
+    return;
+  else if (!is_spread (planner, slice, owner))
+    plan_batch_add (batch->moves, planner, slice, number, owner);
+  else if (!planner_rests (planner, number, now))
+    plan_chain_add (&planner->chain, owner, number);
 }
--- a/src/decide/planner.c
+++ b/src/decide/planner.c
@@ -1,5 +1,7 @@
 #include "decide/planner.h"
 
+#include "decide/timing.h"
+
 #include <string.h>
 
 /* Set up a planner that has planned nothing.  */
@@ -15,11 +17,21 @@
 void
 planner_clear (struct planner *planner)
 {
+  planner_stop (planner);
   g_array_free (planner->weights, TRUE);
   g_array_free (planner->rests, TRUE);
   memset (planner, 0, sizeof *planner);
 }
 
+/* What SLICE weighs.  */
+gdouble
+planner_weight (const struct planner *planner, guint32 slice)
+{
+  if (slice >= planner->weights->len)
+    return 1.0;
+  return g_array_index (planner->weights, gdouble, slice);
+}
+
 /* Tell whether SLICE was moved for balance so lately that it stays.  */
 gboolean
 planner_rests (const struct planner *planner, guint32 slice, gint64 now)
@@ -36,3 +48,86 @@
     g_array_set_size (planner->rests, slice + 1);
   g_array_index (planner->rests, gint64, slice) = until;
 }
+
+/* Begin a pass.  */
+void
+planner_begin (struct planner *planner, gint64 now)
+{
+  planner_stop (planner);
+  place_init (&planner->place);
+  plan_chain_init (&planner->chain);
+  planner->stage = PLAN_MEMBERS;
+  planner->cursor = 0;
+  planner->moving = 0;
+  planner->changed = FALSE;
+  planner->until = now + PLAN_PASS_USEC;
+  planner->quiet = now + PLAN_QUIET_USEC;
+}
+
+/* End the pass, if there is one.  */
+void
+planner_stop (struct planner *planner)
+{
+  if (planner->stage == PLAN_IDLE)
+    return;
+  place_clear (&planner->place);
+  plan_chain_clear (&planner->chain);
+  planner->stage = PLAN_IDLE;
+}
+
+/* Let the slices of SERVICE that BODY moves from one node to another rest,
+   whoever proposed it.  */
+static void
+rest_moved (struct planner *planner, const struct view *view,
+            const struct view_service *service,
+            const struct record_slices *body, gint64 now)
+{
+  guint32 i;
+
+  if (service == NULL || strcmp (service->config.name, body->service) != 0)
+    return;
+  for (i = 0; i < body->count; i++)
+    {
+      const struct record_slice *item = &body->items[i];
+      const struct view_slice *slice = view_slice_at (service, item->slice);
+      if (slice != NULL
+          && view_incarnation (view, slice->owner) != item->owner)
+        planner_rest (planner, item->slice, now + EVEN_REST_USEC);
+    }
+}
+
+/* RECORD is about to be folded into VIEW: see whether placement may be wanted
+   then, and whether some planner of SERVICE, which may be NULL, is at work. */
+void
+planner_on_record (struct planner *planner, const struct view *view,
+                   const struct view_service *service,
+                   const struct record *record, gint64 now)
+{
+  switch (record->kind)
+    {
+    case RECORD_MOVE:
+      rest_moved (planner, view, service, &record->body.slices, now);
+      planner->wake = now;
+      planner->changed = TRUE;
+      break;
+    case RECORD_ASSIGN:
+    case RECORD_SUCCESSOR:
+      planner->wake = now;
+      planner->changed = TRUE;
+      break;
+    case RECORD_CONFIG:
+    case RECORD_JOIN:
+    case RECORD_LEAVING:
+    case RECORD_OUT:
+    case RECORD_MOVED:
+    case RECORD_HOT:
+      if (!planner->changed)
+        planner->wake = now;
+      planner->changed = TRUE;
+      break;
+    case RECORD_WITNESS:
+    case RECORD_SUSPECT:
+    case RECORD_SNAPSHOT:
+      break;
+    }
+}
--- a/src/decide/timing.h
+++ b/src/decide/timing.h
@@ -14,7 +14,7 @@
 #define SETTLE_USEC ((gint64)500000)          /* joins are let come in */
 #define RETRY_AFTER_USEC ((gint64)50000)      /* wait before routing again */
 #define TICK_USEC ((gint64)50000)             /* the core is woken so often */
-#define PLAN_EVERY_USEC ((gint64)100000)      /* plans are made so often */
+#define PLAN_PASS_USEC ((gint64)30000000)     /* a pass is then given up */
 #define PLAN_QUIET_USEC ((gint64)5000000)     /* if the view is the same */
 #define PLAN_STAGGER_USEC ((gint64)2000000)   /* between planners */
 #define EVEN_REST_USEC ((gint64)30000000)     /* between moves for balance */
