--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -34,6 +34,7 @@
   retry_budget_init (&core->retries);
   table_init (&core->breakers, sizeof (struct breaker));
   outbox_init (&core->outbox, settings->incarnation);
+  planner_init (&core->planner);
   table_init (&core->flights, sizeof (struct flight));
   core->attempt = settings->seed;
 }
@@ -53,6 +54,7 @@
   once_clear (&core->once);
   table_clear (&core->breakers);
   outbox_clear (&core->outbox);
+  planner_clear (&core->planner);
   table_clear (&core->flights);
 }
 
@@ -71,6 +73,10 @@
       const struct log_entry *entry = &event->items[i];
       outbox_on_record (&core->outbox, &entry->record);
       hold_before_record (core, entry, now);
+      planner_on_record (
+          &core->planner, &core->view,
+          view_find_service (&core->view, core->settings.service),
+          &entry->record, now);
       fold_record (&core->view, entry->offset, &entry->record, out);
       if (entry->record.kind == RECORD_JOIN
           || entry->record.kind == RECORD_CONFIG)
--- a/src/decide/core.h
+++ b/src/decide/core.h
@@ -11,6 +11,7 @@
 #include "decide/outbox.h"
 #include "decide/peers.h"
 #include "decide/retry.h"
+#include "decide/planner.h"
 #include "decide/witness.h"
 #include "types/event.h"
 #include "types/view.h"
@@ -38,6 +39,7 @@
   guint64 draws;                 /* random numbers drawn */
   struct drain drain;            /* the graceful stop */
   struct outbox outbox;          /* its records on their way */
+  struct planner planner;        /* its plans of placement */
   struct table flights;          /* struct flight, by the edge's handles */
   struct event_server_up server; /* what its server announced */
   gboolean has_server;           /* whether the server announced itself */
--- /dev/null
+++ b/src/decide/plan_rules.c
@@ -0,0 +1,117 @@
+#include "decide/plan_pass.h"
+
+/* The least loaded member that is still live in VIEW, or PLACE_NONE.  */
+guint32
+plan_receiver (struct planner *planner, const struct view *view)
+{
+  struct place *place = &planner->place;
+  guint32 row = place_least (place);
+
+  while (row != PLACE_NONE)
+    {
+      const struct view_node *node
+          = view_node_at (view, place_at (place, row)->node);
+      if (node != NULL && node->state == NODE_LIVE)
+        return row;
+      place_set_aside (place, row);
+      row = place_least (place);
+    }
+  return PLACE_NONE;
+}
+
+/* Tell whether SLICE is hashed to or the slice of a hot key.  */
+static gboolean
+in_use (const struct view_service *service, guint32 slice)
+{
+  guint32 hot = slice - service->config.slices;
+
+  if (slice < service->config.slices)
+    return TRUE;
+  return hot < service->hot->len
+         && g_array_index (service->hot, struct view_hot, hot).key[0] != '\0';
+}
+
+/* Tell whether the member in ROW stands in one of the COUNT zones.  */
+static gboolean
+in_zones (const struct place *place, guint32 row, const guint32 *zones,
+          guint32 count)
+{
+  guint32 i;
+
+  for (i = 0; i < count; i++)
+    if (zones[i] == place_at (place, row)->zone)
+      return TRUE;
+  return FALSE;
+}
+
+/* Tell whether the successors of SLICE, owned by the member in OWNER, are all
+   live, as many as there can be, and spread together with it over as many
+   zones as there can be.  */
+static gboolean
+is_spread (const struct planner *planner, const struct view_slice *slice,
+           guint32 owner)
+{
+  const struct place *place = &planner->place;
+  guint32 zones[1 + SUCCESSOR_MAX] = { place_at (place, owner)->zone };
+  guint32 wanted = MIN (SUCCESSOR_MAX, place->live - 1);
+  guint32 found = 0;
+  guint32 count = 1;
+  guint32 i;
+
+  for (i = 0; i < SUCCESSOR_MAX; i++)
+    {
+      guint32 row = place_row (place, slice->successor[i]);
+      if (!handle_is_set (slice->successor[i]))
+        continue;
+      if (row == PLACE_NONE || !place_at (place, row)->live)
+        return FALSE;
+      found++;
+      if (!in_zones (place, row, zones, count))
+        zones[count++] = place_at (place, row)->zone;
+    }
+  return found >= wanted && count >= planner->spread;
+}
+
+/* Give SLICE to the least loaded member, in a record of ITEMS.  */
+static void
+give (struct planner *planner, const struct view *view,
+      const struct view_slice *slice, guint32 number, GArray *items)
+{
+  guint32 to = plan_receiver (planner, view);
+
+  if (to != PLACE_NONE)
+    plan_batch_add (items, planner, slice, number, to);
+}
+
+/* Look at the slice NUMBER: give it an owner if it has none; move it off a
+   node that leaves; name new successors, by a move to its own owner, where one
+   is out or leaves or the spread is wanting; otherwise it may be moved for
+   balance, unless it rests.  A retired owner can release nothing, and a move
+   would keep its successors from taking over: its slices stay.  */
+void
+plan_rule (struct planner *planner, const struct view *view,
+           const struct view_service *service, guint32 number, gint64 now,
+           struct plan_batch *batch)
+{
+  const struct view_slice *slice = view_slice_at (service, number);
+  guint32 owner = place_row (&planner->place, slice->owner);
+
+  if (!handle_is_set (slice->owner))
+    {
+      if (in_use (service, number))
+        give (planner, view, slice, number, batch->assigns);
+      return;
+    }
+  if (slice->move != 0 && !handle_equal (slice->to, slice->owner))
+    planner->moving++;
+  if (owner == PLACE_NONE || slice->move != 0)
+    return;
+  if (place_at (&planner->place, owner)->leaving)
+    give (planner, view, slice, number, batch->moves);
+  else if (!place_at (&planner->place, owner)->live)
+    return;
+  else if (!is_spread (planner, slice, owner))
+    plan_batch_add (batch->moves, planner, slice, number, owner);
+  else if (!planner_rests (planner, number, now))
+    plan_chain_add (&planner->chain, owner, number);
+}
