A whole view as bytes, and its digest

Cause: with limited retention the log alone cannot rebuild a view, and two nodes at one offset could not be compared.

A node that goes out is cleared from successors and receivers: a stale handle would come to name another node after 1023 uses of its row, and then a folded view and a loaded one would differ. A record that does not decode is now told from one of a later version: the first says nothing to anyone, the second may change ownership.

--- a/src/decide/fold.c
+++ b/src/decide/fold.c
@@ -11,6 +11,26 @@
   return note;
 }
 
+/* Tell whether RECORD cannot be folded, and note that.  A malformed record
+   says nothing to any node of any version; one of a later version may say
+   something to others, so from then on this view is not theirs.  */
+static gboolean
+is_unreadable (struct view *view, guint64 offset, const struct record *record,
+               struct actions *out)
+{
+  if (record->version == RECORD_MALFORMED)
+    {
+      fold_note (out, NOTE_RECORD_UNKNOWN, offset)->code = ERR_MALFORMED;
+      return TRUE;
+    }
+  if (record->version <= RECORD_VERSION)
+    return FALSE;
+  if (view->unread == 0)
+    view->unread = offset;
+  fold_note (out, NOTE_RECORD_UNKNOWN, offset)->amount = record->version;
+  return TRUE;
+}
+
 /* Fold the record at OFFSET into VIEW.  A record below view->next has been
    folded before and is passed over, so that a view never goes back.  */
 void
@@ -20,15 +40,14 @@
   if (offset < view->next)
     return;
   view->next = offset + 1;
-  if (record->version > RECORD_VERSION)
-    {
-      fold_note (out, NOTE_RECORD_UNKNOWN, offset)->amount = record->version;
-      return;
-    }
+  if (is_unreadable (view, offset, record, out))
+    return;
   switch (record->kind)
     {
     case RECORD_CONFIG:
       fold_config (view, offset, &record->body.config, out);
+      if (view->config_offset == offset)
+        view_config_accepted (view, offset, record->writer, record->serial);
       break;
     case RECORD_JOIN:
       fold_join (view, offset, &record->body.join, out);
@@ -57,8 +76,10 @@
     case RECORD_HOT:
       fold_hot (view, offset, &record->body.hot, out);
       break;
-    case RECORD_SUSPECT:
     case RECORD_SNAPSHOT:
+      fold_snapshot (view, record->writer, &record->body.snapshot);
+      break;
+    case RECORD_SUSPECT:
       break;
     }
 }
--- a/src/decide/fold.h
+++ b/src/decide/fold.h
@@ -27,6 +27,8 @@
                  const struct record_slices *body, struct actions *out);
 void fold_hot (struct view *view, guint64 offset,
                const struct record_hot *body, struct actions *out);
+void fold_snapshot (struct view *view, guint64 writer,
+                    const struct record_snapshot *body);
 struct note *fold_note (struct actions *out, enum note_id id, guint64 offset);
 
 #endif
--- a/src/edge/admin.c
+++ b/src/edge/admin.c
@@ -2,6 +2,7 @@
 
 #include "decide/explain.h"
 #include "edge/json.h"
+#include "wire/wire_view.h"
 
 #include <string.h>
 
@@ -67,6 +68,9 @@
   json_add_text (builder, "host", core->settings.host);
   json_add_text (builder, "zone", core->settings.zone);
   json_add_number (builder, "next", (gint64)view->next);
+  json_add_incarnation (builder, "digest", view_digest (view));
+  json_add_number (builder, "snapshot", (gint64)view->snapshot);
+  json_add_number (builder, "unread", (gint64)view->unread);
   json_add_number (builder, "config", (gint64)view->config_offset);
   json_add_flag (builder, "config_in_force", view->has_config);
   json_add_flag (builder, "joined", handle_is_set (core->self));
--- a/src/types/record.h
+++ b/src/types/record.h
@@ -146,7 +146,9 @@
   union record_body body;
 };
 
-#define RECORD_VERSION 1u /* the version this code writes */
+#define RECORD_VERSION 1u          /* the version this code writes */
+#define RECORD_MALFORMED 0u        /* version that stands for no record */
+#define RECORD_VERSION_MAX 0xffffu /* a version above is malformed */
 
 const char *record_kind_name (enum record_kind kind);
 void record_clear (struct record *record);
--- a/src/types/view.c
+++ b/src/types/view.c
@@ -137,6 +137,38 @@
   return h;
 }
 
+/* Clear each of the COUNT handles that is H.  */
+static void
+clear_handles (struct handle *handles, guint count, struct handle h)
+{
+  guint i;
+
+  for (i = 0; i < count; i++)
+    if (handle_equal (handles[i], h))
+      handles[i] = HANDLE_NONE;
+}
+
+/* Forget H as receiver and successor of slices, so that no stale handle is
+   left that a later node could come to bear.  Owners are left to the fold. */
+static void
+forget_handle (struct view *view, struct handle h)
+{
+  guint i;
+  guint k;
+
+  for (i = 0; i < view->services->len; i++)
+    {
+      struct view_service *service = g_ptr_array_index (view->services, i);
+      for (k = 0; k < service->slices->len; k++)
+        {
+          struct view_slice *slice = view_slice_at (service, k);
+          clear_handles (slice->successor, SUCCESSOR_MAX, h);
+          clear_handles (slice->to_successor, SUCCESSOR_MAX, h);
+          clear_handles (&slice->to, 1, h);
+        }
+    }
+}
+
 /* Remove the node under H, which then counts as out.  */
 void
 view_remove_node (struct view *view, struct handle h)
@@ -158,4 +190,18 @@
   view->out_next = (view->out_next + 1) % VIEW_OUT_REMEMBERED;
   g_hash_table_remove (view->by_incarnation, &node->join.incarnation);
   table_remove (&view->nodes, h);
+  forget_handle (view, h);
+}
+
+/* Remember that the record at OFFSET put a configuration in force.  */
+void
+view_config_accepted (struct view *view, guint64 offset, guint64 writer,
+                      guint64 serial)
+{
+  struct view_config_id *id = &view->config_past[view->config_past_next];
+
+  id->offset = offset;
+  id->writer = writer;
+  id->serial = serial;
+  view->config_past_next = (view->config_past_next + 1) % CONFIG_PAST;
 }
--- a/src/wire/wire_record.c
+++ b/src/wire/wire_record.c
@@ -20,7 +20,7 @@
 }
 
 /* A node that joins.  */
-static bool_t
+bool_t
 wire_join (XDR *xdr, struct record_join *body)
 {
   return wire_u64 (xdr, &body->incarnation) && wire_u64 (xdr, &body->retires)
@@ -139,7 +139,8 @@
 
 /* Records */
 
-/* A whole record; a later version decodes without its body.  */
+/* A whole record; a later version decodes without its body.  Bytes that
+   cannot be a version are no record.  */
 static bool_t
 wire_record (XDR *xdr, void *item)
 {
@@ -150,6 +151,9 @@
       || !wire_u64 (xdr, &record->writer) || !wire_u64 (xdr, &record->serial))
     return FALSE;
   record->kind = (enum record_kind)kind;
+  if (record->version == RECORD_MALFORMED
+      || record->version > RECORD_VERSION_MAX)
+    return FALSE;
   if (record->version > RECORD_VERSION)
     return TRUE;
   return wire_body (xdr, record->kind, &record->body);
@@ -185,7 +189,7 @@
 }
 
 /* Decode framed records into ENTRIES, an array of struct log_entry.  A record
-   whose body does not decode keeps its place with a version that the fold
+   that does not decode keeps its place as RECORD_MALFORMED, which the fold
    passes over, so that one bad record does not stop the log.  */
 enum err
 record_read_batch (GArray *entries, const guint8 *bytes, gsize length)
@@ -210,7 +214,7 @@
           != ERR_NONE)
         {
           memset (&entry.record, 0, sizeof entry.record);
-          entry.record.version = G_MAXUINT32;
+          entry.record.version = RECORD_MALFORMED;
           entry.record.kind = RECORD_SUSPECT;
         }
       g_array_append_val (entries, entry);
--- a/src/wire/wire_record.h
+++ b/src/wire/wire_record.h
@@ -4,10 +4,12 @@
 #include "types/event.h"
 #include "types/record.h"
 #include "types/err.h"
+#include "wire/wire.h"
 
 /* Records as bytes of the log.  The header says the version and the length of
    the body, so that a record of a later version can be passed over.  */
 
+bool_t wire_join (XDR *xdr, struct record_join *body);
 GByteArray *record_encode (const struct record *record);
 enum err record_decode (struct record *record, const guint8 *bytes,
                         gsize length);
--- /dev/null
+++ b/tests/fixture.h
@@ -0,0 +1,103 @@
+#ifndef TESTS_FIXTURE_H
+#define TESTS_FIXTURE_H
+
+#include "decide/fold.h"
+
+#include <string.h>
+
+/* A small log folded into a view: nodes, slices, a move, hot keys.  */
+
+#define FIXTURE_CONFIG                                                        \
+  "[place a]\nregion = r\n"                                                   \
+  "[service menu]\ndivided = yes\nslices = 8\n"                               \
+  "[rule look]\nservice = menu\npath = /menus/\nkey-segment = 2\n"            \
+  "run = idempotent\n"
+
+/* Fold RECORD at the next offset of VIEW, and release it.  */
+static inline void
+fixture_fold (struct view *view, struct record *record)
+{
+  struct actions notes;
+
+  record->version = RECORD_VERSION;
+  actions_init (&notes);
+  fold_record (view, MAX (view->next, 1), record, &notes);
+  actions_clear (&notes);
+  record_clear (record);
+}
+
+/* Fold a configuration made from the one at BASE.  */
+static inline void
+fixture_config (struct view *view, guint64 base, const char *text,
+                guint64 writer)
+{
+  struct record record = { .kind = RECORD_CONFIG, .writer = writer };
+
+  record.serial = 1;
+  record.body.config.base = base;
+  record.body.config.text = g_strdup (text);
+  fixture_fold (view, &record);
+}
+
+/* Fold the join of INCARNATION.  */
+static inline void
+fixture_join (struct view *view, guint64 incarnation)
+{
+  struct record record = { .kind = RECORD_JOIN, .writer = incarnation };
+  struct record_join *join = &record.body.join;
+
+  join->incarnation = incarnation;
+  g_snprintf (join->host, sizeof join->host, "host-%u", (guint)incarnation);
+  g_strlcpy (join->zone, "a", sizeof join->zone);
+  g_strlcpy (join->service, "menu", sizeof join->service);
+  join->peer.ip = 0x7f000001;
+  join->peer.port = (guint16)(7000 + incarnation);
+  fixture_fold (view, &record);
+}
+
+/* Fold that INCARNATION is out.  */
+static inline void
+fixture_out (struct view *view, guint64 incarnation)
+{
+  struct record record = { .kind = RECORD_OUT };
+
+  record.body.out.incarnation = incarnation;
+  fixture_fold (view, &record);
+}
+
+/* Fold that slice SLICE, last changed at EPOCH, goes to OWNER and then to
+   NEXT; KIND assigns or moves.  */
+static inline void
+fixture_slice (struct view *view, enum record_kind kind, guint32 slice,
+               guint64 epoch, guint64 owner, guint64 next)
+{
+  struct record record = { .kind = kind };
+  struct record_slices *body = &record.body.slices;
+
+  g_strlcpy (body->service, "menu", sizeof body->service);
+  body->count = 1;
+  body->items = g_new0 (struct record_slice, 1);
+  body->items[0].slice = slice;
+  body->items[0].epoch = epoch;
+  body->items[0].owner = owner;
+  body->items[0].successor[0] = next;
+  fixture_fold (view, &record);
+}
+
+/* Set up a view of nodes 1 to 4 (3 is out again), slices and a move.  */
+static inline void
+fixture_view (struct view *view)
+{
+  guint64 i;
+
+  view_init (view);
+  fixture_config (view, 0, FIXTURE_CONFIG, 77);
+  for (i = 1; i <= 4; i++)
+    fixture_join (view, i);
+  fixture_slice (view, RECORD_ASSIGN, 0, 0, 1, 3);
+  fixture_slice (view, RECORD_ASSIGN, 1, 0, 2, 4);
+  fixture_slice (view, RECORD_MOVE, 1, 7, 4, 1);
+  fixture_out (view, 3);
+}
+
+#endif
