--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -53,6 +53,8 @@
   once_clear (&core->once);
   table_clear (&core->breakers);
   outbox_clear (&core->outbox);
+  snapshot_write_clear (&core->snapshot_writer);
+  snapshot_read_clear (&core->snapshot_reader);
   table_clear (&core->flights);
 }
 
@@ -66,6 +68,17 @@
   const struct view_service *service;
   guint i;
 
+  if (event->from_log && core->log_down)
+    {
+      core->log_down = FALSE;
+      actions_add (out, ACTION_NOTE)->u.note.id = NOTE_LOG_UP;
+    }
+  core->log_first = MAX (core->log_first, event->first);
+  if (core->snapshot_reader.collecting)
+    {
+      snapshot_read_records (core, event, out);
+      return;
+    }
   for (i = 0; i < event->count; i++)
     {
       const struct log_entry *entry = &event->items[i];
@@ -76,11 +89,6 @@
           || entry->record.kind == RECORD_CONFIG)
         core->settled_at = now + SETTLE_USEC;
     }
-  if (event->from_log && core->log_down)
-    {
-      core->log_down = FALSE;
-      actions_add (out, ACTION_NOTE)->u.note.id = NOTE_LOG_UP;
-    }
   if (event->at_tail)
     {
       core->at_tail = TRUE;
@@ -97,6 +105,11 @@
 {
   struct note *note;
 
+  if (event->code == ERR_GONE && event->first > core->view.next)
+    {
+      snapshot_read_begin (core, event->first, out);
+      return;
+    }
   if (core->log_down)
     return;
   core->log_down = TRUE;
@@ -214,20 +227,26 @@
     }
 }
 
-/* Do what is due at NOW.  */
+/* Do what is due at NOW.  A node that has passed over a record of a later
+   version no longer knows who owns what: it lets its lease lapse, proposes
+   nothing, and ends what is in its hands.  */
 static void
 step_all (struct core *core, gint64 now, struct actions *out)
 {
-  member_step (core, now, out);
-  moves_step (core, now, out);
-  lease_step (&core->lease, &core->view, core->self, moves_limit (core), now,
-              &core->call_serial, out);
-  removal_step (core, now, out);
-  certificate_step (core, now, out);
-  plan_step (core, now, out);
+  if (core->view.unread == 0)
+    {
+      member_step (core, now, out);
+      moves_step (core, now, out);
+      lease_step (&core->lease, &core->view, core->self, moves_limit (core),
+                  now, &core->call_serial, out);
+      removal_step (core, now, out);
+      certificate_step (core, now, out);
+      plan_step (core, now, out);
+      snapshot_write_step (core, now, out);
+      outbox_send (&core->outbox, now, out);
+    }
   route_step (core, now, out);
   once_sweep (&core->once, ONCE_SWEEP_PER_STEP, now);
-  outbox_send (&core->outbox, now, out);
 }
 
 /* Take in EVENT at NOW, in monotonic microseconds, and add to OUT what is to
@@ -281,9 +300,14 @@
     case EVENT_DRAIN:
       drain_begin (core);
       break;
+    case EVENT_SNAPSHOT:
+      snapshot_read_loaded (core, &event->u.snapshot, out);
+      break;
+    case EVENT_SNAPSHOT_BYTES:
+      snapshot_write_bytes (core, &event->u.snapshot_bytes);
+      break;
     case EVENT_SERVER_LOAD:
     case EVENT_GRANTED:
-    case EVENT_SNAPSHOT:
       break;
     }
 }
--- a/src/decide/core.h
+++ b/src/decide/core.h
@@ -11,6 +11,8 @@
 #include "decide/outbox.h"
 #include "decide/peers.h"
 #include "decide/retry.h"
+#include "decide/snapshot_read.h"
+#include "decide/snapshot_write.h"
 #include "decide/witness.h"
 #include "types/event.h"
 #include "types/view.h"
@@ -38,6 +40,8 @@
   guint64 draws;                 /* random numbers drawn */
   struct drain drain;            /* the graceful stop */
   struct outbox outbox;          /* its records on their way */
+  struct snapshot_writer snapshot_writer; /* snapshots it writes */
+  struct snapshot_reader snapshot_reader; /* the snapshot it looks for */
   struct table flights;          /* struct flight, by the edge's handles */
   struct event_server_up server; /* what its server announced */
   gboolean has_server;           /* whether the server announced itself */
@@ -49,6 +53,7 @@
   gint64 exit_at;            /* it is ended then, work in flight or not */
   gint64 stepped_at;         /* when the last event was taken in */
   gboolean log_down;         /* the last read of the log failed */
+  guint64 log_first;         /* first record retained, 0 if not known */
   gint64 settled_at;         /* members have settled from then on */
   guint64 call_serial;       /* serial of the last call to a node */
   guint64 attempt;           /* number of the last attempt */
--- a/src/decide/plan.c
+++ b/src/decide/plan.c
@@ -138,9 +138,9 @@
   const struct view_service *service
       = view_find_service (&core->view, core->settings.service);
 
-  if (!handle_is_set (core->self) || service == NULL || !service->configured
-      || !service->config.divided || now < core->settled_at
-      || outbox_has (&core->outbox, RECORD_ASSIGN)
+  if (!core->at_tail || !handle_is_set (core->self) || service == NULL
+      || !service->configured || !service->config.divided
+      || now < core->settled_at || outbox_has (&core->outbox, RECORD_ASSIGN)
       || !ranks_first (core, service))
     return;
   assign_unowned (core, service, out);
--- a/src/edge/log_client.c
+++ b/src/edge/log_client.c
@@ -53,6 +53,7 @@
       event.u.records.items = (const struct log_entry *)entries->data;
       event.u.records.count = entries->len;
       event.u.records.next = client->next;
+      event.u.records.first = client->first;
       event.u.records.at_tail = client->next >= client->tail;
       event.u.records.from_log = TRUE;
       event.u.records.begun = client->begun;
--- a/src/edge/node.c
+++ b/src/edge/node.c
@@ -241,6 +241,8 @@
   g_hash_table_destroy (node->streams);
   g_hash_table_destroy (node->server_calls);
   core_clear (&node->core);
+  if (node->snapshot != NULL)
+    g_byte_array_unref (node->snapshot);
   g_queue_free_full (node->later, g_free);
   g_main_loop_unref (node->loop);
 }
--- a/src/edge/node.h
+++ b/src/edge/node.h
@@ -24,6 +24,8 @@
   struct address server;    /* the backend server's address */
   guint64 last_stream;      /* name of the last attempt passed on */
   struct counters counters; /* what it has counted */
+  GByteArray *snapshot;     /* the view as last encoded, or NULL */
+  struct view decoded;      /* a snapshot as last decoded */
   GQueue *later;            /* events that came during another */
   gboolean feeding;         /* an event is being taken in */
   guint tick;               /* the timer */
@@ -41,6 +43,8 @@
 void node_clear (struct node *node);
 void node_feed (struct node *node, const struct event *event);
 void node_do (struct node *node, const struct action *action);
+void node_encode_view (struct node *node);
+void node_decode_view (struct node *node, const guint8 *bytes, guint32 length);
 enum err front_init (struct node *node);
 void front_clear (struct node *node);
 void admin_handle (struct node *node, SoupServerMessage *message,
--- a/src/edge/node_do.c
+++ b/src/edge/node_do.c
@@ -55,6 +55,13 @@
       if (!action->u.fetch.from_peer)
         log_client_seek (&node->log, action->u.fetch.offset);
       break;
+    case ACTION_SNAPSHOT_ENCODE:
+      node_encode_view (node);
+      break;
+    case ACTION_SNAPSHOT_DECODE:
+      node_decode_view (node, action->u.snapshot_decode.bytes,
+                        action->u.snapshot_decode.length);
+      break;
     case ACTION_SUSPECT_CONNECTION:
       http_drop_idle (&node->http, node->server);
       break;
--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -4,7 +4,11 @@
 
 #include <string.h>
 
-#define SLOTS_MAX 100000 /* slots of one backend server */
+#define SNAPSHOT_RECORDS_MIN 8
+#define SNAPSHOT_RECORDS_MAX 1000000
+#define SNAPSHOT_RECORDS_DEFAULT 5000 /* records between snapshots */
+#define SNAPSHOT_SEC_MAX 86400
+#define SNAPSHOT_SEC_DEFAULT 600 /* longest time between snapshots */
 
 static const struct ini_field settings_fields[] = {
   { "node", "host", INI_NAME, TRUE, 0, 0, NULL },
@@ -15,6 +19,9 @@
   { "node", "peer", INI_ADDRESS, TRUE, 0, 0, NULL },
   { "log", "address", INI_ADDRESS, TRUE, 0, 0, NULL },
   { "log", "stream", INI_NAME, TRUE, 0, 0, NULL },
+  { "log", "snapshot-records", INI_NUMBER, FALSE, SNAPSHOT_RECORDS_MIN,
+    SNAPSHOT_RECORDS_MAX, NULL },
+  { "log", "snapshot-seconds", INI_NUMBER, FALSE, 1, SNAPSHOT_SEC_MAX, NULL },
   { "journal", "level", INI_CHOICE, FALSE, 0, 0, "error|info|debug" },
 };
 
@@ -54,6 +61,10 @@
       read_address (ini, section, "address", &settings->log);
       ini_copy (ini, section, "stream", settings->log_stream,
                 sizeof settings->log_stream);
+      core->snapshot_records = (guint32)ini_number (
+          ini, section, "snapshot-records", SNAPSHOT_RECORDS_DEFAULT);
+      core->snapshot_sec = (guint32)ini_number (
+          ini, section, "snapshot-seconds", SNAPSHOT_SEC_DEFAULT);
     }
   else if (strcmp (section->kind, "journal") == 0)
     ini_copy (ini, section, "level", settings->log_level,
--- a/src/types/action.c
+++ b/src/types/action.c
@@ -15,6 +15,10 @@
       if (action->u.reply.body.kind == PEER_FETCH)
         g_free (action->u.reply.body.u.fetch.bytes);
       break;
+    case ACTION_SNAPSHOT_DECODE:
+      g_free (action->u.snapshot_decode.bytes);
+      break;
+    case ACTION_SNAPSHOT_ENCODE:
     case ACTION_CALL:
     case ACTION_FORWARD:
     case ACTION_RUN:
--- a/src/types/action.h
+++ b/src/types/action.h
@@ -20,6 +20,8 @@
   ACTION_GRANT,              /* tell the backend server what it owns */
   ACTION_NOTE,               /* log a numbered event */
   ACTION_FETCH,              /* read the log, or a peer, from an offset */
+  ACTION_SNAPSHOT_ENCODE,    /* encode the view */
+  ACTION_SNAPSHOT_DECODE,    /* decode a snapshot of the view */
   ACTION_SUSPECT_CONNECTION, /* probe and replace connections to a peer */
   ACTION_EXIT                /* the node has left */
 };
@@ -104,6 +106,13 @@
   struct address to;  /* where it listens */
 };
 
+/* Decode a snapshot; EVENT_SNAPSHOT gives the view.  */
+struct action_snapshot_decode
+{
+  guint32 length; /* bytes that follow */
+  guint8 *bytes;  /* belong to the action, allocated by g_malloc */
+};
+
 /* Probe the connections to a peer or to the server.  */
 struct action_suspect_connection
 {
@@ -131,6 +140,7 @@
     struct action_cancel cancel;
     struct action_grant grant;
     struct action_fetch fetch;
+    struct action_snapshot_decode snapshot_decode;
     struct action_suspect_connection suspect;
     struct action_exit exit;
     struct note note;
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -4,26 +4,28 @@
 #include "types/peer_msg.h"
 #include "types/record.h"
 #include "types/request.h"
+#include "types/view.h"
 
 /* What the core is told.  The time comes beside the event.  */
 
 enum event_kind
 {
-  EVENT_TICK,        /* time has passed */
-  EVENT_RECORDS,     /* records were read from the log or a peer */
-  EVENT_LOG_FAILED,  /* a read of the log failed */
-  EVENT_APPENDED,    /* an append ended */
-  EVENT_SERVER_UP,   /* the backend server announced itself */
-  EVENT_SERVER_LOAD, /* the backend server reported its load */
-  EVENT_SERVER_DOWN, /* the backend server cannot be reached */
-  EVENT_GRANTED,     /* the backend server answered a grant */
-  EVENT_REQUEST,     /* a request arrived */
-  EVENT_ENDED,       /* an attempt ended */
-  EVENT_GONE,        /* the caller or peer of a request went away */
-  EVENT_PEER_CALL,   /* another node calls */
-  EVENT_PEER_REPLY,  /* another node replied, or failed to */
-  EVENT_DRAIN,       /* leave gracefully */
-  EVENT_SNAPSHOT     /* a snapshot of the view was fetched from a peer */
+  EVENT_TICK,          /* time has passed */
+  EVENT_RECORDS,       /* records were read from the log or a peer */
+  EVENT_LOG_FAILED,    /* a read of the log failed */
+  EVENT_APPENDED,      /* an append ended */
+  EVENT_SERVER_UP,     /* the backend server announced itself */
+  EVENT_SERVER_LOAD,   /* the backend server reported its load */
+  EVENT_SERVER_DOWN,   /* the backend server cannot be reached */
+  EVENT_GRANTED,       /* the backend server answered a grant */
+  EVENT_REQUEST,       /* a request arrived */
+  EVENT_ENDED,         /* an attempt ended */
+  EVENT_GONE,          /* the caller or peer of a request went away */
+  EVENT_PEER_CALL,     /* another node calls */
+  EVENT_PEER_REPLY,    /* another node replied, or failed to */
+  EVENT_DRAIN,         /* leave gracefully */
+  EVENT_SNAPSHOT,      /* a snapshot of the view was decoded */
+  EVENT_SNAPSHOT_BYTES /* the view was encoded */
 };
 
 /* The timer.  */
@@ -45,6 +47,7 @@
   const struct log_entry *items; /* the records */
   guint32 count;                 /* how many */
   guint64 next;                  /* offset after the last one read */
+  guint64 first;                 /* first offset retained, 0 if not known */
   gboolean at_tail;              /* nothing was behind them when read */
   gboolean from_log;             /* read from the log, not from a peer */
   gint64 begun;                  /* when the read began, monotonic usec */
@@ -128,12 +131,19 @@
   struct peer_reply body; /* code is set when no answer came */
 };
 
-/* A snapshot of the view.  */
+/* A snapshot that was decoded.  */
 struct event_snapshot
+{
+  struct view *view; /* the view, which the core takes over; NULL if the bytes
+                        do not decode */
+};
+
+/* The view as bytes.  */
+struct event_snapshot_bytes
 {
   guint64 offset;      /* all records below this are in it */
   const guint8 *bytes; /* encoded view */
-  guint32 length;      /* bytes */
+  guint32 length;      /* bytes, 0 if it cannot be encoded */
 };
 
 /* An event.  */
@@ -155,6 +165,7 @@
     struct event_peer_call peer_call;
     struct event_peer_reply peer_reply;
     struct event_snapshot snapshot;
+    struct event_snapshot_bytes snapshot_bytes;
   } u;
 };
 
--- /dev/null
+++ b/tests/fake_log.h
@@ -0,0 +1,204 @@
+#ifndef TESTS_FAKE_LOG_H
+#define TESTS_FAKE_LOG_H
+
+#include "decide/core.h"
+#include "wire/wire_view.h"
+
+/* A log in memory and a node's core at it: appends land at once, and the test
+   says when the node reads.  */
+
+struct fake_log
+{
+  GArray *entries; /* struct log_entry, offsets from 1 */
+  guint64 first;   /* first offset retained */
+};
+
+struct fake_node
+{
+  struct fake_log *log;
+  struct core core;
+  guint64 cursor;       /* offset to read next */
+  gint64 now;           /* its clock, microseconds */
+  enum err append_code; /* how appends are answered */
+  gboolean lose;        /* appends have no effect */
+  guint appends;        /* appends it asked for */
+  guint calls;          /* calls to other nodes it asked for */
+  guint notes[1000];    /* notes by number */
+};
+
+static inline void
+fake_log_init (struct fake_log *log)
+{
+  log->entries = g_array_new (FALSE, TRUE, sizeof (struct log_entry));
+  log->first = 1;
+}
+
+static inline void
+fake_log_clear (struct fake_log *log)
+{
+  guint i;
+
+  for (i = 0; i < log->entries->len; i++)
+    record_clear (&g_array_index (log->entries, struct log_entry, i).record);
+  g_array_free (log->entries, TRUE);
+}
+
+/* Append a copy of RECORD and return its offset.  */
+static inline guint64
+fake_log_append (struct fake_log *log, const struct record *record)
+{
+  struct log_entry entry = { .offset = log->entries->len + 1 };
+
+  record_copy (&entry.record, record);
+  g_array_append_val (log->entries, entry);
+  return entry.offset;
+}
+
+static inline void fake_node_step (struct fake_node *node,
+                                   const struct event *event);
+
+/* Append for NODE and tell it how that ended.  */
+static inline void
+fake_node_append (struct fake_node *node, const struct record *record)
+{
+  struct event event = { .kind = EVENT_APPENDED };
+
+  node->appends++;
+  event.u.appended.serial = record->serial;
+  event.u.appended.code = node->append_code;
+  if (!node->lose)
+    event.u.appended.offset = fake_log_append (node->log, record);
+  fake_node_step (node, &event);
+}
+
+/* Do what the core wants.  */
+static inline void
+fake_node_do (struct fake_node *node, const struct action *action)
+{
+  struct event event = { .kind = EVENT_TICK };
+  struct view decoded;
+  GByteArray *bytes;
+
+  switch (action->kind)
+    {
+    case ACTION_APPEND:
+      fake_node_append (node, &action->u.append.record);
+      break;
+    case ACTION_CALL:
+      node->calls++;
+      break;
+    case ACTION_FETCH:
+      node->cursor = action->u.fetch.offset;
+      break;
+    case ACTION_NOTE:
+      node->notes[action->u.note.id]++;
+      break;
+    case ACTION_SNAPSHOT_ENCODE:
+      bytes = view_encode (&node->core.view);
+      event.kind = EVENT_SNAPSHOT_BYTES;
+      event.u.snapshot_bytes.offset = node->core.view.next;
+      event.u.snapshot_bytes.bytes = bytes->data;
+      event.u.snapshot_bytes.length = bytes->len;
+      fake_node_step (node, &event);
+      g_byte_array_unref (bytes);
+      break;
+    case ACTION_SNAPSHOT_DECODE:
+      event.kind = EVENT_SNAPSHOT;
+      if (view_decode (&decoded, action->u.snapshot_decode.bytes,
+                       action->u.snapshot_decode.length)
+          == ERR_NONE)
+        event.u.snapshot.view = &decoded;
+      else
+        view_clear (&decoded);
+      fake_node_step (node, &event);
+      break;
+    default:
+      break;
+    }
+}
+
+/* Give EVENT to the core and do what it wants.  */
+static inline void
+fake_node_step (struct fake_node *node, const struct event *event)
+{
+  struct actions actions;
+  guint i;
+
+  actions_init (&actions);
+  core_step (&node->core, event, node->now, &actions);
+  for (i = 0; i < actions.items->len; i++)
+    fake_node_do (node, actions_at (&actions, i));
+  actions_clear (&actions);
+}
+
+/* Let the clock of NODE go on by USEC and wake it.  */
+static inline void
+fake_node_tick (struct fake_node *node, gint64 usec)
+{
+  struct event event = { .kind = EVENT_TICK };
+
+  node->now += usec;
+  fake_node_step (node, &event);
+}
+
+/* Have NODE read up to the tail, at most COUNT records.  */
+static inline void
+fake_node_read (struct fake_node *node, guint count)
+{
+  struct event event = { .kind = EVENT_RECORDS };
+  struct event_records *records = &event.u.records;
+  guint64 tail = node->log->entries->len + 1;
+  guint64 from = MAX (node->cursor, 1);
+
+  node->now++;
+  records->begun = node->now;
+  if (from < node->log->first)
+    {
+      event.kind = EVENT_LOG_FAILED;
+      event.u.log_failed.code = ERR_GONE;
+      event.u.log_failed.first = node->log->first;
+      fake_node_step (node, &event);
+      return;
+    }
+  records->count = (guint32)MIN (count, tail - from);
+  records->items
+      = (const struct log_entry *)node->log->entries->data + (from - 1);
+  records->next = from + records->count;
+  records->first = node->log->first;
+  records->at_tail = records->next == tail;
+  records->from_log = TRUE;
+  node->cursor = records->next;
+  node->now++;
+  /* An append while this is taken in must not move the entries.  */
+  records->items
+      = g_memdup2 (records->items, records->count * sizeof (struct log_entry));
+  fake_node_step (node, &event);
+  g_free ((gpointer)records->items);
+}
+
+/* Start a node with INCARNATION beside a server of the service "menu".  */
+static inline void
+fake_node_init (struct fake_node *node, struct fake_log *log,
+                guint64 incarnation)
+{
+  struct core_settings settings = { .incarnation = incarnation,
+                                    .zone = "a",
+                                    .service = "menu",
+                                    .snapshot_records = 20,
+                                    .snapshot_sec = 600 };
+  struct event event = { .kind = EVENT_SERVER_UP };
+
+  memset (node, 0, sizeof *node);
+  node->log = log;
+  node->now = 1000000;
+  g_snprintf (settings.host, sizeof settings.host, "h%u", (guint)incarnation);
+  settings.peer.ip = 0x7f000001;
+  settings.peer.port = (guint16)(6000 + incarnation);
+  core_init (&node->core, &settings);
+  g_strlcpy (event.u.server_up.server, settings.host,
+             sizeof event.u.server_up.server);
+  event.u.server_up.slots = 4;
+  fake_node_step (node, &event);
+}
+
+#endif
