Publishing ends with the truth; list the log, compare views, declare a node dead

Cause: a publication was recognised by its text, so a lost answer, or two operators who publish the same text, could end with the wrong verdict.

With a lost answer the same record is appended again. The set is also checked against the one in force, so that a change of what is fixed is refused before anything is appended. New commands log, digest and declare-dead; every command prints JSON on request.

--- a/src/bin/bambootally.c
+++ b/src/bin/bambootally.c
@@ -17,6 +17,7 @@
         { "stream", 's', "NAME", 0, "The stream on the log (bambootally)", 0 },
         { "author", 'a', "NAME", 0, "Who publishes", 0 },
         { "json", 'j', NULL, 0, "Machine-readable output", 0 },
+        { "yes", 'y', NULL, 0, "Accept what is at stake", 0 },
         { "timeout", 't', "SECONDS", 0, "Wait so long in all (10)", 0 },
         { 0 } };
 
@@ -37,6 +38,9 @@
   { "explain", 3, TRUE, FALSE, tool_explain },
   { "counters", 1, TRUE, FALSE, tool_counters },
   { "drain", 1, TRUE, FALSE, tool_drain },
+  { "log", 1, FALSE, TRUE, tool_log },
+  { "digest", 1, TRUE, FALSE, tool_digest },
+  { "declare-dead", 2, TRUE, TRUE, tool_declare_dead },
 };
 
 /* Read an address or stop.  */
@@ -71,6 +75,9 @@
     case 'j':
       tool->json = TRUE;
       return 0;
+    case 'y':
+      tool->yes = TRUE;
+      return 0;
     case 't':
       tool->timeout_usec = strtoll (arg, NULL, 10) * G_USEC_PER_SEC;
       return 0;
@@ -90,10 +97,12 @@
   static const struct argp argp = {
     options,
     parse_option,
-    "check FILE\npublish FILE\nstatus\nexplain SERVICE KEY\ncounters\ndrain",
+    "check FILE\npublish FILE\nstatus\nexplain SERVICE KEY\ncounters\ndrain\n"
+    "log\ndigest\ndeclare-dead NODE",
     "Check and publish configurations, and ask nodes what they do.\v"
     "Exit status: 0 done, 2 usage, 3 the configuration has faults, 4 "
-    "conflict, 5 node or log not reached, 6 no such thing, 7 not sure.",
+    "conflict, 5 node or log not reached, 6 no such thing, 7 not sure, "
+    "8 nodes differ.",
     NULL,
     NULL,
     NULL
--- a/src/edge/admin.c
+++ b/src/edge/admin.c
@@ -1,6 +1,7 @@
 #include "edge/node.h"
 
 #include "decide/explain.h"
+#include "edge/admin_state.h"
 #include "edge/json.h"
 #include "wire/wire_view.h"
 
@@ -39,10 +40,12 @@
 add_node (JsonBuilder *builder, const struct view_node *node)
 {
   static const char *const states[] = { "live", "leaving", "retired" };
+  char *front = address_format (node->join.front);
 
   json_builder_begin_object (builder);
   json_add_incarnation (builder, "node", node->join.incarnation);
   json_add_text (builder, "host", node->join.host);
+  json_add_text (builder, "front", front);
   json_add_text (builder, "zone", node->join.zone);
   json_add_text (builder, "service", node->join.service);
   json_add_text (builder, "server", node->join.server);
@@ -51,6 +54,7 @@
   json_add_number (builder, "witnesses", node->witness_count);
   json_add_number (builder, "joined", (gint64)node->join_offset);
   json_builder_end_object (builder);
+  g_free (front);
 }
 
 /* Answer with what this node knows.  */
@@ -167,21 +171,6 @@
 
 /* The rest */
 
-/* Answer with the configuration in force and where it stands.  */
-static void
-answer_config (struct node *node, SoupServerMessage *message)
-{
-  const struct view *view = &node->core.view;
-  char *offset = g_strdup_printf ("%" G_GUINT64_FORMAT, view->config_offset);
-
-  soup_message_headers_append (
-      soup_server_message_get_response_headers (message), "Config-Offset",
-      offset);
-  answer (message, SOUP_STATUS_OK, "text/plain",
-          g_strdup (view->config_text != NULL ? view->config_text : ""));
-  g_free (offset);
-}
-
 /* The backend server announces itself.  */
 static void
 take_announce (struct node *node, SoupServerMessage *message,
@@ -239,7 +228,9 @@
   else if (strcmp (path, "explain") == 0)
     answer_explain (node, message, query);
   else if (strcmp (path, "config") == 0)
-    answer_config (node, message);
+    admin_answer_config (node, message);
+  else if (strcmp (path, "digest") == 0)
+    admin_answer_digest (node, message);
   else if (strcmp (path, "announce") == 0 && post)
     take_announce (node, message, query);
   else if (strcmp (path, "drain") == 0 && post)
--- a/src/tool/tool.c
+++ b/src/tool/tool.c
@@ -3,6 +3,7 @@
 #include "edge/json.h"
 
 #include <stdio.h>
+#include <string.h>
 
 /* Asking */
 
@@ -13,21 +14,33 @@
   GMainLoop *loop;            /* runs until it has */
 };
 
+/* The number in the header NAME, or 0.  */
+static guint64
+header_number (SoupMessageHeaders *headers, const char *name)
+{
+  const char *value = soup_message_headers_get_one (headers, name);
+
+  return value != NULL ? g_ascii_strtoull (value, NULL, 10) : 0;
+}
+
 /* Something happened to the question.  */
 static void
 on_event (const struct http_event *event, gpointer data)
 {
   struct question *question = data;
   struct tool_answer *answer = question->answer;
-  const char *config;
 
   switch (event->kind)
     {
     case HTTP_HEAD:
       answer->status = event->status;
-      config = soup_message_headers_get_one (event->headers, "Config-Offset");
-      answer->config
-          = config != NULL ? g_ascii_strtoull (config, NULL, 10) : 0;
+      answer->config = header_number (event->headers, "Config-Offset");
+      answer->next = header_number (event->headers, "Log-Next");
+      answer->first = header_number (event->headers, "Log-First");
+      answer->tail = header_number (event->headers, "Log-Tail");
+      g_free (answer->past);
+      answer->past = g_strdup (
+          soup_message_headers_get_one (event->headers, "Config-Past"));
       break;
     case HTTP_DATA:
       g_string_append_len (answer->body, (const char *)event->bytes,
@@ -65,9 +78,8 @@
   struct handle call;
   guint timer;
 
+  memset (answer, 0, sizeof *answer);
   answer->code = ERR_TIMEOUT;
-  answer->status = 0;
-  answer->config = 0;
   answer->body = g_string_new (NULL);
   http_init (&http);
   request.to = to;
@@ -90,6 +102,7 @@
 tool_answer_clear (struct tool_answer *answer)
 {
   g_string_free (answer->body, TRUE);
+  g_free (answer->past);
 }
 
 /* Printing */
@@ -148,6 +161,46 @@
   g_free (text);
 }
 
+/* Print lines of a name and a number as one JSON object; a name alone counts
+   as true.  */
+static void
+print_lines (const char *text)
+{
+  JsonBuilder *builder = json_builder_new ();
+  char **lines = g_strsplit (text, "\n", -1);
+  char *json;
+  guint i;
+
+  json_builder_begin_object (builder);
+  for (i = 0; lines[i] != NULL; i++)
+    {
+      char *space = strrchr (lines[i], ' ');
+      if (space != NULL)
+        {
+          *space = '\0';
+          json_add_number (builder, lines[i],
+                           g_ascii_strtoll (space + 1, NULL, 10));
+        }
+      else if (lines[i][0] != '\0')
+        json_add_flag (builder, lines[i], TRUE);
+    }
+  json_builder_end_object (builder);
+  json = json_finish (builder);
+  printf ("%s\n", json);
+  g_free (json);
+  g_strfreev (lines);
+}
+
+/* Print what a node answered, as JSON on request.  */
+static void
+print_answer (const struct tool *tool, const char *text)
+{
+  if (tool->json && text[0] != '{')
+    print_lines (text);
+  else
+    printf ("%s%s", text, g_str_has_suffix (text, "\n") ? "" : "\n");
+}
+
 /* Ask the node for TARGET and print the answer as it is.  */
 int
 tool_show (const struct tool *tool, const char *method, const char *target)
@@ -172,8 +225,7 @@
       status = TOOL_USAGE;
     }
   else
-    printf ("%s%s", answer.body->str,
-            g_str_has_suffix (answer.body->str, "\n") ? "" : "\n");
+    print_answer (tool, answer.body->str);
   tool_answer_clear (&answer);
   return status;
 }
--- a/src/tool/tool_commands.c
+++ b/src/tool/tool_commands.c
@@ -22,11 +22,10 @@
       config_clear (&config);
     }
   if (faults->len > 0)
-    {
-      tool_print_faults (tool, faults);
-      status = TOOL_INVALID;
-    }
-  else if (!tool->json)
+    status = TOOL_INVALID;
+  if (faults->len > 0 || tool->json)
+    tool_print_faults (tool, faults);
+  else
     printf ("%s: no faults\n", tool->words[1]);
   g_array_free (faults, TRUE);
   g_free (text);
--- a/src/tool/tool_publish.c
+++ b/src/tool/tool_publish.c
@@ -1,156 +1,192 @@
 #include "tool/tool.h"
 
 #include "decide/config_read.h"
-#include "wire/wire_record.h"
+#include "tool/publication.h"
 
 #include <stdio.h>
 #include <string.h>
-#include <sys/random.h>
 
-#define READ_BACK_EVERY_USEC 100000 /* the node is asked so often */
+#define READ_BACK_EVERY_USEC 100000         /* the node is asked so often */
+#define RESEND_AFTER_USEC ((gint64)1500000) /* after a lost answer */
+#define RETRY_AFTER_USEC ((gint64)300000)   /* after a refusal */
 
-/* Check the text as a set, and print its faults.  */
-static gboolean
-has_faults (const struct tool *tool, const char *text)
+/* A publication under way.  */
+struct publish
 {
-  GArray *faults = g_array_new (FALSE, TRUE, sizeof (struct fault));
+  const struct tool *tool;        /* the command line */
+  struct record record;           /* what is appended; text is not owned */
+  struct publication_query query; /* what is known of it */
+  guint64 offset;                 /* where it was accepted */
+  gint64 deadline;                /* when to give up, monotonic usec */
+};
+
+/* Add the faults of TEXT, also against BEFORE, the one in force.  */
+static void
+find_faults (const struct tool *tool, const char *text, const char *before,
+             GArray *faults)
+{
+  GArray *ignored = g_array_new (FALSE, TRUE, sizeof (struct fault));
   struct config config;
-  gboolean found;
+  struct config old;
 
   config_read (&config, tool->words[1], text, faults);
+  config_read (&old, "log", before, ignored);
+  config_compare (&old, &config, tool->words[1], faults);
   config_clear (&config);
-  found = faults->len > 0;
-  if (found)
-    tool_print_faults (tool, faults);
-  g_array_free (faults, TRUE);
-  return found;
+  config_clear (&old);
+  g_array_free (ignored, TRUE);
 }
 
-/* Append the configuration that was made from the one at BASE.  Return
-   ERR_NONE with the offset it stands at.  */
+/* Ask the node which configuration is in force.  */
 static enum err
-append (const struct tool *tool, char *text, guint64 base, guint64 *offset)
+ask_config (const struct tool *tool, struct tool_answer *answer)
 {
-  struct record record
-      = { .version = RECORD_VERSION, .kind = RECORD_CONFIG, .serial = 1 };
-  char *target = g_strdup_printf ("/streams/%s", tool->stream);
-  struct tool_answer answer;
-  GByteArray *bytes;
-  enum err code;
+  tool_ask (answer, tool->node, "GET", "/bambootally/config", NULL, 0,
+            tool->timeout_usec);
+  if (answer->code != ERR_NONE)
+    return answer->code;
+  return answer->status == SOUP_STATUS_OK ? ERR_NONE : ERR_UNAVAILABLE;
+}
 
-  if (getrandom (&record.writer, sizeof record.writer, 0) < 0)
-    record.writer = (guint64)g_get_monotonic_time ();
-  record.body.config.base = base;
-  record.body.config.text = text;
-  g_strlcpy (record.body.config.author, tool->author,
-             sizeof record.body.config.author);
-  bytes = record_encode (&record);
-  if (bytes == NULL)
+/* Ask the node until UNTIL what became of the record.  */
+static enum publication
+read_back (struct publish *publish, gint64 until)
+{
+  enum publication found = PUBLICATION_OPEN;
+
+  while (found == PUBLICATION_OPEN && g_get_monotonic_time () < until)
     {
-      g_free (target);
-      return ERR_TOO_LARGE;
+      struct tool_answer answer;
+      if (ask_config (publish->tool, &answer) == ERR_NONE)
+        {
+          publish->query.next = answer.next;
+          found = publication_judge (&publish->query, answer.past,
+                                     &publish->offset);
+        }
+      tool_answer_clear (&answer);
+      if (found == PUBLICATION_OPEN)
+        g_usleep (READ_BACK_EVERY_USEC);
     }
-  tool_ask (&answer, tool->log, "POST", target, bytes->data, bytes->len,
-            tool->timeout_usec);
-  code = answer.code;
-  if (code != ERR_NONE)
-    code = answer.sent ? ERR_EFFECT : ERR_REFUSED;
-  else if (answer.status != SOUP_STATUS_OK)
-    code = ERR_UNAVAILABLE;
-  *offset = g_ascii_strtoull (answer.body->str, NULL, 10);
-  tool_answer_clear (&answer);
-  g_byte_array_unref (bytes);
-  g_free (target);
-  return code;
+  return found;
 }
 
-/* Ask the node which configuration is in force.  */
+/* Append the record until it is known what became of it.  The same record may
+   stand on the log several times: only one of them can be accepted.  Return
+   the error of the last append.  */
 static enum err
-ask_config (const struct tool *tool, guint64 *offset, char **text)
+append_until_known (struct publish *publish, enum publication *found)
 {
-  struct tool_answer answer;
+  gboolean unsure = FALSE;
   enum err code;
 
-  tool_ask (&answer, tool->node, "GET", "/bambootally/config", NULL, 0,
-            tool->timeout_usec);
-  code = answer.code;
-  *offset = answer.config;
-  *text = g_strdup (answer.body->str);
-  tool_answer_clear (&answer);
-  return code;
+  do
+    {
+      guint64 offset = 0;
+      gint64 now;
+      code = tool_append (publish->tool, &publish->record, &offset);
+      if (code == ERR_TOO_LARGE
+          || (code != ERR_NONE && code != ERR_EFFECT && !unsure))
+        return code;
+      unsure = unsure || code == ERR_EFFECT;
+      publish->query.offset = MAX (publish->query.offset, offset);
+      now = g_get_monotonic_time ();
+      *found = read_back (
+          publish, code == ERR_NONE
+                       ? publish->deadline
+                       : MIN (now + RESEND_AFTER_USEC, publish->deadline));
+    }
+  while (*found == PUBLICATION_OPEN
+         && g_get_monotonic_time () < publish->deadline);
+  return ERR_NONE;
 }
 
-/* Wait until the node has a later configuration than BASE in force, and tell
-   whether it is TEXT.  */
+/* Say what became of the record and return the exit status.  */
 static int
-read_back (const struct tool *tool, const char *text, guint64 base)
+report (const struct publish *publish, enum publication found)
 {
-  gint64 deadline = g_get_monotonic_time () + tool->timeout_usec;
-  guint64 offset = base;
-  char *found = NULL;
-  gboolean ours;
+  const struct tool *tool = publish->tool;
 
-  while (g_get_monotonic_time () < deadline)
-    {
-      g_free (found);
-      found = NULL;
-      if (ask_config (tool, &offset, &found) == ERR_NONE && offset > base)
-        break;
-      g_usleep (READ_BACK_EVERY_USEC);
-    }
-  ours = found != NULL && strcmp (found, text) == 0;
-  g_free (found);
-  if (offset <= base)
-    {
-      tool_print_error (tool, "not read back yet", ERR_EFFECT);
-      return TOOL_UNSURE;
-    }
-  if (!ours)
+  switch (found)
     {
+    case PUBLICATION_ACCEPTED:
+      printf (tool->json
+                  ? "{\"accepted\":true,\"offset\":%" G_GUINT64_FORMAT "}\n"
+                  : "accepted: in force at offset %" G_GUINT64_FORMAT "\n",
+              publish->offset);
+      return TOOL_OK;
+    case PUBLICATION_CONFLICT:
       tool_print_error (tool, "another configuration came first",
                         ERR_CONFLICT);
       return TOOL_CONFLICT;
+    case PUBLICATION_DROPPED:
+      tool_print_error (tool, "not taken by the nodes", ERR_INVALID);
+      return TOOL_INVALID;
+    case PUBLICATION_OPEN:
+      break;
     }
-  if (tool->json)
-    printf ("{\"accepted\":true,\"offset\":%" G_GUINT64_FORMAT "}\n", offset);
-  else
-    printf ("accepted: in force at offset %" G_GUINT64_FORMAT "\n", offset);
-  return TOOL_OK;
+  tool_print_error (tool, "not read back yet", ERR_EFFECT);
+  return TOOL_UNSURE;
+}
+
+/* Publish TEXT, made from the configuration in force that ANSWER tells.  */
+static int
+publish_text (const struct tool *tool, char *text,
+              const struct tool_answer *answer)
+{
+  struct publish publish = { .tool = tool };
+  enum publication found = PUBLICATION_OPEN;
+  enum err code;
+
+  publish.deadline = g_get_monotonic_time () + tool->timeout_usec;
+  publish.record.version = RECORD_VERSION;
+  publish.record.kind = RECORD_CONFIG;
+  publish.record.writer = tool_random ();
+  publish.record.serial = 1;
+  publish.record.body.config.base = answer->config;
+  publish.record.body.config.text = text;
+  g_strlcpy (publish.record.body.config.author, tool->author, NAME_SIZE);
+  publish.query.writer = publish.record.writer;
+  publish.query.serial = publish.record.serial;
+  publish.query.base = answer->config;
+  code = append_until_known (&publish, &found);
+  if (code == ERR_NONE)
+    return report (&publish, found);
+  tool_print_error (tool, "publish", code);
+  return code == ERR_TOO_LARGE ? TOOL_INVALID : TOOL_UNREACHED;
 }
 
-/* Publish a configuration file: publish FILE.  It is checked as a set first,
-   and made from the configuration that the node has in force.  */
+/* Publish a configuration file: publish FILE.  It is checked as a set and
+   against the configuration that the node has in force; with a fault nothing
+   is appended.  */
 int
 tool_publish (const struct tool *tool)
 {
+  GArray *faults = g_array_new (FALSE, TRUE, sizeof (struct fault));
+  struct tool_answer answer = { 0 };
   char *text = NULL;
-  char *before = NULL;
-  guint64 base = 0;
-  guint64 offset = 0;
-  enum err code;
-  int status;
+  enum err code = ERR_NONE;
+  int status = TOOL_INVALID;
 
   if (!g_file_get_contents (tool->words[1], &text, NULL, NULL))
+    g_strlcpy (fault_add (faults, FAULT_FILE)->file, tool->words[1],
+               PATH_SIZE);
+  else
     {
-      tool_print_error (tool, tool->words[1], ERR_NOT_FOUND);
-      return TOOL_INVALID;
+      code = ask_config (tool, &answer);
+      find_faults (tool, text, answer.body->str, faults);
     }
-  if (has_faults (tool, text))
+  if (faults->len > 0)
+    tool_print_faults (tool, faults);
+  else if (code != ERR_NONE)
     {
-      g_free (text);
-      return TOOL_INVALID;
+      tool_print_error (tool, "node", code);
+      status = TOOL_UNREACHED;
     }
-  code = ask_config (tool, &base, &before);
-  if (code == ERR_NONE)
-    code = append (tool, text, base, &offset);
-  if (code == ERR_NONE || code == ERR_EFFECT)
-    status = read_back (tool, text, base);
   else
-    {
-      tool_print_error (tool, "publish", code);
-      status = code == ERR_TOO_LARGE ? TOOL_INVALID : TOOL_UNREACHED;
-    }
-  g_free (before);
+    status = publish_text (tool, text, &answer);
+  if (answer.body != NULL)
+    tool_answer_clear (&answer);
+  g_array_free (faults, TRUE);
   g_free (text);
   return status;
 }
