The slice that a server is told is the owner's, not the ingress's

Cause: the slice of a request is worked out by each node from its own view and does not travel; the header for the server was filled from the edge's copy, which at the owner's node is zero. Ruled out: two owners in the core (the fences themselves were in order). Change: ACTION_RUN carries the slice that was admitted.

--- a/src/decide/admit.c
+++ b/src/decide/admit.c
@@ -36,6 +36,7 @@
   action = &actions_add (out, ACTION_RUN)->u.run;
   action->exchange = exchange;
   action->attempt_id = ++core->attempt;
+  action->slice = flight->request.slice;
   action->fence = flight->fence;
   action->deadline = flight->request.deadline;
   if (flight->request.run_class == RUN_ONCE)
--- a/src/edge/target_server.c
+++ b/src/edge/target_server.c
@@ -52,7 +52,7 @@
       soup_message_headers_replace (headers, HEADER_FENCE, fence);
       soup_message_headers_replace (headers, HEADER_KEY,
                                     exchange->request.key);
-      add_number (headers, HEADER_SLICE, exchange->request.slice);
+      add_number (headers, HEADER_SLICE, action->slice);
       add_number (headers, HEADER_LEASE, exchange->node->core.lease.until);
     }
   g_free (fence);
--- a/src/types/action.h
+++ b/src/types/action.h
@@ -65,6 +65,7 @@
 {
   struct handle exchange; /* the request */
   guint64 attempt_id;     /* echoed by the server */
+  guint32 slice;          /* slice of the key, as this node's view has it */
   struct fence fence;     /* fence of the slice */
   gint64 deadline;        /* monotonic usec */
   struct stamp stamp;     /* stamp for the answer */
