--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -1,116 +1,19 @@
 #include "decide/lease.h"
 
+#include "decide/lease_quorum.h"
 #include "decide/timing.h"
 
 #include <string.h>
 
-#define REFUSALS_MAX 5u /* refusals that are taken as a promise */
-
-/* Majorities */
-
-/* What is known of the witness INCARNATION, or NULL.  */
-static struct lease_witness *
-find_peer (struct lease *lease, guint64 incarnation)
-{
-  guint i;
-
-  for (i = 0; i < lease->count; i++)
-    if (lease->peers[i].incarnation == incarnation)
-      return &lease->peers[i];
-  return NULL;
-}
-
-/* The send time that a majority of the COUNT witnesses in SET has acked at
-   least; G_MININT64 for an empty set, which can hold no lease.  */
-static gint64
-majority_acked (struct lease *lease, const guint64 *set, guint32 count)
-{
-  gint64 acked[WITNESS_MAX];
-  guint32 i;
-  guint32 k;
-
-  if (count == 0)
-    return G_MININT64;
-  for (i = 0; i < count; i++)
-    {
-      const struct lease_witness *peer = find_peer (lease, set[i]);
-      gint64 value = peer != NULL ? peer->acked : G_MININT64;
-      for (k = i; k > 0 && acked[k - 1] < value; k--)
-        acked[k] = acked[k - 1];
-      acked[k] = value;
-    }
-  return acked[count / 2];
-}
-
-/* Tell whether a majority of SET has acked FLOOR.  */
-static gboolean
-majority_floor (const struct lease *lease, const guint64 *set, guint32 count,
-                guint64 floor)
-{
-  guint32 acks = 0;
-  guint32 i;
-
-  for (i = 0; i < count; i++)
-    {
-      const struct lease_witness *peer
-          = find_peer ((struct lease *)lease, set[i]);
-      if (peer != NULL && peer->floor >= floor)
-        acks++;
-    }
-  return acks > count / 2;
-}
-
-/* Tell whether a majority of the witnesses that count now has acked FLOOR: a
-   giving-up at FLOOR is then complete.  */
-gboolean
-lease_floor_acked (const struct lease *lease, guint64 floor)
-{
-  if (!majority_floor (lease, lease->set, lease->set_count, floor))
-    return FALSE;
-  return !lease->joint
-         || majority_floor (lease, lease->before, lease->before_count, floor);
-}
-
-/* Tell whether a majority of SET is neither out nor retired in VIEW.  */
-static gboolean
-majority_alive (const struct view *view, const guint64 *set, guint32 count)
-{
-  guint32 alive = 0;
-  guint32 i;
-
-  for (i = 0; i < count; i++)
-    {
-      const struct view_node *node
-          = view_node_at (view, view_find_node (view, set[i]));
-      if (node != NULL && node->state != NODE_RETIRED)
-        alive++;
-    }
-  return alive > count / 2;
-}
-
-/* Tell whether the lease can be renewed ever again: a set whose majority is
-   gone can ack neither a renewal nor the set after it.  */
-gboolean
-lease_can_renew (const struct lease *lease, const struct view *view)
-{
-  if (lease->set_count == 0)
-    return TRUE;
-  if (!majority_alive (view, lease->set, lease->set_count))
-    return FALSE;
-  return !lease->joint
-         || majority_alive (view, lease->before, lease->before_count);
-}
-
 /* Work out when the lease ends from what the witnesses have acked.  */
 static void
 update_until (struct lease *lease)
 {
-  gint64 acked = majority_acked (lease, lease->set, lease->set_count);
+  gint64 acked = quorum_acked (lease, lease->set, lease->set_count);
 
   if (lease->joint)
     {
-      gint64 before
-          = majority_acked (lease, lease->before, lease->before_count);
+      gint64 before = quorum_acked (lease, lease->before, lease->before_count);
       acked = MIN (acked, before);
     }
   if (acked > 0 && acked + LEASE_USEC > lease->until)
@@ -129,7 +32,7 @@
 
   for (i = 0; i < size; i++)
     {
-      const struct lease_witness *known = find_peer (lease, set[i]);
+      const struct lease_witness *known = lease_peer (lease, set[i]);
       for (k = 0; k < count; k++)
         if (peers[k].incarnation == set[i])
           break;
@@ -180,8 +83,8 @@
 end_joint (struct lease *lease)
 {
   if (lease->joint
-      && majority_floor (lease, lease->before, lease->before_count,
-                         lease->epoch))
+      && quorum_floor (lease, lease->before, lease->before_count,
+                       lease->epoch))
     lease->joint = FALSE;
 }
 
@@ -276,7 +179,7 @@
 {
   const struct lease_round *round
       = &lease->rounds[reply->round % LEASE_ROUNDS];
-  struct lease_witness *witness = find_peer (lease, peer);
+  struct lease_witness *witness = lease_peer (lease, peer);
 
   if (witness == NULL)
     return;
@@ -289,17 +192,6 @@
   update_until (lease);
 }
 
-/* Tell whether the witness PEER goes on refusing renewals: it has promised
-   never to ack this node again.  */
-gboolean
-lease_is_refused (const struct lease *lease, guint64 peer)
-{
-  const struct lease_witness *witness
-      = find_peer ((struct lease *)lease, peer);
-
-  return witness != NULL && witness->refusals >= REFUSALS_MAX;
-}
-
 /* Tell whether the lease is held at NOW.  */
 gboolean
 lease_is_held (const struct lease *lease, gint64 now)
--- /dev/null
+++ b/src/decide/lease_quorum.c
@@ -0,0 +1,110 @@
+#include "decide/lease_quorum.h"
+
+#define REFUSALS_MAX 5u /* refusals that are taken as a promise */
+
+/* What is known of the witness INCARNATION, or NULL.  */
+struct lease_witness *
+lease_peer (struct lease *lease, guint64 incarnation)
+{
+  guint i;
+
+  for (i = 0; i < lease->count; i++)
+    if (lease->peers[i].incarnation == incarnation)
+      return &lease->peers[i];
+  return NULL;
+}
+
+/* The send time that a majority of the COUNT witnesses in SET has acked at
+   least; G_MININT64 for an empty set, which can hold no lease.  */
+gint64
+quorum_acked (struct lease *lease, const guint64 *set, guint32 count)
+{
+  gint64 acked[WITNESS_MAX];
+  guint32 i;
+  guint32 k;
+
+  if (count == 0)
+    return G_MININT64;
+  for (i = 0; i < count; i++)
+    {
+      const struct lease_witness *peer = lease_peer (lease, set[i]);
+      gint64 value = peer != NULL ? peer->acked : G_MININT64;
+      for (k = i; k > 0 && acked[k - 1] < value; k--)
+        acked[k] = acked[k - 1];
+      acked[k] = value;
+    }
+  return acked[count / 2];
+}
+
+/* Tell whether a majority of SET has acked FLOOR.  */
+gboolean
+quorum_floor (const struct lease *lease, const guint64 *set, guint32 count,
+              guint64 floor)
+{
+  guint32 acks = 0;
+  guint32 i;
+
+  for (i = 0; i < count; i++)
+    {
+      const struct lease_witness *peer
+          = lease_peer ((struct lease *)lease, set[i]);
+      if (peer != NULL && peer->floor >= floor)
+        acks++;
+    }
+  return acks > count / 2;
+}
+
+/* Tell whether a majority of the witnesses that count now has acked FLOOR: a
+   giving-up at FLOOR is then complete.  */
+gboolean
+lease_floor_acked (const struct lease *lease, guint64 floor)
+{
+  if (!quorum_floor (lease, lease->set, lease->set_count, floor))
+    return FALSE;
+  return !lease->joint
+         || quorum_floor (lease, lease->before, lease->before_count, floor);
+}
+
+/* Tell whether the witness PEER goes on refusing renewals: it has promised
+   never to ack this node again.  */
+gboolean
+lease_is_refused (const struct lease *lease, guint64 peer)
+{
+  const struct lease_witness *witness
+      = lease_peer ((struct lease *)lease, peer);
+
+  return witness != NULL && witness->refusals >= REFUSALS_MAX;
+}
+
+/* Tell whether a majority of SET may ack again: is neither out nor retired in
+   VIEW, and does not refuse.  */
+static gboolean
+quorum_alive (const struct lease *lease, const struct view *view,
+              const guint64 *set, guint32 count)
+{
+  guint32 acks = 0;
+  guint32 i;
+
+  for (i = 0; i < count; i++)
+    {
+      const struct view_node *node
+          = view_node_at (view, view_find_node (view, set[i]));
+      if (node != NULL && node->state != NODE_RETIRED
+          && !lease_is_refused (lease, set[i]))
+        acks++;
+    }
+  return acks > count / 2;
+}
+
+/* Tell whether the lease can be renewed ever again: a set whose majority is
+   gone can ack neither a renewal nor the set after it.  */
+gboolean
+lease_can_renew (const struct lease *lease, const struct view *view)
+{
+  if (lease->set_count == 0)
+    return TRUE;
+  if (!quorum_alive (lease, view, lease->set, lease->set_count))
+    return FALSE;
+  return !lease->joint
+         || quorum_alive (lease, view, lease->before, lease->before_count);
+}
--- /dev/null
+++ b/src/decide/lease_quorum.h
@@ -0,0 +1,13 @@
+#ifndef BAMBOOTALLY_LEASE_QUORUM_H
+#define BAMBOOTALLY_LEASE_QUORUM_H
+
+#include "decide/lease.h"
+
+/* What majorities of the witnesses of a lease have acked.  */
+
+struct lease_witness *lease_peer (struct lease *lease, guint64 incarnation);
+gint64 quorum_acked (struct lease *lease, const guint64 *set, guint32 count);
+gboolean quorum_floor (const struct lease *lease, const guint64 *set,
+                       guint32 count, guint64 floor);
+
+#endif
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -18,6 +18,7 @@
 {
   int from;           /* sender */
   int to;             /* receiver, -1 if there is no such node */
+  gint64 due;         /* when it arrives */
   struct event event; /* what it is told */
 };
 
@@ -36,7 +37,9 @@
   gint64 now;                         /* monotonic microseconds */
   guint64 steps;                      /* steps so far */
   guint two_owners;                   /* slices seen served by two nodes */
-  guint skip;                         /* records of this kind are not kept */
+  guint skip;       /* the log refuses records of this kind */
+  GRand *chance;    /* where calls are delayed at random */
+  gint64 delay_max; /* longest delay of a call */
 };
 
 /* Append RECORD, which is released, and return its offset.  */
@@ -55,9 +58,11 @@
 static inline void
 fleet_send (struct fleet *fleet, int from, int to, const struct event *event)
 {
-  struct fleet_mail mail = { from, to, *event };
+  struct fleet_mail mail = { from, to, fleet->now, *event };
 
-  if (to >= 0 && to < fleet->count && !fleet->cut[from][to])
+  if (fleet->chance != NULL && fleet->delay_max > 0 && from != to)
+    mail.due += g_rand_int_range (fleet->chance, 0, (gint32)fleet->delay_max);
+  if (to >= 0 && to < fleet->count && (from == to || !fleet->cut[from][to]))
     g_array_append_val (fleet->mail, mail);
 }
 
@@ -72,12 +77,19 @@
     {
     case ACTION_APPEND:
       event.u.appended.serial = action->u.append.record.serial;
-      event.u.appended.code = fleet->log_down ? ERR_UNAVAILABLE : ERR_NONE;
       record_copy (&record, &action->u.append.record);
       if (fleet->log_down || record.kind == (enum record_kind)fleet->skip)
-        record_clear (&record);
+        {
+          event.u.appended.code = ERR_UNAVAILABLE;
+          record_clear (&record);
+        }
       else
-        event.u.appended.offset = fleet_append (fleet, record);
+        {
+          event.u.appended.offset = fleet_append (fleet, record);
+          if (fleet->chance != NULL
+              && g_rand_int_range (fleet->chance, 0, 4) == 0)
+            event.u.appended.code = ERR_EFFECT;
+        }
       fleet_send (fleet, i, i, &event);
       break;
     case ACTION_CALL:
@@ -155,7 +167,10 @@
     {
       const struct fleet_mail *item
           = &g_array_index (mail, struct fleet_mail, k);
-      if (fleet->up[item->to])
+      gboolean own = item->from == item->to;
+      if (item->due > fleet->now || (own && !fleet->up[item->to]))
+        g_array_append_vals (fleet->mail, item, 1);
+      else if (fleet->up[item->to])
         fleet_feed (fleet, item->to, &item->event);
     }
   g_array_free (mail, TRUE);
@@ -257,14 +272,18 @@
 fleet_restart (struct fleet *fleet, int i)
 {
   guint64 incarnation = fleet->cores[i].settings.incarnation + FLEET_MAX;
+  guint k;
 
+  for (k = fleet->mail->len; k > 0; k--)
+    if (g_array_index (fleet->mail, struct fleet_mail, k - 1).to == i)
+      g_array_remove_index (fleet->mail, k - 1);
   core_clear (&fleet->cores[i]);
   fleet_start (fleet, i, incarnation, TRUE);
 }
 
 /* Start COUNT nodes whose servers check fences if CHECKS is set.  Node 1 is
-   given slice 0, with the successors 2 and 3; records of the kind SKIP are not
-   kept, so that the planner can be left out.  */
+   given slice 0, with the successors 2 and 3; records of the kind SKIP are
+   refused, so that the planner can be left out.  */
 static inline void
 fleet_init (struct fleet *fleet, int count, gboolean checks)
 {
