--- a/src/decide/certificate.c
+++ b/src/decide/certificate.c
@@ -2,6 +2,7 @@
 
 #include "decide/core.h"
 #include "decide/peers.h"
+#include "decide/takeover.h"
 
 #define SEND_AGAIN_USEC ((gint64)300000)  /* between the first sendings */
 #define SEND_LATER_USEC ((gint64)3000000) /* between the later ones */
@@ -149,6 +150,26 @@
   g_hash_table_destroy (nodes);
 }
 
+/* Note what this node takes over by CERTIFICATE, once it has folded up to the
+   floor.  */
+static void
+use (struct core *core, struct certificate *certificate, struct actions *out)
+{
+  guint count;
+  struct note *note;
+
+  if (certificate->used || core->view.next <= certificate->floor)
+    return;
+  certificate->used = TRUE;
+  count = takeover_count (core);
+  if (count == 0)
+    return;
+  note = &actions_add (out, ACTION_NOTE)->u.note;
+  note->id = NOTE_TAKEOVER;
+  note->node = certificate->target;
+  note->amount = count;
+}
+
 /* Tell the nodes concerned and the log of each certificate whose target is
    still in the view, and forget those whose target has gone out.  One whose
    target has not been seen yet stays.  */
@@ -165,6 +186,7 @@
       else if (handle_is_set (
                    view_find_node (&core->view, certificate->target)))
         {
+          use (core, certificate, out);
           report (core, certificate, now);
           send_out (core, certificate, now, out);
         }
--- a/src/decide/certificate.h
+++ b/src/decide/certificate.h
@@ -15,6 +15,7 @@
   gint64 valid_at;   /* known here to be valid from then on */
   gboolean own;      /* collected here */
   gboolean reported; /* an `out' has been proposed */
+  gboolean used;     /* this node has taken over what it gives */
   guint32 sends;     /* times it was sent to the nodes concerned */
   gint64 next_send;  /* when it is sent again, monotonic usec */
 };
--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -165,6 +165,21 @@
                     core->view.next, now, reply);
 }
 
+/* Answer a request for a promise.  */
+static void
+take_promise (struct core *core, const struct peer_promise *call, gint64 now,
+              struct peer_promise_reply *reply, struct actions *out)
+{
+  struct note *note;
+
+  witness_on_promise (&core->witness, call, now, reply);
+  if (!reply->promised)
+    return;
+  note = &actions_add (out, ACTION_NOTE)->u.note;
+  note->id = NOTE_PROMISE;
+  note->node = call->target;
+}
+
 /* Answer a call from another node.  */
 static void
 take_peer_call (struct core *core, const struct event_peer_call *event,
@@ -183,8 +198,7 @@
         take_renew (core, &call->u.renew, now, &reply.u.renew);
         break;
       case PEER_PROMISE:
-        witness_on_promise (&core->witness, &call->u.promise, now,
-                            &reply.u.promise);
+        take_promise (core, &call->u.promise, now, &reply.u.promise, out);
         break;
       case PEER_FOLDED:
         peers_note_folded (&core->peers, call->u.folded.incarnation,
--- a/src/decide/pick.c
+++ b/src/decide/pick.c
@@ -4,6 +4,7 @@
 #include "decide/core.h"
 #include "decide/own.h"
 #include "decide/slice.h"
+#include "decide/takeover.h"
 
 #include <string.h>
 
@@ -16,15 +17,17 @@
   return breaker == NULL || breaker_lets_pass (breaker, now);
 }
 
-/* The node to send requests for SLICE to: its owner, or the successor that
-   may serve in its place if the owner is LOST.  That one refuses if it does
-   not serve.  */
+/* The node to send requests for SLICE to: PROBABLE where a certificate says
+   so, otherwise its owner, or the successor that may serve in its place if the
+   owner is LOST.  That one refuses if it does not serve.  */
 static struct handle
 node_of_slice (const struct core *core, const struct view_slice *slice,
-               gboolean lost, gint64 now)
+               struct handle probable, gboolean lost, gint64 now)
 {
   struct handle next = slice->successor[0];
 
+  if (!handle_equal (probable, slice->owner))
+    return probable;
   if (!lost && is_reached (core, slice->owner, now))
     return slice->owner;
   if (view_node_at (&core->view, next) == NULL
@@ -40,6 +43,7 @@
 {
   struct pick pick = { PICK_NONE, HANDLE_NONE, REASON_NO_OWNER, { 0, 0 } };
   const struct view_slice *slice;
+  struct handle probable;
   struct own_right right;
 
   request->slice = slice_of_key (service, request->key);
@@ -55,14 +59,15 @@
     return pick;
   pick.fence.offset = slice->epoch;
   pick.reason = right.reason;
-  if (handle_equal (slice->owner, core->self))
+  probable = own_probable_owner (core, service, request->slice);
+  if (handle_equal (probable, core->self))
     return pick;
   if (request->from_peer)
     {
       pick.reason = REASON_NOT_OWNER;
       return pick;
     }
-  pick.node = node_of_slice (core, slice, lost, now);
+  pick.node = node_of_slice (core, slice, probable, lost, now);
   pick.reason = REASON_PEER_LOST;
   pick.kind = is_reached (core, pick.node, now) ? PICK_PEER : PICK_NONE;
   return pick;
--- a/src/decide/takeover.c
+++ b/src/decide/takeover.c
@@ -52,6 +52,21 @@
   return takeover;
 }
 
+/* Count the slices that this node is to serve by certificate.  */
+guint
+takeover_count (const struct core *core)
+{
+  const struct view_service *service
+      = view_find_service (&core->view, core->settings.service);
+  guint count = 0;
+  guint32 i;
+
+  for (i = 0; service != NULL && i < service->slices->len; i++)
+    if (takeover_check (core, view_slice_at (service, i), core->self).due)
+      count++;
+  return count;
+}
+
 /* The node that most likely serves SLICE: the successor whose turn it is by
    certificate, or else the owner on the log.  */
 struct handle
--- a/src/decide/takeover.h
+++ b/src/decide/takeover.h
@@ -18,6 +18,7 @@
 struct takeover takeover_check (const struct core *core,
                                 const struct view_slice *slice,
                                 struct handle successor);
+guint takeover_count (const struct core *core);
 struct handle own_probable_owner (const struct core *core,
                                   const struct view_service *service,
                                   guint32 slice);
--- a/tests/fleet.h
+++ b/tests/fleet.h
@@ -36,6 +36,7 @@
   GArray *mail;                       /* struct fleet_mail */
   gint64 now;                         /* monotonic microseconds */
   guint64 steps;                      /* steps so far */
+  guint takeovers;                    /* takeovers noted */
   guint two_owners;                   /* slices seen served by two nodes */
   guint skip;       /* the log refuses records of this kind */
   GRand *chance;    /* where calls are delayed at random */
@@ -110,6 +111,10 @@
     case ACTION_EXIT:
       fleet->exited[i] = TRUE;
       break;
+    case ACTION_NOTE:
+      if (action->u.note.id == NOTE_TAKEOVER)
+        fleet->takeovers++;
+      break;
     default:
       break;
     }
