A pending change of successors no longer keeps the successor from serving

Change: the old successor takes such a slice by a certificate whose floor is below the move, since a majority then never acked it and `moved' cannot follow; `out' gives the slice to the old successors whatever its floor. Ruled out: the same for a move to another node: two certificates can have floors on both sides of the move.

--- a/src/decide/fold_owner.c
+++ b/src/decide/fold_owner.c
@@ -64,8 +64,8 @@
 
 /* Pass SLICE on after its owner has gone with FLOOR: to the receiver of its
    move if the giving-up had begun, otherwise to its first successor that is
-   alive.  A leaving successor counts, because it may have taken the slice by
-   certificate.  */
+   alive; also where only the successors were to change.  A leaving successor
+   counts, because it may have taken the slice by certificate.  */
 static void
 inherit_slice (struct view *view, struct view_slice *slice, guint64 floor,
                guint64 offset)
@@ -74,7 +74,8 @@
   guint count = 0;
   guint i;
 
-  if (slice->move != 0 && floor >= slice->move)
+  if (slice->move != 0 && floor >= slice->move
+      && !handle_equal (slice->to, slice->owner))
     {
       count = chain_add (view, chain, count, slice->to);
       for (i = 0; i < SUCCESSOR_MAX; i++)
--- a/src/decide/own.c
+++ b/src/decide/own.c
@@ -37,8 +37,7 @@
 
   if (!takeover.due)
     return FALSE;
-  right->fence.offset = entry->epoch;
-  right->fence.takeover = takeover.count;
+  right->fence = takeover.fence;
   right->reason = REASON_LEASE;
   return now >= takeover.serve_at;
 }
--- a/src/decide/takeover.c
+++ b/src/decide/takeover.c
@@ -23,17 +23,35 @@
   return TRUE;
 }
 
+/* Tell whether a pending move of SLICE leaves it to the log once its owner is
+   gone: its receiver may have been told `released'.  Where only the successors
+   were to change, a certificate with a floor below the move proves that they
+   never will.  */
+static gboolean
+move_forbids (const struct core *core, const struct view_slice *slice)
+{
+  const struct certificate *certificate;
+
+  if (slice->move == 0)
+    return FALSE;
+  if (!handle_equal (slice->to, slice->owner))
+    return TRUE;
+  certificate
+      = certificate_find (core, view_incarnation (&core->view, slice->owner));
+  return certificate == NULL || certificate->floor >= slice->move;
+}
+
 /* Tell whether it is the turn of SUCCESSOR to serve SLICE: the owner and each
-   successor before it are gone.  A slice whose move has been folded is left
-   to the log, because its receiver may have been told `released'.  */
+   successor before it are gone, and no move forbids it.  */
 struct takeover
 takeover_check (const struct core *core, const struct view_slice *slice,
                 struct handle successor)
 {
-  struct takeover takeover = { FALSE, 0, 0 };
+  struct takeover takeover = { FALSE, { 0, 0 }, 0 };
   guint i;
 
-  if (slice->move != 0 || view_node_at (&core->view, slice->owner) == NULL
+  if (view_node_at (&core->view, slice->owner) == NULL
+      || move_forbids (core, slice)
       || !is_gone (core, slice->owner, &takeover.serve_at))
     return takeover;
   for (i = 0; i < SUCCESSOR_MAX; i++)
@@ -41,7 +59,8 @@
       if (handle_equal (slice->successor[i], successor))
         {
           takeover.due = TRUE;
-          takeover.count = i + 1;
+          takeover.fence.offset = MAX (slice->epoch, slice->move);
+          takeover.fence.takeover = i + 1;
           takeover.serve_at
               = MAX (takeover.serve_at, hold_latest (&core->hold));
           return takeover;
--- a/src/decide/takeover.h
+++ b/src/decide/takeover.h
@@ -1,6 +1,7 @@
 #ifndef BAMBOOTALLY_TAKEOVER_H
 #define BAMBOOTALLY_TAKEOVER_H
 
+#include "types/fence.h"
 #include "types/view.h"
 
 struct core;
@@ -10,9 +11,9 @@
 /* What is known of a successor's turn.  */
 struct takeover
 {
-  gboolean due;    /* its turn has come */
-  guint32 count;   /* takeovers since the record that named the owner */
-  gint64 serve_at; /* when it may serve, monotonic usec */
+  gboolean due;       /* its turn has come */
+  struct fence fence; /* fence to serve under */
+  gint64 serve_at;    /* when it may serve, monotonic usec */
 };
 
 struct takeover takeover_check (const struct core *core,
--- a/tests/test_fold_slice.c
+++ b/tests/test_fold_slice.c
@@ -86,6 +86,21 @@
   view_clear (&setting.view);
 }
 
+/* An owner that was to change its successors only has the old ones.  */
+static void
+test_out_successors (void)
+{
+  struct setting setting;
+  guint64 move;
+
+  setting_init (&setting);
+  move = make_fold (&setting.view, make_slice (RECORD_MOVE, 0,
+                                               setting.slice->epoch, 1, 5, 4));
+  make_fold (&setting.view, make_out (1, move, OUT_CERTIFICATE));
+  CU_ASSERT_EQUAL (owner (&setting), 2);
+  view_clear (&setting.view);
+}
+
 /* A node that an operator declares dead may have released the slice.  */
 static void
 test_out_declared (void)
@@ -309,6 +324,7 @@
 {
   static CU_TestInfo tests[] = { { "out", test_out },
                                  { "out floor", test_out_floor },
+                                 { "out successors", test_out_successors },
                                  { "out declared", test_out_declared },
                                  { "receiver out", test_receiver_out },
                                  { "move dropped", test_move_dropped },
--- a/tests/test_removal.c
+++ b/tests/test_removal.c
@@ -143,6 +143,43 @@
   fleet_clear (&fleet);
 }
 
+/* Kill the owner with the log down while a change of its successors is pending
+   that it has not begun, or, if BEGUN is set, not ended.  */
+static void
+kill_in_change (gboolean begun)
+{
+  fleet_init (&fleet, 6, TRUE);
+  fleet.skip = RECORD_MOVED;
+  fleet.lags[0] = !begun;
+  fleet_append (&fleet, make_slice (RECORD_MOVE, 0,
+                                    fleet_slice (&fleet, 0)->epoch, 1, 5, 6));
+  fleet_run (&fleet, 1000000);
+  fleet.log_down = TRUE;
+  fleet.up[0] = FALSE;
+}
+
+/* A change of successors that a majority has not acked does not keep the old
+   successor from taking over; one that may have been recorded does.  */
+static void
+test_change_pending (void)
+{
+  kill_in_change (FALSE);
+  CU_ASSERT_EQUAL (fleet_wait (&fleet, 0, SERVED_AGAIN_USEC), 1);
+  CU_ASSERT_EQUAL (fleet_right (&fleet, 1, 0).fence.offset,
+                   fleet_slice (&fleet, 1)->move);
+  fleet.log_down = FALSE;
+  fleet_run (&fleet, 1000000);
+  CU_ASSERT_EQUAL (fleet_server (&fleet, 0), 1);
+  CU_ASSERT_EQUAL (fleet.two_owners, 0);
+  fleet_clear (&fleet);
+  kill_in_change (TRUE);
+  CU_ASSERT_EQUAL (fleet_wait (&fleet, 0, SERVED_AGAIN_USEC), -1);
+  fleet.log_down = FALSE;
+  CU_ASSERT_EQUAL (fleet_wait (&fleet, 0, SERVED_AGAIN_USEC), 1);
+  CU_ASSERT_EQUAL (fleet.two_owners, 0);
+  fleet_clear (&fleet);
+}
+
 /* Where the server of the dead owner does not check fences, its successor
    waits for the longest request, with the log down and with the log up.  */
 static void
@@ -249,6 +286,7 @@
                                  { "one deaf witness", test_one_deaf_witness },
                                  { "floor not folded", test_floor_not_folded },
                                  { "move folded", test_move_folded },
+                                 { "change pending", test_change_pending },
                                  { "unchecked", test_unchecked },
                                  { "collector dies", test_collector_dies },
                                  { "probable owner", test_probable_owner },
