Receivers decline the moves of an owner that restarted

Change: the receiver knows. If it was never told `released' it says so by a `moved' without an owner, and ignores a `released' that comes later; the slice then goes to the successors. Only the receiver may say so, and only of an owner that is retired.

--- a/src/decide/fold.c
+++ b/src/decide/fold.c
@@ -71,7 +71,7 @@
       fold_move (view, offset, &record->body.slices, out);
       break;
     case RECORD_MOVED:
-      fold_moved (view, offset, &record->body.slices, out);
+      fold_moved (view, offset, record->writer, &record->body.slices, out);
       break;
     case RECORD_HOT:
       fold_hot (view, offset, &record->body.hot, out);
--- a/src/decide/fold.h
+++ b/src/decide/fold.h
@@ -23,7 +23,7 @@
                   const struct record_slices *body, struct actions *out);
 void fold_move (struct view *view, guint64 offset,
                 const struct record_slices *body, struct actions *out);
-void fold_moved (struct view *view, guint64 offset,
+void fold_moved (struct view *view, guint64 offset, guint64 writer,
                  const struct record_slices *body, struct actions *out);
 void fold_hot (struct view *view, guint64 offset,
                const struct record_hot *body, struct actions *out);
--- a/src/decide/fold_owner.c
+++ b/src/decide/fold_owner.c
@@ -116,6 +116,21 @@
   memcpy (slice->to_successor, slice->successor, sizeof slice->to_successor);
 }
 
+/* End the pending move of SLICE, whose owner is retired, because WRITER, its
+   receiver, says that it was never told `released'.  Return FALSE if that is
+   not so.  */
+gboolean
+fold_decline (struct view *view, struct view_slice *slice, guint64 writer,
+              guint64 offset)
+{
+  if (view_node_at (view, slice->owner) == NULL
+      || fold_is_alive (view, slice->owner) || writer == 0
+      || view_incarnation (view, slice->to) != writer)
+    return FALSE;
+  inherit_slice (view, slice, 0, offset);
+  return TRUE;
+}
+
 /* Forget the node under GONE where SLICE names it as a successor.  The places
    of the others stay, since they count the takeovers.  */
 static void
--- a/src/decide/fold_owner.h
+++ b/src/decide/fold_owner.h
@@ -11,6 +11,8 @@
 void fold_set_owner (struct view *view, struct view_slice *slice,
                      struct handle owner, const struct handle *successors,
                      guint64 offset);
+gboolean fold_decline (struct view *view, struct view_slice *slice,
+                       guint64 writer, guint64 offset);
 void fold_owner_out (struct view *view, struct handle gone, guint64 floor,
                      guint64 offset);
 void fold_owner_retired (struct view *view, struct handle gone,
--- a/src/decide/fold_slice.c
+++ b/src/decide/fold_slice.c
@@ -111,10 +111,30 @@
     fold_note (out, NOTE_PLACE_DROPPED, offset)->amount = dropped;
 }
 
-/* End the moves that BODY names: their receivers own the slices.  The epoch
-   of an item is the offset of the move.  */
+/* End the move of SLICE that ITEM of WRITER names.  Return FALSE if it is
+   pending no such move.  */
+static gboolean
+end_move (struct view *view, struct view_slice *slice,
+          const struct record_slice *item, guint64 writer, guint64 offset)
+{
+  struct handle successors[SUCCESSOR_MAX];
+
+  if (slice == NULL || slice->move == 0 || slice->move != item->epoch)
+    return FALSE;
+  if (item->owner == 0)
+    return fold_decline (view, slice, writer, offset);
+  if (!handle_equal (slice->to, view_find_node (view, item->owner)))
+    return FALSE;
+  memcpy (successors, slice->to_successor, sizeof successors);
+  fold_set_owner (view, slice, slice->to, successors, offset);
+  return TRUE;
+}
+
+/* End the moves that BODY names: their receivers own the slices, or decline
+   them where no owner is named.  The epoch of an item is the offset of the
+   move.  */
 void
-fold_moved (struct view *view, guint64 offset,
+fold_moved (struct view *view, guint64 offset, guint64 writer,
             const struct record_slices *body, struct actions *out)
 {
   struct view_service *service = view_find_service (view, body->service);
@@ -124,16 +144,9 @@
   for (i = 0; service != NULL && i < body->count; i++)
     {
       const struct record_slice *item = &body->items[i];
-      struct view_slice *slice = view_slice_at (service, item->slice);
-      struct handle successors[SUCCESSOR_MAX];
-      if (slice == NULL || slice->move == 0 || slice->move != item->epoch
-          || !handle_equal (slice->to, view_find_node (view, item->owner)))
-        {
-          dropped++;
-          continue;
-        }
-      memcpy (successors, slice->to_successor, sizeof successors);
-      fold_set_owner (view, slice, slice->to, successors, offset);
+      if (!end_move (view, view_slice_at (service, item->slice), item, writer,
+                     offset))
+        dropped++;
     }
   if (dropped > 0)
     fold_note (out, NOTE_PLACE_DROPPED, offset)->amount = dropped;
--- a/src/decide/move.c
+++ b/src/decide/move.c
@@ -271,7 +271,7 @@
       return;
     }
   if (!give->proposed)
-    move_take_propose (core, core->settings.incarnation, give->move);
+    move_take_propose (core, core->settings.incarnation, give->move, FALSE);
   give->proposed = TRUE;
 }
 
--- a/src/decide/move.h
+++ b/src/decide/move.h
@@ -19,12 +19,14 @@
   gint64 next_send;  /* when the receiver is told again, monotonic usec */
 };
 
-/* A move that its owner said it has released.  */
+/* A move that its owner said it has released, or that this node, its receiver,
+   has declined since its owner is retired.  */
 struct move_release
 {
   guint64 owner;     /* incarnation that gave the slices up */
   guint64 move;      /* offset of the move */
   gboolean proposed; /* this node has proposed `moved' */
+  gboolean declined; /* `released' comes too late for it */
 };
 
 /* An owner that waits to hear how far this node, a successor, has folded.  */
--- a/src/decide/move_take.c
+++ b/src/decide/move_take.c
@@ -108,7 +108,7 @@
       const struct move_release *release
           = &g_array_index (core->moves.released, struct move_release, i);
       if (is_receiving (core, slice, release->owner, release->move))
-        return TRUE;
+        return !release->declined;
     }
   return FALSE;
 }
@@ -132,9 +132,11 @@
 }
 
 /* Propose `moved' for the slices that this node receives from OWNER by the
-   move at OFFSET.  */
+   move at MOVE, naming this node as their owner, or none if it has DECLINED
+   them.  */
 void
-move_take_propose (struct core *core, guint64 owner, guint64 move)
+move_take_propose (struct core *core, guint64 owner, guint64 move,
+                   gboolean declined)
 {
   const struct view_service *service
       = view_find_service (&core->view, core->settings.service);
@@ -145,9 +147,10 @@
   for (i = 0; i < core->moves.pending->len; i++)
     {
       guint32 number = g_array_index (core->moves.pending, guint32, i);
-      struct record_slice item = { .slice = number,
-                                   .epoch = move,
-                                   .owner = core->settings.incarnation };
+      struct record_slice item
+          = { .slice = number,
+              .epoch = move,
+              .owner = declined ? 0 : core->settings.incarnation };
       if (is_receiving (core, view_slice_at (service, number), owner, move))
         g_array_append_val (items, item);
     }
@@ -162,6 +165,37 @@
   g_array_free (items, TRUE);
 }
 
+/* Decline what this node was to receive from owners that are retired and have
+   not told it `released': a retired node is dead and never will.  */
+static void
+decline_moves (struct core *core, const struct view_service *service)
+{
+  guint i;
+  guint k;
+
+  for (i = 0; i < core->moves.pending->len; i++)
+    {
+      const struct view_slice *slice = view_slice_at (
+          service, g_array_index (core->moves.pending, guint32, i));
+      struct move_release declined
+          = { .owner = view_incarnation (&core->view, slice->owner),
+              .move = slice->move,
+              .declined = TRUE };
+      if (!handle_equal (slice->to, core->self)
+          || fold_is_alive (&core->view, slice->owner))
+        continue;
+      for (k = 0; k < core->moves.released->len; k++)
+        {
+          const struct move_release *known
+              = &g_array_index (core->moves.released, struct move_release, k);
+          if (known->owner == declined.owner && known->move == declined.move)
+            break;
+        }
+      if (k == core->moves.released->len)
+        g_array_append_val (core->moves.released, declined);
+    }
+}
+
 /* Tell whether a slice is still pending what RELEASE says.  */
 static gboolean
 release_is_pending (const struct core *core,
@@ -195,7 +229,8 @@
       if (release->proposed || release->move >= core->view.next)
         continue;
       release->proposed = TRUE;
-      move_take_propose (core, release->owner, release->move);
+      move_take_propose (core, release->owner, release->move,
+                         release->declined);
     }
 }
 
@@ -213,6 +248,7 @@
             core, service,
             &g_array_index (core->moves.released, struct move_release, i - 1)))
       g_array_remove_index_fast (core->moves.released, i - 1);
+  decline_moves (core, service);
 }
 
 /* Do what a receiver and successor need now.  */
--- a/src/decide/move_take.h
+++ b/src/decide/move_take.h
@@ -11,6 +11,7 @@
 
 void move_take_follow (struct core *core, const struct view_service *service);
 void move_take_step (struct core *core, gint64 now, struct actions *out);
-void move_take_propose (struct core *core, guint64 owner, guint64 move);
+void move_take_propose (struct core *core, guint64 owner, guint64 move,
+                        gboolean declined);
 
 #endif
--- a/tests/test_fold_slice.c
+++ b/tests/test_fold_slice.c
@@ -199,6 +199,32 @@
   view_clear (&setting.view);
 }
 
+/* The receiver, and no other node, may say that it was never released.  */
+static void
+test_declined (void)
+{
+  struct setting setting;
+  struct record record;
+  guint64 move;
+
+  setting_init (&setting);
+  move = begin_move (&setting);
+  record = make_slice (RECORD_MOVED, 0, move, 0, 0, 0);
+  record.writer = 4;
+  make_fold (&setting.view, record);
+  CU_ASSERT_EQUAL (owner (&setting), 1);
+  restart_first (&setting, 1);
+  record = make_slice (RECORD_MOVED, 0, move, 0, 0, 0);
+  record.writer = 5;
+  make_fold (&setting.view, record);
+  CU_ASSERT_EQUAL (owner (&setting), 1);
+  record = make_slice (RECORD_MOVED, 0, move, 0, 0, 0);
+  record.writer = 4;
+  make_fold (&setting.view, record);
+  CU_ASSERT_EQUAL (owner (&setting), 2);
+  view_clear (&setting.view);
+}
+
 /* When the receiver goes as well, nobody was told `released'.  */
 static void
 test_restart_both (void)
@@ -329,6 +355,7 @@
                                  { "receiver out", test_receiver_out },
                                  { "move dropped", test_move_dropped },
                                  { "restart", test_restart },
+                                 { "declined", test_declined },
                                  { "restart both", test_restart_both },
                                  { "late join", test_late_join },
                                  { "hot", test_hot },
--- a/tests/test_move.c
+++ b/tests/test_move.c
@@ -206,6 +206,36 @@
   fleet_clear (&fleet);
 }
 
+/* The owner restarts before it has released the slice: its receiver declines
+   it, and the successor serves.  One that was released goes on.  */
+static void
+test_owner_restarts (void)
+{
+  int i;
+
+  fleet_init (&fleet, 6, TRUE);
+  for (i = 1; i < 6; i++)
+    if (fleet_is_witness (&fleet, 1, i))
+      witness_find (&fleet.cores[i].witness, 1)->promised = TRUE;
+  fleet.skip = RECORD_OUT;
+  move_to (5, 6);
+  fleet_run (&fleet, 300000);
+  fleet_restart (&fleet, 0);
+  fleet_run (&fleet, 1000000);
+  CU_ASSERT_EQUAL (fleet_server (&fleet, 0), 1);
+  CU_ASSERT_EQUAL (fleet.two_owners, 0);
+  fleet_clear (&fleet);
+  fleet_init (&fleet, 6, TRUE);
+  fleet.skip = RECORD_MOVED;
+  move_to (5, 6);
+  fleet_run (&fleet, 1000000);
+  fleet_restart (&fleet, 0);
+  fleet_run (&fleet, 300000);
+  CU_ASSERT_EQUAL (fleet_server (&fleet, 0), 4);
+  CU_ASSERT_EQUAL (fleet.two_owners, 0);
+  fleet_clear (&fleet);
+}
+
 /* The owner dies after the receiver began to serve: the receiver goes on, with
    the log down and then up.  */
 static void
@@ -243,6 +273,7 @@
                                  { "in flight", test_in_flight },
                                  { "successors only", test_successors_only },
                                  { "receiver dies", test_receiver_dies },
+                                 { "owner restarts", test_owner_restarts },
                                  { "owner dies", test_owner_dies },
                                  CU_TEST_INFO_NULL };
 
