--- a/src/decide/move.c
+++ b/src/decide/move.c
@@ -3,6 +3,7 @@
 #include "decide/core.h"
 #include "decide/flight.h"
 #include "decide/fold_owner.h"
+#include "decide/move_begin.h"
 #include "decide/move_take.h"
 #include "decide/peers.h"
 #include "decide/slice.h"
@@ -42,8 +43,8 @@
 }
 
 /* The pending slice at place I, with its number in NUMBER if not NULL.  */
-static const struct view_slice *
-pending_at (const struct core *core, guint i, guint32 *number)
+const struct view_slice *
+moves_pending_at (const struct core *core, guint i, guint32 *number)
 {
   guint32 slice = g_array_index (core->moves.pending, guint32, i);
 
@@ -75,7 +76,7 @@
 
   for (i = 0; i < core->moves.pending->len; i++)
     {
-      const struct view_slice *slice = pending_at (core, i, NULL);
+      const struct view_slice *slice = moves_pending_at (core, i, NULL);
       if (handle_equal (slice->owner, core->self) && slice->move == give->move
           && handle_equal (slice->to, give->to))
         return TRUE;
@@ -104,101 +105,6 @@
   move_take_follow (core, service);
 }
 
-/* Beginning to give up */
-
-/* The offset of the first move of this node's slices that has not begun;
-   G_MAXUINT64 if there is none.  No giving-up past it may begin: the floor
-   then tells for certain which moves have begun.  */
-guint64
-moves_limit (const struct core *core)
-{
-  guint64 limit = G_MAXUINT64;
-  guint i;
-
-  for (i = 0; i < core->moves.pending->len; i++)
-    {
-      const struct view_slice *slice = pending_at (core, i, NULL);
-      if (handle_equal (slice->owner, core->self)
-          && slice->move > core->lease.floor)
-        limit = MIN (limit, slice->move);
-    }
-  return limit;
-}
-
-/* Tell whether each successor of SLICE that is alive has folded its move.  */
-static gboolean
-successors_folded (const struct core *core, const struct view_slice *slice)
-{
-  guint i;
-
-  for (i = 0; i < SUCCESSOR_MAX; i++)
-    {
-      struct handle h = slice->successor[i];
-      if (fold_is_alive (&core->view, h) && !handle_equal (h, core->self)
-          && !peers_has_folded (
-              &core->peers, view_incarnation (&core->view, h), slice->move))
-        return FALSE;
-    }
-  return TRUE;
-}
-
-/* Tell whether the move at OFFSET may begin: the successors of all its slices
-   have folded it, and no witness set before it waits to be taken over.  */
-static gboolean
-may_begin (const struct core *core, guint64 offset)
-{
-  const struct view_node *self = view_node_at (&core->view, core->self);
-  guint i;
-
-  if (self->witness_epoch < offset && self->witness_epoch != core->lease.epoch)
-    return FALSE;
-  for (i = 0; i < core->moves.pending->len; i++)
-    {
-      const struct view_slice *slice = pending_at (core, i, NULL);
-      if (handle_equal (slice->owner, core->self) && slice->move == offset
-          && !successors_folded (core, slice))
-        return FALSE;
-    }
-  return TRUE;
-}
-
-/* Begin the move at OFFSET: admit no more for its slices and raise the floor.
-   Where only the successors change, this node goes on serving.  */
-static void
-begin (struct core *core, guint64 offset, struct actions *out)
-{
-  guint i;
-
-  for (i = 0; i < core->moves.pending->len; i++)
-    {
-      guint32 number;
-      const struct view_slice *slice = pending_at (core, i, &number);
-      struct move_give give = { .move = slice->move, .to = slice->to };
-      struct note *note;
-      guint k;
-      if (!handle_equal (slice->owner, core->self) || slice->move != offset)
-        continue;
-      if (!handle_equal (slice->to, core->self))
-        hold_give_up (&core->hold, number, slice->epoch);
-      for (k = 0; k < core->moves.gives->len; k++)
-        {
-          const struct move_give *known
-              = &g_array_index (core->moves.gives, struct move_give, k);
-          if (known->move == give.move && handle_equal (known->to, give.to))
-            break;
-        }
-      if (k == core->moves.gives->len)
-        g_array_append_val (core->moves.gives, give);
-      note = &actions_add (out, ACTION_NOTE)->u.note;
-      note->id = NOTE_PLACE_RELEASED;
-      note->offset = offset;
-      note->slice = number;
-      note->has_slice = TRUE;
-      note->node = view_incarnation (&core->view, slice->to);
-    }
-  lease_raise_floor (&core->lease, offset);
-}
-
 /* Ending the giving-up */
 
 /* Count the requests of SLICE that the server beside this node runs or is to
@@ -231,7 +137,7 @@
   for (i = 0; i < core->moves.pending->len; i++)
     {
       guint32 number;
-      const struct view_slice *slice = pending_at (core, i, &number);
+      const struct view_slice *slice = moves_pending_at (core, i, &number);
       if (handle_equal (slice->owner, core->self) && slice->move == give->move
           && handle_equal (slice->to, give->to)
           && moves_in_flight (core, service, number) > 0)
@@ -279,18 +185,12 @@
 void
 moves_step (struct core *core, gint64 now, struct actions *out)
 {
-  guint64 next;
   guint i;
 
   if (!fold_is_alive (&core->view, core->self) || own_service (core) == NULL)
     return;
   follow_view (core);
-  next = moves_limit (core);
-  while (next != G_MAXUINT64 && may_begin (core, next))
-    {
-      begin (core, next, out);
-      next = moves_limit (core);
-    }
+  move_begin_step (core, out);
   for (i = 0; i < core->moves.gives->len; i++)
     finish (core, &g_array_index (core->moves.gives, struct move_give, i), now,
             out);
--- a/src/decide/move.h
+++ b/src/decide/move.h
@@ -52,6 +52,8 @@
 void moves_init (struct moves *moves);
 void moves_clear (struct moves *moves);
 void moves_step (struct core *core, gint64 now, struct actions *out);
+const struct view_slice *moves_pending_at (const struct core *core, guint i,
+                                           guint32 *number);
 guint64 moves_limit (const struct core *core);
 gboolean moves_was_released (const struct core *core,
                              const struct view_slice *slice);
--- a/src/decide/removal.c
+++ b/src/decide/removal.c
@@ -3,6 +3,7 @@
 #include "decide/certificate.h"
 #include "decide/core.h"
 #include "decide/peers.h"
+#include "decide/promised.h"
 #include "decide/timing.h"
 
 #define ASK_AGAIN_USEC ((gint64)200000) /* between askings for promises */
@@ -97,18 +98,6 @@
 
 /* Promises */
 
-/* The promise of WITNESS, or NULL.  */
-static const struct removal_promise *
-find_promise (const struct removal *removal, guint64 witness)
-{
-  guint32 i;
-
-  for (i = 0; i < removal->count; i++)
-    if (removal->promises[i].witness == witness)
-      return &removal->promises[i];
-  return NULL;
-}
-
 /* Keep the promise that WITNESS gave.  */
 static void
 keep_promise (struct removal *removal, guint64 witness,
@@ -116,7 +105,7 @@
 {
   struct removal_promise *promise;
 
-  if (!reply->promised || find_promise (removal, witness) != NULL
+  if (!reply->promised || promised_by (removal, witness) != NULL
       || removal->count == REMOVAL_PROMISES)
     return;
   promise = &removal->promises[removal->count++];
@@ -135,7 +124,7 @@
   struct peer_promise_reply reply = { 0 };
   struct note *note;
 
-  if (find_promise (removal, core->settings.incarnation) != NULL)
+  if (promised_by (removal, core->settings.incarnation) != NULL)
     return;
   witness_on_promise (&core->witness, &call, now, &reply);
   keep_promise (removal, core->settings.incarnation, &reply, now);
@@ -159,7 +148,7 @@
           = view_node_at (&core->view, view_find_node (&core->view, set[i]));
       struct action_call *call;
       if (node == NULL || set[i] == core->settings.incarnation
-          || find_promise (removal, set[i]) != NULL)
+          || promised_by (removal, set[i]) != NULL)
         continue;
       call = peers_call (core, node, PEER_PROMISE, now, out);
       call->body.u.promise.target = removal->target;
@@ -183,57 +172,6 @@
 
 /* Certificates */
 
-/* What the promises of one witness set add up to.  */
-struct promised
-{
-  gboolean majority; /* whether a majority promised */
-  guint64 floor;     /* highest floor among the promises */
-  gint64 lapsed;     /* all their last acks have lapsed from then on */
-};
-
-/* Add up the promises of SET.  */
-static struct promised
-add_up (const struct removal *removal, const guint64 *set, guint32 count)
-{
-  struct promised sum = { FALSE, 0, 0 };
-  guint32 given = 0;
-  guint32 i;
-
-  for (i = 0; i < count; i++)
-    {
-      const struct removal_promise *promise = find_promise (removal, set[i]);
-      if (promise == NULL)
-        continue;
-      given++;
-      sum.floor = MAX (sum.floor, promise->floor);
-      sum.lapsed = MAX (sum.lapsed, promise->lapsed);
-    }
-  sum.majority = given > count / 2;
-  return sum;
-}
-
-/* Tell whether the promises are a certificate, and put what they add up to
-   into SUM.  While a witness set is taking over, the set before counts alone
-   if no promise of it shows that NODE has begun the change.  The new set
-   counts alone if some promise does show it: from then on the lease needs the
-   new set, and each ack before then has lapsed once that promise's has.  */
-static gboolean
-is_certificate (const struct removal *removal, const struct view_node *node,
-                struct promised *sum)
-{
-  struct promised set = add_up (removal, node->witnesses, node->witness_count);
-  struct promised before = add_up (removal, node->before, node->before_count);
-
-  *sum = before;
-  if (before.majority && before.floor < node->witness_epoch)
-    return TRUE;
-  sum->floor = MAX (set.floor, before.floor);
-  sum->lapsed = MAX (set.lapsed, before.lapsed);
-  sum->majority = set.majority;
-  return set.majority
-         && (node->before_count == 0 || sum->floor >= node->witness_epoch);
-}
-
 /* Turn the promises into a certificate if they are enough, their acks have
    lapsed, and this node has folded up to their floor, so that it knows of
    each witness set that the target gave up.  Return whether it did.  */
@@ -243,7 +181,7 @@
 {
   struct promised sum;
 
-  if (!is_certificate (removal, node, &sum) || now < sum.lapsed
+  if (!promised_enough (removal, node, &sum) || now < sum.lapsed
       || core->view.next <= sum.floor)
     return FALSE;
   certificate_add (core, removal->target, sum.floor, TRUE, now, out);
