Gate: early refusal, slow start, load reports by their age

Cause: the gate gave a cold server all its slots, let requests wait that could not end in time, and never heard of its server's load or loss. Ruled out: SERVER_DOWN by silence inside the core (its time would have to be told apart from a node that was paused).

--- a/src/decide/admit.c
+++ b/src/decide/admit.c
@@ -31,6 +31,7 @@
   struct note *note;
 
   flight->phase = FLIGHT_RUNNING;
+  flight->run_at = now;
   note = reply_note (out, NOTE_ROUTE_OWN, &flight->request);
   note->offset = flight->fence.offset;
   action = &actions_add (out, ACTION_RUN)->u.run;
@@ -83,6 +84,19 @@
                                         : drain_takes_work (core);
 }
 
+/* End the request EXCHANGE, which the gate refused for REASON, with advice
+   when to try again.  */
+static void
+refuse (struct core *core, struct handle exchange, enum reason reason,
+        gint64 now, struct actions *out)
+{
+  struct reply_end end = { .outcome = OUTCOME_NOT_RUN, .reason = reason };
+
+  if (reason == REASON_OVERLOAD || reason == REASON_DEADLINE)
+    end.retry_msec = gate_retry_msec (&core->gate, now);
+  reply_send (core, exchange, &end, out);
+}
+
 /* Bring the request EXCHANGE to the server beside this node.  */
 void
 admit_request (struct core *core, struct handle exchange, gint64 now,
@@ -108,7 +122,7 @@
       reply_note (out, NOTE_ROUTE_QUEUED, &flight->request);
       break;
     case GATE_REFUSE:
-      reply_not_run (core, exchange, reason, out);
+      refuse (core, exchange, reason, now, out);
       break;
     }
 }
@@ -133,13 +147,26 @@
   return FALSE;
 }
 
+/* The server has ended its attempt at the request of FLIGHT.  */
+void
+admit_ended (struct core *core, const struct flight *flight,
+             const struct event_ended *event, gint64 now)
+{
+  gate_release (&core->gate);
+  if (event->outcome == OUTCOME_DONE)
+    gate_on_done (&core->gate, now - flight->run_at);
+  else if (event->outcome == OUTCOME_NOT_RUN
+           && event->reason == REASON_OVERLOAD)
+    gate_on_shed (&core->gate, now);
+}
+
 /* Give the slots that are free to requests that wait.  */
 void
 admit_next (struct core *core, gint64 now, struct actions *out)
 {
   struct handle next;
 
-  while (gate_next (&core->gate, &next))
+  while (gate_next (&core->gate, now, &next))
     {
       const struct flight *flight = table_get (&core->flights, next);
       enum reason reason;
--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -129,13 +129,13 @@
 /* The server announced itself.  */
 static void
 take_server_up (struct core *core, const struct event_server_up *event,
-                struct actions *out)
+                gint64 now, struct actions *out)
 {
   gboolean again = core->has_server && core->gate.slots == event->slots;
 
   core->server = *event;
   core->has_server = TRUE;
-  core->gate.slots = event->slots;
+  gate_on_up (&core->gate, event->slots, now);
   if (again)
     return;
   actions_add (out, ACTION_NOTE)->u.note.id = NOTE_SERVER_UP;
@@ -282,7 +282,7 @@
       outbox_on_appended (&core->outbox, &event->u.appended, now, out);
       break;
     case EVENT_SERVER_UP:
-      take_server_up (core, &event->u.server_up, out);
+      take_server_up (core, &event->u.server_up, now, out);
       break;
     case EVENT_SERVER_DOWN:
       take_server_down (core, out);
@@ -312,6 +312,9 @@
       snapshot_write_bytes (core, &event->u.snapshot_bytes);
       break;
     case EVENT_SERVER_LOAD:
+      gate_on_load (&core->gate, event->u.server_load.busy,
+                    event->u.server_load.measured);
+      break;
     case EVENT_GRANTED:
       break;
     }
--- a/src/decide/flight.h
+++ b/src/decide/flight.h
@@ -18,6 +18,7 @@
   struct request request;  /* what it is */
   enum flight_phase phase; /* where it is */
   guint64 peer;            /* node that has it, when forwarded */
+  gint64 run_at;           /* when the server began, monotonic usec */
   gint64 retry_at;         /* when it is routed again, monotonic usec */
   guint32 tries;           /* attempts made from here */
   struct fence fence;      /* fence it was admitted under */
--- a/src/decide/gate.c
+++ b/src/decide/gate.c
@@ -1,12 +1,20 @@
 #include "decide/gate.h"
 
+#include <string.h>
+
+#define RETRY_MSEC_MIN 50u /* shortest advice when to try again */
+
 /* Set up a gate whose server has not announced itself.  */
 void
 gate_init (struct gate *gate)
 {
   gate->slots = 0;
   gate->busy = 0;
+  gate->peak = 0;
+  gate->peak_before = 0;
   gate->limit = 0;
+  memset (&gate->pace, 0, sizeof gate->pace);
+  server_load_init (&gate->load);
   gate->waiting = g_array_new (FALSE, TRUE, sizeof (struct gate_waiter));
 }
 
@@ -40,6 +48,106 @@
   g_array_insert_vals (gate->waiting, at, waiter, 1);
 }
 
+/* The server came up with SLOTS.  One that merely says so again stays as warm
+   as it is.  */
+void
+gate_on_up (struct gate *gate, guint32 slots, gint64 now)
+{
+  if (gate->slots == 0)
+    {
+      pace_on_up (&gate->pace, now);
+      server_load_init (&gate->load);
+    }
+  gate->slots = slots;
+}
+
+/* The server reported BUSY slots at MEASURED.  Reports lag, so the slots in
+   use since the report before last count as those that the gate gave.  */
+void
+gate_on_load (struct gate *gate, guint32 busy, gint64 measured)
+{
+  guint32 given = MAX (gate->peak, gate->peak_before);
+
+  server_load_on_report (&gate->load, busy, given, measured);
+  gate->peak_before = gate->peak;
+  gate->peak = gate->busy;
+}
+
+/* A request ran for USEC to its end.  */
+void
+gate_on_done (struct gate *gate, gint64 usec)
+{
+  pace_on_done (&gate->pace, usec);
+  server_load_on_done (&gate->load, gate->slots);
+}
+
+/* The server refused a request for want of slots.  */
+void
+gate_on_shed (struct gate *gate, gint64 now)
+{
+  pace_on_shed (&gate->pace, gate->slots, now);
+  server_load_on_shed (&gate->load);
+}
+
+/* How many slots may be in use at NOW.  */
+static guint32
+slots_at (struct gate *gate, gint64 now)
+{
+  guint32 slots = pace_slots (&gate->pace, gate->slots, now);
+
+  if (slots == 0)
+    return 0;
+  return slots - MIN (server_load_held (&gate->load, now), slots - 1);
+}
+
+/* Tell whether a request would run at once.  */
+gboolean
+gate_has_room (struct gate *gate, gint64 now)
+{
+  return gate->busy < slots_at (gate, now) && gate->waiting->len == 0;
+}
+
+/* When a request that was refused may find a slot, in milliseconds.  */
+guint32
+gate_retry_msec (struct gate *gate, gint64 now)
+{
+  gint64 wait
+      = pace_wait (&gate->pace, gate->waiting->len, slots_at (gate, now));
+
+  return MAX ((guint32)(wait / USEC_PER_MSEC), RETRY_MSEC_MIN);
+}
+
+/* Take a slot.  */
+static void
+take_slot (struct gate *gate)
+{
+  gate->busy++;
+  gate->peak = MAX (gate->peak, gate->busy);
+}
+
+/* Tell whether WAITER can end in time behind those that run before it.  */
+static gboolean
+can_end (struct gate *gate, const struct gate_waiter *waiter, gint64 now)
+{
+  guint32 ahead = 0;
+  guint i;
+
+  for (i = 0; i < gate->waiting->len; i++)
+    if (!runs_before (waiter,
+                      &g_array_index (gate->waiting, struct gate_waiter, i)))
+      ahead++;
+  return now + pace_wait (&gate->pace, ahead, slots_at (gate, now))
+             + gate->pace.run_usec
+         <= waiter->deadline;
+}
+
+/* Tell whether there is no place for a request in the queue.  */
+static gboolean
+queue_is_full (const struct gate *gate)
+{
+  return gate->waiting->len >= gate->limit;
+}
+
 /* Give REQUEST a slot, let it wait, or refuse it for REASON.  */
 enum gate_verdict
 gate_admit (struct gate *gate, struct handle exchange,
@@ -48,26 +156,24 @@
   struct gate_waiter waiter
       = { exchange, request->priority, request->deadline };
 
-  if (request->deadline <= now)
-    {
-      *reason = REASON_DEADLINE;
-      return GATE_REFUSE;
-    }
+  *reason = REASON_NONE;
   if (gate->slots == 0)
+    *reason = REASON_SERVER_DOWN;
+  else if (request->deadline <= now)
+    *reason = REASON_DEADLINE;
+  if (*reason != REASON_NONE)
+    return GATE_REFUSE;
+  if (gate_has_room (gate, now))
     {
-      *reason = REASON_SERVER_DOWN;
-      return GATE_REFUSE;
-    }
-  if (gate->busy < gate->slots && gate->waiting->len == 0)
-    {
-      gate->busy++;
+      take_slot (gate);
       return GATE_RUN;
     }
-  if (gate->waiting->len >= gate->limit)
-    {
-      *reason = REASON_OVERLOAD;
-      return GATE_REFUSE;
-    }
+  if (!can_end (gate, &waiter, now))
+    *reason = REASON_DEADLINE;
+  else if (queue_is_full (gate))
+    *reason = REASON_OVERLOAD;
+  if (*reason != REASON_NONE)
+    return GATE_REFUSE;
   enqueue (gate, &waiter);
   return GATE_WAIT;
 }
@@ -83,13 +189,13 @@
 /* Give a free slot to the first request in the queue.  Return FALSE if there
    is no slot or no request.  */
 gboolean
-gate_next (struct gate *gate, struct handle *exchange)
+gate_next (struct gate *gate, gint64 now, struct handle *exchange)
 {
-  if (gate->busy >= gate->slots || gate->waiting->len == 0)
+  if (gate->waiting->len == 0 || gate->busy >= slots_at (gate, now))
     return FALSE;
   *exchange = g_array_index (gate->waiting, struct gate_waiter, 0).exchange;
   g_array_remove_index (gate->waiting, 0);
-  gate->busy++;
+  take_slot (gate);
   return TRUE;
 }
 
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -1,10 +1,13 @@
 #ifndef BAMBOOTALLY_GATE_H
 #define BAMBOOTALLY_GATE_H
 
+#include "decide/pace.h"
+#include "decide/server_load.h"
 #include "types/request.h"
 
 /* Admission to the backend server beside this node: its slots, and a short
-   queue by priority and then by deadline.  */
+   queue by priority and then by deadline.  What cannot end within its deadline
+   is refused at once.  */
 
 /* A request that waits for a slot.  */
 struct gate_waiter
@@ -16,10 +19,14 @@
 
 struct gate
 {
-  guint32 slots;   /* requests the server runs at once; 0 while it is down */
-  guint32 busy;    /* slots in use */
-  guint32 limit;   /* requests that may wait */
-  GArray *waiting; /* struct gate_waiter, first to run first */
+  guint32 slots; /* requests the server runs at once; 0 while it is down */
+  guint32 busy;  /* slots in use */
+  guint32 peak;  /* most slots in use since the last load report */
+  guint32 peak_before;     /* most between the two reports before */
+  guint32 limit;           /* requests that may wait */
+  struct pace pace;        /* how fast the server runs requests */
+  struct server_load load; /* what it reports */
+  GArray *waiting;         /* struct gate_waiter, first to run first */
 };
 
 /* What the gate says of a request.  */
@@ -32,11 +39,17 @@
 
 void gate_init (struct gate *gate);
 void gate_clear (struct gate *gate);
+void gate_on_up (struct gate *gate, guint32 slots, gint64 now);
+void gate_on_load (struct gate *gate, guint32 busy, gint64 measured);
+void gate_on_done (struct gate *gate, gint64 usec);
+void gate_on_shed (struct gate *gate, gint64 now);
+gboolean gate_has_room (struct gate *gate, gint64 now);
+guint32 gate_retry_msec (struct gate *gate, gint64 now);
 enum gate_verdict gate_admit (struct gate *gate, struct handle exchange,
                               const struct request *request, gint64 now,
                               enum reason *reason);
 void gate_release (struct gate *gate);
-gboolean gate_next (struct gate *gate, struct handle *exchange);
+gboolean gate_next (struct gate *gate, gint64 now, struct handle *exchange);
 gboolean gate_expire (struct gate *gate, gint64 now, struct handle *exchange);
 void gate_forget (struct gate *gate, struct handle exchange);
 
--- a/src/decide/pick.c
+++ b/src/decide/pick.c
@@ -93,12 +93,12 @@
 
 /* Tell whether this node is to serve REQUEST of an undivided service.  */
 static gboolean
-serves_itself (const struct core *core, const struct view_service *service,
-               const struct request *request)
+serves_itself (struct core *core, const struct view_service *service,
+               const struct request *request, gint64 now)
 {
   return strcmp (core->settings.service, service->config.name) == 0
          && drain_takes_work (core)
-         && (request->from_peer || core->gate.busy < core->gate.slots);
+         && (request->from_peer || gate_has_room (&core->gate, now));
 }
 
 /* Pick a node of a service that is not divided: this one if it serves the
@@ -113,7 +113,7 @@
 
   if (request->run_class == RUN_ONCE && request->stamp.time != 0)
     return pick_stamped (core, request);
-  if (serves_itself (core, service, request))
+  if (serves_itself (core, service, request, now))
     {
       pick.kind = PICK_OWN;
       return pick;
--- a/src/decide/route.c
+++ b/src/decide/route.c
@@ -200,7 +200,7 @@
   if (flight == NULL)
     return;
   if (flight->phase == FLIGHT_RUNNING)
-    gate_release (&core->gate);
+    admit_ended (core, flight, event, now);
   if (flight->phase == FLIGHT_FORWARDED)
     learn_reach (core, flight, event, now, out);
   if (event->outcome == OUTCOME_DONE)
--- a/src/edge/node.c
+++ b/src/edge/node.c
@@ -69,6 +69,7 @@
   http_expire (&node->http, now);
   links_expire (&node->links, now);
   log_client_step (&node->log, now);
+  server_poll_step (node, now);
   event.u.tick.exchanges = node->exchanges.count + links_unsent (&node->links);
   node_feed (node, &event);
   return G_SOURCE_CONTINUE;
--- a/src/edge/node.h
+++ b/src/edge/node.h
@@ -5,6 +5,7 @@
 #include "edge/counters.h"
 #include "edge/exchange.h"
 #include "edge/log_client.h"
+#include "edge/server_poll.h"
 #include "edge/settings.h"
 
 /* One node: the core and its edges on one loop.  */
@@ -22,6 +23,7 @@
   GHashTable *streams;      /* struct stream_key to exchange handle */
   GHashTable *server_calls; /* bits of HTTP call to bits of exchange */
   struct address server;    /* the backend server's address */
+  struct server_poll poll;  /* asks for its load */
   guint64 last_stream;      /* name of the last attempt passed on */
   struct counters counters; /* what it has counted */
   GByteArray *snapshot;     /* the view as last encoded, or NULL */
--- /dev/null
+++ b/src/edge/server_poll.c
@@ -0,0 +1,112 @@
+#include "edge/server_poll.h"
+
+#include "edge/node.h"
+
+#include <string.h>
+
+#define POLL_PATH "/bambootally/load"
+#define POLL_EVERY_USEC ((gint64)500000)
+#define POLL_TIMEOUT_USEC ((gint64)500000)
+#define FAILURES_TO_DOWN 3u /* failures in a row after which it is down */
+
+/* Tell the core what the report says.  */
+static void
+take_report (struct node *node)
+{
+  struct server_poll *poll = &node->poll;
+  struct event event = { .kind = EVENT_SERVER_LOAD };
+  const char *busy;
+
+  poll->text[poll->length] = '\0';
+  busy = strstr (poll->text, "busy=");
+  if (poll->status != SOUP_STATUS_OK || busy == NULL)
+    return;
+  event.u.server_load.busy
+      = (guint32)g_ascii_strtoull (busy + strlen ("busy="), NULL, 10);
+  event.u.server_load.measured = poll->begun;
+  node_feed (node, &event);
+}
+
+/* The poll failed with CODE.  A server is down if nothing listens at its
+   address, or if it has not answered a few times.  A kept connection that has
+   gone silent is not used again.  */
+static void
+take_failure (struct node *node, enum err code)
+{
+  struct event event = { .kind = EVENT_SERVER_DOWN };
+
+  node->poll.failures++;
+  if (code == ERR_TIMEOUT)
+    http_drop_idle (&node->http, node->server);
+  server_poll_soon (node);
+  if (code == ERR_REFUSED || node->poll.failures >= FAILURES_TO_DOWN)
+    node_feed (node, &event);
+}
+
+/* The poll has ended with CODE.  */
+static void
+take_end (struct node *node, enum err code)
+{
+  node->poll.call = HANDLE_NONE;
+  if (code != ERR_NONE)
+    {
+      take_failure (node, code);
+      return;
+    }
+  node->poll.failures = 0;
+  take_report (node);
+}
+
+/* Something happened to the poll.  */
+static void
+on_poll_event (const struct http_event *event, gpointer data)
+{
+  struct node *node = data;
+  struct server_poll *poll = &node->poll;
+  gsize room = sizeof poll->text - 1 - poll->length;
+
+  switch (event->kind)
+    {
+    case HTTP_HEAD:
+      poll->status = event->status;
+      break;
+    case HTTP_DATA:
+      memcpy (poll->text + poll->length, event->bytes,
+              MIN (event->count, room));
+      poll->length += MIN (event->count, room);
+      break;
+    case HTTP_FLUSH:
+    case HTTP_DRAINED:
+      break;
+    case HTTP_ENDED:
+      take_end (node, event->code);
+      break;
+    }
+}
+
+/* Ask the server if it is time, and it has announced itself.  */
+void
+server_poll_step (struct node *node, gint64 now)
+{
+  struct server_poll *poll = &node->poll;
+  struct http_request request = { 0 };
+
+  if (node->server.port == 0 || handle_is_set (poll->call) || now < poll->next)
+    return;
+  poll->next = now + POLL_EVERY_USEC;
+  poll->begun = now;
+  poll->length = 0;
+  request.to = node->server;
+  request.method = "GET";
+  request.target = POLL_PATH;
+  request.deadline = now + POLL_TIMEOUT_USEC;
+  poll->call = http_start (&node->http, &request, on_poll_event, node);
+  http_finish (&node->http, poll->call);
+}
+
+/* A connection to the server broke: ask it soon.  */
+void
+server_poll_soon (struct node *node)
+{
+  node->poll.next = 0;
+}
--- /dev/null
+++ b/src/edge/server_poll.h
@@ -0,0 +1,27 @@
+#ifndef BAMBOOTALLY_SERVER_POLL_H
+#define BAMBOOTALLY_SERVER_POLL_H
+
+#include "types/handle.h"
+
+/* Asks the backend server beside this node for its load, and so finds out
+   that it is gone.  */
+
+#define SERVER_POLL_TEXT_SIZE 256u /* bytes kept of a report */
+
+struct node;
+
+struct server_poll
+{
+  struct handle call;               /* the HTTP call under way */
+  gint64 next;                      /* when the next is due, monotonic usec */
+  gint64 begun;                     /* when this one was sent */
+  guint32 failures;                 /* in a row */
+  guint status;                     /* of the answer */
+  char text[SERVER_POLL_TEXT_SIZE]; /* the report */
+  gsize length;                     /* bytes of it */
+};
+
+void server_poll_step (struct node *node, gint64 now);
+void server_poll_soon (struct node *node);
+
+#endif
--- a/src/edge/target_server.c
+++ b/src/edge/target_server.c
@@ -111,6 +111,8 @@
 static void
 take_end (struct exchange *exchange, const struct http_event *event)
 {
+  if (event->code != ERR_NONE && event->code != ERR_TIMEOUT)
+    server_poll_soon (exchange->node);
   if (event->code == ERR_NONE)
     exchange_target_ended (exchange, OUTCOME_DONE, REASON_NONE);
   else if (exchange->target.has_head)
--- /dev/null
+++ b/tests/test_gate.c
@@ -0,0 +1,181 @@
+#include "decide/gate.h"
+
+#include "tests/suite.h"
+
+#define START ((gint64)100000000)
+#define MSEC ((gint64)1000)
+
+/* A gate with a warm server of SLOTS, and room for LIMIT requests that
+   wait.  */
+static void
+begin (struct gate *gate, guint32 slots, guint32 limit)
+{
+  gate_init (gate);
+  gate_on_up (gate, slots, START - PACE_COLD_USEC);
+  gate->limit = limit;
+}
+
+/* Have a request of PRIORITY with DEADLINE, named by BITS, ask for a slot.  */
+static enum gate_verdict
+ask (struct gate *gate, guint32 bits, enum priority priority, gint64 deadline,
+     enum reason *reason)
+{
+  struct request request = { .priority = priority, .deadline = deadline };
+  struct handle exchange = { bits };
+
+  return gate_admit (gate, exchange, &request, START, reason);
+}
+
+/* The queue runs by priority and then by deadline.  */
+static void
+test_order (void)
+{
+  struct gate gate;
+  struct handle next = HANDLE_NONE;
+  enum reason reason;
+  guint32 order[] = { 4, 3, 2, 1 };
+  guint i;
+
+  begin (&gate, 1, 8);
+  CU_ASSERT_EQUAL (ask (&gate, 9, PRIORITY_LOW, START + 9, &reason), GATE_RUN);
+  ask (&gate, 1, PRIORITY_LOW, START + 10, &reason);
+  ask (&gate, 2, PRIORITY_NORMAL, START + 30, &reason);
+  ask (&gate, 3, PRIORITY_NORMAL, START + 20, &reason);
+  ask (&gate, 4, PRIORITY_HIGH, START + 90, &reason);
+  for (i = 0; i < G_N_ELEMENTS (order); i++)
+    {
+      CU_ASSERT_FALSE (gate_next (&gate, START, &next));
+      gate_release (&gate);
+      CU_ASSERT_TRUE (gate_next (&gate, START, &next));
+      CU_ASSERT_EQUAL (next.bits, order[i]);
+    }
+  gate_clear (&gate);
+}
+
+/* What cannot end in time behind the others is refused at once; what goes
+   before them is not.  */
+static void
+test_early_refusal (void)
+{
+  struct gate gate;
+  enum reason reason;
+  gint64 tight = START + 150 * MSEC;
+
+  begin (&gate, 1, 8);
+  gate_on_done (&gate, 100 * MSEC);
+  ask (&gate, 1, PRIORITY_NORMAL, tight, &reason);
+  CU_ASSERT_EQUAL (
+      ask (&gate, 2, PRIORITY_NORMAL, START + 250 * MSEC, &reason), GATE_WAIT);
+  CU_ASSERT_EQUAL (
+      ask (&gate, 3, PRIORITY_NORMAL, START + 260 * MSEC, &reason),
+      GATE_REFUSE);
+  CU_ASSERT_EQUAL (reason, REASON_DEADLINE);
+  CU_ASSERT_EQUAL (ask (&gate, 4, PRIORITY_HIGH, START + 260 * MSEC, &reason),
+                   GATE_WAIT);
+  CU_ASSERT_EQUAL (gate_retry_msec (&gate, START), 300);
+  gate_clear (&gate);
+}
+
+/* The queue is bounded, and a server that is down gets nothing.  */
+static void
+test_bounds (void)
+{
+  struct gate gate;
+  enum reason reason;
+
+  begin (&gate, 1, 1);
+  ask (&gate, 1, PRIORITY_NORMAL, START + 1, &reason);
+  ask (&gate, 2, PRIORITY_NORMAL, START + 1, &reason);
+  CU_ASSERT_EQUAL (ask (&gate, 3, PRIORITY_HIGH, START + 1, &reason),
+                   GATE_REFUSE);
+  CU_ASSERT_EQUAL (reason, REASON_OVERLOAD);
+  gate.slots = 0;
+  CU_ASSERT_EQUAL (ask (&gate, 4, PRIORITY_HIGH, START + 1, &reason),
+                   GATE_REFUSE);
+  CU_ASSERT_EQUAL (reason, REASON_SERVER_DOWN);
+  gate_clear (&gate);
+}
+
+/* A server that came up gets a quarter of its slots, and all of them once it
+   is warm.  Saying again that it is up does not make it cold.  */
+static void
+test_slow_start (void)
+{
+  struct pace pace = { 0 };
+  struct gate gate;
+
+  pace_on_up (&pace, START);
+  CU_ASSERT_EQUAL (pace_slots (&pace, 20, START), 5);
+  CU_ASSERT_EQUAL (pace_slots (&pace, 20, START + PACE_COLD_USEC / 3 * 2), 15);
+  CU_ASSERT_EQUAL (pace_slots (&pace, 20, START + PACE_COLD_USEC), 20);
+  CU_ASSERT_EQUAL (pace_slots (&pace, 1, START), 1);
+  begin (&gate, 1, 1);
+  gate_on_up (&gate, 1, START);
+  CU_ASSERT_EQUAL (gate.pace.warm_at, START);
+  gate_clear (&gate);
+}
+
+/* Each refusal of a server for want of slots holds a slot back for a while,
+   never the last one.  */
+static void
+test_shed (void)
+{
+  struct pace pace = { 0 };
+
+  pace_on_shed (&pace, 4, START);
+  pace_on_shed (&pace, 4, START);
+  CU_ASSERT_EQUAL (pace_slots (&pace, 4, START), 2);
+  CU_ASSERT_EQUAL (pace_slots (&pace, 1, START), 1);
+  CU_ASSERT_EQUAL (pace_slots (&pace, 4, START + 10000 * MSEC), 4);
+}
+
+/* A report of load that the gate did not give holds slots back, less the
+   older it is.  */
+static void
+test_report_ages (void)
+{
+  struct gate gate;
+  guint32 given = 0;
+  enum reason reason;
+
+  begin (&gate, 8, 0);
+  gate_on_load (&gate, 4, START);
+  while (ask (&gate, 1, PRIORITY_NORMAL, START + 1, &reason) == GATE_RUN)
+    given++;
+  CU_ASSERT_EQUAL (given, 4);
+  CU_ASSERT_EQUAL (server_load_held (&gate.load, START + 1000 * MSEC), 2);
+  CU_ASSERT_EQUAL (server_load_held (&gate.load, START + 2000 * MSEC), 0);
+  gate_on_load (&gate, 4, START);
+  CU_ASSERT_EQUAL (server_load_held (&gate.load, START), 0);
+  gate_clear (&gate);
+}
+
+/* A server that says it is full and still runs requests is believed less and
+   less; a report that agrees wins trust back.  */
+static void
+test_distrust (void)
+{
+  struct server_load load;
+
+  server_load_init (&load);
+  server_load_on_report (&load, 8, 0, START);
+  CU_ASSERT_EQUAL (server_load_held (&load, START), 8);
+  server_load_on_done (&load, 8);
+  server_load_on_done (&load, 8);
+  CU_ASSERT_EQUAL (server_load_held (&load, START), 2);
+  server_load_on_report (&load, 1, 1, START);
+  CU_ASSERT_EQUAL (load.trust, 35);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[] = {
+    { "order", test_order },       { "early refusal", test_early_refusal },
+    { "bounds", test_bounds },     { "slow start", test_slow_start },
+    { "shed", test_shed },         { "report ages", test_report_ages },
+    { "distrust", test_distrust }, CU_TEST_INFO_NULL
+  };
+
+  return suite_run ("gate", tests);
+}
