Poisoned requests are quarantined; a member without a server is avoided

Cause: a request that kills each server that runs it was run by every server in turn. Found beside it, with real processes: after one collections server died, requests entering in its zone were refused for good, since the nearest member was picked again at each retry. Ruled out: counting every lost connection (only a server that nothing listens for is dead); reporting all that ran (popular requests would be refused, so a digest that has run to its end at this server is not reported). Change: suspect.c: what ran when the server died is reported on the log, once an incident; two incidents refuse it, not run, for an hour. The node a request enters at works out its digest. A request lost with its server is not sent again by a node. pick.c passes over the member that just failed the request, and the breaker also counts answers that the server is down.

--- a/src/decide/admit.c
+++ b/src/decide/admit.c
@@ -127,7 +127,7 @@
     }
 }
 
-/* Tell whether FLIGHT, which waited, may still be served under the fence that
+/* Tell whether FLIGHT, which waited, may still be served, under the fence that
    it was admitted under; REASON says why not.  */
 static gboolean
 still_serves (const struct core *core, const struct flight *flight, gint64 now,
@@ -136,6 +136,9 @@
   const struct view_service *service = service_of (core, &flight->request);
   struct own_right right;
 
+  *reason = REASON_QUARANTINED;
+  if (suspects_has_quarantined (&core->suspects, flight->request.digest, now))
+    return FALSE;
   *reason = REASON_NOT_OWNER;
   if (service == NULL || !service->config.divided)
     return service != NULL;
@@ -153,6 +156,7 @@
              const struct event_ended *event, gint64 now)
 {
   gate_release (&core->gate);
+  suspects_on_ended (&core->suspects, flight, event, now);
   if (event->outcome == OUTCOME_DONE)
     gate_on_done (&core->gate, now - flight->run_at);
   else if (event->outcome == OUTCOME_NOT_RUN
--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -90,6 +90,9 @@
           &core->planner, &core->view,
           view_find_service (&core->view, core->settings.service),
           &entry->record, now);
+      if (entry->record.kind == RECORD_SUSPECT
+          && entry->offset >= core->view.next)
+        suspects_on_record (&core->suspects, &entry->record.body.suspect, now);
       fold_record (&core->view, entry->offset, &entry->record, out);
       if (entry->record.kind == RECORD_JOIN
           || entry->record.kind == RECORD_CONFIG)
@@ -143,10 +146,13 @@
 
 /* The server cannot be reached.  */
 static void
-take_server_down (struct core *core, struct actions *out)
+take_server_down (struct core *core, const struct event_server_down *event,
+                  gint64 now, struct actions *out)
 {
   if (core->gate.slots == 0)
     return;
+  if (event->gone)
+    suspects_on_crash (core, now, out);
   core->gate.slots = 0;
   actions_add (out, ACTION_NOTE)->u.note.id = NOTE_SERVER_DOWN;
 }
@@ -285,7 +291,7 @@
       take_server_up (core, &event->u.server_up, now, out);
       break;
     case EVENT_SERVER_DOWN:
-      take_server_down (core, out);
+      take_server_down (core, &event->u.server_down, now, out);
       break;
     case EVENT_REQUEST:
       route_request (core, &event->u.request, now, out);
--- a/src/decide/core.h
+++ b/src/decide/core.h
@@ -14,6 +14,7 @@
 #include "decide/planner.h"
 #include "decide/snapshot_read.h"
 #include "decide/snapshot_write.h"
+#include "decide/suspect.h"
 #include "decide/witness.h"
 #include "types/event.h"
 #include "types/view.h"
@@ -39,6 +40,7 @@
   struct retry_budget retries;   /* retries that may be made */
   struct table breakers;         /* struct breaker, by nodes' handles */
   guint64 draws;                 /* random numbers drawn */
+  struct suspects suspects;      /* requests that crash servers */
   struct drain drain;            /* the graceful stop */
   struct outbox outbox;          /* its records on their way */
   struct planner planner;        /* its plans of placement */
--- a/src/decide/flight.h
+++ b/src/decide/flight.h
@@ -1,6 +1,7 @@
 #ifndef BAMBOOTALLY_FLIGHT_H
 #define BAMBOOTALLY_FLIGHT_H
 
+#include "decide/pick.h"
 #include "types/request.h"
 
 /* A request that is in this node's hands.  */
@@ -23,8 +24,9 @@
   guint32 tries;           /* attempts made from here */
   struct fence fence;      /* fence it was admitted under */
   gboolean remembered;     /* its id is in the memory of ids */
+  gboolean suspected;      /* its loss has been counted */
   gboolean may_have_run;   /* an attempt ended as unknown */
-  gboolean owner_lost;     /* the last attempt found no way to the node */
+  struct pick_past past;   /* what earlier attempts found */
 };
 
 #endif
--- a/src/decide/pick.c
+++ b/src/decide/pick.c
@@ -101,15 +101,50 @@
          && (request->from_peer || gate_has_room (&core->gate, now));
 }
 
+/* Tell whether the member H may be given a request.  */
+static gboolean
+is_candidate (const struct core *core, struct handle h, struct handle avoid,
+              gint64 now)
+{
+  return view_node_at (&core->view, h)->state == NODE_LIVE
+         && !handle_equal (h, core->self) && !handle_equal (h, avoid)
+         && is_reached (core, h, now);
+}
+
+/* Find another member of SERVICE, in turn: one of the same zone, otherwise
+   any.  AVOID is passed over.  */
+static struct handle
+find_member (struct core *core, const struct view_service *service,
+             struct handle avoid, gint64 now)
+{
+  struct handle found = HANDLE_NONE;
+  guint start = core->turn++;
+  guint i;
+
+  for (i = 0; i < service->members->len; i++)
+    {
+      struct handle h = g_array_index (service->members, struct handle,
+                                       (start + i) % service->members->len);
+      const struct view_node *node = view_node_at (&core->view, h);
+      if (!is_candidate (core, h, avoid, now))
+        continue;
+      if (strcmp (node->join.zone, core->settings.zone) == 0)
+        return h;
+      if (!handle_is_set (found))
+        found = h;
+    }
+  return found;
+}
+
 /* Pick a node of a service that is not divided: this one if it serves the
-   service and has a slot, otherwise one of the same zone, otherwise any.  */
+   service and has a slot, otherwise another member, if there is one not the
+   one that failed before.  */
 static struct pick
 pick_member (struct core *core, const struct view_service *service,
-             const struct request *request, gint64 now)
+             const struct request *request, const struct pick_past *past,
+             gint64 now)
 {
   struct pick pick = { PICK_NONE, HANDLE_NONE, REASON_NO_SERVER, { 0, 0 } };
-  guint i;
-  guint start;
 
   if (request->run_class == RUN_ONCE && request->stamp.time != 0)
     return pick_stamped (core, request);
@@ -121,33 +156,19 @@
   if (strcmp (core->settings.service, service->config.name) == 0
       && !drain_takes_work (core))
     pick.reason = REASON_DRAINING;
-  if (service->members->len == 0)
-    return pick;
-  start = core->turn++;
-  for (i = 0; i < service->members->len; i++)
-    {
-      struct handle h = g_array_index (service->members, struct handle,
-                                       (start + i) % service->members->len);
-      const struct view_node *node = view_node_at (&core->view, h);
-      if (node->state != NODE_LIVE || handle_equal (h, core->self)
-          || !is_reached (core, h, now))
-        continue;
-      if (pick.kind == PICK_PEER
-          && strcmp (node->join.zone, core->settings.zone) != 0)
-        continue;
-      pick.kind = PICK_PEER;
-      pick.node = h;
-      if (strcmp (node->join.zone, core->settings.zone) == 0)
-        break;
-    }
+  pick.node = find_member (core, service, past->avoid, now);
+  if (!handle_is_set (pick.node))
+    pick.node = find_member (core, service, HANDLE_NONE, now);
+  if (handle_is_set (pick.node))
+    pick.kind = PICK_PEER;
   return pick;
 }
 
-/* Pick the node that is to serve REQUEST, whose slice is filled in.  LOST
-   tells that the last attempt could not reach the owner's node.  */
+/* Pick the node that is to serve REQUEST, whose slice is filled in.  PAST
+   tells what earlier attempts found.  */
 struct pick
-pick_node (struct core *core, struct request *request, gboolean lost,
-           gint64 now)
+pick_node (struct core *core, struct request *request,
+           const struct pick_past *past, gint64 now)
 {
   struct pick none = { PICK_NONE, HANDLE_NONE, REASON_NO_RULE, { 0, 0 } };
   const struct view_service *service
@@ -157,8 +178,8 @@
   if (service == NULL || !service->configured)
     return none;
   pick = service->config.divided
-             ? pick_owner (core, service, request, lost, now)
-             : pick_member (core, service, request, now);
+             ? pick_owner (core, service, request, past->owner_lost, now)
+             : pick_member (core, service, request, past, now);
   if (pick.kind == PICK_PEER && request->from_peer)
     {
       pick.kind = PICK_NONE;
--- a/src/decide/pick.h
+++ b/src/decide/pick.h
@@ -24,7 +24,14 @@
   struct fence fence;  /* fence to serve under or known */
 };
 
+/* What earlier attempts at the request found.  */
+struct pick_past
+{
+  gboolean owner_lost; /* the last one found no way to the owner's node */
+  struct handle avoid; /* node that could not serve it, or none */
+};
+
 struct pick pick_node (struct core *core, struct request *request,
-                       gboolean lost, gint64 now);
+                       const struct pick_past *past, gint64 now);
 
 #endif
--- a/src/decide/retry.c
+++ b/src/decide/retry.c
@@ -58,8 +58,9 @@
 }
 
 /* Tell whether REQUEST may be sent again after an attempt that ended as EVENT
-   says.  What must run once is sent again only on proof that it has not
-   run.  */
+   says.  What must run once is sent again only on proof that it has not run.
+   What was lost with its server may have crashed it, and is left to the
+   caller.  */
 gboolean
 retry_is_safe (const struct request *request, const struct event_ended *event)
 {
@@ -74,7 +75,8 @@
         return FALSE;
       return may_pass (event->reason);
     case OUTCOME_UNKNOWN:
-      return request->run_class == RUN_IDEMPOTENT;
+      return request->run_class == RUN_IDEMPOTENT
+             && event->reason != REASON_SERVER_DOWN;
     }
   return FALSE;
 }
--- a/src/decide/route.c
+++ b/src/decide/route.c
@@ -80,17 +80,34 @@
     }
 }
 
+/* End the request EXCHANGE if requests like it crash servers.  Return whether
+   it was ended.  */
+static gboolean
+end_quarantined (struct core *core, struct handle exchange, gint64 now,
+                 struct actions *out)
+{
+  const struct flight *flight = table_get (&core->flights, exchange);
+
+  if (!suspects_has_quarantined (&core->suspects, flight->request.digest, now))
+    return FALSE;
+  reply_note (out, NOTE_QUARANTINE, &flight->request);
+  reply_not_run (core, exchange, REASON_QUARANTINED, out);
+  return TRUE;
+}
+
 /* Send the request EXCHANGE to where it belongs now.  */
 static void
 dispatch (struct core *core, struct handle exchange, gint64 now,
           struct actions *out)
 {
   struct flight *flight = table_get (&core->flights, exchange);
-  struct pick pick
-      = pick_node (core, &flight->request, flight->owner_lost, now);
+  struct pick pick;
 
+  if (end_quarantined (core, exchange, now, out))
+    return;
+  pick = pick_node (core, &flight->request, &flight->past, now);
   flight->tries++;
-  flight->owner_lost = FALSE;
+  flight->past.owner_lost = FALSE;
   flight->fence = pick.fence;
   switch (pick.kind)
     {
@@ -144,19 +161,22 @@
   reply_send (core, event->exchange, &end, out);
 }
 
-/* Learn from an attempt at another node whether that can be reached.  */
+/* Learn from an attempt at another node whether that can be reached, and has
+   a server.  */
 static void
 learn_reach (struct core *core, struct flight *flight,
              const struct event_ended *event, gint64 now, struct actions *out)
 {
   struct handle node = view_find_node (&core->view, flight->peer);
-  gboolean lost = event->reason == REASON_PEER_LOST;
+  gboolean lost = event->reason == REASON_PEER_LOST
+                  || event->reason == REASON_SERVER_DOWN;
   struct breaker *breaker;
   struct note *note;
 
   if (event->reason == REASON_DEADLINE || !handle_is_set (node))
     return;
-  flight->owner_lost = lost;
+  flight->past.owner_lost = event->reason == REASON_PEER_LOST;
+  flight->past.avoid = node;
   breaker = table_mirror (&core->breakers, node);
   if (!breaker_on_ended (breaker, lost ? BREAKER_LOST : BREAKER_REACHED, now))
     return;
--- /dev/null
+++ b/src/decide/suspect.c
@@ -0,0 +1,146 @@
+#include "decide/suspect.h"
+
+#include "decide/core.h"
+#include "decide/flight.h"
+
+/* The requests that the server was running */
+
+/* Remember that the request with DIGEST was lost at NOW.  */
+static void
+add_loss (struct suspects *suspects, guint64 digest, gint64 now)
+{
+  struct suspect_loss *loss = &suspects->lost[suspects->lost_next];
+
+  loss->digest = digest;
+  loss->until = now + SUSPECT_INCIDENT_USEC;
+  suspects->lost_next = (suspects->lost_next + 1) % SUSPECT_LOST_MAX;
+}
+
+/* The server has ended its attempt at the request of FLIGHT.  */
+void
+suspects_on_ended (struct suspects *suspects, const struct flight *flight,
+                   const struct event_ended *event, gint64 now)
+{
+  guint64 digest = flight->request.digest;
+
+  if (digest == 0)
+    return;
+  if (event->outcome == OUTCOME_DONE)
+    suspects->done[digest % SUSPECT_DONE_MAX] = digest;
+  else if (event->outcome == OUTCOME_UNKNOWN && !flight->suspected
+           && (event->reason == REASON_SERVER_DOWN
+               || event->reason == REASON_TRUNCATED))
+    add_loss (suspects, digest, now);
+}
+
+/* Count the requests that run as lost, once.  */
+static void
+lose_running (struct core *core, gint64 now)
+{
+  struct handle h = table_next (&core->flights, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&core->flights, h))
+    {
+      struct flight *flight = table_get (&core->flights, h);
+      if (flight->phase != FLIGHT_RUNNING || flight->request.digest == 0)
+        continue;
+      add_loss (&core->suspects, flight->request.digest, now);
+      flight->suspected = TRUE;
+    }
+}
+
+/* Incidents */
+
+/* Take DIGEST out of the losses, so that it is reported once.  */
+static void
+forget_loss (struct suspects *suspects, guint64 digest)
+{
+  guint i;
+
+  for (i = 0; i < SUSPECT_LOST_MAX; i++)
+    if (suspects->lost[i].digest == digest)
+      suspects->lost[i].digest = 0;
+}
+
+/* Report DIGEST on the log.  */
+static void
+report (struct core *core, guint64 digest, struct actions *out)
+{
+  struct record_suspect *body
+      = &outbox_propose (&core->outbox, RECORD_SUSPECT)->body.suspect;
+  struct note *note = &actions_add (out, ACTION_NOTE)->u.note;
+
+  body->digest = digest;
+  body->incarnation = core->settings.incarnation;
+  note->id = NOTE_SUSPECT;
+  g_snprintf (note->text, sizeof note->text, "%016" G_GINT64_MODIFIER "x",
+              digest);
+}
+
+/* The server has died: report the requests that it was running, each once,
+   but for those that are known to run to their end.  */
+void
+suspects_on_crash (struct core *core, gint64 now, struct actions *out)
+{
+  struct suspects *suspects = &core->suspects;
+  guint i;
+
+  lose_running (core, now);
+  for (i = 0; i < SUSPECT_LOST_MAX; i++)
+    {
+      guint64 digest = suspects->lost[i].digest;
+      gboolean counts = digest != 0 && suspects->lost[i].until > now
+                        && suspects->done[digest % SUSPECT_DONE_MAX] != digest;
+      forget_loss (suspects, digest);
+      if (counts)
+        report (core, digest, out);
+    }
+}
+
+/* Suspects */
+
+/* The place of DIGEST, or else the one that is free or ends first.  */
+static struct suspect *
+place_of (struct suspects *suspects, guint64 digest)
+{
+  struct suspect *best = &suspects->items[0];
+  guint i;
+
+  for (i = 0; i < SUSPECT_MAX; i++)
+    {
+      struct suspect *item = &suspects->items[i];
+      if (item->digest == digest)
+        return item;
+      if (item->until < best->until)
+        best = item;
+    }
+  return best;
+}
+
+/* A report was read from the log.  */
+void
+suspects_on_record (struct suspects *suspects,
+                    const struct record_suspect *body, gint64 now)
+{
+  struct suspect *item = place_of (suspects, body->digest);
+
+  if (item->digest != body->digest || item->until <= now)
+    item->incidents = 0;
+  item->digest = body->digest;
+  item->incidents++;
+  item->until = now + SUSPECT_MEMORY_USEC;
+}
+
+/* Tell whether requests with DIGEST are refused at NOW.  */
+gboolean
+suspects_has_quarantined (const struct suspects *suspects, guint64 digest,
+                          gint64 now)
+{
+  guint i;
+
+  for (i = 0; digest != 0 && i < SUSPECT_MAX; i++)
+    if (suspects->items[i].digest == digest)
+      return suspects->items[i].incidents >= SUSPECT_QUARANTINED
+             && suspects->items[i].until > now;
+  return FALSE;
+}
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -5,6 +5,7 @@
 #include "wire/wire_forward.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Life */
 
@@ -59,12 +60,31 @@
   table_remove (&exchange->node->exchanges, exchange->self);
 }
 
-/* Have the core decide about a request.  */
+/* The digest of a request: its method, path and body.  The body of a long
+   request, which is passed on as it comes, does not count.  */
+static guint64
+digest_of (const struct exchange *exchange)
+{
+  guint64 digest = XXH3_64bits (exchange->method, strlen (exchange->method));
+
+  digest
+      = XXH3_64bits_withSeed (exchange->path, strlen (exchange->path), digest);
+  if (!exchange->in.end || body_left (&exchange->in) == 0)
+    return digest;
+  return XXH3_64bits_withSeed (body_next (&exchange->in),
+                               body_left (&exchange->in), digest);
+}
+
+/* Have the core decide about a request.  The node it entered at works out its
+   digest.  */
 void
 exchange_begin (struct exchange *exchange)
 {
   struct event event = { .kind = EVENT_REQUEST };
 
+  if (exchange->source.kind == SOURCE_CALLER)
+    exchange->request.digest = digest_of (exchange);
+
   event.u.request.exchange = exchange->self;
   event.u.request.request = exchange->request;
   node_feed (exchange->node, &event);
--- a/src/edge/server_poll.c
+++ b/src/edge/server_poll.c
@@ -39,6 +39,7 @@
   if (code == ERR_TIMEOUT)
     http_drop_idle (&node->http, node->server);
   server_poll_soon (node);
+  event.u.server_down.gone = code == ERR_REFUSED;
   if (code == ERR_REFUSED || node->poll.failures >= FAILURES_TO_DOWN)
     node_feed (node, &event);
 }
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -84,6 +84,12 @@
   gint64 measured; /* when it was measured, monotonic usec */
 };
 
+/* A backend server that cannot be reached.  */
+struct event_server_down
+{
+  gboolean gone; /* nothing listens at its address: it has died */
+};
+
 /* The answer to a grant.  */
 struct event_granted
 {
@@ -158,6 +164,7 @@
     struct event_appended appended;
     struct event_server_up server_up;
     struct event_server_load server_load;
+    struct event_server_down server_down;
     struct event_granted granted;
     struct event_request request;
     struct event_ended ended;
--- a/tests/test_retry.c
+++ b/tests/test_retry.c
@@ -32,6 +32,18 @@
   CU_ASSERT_FALSE (retry_is_safe (&request, &event));
 }
 
+/* A request that may have crashed a server is not brought to the next.  */
+static void
+test_no_retry_after_crash (void)
+{
+  struct request request = { .run_class = RUN_IDEMPOTENT };
+  struct event_ended event = ended (OUTCOME_UNKNOWN, REASON_SERVER_DOWN);
+
+  CU_ASSERT_FALSE (retry_is_safe (&request, &event));
+  event.outcome = OUTCOME_NOT_RUN;
+  CU_ASSERT_TRUE (retry_is_safe (&request, &event));
+}
+
 /* A request that another node passed on is never sent again.  */
 static void
 test_no_retry_of_retries (void)
@@ -109,6 +121,7 @@
 {
   static CU_TestInfo tests[]
       = { { "once needs proof", test_once_needs_proof },
+          { "no retry after a crash", test_no_retry_after_crash },
           { "no retry of retries", test_no_retry_of_retries },
           { "bound to a leaving node", test_bound_to_leaving_node },
           { "budget is a share", test_budget_is_a_share },
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -121,6 +121,39 @@
   fixture_end (&f);
 }
 
+/* A member whose server is down is not asked again while there is another
+   one, and after five such answers not by other requests either.  */
+static void
+test_member_without_server (void)
+{
+  struct fixture f;
+  struct request request = patient ("pay", RUN_IDEMPOTENT);
+  struct handle exchange;
+  gint64 now = FIXTURE_START;
+  guint64 first;
+  guint i;
+
+  fixture_begin (&f, "desk");
+  exchange = fixture_arrive (&f, &request, now);
+  first = forwarded_to (&f);
+  fixture_ended (&f, exchange, OUTCOME_NOT_RUN, REASON_SERVER_DOWN, now);
+  now += 1000000;
+  f.core.turn = 0;
+  fixture_tick (&f, 1, now);
+  CU_ASSERT_EQUAL (forwarded_to (&f), first == 3 ? 4 : 3);
+  for (i = 0; i < 20; i++)
+    {
+      exchange = fixture_arrive (&f, &request, now);
+      if (forwarded_to (&f) == first)
+        fixture_ended (&f, exchange, OUTCOME_UNKNOWN, REASON_SERVER_DOWN, now);
+    }
+  fixture_arrive (&f, &request, now);
+  CU_ASSERT_NOT_EQUAL (forwarded_to (&f), first);
+  fixture_arrive (&f, &request, now);
+  CU_ASSERT_NOT_EQUAL (forwarded_to (&f), first);
+  fixture_end (&f);
+}
+
 /* With the budget spent, attempts that cost a server are not repeated.  */
 static void
 test_budget_runs_out (void)
@@ -195,6 +228,7 @@
           { "unknown stays", test_unknown_stays },
           { "successor is tried", test_successor_is_tried },
           { "breaker", test_breaker },
+          { "member without server", test_member_without_server },
           { "budget runs out", test_budget_runs_out },
           { "lease lapses in queue", test_lease_lapses_in_queue },
           { "caller goes away", test_caller_goes_away },
