--- a/src/decide/flight.h
+++ b/src/decide/flight.h
@@ -1,6 +1,7 @@
 #ifndef BAMBOOTALLY_FLIGHT_H
 #define BAMBOOTALLY_FLIGHT_H
 
+#include "decide/pick.h"
 #include "types/request.h"
 
 /* A request that is in this node's hands.  */
@@ -18,12 +19,14 @@
   struct request request;  /* what it is */
   enum flight_phase phase; /* where it is */
   guint64 peer;            /* node that has it, when forwarded */
+  gint64 run_at;           /* when the server began, monotonic usec */
   gint64 retry_at;         /* when it is routed again, monotonic usec */
   guint32 tries;           /* attempts made from here */
   struct fence fence;      /* fence it was admitted under */
   gboolean remembered;     /* its id is in the memory of ids */
+  gboolean suspected;      /* its loss has been counted */
   gboolean may_have_run;   /* an attempt ended as unknown */
-  gboolean owner_lost;     /* the last attempt found no way to the node */
+  struct pick_past past;   /* what earlier attempts found */
 };
 
 #endif
