--- a/bench/run.sh
+++ b/bench/run.sh
@@ -24,4 +24,8 @@
   echo "## View, by nodes"
   echo
   "$b/bench_fold"
+  echo
+  echo "## Speed of a node, by connections"
+  echo
+  sh bench/speed.sh "$b" 5000
 } | tee "$out/report.md"
