--- a/bench/bench_fold.c
+++ b/bench/bench_fold.c
@@ -1,5 +1,6 @@
 #include "bench/scale.h"
 #include "wire/wire_record.h"
+#include "wire/wire_view.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -51,6 +52,27 @@
   scale_print ("move record, 100 slices", 0, record_bytes (&record), "bytes");
 }
 
+/* Print what a snapshot of VIEW takes to write and to read.  */
+static void
+print_snapshot (const struct view *view, guint32 nodes)
+{
+  struct scale_mark mark = scale_begin ();
+  GByteArray *bytes = view_encode (view);
+  struct view back;
+
+  scale_print ("snapshot, encode", nodes,
+               (gdouble)scale_end (mark).usec / 1000, "ms");
+  scale_print ("snapshot", nodes, (gdouble)bytes->len / 1048576, "MiB");
+  mark = scale_begin ();
+  if (view_decode (&back, bytes->data, bytes->len) == ERR_NONE)
+    {
+      scale_print ("snapshot, decode", nodes,
+                   (gdouble)scale_end (mark).usec / 1000, "ms");
+      view_clear (&back);
+    }
+  g_byte_array_unref (bytes);
+}
+
 /* Measure the view of NODES.  */
 static void
 run_size (guint32 nodes)
@@ -73,6 +95,7 @@
   cost = scale_end (mark);
   scale_print ("view, slices assigned", nodes, (gdouble)cost.bytes / 1048576,
                "MiB");
+  print_snapshot (&fleet.view, nodes);
   mark = scale_begin ();
   for (i = 1; i <= SAMPLES; i++)
     fleet_out (&fleet, i);
