Hot keys by a bounded sketch, weights by a sampled meter, bindings

Cause: nothing proposed a slice of its own for a hot key, plans took every slice for equal, and bindings of the configuration had no effect. Ruled out: one counter a key (no bound on memory); a sketch at the planner alone, which at 17,000 nodes sees one request in 17,000 of a key. Change: the owner counts runs by the space-saving algorithm in 64 places, with halving at deadlines, and proposes a key whose share is 10% of its runs at least; one that stays under 2% for a minute goes back. The first in rank weighs slices by the requests that enter at it, once there are 50 a slice: a sample of all traffic where callers spread over the nodes. A bound key is hot for good and planned onto its server. Conclusion: the meter does not carry the two-year size, where a slice enters 0.05 times a second at one node; owners will have to report their loads.

--- a/bench/bench_place.c
+++ b/bench/bench_place.c
@@ -12,6 +12,7 @@
 #define EXPONENT 0.9   /* of the evening rush's Zipf law */
 #define HOT_SHARE 0.25 /* of all requests, for the hot key */
 #define ROUNDS 256u    /* plans made at most */
+#define HOT_LIMIT 0.1  /* of the load of one server, for a hot key */
 #define PRIOR 0.1      /* weight of a slice that was not asked for */
 
 /* A deployment of the brief.  */
@@ -42,6 +43,29 @@
     = { "evening rush", "hot key", "join",
         "leave",        "loss",    "loss in a log outage" };
 
+/* Give a slice of its own to each key that has shown a share of HOT_LIMIT of
+   the load of one of the SERVERS.  */
+static void
+heat (struct fleet *fleet, const struct rush *rush, guint32 servers)
+{
+  const struct view_service *service = fleet_service (fleet);
+  gdouble limit = (gdouble)rush->total / servers * HOT_LIMIT;
+  guint32 i;
+
+  for (i = 0; i < rush->keys; i++)
+    {
+      struct record record = { .version = RECORD_VERSION, .kind = RECORD_HOT };
+      struct record_hot *body = &record.body.hot;
+      if ((gdouble)rush->seen[i] < limit)
+        continue;
+      g_strlcpy (body->service, FLEET_SERVICE, sizeof body->service);
+      rush_name (i, body->key, sizeof body->key);
+      body->slice.epoch
+          = view_slice_at (service, slice_of_key (service, body->key))->epoch;
+      fleet_fold (fleet, &record);
+    }
+}
+
 /* Teach PLANNER what RUSH has shown of the slices.  */
 static void
 learn (struct planner *planner, const struct fleet *fleet,
@@ -114,6 +138,7 @@
   for (i = 0; i < deployment->servers; i++)
     fleet_join (&fleet, i, deployment->slots);
   fleet_plan (&fleet, &planner, now, ROUNDS);
+  heat (&fleet, rush, deployment->servers);
   learn (&planner, &fleet, rush);
   if (trouble > TROUBLE_HOT)
     fleet_plan (&fleet, &planner, now, ROUNDS);
--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -35,6 +35,8 @@
   table_init (&core->breakers, sizeof (struct breaker));
   outbox_init (&core->outbox, settings->incarnation);
   planner_init (&core->planner);
+  meter_init (&core->meter);
+  hot_init (&core->hot);
   table_init (&core->flights, sizeof (struct flight));
   core->attempt = settings->seed;
 }
@@ -55,6 +57,7 @@
   table_clear (&core->breakers);
   outbox_clear (&core->outbox);
   planner_clear (&core->planner);
+  meter_clear (&core->meter);
   snapshot_write_clear (&core->snapshot_writer);
   snapshot_read_clear (&core->snapshot_reader);
   table_clear (&core->flights);
@@ -248,6 +251,7 @@
       removal_step (core, now, out);
       certificate_step (core, now, out);
       plan_step (core, now, out);
+      hot_step (core, now, out);
       snapshot_write_step (core, now, out);
       outbox_send (&core->outbox, now, out);
     }
--- a/src/decide/core.h
+++ b/src/decide/core.h
@@ -5,7 +5,9 @@
 #include "decide/drain.h"
 #include "decide/gate.h"
 #include "decide/hold.h"
+#include "decide/hot.h"
 #include "decide/lease.h"
+#include "decide/meter.h"
 #include "decide/move.h"
 #include "decide/once.h"
 #include "decide/outbox.h"
@@ -42,6 +44,8 @@
   struct drain drain;            /* the graceful stop */
   struct outbox outbox;          /* its records on their way */
   struct planner planner;        /* its plans of placement */
+  struct meter meter;            /* requests by slice that enter here */
+  struct hot hot;                /* hot keys */
   struct snapshot_writer snapshot_writer; /* snapshots it writes */
   struct snapshot_reader snapshot_reader; /* the snapshot it looks for */
   struct table flights;          /* struct flight, by the edge's handles */
--- /dev/null
+++ b/src/decide/hot.c
@@ -0,0 +1,178 @@
+#include "decide/hot.h"
+
+#include "decide/core.h"
+#include "decide/slice.h"
+
+#include <string.h>
+
+#define HOT_EVERY_USEC                                                        \
+  ((gint64)2000000)                      /* hot keys are looked for so often  \
+                                          */
+#define HOT_COLD_USEC ((gint64)60000000) /* a key stays hot so long */
+#define HOT_RUNS_MIN 500u                /* runs that tell anything */
+#define HOT_SHARE 0.10                   /* from this share of the runs on */
+#define HOT_COLD_SHARE 0.02              /* down to this share */
+
+/* Set up a node that knows of no hot keys.  */
+void
+hot_init (struct hot *hot)
+{
+  memset (hot, 0, sizeof *hot);
+}
+
+/* The binding of KEY of SERVICE, or NULL.  */
+const struct config_binding *
+hot_binding (const struct view *view, const char *service, const char *key)
+{
+  guint i;
+
+  for (i = 0; view->has_config && i < view->config.bindings->len; i++)
+    {
+      const struct config_binding *binding
+          = &g_array_index (view->config.bindings, struct config_binding, i);
+      if (strcmp (binding->key, key) == 0
+          && strcmp (binding->service, service) == 0)
+        return binding;
+    }
+  return NULL;
+}
+
+/* Propose that KEY, whose slice has EPOCH, gets or loses a slice of its
+   own.  */
+static void
+propose_hot (struct core *core, const struct view_service *service,
+             const char *key, guint64 epoch, gboolean drop,
+             struct actions *out)
+{
+  struct note *note = &actions_add (out, ACTION_NOTE)->u.note;
+  struct record_hot *body;
+
+  note->id = NOTE_PLACE_HOT;
+  note->amount = drop ? 0 : 1;
+  g_strlcpy (note->service, service->config.name, sizeof note->service);
+  g_strlcpy (note->key, key, sizeof note->key);
+  body = &outbox_propose (&core->outbox, RECORD_HOT)->body.hot;
+  g_strlcpy (body->service, service->config.name, sizeof body->service);
+  g_strlcpy (body->key, key, sizeof body->key);
+  body->slice.epoch = epoch;
+  body->drop = drop;
+}
+
+/* Propose a slice of its own for KEY if this node owns the slice that it
+   hashes to and no move is pending.  Return whether it did.  */
+static gboolean
+heat (struct core *core, const struct view_service *service, const char *key,
+      struct actions *out)
+{
+  const struct view_slice *slice;
+
+  if (g_hash_table_contains (service->hot_index, key)
+      || g_hash_table_size (service->hot_index) >= HOT_MAX)
+    return FALSE;
+  slice = view_slice_at (service, slice_of_key (service, key));
+  if (slice == NULL || slice->move != 0
+      || !handle_equal (slice->owner, core->self))
+    return FALSE;
+  propose_hot (core, service, key, slice->epoch, FALSE, out);
+  return TRUE;
+}
+
+/* Look for a key that has become hot, or is bound.  Return whether one was
+   proposed.  */
+static gboolean
+heat_one (struct core *core, const struct view_service *service,
+          struct actions *out)
+{
+  const struct sketch *sketch = &core->hot.sketch;
+  guint i;
+
+  for (i = 0; i < core->view.config.bindings->len; i++)
+    {
+      const struct config_binding *binding = &g_array_index (
+          core->view.config.bindings, struct config_binding, i);
+      if (strcmp (binding->service, service->config.name) == 0
+          && heat (core, service, binding->key, out))
+        return TRUE;
+    }
+  for (i = 0; i < SKETCH_KEYS && sketch->total >= HOT_RUNS_MIN; i++)
+    if (sketch_least_share (sketch, i) >= HOT_SHARE
+        && heat (core, service, sketch->keys[i].key, out))
+      return TRUE;
+  return FALSE;
+}
+
+/* Bring the key of PLACE back: move its slice to the owner and successors of
+   the slice that it hashes to, or drop it if it is there.  */
+static void
+cool (struct core *core, const struct view_service *service, guint32 place,
+      const char *key, struct actions *out)
+{
+  guint32 number = service->config.slices + place;
+  guint32 home = (guint32)(slice_hash_text (key) % service->config.slices);
+  const struct view_slice *slice = view_slice_at (service, number);
+  const struct view_slice *hashed = view_slice_at (service, home);
+  struct record_slice item = { .slice = number, .epoch = slice->epoch };
+  struct record_slices *body;
+  guint i;
+
+  if (slice->move != 0 || hashed->move != 0)
+    return;
+  if (handle_equal (slice->owner, hashed->owner)
+      && memcmp (slice->successor, hashed->successor, sizeof slice->successor)
+             == 0)
+    {
+      propose_hot (core, service, key, slice->epoch, TRUE, out);
+      return;
+    }
+  item.owner = view_incarnation (&core->view, hashed->owner);
+  for (i = 0; i < SUCCESSOR_MAX; i++)
+    item.successor[i] = view_incarnation (&core->view, hashed->successor[i]);
+  body = &outbox_propose (&core->outbox, RECORD_MOVE)->body.slices;
+  g_strlcpy (body->service, service->config.name, sizeof body->service);
+  body->count = 1;
+  body->items = g_memdup2 (&item, sizeof item);
+}
+
+/* Look at each hot key that this node owns, and bring back those that have
+   been cold for HOT_COLD_USEC and are not bound.  */
+static void
+cool_all (struct core *core, const struct view_service *service, gint64 now,
+          struct actions *out)
+{
+  guint i;
+
+  for (i = 0; i < service->hot->len; i++)
+    {
+      const char *key = g_array_index (service->hot, struct view_hot, i).key;
+      const struct view_slice *slice
+          = view_slice_at (service, service->config.slices + i);
+      gint64 *cold_at = &core->hot.cold_at[i];
+      if (key[0] == '\0' || slice == NULL
+          || !handle_equal (slice->owner, core->self)
+          || sketch_share (&core->hot.sketch, key) >= HOT_COLD_SHARE
+          || hot_binding (&core->view, service->config.name, key) != NULL)
+        *cold_at = 0;
+      else if (*cold_at == 0)
+        *cold_at = now + HOT_COLD_USEC;
+      else if (now >= *cold_at)
+        cool (core, service, i, key, out);
+    }
+}
+
+/* Look for keys that have become hot or cold.  */
+void
+hot_step (struct core *core, gint64 now, struct actions *out)
+{
+  const struct view_service *service;
+
+  if (now < core->hot.next || !core->at_tail || !core->view.has_config
+      || !handle_is_set (core->self) || outbox_has (&core->outbox, RECORD_HOT)
+      || outbox_has (&core->outbox, RECORD_MOVE))
+    return;
+  core->hot.next = now + HOT_EVERY_USEC;
+  service = view_find_service (&core->view, core->settings.service);
+  if (service == NULL || !service->configured || !service->config.divided)
+    return;
+  if (!heat_one (core, service, out))
+    cool_all (core, service, now, out);
+}
--- /dev/null
+++ b/src/decide/meter.h
@@ -0,0 +1,21 @@
+#ifndef BAMBOOTALLY_METER_H
+#define BAMBOOTALLY_METER_H
+
+#include <glib.h>
+
+/* Requests by slice, among those that enter at this node: a sample of what the
+   slices of its service weigh.  Counts are halved at a deadline.  */
+
+struct meter
+{
+  GArray *counts;  /* gdouble by slice */
+  gdouble total;   /* of all slices */
+  gint64 halve_at; /* when counts are halved next, monotonic usec */
+};
+
+void meter_init (struct meter *meter);
+void meter_clear (struct meter *meter);
+void meter_add (struct meter *meter, guint32 slice, gint64 now);
+void meter_weigh (const struct meter *meter, guint32 slices, GArray *weights);
+
+#endif
--- a/src/decide/pick.c
+++ b/src/decide/pick.c
@@ -35,7 +35,7 @@
 
 /* Pick the owner of the key of REQUEST.  */
 static struct pick
-pick_owner (const struct core *core, const struct view_service *service,
+pick_owner (struct core *core, const struct view_service *service,
             struct request *request, gboolean lost, gint64 now)
 {
   struct pick pick = { PICK_NONE, HANDLE_NONE, REASON_NO_OWNER, { 0, 0 } };
@@ -43,10 +43,14 @@
   struct own_right right;
 
   request->slice = slice_of_key (service, request->key);
+  if (!request->from_peer
+      && strcmp (service->config.name, core->settings.service) == 0)
+    meter_add (&core->meter, request->slice, now);
   right = own_check (core, service, request->slice, now);
   slice = view_slice_at (service, request->slice);
   if (right.serves)
     {
+      sketch_add (&core->hot.sketch, request->key, now);
       pick.kind = PICK_OWN;
       pick.fence = right.fence;
       return pick;
--- a/src/decide/plan.c
+++ b/src/decide/plan.c
@@ -88,6 +88,7 @@
       if (!is_due (planner, service, core, now))
         return;
       planner_begin (planner, now);
+      meter_weigh (&core->meter, service->slices->len, planner->weights);
     }
   plan_batch_init (&batch);
   plan_advance (planner, &core->view, service, now, PLAN_STEP_UNITS, &batch);
--- a/src/decide/plan_rules.c
+++ b/src/decide/plan_rules.c
@@ -1,5 +1,9 @@
 #include "decide/plan_pass.h"
 
+#include "decide/hot.h"
+
+#include <string.h>
+
 /* The least loaded member that is still live in VIEW, or PLACE_NONE.  */
 guint32
 plan_receiver (struct planner *planner, const struct view *view)
@@ -83,6 +87,50 @@
     plan_batch_add (items, planner, slice, number, to);
 }
 
+/* The member that a binding wants to own the hot slice NUMBER, or PLACE_NONE
+   where there is none.  BOUND tells whether there is a binding.  */
+static guint32
+bound_member (const struct planner *planner, const struct view *view,
+              const struct view_service *service, guint32 number,
+              gboolean *bound)
+{
+  const struct config_binding *binding = NULL;
+  guint32 place = number - service->config.slices;
+  guint32 i;
+
+  if (number >= service->config.slices && place < service->hot->len)
+    binding = hot_binding (
+        view, service->config.name,
+        g_array_index (service->hot, struct view_hot, place).key);
+  *bound = binding != NULL;
+  for (i = 0; binding != NULL && i < planner->place.members->len; i++)
+    {
+      const struct place_member *member = place_at (&planner->place, i);
+      const struct view_node *node = view_node_at (view, member->node);
+      if (node != NULL && node->state == NODE_LIVE && member->live
+          && strcmp (node->join.server, binding->server) == 0)
+        return i;
+    }
+  return PLACE_NONE;
+}
+
+/* Bring a slice that is bound to its member, and let any other be moved for
+   balance unless it rests.  */
+static void
+settle (struct planner *planner, const struct view *view,
+        const struct view_service *service, guint32 number, guint32 owner,
+        gint64 now, struct plan_batch *batch)
+{
+  gboolean bound;
+  guint32 to = bound_member (planner, view, service, number, &bound);
+
+  if (to != PLACE_NONE && to != owner)
+    plan_batch_add (batch->moves, planner, view_slice_at (service, number),
+                    number, to);
+  else if (!bound && !planner_rests (planner, number, now))
+    plan_chain_add (&planner->chain, owner, number);
+}
+
 /* Look at the slice NUMBER: give it an owner if it has none; move it off a
    node that leaves; name new successors, by a move to its own owner, where one
    is out or leaves or the spread is wanting; otherwise it may be moved for
@@ -112,6 +160,6 @@
     return;
   else if (!is_spread (planner, slice, owner))
     plan_batch_add (batch->moves, planner, slice, number, owner);
-  else if (!planner_rests (planner, number, now))
-    plan_chain_add (&planner->chain, owner, number);
+  else
+    settle (planner, view, service, number, owner, now, batch);
 }
