Undivided services: two choices by in-flight and measured time, zone first

Cause: members were taken in turn; a slow or busy one got as much as any, and another zone was never used while this one had a live member. Ruled out: load reports of other nodes, which nothing carries yet and which lag; walking all members, which is linear in a service of 17,000. Up to two candidates of the own zone and two of others are drawn; a zone across a link has to be faster by 10 ms.

--- a/src/decide/admit.c
+++ b/src/decide/admit.c
@@ -31,6 +31,7 @@
   struct note *note;
 
   flight->phase = FLIGHT_RUNNING;
+  flight->sent = now;
   note = reply_note (out, NOTE_ROUTE_OWN, &flight->request);
   note->offset = flight->fence.offset;
   action = &actions_add (out, ACTION_RUN)->u.run;
--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -33,6 +33,7 @@
   once_init (&core->once);
   retry_budget_init (&core->retries);
   table_init (&core->breakers, sizeof (struct breaker));
+  table_init (&core->loads, sizeof (struct peer_load));
   outbox_init (&core->outbox, settings->incarnation);
   planner_init (&core->planner);
   meter_init (&core->meter);
@@ -55,6 +56,7 @@
   gate_clear (&core->gate);
   once_clear (&core->once);
   table_clear (&core->breakers);
+  table_clear (&core->loads);
   outbox_clear (&core->outbox);
   planner_clear (&core->planner);
   meter_clear (&core->meter);
--- a/src/decide/core.h
+++ b/src/decide/core.h
@@ -13,6 +13,7 @@
 #include "decide/outbox.h"
 #include "decide/peers.h"
 #include "decide/retry.h"
+#include "decide/peer_load.h"
 #include "decide/planner.h"
 #include "decide/snapshot_read.h"
 #include "decide/snapshot_write.h"
@@ -40,6 +41,7 @@
   struct once once;              /* ids of requests that run once */
   struct retry_budget retries;   /* retries that may be made */
   struct table breakers;         /* struct breaker, by nodes' handles */
+  struct table loads;            /* struct peer_load, by nodes' handles */
   guint64 draws;                 /* random numbers drawn */
   struct drain drain;            /* the graceful stop */
   struct outbox outbox;          /* its records on their way */
--- a/src/decide/flight.h
+++ b/src/decide/flight.h
@@ -19,6 +19,7 @@
   enum flight_phase phase; /* where it is */
   guint64 peer;            /* node that has it, when forwarded */
   gint64 retry_at;         /* when it is routed again, monotonic usec */
+  gint64 sent;             /* when it was sent or began to run */
   guint32 tries;           /* attempts made from here */
   struct fence fence;      /* fence it was admitted under */
   gboolean remembered;     /* its id is in the memory of ids */
--- a/src/decide/pick.h
+++ b/src/decide/pick.h
@@ -24,6 +24,10 @@
   struct fence fence;  /* fence to serve under or known */
 };
 
+gboolean pick_is_reached (const struct core *core, struct handle h,
+                          gint64 now);
+struct pick pick_member (struct core *core, const struct view_service *service,
+                         const struct request *request, gint64 now);
 struct pick pick_node (struct core *core, struct request *request,
                        gboolean lost, gint64 now);
 
--- /dev/null
+++ b/src/decide/pick_member.c
@@ -0,0 +1,187 @@
+#include "decide/pick.h"
+
+#include "decide/breaker.h"
+#include "decide/core.h"
+#include "decide/slice.h"
+
+#include <string.h>
+
+#define DRAWS 32u                      /* members drawn to find candidates */
+#define CHOICES 2u                     /* candidates here and elsewhere */
+#define LINK_COST_USEC ((gint64)10000) /* what a costly link counts as */
+
+/* The cheapest of the candidates seen so far.  */
+struct choice
+{
+  struct handle node; /* the candidate, or none */
+  gint64 cost;        /* its estimated time, in microseconds */
+  guint32 seen;       /* candidates compared */
+};
+
+/* Tell whether requests may be sent to the node H.  */
+gboolean
+pick_is_reached (const struct core *core, struct handle h, gint64 now)
+{
+  const struct breaker *breaker = table_get (&core->breakers, h);
+
+  return breaker == NULL || breaker_lets_pass (breaker, now);
+}
+
+/* Pick the node that gave out the stamp of REQUEST, whose service is not
+   divided.  No other node may run it; once that one is out, nobody knows
+   whether the request has run.  */
+static struct pick
+pick_stamped (const struct core *core, const struct request *request)
+{
+  struct pick pick = { PICK_NONE, HANDLE_NONE, REASON_OLD_STAMP, { 0, 0 } };
+  const struct view_node *node;
+
+  if (request->stamp.era == core->settings.incarnation
+      && strcmp (core->settings.service, request->service) == 0)
+    {
+      pick.kind = PICK_OWN;
+      return pick;
+    }
+  pick.node = view_find_node (&core->view, request->stamp.era);
+  node = view_node_at (&core->view, pick.node);
+  if (node != NULL && node->state != NODE_RETIRED
+      && strcmp (node->join.service, request->service) == 0)
+    pick.kind = PICK_PEER;
+  return pick;
+}
+
+/* Tell whether this node is to serve REQUEST of an undivided service.  */
+static gboolean
+serves_itself (const struct core *core, const struct view_service *service,
+               const struct request *request)
+{
+  return strcmp (core->settings.service, service->config.name) == 0
+         && drain_takes_work (core)
+         && (request->from_peer || core->gate.busy < core->gate.slots);
+}
+
+/* Tell whether requests may go to the member NODE under H.  */
+static gboolean
+may_serve (const struct core *core, const struct view_node *node,
+           struct handle h, gint64 now)
+{
+  return node != NULL && node->state == NODE_LIVE
+         && !handle_equal (h, core->self) && pick_is_reached (core, h, now);
+}
+
+/* Compare the member NODE under H with the cheapest one in CHOICE.  */
+static void
+consider (const struct core *core, struct choice *choice,
+          const struct view_node *node, struct handle h, gint64 now)
+{
+  const struct peer_load *load = table_get (&core->loads, h);
+  gboolean near = strcmp (node->join.zone, core->settings.zone) == 0;
+  gint64 cost = near ? 0 : LINK_COST_USEC;
+
+  if (load != NULL)
+    cost += peer_load_wait (load, load->in_flight, node->join.slots, now);
+  choice->seen++;
+  if (handle_is_set (choice->node) && cost >= choice->cost)
+    return;
+  choice->node = h;
+  choice->cost = cost;
+}
+
+/* Compare the queue of this node, if it serves SERVICE and may let requests
+   wait, with the cheapest one in CHOICE.  */
+static void
+consider_self (const struct core *core, struct choice *choice,
+               const struct view_service *service, gint64 now)
+{
+  const struct peer_load *load = table_get (&core->loads, core->self);
+  const struct gate *gate = &core->gate;
+  gint64 cost = 0;
+
+  if (strcmp (core->settings.service, service->config.name) != 0
+      || !drain_takes_work (core) || gate->slots == 0
+      || gate->waiting->len >= gate->limit)
+    return;
+  if (load != NULL)
+    cost = peer_load_wait (load, gate->busy + gate->waiting->len, gate->slots,
+                           now);
+  if (handle_is_set (choice->node) && cost >= choice->cost)
+    return;
+  choice->node = core->self;
+  choice->cost = cost;
+}
+
+/* Draw members of SERVICE until there are CHOICES candidates in this zone and
+   as many elsewhere, and keep the cheapest of all: another zone is taken only
+   where its estimated time is shorter by the cost of the link.  */
+static void
+draw_members (struct core *core, struct choice *choice,
+              const struct view_service *service, gint64 now)
+{
+  guint32 near = 0;
+  guint32 far = 0;
+  guint i;
+
+  for (i = 0; i < DRAWS && (near < CHOICES || far < CHOICES); i++)
+    {
+      guint64 draw = slice_rank (core->settings.seed, ++core->draws);
+      struct handle h = g_array_index (service->members, struct handle,
+                                       draw % service->members->len);
+      const struct view_node *node = view_node_at (&core->view, h);
+      guint32 *seen;
+      if (!may_serve (core, node, h, now))
+        continue;
+      seen = strcmp (node->join.zone, core->settings.zone) == 0 ? &near : &far;
+      if ((*seen)++ < CHOICES)
+        consider (core, choice, node, h, now);
+    }
+}
+
+/* Take any member of SERVICE, in turn.  */
+static void
+take_any (struct core *core, struct choice *choice,
+          const struct view_service *service, gint64 now)
+{
+  guint start = core->turn++;
+  guint i;
+
+  for (i = 0; i < service->members->len && choice->seen == 0; i++)
+    {
+      struct handle h = g_array_index (service->members, struct handle,
+                                       (start + i) % service->members->len);
+      const struct view_node *node = view_node_at (&core->view, h);
+      if (may_serve (core, node, h, now))
+        consider (core, choice, node, h, now);
+    }
+}
+
+/* Pick a node of a service that is not divided: this one if it serves the
+   service and has a slot; otherwise the cheapest of a few drawn ones and of
+   this node's own queue.  */
+struct pick
+pick_member (struct core *core, const struct view_service *service,
+             const struct request *request, gint64 now)
+{
+  struct pick pick = { PICK_NONE, HANDLE_NONE, REASON_NO_SERVER, { 0, 0 } };
+  struct choice choice = { HANDLE_NONE, 0, 0 };
+
+  if (request->run_class == RUN_ONCE && request->stamp.time != 0)
+    return pick_stamped (core, request);
+  if (serves_itself (core, service, request))
+    {
+      pick.kind = PICK_OWN;
+      return pick;
+    }
+  if (strcmp (core->settings.service, service->config.name) == 0
+      && !drain_takes_work (core))
+    pick.reason = REASON_DRAINING;
+  if (service->members->len == 0)
+    return pick;
+  draw_members (core, &choice, service, now);
+  take_any (core, &choice, service, now);
+  consider_self (core, &choice, service, now);
+  if (!handle_is_set (choice.node))
+    return pick;
+  pick.kind = handle_equal (choice.node, core->self) ? PICK_OWN : PICK_PEER;
+  pick.node = choice.node;
+  return pick;
+}
