--- a/bench/run.sh
+++ b/bench/run.sh
@@ -1,35 +1,48 @@
 #!/bin/sh
 # Run the benches; the report with its plots is out/bench/report.md.
-# Usage: bench/run.sh BUILD-FOLDER [SEED]
+# Usage: bench/run.sh BUILD-FOLDER [SEED [PART...]]; all parts if none is named.
 set -eu
 b=$1
 seed=${2:-1}
+[ $# -lt 2 ] && shift || shift 2
+[ $# -gt 0 ] || set -- place plan lease fold speed overload unavailable
 out=out/bench
 mkdir -p "$out"
 
-# part TITLE COMMAND...: one part of the report.
+# part NAME: one part of the report.
 part() {
-  echo
-  echo "## $1"
-  echo
-  shift
-  "$@"
+  case $1 in
+    place) title="Placement" ;;
+    plan) title="Plans, by members" ;;
+    lease) title="Lease, by nodes" ;;
+    fold) title="View, by nodes" ;;
+    speed) title="Speed of a node, by connections" ;;
+    overload) title="Overload, by callers" ;;
+    unavailable) title="Time without an answer" ;;
+    *) echo "no such part: $1" >&2; exit 2 ;;
+  esac
+  printf '\n## %s\n\n' "$title"
+  case $1 in
+    place) "$b/bench_place" "$seed" ;;
+    speed) sh bench/speed.sh "$b" 5000 ;;
+    overload) sh bench/overload.sh "$b" 6 ;;
+    unavailable)
+      sh bench/unavailable.sh "$b" wales
+      sh bench/unavailable.sh "$b" yogyakarta
+      ;;
+    *) "$b/bench_$1" ;;
+  esac
 }
 
 {
   echo "# Bench of $(git rev-parse --short HEAD), seed $seed"
-  part "Placement" "$b/bench_place" "$seed"
-  part "Plans, by members" "$b/bench_plan"
-  part "Lease, by nodes" "$b/bench_lease"
-  part "View, by nodes" "$b/bench_fold"
-  part "Speed of a node, by connections" sh bench/speed.sh "$b" 5000
-  part "Overload, by callers" sh bench/overload.sh "$b" 6
+  for name in "$@"; do
+    part "$name"
+  done
 } | tee "$out/report.md"
 "$b/bench_plot" "$out" < "$out/report.md" > "$out/plots.md"
 {
-  echo
-  echo "## Plots"
-  echo
+  printf '\n## Plots\n\n'
   cat "$out/plots.md"
 } >> "$out/report.md"
 rm "$out/plots.md"
--- /dev/null
+++ b/bench/unavailable.sh
@@ -0,0 +1,81 @@
+#!/bin/sh
+# How long a key is unavailable, with real processes: the longest time between
+# two whole answers for one key while its owner stops as planned, is killed, or
+# is killed while the log is down.  Each case starts a fleet of its own.
+# Usage: bench/unavailable.sh BUILD-FOLDER DEPLOYMENT
+set -eu
+BIN=$1
+NAME=$2
+OUT=out/bench/unavailable
+PROBE_SECONDS=7
+. examples/deploy.sh
+trap deploy_stop EXIT
+
+case $NAME in
+  wales) service=enquiry-desk path=/plans slots=20 ;;
+  *) service=menu path=/menus slots=5 ;;
+esac
+key=key-1
+
+# now_ms: milliseconds on the wall clock.
+now_ms() { echo $(($(date +%s%N) / 1000000)); }
+
+# owner: the number of the host that owns the key.
+owner() {
+  server=$("$BIN/bambootally" --node "$(deploy_front 9)" \
+    explain "$service" "$key" | sed -n 's/.*"server":"\([^"]*\)".*/\1/p')
+  sed -n "s/^\([0-9]*\) $server .*/\1/p" "$DEPLOY/hosts"
+}
+
+# strike CASE I: what befalls host I.
+strike() {
+  eval "node=\$NODE_$2 server=\$SERVER_$2"
+  case $1 in
+    leave) kill -TERM "$node" ;;
+    loss) kill -KILL "$node" "$server" ;;
+    loss-log-down)
+      kill -STOP "$log_pid"
+      sleep 1
+      kill -KILL "$node" "$server"
+      ;;
+  esac
+}
+
+# longest_gap: probe for PROBE_SECONDS and print the longest time between two
+# whole answers.
+longest_gap() {
+  last=$(now_ms)
+  end=$((last + PROBE_SECONDS * 1000))
+  longest=0
+  at=$last
+  while [ "$at" -lt "$end" ]; do
+    ok=0
+    "$BIN/standin_caller" --node "$(deploy_front 9)" --path "$path/$key" \
+      --timeout 300 --quiet > /dev/null && ok=1
+    at=$(now_ms)
+    gap=$((at - last))
+    [ "$gap" -le "$longest" ] || longest=$gap
+    [ "$ok" = 0 ] || last=$at
+  done
+  echo "$longest"
+}
+
+# try CASE: one row.
+try() {
+  rm -rf "$OUT"
+  deploy_start "$NAME" "$slots"
+  log_pid=$(echo "$PIDS" | awk '{ print $1 }')
+  sleep 1
+  deploy_publish "examples/$NAME/config.ini" > /dev/null
+  deploy_wait_owner "$service" "$key" 20
+  sleep 2
+  strike "$1" "$(owner)"
+  echo "| $NAME | $1 | $(longest_gap) |"
+  deploy_stop 2> /dev/null
+}
+
+echo "| deployment | case | unavailable, ms |"
+echo "|---|---|---|"
+try leave
+try loss
+try loss-log-down
