--- a/bench/run.sh
+++ b/bench/run.sh
@@ -1,27 +1,48 @@
 #!/bin/sh
-# Run the benches and write out/bench/report.md.
-# Usage: bench/run.sh BUILD-FOLDER [SEED]
+# Run the benches; the report with its plots is out/bench/report.md.
+# Usage: bench/run.sh BUILD-FOLDER [SEED [PART...]]; all parts if none is named.
 set -eu
 b=$1
 seed=${2:-1}
+[ $# -lt 2 ] && shift || shift 2
+[ $# -gt 0 ] || set -- place plan lease fold speed overload unavailable
 out=out/bench
 mkdir -p "$out"
+
+# part NAME: one part of the report.
+part() {
+  case $1 in
+    place) title="Placement" ;;
+    plan) title="Plans, by members" ;;
+    lease) title="Lease, by nodes" ;;
+    fold) title="View, by nodes" ;;
+    speed) title="Speed of a node, by connections" ;;
+    overload) title="Overload, by callers" ;;
+    unavailable) title="Time without an answer" ;;
+    *) echo "no such part: $1" >&2; exit 2 ;;
+  esac
+  printf '\n## %s\n\n' "$title"
+  case $1 in
+    place) "$b/bench_place" "$seed" ;;
+    speed) sh bench/speed.sh "$b" 5000 ;;
+    overload) sh bench/overload.sh "$b" 6 ;;
+    unavailable)
+      sh bench/unavailable.sh "$b" wales
+      sh bench/unavailable.sh "$b" yogyakarta
+      ;;
+    *) "$b/bench_$1" ;;
+  esac
+}
+
 {
   echo "# Bench of $(git rev-parse --short HEAD), seed $seed"
-  echo
-  echo "## Placement"
-  echo
-  "$b/bench_place" "$seed"
-  echo
-  echo "## Plans, by members"
-  echo
-  "$b/bench_plan"
-  echo
-  echo "## Lease, by nodes"
-  echo
-  "$b/bench_lease"
-  echo
-  echo "## View, by nodes"
-  echo
-  "$b/bench_fold"
+  for name in "$@"; do
+    part "$name"
+  done
 } | tee "$out/report.md"
+"$b/bench_plot" "$out" < "$out/report.md" > "$out/plots.md"
+{
+  printf '\n## Plots\n\n'
+  cat "$out/plots.md"
+} >> "$out/report.md"
+rm "$out/plots.md"
--- a/src/decide/admit.c
+++ b/src/decide/admit.c
@@ -31,7 +31,7 @@
   struct note *note;
 
   flight->phase = FLIGHT_RUNNING;
-  flight->run_at = now;
+  flight->sent = now;
   note = reply_note (out, NOTE_ROUTE_OWN, &flight->request);
   note->offset = flight->fence.offset;
   action = &actions_add (out, ACTION_RUN)->u.run;
@@ -159,7 +159,7 @@
   gate_release (&core->gate);
   suspects_on_ended (&core->suspects, flight, event, now);
   if (event->outcome == OUTCOME_DONE)
-    gate_on_done (&core->gate, now - flight->run_at);
+    gate_on_done (&core->gate, now - flight->sent);
   else if (event->outcome == OUTCOME_NOT_RUN
            && event->reason == REASON_OVERLOAD)
     gate_on_shed (&core->gate, now);
--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -33,8 +33,11 @@
   once_init (&core->once);
   retry_budget_init (&core->retries);
   table_init (&core->breakers, sizeof (struct breaker));
+  table_init (&core->loads, sizeof (struct peer_load));
   outbox_init (&core->outbox, settings->incarnation);
   planner_init (&core->planner);
+  meter_init (&core->meter);
+  hot_init (&core->hot);
   table_init (&core->flights, sizeof (struct flight));
   core->attempt = settings->seed;
 }
@@ -53,8 +56,10 @@
   gate_clear (&core->gate);
   once_clear (&core->once);
   table_clear (&core->breakers);
+  table_clear (&core->loads);
   outbox_clear (&core->outbox);
   planner_clear (&core->planner);
+  meter_clear (&core->meter);
   snapshot_write_clear (&core->snapshot_writer);
   snapshot_read_clear (&core->snapshot_reader);
   table_clear (&core->flights);
@@ -268,6 +273,7 @@
       removal_step (core, now, out);
       certificate_step (core, now, out);
       plan_step (core, now, out);
+      hot_step (core, now, out);
       snapshot_write_step (core, now, out);
       outbox_send (&core->outbox, now, out);
     }
--- a/src/decide/core.h
+++ b/src/decide/core.h
@@ -5,12 +5,15 @@
 #include "decide/drain.h"
 #include "decide/gate.h"
 #include "decide/hold.h"
+#include "decide/hot.h"
 #include "decide/lease.h"
+#include "decide/meter.h"
 #include "decide/move.h"
 #include "decide/once.h"
 #include "decide/outbox.h"
 #include "decide/peers.h"
 #include "decide/retry.h"
+#include "decide/peer_load.h"
 #include "decide/planner.h"
 #include "decide/snapshot_read.h"
 #include "decide/snapshot_write.h"
@@ -39,11 +42,14 @@
   struct once once;              /* ids of requests that run once */
   struct retry_budget retries;   /* retries that may be made */
   struct table breakers;         /* struct breaker, by nodes' handles */
+  struct table loads;            /* struct peer_load, by nodes' handles */
   guint64 draws;                 /* random numbers drawn */
   struct suspects suspects;      /* requests that crash servers */
   struct drain drain;            /* the graceful stop */
   struct outbox outbox;          /* its records on their way */
   struct planner planner;        /* its plans of placement */
+  struct meter meter;            /* requests by slice that enter here */
+  struct hot hot;                /* hot keys */
   struct snapshot_writer snapshot_writer; /* snapshots it writes */
   struct snapshot_reader snapshot_reader; /* the snapshot it looks for */
   struct table flights;          /* struct flight, by the edge's handles */
--- a/src/decide/pick.h
+++ b/src/decide/pick.h
@@ -31,6 +31,11 @@
   struct handle avoid; /* node that could not serve it, or none */
 };
 
+gboolean pick_is_reached (const struct core *core, struct handle h,
+                          gint64 now);
+struct pick pick_member (struct core *core, const struct view_service *service,
+                         const struct request *request,
+                         const struct pick_past *past, gint64 now);
 struct pick pick_node (struct core *core, struct request *request,
                        const struct pick_past *past, gint64 now);
 
--- a/tests/test_removal.c
+++ b/tests/test_removal.c
@@ -237,6 +237,7 @@
 static guint64
 picked (struct core *core)
 {
+  struct pick_past never = { .owner_lost = FALSE };
   const struct view_service *service
       = view_find_service (&core->view, MAKE_SERVICE);
   struct request request = { 0 };
@@ -247,7 +248,7 @@
   do
     g_snprintf (request.key, sizeof request.key, "k%u", n++);
   while (slice_of_key (service, request.key) != 0);
-  pick = pick_node (core, &request, FALSE, fleet.now);
+  pick = pick_node (core, &request, &never, fleet.now);
   return pick.kind == PICK_PEER ? view_incarnation (&core->view, pick.node)
                                 : 0;
 }
