--- a/scenarios/sim_node.h
+++ b/scenarios/sim_node.h
@@ -10,7 +10,8 @@
 {
   struct core core;          /* its decisions */
   gboolean alive;            /* the process runs */
-  gboolean left;             /* it went by itself */
+  gboolean draining;         /* it was asked to leave */
+  gboolean left;             /* it went by itself, as it was asked */
   gint64 frozen_until;       /* it takes no step before then */
   guint64 incarnation;       /* of the process */
   guint64 next;              /* offset it reads next */
--- a/scenarios/world.c
+++ b/scenarios/world.c
@@ -145,13 +145,14 @@
 void
 world_feed (struct world *world, guint n, const struct event *event)
 {
+  guint64 incarnation = world->nodes[n].incarnation;
   struct actions actions;
   guint i;
 
   actions_init (&actions);
   core_step (&world->nodes[n].core, event, world->now, &actions);
   for (i = 0; i < actions.items->len; i++)
-    if (world->nodes[n].alive)
+    if (world->nodes[n].incarnation == incarnation && world->nodes[n].alive)
       world_do (world, n, actions_at (&actions, i));
   actions_clear (&actions);
 }
--- a/scenarios/world_do.c
+++ b/scenarios/world_do.c
@@ -198,12 +198,18 @@
     view_clear (&view);
 }
 
-/* The node ends by itself.  */
+/* The node ends by itself.  One that was not asked to leave is started again
+   by its host.  */
 static void
 do_exit (struct world *world, guint n)
 {
+  gboolean asked = world->nodes[n].draining;
+
   world_kill (world, n);
-  world->nodes[n].left = TRUE;
+  if (asked)
+    world->nodes[n].left = TRUE;
+  else
+    world_start_node (world, n);
 }
 
 /* Do what the core of node N wants.  */
--- a/scenarios/world_node.c
+++ b/scenarios/world_node.c
@@ -34,6 +34,7 @@
   node->incarnation = settings.incarnation;
   node->alive = TRUE;
   node->left = FALSE;
+  node->draining = FALSE;
   node->frozen_until = 0;
   node->next = 1;
   node->config_seen = 0;
@@ -69,6 +70,7 @@
 {
   struct event event = { .kind = EVENT_DRAIN };
 
+  world->nodes[n].draining = TRUE;
   world_add (world, world->now, MOMENT_EVENT, n)->event = event;
 }
 
