--- a/scenarios/check.c
+++ b/scenarios/check.c
@@ -41,6 +41,29 @@
   return count;
 }
 
+/* Name the owners of SLICE in TEXT, with their fences.  */
+static char *
+name_owners (const struct world *world, guint32 slice)
+{
+  GString *text = g_string_new (NULL);
+  guint n;
+
+  for (n = 0; n < world->count; n++)
+    {
+      const struct sim_node *node = &world->nodes[n];
+      struct own_right right;
+      if (!node->alive)
+        continue;
+      right = own_check (&node->core,
+                         view_find_service (&node->core.view, WORLD_SERVICE),
+                         slice, world->now);
+      if (right.serves)
+        g_string_append_printf (text, " n%u (%" G_GUINT64_FORMAT ".%u)", n + 1,
+                                right.fence.offset, right.fence.takeover);
+    }
+  return g_string_free (text, FALSE);
+}
+
 /* No slice has two owners.  */
 static void
 check_one_owner (struct world *world)
@@ -49,9 +72,16 @@
   guint owner = 0;
 
   for (slice = 0; slice < world->slices; slice++)
-    if (check_owners (world, slice, &owner) > 1)
-      world_fault (world, "slice %u has two owners at %.3f s", slice,
-                   (double)world->now / G_USEC_PER_SEC);
+    {
+      char *names;
+      if (check_owners (world, slice, &owner) <= 1)
+        continue;
+      names = name_owners (world, slice);
+      world_fault (world, "slice %u has two owners at %.3f:%s", slice,
+                   (double)(world->now - G_USEC_PER_SEC) / G_USEC_PER_SEC,
+                   names);
+      g_free (names);
+    }
 }
 
 /* A request that must run once has not run twice, and a slice's fences do not
