--- a/scenarios/script_expect.c
+++ b/scenarios/script_expect.c
@@ -287,6 +287,18 @@
     }
 }
 
+/* Expect that what was answered as not run has not run, up to now.  */
+static void
+expect_not_run (struct script *script)
+{
+  guint i;
+
+  for (i = 0; i < script->world.sendings->len; i++)
+    check_sending (&script->world, i);
+  if (script->world.fault[0] != '\0')
+    script_fail (script, "%s", script->world.fault);
+}
+
 /* Do one expectation.  */
 void
 script_expect (struct script *script)
@@ -316,6 +328,10 @@
     expect_owner (script);
   else if (script_word (script, "none-cut"))
     expect_none_cut (script);
+  else if (script_word (script, "crashes"))
+    compare (script, "crashes", script->world.crashes);
+  else if (script_word (script, "not-run-means-not-run"))
+    expect_not_run (script);
   else
     script_fail (script, "line %u: nothing that can be expected",
                  script->scanner->line);
--- a/scenarios/world.c
+++ b/scenarios/world.c
@@ -163,6 +163,7 @@
 {
   struct event event = { .kind = EVENT_TICK };
 
+  event.u.tick.exchanges = world->nodes[n].exchanges;
   world_add (world, world->now + TICK_USEC, MOMENT_TICK, n);
   world_feed (world, n, &event);
 }
@@ -189,6 +190,7 @@
         event.u.records.items = fake_log_at (log, node->next);
       node->next = fake_log_tail (log);
       event.u.records.next = node->next;
+      event.u.records.first = log->first;
       event.u.records.at_tail = TRUE;
       event.u.records.from_log = TRUE;
       event.u.records.begun = world->now - log->delay;
--- a/scenarios/world.h
+++ b/scenarios/world.h
@@ -24,15 +24,16 @@
   struct sim_node nodes[NODES_MAX];
   struct fake_log log;
   struct fake_net net;
-  GSequence *moments;              /* struct moment, by time */
-  guint64 moment_serial;           /* serial of the last moment */
-  guint64 incarnations;            /* processes started so far */
-  struct table exchanges;          /* struct sim_exchange */
-  struct table calls;              /* struct sim_call */
-  GArray *sendings;                /* struct sending */
-  GArray *runs;                    /* struct fake_run */
-  guint runs_checked;              /* runs that were checked */
-  GHashTable *stamps;              /* request id to struct stamp */
+  GSequence *moments;     /* struct moment, by time */
+  guint64 moment_serial;  /* serial of the last moment */
+  guint64 incarnations;   /* processes started so far */
+  struct table exchanges; /* struct sim_exchange */
+  struct table calls;     /* struct sim_call */
+  GArray *sendings;       /* struct sending */
+  GArray *runs;           /* struct fake_run */
+  guint runs_checked;     /* runs that were checked */
+  guint crashes;          /* times that a server stopped on a request */
+  GHashTable *stamps;     /* request id to struct stamp */
   struct fence fences[SLICES_MAX]; /* highest fence that ran, by slice */
   GArray *publications;            /* struct publication */
   gboolean verbose;                /* print notes and what happens */
--- a/scenarios/world_request.c
+++ b/scenarios/world_request.c
@@ -152,6 +152,7 @@
   event.u.ended.outcome = moment->outcome;
   event.u.ended.reason = moment->reason;
   event.u.ended.replayable = TRUE;
+  event.u.ended.stamp = moment->stamp;
   world_feed (world, moment->node, &event);
   if (moment->outcome != OUTCOME_DONE
       || table_get (&world->exchanges, moment->handle) == NULL)
@@ -230,6 +231,7 @@
   struct fake_server *server = &world->nodes[n].server;
   struct event event = { .kind = EVENT_SERVER_DOWN };
 
+  world->crashes++;
   server->up = FALSE;
   server->up_at = world->now + SERVER_AGAIN_USEC;
   world_add (world, world->now, MOMENT_EVENT, n)->event = event;
