--- a/scenarios/script_expect.c
+++ b/scenarios/script_expect.c
@@ -1,6 +1,7 @@
 #include "scenarios/check.h"
 #include "scenarios/script.h"
 
+#include "decide/own.h"
 #include "decide/slice.h"
 
 #include <string.h>
@@ -94,6 +95,48 @@
                key);
 }
 
+/* Why the node that owns SLICE on the log does not serve it.  */
+static const char *
+refusal (const struct script *script, const struct view_slice *entry,
+         guint32 slice)
+{
+  const struct view *view = &script->world.log.view;
+  guint n = world_find (&script->world, view_incarnation (view, entry->owner));
+  const struct core *core;
+
+  if (n == script->world.count || !script->world.nodes[n].alive)
+    return "gone";
+  core = &script->world.nodes[n].core;
+  return reason_name (
+      own_check (core, view_find_service (&core->view, WORLD_SERVICE), slice,
+                 script->world.now)
+          .reason);
+}
+
+/* Tell that SLICE is not served, and what the log says of it.  */
+static void
+fail_unserved (struct script *script, guint32 slice)
+{
+  const struct view *view = &script->world.log.view;
+  const struct view_service *service = view_find_service (view, WORLD_SERVICE);
+  const struct view_slice *entry
+      = service != NULL ? view_slice_at (service, slice) : NULL;
+
+  if (entry == NULL)
+    script_fail (script, "line %u: slice %u does not exist",
+                 script->scanner->line, slice);
+  else
+    script_fail (
+        script,
+        "line %u: slice %u is not served (owner n%u, move %" G_GUINT64_FORMAT
+        " to n%u, %s)",
+        script->scanner->line, slice,
+        world_find (&script->world, view_incarnation (view, entry->owner)) + 1,
+        entry->move,
+        world_find (&script->world, view_incarnation (view, entry->to)) + 1,
+        refusal (script, entry, slice));
+}
+
 /* expect all-served within T: every slice has an owner that serves it.  */
 static void
 expect_all_served (struct script *script)
@@ -112,8 +155,7 @@
         break;
       if (script->world.now >= until || script->fault[0] != '\0')
         {
-          script_fail (script, "line %u: slice %u is not served",
-                       script->scanner->line, slice);
+          fail_unserved (script, slice);
           return;
         }
       script_run_until (script, MIN (until, script->world.now + POLL_USEC));
