--- a/scenarios/check.c
+++ b/scenarios/check.c
@@ -51,12 +51,14 @@
   for (n = 0; n < world->count; n++)
     {
       const struct sim_node *node = &world->nodes[n];
+      const struct view_service *service;
       struct own_right right;
       if (!node->alive)
         continue;
-      right = own_check (&node->core,
-                         view_find_service (&node->core.view, WORLD_SERVICE),
-                         slice, world->now);
+      service = view_find_service (&node->core.view, WORLD_SERVICE);
+      if (service == NULL)
+        continue;
+      right = own_check (&node->core, service, slice, world->now);
       if (right.serves)
         g_string_append_printf (text, " n%u (%" G_GUINT64_FORMAT ".%u)", n + 1,
                                 right.fence.offset, right.fence.takeover);
