--- a/scenarios/check.c
+++ b/scenarios/check.c
@@ -106,7 +106,8 @@
   world->fences[run->slice] = run->fence;
 }
 
-/* What was answered as not run has not run: check the sending numbered I.  */
+/* What was answered as not run has not run, and what was answered as done has:
+   check the sending numbered I.  */
 void
 check_sending (struct world *world, guint i)
 {
@@ -116,6 +117,8 @@
   if (sending->answered && sending->outcome == OUTCOME_NOT_RUN && sending->ran)
     world_fault (world, "request %s ran and was answered not run",
                  sending->id);
+  if (sending->answered && sending->outcome == OUTCOME_DONE && !sending->ran)
+    world_fault (world, "request %s had the answer of another", sending->id);
 }
 
 /* No node's configuration goes back.  */
--- a/scenarios/script_failure.c
+++ b/scenarios/script_failure.c
@@ -123,6 +123,18 @@
                  script->scanner->line);
 }
 
+/* net delay T jitter U.  */
+static void
+do_net (struct script *script)
+{
+  struct fake_net *net = &script->world.net;
+
+  if (script_word (script, "delay"))
+    net->delay = (gint64)(script_number (script) * G_USEC_PER_SEC);
+  if (script_word (script, "jitter"))
+    net->jitter = (gint64)(script_number (script) * G_USEC_PER_SEC);
+}
+
 /* Do the failure WORD.  */
 void
 script_failure (struct script *script, const char *word)
@@ -141,6 +153,8 @@
     do_cut (script, FALSE);
   else if (strcmp (word, "log") == 0)
     do_log (script);
+  else if (strcmp (word, "net") == 0)
+    do_net (script);
   else if (strcmp (word, "server") == 0)
     do_server (script);
   else
--- a/scenarios/world_node.c
+++ b/scenarios/world_node.c
@@ -5,12 +5,12 @@
 
 /* Starting, stopping and freezing nodes, and operators.  */
 
-#define SERVER_UP_AFTER_USEC 100000 /* a server announces itself */
-#define START_STEP_USEC 1700        /* timers of nodes are apart */
-#define PUBLISH_AFTER_USEC 50000    /* from an operator's read to its append */
-#define PUBLISH_AGAIN_USEC 500000   /* an operator tries again */
-#define SERVER_SLOTS 20             /* slots of a server */
-#define FRONT_PORT 1000             /* ports are made up */
+#define SERVER_UP_AFTER_USEC 100000    /* a server announces itself */
+#define START_STEP_USEC ((gint64)1700) /* timers of nodes are apart */
+#define PUBLISH_AFTER_USEC 50000  /* from an operator's read to its append */
+#define PUBLISH_AGAIN_USEC 500000 /* an operator tries again */
+#define SERVER_SLOTS 20           /* slots of a server */
+#define FRONT_PORT 1000           /* ports are made up */
 #define PEER_PORT 2000
 
 /* Start a process for node N.  */
