--- a/scenarios/moment.h
+++ b/scenarios/moment.h
@@ -33,4 +33,7 @@
   struct stamp stamp;   /* stamp that the answer carries */
 };
 
+gint moment_compare (gconstpointer a, gconstpointer b, gpointer data);
+void moment_free (gpointer data);
+
 #endif
--- a/scenarios/script.h
+++ b/scenarios/script.h
@@ -38,7 +38,11 @@
 gboolean script_at_end (struct script *script);
 gboolean script_char (struct script *script, char c);
 void script_probe (struct script *script, const char *key, guint n);
+gint64 script_within (struct script *script);
 void script_expect (struct script *script);
+void script_expect_served (struct script *script);
+void script_expect_all_served (struct script *script);
+void script_expect_config (struct script *script);
 void script_failure (struct script *script, const char *word);
 void script_random (struct script *script);
 
