Scenarios are seen to fail with a rule switched off

Change: scenarios/broken.sh switches one rule of the decisions off at a time in a copy of the tree and runs a scenario that must then fail.

--- /dev/null
+++ b/scenarios/broken.sh
@@ -0,0 +1,54 @@
+#!/bin/sh
+# Show that scenarios see what they are for: in a copy of the tree, switch one
+# rule of the decisions off at a time and run a scenario that must then fail.
+# Usage: scenarios/broken.sh
+cd "$(dirname "$0")/.." || exit 1
+copy=build/broken
+rm -rf $copy
+mkdir -p $copy
+cp -r Makefile src scenarios standins $copy/
+cd $copy || exit 1
+make -j4 build/release/scenario >make.txt 2>&1 || { cat make.txt; exit 1; }
+failed=0
+
+# Switch a rule off: NAME FILE SED-EXPRESSION SCENARIO.
+broken ()
+{
+  cp "$2" saved.c
+  sed -i "$3" "$2"
+  if cmp -s saved.c "$2"
+  then
+    verdict="FAILED: the rule was not found in $2"
+  elif ! make -j4 build/release/scenario CC="gcc -Wno-error" >make.txt 2>&1
+  then
+    verdict="FAILED: does not build"
+  elif line=$(timeout 120 build/release/scenario "scenarios/$4.scn" 2>&1)
+  then
+    verdict="FAILED: $4 holds all the same"
+  else
+    verdict="$4: ${line##*FAILED: }"
+  fi
+  cp saved.c "$2"
+  case $verdict in FAILED*) failed=$((failed + 1)) ;; esac
+  printf '%-28s %s\n' "$1" "$verdict"
+}
+
+broken lease-never-lapses src/decide/lease.c \
+  's/return now < lease->until;/return now > 0 \&\& lease->until > 0;/' \
+  owner-freeze
+broken certificate-at-once src/decide/removal.c \
+  's/|| now < sum.lapsed/|| now < 0/' owner-cut-node
+broken witness-forgets-promise src/decide/witness.c \
+  's/ack->promised = TRUE;/ack->promised = FALSE;/' \
+  owner-freeze-log-down
+broken once-forgets src/decide/once.c \
+  's/^  g_hash_table_insert (once->index.*//' once-kill
+broken config-base-unchecked src/decide/fold_config.c \
+  's/if (body->base != view->config_offset)/if (FALSE)/' config-kill
+broken leaving-unheard src/decide/fold_node.c \
+  's/node->state = NODE_LEAVING;/;/' leaving-kill
+broken unknown-told-not-run src/decide/reply.c \
+  's/return OUTCOME_UNKNOWN;/return OUTCOME_NOT_RUN;/' \
+  notrun-kill-twice-log-down
+echo "rules switched off: failed to be seen $failed"
+[ $failed = 0 ]
