--- a/scenarios/script.h
+++ b/scenarios/script.h
@@ -15,6 +15,7 @@
   gint64 begun;                /* scripted time 0 */
   guint32 seed;                /* of the world, and of random runs */
   enum run_class run_class;    /* of the requests of a random run */
+  gboolean wide;               /* a random run draws all failures */
   gint64 load_every;           /* a probe is sent so often, 0 for none */
   gint64 load_next;            /* when the next one is due */
   guint probes;                /* probes sent */
--- a/scenarios/script_random.c
+++ b/scenarios/script_random.c
@@ -9,7 +9,8 @@
 #define STEP_MAX_USEC 900000   /* between two failures */
 #define FREEZE_MIN_USEC 100000 /* a node is frozen for */
 #define FREEZE_MAX_USEC 4000000
-#define HEALED_USEC 20000000 /* all is served again after the last failure */
+#define SLOW_MAX_USEC 1000000 /* the log, network or a server takes */
+#define HEALED_USEC 20000000  /* all is served again after the last failure */
 
 /* A node drawn from RANDOM.  */
 static guint
@@ -53,6 +54,59 @@
   world_request (&script->world, draw_node (script, random), &request, FALSE);
 }
 
+/* Cut off a zone.  */
+static void
+cut_some_zone (struct world *world, guint of)
+{
+  guint a;
+  guint b;
+
+  for (a = 0; a < world->count; a++)
+    for (b = 0; b < world->count; b++)
+      if (strcmp (world->nodes[a].zone, world->nodes[of].zone) == 0
+          && strcmp (world->nodes[b].zone, world->nodes[of].zone) != 0)
+        fake_net_cut (&world->net, a, b, TRUE);
+}
+
+/* Failures of longer runs: stops, restarts, cuts of zones, slowness of the
+   log, of the network and of servers.  */
+static void
+wide_step (struct script *script, GRand *random)
+{
+  struct world *world = &script->world;
+  guint n = draw_node (script, random);
+
+  switch (g_rand_int_range (random, 0, 7))
+    {
+    case 0:
+      if (world->nodes[n].alive)
+        world_drain (world, n);
+      break;
+    case 1:
+      world_kill (world, n);
+      world_start_node (world, n);
+      break;
+    case 2:
+      cut_some_zone (world, n);
+      break;
+    case 3:
+      world->log.delay = g_rand_int_range (random, 0, SLOW_MAX_USEC);
+      break;
+    case 4:
+      world->net.jitter = g_rand_int_range (random, 0, SLOW_MAX_USEC);
+      break;
+    case 5:
+      world->nodes[n].server.work
+          = g_rand_int_range (random, 0, 2 * SLOW_MAX_USEC);
+      break;
+    default:
+      fake_net_heal (&world->net);
+      world->log.delay = 0;
+      world->net.jitter = 0;
+      break;
+    }
+}
+
 /* Do one failure, or end one.  */
 static void
 random_step (struct script *script, GRand *random)
@@ -62,6 +116,11 @@
   guint b = draw_node (script, random);
   char name[NAME_SIZE];
 
+  if (script->wide && g_rand_int_range (random, 0, 4) == 0)
+    {
+      wide_step (script, random);
+      return;
+    }
   switch (g_rand_int_range (random, 0, 12))
     {
     case 0:
@@ -109,12 +168,14 @@
   fake_net_heal (&world->net);
   world->log.down = FALSE;
   world->log.lose = 0;
+  world->log.delay = 0;
+  world->net.jitter = 0;
   for (n = 0; n < world->count; n++)
     if (!world->nodes[n].alive)
       world_start_node (world, n);
 }
 
-/* random seed=S steps=N [idempotent].  */
+/* random seed=S steps=N [idempotent] [wide].  */
 void
 script_random (struct script *script)
 {
@@ -131,6 +192,8 @@
         steps = (guint)script_number (script);
       else if (script_word (script, "idempotent"))
         script->run_class = RUN_IDEMPOTENT;
+      else if (script_word (script, "wide"))
+        script->wide = TRUE;
       else
         script_fail (script, "line %u: seed= and steps= are wanted",
                      script->scanner->line);
