--- a/scenarios/script.h
+++ b/scenarios/script.h
@@ -15,6 +15,7 @@
   gint64 begun;                /* scripted time 0 */
   guint32 seed;                /* of the world, and of random runs */
   enum run_class run_class;    /* of the requests of a random run */
+  gboolean wide;               /* a random run draws all failures */
   gint64 load_every;           /* a probe is sent so often, 0 for none */
   gint64 load_next;            /* when the next one is due */
   guint probes;                /* probes sent */
@@ -38,7 +39,11 @@
 gboolean script_at_end (struct script *script);
 gboolean script_char (struct script *script, char c);
 void script_probe (struct script *script, const char *key, guint n);
+gint64 script_within (struct script *script);
 void script_expect (struct script *script);
+void script_expect_served (struct script *script);
+void script_expect_all_served (struct script *script);
+void script_expect_config (struct script *script);
 void script_failure (struct script *script, const char *word);
 void script_random (struct script *script);
 
