What an old witness set granted ends when the holder goes over to the new one

While the log was down, the witnesses of a set that the holder had not read yet found it silent and promised. Back on the log, the holder's old set acked the change, the holder went over to the new set, which would never ack it, and served on under what the old set had granted; a certificate of the new set was valid at once, since it had never acked. Ruled out: the promises (both had held), the fold (views agreed), a smaller mend in the collector (it cannot know that lease). Change: the lease rests on the new set alone from the moment of going over.

--- a/src/decide/lease.c
+++ b/src/decide/lease.c
@@ -78,14 +78,18 @@
   lease->next_send = 0;
 }
 
-/* Stop counting the set before once its majority has acked the change.  */
+/* Stop counting the set before once its majority has acked the change.  What
+   that set granted ends there and then: it can no longer keep a certificate of
+   the new set from being valid.  */
 static void
 end_joint (struct lease *lease)
 {
-  if (lease->joint
-      && quorum_floor (lease, lease->before, lease->before_count,
-                       lease->epoch))
-    lease->joint = FALSE;
+  if (!lease->joint
+      || !quorum_floor (lease, lease->before, lease->before_count,
+                        lease->epoch))
+    return;
+  lease->joint = FALSE;
+  lease->until = 0;
 }
 
 /* Raise the floor: a giving-up at FLOOR has begun.  */
--- a/tests/test_lease.c
+++ b/tests/test_lease.c
@@ -47,6 +47,48 @@
   fleet_clear (&fleet);
 }
 
+/* A node that is no witness of node 1.  */
+static guint64
+find_other (void)
+{
+  const struct view_node *node
+      = view_node_at (&fleet.cores[0].view, fleet.cores[0].self);
+  guint64 other = 2;
+  guint32 i = 0;
+
+  while (i < node->witness_count)
+    if (node->witnesses[i++] == other)
+      {
+        other++;
+        i = 0;
+      }
+  return other;
+}
+
+/* Once the old set has acked the change, what it acked before counts no more:
+   a certificate of the new set, which never acked, may come at any time.  */
+static void
+test_leftover (void)
+{
+  guint64 other;
+  gint64 end;
+
+  fleet_init (&fleet, 9, TRUE);
+  fleet_run (&fleet, 1000000);
+  other = find_other ();
+  cut_from_first ((int)other - 1, TRUE);
+  set_witnesses (other, 1);
+  end = fleet.now + LEASE_USEC;
+  while (!fleet.cores[0].lease.joint && fleet.now < end)
+    fleet_run (&fleet, FLEET_STEP_USEC);
+  CU_ASSERT_TRUE (fleet.cores[0].lease.joint);
+  while (fleet.cores[0].lease.joint && fleet.now < end)
+    fleet_run (&fleet, FLEET_STEP_USEC);
+  CU_ASSERT_FALSE (fleet.cores[0].lease.joint);
+  CU_ASSERT_FALSE (lease_is_held (&fleet.cores[0].lease, fleet.now));
+  fleet_clear (&fleet);
+}
+
 /* While a new set takes over, the lease needs a majority of both; once the
    majority of the old one has acked the change, only of the new one.  */
 static void
@@ -230,6 +272,7 @@
   static CU_TestInfo tests[]
       = { { "lapse", test_lapse },
           { "change", test_change },
+          { "leftover", test_leftover },
           { "removed before change", test_removed_before_change },
           { "removed after change", test_removed_after_change },
           { "collector lags", test_collector_lags },
