A log that lost records counts as down

Cause: a log whose tail lies before what was read from it was taken as read to the tail; its next records would bear offsets that stand for others. Change: the client reports such a read as failed with 'truncated', so the node goes on without the log and folds nothing twice. Test: test_log_client, against the log stand-in in process (append, lost answer, outage, gone, lost records). Seen to fail first: 'log lost records' without the check. 34 assertions pass, also under the sanitizers.

--- a/src/edge/log_client.c
+++ b/src/edge/log_client.c
@@ -34,7 +34,9 @@
   client->fn (&event, client->data);
 }
 
-/* Tell the records that the read answered.  */
+/* Tell the records that the read answered.  A log that ends before what was
+   read from it has lost records, and counts as down: its next records would
+   bear offsets that stand for others.  */
 static void
 read_done (struct log_client *client)
 {
@@ -43,6 +45,8 @@
   enum err code
       = record_read_batch (entries, client->body->data, client->body->len);
 
+  if (code == ERR_NONE && client->tail < client->next)
+    code = ERR_TRUNCATED;
   if (code == ERR_NONE)
     {
       if (entries->len > 0)
