Start from a peer while the log is down

Cause: a node that started in a log outage had an empty view and refused every request, however many of its peers could have served it.

A node whose view has passed over a record of a later version serves none, and none is loaded that is not later than the node's own.

Test: test_fetch.

--- a/scenarios/world_do.c
+++ b/scenarios/world_do.c
@@ -242,6 +242,8 @@
     case ACTION_SNAPSHOT_ENCODE:
       do_encode (world, n);
       break;
+    case ACTION_SERVE_VIEW:
+      break;
     case ACTION_SNAPSHOT_DECODE:
       do_decode (world, n, &action->u.snapshot_decode);
       break;
--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -54,6 +54,7 @@
   once_clear (&core->once);
   table_clear (&core->breakers);
   outbox_clear (&core->outbox);
+  fetch_clear (&core->fetch);
   planner_clear (&core->planner);
   snapshot_write_clear (&core->snapshot_writer);
   snapshot_read_clear (&core->snapshot_reader);
@@ -195,6 +196,12 @@
   struct peer_reply reply = { .kind = call->kind };
   struct action_reply *action;
 
+  if (call->kind == PEER_FETCH
+      && (call->to == 0 || call->to == core->settings.incarnation))
+    {
+      fetch_on_call (core, event, out);
+      return;
+    }
   if (call->to != core->settings.incarnation)
     reply.code = ERR_NOT_FOUND;
   else
@@ -232,6 +239,7 @@
 {
   const struct peer_reply *reply = &event->body;
 
+  fetch_on_reply (core, event, now, out);
   if (reply->code != ERR_NONE)
     return;
   switch (reply->kind)
@@ -271,6 +279,7 @@
       snapshot_write_step (core, now, out);
       outbox_send (&core->outbox, now, out);
     }
+  fetch_step (core, now, out);
   route_step (core, now, out);
   once_sweep (&core->once, ONCE_SWEEP_PER_STEP, now);
 }
--- a/src/decide/core.h
+++ b/src/decide/core.h
@@ -3,6 +3,7 @@
 
 #include "decide/core_settings.h"
 #include "decide/drain.h"
+#include "decide/fetch.h"
 #include "decide/gate.h"
 #include "decide/hold.h"
 #include "decide/lease.h"
@@ -42,6 +43,7 @@
   guint64 draws;                 /* random numbers drawn */
   struct suspects suspects;      /* requests that crash servers */
   struct drain drain;            /* the graceful stop */
+  struct fetch fetch;            /* the view it asks a peer for */
   struct outbox outbox;          /* its records on their way */
   struct planner planner;        /* its plans of placement */
   struct snapshot_writer snapshot_writer; /* snapshots it writes */
--- a/src/decide/snapshot_read.c
+++ b/src/decide/snapshot_read.c
@@ -111,7 +111,7 @@
 
   if (fresh == NULL)
     return;
-  if (!reader->collecting || fresh->next <= core->view.next)
+  if (core->at_tail || fresh->next <= core->view.next)
     {
       view_clear (fresh);
       return;
--- a/src/edge/node.c
+++ b/src/edge/node.c
@@ -242,6 +242,8 @@
   g_hash_table_destroy (node->streams);
   g_hash_table_destroy (node->server_calls);
   core_clear (&node->core);
+  if (node->served != NULL)
+    g_byte_array_unref (node->served);
   if (node->snapshot != NULL)
     g_byte_array_unref (node->snapshot);
   g_queue_free_full (node->later, g_free);
--- a/src/edge/node.h
+++ b/src/edge/node.h
@@ -27,6 +27,8 @@
   guint64 last_stream;      /* name of the last attempt passed on */
   struct counters counters; /* what it has counted */
   GByteArray *snapshot;     /* the view as last encoded, or NULL */
+  GByteArray *served;       /* the view as last encoded for a peer, or NULL */
+  guint64 served_offset;    /* its offset */
   struct view decoded;      /* a snapshot as last decoded */
   GQueue *later;            /* events that came during another */
   gboolean feeding;         /* an event is being taken in */
@@ -45,6 +47,8 @@
 void node_clear (struct node *node);
 void node_feed (struct node *node, const struct event *event);
 void node_do (struct node *node, const struct action *action);
+void node_serve_view (struct node *node,
+                      const struct action_serve_view *action);
 void node_encode_view (struct node *node);
 void node_decode_view (struct node *node, const guint8 *bytes, guint32 length);
 enum err front_init (struct node *node);
--- a/src/edge/node_do.c
+++ b/src/edge/node_do.c
@@ -58,6 +58,9 @@
     case ACTION_SNAPSHOT_ENCODE:
       node_encode_view (node);
       break;
+    case ACTION_SERVE_VIEW:
+      node_serve_view (node, &action->u.serve_view);
+      break;
     case ACTION_SNAPSHOT_DECODE:
       node_decode_view (node, action->u.snapshot_decode.bytes,
                         action->u.snapshot_decode.length);
--- a/src/edge/node_view.c
+++ b/src/edge/node_view.c
@@ -1,6 +1,9 @@
 #include "edge/node.h"
+#include "wire/wire_peer.h"
 #include "wire/wire_view.h"
 
+#define PAGE_BYTES (FETCH_BYTES_MAX / 4) /* bytes of a view in one reply */
+
 #include <string.h>
 
 /* Encode this node's view and give the core the bytes, which stay until the
@@ -34,3 +37,41 @@
     view_clear (&node->decoded);
   node_feed (node, &event);
 }
+
+/* Encode the view for a peer, unless it was encoded at this offset.  */
+static void
+encode_for_peer (struct node *node)
+{
+  const struct view *view = &node->core.view;
+
+  if (node->served != NULL && node->served_offset == view->next)
+    return;
+  if (node->served != NULL)
+    g_byte_array_unref (node->served);
+  node->served = view_encode (view);
+  node->served_offset = view->next;
+}
+
+/* Reply to a fetch with a page of the view.  The view is encoded anew for a
+   first page; a later page of another snapshot than the last one encoded gets
+   no bytes, and the peer begins again.  */
+void
+node_serve_view (struct node *node, const struct action_serve_view *action)
+{
+  struct peer_reply reply = { .kind = PEER_FETCH };
+  struct peer_fetch_reply *page = &reply.u.fetch;
+
+  if (action->position == 0)
+    encode_for_peer (node);
+  if (node->served != NULL && action->position < node->served->len
+      && (action->snapshot == 0 || action->snapshot == node->served_offset))
+    {
+      page->next = node->served_offset;
+      page->position = action->position;
+      page->total = node->served->len;
+      page->bytes = node->served->data + action->position;
+      page->length = MIN (PAGE_BYTES, page->total - action->position);
+    }
+  links_reply (&node->links, action->call, action->xid, ERR_NONE,
+               wire_peer_reply, &reply);
+}
--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -22,12 +22,13 @@
   { "log", "snapshot-records", INI_NUMBER, FALSE, SNAPSHOT_RECORDS_MIN,
     SNAPSHOT_RECORDS_MAX, NULL },
   { "log", "snapshot-seconds", INI_NUMBER, FALSE, 1, SNAPSHOT_SEC_MAX, NULL },
+  { "peers", "seeds", INI_TEXT, FALSE, 0, PATH_SIZE, NULL },
   { "journal", "level", INI_CHOICE, FALSE, 0, 0, "error|info|debug" },
 };
 
 static const struct ini_schema settings_schema
     = { settings_fields, G_N_ELEMENTS (settings_fields), "",
-        "node|log|journal" };
+        "node|log|peers|journal" };
 
 /* Read the address of KEY.  */
 static void
@@ -40,10 +41,32 @@
   g_free (text);
 }
 
+/* Read the peers to start from: addresses with commas between.  */
+static void
+read_seeds (struct core_settings *core, const struct ini *ini,
+            const struct ini_section *section, GArray *faults)
+{
+  char *text = ini_text (ini, section, "seeds");
+  char **words = g_strsplit (text, ",", -1);
+  guint i;
+
+  for (i = 0; words[i] != NULL; i++)
+    {
+      struct address seed;
+      if (i >= SEEDS_MAX
+          || address_parse (g_strstrip (words[i]), &seed) != ERR_NONE)
+        ini_fault (ini, faults, FAULT_VALUE, section, "seeds", words[i]);
+      else
+        core->seeds[core->seed_count++] = seed;
+    }
+  g_strfreev (words);
+  g_free (text);
+}
+
 /* Read the values of SECTION, which has been checked.  */
 static void
 read_section (struct settings *settings, const struct ini *ini,
-              const struct ini_section *section)
+              const struct ini_section *section, GArray *faults)
 {
   struct core_settings *core = &settings->core;
 
@@ -66,6 +89,8 @@
       core->snapshot_sec = (guint32)ini_number (
           ini, section, "snapshot-seconds", SNAPSHOT_SEC_DEFAULT);
     }
+  else if (strcmp (section->kind, "peers") == 0)
+    read_seeds (core, ini, section, faults);
   else if (strcmp (section->kind, "journal") == 0)
     ini_copy (ini, section, "level", settings->log_level,
               sizeof settings->log_level);
@@ -116,7 +141,8 @@
   check_sections (&ini, faults);
   for (i = 0; i < ini.sections->len; i++)
     read_section (settings, &ini,
-                  &g_array_index (ini.sections, struct ini_section, i));
+                  &g_array_index (ini.sections, struct ini_section, i),
+                  faults);
   ini_clear (&ini);
   g_free (text);
   return faults->len > 0 ? ERR_INVALID : ERR_NONE;
--- a/src/tool/fleet.c
+++ b/src/tool/fleet.c
@@ -28,6 +28,7 @@
   copy_text (object, "front", text, sizeof text);
   address_parse (text, &node.front);
   copy_text (object, "host", node.host, sizeof node.host);
+  copy_text (object, "server", node.server, sizeof node.server);
   copy_text (object, "state", node.state, sizeof node.state);
   copy_text (object, "service", node.service, sizeof node.service);
   node.slices = json_object_get_int_member_with_default (object, "slices", 0);
@@ -83,8 +84,8 @@
   g_array_free (fleet->nodes, TRUE);
 }
 
-/* Find a node by its incarnation, or by its host if no other node has borne
-   that name, or NULL.  */
+/* Find a node by its incarnation, or by its host or server if just one node
+   bears that name, or NULL.  */
 const struct fleet_node *
 fleet_find (const struct fleet *fleet, const char *word)
 {
@@ -99,7 +100,7 @@
           = &g_array_index (fleet->nodes, struct fleet_node, i);
       if (strlen (word) == 16 && node->incarnation == incarnation)
         return node;
-      if (strcmp (node->host, word) != 0)
+      if (strcmp (node->host, word) != 0 && strcmp (node->server, word) != 0)
         continue;
       found = node;
       hosts++;
--- a/src/tool/fleet.h
+++ b/src/tool/fleet.h
@@ -9,6 +9,7 @@
 {
   guint64 incarnation;     /* the node's */
   char host[NAME_SIZE];    /* name of its host */
+  char server[NAME_SIZE];  /* name of its backend server */
   char state[NAME_SIZE];   /* live, leaving or retired */
   char service[NAME_SIZE]; /* service of its backend server */
   struct address front;    /* where it answers */
--- a/src/types/action.c
+++ b/src/types/action.c
@@ -19,6 +19,7 @@
       g_free (action->u.snapshot_decode.bytes);
       break;
     case ACTION_SNAPSHOT_ENCODE:
+    case ACTION_SERVE_VIEW:
     case ACTION_CALL:
     case ACTION_FORWARD:
     case ACTION_RUN:
--- a/src/types/action.h
+++ b/src/types/action.h
@@ -22,6 +22,7 @@
   ACTION_FETCH,              /* read the log, or a peer, from an offset */
   ACTION_SNAPSHOT_ENCODE,    /* encode the view */
   ACTION_SNAPSHOT_DECODE,    /* decode a snapshot of the view */
+  ACTION_SERVE_VIEW,         /* reply to a fetch with a page of the view */
   ACTION_SUSPECT_CONNECTION, /* probe and replace connections to a peer */
   ACTION_EXIT                /* the node has left */
 };
@@ -114,6 +115,15 @@
   guint8 *bytes;  /* belong to the action, allocated by g_malloc */
 };
 
+/* Reply to a fetch.  */
+struct action_serve_view
+{
+  struct handle call; /* connection the call came on */
+  guint32 xid;        /* its number there */
+  guint64 snapshot;   /* snapshot that is wanted, 0 for the view of now */
+  guint32 position;   /* bytes before the page that is wanted */
+};
+
 /* Probe the connections to a peer or to the server.  */
 struct action_suspect_connection
 {
@@ -142,6 +152,7 @@
     struct action_grant grant;
     struct action_fetch fetch;
     struct action_snapshot_decode snapshot_decode;
+    struct action_serve_view serve_view;
     struct action_suspect_connection suspect;
     struct action_exit exit;
     struct note note;
--- a/src/types/peer_msg.h
+++ b/src/types/peer_msg.h
@@ -13,7 +13,7 @@
   PEER_PROMISE = 2,  /* collector to witness: never ack that one again */
   PEER_FOLDED = 3,   /* successor to owner: I have folded up to here */
   PEER_RELEASED = 4, /* old owner to new: the slice is yours */
-  PEER_FETCH = 5,    /* give me records or a snapshot of the view */
+  PEER_FETCH = 5,    /* give me a snapshot of the view */
   PEER_CERTIFIED = 6 /* collector to peers: that node owns nothing */
 };
 
@@ -47,12 +47,13 @@
   guint64 offset;      /* offset of the move */
 };
 
-/* Ask for records from OFFSET on.  */
+/* Ask for a page of a snapshot of the view.  It may be sent to incarnation 0,
+   whoever listens at the address.  */
 struct peer_fetch
 {
-  guint64 offset;    /* first offset wanted */
-  guint32 max_bytes; /* most bytes of records to answer with */
-  gboolean snapshot; /* a snapshot is wanted if the records are gone */
+  guint64 offset;   /* the sender has folded all records below this */
+  guint64 snapshot; /* the snapshot whose next page is wanted, 0 for any */
+  guint32 position; /* bytes of it that the sender has */
 };
 
 /* A certificate that an incarnation owns nothing.  */
@@ -96,13 +97,14 @@
   guint64 floor;     /* highest floor that it acked */
 };
 
-/* Answer to a fetch: records as they stand on the log, or a snapshot.  */
+/* Answer to a fetch: a page of a snapshot, or no bytes.  */
 struct peer_fetch_reply
 {
-  guint64 next;      /* offset to fetch from next */
-  gboolean snapshot; /* the bytes are a snapshot up to next */
-  guint32 length;    /* bytes that follow */
-  guint8 *bytes;     /* allocated by g_malloc */
+  guint64 next;     /* the snapshot holds all records below this */
+  guint32 position; /* bytes of it before this page */
+  guint32 total;    /* bytes in it */
+  guint32 length;   /* bytes that follow */
+  guint8 *bytes;    /* allocated by g_malloc */
 };
 
 /* A reply between nodes.  */
--- a/src/wire/wire_peer.c
+++ b/src/wire/wire_peer.c
@@ -22,8 +22,8 @@
              && wire_u64 (xdr, &call->u.released.offset);
     case PEER_FETCH:
       return wire_u64 (xdr, &call->u.fetch.offset)
-             && xdr_uint32_t (xdr, &call->u.fetch.max_bytes)
-             && wire_flag (xdr, &call->u.fetch.snapshot);
+             && wire_u64 (xdr, &call->u.fetch.snapshot)
+             && xdr_uint32_t (xdr, &call->u.fetch.position);
     case PEER_CERTIFIED:
       return wire_u64 (xdr, &call->u.certified.target)
              && wire_u64 (xdr, &call->u.certified.floor)
@@ -62,7 +62,8 @@
              && wire_u64 (xdr, &reply->u.promise.floor);
     case PEER_FETCH:
       return wire_u64 (xdr, &reply->u.fetch.next)
-             && wire_flag (xdr, &reply->u.fetch.snapshot)
+             && xdr_uint32_t (xdr, &reply->u.fetch.position)
+             && xdr_uint32_t (xdr, &reply->u.fetch.total)
              && wire_blob (xdr, &reply->u.fetch.bytes, &reply->u.fetch.length,
                            FETCH_BYTES_MAX);
     case PEER_FOLDED:
--- a/tests/fake_log.h
+++ b/tests/fake_log.h
@@ -8,7 +8,8 @@
    says when the node reads.  Calls between nodes of one log are answered at
    once; others get no reply.  */
 
-#define FAKE_NODES_MAX 8u /* nodes at one log */
+#define FAKE_NODES_MAX 8u    /* nodes at one log */
+#define FAKE_PAGE_BYTES 200u /* bytes of a view in one reply */
 
 struct fake_log
 {
@@ -30,6 +31,7 @@
   guint calls;             /* calls to other nodes it asked for */
   guint notes[1000];       /* notes by number */
   struct peer_reply reply; /* what it last replied to a call */
+  GByteArray *served;      /* its view as last encoded for a peer */
 };
 
 static inline void
@@ -78,6 +80,16 @@
   fake_node_step (node, &event);
 }
 
+/* Tell whether CALL reaches PEER: by its incarnation, or by its address.  */
+static inline gboolean
+fake_node_is_called (const struct fake_node *peer,
+                     const struct action_call *call)
+{
+  if (call->body.to == 0)
+    return address_equal (call->to, peer->core.settings.peer);
+  return peer->core.settings.incarnation == call->body.to;
+}
+
 /* Give a call of NODE to the node that it is meant for, and the reply
    back.  */
 static inline void
@@ -92,7 +104,7 @@
     {
       struct fake_node *peer = node->log->nodes[i];
       struct event back = { .kind = EVENT_PEER_REPLY };
-      if (peer == node || peer->core.settings.incarnation != call->body.to)
+      if (peer == node || !fake_node_is_called (peer, call))
         continue;
       fake_node_step (peer, &event);
       back.u.peer_reply.serial = call->serial;
@@ -102,6 +114,26 @@
     }
 }
 
+/* Reply to a fetch with a small page of the view.  */
+static inline void
+fake_node_serve (struct fake_node *node, const struct action_serve_view *serve)
+{
+  struct peer_fetch_reply *page = &node->reply.u.fetch;
+
+  if (serve->position == 0)
+    {
+      g_clear_pointer (&node->served, g_byte_array_unref);
+      node->served = view_encode (&node->core.view);
+    }
+  memset (&node->reply, 0, sizeof node->reply);
+  node->reply.kind = PEER_FETCH;
+  page->next = node->core.view.next;
+  page->position = serve->position;
+  page->total = node->served->len;
+  page->bytes = node->served->data + serve->position;
+  page->length = MIN (FAKE_PAGE_BYTES, page->total - serve->position);
+}
+
 /* Do what the core wants.  */
 static inline void
 fake_node_do (struct fake_node *node, const struct action *action)
@@ -136,6 +168,9 @@
       fake_node_step (node, &event);
       g_byte_array_unref (bytes);
       break;
+    case ACTION_SERVE_VIEW:
+      fake_node_serve (node, &action->u.serve_view);
+      break;
     case ACTION_SNAPSHOT_DECODE:
       event.kind = EVENT_SNAPSHOT;
       if (view_decode (&decoded, action->u.snapshot_decode.bytes,
