Relays: a few nodes a zone read the log, the others read from them

Cause: with every node polling the log its reads grow with the fleet.

Change: the decision relay chooses a source by rank within the zone, two relays and a tree of fanout 12 below them; a source that fails, is stale by more than 4 s or leaves a hole is replaced by another one, then by the log for 10 s. A node whose own append is not yet read back reads the log. The edge asks by a call of its own (RPC_TAIL) every 250 ms and keeps the last 1 MB of records for those that ask it. [log] relays=0 turns it off.

Ruled out: a flat list of followers, since with 1,500 nodes in a zone each relay would answer 750 of them; long polls, which would hold calls open on connections that can go silent.

Test: test_relay, test_tail_store.

--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -63,6 +63,13 @@
 
 /* The log */
 
+/* Tell whether records are missing between VIEW and those that EVENT tells. */
+static gboolean
+has_hole (const struct view *view, const struct event_records *event)
+{
+  return event->count > 0 && event->items[0].offset > view->next;
+}
+
 /* Fold records that were read.  */
 static void
 take_records (struct core *core, const struct event_records *event, gint64 now,
@@ -76,6 +83,11 @@
       core->log_down = FALSE;
       actions_add (out, ACTION_NOTE)->u.note.id = NOTE_LOG_UP;
     }
+  if (!event->from_log && has_hole (&core->view, event))
+    {
+      relay_on_failed (core, now, out);
+      return;
+    }
   core->log_first = MAX (core->log_first, event->first);
   if (core->snapshot_reader.collecting)
     {
@@ -111,10 +123,15 @@
 /* Note that the log cannot be read.  */
 static void
 take_log_failed (struct core *core, const struct event_log_failed *event,
-                 struct actions *out)
+                 gint64 now, struct actions *out)
 {
   struct note *note;
 
+  if (core->relay.from_peer)
+    {
+      relay_on_failed (core, now, out);
+      return;
+    }
   if (event->code == ERR_GONE && event->first > core->view.next)
     {
       snapshot_read_begin (core, event->first, out);
@@ -279,6 +296,7 @@
       snapshot_write_step (core, now, out);
       outbox_send (&core->outbox, now, out);
     }
+  relay_step (core, now, out);
   fetch_step (core, now, out);
   route_step (core, now, out);
   once_sweep (&core->once, ONCE_SWEEP_PER_STEP, now);
@@ -305,7 +323,7 @@
       step_all (core, now, out);
       break;
     case EVENT_LOG_FAILED:
-      take_log_failed (core, &event->u.log_failed, out);
+      take_log_failed (core, &event->u.log_failed, now, out);
       break;
     case EVENT_APPENDED:
       outbox_on_appended (&core->outbox, &event->u.appended, now, out);
--- a/src/decide/core.h
+++ b/src/decide/core.h
@@ -11,6 +11,7 @@
 #include "decide/once.h"
 #include "decide/outbox.h"
 #include "decide/peers.h"
+#include "decide/relay.h"
 #include "decide/retry.h"
 #include "decide/planner.h"
 #include "decide/snapshot_read.h"
@@ -44,6 +45,7 @@
   struct suspects suspects;      /* requests that crash servers */
   struct drain drain;            /* the graceful stop */
   struct fetch fetch;            /* the view it asks a peer for */
+  struct relay relay;            /* where it reads records from */
   struct outbox outbox;          /* its records on their way */
   struct planner planner;        /* its plans of placement */
   struct snapshot_writer snapshot_writer; /* snapshots it writes */
--- a/src/decide/core_settings.h
+++ b/src/decide/core_settings.h
@@ -20,8 +20,9 @@
   struct address seeds[SEEDS_MAX]; /* peers to start from */
   guint32 seed_count;              /* how many */
   guint64 seed;                    /* for random choices */
-  guint32 snapshot_records;        /* records between snapshots, 0 for none */
-  guint32 snapshot_sec; /* longest time between snapshots, seconds */
+  guint32 relays;           /* nodes a zone that read the log, 0 for all */
+  guint32 snapshot_records; /* records between snapshots, 0 for none */
+  guint32 snapshot_sec;     /* longest time between snapshots, seconds */
 };
 
 #endif
--- a/src/edge/log_client.c
+++ b/src/edge/log_client.c
@@ -59,6 +59,8 @@
       event.u.records.next = client->next;
       event.u.records.first = client->first;
       event.u.records.at_tail = client->next >= client->tail;
+      if (event.u.records.at_tail)
+        client->fresh_at = client->begun;
       event.u.records.from_log = TRUE;
       event.u.records.begun = client->begun;
       client->fn (&event, client->data);
@@ -119,7 +121,8 @@
   struct http_request request = { 0 };
   char *target;
 
-  if (handle_is_set (client->read) || now < client->retry_at)
+  if (client->stopped || handle_is_set (client->read)
+      || now < client->retry_at)
     return;
   target = g_strdup_printf (
       "/streams/%s?from=%" G_GUINT64_FORMAT "&max=%d&wait-ms=%d",
@@ -136,6 +139,15 @@
   g_free (target);
 }
 
+/* Read no more until the next seek.  */
+void
+log_client_stop (struct log_client *client)
+{
+  http_abort (client->http, client->read);
+  client->read = HANDLE_NONE;
+  client->stopped = TRUE;
+}
+
 /* Read from NEXT on from now on.  */
 void
 log_client_seek (struct log_client *client, guint64 next)
@@ -143,6 +155,7 @@
   http_abort (client->http, client->read);
   client->read = HANDLE_NONE;
   client->next = next;
+  client->stopped = FALSE;
   client->retry_at = 0;
 }
 
--- a/src/edge/log_client.h
+++ b/src/edge/log_client.h
@@ -23,6 +23,8 @@
   guint64 first;          /* first offset retained, when told */
   guint64 tail;           /* offset after the last record, when told */
   gint64 begun;           /* when it began, monotonic microseconds */
+  gint64 fresh_at;        /* begin of the last read that came to the tail */
+  gboolean stopped;       /* nothing is read */
   gint64 retry_at;        /* after a failure, when to read again */
   GHashTable *appends;    /* struct log_append, by itself */
 };
@@ -34,6 +36,7 @@
 void log_client_step (struct log_client *client, gint64 now);
 void log_client_append (struct log_client *client, const struct record *record,
                         gint64 now);
+void log_client_stop (struct log_client *client);
 void log_client_seek (struct log_client *client, guint64 next);
 
 #endif
--- a/src/edge/node.c
+++ b/src/edge/node.c
@@ -54,6 +54,8 @@
 
   if (event->kind == EVENT_RECORDS)
     node->counters.records += event->u.records.count;
+  if (event->kind == EVENT_RECORDS)
+    tail_store_add (&node->tail, node->log.body->data, node->log.body->len);
   node_feed (node, event);
   log_client_step (&node->log, g_get_monotonic_time ());
 }
@@ -70,6 +72,7 @@
   links_expire (&node->links, now);
   log_client_step (&node->log, now);
   server_poll_step (node, now);
+  source_tail_step (node, now);
   event.u.tick.exchanges = node->exchanges.count + links_unsent (&node->links);
   node_feed (node, &event);
   return G_SOURCE_CONTINUE;
@@ -141,6 +144,9 @@
     case RPC_READ:
       source_peer_read (node, event);
       break;
+    case RPC_TAIL:
+      source_tail_call (node, event);
+      break;
     case RPC_CANCEL:
       source_peer_cancel (node, event);
       break;
@@ -165,6 +171,8 @@
     case LINK_REPLY:
       if (event->procedure == RPC_PEER)
         take_peer_reply (node, event);
+      else if (event->procedure == RPC_TAIL)
+        source_tail_reply (node, event);
       else
         exchange_reply (node, event);
       break;
@@ -210,6 +218,7 @@
   node->streams
       = g_hash_table_new_full (stream_hash, stream_equal, g_free, NULL);
   node->server_calls = g_hash_table_new (NULL, NULL);
+  tail_store_init (&node->tail);
   http_init (&node->http);
   log_client_init (&node->log, &node->http, settings->log,
                    settings->log_stream, on_log_event, node);
@@ -242,6 +251,7 @@
   g_hash_table_destroy (node->streams);
   g_hash_table_destroy (node->server_calls);
   core_clear (&node->core);
+  tail_store_clear (&node->tail);
   if (node->served != NULL)
     g_byte_array_unref (node->served);
   if (node->snapshot != NULL)
--- a/src/edge/node.h
+++ b/src/edge/node.h
@@ -7,33 +7,37 @@
 #include "edge/log_client.h"
 #include "edge/server_poll.h"
 #include "edge/settings.h"
+#include "edge/source_tail.h"
+#include "edge/tail_store.h"
 
 /* One node: the core and its edges on one loop.  */
 
 struct node
 {
-  struct settings settings; /* its settings */
-  struct core core;         /* its decisions */
-  GMainLoop *loop;          /* the one loop */
-  struct http http;         /* calls to the log and the server */
-  struct links links;       /* other nodes */
-  struct log_client log;    /* the log */
-  SoupServer *front;        /* callers, operators and the server */
-  struct table exchanges;   /* struct exchange */
-  GHashTable *streams;      /* struct stream_key to exchange handle */
-  GHashTable *server_calls; /* bits of HTTP call to bits of exchange */
-  struct address server;    /* the backend server's address */
-  struct server_poll poll;  /* asks for its load */
-  guint64 last_stream;      /* name of the last attempt passed on */
-  struct counters counters; /* what it has counted */
-  GByteArray *snapshot;     /* the view as last encoded, or NULL */
-  GByteArray *served;       /* the view as last encoded for a peer, or NULL */
-  guint64 served_offset;    /* its offset */
-  struct view decoded;      /* a snapshot as last decoded */
-  GQueue *later;            /* events that came during another */
-  gboolean feeding;         /* an event is being taken in */
-  guint tick;               /* the timer */
-  gboolean again;           /* it is to start as a new incarnation */
+  struct settings settings;       /* its settings */
+  struct core core;               /* its decisions */
+  GMainLoop *loop;                /* the one loop */
+  struct http http;               /* calls to the log and the server */
+  struct links links;             /* other nodes */
+  struct log_client log;          /* the log */
+  struct tail_store tail;         /* the last records that were read */
+  struct source_tail tail_source; /* the peer that records come from */
+  SoupServer *front;              /* callers, operators and the server */
+  struct table exchanges;         /* struct exchange */
+  GHashTable *streams;            /* struct stream_key to exchange handle */
+  GHashTable *server_calls;       /* bits of HTTP call to bits of exchange */
+  struct address server;          /* the backend server's address */
+  struct server_poll poll;        /* asks for its load */
+  guint64 last_stream;            /* name of the last attempt passed on */
+  struct counters counters;       /* what it has counted */
+  GByteArray *snapshot;           /* the view as last encoded, or NULL */
+  GByteArray *served;    /* the view as last encoded for a peer, or NULL */
+  guint64 served_offset; /* its offset */
+  struct view decoded;   /* a snapshot as last decoded */
+  GQueue *later;         /* events that came during another */
+  gboolean feeding;      /* an event is being taken in */
+  guint tick;            /* the timer */
+  gboolean again;        /* it is to start as a new incarnation */
 };
 
 /* An incoming stream: names are unique on one connection.  */
--- a/src/edge/node_do.c
+++ b/src/edge/node_do.c
@@ -52,8 +52,7 @@
       journal_note (&action->u.note);
       break;
     case ACTION_FETCH:
-      if (!action->u.fetch.from_peer)
-        log_client_seek (&node->log, action->u.fetch.offset);
+      source_tail_set (node, &action->u.fetch);
       break;
     case ACTION_SNAPSHOT_ENCODE:
       node_encode_view (node);
--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -4,6 +4,8 @@
 
 #include <string.h>
 
+#define RELAYS_MAX 100
+#define RELAYS_DEFAULT 2 /* nodes a zone that read the log */
 #define SNAPSHOT_RECORDS_MIN 8
 #define SNAPSHOT_RECORDS_MAX 1000000
 #define SNAPSHOT_RECORDS_DEFAULT 5000 /* records between snapshots */
@@ -19,6 +21,7 @@
   { "node", "peer", INI_ADDRESS, TRUE, 0, 0, NULL },
   { "log", "address", INI_ADDRESS, TRUE, 0, 0, NULL },
   { "log", "stream", INI_NAME, TRUE, 0, 0, NULL },
+  { "log", "relays", INI_NUMBER, FALSE, 0, RELAYS_MAX, NULL },
   { "log", "snapshot-records", INI_NUMBER, FALSE, SNAPSHOT_RECORDS_MIN,
     SNAPSHOT_RECORDS_MAX, NULL },
   { "log", "snapshot-seconds", INI_NUMBER, FALSE, 1, SNAPSHOT_SEC_MAX, NULL },
@@ -84,6 +87,8 @@
       read_address (ini, section, "address", &settings->log);
       ini_copy (ini, section, "stream", settings->log_stream,
                 sizeof settings->log_stream);
+      core->relays
+          = (guint32)ini_number (ini, section, "relays", RELAYS_DEFAULT);
       core->snapshot_records = (guint32)ini_number (
           ini, section, "snapshot-records", SNAPSHOT_RECORDS_DEFAULT);
       core->snapshot_sec = (guint32)ini_number (
--- /dev/null
+++ b/src/edge/source_tail.c
@@ -0,0 +1,150 @@
+#include "edge/source_tail.h"
+
+#include "edge/node.h"
+#include "wire/wire_record.h"
+#include "wire/wire_tail.h"
+
+#include <string.h>
+
+#define ASK_EVERY_USEC ((gint64)250000)    /* between two calls */
+#define ASK_TIMEOUT_USEC ((gint64)1000000) /* a call may take */
+#define STALE_USEC ((gint64)4000000)       /* an older tail is stale */
+
+/* Asking */
+
+/* Tell the core that the source failed.  */
+static void
+tell_failed (struct node *node, enum err code)
+{
+  struct event event = { .kind = EVENT_LOG_FAILED };
+
+  node->tail_source.busy = FALSE;
+  node->tail_source.ask_at = g_get_monotonic_time () + ASK_EVERY_USEC;
+  event.u.log_failed.code = code;
+  node_feed (node, &event);
+}
+
+/* Read from a peer from now on, or from the log.  */
+void
+source_tail_set (struct node *node, const struct action_fetch *action)
+{
+  struct source_tail *source = &node->tail_source;
+
+  source->active = action->from_peer;
+  source->serial++;
+  source->busy = FALSE;
+  source->ask_at = 0;
+  source->to = action->to;
+  source->next = action->offset;
+  if (action->from_peer)
+    log_client_stop (&node->log);
+  else
+    log_client_seek (&node->log, action->offset);
+}
+
+/* Ask the peer if that is due.  */
+void
+source_tail_step (struct node *node, gint64 now)
+{
+  struct source_tail *source = &node->tail_source;
+  struct tail_call call = { source->next };
+  struct link_tag tag = { 0 };
+
+  if (!source->active || source->busy || now < source->ask_at)
+    return;
+  tag.serial = ++source->serial;
+  source->busy = TRUE;
+  source->asked_at = now;
+  links_call (&node->links, source->to, RPC_TAIL, wire_tail_call, &call, &tag,
+              now + ASK_TIMEOUT_USEC);
+}
+
+/* Tell the core the records of REPLY.  The answer of a peer never counts as a
+   read to the log's tail.  */
+static void
+tell_records (struct node *node, const struct tail_reply *reply)
+{
+  struct source_tail *source = &node->tail_source;
+  struct event event = { .kind = EVENT_RECORDS };
+  GArray *entries = g_array_new (FALSE, FALSE, sizeof (struct log_entry));
+
+  if (record_read_batch (entries, reply->bytes, reply->length) != ERR_NONE)
+    tell_failed (node, ERR_MALFORMED);
+  else if (entries->len > 0)
+    {
+      source->next
+          = g_array_index (entries, struct log_entry, entries->len - 1).offset
+            + 1;
+      source->ask_at = 0;
+      tail_store_add (&node->tail, reply->bytes, reply->length);
+      node->counters.records += entries->len;
+      event.u.records.items = (const struct log_entry *)entries->data;
+      event.u.records.count = entries->len;
+      event.u.records.next = source->next;
+      event.u.records.begun = source->asked_at;
+      node_feed (node, &event);
+    }
+  record_clear_entries (entries);
+  g_array_free (entries, TRUE);
+}
+
+/* The peer answered, or will not.  */
+void
+source_tail_reply (struct node *node, const struct link_event *event)
+{
+  struct source_tail *source = &node->tail_source;
+  struct tail_reply reply = { 0 };
+  gint64 now = g_get_monotonic_time ();
+  enum err code = event->code;
+
+  if (!source->active || !source->busy || event->tag.serial != source->serial)
+    return;
+  source->busy = FALSE;
+  source->ask_at = now + ASK_EVERY_USEC;
+  if (code == ERR_NONE)
+    code = wire_decode (wire_tail_reply, &reply, event->bytes, event->length);
+  if (code == ERR_NONE && reply.age > STALE_USEC)
+    code = ERR_TIMEOUT;
+  if (code == ERR_NONE)
+    {
+      source->fresh_at = source->asked_at - MAX (reply.age, 0);
+      tell_records (node, &reply);
+    }
+  else
+    tell_failed (node, code);
+  g_free (reply.bytes);
+}
+
+/* Answering */
+
+/* When this node's records last reached the log's tail.  */
+static gint64
+fresh_at (const struct node *node)
+{
+  return node->tail_source.active ? node->tail_source.fresh_at
+                                  : node->log.fresh_at;
+}
+
+/* Another node asks for records: answer with what this one has.  A node that
+   has passed over a record of a later version answers nothing.  */
+void
+source_tail_call (struct node *node, const struct link_event *event)
+{
+  struct tail_call call = { 0 };
+  struct tail_reply reply = { 0 };
+  GByteArray *bytes = g_byte_array_new ();
+  enum err code
+      = wire_decode (wire_tail_call, &call, event->bytes, event->length);
+
+  if (code == ERR_NONE && node->core.view.unread != 0)
+    code = ERR_VERSION;
+  if (code == ERR_NONE)
+    code = tail_store_read (&node->tail, call.offset, bytes);
+  reply.next = node->tail.next;
+  reply.age = g_get_monotonic_time () - fresh_at (node);
+  reply.bytes = bytes->data;
+  reply.length = bytes->len;
+  links_reply (&node->links, event->link, event->xid, code,
+               code == ERR_NONE ? wire_tail_reply : NULL, &reply);
+  g_byte_array_unref (bytes);
+}
--- a/src/edge/target_peer.c
+++ b/src/edge/target_peer.c
@@ -219,6 +219,7 @@
     case RPC_NULL:
     case RPC_PEER:
     case RPC_CANCEL:
+    case RPC_TAIL:
       break;
     }
 }
--- a/src/wire/wire_rpc.h
+++ b/src/wire/wire_rpc.h
@@ -14,12 +14,13 @@
 /* Procedures of the program.  */
 enum rpc_procedure
 {
-  RPC_NULL = 0,  /* answers at once: a probe */
-  RPC_PEER = 1,  /* struct peer_call to struct peer_reply */
-  RPC_OPEN = 2,  /* struct forward_open to struct forward_head */
-  RPC_DATA = 3,  /* struct forward_data to nothing */
-  RPC_READ = 4,  /* stream to struct forward_more */
-  RPC_CANCEL = 5 /* stream to nothing */
+  RPC_NULL = 0,   /* answers at once: a probe */
+  RPC_PEER = 1,   /* struct peer_call to struct peer_reply */
+  RPC_OPEN = 2,   /* struct forward_open to struct forward_head */
+  RPC_DATA = 3,   /* struct forward_data to nothing */
+  RPC_READ = 4,   /* stream to struct forward_more */
+  RPC_CANCEL = 5, /* stream to nothing */
+  RPC_TAIL = 6    /* struct tail_call to struct tail_reply */
 };
 
 /* What the header of a message says.  */
--- /dev/null
+++ b/src/wire/wire_tail.h
@@ -0,0 +1,13 @@
+#ifndef BAMBOOTALLY_WIRE_TAIL_H
+#define BAMBOOTALLY_WIRE_TAIL_H
+
+#include "types/tail_msg.h"
+#include "wire/wire.h"
+
+/* Reading records from another node as XDR.  Items are the structs of
+   types/tail_msg.h.  */
+
+bool_t wire_tail_call (XDR *xdr, void *item);
+bool_t wire_tail_reply (XDR *xdr, void *item);
+
+#endif
