--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -2,6 +2,7 @@
 #define TESTS_FIXTURE_H
 
 #include "decide/fold.h"
+#include "decide/slice.h"
 
 #include <string.h>
 
@@ -84,6 +85,21 @@
   fixture_fold (view, &record);
 }
 
+/* Fold that KEY gets a slice of its own, or loses it with DROP.  */
+static inline void
+fixture_hot (struct view *view, const char *key, gboolean drop)
+{
+  struct record record = { .kind = RECORD_HOT };
+  const struct view_service *service = view_find_service (view, "menu");
+
+  g_strlcpy (record.body.hot.service, "menu", NAME_SIZE);
+  g_strlcpy (record.body.hot.key, key, KEY_SIZE);
+  record.body.hot.drop = drop;
+  record.body.hot.slice.epoch
+      = view_slice_at (service, slice_of_key (service, key))->epoch;
+  fixture_fold (view, &record);
+}
+
 /* Set up a view of nodes 1 to 4 (3 is out again), slices and a move.  */
 static inline void
 fixture_view (struct view *view)
--- a/tests/test_view_snapshot.c
+++ b/tests/test_view_snapshot.c
@@ -1,3 +1,4 @@
+#include "decide/slice.h"
 #include "tests/fixture.h"
 #include "tests/suite.h"
 #include "wire/wire_view.h"
@@ -84,6 +85,39 @@
   view_clear (&view);
 }
 
+/* Hot keys, also one that was given back, come through with their slices.  */
+static void
+test_hot_keys (void)
+{
+  static const char *const keys[] = { "corner-7", "corner-8", "corner-9" };
+  const struct view_service *service;
+  struct view view;
+  struct view back;
+  guint i;
+
+  fixture_view (&view);
+  service = view_find_service (&view, "menu");
+  for (i = 0; i < 8; i++)
+    if (view_node_at (&view, view_slice_at (service, i)->owner) == NULL)
+      fixture_slice (&view, RECORD_ASSIGN, i,
+                     view_slice_at (service, i)->epoch, 1, 2);
+  for (i = 0; i < G_N_ELEMENTS (keys); i++)
+    fixture_hot (&view, keys[i], FALSE);
+  CU_ASSERT_TRUE (g_hash_table_size (service->hot_index) > 1);
+  fixture_hot (&view, keys[0], TRUE);
+  round_trip (&view, &back);
+  CU_ASSERT_EQUAL (view_digest (&view), view_digest (&back));
+  CU_ASSERT_EQUAL (
+      g_hash_table_size (view_find_service (&back, "menu")->hot_index),
+      g_hash_table_size (service->hot_index));
+  for (i = 0; i < G_N_ELEMENTS (keys); i++)
+    CU_ASSERT_EQUAL (
+        slice_of_key (service, keys[i]),
+        slice_of_key (view_find_service (&back, "menu"), keys[i]));
+  view_clear (&view);
+  view_clear (&back);
+}
+
 /* Bytes that are cut short do not decode, wherever they are cut.  */
 static void
 test_cut_short (void)
@@ -142,6 +176,7 @@
       = { { "round trip", test_round_trip },
           { "equal afterwards", test_equal_afterwards },
           { "no stale successor", test_no_stale_successor },
+          { "hot keys", test_hot_keys },
           { "cut short", test_cut_short },
           { "adopt", test_adopt },
           CU_TEST_INFO_NULL };
