--- a/scenarios/world.c
+++ b/scenarios/world.c
@@ -188,6 +188,7 @@
         event.u.records.items = fake_log_at (log, node->next);
       node->next = fake_log_tail (log);
       event.u.records.next = node->next;
+      event.u.records.first = log->first;
       event.u.records.at_tail = TRUE;
       event.u.records.from_log = TRUE;
       event.u.records.begun = world->now - log->delay;
--- a/scenarios/world_node.c
+++ b/scenarios/world_node.c
@@ -5,6 +5,8 @@
 
 /* Starting, stopping and freezing nodes, and operators.  */
 
+#define SNAPSHOT_RECORDS 200        /* records between snapshots */
+#define SNAPSHOT_SEC 600            /* longest time between snapshots */
 #define SERVER_UP_AFTER_USEC 100000 /* a server announces itself */
 #define START_STEP_USEC 1700        /* timers of nodes are apart */
 #define PUBLISH_AFTER_USEC 50000    /* from an operator's read to its append */
@@ -30,6 +32,8 @@
   settings.front.port = (guint16)(FRONT_PORT + n);
   settings.peer.port = (guint16)(PEER_PORT + n);
   settings.slots = SERVER_SLOTS;
+  settings.snapshot_records = SNAPSHOT_RECORDS;
+  settings.snapshot_sec = SNAPSHOT_SEC;
   core_init (&node->core, &settings);
   node->incarnation = settings.incarnation;
   node->alive = TRUE;
