--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 SHOWS := $(SHOW_SRC:examples/programs/%.c=$(B)/show_%)
 
 .PHONY: all check lint format format-check tidy test asan-test scenarios \
-	model demo bench packages clean chaos
+	model demo bench packages clean chaos state
 .SECONDARY:
 
 all: $(BINS) $(STANDBINS) $(BENCHES) $(SCNBINS) $(SHOWS)
@@ -113,5 +113,7 @@
 	sh bench/run.sh $(B)
 chaos: all
 	sh scenarios/chaos.sh $(B)
+state: all
+	sh scenarios/state.sh $(B)
 clean:
 	rm -rf build out
--- a/scenarios/state.sh
+++ b/scenarios/state.sh
@@ -100,6 +100,7 @@
 deploy_wait_owner enquiry-desk plan-1042 60
 wait_all config "$last" 13
 
+loads=$(cat "$OUT"/node-*.log | grep -c "name=snapshot-loaded")
 echo "== all nodes are killed at once and start from the log alone"
 for i in 1 2 3 4 5 6 7 8 9; do eval "kill -KILL \$NODE_$i"; done
 sleep 0.5
@@ -109,6 +110,9 @@
 deploy_wait_owner enquiry-desk plan-1042 60
 sleep 1
 timeout 15 "$BIN/bambootally" --node "$(deploy_front 1)" digest | tail -1
+now=$(cat "$OUT"/node-*.log | grep -c "name=snapshot-loaded")
+echo "started from a snapshot on the log: $((now - loads)) of 9 nodes"
+[ $((now - loads)) -ge 9 ]
 grep -h "name=snapshot-" "$OUT"/node-*.log | sed 's/.*name=\([a-z-]*\).*/\1/' \
   | sort | uniq -c
 echo "state: holds"
