--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -58,6 +58,7 @@
   table_clear (&core->breakers);
   table_clear (&core->loads);
   outbox_clear (&core->outbox);
+  fetch_clear (&core->fetch);
   planner_clear (&core->planner);
   meter_clear (&core->meter);
   snapshot_write_clear (&core->snapshot_writer);
@@ -67,6 +68,13 @@
 
 /* The log */
 
+/* Tell whether records are missing between VIEW and those that EVENT tells. */
+static gboolean
+has_hole (const struct view *view, const struct event_records *event)
+{
+  return event->count > 0 && event->items[0].offset > view->next;
+}
+
 /* Fold records that were read.  */
 static void
 take_records (struct core *core, const struct event_records *event, gint64 now,
@@ -80,6 +88,11 @@
       core->log_down = FALSE;
       actions_add (out, ACTION_NOTE)->u.note.id = NOTE_LOG_UP;
     }
+  if (!event->from_log && has_hole (&core->view, event))
+    {
+      relay_on_failed (core, now, out);
+      return;
+    }
   core->log_first = MAX (core->log_first, event->first);
   if (core->snapshot_reader.collecting)
     {
@@ -115,10 +128,15 @@
 /* Note that the log cannot be read.  */
 static void
 take_log_failed (struct core *core, const struct event_log_failed *event,
-                 struct actions *out)
+                 gint64 now, struct actions *out)
 {
   struct note *note;
 
+  if (core->relay.from_peer)
+    {
+      relay_on_failed (core, now, out);
+      return;
+    }
   if (event->code == ERR_GONE && event->first > core->view.next)
     {
       snapshot_read_begin (core, event->first, out);
@@ -200,6 +218,12 @@
   struct peer_reply reply = { .kind = call->kind };
   struct action_reply *action;
 
+  if (call->kind == PEER_FETCH
+      && (call->to == 0 || call->to == core->settings.incarnation))
+    {
+      fetch_on_call (core, event, out);
+      return;
+    }
   if (call->to != core->settings.incarnation)
     reply.code = ERR_NOT_FOUND;
   else
@@ -237,6 +261,7 @@
 {
   const struct peer_reply *reply = &event->body;
 
+  fetch_on_reply (core, event, now, out);
   if (reply->code != ERR_NONE)
     return;
   switch (reply->kind)
@@ -277,6 +302,8 @@
       snapshot_write_step (core, now, out);
       outbox_send (&core->outbox, now, out);
     }
+  relay_step (core, now, out);
+  fetch_step (core, now, out);
   route_step (core, now, out);
   once_sweep (&core->once, ONCE_SWEEP_PER_STEP, now);
 }
@@ -302,7 +329,7 @@
       step_all (core, now, out);
       break;
     case EVENT_LOG_FAILED:
-      take_log_failed (core, &event->u.log_failed, out);
+      take_log_failed (core, &event->u.log_failed, now, out);
       break;
     case EVENT_APPENDED:
       outbox_on_appended (&core->outbox, &event->u.appended, now, out);
--- a/src/decide/core.h
+++ b/src/decide/core.h
@@ -3,6 +3,7 @@
 
 #include "decide/core_settings.h"
 #include "decide/drain.h"
+#include "decide/fetch.h"
 #include "decide/gate.h"
 #include "decide/hold.h"
 #include "decide/hot.h"
@@ -12,6 +13,7 @@
 #include "decide/once.h"
 #include "decide/outbox.h"
 #include "decide/peers.h"
+#include "decide/relay.h"
 #include "decide/retry.h"
 #include "decide/peer_load.h"
 #include "decide/planner.h"
@@ -46,6 +48,8 @@
   guint64 draws;                 /* random numbers drawn */
   struct suspects suspects;      /* requests that crash servers */
   struct drain drain;            /* the graceful stop */
+  struct fetch fetch;            /* the view it asks a peer for */
+  struct relay relay;            /* where it reads records from */
   struct outbox outbox;          /* its records on their way */
   struct planner planner;        /* its plans of placement */
   struct meter meter;            /* requests by slice that enter here */
--- a/src/edge/node_do.c
+++ b/src/edge/node_do.c
@@ -52,12 +52,14 @@
       journal_note (&action->u.note);
       break;
     case ACTION_FETCH:
-      if (!action->u.fetch.from_peer)
-        log_client_seek (&node->log, action->u.fetch.offset);
+      source_tail_set (node, &action->u.fetch);
       break;
     case ACTION_SNAPSHOT_ENCODE:
       node_encode_view (node);
       break;
+    case ACTION_SERVE_VIEW:
+      node_serve_view (node, &action->u.serve_view);
+      break;
     case ACTION_SNAPSHOT_DECODE:
       node_decode_view (node, action->u.snapshot_decode.bytes,
                         action->u.snapshot_decode.length);
