Connections between nodes that go silent are closed

Cause: an open connection can lose its way while new ones work; renewals on it timed out for ever, and the lease with them. Ruled out: a probe of its own (calls between nodes are short and frequent). Change: silence.c: two calls in a row without an answer close the connection to that node; the next call makes a new one.

--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -9,6 +9,7 @@
 #include "decide/plan.h"
 #include "decide/removal.h"
 #include "decide/route.h"
+#include "decide/silence.h"
 #include "decide/timing.h"
 
 #include <string.h>
@@ -34,6 +35,7 @@
   retry_budget_init (&core->retries);
   table_init (&core->breakers, sizeof (struct breaker));
   table_init (&core->loads, sizeof (struct peer_load));
+  table_init (&core->silences, sizeof (struct silence));
   outbox_init (&core->outbox, settings->incarnation);
   planner_init (&core->planner);
   meter_init (&core->meter);
@@ -57,6 +59,7 @@
   once_clear (&core->once);
   table_clear (&core->breakers);
   table_clear (&core->loads);
+  table_clear (&core->silences);
   outbox_clear (&core->outbox);
   fetch_clear (&core->fetch);
   planner_clear (&core->planner);
@@ -353,6 +356,7 @@
       take_peer_call (core, &event->u.peer_call, now, out);
       break;
     case EVENT_PEER_REPLY:
+      silence_on_reply (core, &event->u.peer_reply, out);
       take_peer_reply (core, &event->u.peer_reply, now, out);
       break;
     case EVENT_DRAIN:
--- a/src/edge/node_do.c
+++ b/src/edge/node_do.c
@@ -14,6 +14,20 @@
               &action->body, &tag, action->deadline);
 }
 
+/* Close the connection to PEER, or the kept ones to the server if it is 0.  */
+static void
+drop_connection (struct node *node, guint64 peer)
+{
+  const struct view *view = &node->core.view;
+  const struct view_node *known
+      = view_node_at (view, view_find_node (view, peer));
+
+  if (peer == 0)
+    http_drop_idle (&node->http, node->server);
+  else if (known != NULL)
+    links_drop (&node->links, known->join.peer);
+}
+
 /* Do what the core wants.  */
 void
 node_do (struct node *node, const struct action *action)
@@ -65,7 +79,7 @@
                         action->u.snapshot_decode.length);
       break;
     case ACTION_SUSPECT_CONNECTION:
-      http_drop_idle (&node->http, node->server);
+      drop_connection (node, action->u.suspect.peer);
       break;
     case ACTION_GRANT:
       break;
