Relays are off unless the settings ask for them

The cause was not found; a follower that is behind when the log goes down has to wait for what it lacks. Change: relays=0 by default, so every node reads the log as before.

--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -5,7 +5,7 @@
 #include <string.h>
 
 #define RELAYS_MAX 100
-#define RELAYS_DEFAULT 2 /* nodes a zone that read the log */
+#define RELAYS_DEFAULT 0 /* nodes a zone that read the log; 0: all */
 #define SNAPSHOT_RECORDS_MIN 8
 #define SNAPSHOT_RECORDS_MAX 1000000
 #define SNAPSHOT_RECORDS_DEFAULT 5000 /* records between snapshots */
--- a/tests/test_settings.c
+++ b/tests/test_settings.c
@@ -39,6 +39,8 @@
   CU_ASSERT_EQUAL (settings.log.port, 7000);
   CU_ASSERT_EQUAL (settings.core.snapshot_records, 5000);
   CU_ASSERT_EQUAL (settings.core.snapshot_sec, 600);
+  CU_ASSERT_EQUAL (settings.core.relays, 0);
+  CU_ASSERT_EQUAL (settings.core.seed_count, 0);
   CU_ASSERT_STRING_EQUAL (settings.log_level, "info");
   g_array_free (faults, TRUE);
 }
