--- a/scenarios/state.sh
+++ b/scenarios/state.sh
@@ -111,7 +111,7 @@
 sleep 1
 timeout 15 "$BIN/bambootally" --node "$(deploy_front 1)" digest | tail -1
 now=$(cat "$OUT"/node-*.log | grep -c "name=snapshot-loaded")
-echo "started from a snapshot on the log: $((now - loads)) of 9 nodes"
+echo "snapshots loaded in that start: $((now - loads)), by 9 nodes"
 [ $((now - loads)) -ge 9 ]
 grep -h "name=snapshot-" "$OUT"/node-*.log | sed 's/.*name=\([a-z-]*\).*/\1/' \
   | sort | uniq -c
