--- a/src/edge/node.c
+++ b/src/edge/node.c
@@ -12,13 +12,14 @@
 static void
 feed_one (struct node *node, const struct event *event)
 {
-  struct actions *actions = &node->actions;
+  struct actions actions;
   guint i;
 
-  core_step (&node->core, event, g_get_monotonic_time (), actions);
-  for (i = 0; i < actions->items->len; i++)
-    node_do (node, actions_at (actions, i));
-  actions_empty (actions);
+  actions_init (&actions);
+  core_step (&node->core, event, g_get_monotonic_time (), &actions);
+  for (i = 0; i < actions.items->len; i++)
+    node_do (node, actions_at (&actions, i));
+  actions_clear (&actions);
 }
 
 /* Give EVENT to the core.  An event that comes while another is taken in
@@ -204,7 +205,6 @@
   node->later = g_queue_new ();
   node->loop = g_main_loop_new (NULL, FALSE);
   core_init (&node->core, &settings->core);
-  actions_init (&node->actions);
   table_init (&node->exchanges, sizeof (struct exchange));
   node->streams
       = g_hash_table_new_full (stream_hash, stream_equal, g_free, NULL);
@@ -241,7 +241,6 @@
   g_hash_table_destroy (node->streams);
   g_hash_table_destroy (node->server_calls);
   core_clear (&node->core);
-  actions_clear (&node->actions);
   if (node->snapshot != NULL)
     g_byte_array_unref (node->snapshot);
   g_queue_free_full (node->later, g_free);
--- a/src/edge/node.h
+++ b/src/edge/node.h
@@ -13,14 +13,13 @@
 {
   struct settings settings; /* its settings */
   struct core core;         /* its decisions */
-  struct actions actions; /* what the core wants done, kept to be used again */
-  GMainLoop *loop;        /* the one loop */
-  struct http http;       /* calls to the log and the server */
-  struct links links;     /* other nodes */
-  struct log_client log;  /* the log */
-  SoupServer *front;      /* callers, operators and the server */
-  struct table exchanges; /* struct exchange */
-  GHashTable *streams;    /* struct stream_key to exchange handle */
+  GMainLoop *loop;          /* the one loop */
+  struct http http;         /* calls to the log and the server */
+  struct links links;       /* other nodes */
+  struct log_client log;    /* the log */
+  SoupServer *front;        /* callers, operators and the server */
+  struct table exchanges;   /* struct exchange */
+  GHashTable *streams;      /* struct stream_key to exchange handle */
   GHashTable *server_calls; /* bits of HTTP call to bits of exchange */
   struct address server;    /* the backend server's address */
   guint64 last_stream;      /* name of the last attempt passed on */
--- a/src/types/action.c
+++ b/src/types/action.c
@@ -37,7 +37,7 @@
 void
 actions_init (struct actions *actions)
 {
-  actions->items = g_array_new (FALSE, FALSE, sizeof (struct action));
+  actions->items = g_array_new (FALSE, TRUE, sizeof (struct action));
 }
 
 /* Release the list and what its actions own.  */
