--- a/scenarios/world.c
+++ b/scenarios/world.c
@@ -9,50 +9,6 @@
 
 #define READ_EVERY_USEC 50000 /* a node reads the log so often */
 
-/* Moments */
-
-/* Order two moments by time, then by when they were made.  */
-static gint
-moment_compare (gconstpointer a, gconstpointer b, gpointer data)
-{
-  const struct moment *left = a;
-  const struct moment *right = b;
-
-  (void)data;
-  if (left->at != right->at)
-    return left->at < right->at ? -1 : 1;
-  return left->serial < right->serial ? -1 : left->serial > right->serial;
-}
-
-/* Add a moment of KIND that concerns node N at AT.  Only the time and serial
-   order it, so that the rest may be filled in later.  */
-struct moment *
-world_add (struct world *world, gint64 at, enum moment_kind kind, guint n)
-{
-  struct moment *moment = g_new0 (struct moment, 1);
-
-  moment->at = at;
-  moment->serial = ++world->moment_serial;
-  moment->kind = kind;
-  moment->node = n;
-  moment->incarnation = world->nodes[n].incarnation;
-  g_sequence_insert_sorted (world->moments, moment, moment_compare, NULL);
-  return moment;
-}
-
-/* Release a moment and the bytes of a fetch that it carries.  */
-static void
-moment_free (gpointer data)
-{
-  struct moment *moment = data;
-  struct peer_reply *reply = &moment->event.u.peer_reply.body;
-
-  if (moment->kind == MOMENT_EVENT && moment->event.kind == EVENT_PEER_REPLY
-      && reply->kind == PEER_FETCH)
-    g_free (reply->u.fetch.bytes);
-  g_free (moment);
-}
-
 /* Remember the first broken property.  */
 void
 world_fault (struct world *world, const char *format, ...)
@@ -145,13 +101,14 @@
 void
 world_feed (struct world *world, guint n, const struct event *event)
 {
+  guint64 incarnation = world->nodes[n].incarnation;
   struct actions actions;
   guint i;
 
   actions_init (&actions);
   core_step (&world->nodes[n].core, event, world->now, &actions);
   for (i = 0; i < actions.items->len; i++)
-    if (world->nodes[n].alive)
+    if (world->nodes[n].incarnation == incarnation && world->nodes[n].alive)
       world_do (world, n, actions_at (&actions, i));
   actions_clear (&actions);
 }
@@ -162,6 +119,7 @@
 {
   struct event event = { .kind = EVENT_TICK };
 
+  event.u.tick.exchanges = world->nodes[n].exchanges;
   world_add (world, world->now + TICK_USEC, MOMENT_TICK, n);
   world_feed (world, n, &event);
 }
@@ -188,6 +146,7 @@
         event.u.records.items = fake_log_at (log, node->next);
       node->next = fake_log_tail (log);
       event.u.records.next = node->next;
+      event.u.records.first = log->first;
       event.u.records.at_tail = TRUE;
       event.u.records.from_log = TRUE;
       event.u.records.begun = world->now - log->delay;
--- a/scenarios/world_node.c
+++ b/scenarios/world_node.c
@@ -5,12 +5,14 @@
 
 /* Starting, stopping and freezing nodes, and operators.  */
 
-#define SERVER_UP_AFTER_USEC 100000 /* a server announces itself */
-#define START_STEP_USEC 1700        /* timers of nodes are apart */
-#define PUBLISH_AFTER_USEC 50000    /* from an operator's read to its append */
-#define PUBLISH_AGAIN_USEC 500000   /* an operator tries again */
-#define SERVER_SLOTS 20             /* slots of a server */
-#define FRONT_PORT 1000             /* ports are made up */
+#define SNAPSHOT_RECORDS 200           /* records between snapshots */
+#define SNAPSHOT_SEC 600               /* longest time between snapshots */
+#define SERVER_UP_AFTER_USEC 100000    /* a server announces itself */
+#define START_STEP_USEC ((gint64)1700) /* timers of nodes are apart */
+#define PUBLISH_AFTER_USEC 50000  /* from an operator's read to its append */
+#define PUBLISH_AGAIN_USEC 500000 /* an operator tries again */
+#define SERVER_SLOTS 20           /* slots of a server */
+#define FRONT_PORT 1000           /* ports are made up */
 #define PEER_PORT 2000
 
 /* Start a process for node N.  */
@@ -30,10 +32,13 @@
   settings.front.port = (guint16)(FRONT_PORT + n);
   settings.peer.port = (guint16)(PEER_PORT + n);
   settings.slots = SERVER_SLOTS;
+  settings.snapshot_records = SNAPSHOT_RECORDS;
+  settings.snapshot_sec = SNAPSHOT_SEC;
   core_init (&node->core, &settings);
   node->incarnation = settings.incarnation;
   node->alive = TRUE;
   node->left = FALSE;
+  node->draining = FALSE;
   node->frozen_until = 0;
   node->next = 1;
   node->config_seen = 0;
@@ -69,6 +74,7 @@
 {
   struct event event = { .kind = EVENT_DRAIN };
 
+  world->nodes[n].draining = TRUE;
   world_add (world, world->now, MOMENT_EVENT, n)->event = event;
 }
 
--- a/src/decide/admit.c
+++ b/src/decide/admit.c
@@ -37,6 +37,7 @@
   action = &actions_add (out, ACTION_RUN)->u.run;
   action->exchange = exchange;
   action->attempt_id = ++core->attempt;
+  action->slice = flight->request.slice;
   action->fence = flight->fence;
   action->deadline = flight->request.deadline;
   if (flight->request.run_class == RUN_ONCE)
@@ -84,6 +85,19 @@
                                         : drain_takes_work (core);
 }
 
+/* End the request EXCHANGE, which the gate refused for REASON, with advice
+   when to try again.  */
+static void
+refuse (struct core *core, struct handle exchange, enum reason reason,
+        gint64 now, struct actions *out)
+{
+  struct reply_end end = { .outcome = OUTCOME_NOT_RUN, .reason = reason };
+
+  if (reason == REASON_OVERLOAD || reason == REASON_DEADLINE)
+    end.retry_msec = gate_retry_msec (&core->gate, now);
+  reply_send (core, exchange, &end, out);
+}
+
 /* Bring the request EXCHANGE to the server beside this node.  */
 void
 admit_request (struct core *core, struct handle exchange, gint64 now,
@@ -109,12 +123,12 @@
       reply_note (out, NOTE_ROUTE_QUEUED, &flight->request);
       break;
     case GATE_REFUSE:
-      reply_not_run (core, exchange, reason, out);
+      refuse (core, exchange, reason, now, out);
       break;
     }
 }
 
-/* Tell whether FLIGHT, which waited, may still be served under the fence that
+/* Tell whether FLIGHT, which waited, may still be served, under the fence that
    it was admitted under; REASON says why not.  */
 static gboolean
 still_serves (const struct core *core, const struct flight *flight, gint64 now,
@@ -123,6 +137,9 @@
   const struct view_service *service = service_of (core, &flight->request);
   struct own_right right;
 
+  *reason = REASON_QUARANTINED;
+  if (suspects_has_quarantined (&core->suspects, flight->request.digest, now))
+    return FALSE;
   *reason = REASON_NOT_OWNER;
   if (service == NULL || !service->config.divided)
     return service != NULL;
@@ -134,13 +151,27 @@
   return FALSE;
 }
 
+/* The server has ended its attempt at the request of FLIGHT.  */
+void
+admit_ended (struct core *core, const struct flight *flight,
+             const struct event_ended *event, gint64 now)
+{
+  gate_release (&core->gate);
+  suspects_on_ended (&core->suspects, flight, event, now);
+  if (event->outcome == OUTCOME_DONE)
+    gate_on_done (&core->gate, now - flight->sent);
+  else if (event->outcome == OUTCOME_NOT_RUN
+           && event->reason == REASON_OVERLOAD)
+    gate_on_shed (&core->gate, now);
+}
+
 /* Give the slots that are free to requests that wait.  */
 void
 admit_next (struct core *core, gint64 now, struct actions *out)
 {
   struct handle next;
 
-  while (gate_next (&core->gate, &next))
+  while (gate_next (&core->gate, now, &next))
     {
       const struct flight *flight = table_get (&core->flights, next);
       enum reason reason;
--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -58,6 +58,7 @@
   table_clear (&core->breakers);
   table_clear (&core->loads);
   outbox_clear (&core->outbox);
+  fetch_clear (&core->fetch);
   planner_clear (&core->planner);
   meter_clear (&core->meter);
   snapshot_write_clear (&core->snapshot_writer);
@@ -67,6 +68,13 @@
 
 /* The log */
 
+/* Tell whether records are missing between VIEW and those that EVENT tells. */
+static gboolean
+has_hole (const struct view *view, const struct event_records *event)
+{
+  return event->count > 0 && event->items[0].offset > view->next;
+}
+
 /* Fold records that were read.  */
 static void
 take_records (struct core *core, const struct event_records *event, gint64 now,
@@ -80,6 +88,11 @@
       core->log_down = FALSE;
       actions_add (out, ACTION_NOTE)->u.note.id = NOTE_LOG_UP;
     }
+  if (!event->from_log && has_hole (&core->view, event))
+    {
+      relay_on_failed (core, now, out);
+      return;
+    }
   core->log_first = MAX (core->log_first, event->first);
   if (core->snapshot_reader.collecting)
     {
@@ -95,6 +108,9 @@
           &core->planner, &core->view,
           view_find_service (&core->view, core->settings.service),
           &entry->record, now);
+      if (entry->record.kind == RECORD_SUSPECT
+          && entry->offset >= core->view.next)
+        suspects_on_record (&core->suspects, &entry->record.body.suspect, now);
       fold_record (&core->view, entry->offset, &entry->record, out);
       if (entry->record.kind == RECORD_JOIN
           || entry->record.kind == RECORD_CONFIG)
@@ -112,10 +128,15 @@
 /* Note that the log cannot be read.  */
 static void
 take_log_failed (struct core *core, const struct event_log_failed *event,
-                 struct actions *out)
+                 gint64 now, struct actions *out)
 {
   struct note *note;
 
+  if (core->relay.from_peer)
+    {
+      relay_on_failed (core, now, out);
+      return;
+    }
   if (event->code == ERR_GONE && event->first > core->view.next)
     {
       snapshot_read_begin (core, event->first, out);
@@ -134,13 +155,13 @@
 /* The server announced itself.  */
 static void
 take_server_up (struct core *core, const struct event_server_up *event,
-                struct actions *out)
+                gint64 now, struct actions *out)
 {
   gboolean again = core->has_server && core->gate.slots == event->slots;
 
   core->server = *event;
   core->has_server = TRUE;
-  core->gate.slots = event->slots;
+  gate_on_up (&core->gate, event->slots, now);
   if (again)
     return;
   actions_add (out, ACTION_NOTE)->u.note.id = NOTE_SERVER_UP;
@@ -148,10 +169,13 @@
 
 /* The server cannot be reached.  */
 static void
-take_server_down (struct core *core, struct actions *out)
+take_server_down (struct core *core, const struct event_server_down *event,
+                  gint64 now, struct actions *out)
 {
   if (core->gate.slots == 0)
     return;
+  if (event->gone)
+    suspects_on_crash (core, now, out);
   core->gate.slots = 0;
   actions_add (out, ACTION_NOTE)->u.note.id = NOTE_SERVER_DOWN;
 }
@@ -170,6 +194,21 @@
                     core->view.next, now, reply);
 }
 
+/* Answer a request for a promise.  */
+static void
+take_promise (struct core *core, const struct peer_promise *call, gint64 now,
+              struct peer_promise_reply *reply, struct actions *out)
+{
+  struct note *note;
+
+  witness_on_promise (&core->witness, call, now, reply);
+  if (!reply->promised)
+    return;
+  note = &actions_add (out, ACTION_NOTE)->u.note;
+  note->id = NOTE_PROMISE;
+  note->node = call->target;
+}
+
 /* Answer a call from another node.  */
 static void
 take_peer_call (struct core *core, const struct event_peer_call *event,
@@ -179,6 +218,12 @@
   struct peer_reply reply = { .kind = call->kind };
   struct action_reply *action;
 
+  if (call->kind == PEER_FETCH
+      && (call->to == 0 || call->to == core->settings.incarnation))
+    {
+      fetch_on_call (core, event, out);
+      return;
+    }
   if (call->to != core->settings.incarnation)
     reply.code = ERR_NOT_FOUND;
   else
@@ -188,8 +233,7 @@
         take_renew (core, &call->u.renew, now, &reply.u.renew);
         break;
       case PEER_PROMISE:
-        witness_on_promise (&core->witness, &call->u.promise, now,
-                            &reply.u.promise);
+        take_promise (core, &call->u.promise, now, &reply.u.promise, out);
         break;
       case PEER_FOLDED:
         peers_note_folded (&core->peers, call->u.folded.incarnation,
@@ -217,6 +261,7 @@
 {
   const struct peer_reply *reply = &event->body;
 
+  fetch_on_reply (core, event, now, out);
   if (reply->code != ERR_NONE)
     return;
   switch (reply->kind)
@@ -257,6 +302,8 @@
       snapshot_write_step (core, now, out);
       outbox_send (&core->outbox, now, out);
     }
+  relay_step (core, now, out);
+  fetch_step (core, now, out);
   route_step (core, now, out);
   once_sweep (&core->once, ONCE_SWEEP_PER_STEP, now);
 }
@@ -282,16 +329,16 @@
       step_all (core, now, out);
       break;
     case EVENT_LOG_FAILED:
-      take_log_failed (core, &event->u.log_failed, out);
+      take_log_failed (core, &event->u.log_failed, now, out);
       break;
     case EVENT_APPENDED:
       outbox_on_appended (&core->outbox, &event->u.appended, now, out);
       break;
     case EVENT_SERVER_UP:
-      take_server_up (core, &event->u.server_up, out);
+      take_server_up (core, &event->u.server_up, now, out);
       break;
     case EVENT_SERVER_DOWN:
-      take_server_down (core, out);
+      take_server_down (core, &event->u.server_down, now, out);
       break;
     case EVENT_REQUEST:
       route_request (core, &event->u.request, now, out);
@@ -318,6 +365,9 @@
       snapshot_write_bytes (core, &event->u.snapshot_bytes);
       break;
     case EVENT_SERVER_LOAD:
+      gate_on_load (&core->gate, event->u.server_load.busy,
+                    event->u.server_load.measured);
+      break;
     case EVENT_GRANTED:
       break;
     }
--- a/src/decide/core.h
+++ b/src/decide/core.h
@@ -3,6 +3,7 @@
 
 #include "decide/core_settings.h"
 #include "decide/drain.h"
+#include "decide/fetch.h"
 #include "decide/gate.h"
 #include "decide/hold.h"
 #include "decide/hot.h"
@@ -12,11 +13,13 @@
 #include "decide/once.h"
 #include "decide/outbox.h"
 #include "decide/peers.h"
+#include "decide/relay.h"
 #include "decide/retry.h"
 #include "decide/peer_load.h"
 #include "decide/planner.h"
 #include "decide/snapshot_read.h"
 #include "decide/snapshot_write.h"
+#include "decide/suspect.h"
 #include "decide/witness.h"
 #include "types/event.h"
 #include "types/view.h"
@@ -43,7 +46,10 @@
   struct table breakers;         /* struct breaker, by nodes' handles */
   struct table loads;            /* struct peer_load, by nodes' handles */
   guint64 draws;                 /* random numbers drawn */
+  struct suspects suspects;      /* requests that crash servers */
   struct drain drain;            /* the graceful stop */
+  struct fetch fetch;            /* the view it asks a peer for */
+  struct relay relay;            /* where it reads records from */
   struct outbox outbox;          /* its records on their way */
   struct planner planner;        /* its plans of placement */
   struct meter meter;            /* requests by slice that enter here */
--- a/src/decide/pick.c
+++ b/src/decide/pick.c
@@ -3,18 +3,21 @@
 #include "decide/core.h"
 #include "decide/own.h"
 #include "decide/slice.h"
+#include "decide/takeover.h"
 
 #include <string.h>
 
-/* The node to send requests for SLICE to: its owner, or the successor that
-   may serve in its place if the owner is LOST.  That one refuses if it does
-   not serve.  */
+/* The node to send requests for SLICE to: PROBABLE where a certificate says
+   so, otherwise its owner, or the successor that may serve in its place if the
+   owner is LOST.  That one refuses if it does not serve.  */
 static struct handle
 node_of_slice (const struct core *core, const struct view_slice *slice,
-               gboolean lost, gint64 now)
+               struct handle probable, gboolean lost, gint64 now)
 {
   struct handle next = slice->successor[0];
 
+  if (!handle_equal (probable, slice->owner))
+    return probable;
   if (!lost && pick_is_reached (core, slice->owner, now))
     return slice->owner;
   if (view_node_at (&core->view, next) == NULL
@@ -30,6 +33,7 @@
 {
   struct pick pick = { PICK_NONE, HANDLE_NONE, REASON_NO_OWNER, { 0, 0 } };
   const struct view_slice *slice;
+  struct handle probable;
   struct own_right right;
 
   request->slice = slice_of_key (service, request->key);
@@ -49,24 +53,25 @@
     return pick;
   pick.fence.offset = slice->epoch;
   pick.reason = right.reason;
-  if (handle_equal (slice->owner, core->self))
+  probable = own_probable_owner (core, service, request->slice);
+  if (handle_equal (probable, core->self))
     return pick;
   if (request->from_peer)
     {
       pick.reason = REASON_NOT_OWNER;
       return pick;
     }
-  pick.node = node_of_slice (core, slice, lost, now);
+  pick.node = node_of_slice (core, slice, probable, lost, now);
   pick.reason = REASON_PEER_LOST;
   pick.kind = pick_is_reached (core, pick.node, now) ? PICK_PEER : PICK_NONE;
   return pick;
 }
 
-/* Pick the node that is to serve REQUEST, whose slice is filled in.  LOST
-   tells that the last attempt could not reach the owner's node.  */
+/* Pick the node that is to serve REQUEST, whose slice is filled in.  PAST
+   tells what earlier attempts found.  */
 struct pick
-pick_node (struct core *core, struct request *request, gboolean lost,
-           gint64 now)
+pick_node (struct core *core, struct request *request,
+           const struct pick_past *past, gint64 now)
 {
   struct pick none = { PICK_NONE, HANDLE_NONE, REASON_NO_RULE, { 0, 0 } };
   const struct view_service *service
@@ -76,8 +81,8 @@
   if (service == NULL || !service->configured)
     return none;
   pick = service->config.divided
-             ? pick_owner (core, service, request, lost, now)
-             : pick_member (core, service, request, now);
+             ? pick_owner (core, service, request, past->owner_lost, now)
+             : pick_member (core, service, request, past, now);
   if (pick.kind == PICK_PEER && request->from_peer)
     {
       pick.kind = PICK_NONE;
--- a/src/decide/pick_member.c
+++ b/src/decide/pick_member.c
@@ -13,9 +13,10 @@
 /* The cheapest of the candidates seen so far.  */
 struct choice
 {
-  struct handle node; /* the candidate, or none */
-  gint64 cost;        /* its estimated time, in microseconds */
-  guint32 seen;       /* candidates compared */
+  struct handle node;  /* the candidate, or none */
+  gint64 cost;         /* its estimated time, in microseconds */
+  struct handle avoid; /* node that could not serve the request, or none */
+  guint32 seen;        /* candidates compared */
 };
 
 /* Tell whether requests may be sent to the node H.  */
@@ -52,21 +53,23 @@
 
 /* Tell whether this node is to serve REQUEST of an undivided service.  */
 static gboolean
-serves_itself (const struct core *core, const struct view_service *service,
-               const struct request *request)
+serves_itself (struct core *core, const struct view_service *service,
+               const struct request *request, gint64 now)
 {
   return strcmp (core->settings.service, service->config.name) == 0
          && drain_takes_work (core)
-         && (request->from_peer || core->gate.busy < core->gate.slots);
+         && (request->from_peer || gate_has_room (&core->gate, now));
 }
 
-/* Tell whether requests may go to the member NODE under H.  */
+/* Tell whether requests may go to the member NODE under H, by CHOICE not to
+   the one that failed before.  */
 static gboolean
-may_serve (const struct core *core, const struct view_node *node,
-           struct handle h, gint64 now)
+may_serve (const struct core *core, const struct choice *choice,
+           const struct view_node *node, struct handle h, gint64 now)
 {
   return node != NULL && node->state == NODE_LIVE
-         && !handle_equal (h, core->self) && pick_is_reached (core, h, now);
+         && !handle_equal (h, core->self) && !handle_equal (h, choice->avoid)
+         && pick_is_reached (core, h, now);
 }
 
 /* Compare the member NODE under H with the cheapest one in CHOICE.  */
@@ -128,7 +131,7 @@
                                        draw % service->members->len);
       const struct view_node *node = view_node_at (&core->view, h);
       guint32 *seen;
-      if (!may_serve (core, node, h, now))
+      if (!may_serve (core, choice, node, h, now))
         continue;
       seen = strcmp (node->join.zone, core->settings.zone) == 0 ? &near : &far;
       if ((*seen)++ < CHOICES)
@@ -149,24 +152,26 @@
       struct handle h = g_array_index (service->members, struct handle,
                                        (start + i) % service->members->len);
       const struct view_node *node = view_node_at (&core->view, h);
-      if (may_serve (core, node, h, now))
+      if (may_serve (core, choice, node, h, now))
         consider (core, choice, node, h, now);
     }
 }
 
 /* Pick a node of a service that is not divided: this one if it serves the
    service and has a slot; otherwise the cheapest of a few drawn ones and of
-   this node's own queue.  */
+   this node's own queue, and the one that failed before only if there is no
+   other.  */
 struct pick
 pick_member (struct core *core, const struct view_service *service,
-             const struct request *request, gint64 now)
+             const struct request *request, const struct pick_past *past,
+             gint64 now)
 {
   struct pick pick = { PICK_NONE, HANDLE_NONE, REASON_NO_SERVER, { 0, 0 } };
-  struct choice choice = { HANDLE_NONE, 0, 0 };
+  struct choice choice = { .avoid = past->avoid };
 
   if (request->run_class == RUN_ONCE && request->stamp.time != 0)
     return pick_stamped (core, request);
-  if (serves_itself (core, service, request))
+  if (serves_itself (core, service, request, now))
     {
       pick.kind = PICK_OWN;
       return pick;
@@ -178,6 +183,8 @@
     return pick;
   draw_members (core, &choice, service, now);
   take_any (core, &choice, service, now);
+  choice.avoid = HANDLE_NONE;
+  take_any (core, &choice, service, now);
   consider_self (core, &choice, service, now);
   if (!handle_is_set (choice.node))
     return pick;
--- a/src/edge/log_client.c
+++ b/src/edge/log_client.c
@@ -34,7 +34,9 @@
   client->fn (&event, client->data);
 }
 
-/* Tell the records that the read answered.  */
+/* Tell the records that the read answered.  A log that ends before what was
+   read from it has lost records, and counts as down: its next records would
+   bear offsets that stand for others.  */
 static void
 read_done (struct log_client *client)
 {
@@ -43,6 +45,8 @@
   enum err code
       = record_read_batch (entries, client->body->data, client->body->len);
 
+  if (code == ERR_NONE && client->tail < client->next)
+    code = ERR_TRUNCATED;
   if (code == ERR_NONE)
     {
       if (entries->len > 0)
@@ -55,6 +59,8 @@
       event.u.records.next = client->next;
       event.u.records.first = client->first;
       event.u.records.at_tail = client->next >= client->tail;
+      if (event.u.records.at_tail)
+        client->fresh_at = client->begun;
       event.u.records.from_log = TRUE;
       event.u.records.begun = client->begun;
       client->fn (&event, client->data);
@@ -115,7 +121,8 @@
   struct http_request request = { 0 };
   char *target;
 
-  if (handle_is_set (client->read) || now < client->retry_at)
+  if (client->stopped || handle_is_set (client->read)
+      || now < client->retry_at)
     return;
   target = g_strdup_printf (
       "/streams/%s?from=%" G_GUINT64_FORMAT "&max=%d&wait-ms=%d",
@@ -132,6 +139,15 @@
   g_free (target);
 }
 
+/* Read no more until the next seek.  */
+void
+log_client_stop (struct log_client *client)
+{
+  http_abort (client->http, client->read);
+  client->read = HANDLE_NONE;
+  client->stopped = TRUE;
+}
+
 /* Read from NEXT on from now on.  */
 void
 log_client_seek (struct log_client *client, guint64 next)
@@ -139,6 +155,7 @@
   http_abort (client->http, client->read);
   client->read = HANDLE_NONE;
   client->next = next;
+  client->stopped = FALSE;
   client->retry_at = 0;
 }
 
--- a/src/edge/target_server.c
+++ b/src/edge/target_server.c
@@ -52,7 +52,7 @@
       soup_message_headers_replace (headers, HEADER_FENCE, fence);
       soup_message_headers_replace (headers, HEADER_KEY,
                                     exchange->request.key);
-      add_number (headers, HEADER_SLICE, exchange->request.slice);
+      add_number (headers, HEADER_SLICE, action->slice);
       add_number (headers, HEADER_LEASE, exchange->node->core.lease.until);
     }
   g_free (fence);
@@ -111,6 +111,8 @@
 static void
 take_end (struct exchange *exchange, const struct http_event *event)
 {
+  if (event->code != ERR_NONE && event->code != ERR_TIMEOUT)
+    server_poll_soon (exchange->node);
   if (event->code == ERR_NONE)
     exchange_target_ended (exchange, OUTCOME_DONE, REASON_NONE);
   else if (exchange->target.has_head)
--- a/tests/test_pick.c
+++ b/tests/test_pick.c
@@ -52,12 +52,13 @@
   const struct view_service *service
       = view_find_service (&core->view, FLEET_SERVICE);
   struct request request = { .run_class = RUN_IDEMPOTENT };
+  struct pick_past never = { .owner_lost = FALSE };
   guint i;
 
   memset (picked, 0, 5 * sizeof *picked);
   for (i = 0; i < PICKS; i++)
     {
-      struct pick pick = pick_member (core, service, &request, NOW);
+      struct pick pick = pick_member (core, service, &request, &never, NOW);
       picked[view_incarnation (&core->view, pick.node)]++;
     }
 }
