The second successor is asked where the first one is out

Change: the first successor that is in the view is asked. Before: test_route 'second successor' failed.

--- a/src/decide/pick.c
+++ b/src/decide/pick.c
@@ -7,6 +7,26 @@
 
 #include <string.h>
 
+/* The first successor of SLICE that is in the view, if it is another node and
+   can be reached.  The places of those that went out stay empty.  */
+static struct handle
+next_of_slice (const struct core *core, const struct view_slice *slice,
+               gint64 now)
+{
+  guint i;
+
+  for (i = 0; i < SUCCESSOR_MAX; i++)
+    {
+      struct handle next = slice->successor[i];
+      if (view_node_at (&core->view, next) != NULL)
+        return !handle_equal (next, core->self)
+                       && pick_is_reached (core, next, now)
+                   ? next
+                   : HANDLE_NONE;
+    }
+  return HANDLE_NONE;
+}
+
 /* The node to send requests for SLICE to: PROBABLE where a certificate says
    so, otherwise its owner, or the successor that may serve in its place if the
    owner is LOST.  That one refuses if it does not serve.  */
@@ -14,16 +34,14 @@
 node_of_slice (const struct core *core, const struct view_slice *slice,
                struct handle probable, gboolean lost, gint64 now)
 {
-  struct handle next = slice->successor[0];
+  struct handle next;
 
   if (!handle_equal (probable, slice->owner))
     return probable;
   if (!lost && pick_is_reached (core, slice->owner, now))
     return slice->owner;
-  if (view_node_at (&core->view, next) == NULL
-      || handle_equal (next, core->self) || !pick_is_reached (core, next, now))
-    return slice->owner;
-  return next;
+  next = next_of_slice (core, slice, now);
+  return handle_is_set (next) ? next : slice->owner;
 }
 
 /* Pick the owner of the key of REQUEST.  */
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -89,6 +89,47 @@
   fixture_end (&f);
 }
 
+/* Have the core read that KIND, as of EPOCH, gives the slice of far to node 5
+   with successors 6 and 7.  */
+static void
+change_successors (struct fixture *f, enum record_kind kind, guint64 epoch)
+{
+  struct record record = { .kind = kind };
+  struct record_slice slice
+      = { .owner = 5, .successor = { 6, 7 }, .epoch = epoch };
+
+  g_strlcpy (record.body.slices.service, "far", NAME_SIZE);
+  record.body.slices.count = 1;
+  record.body.slices.items = &slice;
+  fixture_record (f, &record, FIXTURE_START);
+}
+
+/* Where the first successor is out, the second one is asked.  */
+static void
+test_second_successor (void)
+{
+  struct fixture f;
+  struct request request = patient ("far", RUN_ONCE);
+  struct record out = { .kind = RECORD_OUT };
+  const struct view_slice *slice;
+  struct handle exchange;
+
+  fixture_begin (&f, "desk");
+  fixture_join (&f, 7, "far");
+  slice = view_slice_at (view_find_service (&f.core.view, "far"), 0);
+  change_successors (&f, RECORD_MOVE, slice->epoch);
+  change_successors (&f, RECORD_MOVED, slice->move);
+  out.body.out.incarnation = 6;
+  fixture_record (&f, &out, FIXTURE_START);
+  exchange = fixture_arrive (&f, &request, FIXTURE_START);
+  CU_ASSERT_EQUAL (forwarded_to (&f), 5);
+  fixture_ended (&f, exchange, OUTCOME_NOT_RUN, REASON_PEER_LOST,
+                 FIXTURE_START);
+  fixture_tick (&f, 1, FIXTURE_START + 1000000);
+  CU_ASSERT_EQUAL (forwarded_to (&f), 7);
+  fixture_end (&f);
+}
+
 /* Once an owner has been lost often, its successor is asked at once, and a
    node that nobody answers for is waited for without sending.  */
 static void
@@ -227,6 +268,7 @@
       = { { "once unknown ends", test_once_unknown_ends },
           { "unknown stays", test_unknown_stays },
           { "successor is tried", test_successor_is_tried },
+          { "second successor", test_second_successor },
           { "breaker", test_breaker },
           { "member without server", test_member_without_server },
           { "budget runs out", test_budget_runs_out },
