A backlog for callers that connect at once

The front listened with the default backlog of 10; connections beyond it were dropped (ListenOverflows of the kernel stood at 1,471) and tried again after a second. Ruled out: retries by the node, since a refusal for overload is not sent again. Change: the front listens on a socket of conn_listen, as links do, with 512.

--- a/src/edge/front.c
+++ b/src/edge/front.c
@@ -1,5 +1,7 @@
 #include "edge/node.h"
 
+#include "edge/conn.h"
+
 #include <string.h>
 
 #define ADMIN_PREFIX "/bambootally/" /* paths that are not requests */
@@ -34,24 +36,23 @@
     source_caller_handle (data, message);
 }
 
-/* Listen for callers, operators and the backend server.  */
+/* Listen for callers, operators and the backend server, with a backlog that
+   holds the connections of many callers that come at once.  */
 enum err
 front_init (struct node *node)
 {
-  const struct address *at = &node->settings.core.front;
-  guint32 ip = g_htonl (at->ip);
-  GInetAddress *inet
-      = g_inet_address_new_from_bytes ((guint8 *)&ip, G_SOCKET_FAMILY_IPV4);
-  GSocketAddress *address = g_inet_socket_address_new (inet, at->port);
-  gboolean listens;
+  enum err code;
+  GSocket *socket = conn_listen (node->settings.core.front, &code);
 
+  if (socket == NULL)
+    return code;
   node->front = soup_server_new ("server-header", "bambootally", NULL);
   soup_server_add_early_handler (node->front, NULL, on_early, node, NULL);
   soup_server_add_handler (node->front, NULL, on_whole, node, NULL);
-  listens = soup_server_listen (node->front, address, 0, NULL);
-  g_object_unref (address);
-  g_object_unref (inet);
-  return listens ? ERR_NONE : ERR_IO;
+  if (!soup_server_listen_socket (node->front, socket, 0, NULL))
+    code = ERR_IO;
+  g_object_unref (socket);
+  return code;
 }
 
 /* Stop listening and close the callers' connections.  */
