Scenario poison holds: a crash there says that the server has died

Cause: the runner's crash told the core that its server cannot be reached, not that it is gone, so that nothing became suspect. Change: the event says so; the scenario's expectations are as they were.

--- a/scenarios/world_request.c
+++ b/scenarios/world_request.c
@@ -229,7 +229,8 @@
 crash (struct world *world, guint n)
 {
   struct fake_server *server = &world->nodes[n].server;
-  struct event event = { .kind = EVENT_SERVER_DOWN };
+  struct event event
+      = { .kind = EVENT_SERVER_DOWN, .u.server_down.gone = TRUE };
 
   world->crashes++;
   server->up = FALSE;
