--- a/Makefile
+++ b/Makefile
@@ -90,9 +90,9 @@
 lint: format-check tidy
 
 format:
-	clang-format -i $(ALL_SRC) $(HEADERS)
+	@clang-format -i $(ALL_SRC) $(HEADERS)
 format-check:
-	clang-format --dry-run -Werror $(ALL_SRC) $(HEADERS)
+	@clang-format --dry-run -Werror $(ALL_SRC) $(HEADERS)
 tidy:
 	@printf '%s\n' $(ALL_SRC) | xargs -P 8 -n 4 sh -c \
 	  'clang-tidy --quiet "$$@" -- -std=gnu11 -D_GNU_SOURCE -Isrc -I. $(PKG_CFLAGS) 2>/dev/null' sh
