Large files taken apart by what they do

Change: how the core takes in events of the log, the server and other nodes; the checks of INI texts and of references; idle connections; calls on links; answers of a node's own; the load that routing learns. The same seven lines that made a GIO address stood in four files and are one function.

--- /dev/null
+++ b/src/decide/core_peer.c
@@ -0,0 +1,107 @@
+#include "decide/core_take.h"
+
+#include "decide/core.h"
+#include "decide/certificate.h"
+#include "decide/fold_owner.h"
+#include "decide/removal.h"
+
+/* Answer a renewal.  */
+static void
+take_renew (struct core *core, const struct peer_renew *call, gint64 now,
+            struct peer_renew_reply *reply)
+{
+  struct handle holder = view_find_node (&core->view, call->incarnation);
+
+  peers_note_folded (&core->peers, call->incarnation, call->folded);
+  witness_on_renew (&core->witness, call, fold_is_alive (&core->view, holder),
+                    core->view.next, now, reply);
+}
+
+/* Answer a request for a promise.  */
+static void
+take_promise (struct core *core, const struct peer_promise *call, gint64 now,
+              struct peer_promise_reply *reply, struct actions *out)
+{
+  struct note *note;
+
+  witness_on_promise (&core->witness, call, now, reply);
+  if (!reply->promised)
+    return;
+  note = &actions_add (out, ACTION_NOTE)->u.note;
+  note->id = NOTE_PROMISE;
+  note->node = call->target;
+}
+
+/* Answer a call from another node.  */
+void
+core_take_peer_call (struct core *core, const struct event_peer_call *event,
+                     gint64 now, struct actions *out)
+{
+  const struct peer_call *call = &event->body;
+  struct peer_reply reply = { .kind = call->kind };
+  struct action_reply *action;
+
+  if (call->kind == PEER_FETCH
+      && (call->to == 0 || call->to == core->settings.incarnation))
+    {
+      fetch_on_call (core, event, out);
+      return;
+    }
+  if (call->to != core->settings.incarnation)
+    reply.code = ERR_NOT_FOUND;
+  else
+    switch (call->kind)
+      {
+      case PEER_RENEW:
+        take_renew (core, &call->u.renew, now, &reply.u.renew);
+        break;
+      case PEER_PROMISE:
+        take_promise (core, &call->u.promise, now, &reply.u.promise, out);
+        break;
+      case PEER_FOLDED:
+        peers_note_folded (&core->peers, call->u.folded.incarnation,
+                           call->u.folded.offset);
+        break;
+      case PEER_RELEASED:
+        moves_on_released (core, &call->u.released);
+        break;
+      case PEER_CERTIFIED:
+        certificate_on_call (core, &call->u.certified, now, out);
+        break;
+      case PEER_FETCH:
+        break;
+      }
+  action = &actions_add (out, ACTION_REPLY)->u.reply;
+  action->call = event->call;
+  action->xid = event->xid;
+  action->body = reply;
+}
+
+/* Take in the reply of another node.  */
+void
+core_take_peer_reply (struct core *core, const struct event_peer_reply *event,
+                      gint64 now, struct actions *out)
+{
+  const struct peer_reply *reply = &event->body;
+
+  fetch_on_reply (core, event, now, out);
+  if (reply->code != ERR_NONE)
+    return;
+  switch (reply->kind)
+    {
+    case PEER_RENEW:
+      peers_note_folded (&core->peers, event->peer, reply->u.renew.folded);
+      lease_on_reply (&core->lease, event->peer, &reply->u.renew);
+      break;
+    case PEER_PROMISE:
+      removal_on_reply (core, event, now, out);
+      break;
+    case PEER_FOLDED:
+    case PEER_RELEASED:
+      moves_on_reply (core, event);
+      break;
+    case PEER_FETCH:
+    case PEER_CERTIFIED:
+      break;
+    }
+}
--- a/src/decide/route.c
+++ b/src/decide/route.c
@@ -163,36 +163,6 @@
   reply_send (core, event->exchange, &end, out);
 }
 
-/* What is known of the load of the node that has FLIGHT, or NULL if that node
-   is out.  */
-static struct peer_load *
-load_of (struct core *core, const struct flight *flight)
-{
-  struct handle node = flight->phase == FLIGHT_FORWARDED
-                           ? view_find_node (&core->view, flight->peer)
-                           : core->self;
-
-  return handle_is_set (node) ? table_mirror (&core->loads, node) : NULL;
-}
-
-/* Learn from the end of an attempt how long requests take there, or that it
-   has GONE without telling.  */
-static void
-learn_load (struct core *core, const struct flight *flight, gboolean gone,
-            gint64 now)
-{
-  struct peer_load *load = load_of (core, flight);
-
-  if (load == NULL
-      || (flight->phase != FLIGHT_FORWARDED
-          && flight->phase != FLIGHT_RUNNING))
-    return;
-  if (gone)
-    peer_load_on_gone (load);
-  else
-    peer_load_on_ended (load, flight->sent, now);
-}
-
 /* Learn from an attempt at another node whether that can be reached, and has
    a server.  */
 static void
@@ -253,7 +223,7 @@
     return;
   if (flight->phase == FLIGHT_RUNNING)
     admit_ended (core, flight, event, now);
-  learn_load (core, flight, FALSE, now);
+  route_learn_load (core, flight, FALSE, now);
   if (flight->phase == FLIGHT_FORWARDED)
     learn_reach (core, flight, event, now, out);
   if (event->outcome == OUTCOME_DONE)
@@ -274,7 +244,7 @@
     return;
   reply_note (out, NOTE_ROUTE_CANCELLED, &flight->request);
   gate_forget (&core->gate, exchange);
-  learn_load (core, flight, TRUE, now);
+  route_learn_load (core, flight, TRUE, now);
   if (flight->phase == FLIGHT_RUNNING)
     gate_release (&core->gate);
   else if (flight->remembered)
--- /dev/null
+++ b/src/decide/route_load.c
@@ -0,0 +1,34 @@
+#include "decide/route.h"
+
+#include "decide/core.h"
+#include "decide/flight.h"
+
+/* What is known of the load of the node that has FLIGHT, or NULL if that node
+   is out.  */
+static struct peer_load *
+load_of (struct core *core, const struct flight *flight)
+{
+  struct handle node = flight->phase == FLIGHT_FORWARDED
+                           ? view_find_node (&core->view, flight->peer)
+                           : core->self;
+
+  return handle_is_set (node) ? table_mirror (&core->loads, node) : NULL;
+}
+
+/* Learn from the end of an attempt how long requests take there, or that it
+   has GONE without telling.  */
+void
+route_learn_load (struct core *core, const struct flight *flight,
+                  gboolean gone, gint64 now)
+{
+  struct peer_load *load = load_of (core, flight);
+
+  if (load == NULL
+      || (flight->phase != FLIGHT_FORWARDED
+          && flight->phase != FLIGHT_RUNNING))
+    return;
+  if (gone)
+    peer_load_on_gone (load);
+  else
+    peer_load_on_ended (load, flight->sent, now);
+}
--- a/src/edge/conn.c
+++ b/src/edge/conn.c
@@ -1,12 +1,13 @@
 #include "edge/conn.h"
 
+#include "edge/inet.h"
+
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
 #include <sys/socket.h>
 
-#define READ_BYTES 65536   /* bytes read at a time */
-#define LISTEN_BACKLOG 512 /* connections waiting to be accepted */
+#define READ_BYTES 65536 /* bytes read at a time */
 
 static void watch_in (struct conn *conn);
 static void watch_out (struct conn *conn);
@@ -245,10 +246,7 @@
   GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
                                   G_SOCKET_PROTOCOL_TCP, NULL);
   struct conn *conn = conn_new (socket, fn, data);
-  guint32 ip = g_htonl (to.ip);
-  GInetAddress *inet
-      = g_inet_address_new_from_bytes ((guint8 *)&ip, G_SOCKET_FAMILY_IPV4);
-  GSocketAddress *address = g_inet_socket_address_new (inet, to.port);
+  GSocketAddress *address = inet_address (to);
 
   if (socket != NULL)
     {
@@ -256,7 +254,6 @@
       watch_out (conn);
     }
   g_object_unref (address);
-  g_object_unref (inet);
   return conn;
 }
 
@@ -329,28 +326,3 @@
   else if (conn->opened)
     watch_in (conn);
 }
-
-/* Listen at AT.  Return the socket, or NULL with CODE set.  */
-GSocket *
-conn_listen (struct address at, enum err *code)
-{
-  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
-                                  G_SOCKET_PROTOCOL_TCP, NULL);
-  guint32 ip = g_htonl (at.ip);
-  GInetAddress *inet
-      = g_inet_address_new_from_bytes ((guint8 *)&ip, G_SOCKET_FAMILY_IPV4);
-  GSocketAddress *address = g_inet_socket_address_new (inet, at.port);
-
-  g_socket_set_listen_backlog (socket, LISTEN_BACKLOG);
-  g_socket_set_blocking (socket, FALSE);
-  *code = ERR_NONE;
-  if (!g_socket_bind (socket, address, TRUE, NULL)
-      || !g_socket_listen (socket, NULL))
-    {
-      *code = ERR_IO;
-      g_clear_object (&socket);
-    }
-  g_object_unref (address);
-  g_object_unref (inet);
-  return socket;
-}
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -142,6 +142,10 @@
 /* Towards the source.  */
 void exchange_answer (struct node *node, const struct action_answer *action);
 void exchange_pump_out (struct exchange *exchange);
+struct exchange *source_caller_find (SoupServerMessage *message,
+                                     struct node *node);
+enum reason source_caller_read (struct exchange *exchange,
+                                SoupMessageHeaders *headers);
 void source_caller_attach (struct node *node, SoupServerMessage *message);
 void source_caller_handle (struct node *node, SoupServerMessage *message);
 void source_caller_received (struct exchange *exchange);
--- a/src/edge/http.c
+++ b/src/edge/http.c
@@ -1,93 +1,11 @@
 #include "edge/http.h"
 #include "edge/http_answer.h"
+#include "edge/http_idle.h"
 
 #include <string.h>
 
-#define IDLE_MAX 256u      /* idle connections kept in all */
 #define CHUNK_LINE_SIZE 32 /* bytes of a chunk's size line */
 
-/* Connections */
-
-/* An idle connection spoke or ended: it is of no more use.  */
-static void
-on_idle_event (struct conn *conn, const struct conn_event *event,
-               gpointer data)
-{
-  struct http *http = data;
-  guint i;
-
-  (void)event;
-  for (i = 0; i < http->idle->len; i++)
-    {
-      struct http_idle *idle = g_ptr_array_index (http->idle, i);
-      if (idle->conn == conn)
-        {
-          g_ptr_array_remove_index_fast (http->idle, i);
-          return;
-        }
-    }
-}
-
-/* Close and free an idle connection.  */
-static void
-idle_free (gpointer data)
-{
-  struct http_idle *idle = data;
-
-  if (idle->conn != NULL)
-    conn_close (idle->conn);
-  g_free (idle);
-}
-
-/* Keep CONN for later calls to TO.  */
-static void
-keep_idle (struct http *http, struct address to, struct conn *conn)
-{
-  struct http_idle *idle;
-
-  if (http->idle->len >= IDLE_MAX || conn->received->len > 0)
-    {
-      conn_close (conn);
-      return;
-    }
-  idle = g_new0 (struct http_idle, 1);
-  idle->to = to;
-  idle->conn = conn;
-  conn_watch (conn, on_idle_event, http);
-  conn_pause (conn, FALSE);
-  g_ptr_array_add (http->idle, idle);
-}
-
-/* Take an idle connection to TO, the one used last, or NULL.  */
-static struct conn *
-take_idle (struct http *http, struct address to)
-{
-  guint i;
-
-  for (i = http->idle->len; i > 0; i--)
-    {
-      struct http_idle *idle = g_ptr_array_index (http->idle, i - 1);
-      if (address_equal (idle->to, to))
-        {
-          struct conn *conn = idle->conn;
-          idle->conn = NULL;
-          g_ptr_array_remove_index (http->idle, i - 1);
-          return conn;
-        }
-    }
-  return NULL;
-}
-
-/* Close the idle connections to TO.  */
-void
-http_drop_idle (struct http *http, struct address to)
-{
-  struct conn *conn = take_idle (http, to);
-
-  for (; conn != NULL; conn = take_idle (http, to))
-    conn_close (conn);
-}
-
 /* Calls */
 
 /* End CALL with CODE and tell its owner.  */
@@ -104,7 +22,7 @@
 
   if (code == ERR_NONE && call->keep && call->request_done
       && conn_unsent (call->conn) == 0)
-    keep_idle (http, call->to, call->conn);
+    http_keep_idle (http, call->to, call->conn);
   else
     conn_close (call->conn);
   table_remove (&http->calls, call->self);
@@ -201,7 +119,7 @@
   call->chunked_out = request->length < 0;
   call->head_method = strcmp (request->method, "HEAD") == 0;
   call->keep = TRUE;
-  call->conn = take_idle (http, request->to);
+  call->conn = http_take_idle (http, request->to);
   if (call->conn != NULL)
     {
       call->reused = TRUE;
@@ -300,7 +218,7 @@
 http_init (struct http *http)
 {
   table_init (&http->calls, sizeof (struct http_call));
-  http->idle = g_ptr_array_new_with_free_func (idle_free);
+  http->idle = g_ptr_array_new_with_free_func (http_idle_free);
 }
 
 /* Drop all calls, untold, and all connections.  */
--- a/src/edge/link.c
+++ b/src/edge/link.c
@@ -1,13 +1,13 @@
-#include "edge/link.h"
+#include "edge/link_table.h"
 
 #include <string.h>
 
 /* Ending */
 
 /* Tell that the call WAITING will get no reply.  */
-static void
-tell_lost (struct links *links, struct handle h,
-           const struct link_call *waiting, enum err code)
+void
+link_tell_lost (struct links *links, struct handle h,
+                const struct link_call *waiting, enum err code)
 {
   struct link_event event = { .kind = LINK_REPLY,
                               .link = h,
@@ -20,8 +20,8 @@
 }
 
 /* Forget a connection that has ended and tell whose calls are lost.  */
-static void
-end_link (struct link *link, enum err code)
+void
+link_end (struct link *link, enum err code)
 {
   struct links *links = link->links;
   struct handle h = link->self;
@@ -36,7 +36,7 @@
   table_remove (&links->table, h);
   g_hash_table_iter_init (&iter, calls);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    tell_lost (links, h, value, code);
+    link_tell_lost (links, h, value, code);
   g_hash_table_destroy (calls);
   links->fn (&event, links->data);
 }
@@ -94,7 +94,7 @@
       length = GUINT32_FROM_BE (mark) & 0x7fffffffu;
       if (length > RPC_MESSAGE_BYTES_MAX)
         {
-          end_link (link, ERR_TOO_LARGE);
+          link_end (link, ERR_TOO_LARGE);
           at = conn->received->len;
           break;
         }
@@ -103,7 +103,7 @@
       if (!take_message (link, conn->received->data + at + RPC_MARK_BYTES,
                          length))
         {
-          end_link (link, ERR_MALFORMED);
+          link_end (link, ERR_MALFORMED);
           at = conn->received->len;
           break;
         }
@@ -132,7 +132,7 @@
       take_messages (link);
       break;
     case CONN_CLOSED:
-      end_link (link, event->code);
+      link_end (link, event->code);
       break;
     }
 }
@@ -156,8 +156,8 @@
 }
 
 /* Find the connection that leads to TO, or make one.  */
-static struct link *
-find_link (struct links *links, struct address to)
+struct link *
+link_find (struct links *links, struct address to)
 {
   struct handle h = table_next (&links->table, HANDLE_NONE);
 
@@ -227,124 +227,3 @@
     }
   g_clear_object (&links->listener);
 }
-
-/* Call PROCEDURE with ITEM on a connection; FALSE if it has ended.  */
-gboolean
-links_call_on (struct links *links, struct handle h,
-               enum rpc_procedure procedure, wire_filter *filter,
-               const void *item, const struct link_tag *tag, gint64 deadline)
-{
-  struct link *link = table_get (&links->table, h);
-  struct link_call *waiting;
-  GByteArray *bytes;
-
-  if (link == NULL)
-    return FALSE;
-  waiting = g_new0 (struct link_call, 1);
-  waiting->xid = ++link->next_xid;
-  waiting->procedure = procedure;
-  waiting->tag = *tag;
-  waiting->deadline = deadline;
-  g_hash_table_insert (link->calls, GUINT_TO_POINTER (waiting->xid), waiting);
-  bytes = g_byte_array_new ();
-  rpc_write_call (bytes, waiting->xid, procedure, filter, item);
-  conn_send (link->conn, bytes->data, bytes->len);
-  g_byte_array_unref (bytes);
-  return TRUE;
-}
-
-/* Call PROCEDURE with ITEM on the connection to TO, making one if there is
-   none.  Return the connection's handle; the reply comes as LINK_REPLY with
-   TAG, ERR_TIMEOUT once DEADLINE has passed.  */
-struct handle
-links_call (struct links *links, struct address to,
-            enum rpc_procedure procedure, wire_filter *filter,
-            const void *item, const struct link_tag *tag, gint64 deadline)
-{
-  struct handle h = find_link (links, to)->self;
-
-  links_call_on (links, h, procedure, filter, item, tag, deadline);
-  return h;
-}
-
-/* Reply to the call XID that came on a connection.  */
-void
-links_reply (struct links *links, struct handle h, guint32 xid, enum err code,
-             wire_filter *filter, const void *item)
-{
-  struct link *link = table_get (&links->table, h);
-  GByteArray *bytes;
-
-  if (link == NULL)
-    return;
-  bytes = g_byte_array_new ();
-  rpc_write_reply (bytes, xid, code, filter, item);
-  conn_send (link->conn, bytes->data, bytes->len);
-  g_byte_array_unref (bytes);
-}
-
-/* Give up the calls of one connection whose deadline has passed.  */
-static void
-expire_calls (struct links *links, struct link *link, gint64 now)
-{
-  struct handle h = link->self;
-  GArray *lost = g_array_new (FALSE, FALSE, sizeof (struct link_call));
-  GHashTableIter iter;
-  gpointer value;
-  guint i;
-
-  g_hash_table_iter_init (&iter, link->calls);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((struct link_call *)value)->deadline <= now)
-      {
-        g_array_append_vals (lost, value, 1);
-        g_hash_table_iter_remove (&iter);
-      }
-  for (i = 0; i < lost->len; i++)
-    tell_lost (links, h, &g_array_index (lost, struct link_call, i),
-               ERR_TIMEOUT);
-  g_array_free (lost, TRUE);
-}
-
-/* Give up the calls whose deadline has passed.  */
-void
-links_expire (struct links *links, gint64 now)
-{
-  struct handle h = table_next (&links->table, HANDLE_NONE);
-
-  for (; handle_is_set (h); h = table_next (&links->table, h))
-    expire_calls (links, table_get (&links->table, h), now);
-}
-
-/* Connections that came in and have replies to send.  */
-guint32
-links_unsent (const struct links *links)
-{
-  struct handle h = table_next (&links->table, HANDLE_NONE);
-  guint32 count = 0;
-
-  for (; handle_is_set (h); h = table_next (&links->table, h))
-    {
-      const struct link *link = table_get (&links->table, h);
-      if (link->to.port == 0 && conn_unsent (link->conn) > 0)
-        count++;
-    }
-  return count;
-}
-
-/* Close the connection that leads to TO; its calls are lost.  */
-void
-links_drop (struct links *links, struct address to)
-{
-  struct handle h = table_next (&links->table, HANDLE_NONE);
-
-  for (; handle_is_set (h); h = table_next (&links->table, h))
-    {
-      struct link *link = table_get (&links->table, h);
-      if (link->to.port != 0 && address_equal (link->to, to))
-        {
-          end_link (link, ERR_CLOSED);
-          return;
-        }
-    }
-}
--- /dev/null
+++ b/src/edge/link_table.h
@@ -0,0 +1,13 @@
+#ifndef BAMBOOTALLY_LINK_TABLE_H
+#define BAMBOOTALLY_LINK_TABLE_H
+
+#include "edge/link.h"
+
+/* What the parts of the RPC links share: finding and ending connections.  */
+
+struct link *link_find (struct links *links, struct address to);
+void link_end (struct link *link, enum err code);
+void link_tell_lost (struct links *links, struct handle h,
+                     const struct link_call *waiting, enum err code);
+
+#endif
--- a/src/edge/source_caller.c
+++ b/src/edge/source_caller.c
@@ -1,6 +1,5 @@
 #include "edge/exchange.h"
 
-#include "decide/rule.h"
 #include "edge/headers.h"
 #include "edge/node.h"
 
@@ -9,8 +8,8 @@
 #define EXCHANGE_DATA "bambootally-exchange" /* the exchange of a message */
 
 /* The request that a message carries, or NULL.  */
-static struct exchange *
-exchange_of (SoupServerMessage *message, struct node *node)
+struct exchange *
+source_caller_find (SoupServerMessage *message, struct node *node)
 {
   struct handle h = { GPOINTER_TO_UINT (
       g_object_get_data (G_OBJECT (message), EXCHANGE_DATA)) };
@@ -25,7 +24,7 @@
 on_got_chunk (SoupServerMessage *message, GBytes *chunk, gpointer data)
 {
   struct node *node = data;
-  struct exchange *exchange = exchange_of (message, node);
+  struct exchange *exchange = source_caller_find (message, node);
   gsize count;
   const guint8 *bytes = g_bytes_get_data (chunk, &count);
 
@@ -35,7 +34,7 @@
   body_add (&exchange->in, bytes, count);
   if (exchange->source.u.caller.begun)
     exchange_pump_in (exchange);
-  exchange = exchange_of (message, node);
+  exchange = source_caller_find (message, node);
   if (exchange == NULL || !body_is_full (&exchange->in)
       || exchange->has_answer)
     return;
@@ -166,7 +165,7 @@
 static void
 on_wrote_chunk (SoupServerMessage *message, gpointer data)
 {
-  struct exchange *exchange = exchange_of (message, data);
+  struct exchange *exchange = source_caller_find (message, data);
 
   if (exchange == NULL)
     return;
@@ -190,7 +189,7 @@
 static void
 on_finished (SoupServerMessage *message, gpointer data)
 {
-  struct exchange *exchange = exchange_of (message, data);
+  struct exchange *exchange = source_caller_find (message, data);
 
   if (exchange == NULL)
     return;
@@ -202,42 +201,6 @@
 
 /* Begin and end */
 
-/* Look up a header for a rule.  */
-static const char *
-find_header (gpointer data, const char *name)
-{
-  return soup_message_headers_get_one (data, name);
-}
-
-/* Fill in what routing needs to know.  */
-static enum reason
-fill_request (struct exchange *exchange, SoupMessageHeaders *headers)
-{
-  struct request *request = &exchange->request;
-  const struct config *config = &exchange->node->core.view.config;
-  const char *id = soup_message_headers_get_one (headers, HEADER_ID);
-  const char *stamp = soup_message_headers_get_one (headers, HEADER_STAMP);
-  const char *timeout = soup_message_headers_get_one (headers, HEADER_TIMEOUT);
-  const struct config_service *service;
-  enum reason reason = rule_match (config, exchange->method, exchange->path,
-                                   find_header, headers, request);
-  gint64 msec;
-
-  if (reason != REASON_NONE)
-    return reason;
-  if ((id != NULL && strlen (id) >= sizeof request->id)
-      || (stamp != NULL && !headers_parse_stamp (stamp, &request->stamp)))
-    return REASON_BAD_REQUEST;
-  if (id != NULL)
-    g_strlcpy (request->id, id, sizeof request->id);
-  service = config_find_service (config, request->service);
-  msec = service->timeout_msec;
-  if (timeout != NULL && g_ascii_strtoll (timeout, NULL, 10) > 0)
-    msec = MIN (msec, g_ascii_strtoll (timeout, NULL, 10));
-  request->deadline = g_get_monotonic_time () + msec * USEC_PER_MSEC;
-  return REASON_NONE;
-}
-
 /* End a request that no rule covers.  */
 static void
 refuse (struct exchange *exchange, enum reason reason)
@@ -278,7 +241,7 @@
   g_signal_connect (message, "got-chunk", G_CALLBACK (on_got_chunk), node);
   g_signal_connect (message, "wrote-chunk", G_CALLBACK (on_wrote_chunk), node);
   g_signal_connect (message, "finished", G_CALLBACK (on_finished), node);
-  reason = fill_request (exchange, headers);
+  reason = source_caller_read (exchange, headers);
   if (reason != REASON_NONE)
     {
       caller->begun = TRUE;
@@ -307,7 +270,7 @@
 void
 source_caller_handle (struct node *node, SoupServerMessage *message)
 {
-  struct exchange *exchange = exchange_of (message, node);
+  struct exchange *exchange = source_caller_find (message, node);
 
   if (exchange != NULL)
     source_caller_received (exchange);
--- a/src/types/ini.c
+++ b/src/types/ini.c
@@ -1,7 +1,5 @@
 #include "types/ini.h"
 
-#include "types/address.h"
-
 #include <string.h>
 
 /* Read */
@@ -116,160 +114,6 @@
   g_strfreev (lines);
 }
 
-/* Check */
-
-/* Tell whether WORD stands in LIST, words with '|' between.  */
-static gboolean
-word_in (const char *word, const char *list)
-{
-  char **words = g_strsplit (list, "|", -1);
-  gboolean found = word != NULL && word[0] != '\0'
-                   && g_strv_contains ((const char *const *)words, word);
-
-  g_strfreev (words);
-  return found;
-}
-
-/* Tell whether TEXT is a name.  */
-static gboolean
-is_name (const char *text)
-{
-  const char *c;
-
-  for (c = text; *c != '\0'; c++)
-    if (!g_ascii_isalnum (*c) && strchr ("-_.", *c) == NULL)
-      return FALSE;
-  return text[0] != '\0' && strlen (text) < NAME_SIZE;
-}
-
-/* Check that VALUE is a number within the bounds of FIELD.  */
-static void
-check_number (const struct ini *ini, const struct ini_section *section,
-              const struct ini_field *field, const char *value, GArray *faults)
-{
-  gint64 number = 0;
-  GError *error = NULL;
-  struct fault *fault;
-
-  if (g_ascii_string_to_signed (value, 10, field->low, field->high, &number,
-                                &error))
-    return;
-  fault = ini_fault (ini, faults,
-                     error->code == G_NUMBER_PARSER_ERROR_OUT_OF_BOUNDS
-                         ? FAULT_RANGE
-                         : FAULT_VALUE,
-                     section, field->key, value);
-  fault->low = field->low;
-  fault->high = field->high;
-  g_error_free (error);
-}
-
-/* Check the form of VALUE against FIELD.  */
-static void
-check_value (const struct ini *ini, const struct ini_section *section,
-             const struct ini_field *field, const char *value, GArray *faults)
-{
-  struct address address;
-  gboolean good = TRUE;
-
-  switch (field->type)
-    {
-    case INI_NAME:
-      good = is_name (value);
-      break;
-    case INI_TEXT:
-      good = value[0] != '\0'
-             && (field->high == 0 || strlen (value) < (gsize)field->high);
-      break;
-    case INI_NUMBER:
-      check_number (ini, section, field, value, faults);
-      break;
-    case INI_FLAG:
-      good = word_in (value, "yes|no");
-      break;
-    case INI_ADDRESS:
-      good = address_parse (value, &address) == ERR_NONE;
-      break;
-    case INI_CHOICE:
-      good = word_in (value, field->choices);
-      break;
-    }
-  if (!good)
-    ini_fault (ini, faults, FAULT_VALUE, section, field->key, value);
-}
-
-/* Find the field of KEY in a section of KIND, or NULL.  */
-static const struct ini_field *
-find_field (const struct ini_schema *schema, const char *kind, const char *key)
-{
-  guint i;
-
-  for (i = 0; i < schema->count; i++)
-    if (strcmp (schema->fields[i].kind, kind) == 0
-        && strcmp (schema->fields[i].key, key) == 0)
-      return &schema->fields[i];
-  return NULL;
-}
-
-/* Check the keys that stand in SECTION.  */
-static void
-check_keys (const struct ini *ini, const struct ini_section *section,
-            const struct ini_schema *schema, GArray *faults)
-{
-  char group[2 * NAME_SIZE];
-  char **keys = g_key_file_get_keys (
-      ini->keys, ini_group (section, group, sizeof group), NULL, NULL);
-  guint i;
-
-  for (i = 0; keys != NULL && keys[i] != NULL; i++)
-    {
-      const struct ini_field *field
-          = find_field (schema, section->kind, keys[i]);
-      char *value = ini_text (ini, section, keys[i]);
-      if (field == NULL)
-        ini_fault (ini, faults, FAULT_UNKNOWN, section, keys[i], NULL);
-      else
-        check_value (ini, section, field, value, faults);
-      g_free (value);
-    }
-  g_strfreev (keys);
-}
-
-/* Check that the keys SECTION must have are there.  */
-static void
-check_required (const struct ini *ini, const struct ini_section *section,
-                const struct ini_schema *schema, GArray *faults)
-{
-  char group[2 * NAME_SIZE];
-  guint i;
-
-  ini_group (section, group, sizeof group);
-  for (i = 0; i < schema->count; i++)
-    if (schema->fields[i].required
-        && strcmp (schema->fields[i].kind, section->kind) == 0
-        && !g_key_file_has_key (ini->keys, group, schema->fields[i].key, NULL))
-      ini_fault (ini, faults, FAULT_MISSING, section, schema->fields[i].key,
-                 NULL);
-}
-
-/* Check the kind and name of SECTION; return FALSE if the kind is unknown. */
-static gboolean
-check_kind (const struct ini *ini, const struct ini_section *section,
-            const struct ini_schema *schema, GArray *faults)
-{
-  if (word_in (section->kind, schema->named_kinds))
-    {
-      if (!is_name (section->name))
-        ini_fault (ini, faults, FAULT_VALUE, section, NULL, section->name);
-      return TRUE;
-    }
-  if (word_in (section->kind, schema->single_kinds)
-      && section->name[0] == '\0')
-    return TRUE;
-  ini_fault (ini, faults, FAULT_KIND, section, NULL, section->kind);
-  return FALSE;
-}
-
 /* Read TEXT, called FILE in faults, and check it against SCHEMA.  Each fault
    is added to FAULTS, an array of struct fault.  FILE must outlive INI.  */
 void
@@ -295,10 +139,7 @@
     {
       const struct ini_section *section
           = &g_array_index (ini->sections, struct ini_section, i);
-      if (!check_kind (ini, section, schema, faults))
-        continue;
-      check_keys (ini, section, schema, faults);
-      check_required (ini, section, schema, faults);
+      ini_check_section (ini, section, schema, faults);
     }
 }
 
--- a/src/types/ini.h
+++ b/src/types/ini.h
@@ -57,6 +57,9 @@
 
 void ini_read (struct ini *ini, const char *file, const char *text,
                const struct ini_schema *schema, GArray *faults);
+void ini_check_section (const struct ini *ini,
+                        const struct ini_section *section,
+                        const struct ini_schema *schema, GArray *faults);
 void ini_clear (struct ini *ini);
 const char *ini_group (const struct ini_section *section, char *buffer,
                        gsize size);
--- a/standins/back_server.c
+++ b/standins/back_server.c
@@ -1,5 +1,7 @@
 #include "standins/back_server.h"
 
+#include "edge/inet.h"
+
 #include "edge/headers.h"
 #include "standins/back_work.h"
 
@@ -122,11 +124,7 @@
 back_server_init (struct back_server *back,
                   const struct back_settings *settings)
 {
-  guint32 ip = g_htonl (settings->at.ip);
-  GInetAddress *inet
-      = g_inet_address_new_from_bytes ((guint8 *)&ip, G_SOCKET_FAMILY_IPV4);
-  GSocketAddress *address
-      = g_inet_socket_address_new (inet, settings->at.port);
+  GSocketAddress *address = inet_address (settings->at);
   gboolean listens;
 
   memset (back, 0, sizeof *back);
@@ -141,7 +139,6 @@
   soup_server_add_handler (back->server, NULL, on_whole, back, NULL);
   listens = soup_server_listen (back->server, address, 0, NULL);
   g_object_unref (address);
-  g_object_unref (inet);
   if (settings->node.port != 0)
     {
       on_announce_timer (back);
--- a/standins/log_server.c
+++ b/standins/log_server.c
@@ -1,5 +1,7 @@
 #include "standins/log_server.h"
 
+#include "edge/inet.h"
+
 #include <string.h>
 
 /* A read that waits for records.  */
@@ -219,10 +221,7 @@
 enum err
 log_server_init (struct log_server *log, struct address at)
 {
-  guint32 ip = g_htonl (at.ip);
-  GInetAddress *inet
-      = g_inet_address_new_from_bytes ((guint8 *)&ip, G_SOCKET_FAMILY_IPV4);
-  GSocketAddress *address = g_inet_socket_address_new (inet, at.port);
+  GSocketAddress *address = inet_address (at);
   gboolean listens;
 
   memset (log, 0, sizeof *log);
@@ -232,7 +231,6 @@
   soup_server_add_handler (log->server, NULL, on_request, log, NULL);
   listens = soup_server_listen (log->server, address, 0, NULL);
   g_object_unref (address);
-  g_object_unref (inet);
   return listens ? ERR_NONE : ERR_IO;
 }
 
