--- a/src/decide/route.c
+++ b/src/decide/route.c
@@ -36,6 +36,7 @@
   action->exchange = exchange;
   action->peer = flight->peer;
   action->to = peer->join.peer;
+  action->front = peer->join.front;
   action->request = flight->request;
   action->fence = pick->fence;
 }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -95,6 +95,7 @@
 /* The head of an answer.  */
 struct answer_head
 {
+  struct address owner;        /* front of the owner's node, port 0: here */
   guint status;                /* HTTP status */
   SoupMessageHeaders *headers; /* headers to hand on */
   gint64 length;               /* bytes in the body, -1 if not known */
--- a/src/edge/source_caller.c
+++ b/src/edge/source_caller.c
@@ -106,6 +106,12 @@
       soup_message_headers_append (headers, HEADER_STAMP, stamp);
       g_free (stamp);
     }
+  if (head->owner.port != 0 && exchange->has_answer)
+    {
+      char *owner = address_format (head->owner);
+      soup_message_headers_append (headers, HEADER_OWNER, owner);
+      g_free (owner);
+    }
   if (exchange->node->core.drain.asked)
     soup_message_headers_replace (headers, "Connection", "close");
   if (head->length >= 0)
--- a/src/edge/target_peer.c
+++ b/src/edge/target_peer.c
@@ -41,6 +41,7 @@
   body_rewind (&exchange->in);
   exchange->head.retry_msec = 0;
   memset (&exchange->head.stamp, 0, sizeof exchange->head.stamp);
+  exchange->head.owner = action->front;
   exchange->target.kind = TARGET_PEER;
   exchange->target.u.peer.stream = ++node->last_stream;
   open.stream = node->last_stream;
--- a/src/edge/target_server.c
+++ b/src/edge/target_server.c
@@ -179,6 +179,7 @@
   request.length = exchange->length;
   request.deadline = action->deadline;
   exchange->head.stamp = action->stamp;
+  exchange->head.owner = (struct address){ 0, 0 };
   exchange->target.kind = TARGET_SERVER;
   exchange->target.u.server.attempt_id = action->attempt_id;
   exchange->target.u.server.call
--- a/src/types/action.h
+++ b/src/types/action.h
@@ -57,6 +57,7 @@
   struct handle exchange; /* the request */
   guint64 peer;           /* incarnation of the owner's node */
   struct address to;      /* where it listens */
+  struct address front;   /* where callers reach it, a hint for them */
   struct request request; /* the request as it goes on the wire */
   struct fence fence;     /* fence that the sender knows */
 };
@@ -80,7 +81,6 @@
   enum reason reason;     /* why */
   struct stamp stamp;     /* stamp to send under, if one is offered */
   guint32 retry_msec;     /* when to try again, 0 for no advice */
-  struct address hint;    /* front of the owner's node, port 0 for none */
 };
 
 /* Stop an attempt.  */
--- a/tests/request_fixture.h
+++ b/tests/request_fixture.h
@@ -68,6 +68,7 @@
   g_snprintf (join->host, sizeof join->host, "host-%u", (guint)incarnation);
   g_strlcpy (join->zone, "z1", sizeof join->zone);
   g_strlcpy (join->service, service, sizeof join->service);
+  join->front.port = (guint16)(200 + incarnation);
   join->peer.ip = 0x7f000001;
   join->peer.port = (guint16)(100 + incarnation);
   join->slots = 2;
--- a/tests/test_route.c
+++ b/tests/test_route.c
@@ -104,6 +104,22 @@
   fixture_record (f, &record, FIXTURE_START);
 }
 
+/* A request that is passed on tells where callers reach that node, so that
+   their next request can enter there.  */
+static void
+test_hint (void)
+{
+  struct fixture f;
+  struct request request = patient ("far", RUN_IDEMPOTENT);
+  const struct action *action;
+
+  fixture_begin (&f, "desk");
+  fixture_arrive (&f, &request, FIXTURE_START);
+  action = fixture_find (&f, ACTION_FORWARD);
+  CU_ASSERT_TRUE (action != NULL && action->u.forward.front.port == 205);
+  fixture_end (&f);
+}
+
 /* Where the first successor is out, the second one is asked.  */
 static void
 test_second_successor (void)
@@ -268,6 +284,7 @@
       = { { "once unknown ends", test_once_unknown_ends },
           { "unknown stays", test_unknown_stays },
           { "successor is tried", test_successor_is_tried },
+          { "hint", test_hint },
           { "second successor", test_second_successor },
           { "breaker", test_breaker },
           { "member without server", test_member_without_server },
