Events that were in the catalogue and never written; dead grant messages removed

Cause: 202 (new owners) and 502 (a server refused a fence) stood in the catalogue and in no code; ACTION_GRANT and EVENT_GRANTED were never used: the fence and the lease's end travel with each request, which is the grant. Change: a line for each record that gives slices new owners, one for each refusal by the server. Also: scenarios/rolling.sh, a rolling restart under load; not run yet.

--- a/Makefile
+++ b/Makefile
@@ -41,7 +41,7 @@
 SHOWS := $(SHOW_SRC:examples/programs/%.c=$(B)/show_%)
 
 .PHONY: all check lint format format-check tidy test asan-test scenarios \
-	model demo bench packages clean chaos state
+	model demo bench packages clean chaos rolling state
 .SECONDARY:
 
 all: $(BINS) $(STANDBINS) $(BENCHES) $(SCNBINS) $(SHOWS)
@@ -113,6 +113,8 @@
 	sh bench/run.sh $(B)
 chaos: all
 	sh scenarios/chaos.sh $(B)
+rolling: all
+	sh scenarios/rolling.sh $(B)
 state: all
 	sh scenarios/state.sh $(B)
 clean:
--- a/scenarios/world_do.c
+++ b/scenarios/world_do.c
@@ -253,7 +253,6 @@
     case ACTION_SNAPSHOT_DECODE:
       do_decode (world, n, &action->u.snapshot_decode);
       break;
-    case ACTION_GRANT:
     case ACTION_SUSPECT_CONNECTION:
       break;
     case ACTION_EXIT:
--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -154,7 +154,6 @@
       gate_on_load (&core->gate, event->u.server_load.busy,
                     event->u.server_load.measured);
       break;
-    case EVENT_GRANTED:
       break;
     }
 }
--- a/src/decide/fold_slice.c
+++ b/src/decide/fold_slice.c
@@ -55,6 +55,23 @@
                 != '\0';
 }
 
+/* Note under ID how many slices of BODY took effect, and how many were
+   dropped.  */
+static void
+note_slices (const struct record_slices *body, enum note_id id, gint64 dropped,
+             guint64 offset, struct actions *out)
+{
+  struct note *note;
+
+  if (dropped > 0)
+    fold_note (out, NOTE_PLACE_DROPPED, offset)->amount = dropped;
+  if (dropped == (gint64)body->count)
+    return;
+  note = fold_note (out, id, offset);
+  g_strlcpy (note->service, body->service, sizeof note->service);
+  note->amount = (gint64)body->count - dropped;
+}
+
 /* Give slices without an owner the owners that BODY names.  */
 void
 fold_assign (struct view *view, guint64 offset,
@@ -62,7 +79,7 @@
 {
   struct view_service *service = view_find_service (view, body->service);
   struct handle successors[SUCCESSOR_MAX];
-  gint64 dropped = 0;
+  gint64 dropped = service == NULL ? body->count : 0;
   guint i;
 
   for (i = 0; service != NULL && i < body->count; i++)
@@ -80,8 +97,7 @@
       find_successors (view, service, item, successors);
       fold_set_owner (view, slice, owner, successors, offset);
     }
-  if (dropped > 0)
-    fold_note (out, NOTE_PLACE_DROPPED, offset)->amount = dropped;
+  note_slices (body, NOTE_PLACE_OWNED, dropped, offset, out);
 }
 
 /* Begin the moves that BODY names, to nodes that may own the slices.  */
@@ -138,7 +154,7 @@
             const struct record_slices *body, struct actions *out)
 {
   struct view_service *service = view_find_service (view, body->service);
-  gint64 dropped = 0;
+  gint64 dropped = service == NULL ? body->count : 0;
   guint i;
 
   for (i = 0; service != NULL && i < body->count; i++)
@@ -148,6 +164,5 @@
                      offset))
         dropped++;
     }
-  if (dropped > 0)
-    fold_note (out, NOTE_PLACE_DROPPED, offset)->amount = dropped;
+  note_slices (body, NOTE_PLACE_OWNED, dropped, offset, out);
 }
--- a/src/decide/route.c
+++ b/src/decide/route.c
@@ -203,7 +203,12 @@
 take_failure (struct core *core, struct flight *flight,
               const struct event_ended *event, gint64 now, struct actions *out)
 {
-  reply_note (out, NOTE_ROUTE_ENDED, &flight->request)->code = event->reason;
+  reply_note (out,
+              event->reason == REASON_REFUSED_GRANT ? NOTE_SERVER_REFUSED
+                                                    : NOTE_ROUTE_ENDED,
+              &flight->request)
+      ->code
+      = event->reason;
   forget_not_run (core, flight, event->outcome);
   if (event->outcome == OUTCOME_UNKNOWN)
     flight->may_have_run = TRUE;
--- a/src/edge/node_do.c
+++ b/src/edge/node_do.c
@@ -81,8 +81,6 @@
     case ACTION_SUSPECT_CONNECTION:
       drop_connection (node, action->u.suspect.peer);
       break;
-    case ACTION_GRANT:
-      break;
     case ACTION_EXIT:
       node->again = action->u.exit.again;
       g_main_loop_quit (node->loop);
--- a/src/types/action.c
+++ b/src/types/action.c
@@ -25,7 +25,6 @@
     case ACTION_RUN:
     case ACTION_ANSWER:
     case ACTION_CANCEL:
-    case ACTION_GRANT:
     case ACTION_NOTE:
     case ACTION_FETCH:
     case ACTION_SUSPECT_CONNECTION:
--- a/src/types/action.h
+++ b/src/types/action.h
@@ -17,7 +17,6 @@
   ACTION_RUN,                /* have the backend server run a request */
   ACTION_ANSWER,             /* end a request with an outcome and no body */
   ACTION_CANCEL,             /* stop the attempt of a request */
-  ACTION_GRANT,              /* tell the backend server what it owns */
   ACTION_NOTE,               /* log a numbered event */
   ACTION_FETCH,              /* read the log, or a peer, from an offset */
   ACTION_SNAPSHOT_ENCODE,    /* encode the view */
@@ -89,16 +88,6 @@
   struct handle exchange;
 };
 
-/* Tell the backend server what it owns.  */
-struct action_grant
-{
-  guint64 serial;          /* comes back with the answer */
-  guint32 slice;           /* which slice */
-  gboolean revoke;         /* the slice is no longer the server's */
-  struct fence fence;      /* the grant's fence */
-  char service[NAME_SIZE]; /* of which service */
-};
-
 /* Read from an offset.  */
 struct action_fetch
 {
@@ -149,7 +138,6 @@
     struct action_run run;
     struct action_answer answer;
     struct action_cancel cancel;
-    struct action_grant grant;
     struct action_fetch fetch;
     struct action_snapshot_decode snapshot_decode;
     struct action_serve_view serve_view;
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -17,7 +17,6 @@
   EVENT_SERVER_UP,     /* the backend server announced itself */
   EVENT_SERVER_LOAD,   /* the backend server reported its load */
   EVENT_SERVER_DOWN,   /* the backend server cannot be reached */
-  EVENT_GRANTED,       /* the backend server answered a grant */
   EVENT_REQUEST,       /* a request arrived */
   EVENT_ENDED,         /* an attempt ended */
   EVENT_GONE,          /* the caller or peer of a request went away */
@@ -90,13 +89,6 @@
   gboolean gone; /* nothing listens at its address: it has died */
 };
 
-/* The answer to a grant.  */
-struct event_granted
-{
-  guint64 serial; /* serial of the grant */
-  enum err code;  /* ERR_NONE if the server took it */
-};
-
 /* A request that arrived.  */
 struct event_request
 {
@@ -165,7 +157,6 @@
     struct event_server_up server_up;
     struct event_server_load server_load;
     struct event_server_down server_down;
-    struct event_granted granted;
     struct event_request request;
     struct event_ended ended;
     struct event_gone gone;
