A node that lets requests wait is probed, and lost to requests if silent

Its slices had been taken over after 1.2 s; the node that requests entered at has no call of its own to the owner, and requests that their callers give up end as cancelled, not as lost. So nothing told it. A slow server is not mistaken for a lost node, because its node answers.

--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -138,7 +138,7 @@
       core_take_peer_call (core, &event->u.peer_call, now, out);
       break;
     case EVENT_PEER_REPLY:
-      silence_on_reply (core, &event->u.peer_reply, out);
+      silence_on_reply (core, &event->u.peer_reply, now, out);
       core_take_peer_reply (core, &event->u.peer_reply, now, out);
       break;
     case EVENT_DRAIN:
--- a/src/decide/route.c
+++ b/src/decide/route.c
@@ -6,6 +6,7 @@
 #include "decide/flight.h"
 #include "decide/pick.h"
 #include "decide/reply.h"
+#include "decide/silence.h"
 #include "decide/slice.h"
 #include "decide/timing.h"
 
@@ -276,6 +277,9 @@
       const struct flight *flight = table_get (&core->flights, h);
       if (flight->phase == FLIGHT_WAITING && flight->retry_at <= now)
         dispatch (core, h, now, out);
+      else if (flight->phase == FLIGHT_FORWARDED
+               && now - flight->sent >= SILENCE_PROBE_AFTER_USEC)
+        silence_probe (core, flight->peer, now, out);
     }
   admit_next (core, now, out);
 }
--- a/src/decide/silence.c
+++ b/src/decide/silence.c
@@ -1,5 +1,6 @@
 #include "decide/silence.h"
 
+#include "decide/breaker.h"
 #include "decide/core.h"
 
 /* Have the connection to PEER closed.  */
@@ -13,10 +14,48 @@
   actions_add (out, ACTION_SUSPECT_CONNECTION)->u.suspect.peer = peer;
 }
 
+/* Count the node under H as lost once more for requests.  */
+static void
+count_lost (struct core *core, struct handle h, gint64 now,
+            struct actions *out)
+{
+  struct breaker *breaker = table_mirror (&core->breakers, h);
+  struct note *note;
+
+  if (!breaker_on_ended (breaker, BREAKER_LOST, now))
+    return;
+  note = &actions_add (out, ACTION_NOTE)->u.note;
+  note->id = NOTE_ROUTE_BREAKER;
+  note->node = view_incarnation (&core->view, h);
+  note->code = REASON_PEER_LOST;
+}
+
+/* Call PEER, which has let a request wait, unless it was called just now.  */
+void
+silence_probe (struct core *core, guint64 peer, gint64 now,
+               struct actions *out)
+{
+  struct handle h = view_find_node (&core->view, peer);
+  const struct view_node *node = view_node_at (&core->view, h);
+  struct silence *silence;
+  struct action_call *call;
+
+  if (node == NULL)
+    return;
+  silence = table_mirror (&core->silences, h);
+  if (now < silence->probe_at)
+    return;
+  silence->probe_at = now + SILENCE_PROBE_EVERY_USEC;
+  call = peers_call (core, node, PEER_FOLDED, now, out);
+  call->deadline = now + SILENCE_PROBE_USEC;
+  call->body.u.folded.incarnation = core->settings.incarnation;
+  call->body.u.folded.offset = core->view.next;
+}
+
 /* Another node replied to a call, or did not.  */
 void
 silence_on_reply (struct core *core, const struct event_peer_reply *event,
-                  struct actions *out)
+                  gint64 now, struct actions *out)
 {
   struct handle h = view_find_node (&core->view, event->peer);
   struct silence *silence;
@@ -30,6 +69,7 @@
       return;
     }
   silence->timeouts++;
+  count_lost (core, h, now, out);
   if (silence->timeouts < SILENCE_TIMEOUTS)
     return;
   silence->timeouts = 0;
--- a/tests/test_silence.c
+++ b/tests/test_silence.c
@@ -34,11 +34,45 @@
   fixture_end (&f);
 }
 
+/* A node that lets requests wait is called, and once it does not answer either
+   its requests go to the successor, though no request to it ever ended.  */
+static void
+test_probe (void)
+{
+  struct fixture f;
+  struct request request = fixture_request ("far", "k", "a");
+  struct event lost = { .kind = EVENT_PEER_REPLY };
+  const struct action *action;
+  gint64 now = FIXTURE_START;
+  guint i;
+
+  request.run_class = RUN_IDEMPOTENT;
+  request.deadline = now + 60 * (gint64)1000000;
+  lost.u.peer_reply.peer = 5;
+  lost.u.peer_reply.serial = G_MAXUINT64;
+  lost.u.peer_reply.body.code = ERR_TIMEOUT;
+  fixture_begin (&f, "desk");
+  fixture_arrive (&f, &request, now);
+  for (i = 0; i < 5; i++)
+    {
+      now += SILENCE_PROBE_EVERY_USEC;
+      fixture_tick (&f, 1, now);
+      action = fixture_find (&f, ACTION_CALL);
+      CU_ASSERT_TRUE (action != NULL && action->u.call.peer == 5);
+      fixture_step (&f, &lost, now);
+    }
+  fixture_arrive (&f, &request, now);
+  action = fixture_find (&f, ACTION_FORWARD);
+  CU_ASSERT_TRUE (action != NULL && action->u.forward.peer == 6);
+  fixture_end (&f);
+}
+
 int
 main (void)
 {
   static CU_TestInfo tests[]
       = { { "closes after timeouts", test_closes_after_timeouts },
+          { "probe", test_probe },
           CU_TEST_INFO_NULL };
 
   return suite_run ("silence", tests);
