--- a/src/edge/conn.c
+++ b/src/edge/conn.c
@@ -1,5 +1,6 @@
 #include "edge/conn.h"
 
+#include "edge/conn_io.h"
 #include "edge/inet.h"
 
 #include <netinet/in.h>
@@ -7,11 +8,6 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#define READ_BYTES 65536 /* bytes read at a time */
-
-static void watch_in (struct conn *conn);
-static void watch_out (struct conn *conn);
-
 /* Lifetime */
 
 /* Drop a reference; the last one frees the connection.  */
@@ -26,8 +22,8 @@
 }
 
 /* Stop and drop a watch.  */
-static void
-drop_source (GSource **source)
+void
+conn_drop_source (GSource **source)
 {
   if (*source == NULL)
     return;
@@ -40,8 +36,8 @@
 static void
 shut (struct conn *conn)
 {
-  drop_source (&conn->in);
-  drop_source (&conn->out);
+  conn_drop_source (&conn->in);
+  conn_drop_source (&conn->out);
   if (conn->socket == NULL)
     return;
   g_socket_close (conn->socket, NULL);
@@ -58,8 +54,8 @@
 }
 
 /* Tell the owner of an event.  */
-static void
-tell (struct conn *conn, enum conn_event_kind kind, enum err code)
+void
+conn_tell (struct conn *conn, enum conn_event_kind kind, enum err code)
 {
   struct conn_event event = { kind, code };
 
@@ -68,11 +64,11 @@
 }
 
 /* Note that the connection has ended, and tell the owner.  */
-static void
-fail (struct conn *conn, enum err code)
+void
+conn_fail (struct conn *conn, enum err code)
 {
   shut (conn);
-  tell (conn, CONN_CLOSED, code);
+  conn_tell (conn, CONN_CLOSED, code);
 }
 
 /* Make a connection around SOCKET.  */
@@ -95,146 +91,6 @@
   return conn;
 }
 
-/* Reading and writing */
-
-/* Read what has come.  Return FALSE once the connection has ended.  */
-static gboolean
-read_some (struct conn *conn)
-{
-  guint before = conn->received->len;
-  GError *error = NULL;
-  gssize got;
-
-  g_byte_array_set_size (conn->received, before + READ_BYTES);
-  got = g_socket_receive (conn->socket, (char *)conn->received->data + before,
-                          READ_BYTES, NULL, &error);
-  g_byte_array_set_size (conn->received, before + (got > 0 ? (guint)got : 0u));
-  if (got > 0)
-    {
-      tell (conn, CONN_RECEIVED, ERR_NONE);
-      return TRUE;
-    }
-  if (got < 0 && g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
-    {
-      g_error_free (error);
-      return TRUE;
-    }
-  g_clear_error (&error);
-  fail (conn, ERR_CLOSED);
-  return FALSE;
-}
-
-/* There is something to read.  */
-static gboolean
-on_readable (GSocket *socket, GIOCondition condition, gpointer data)
-{
-  struct conn *conn = data;
-
-  (void)socket;
-  (void)condition;
-  conn->refs++;
-  read_some (conn);
-  conn_unref (conn);
-  return G_SOURCE_CONTINUE;
-}
-
-/* Send what is queued as far as the socket takes it.  Return FALSE once the
-   connection has ended.  */
-static gboolean
-send_some (struct conn *conn)
-{
-  GError *error = NULL;
-  gssize put;
-
-  while (conn->queued_at < conn->queued->len)
-    {
-      put = g_socket_send (conn->socket,
-                           (char *)conn->queued->data + conn->queued_at,
-                           conn->queued->len - conn->queued_at, NULL, &error);
-      if (put < 0)
-        {
-          gboolean full
-              = g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
-          g_clear_error (&error);
-          if (!full)
-            {
-              fail (conn, ERR_CLOSED);
-              return FALSE;
-            }
-          watch_out (conn);
-          return TRUE;
-        }
-      conn->sent = TRUE;
-      conn->queued_at += (gsize)put;
-    }
-  g_byte_array_set_size (conn->queued, 0);
-  conn->queued_at = 0;
-  drop_source (&conn->out);
-  return TRUE;
-}
-
-/* The connection attempt has ended.  Return FALSE if it failed.  */
-static gboolean
-finish_open (struct conn *conn)
-{
-  GError *error = NULL;
-
-  if (!g_socket_check_connect_result (conn->socket, &error))
-    {
-      g_error_free (error);
-      fail (conn, ERR_REFUSED);
-      return FALSE;
-    }
-  conn->opened = TRUE;
-  if (!conn->paused)
-    watch_in (conn);
-  tell (conn, CONN_OPENED, ERR_NONE);
-  return conn->socket != NULL;
-}
-
-/* There is room to write, or the attempt to connect has ended.  */
-static gboolean
-on_writable (GSocket *socket, GIOCondition condition, gpointer data)
-{
-  struct conn *conn = data;
-
-  (void)socket;
-  (void)condition;
-  conn->refs++;
-  if (conn->opened || finish_open (conn))
-    if (send_some (conn) && conn->queued->len == 0)
-      tell (conn, CONN_DRAINED, ERR_NONE);
-  conn_unref (conn);
-  return G_SOURCE_CONTINUE;
-}
-
-/* Watch for CONDITION.  */
-static GSource *
-watch (struct conn *conn, GIOCondition condition, GSocketSourceFunc fn)
-{
-  GSource *source = g_socket_create_source (conn->socket, condition, NULL);
-
-  g_source_set_callback (source, G_SOURCE_FUNC (fn), conn, NULL);
-  g_source_attach (source, NULL);
-  return source;
-}
-
-/* Watch for bytes to read.  */
-static void
-watch_in (struct conn *conn)
-{
-  if (conn->in == NULL && conn->socket != NULL)
-    conn->in = watch (conn, G_IO_IN, on_readable);
-}
-
-/* Watch for room to write.  */
-static void
-watch_out (struct conn *conn)
-{
-  if (conn->out == NULL && conn->socket != NULL)
-    conn->out = watch (conn, G_IO_OUT, on_writable);
-}
-
 /* Interface */
 
 /* Begin a connection to TO.  Events go to FN with DATA; a failure, also one
@@ -251,7 +107,7 @@
   if (socket != NULL)
     {
       g_socket_connect (socket, address, NULL, NULL);
-      watch_out (conn);
+      conn_watch_out (conn);
     }
   g_object_unref (address);
   return conn;
@@ -264,7 +120,7 @@
   struct conn *conn = conn_new (socket, fn, data);
 
   conn->opened = TRUE;
-  watch_in (conn);
+  conn_watch_in (conn);
   return conn;
 }
 
@@ -298,7 +154,7 @@
   if (length == 0)
     return;
   g_byte_array_append (conn->queued, bytes, (guint)length);
-  watch_out (conn);
+  conn_watch_out (conn);
 }
 
 /* Bytes that are queued and not sent.  */
@@ -322,7 +178,7 @@
 {
   conn->paused = paused;
   if (paused)
-    drop_source (&conn->in);
+    conn_drop_source (&conn->in);
   else if (conn->opened)
-    watch_in (conn);
+    conn_watch_in (conn);
 }
--- /dev/null
+++ b/src/edge/conn_io.c
@@ -0,0 +1,141 @@
+#include "edge/conn_io.h"
+
+#define READ_BYTES 65536 /* bytes read at a time */
+
+/* Read what has come.  Return FALSE once the connection has ended.  */
+static gboolean
+read_some (struct conn *conn)
+{
+  guint before = conn->received->len;
+  GError *error = NULL;
+  gssize got;
+
+  g_byte_array_set_size (conn->received, before + READ_BYTES);
+  got = g_socket_receive (conn->socket, (char *)conn->received->data + before,
+                          READ_BYTES, NULL, &error);
+  g_byte_array_set_size (conn->received, before + (got > 0 ? (guint)got : 0u));
+  if (got > 0)
+    {
+      conn_tell (conn, CONN_RECEIVED, ERR_NONE);
+      return TRUE;
+    }
+  if (got < 0 && g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
+    {
+      g_error_free (error);
+      return TRUE;
+    }
+  g_clear_error (&error);
+  conn_fail (conn, ERR_CLOSED);
+  return FALSE;
+}
+
+/* There is something to read.  */
+static gboolean
+on_readable (GSocket *socket, GIOCondition condition, gpointer data)
+{
+  struct conn *conn = data;
+
+  (void)socket;
+  (void)condition;
+  conn->refs++;
+  read_some (conn);
+  conn_unref (conn);
+  return G_SOURCE_CONTINUE;
+}
+
+/* Send what is queued as far as the socket takes it.  Return FALSE once the
+   connection has ended.  */
+static gboolean
+send_some (struct conn *conn)
+{
+  GError *error = NULL;
+  gssize put;
+
+  while (conn->queued_at < conn->queued->len)
+    {
+      put = g_socket_send (conn->socket,
+                           (char *)conn->queued->data + conn->queued_at,
+                           conn->queued->len - conn->queued_at, NULL, &error);
+      if (put < 0)
+        {
+          gboolean full
+              = g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK);
+          g_clear_error (&error);
+          if (!full)
+            {
+              conn_fail (conn, ERR_CLOSED);
+              return FALSE;
+            }
+          conn_watch_out (conn);
+          return TRUE;
+        }
+      conn->sent = TRUE;
+      conn->queued_at += (gsize)put;
+    }
+  g_byte_array_set_size (conn->queued, 0);
+  conn->queued_at = 0;
+  conn_drop_source (&conn->out);
+  return TRUE;
+}
+
+/* The connection attempt has ended.  Return FALSE if it failed.  */
+static gboolean
+finish_open (struct conn *conn)
+{
+  GError *error = NULL;
+
+  if (!g_socket_check_connect_result (conn->socket, &error))
+    {
+      g_error_free (error);
+      conn_fail (conn, ERR_REFUSED);
+      return FALSE;
+    }
+  conn->opened = TRUE;
+  if (!conn->paused)
+    conn_watch_in (conn);
+  conn_tell (conn, CONN_OPENED, ERR_NONE);
+  return conn->socket != NULL;
+}
+
+/* There is room to write, or the attempt to connect has ended.  */
+static gboolean
+on_writable (GSocket *socket, GIOCondition condition, gpointer data)
+{
+  struct conn *conn = data;
+
+  (void)socket;
+  (void)condition;
+  conn->refs++;
+  if (conn->opened || finish_open (conn))
+    if (send_some (conn) && conn->queued->len == 0)
+      conn_tell (conn, CONN_DRAINED, ERR_NONE);
+  conn_unref (conn);
+  return G_SOURCE_CONTINUE;
+}
+
+/* Watch for CONDITION.  */
+static GSource *
+watch (struct conn *conn, GIOCondition condition, GSocketSourceFunc fn)
+{
+  GSource *source = g_socket_create_source (conn->socket, condition, NULL);
+
+  g_source_set_callback (source, G_SOURCE_FUNC (fn), conn, NULL);
+  g_source_attach (source, NULL);
+  return source;
+}
+
+/* Watch for bytes to read.  */
+void
+conn_watch_in (struct conn *conn)
+{
+  if (conn->in == NULL && conn->socket != NULL)
+    conn->in = watch (conn, G_IO_IN, on_readable);
+}
+
+/* Watch for room to write.  */
+void
+conn_watch_out (struct conn *conn)
+{
+  if (conn->out == NULL && conn->socket != NULL)
+    conn->out = watch (conn, G_IO_OUT, on_writable);
+}
