Rolling restart: its own counter

Cause: the loop's variable was also set by a function of examples/deploy.sh, so totals were looked for under wrong names.

--- a/scenarios/rolling.sh
+++ b/scenarios/rolling.sh
@@ -51,24 +51,24 @@
 sleep 1
 deploy_publish examples/wales/config.ini || exit 1
 deploy_wait_owner enquiry-desk plan-1 30
-for i in 1 2 3 4 5 6 7 8 9; do
-  other=$((i % 9 + 1))
+for n in 1 2 3 4 5 6 7 8 9; do
+  other=$((n % 9 + 1))
   third=$((other % 9 + 1))
   CALLERS=""
-  call "any-$i" $other --path "/plans/plan-%" --keys 100 --parallel 4 --pause 2
-  call "once-$i" $third --path "/plans/plan-%" --keys 100 --parallel 4 \
+  call "any-$n" $other --path "/plans/plan-%" --keys 100 --parallel 4 --pause 2
+  call "once-$n" $third --path "/plans/plan-%" --keys 100 --parallel 4 \
     --pause 2 --method POST
-  call "payment-$i" $other --path "/payments/p" --parallel 2 --pause 2 \
+  call "payment-$n" $other --path "/payments/p" --parallel 2 --pause 2 \
     --method POST
-  call "upload-$i" $third --path "/documents/d" --method PUT \
+  call "upload-$n" $third --path "/documents/d" --method PUT \
     --upload 20000000
   sleep 1
-  restart $i
+  restart $n
   # shellcheck disable=SC2086
   wait $CALLERS
   deploy_wait_owner enquiry-desk plan-1 20
   for kind in any once payment upload; do
-    totals "$kind-$i"
+    totals "$kind-$n"
   done
 done
 echo "rolling restart: 9 nodes, $cut callers of 36 with a request cut"
