--- a/src/bin/bambootally.c
+++ b/src/bin/bambootally.c
@@ -1,3 +1,4 @@
+#include "tool/option.h"
 #include "tool/tool.h"
 
 #include <argp.h>
@@ -43,15 +44,6 @@
   { "declare-dead", 2, TRUE, TRUE, tool_declare_dead },
 };
 
-/* Read an address or stop.  */
-static void
-need_address (struct argp_state *state, const char *text,
-              struct address *address)
-{
-  if (address_parse (text, address) != ERR_NONE)
-    argp_error (state, "not an address: %s", text);
-}
-
 /* Take in one option.  */
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
@@ -61,10 +53,10 @@
   switch (key)
     {
     case 'n':
-      need_address (state, arg, &tool->node);
+      option_address (state, arg, &tool->node);
       return 0;
     case 'l':
-      need_address (state, arg, &tool->log);
+      option_address (state, arg, &tool->log);
       return 0;
     case 's':
       tool->stream = arg;
--- /dev/null
+++ b/src/tool/option.h
@@ -0,0 +1,13 @@
+#ifndef BAMBOOTALLY_OPTION_H
+#define BAMBOOTALLY_OPTION_H
+
+#include "types/address.h"
+
+#include <argp.h>
+
+/* Options of command lines that several programs have.  */
+
+void option_address (struct argp_state *state, const char *text,
+                     struct address *address);
+
+#endif
--- a/standins/bin/standin_caller.c
+++ b/standins/bin/standin_caller.c
@@ -1,4 +1,5 @@
 #include "standins/caller.h"
+#include "tool/option.h"
 
 #include <argp.h>
 #include <signal.h>
@@ -32,8 +33,7 @@
   switch (key)
     {
     case 'n':
-      if (address_parse (arg, &settings->node) != ERR_NONE)
-        argp_error (state, "not an address: %s", arg);
+      option_address (state, arg, &settings->node);
       return 0;
     case 'm':
       settings->method = arg;
--- a/standins/bin/standin_log.c
+++ b/standins/bin/standin_log.c
@@ -1,4 +1,5 @@
 #include "standins/log_server.h"
+#include "tool/option.h"
 
 #include <argp.h>
 #include <signal.h>
@@ -17,8 +18,7 @@
 
   if (key == 'l')
     {
-      if (address_parse (arg, at) != ERR_NONE)
-        argp_error (state, "not an address: %s", arg);
+      option_address (state, arg, at);
       return 0;
     }
   return ARGP_ERR_UNKNOWN;
--- a/standins/bin/standin_server.c
+++ b/standins/bin/standin_server.c
@@ -1,4 +1,5 @@
 #include "standins/back_server.h"
+#include "tool/option.h"
 
 #include <argp.h>
 #include <signal.h>
@@ -20,15 +21,6 @@
         { "cold-ms", 'c', "MS", 0, "Be slow for MS after the start", 0 },
         { 0 } };
 
-/* Read an address or stop.  */
-static void
-need_address (struct argp_state *state, const char *text,
-              struct address *address)
-{
-  if (address_parse (text, address) != ERR_NONE)
-    argp_error (state, "not an address: %s", text);
-}
-
 /* Take in one option.  */
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
@@ -38,10 +30,10 @@
   switch (key)
     {
     case 'l':
-      need_address (state, arg, &settings->at);
+      option_address (state, arg, &settings->at);
       return 0;
     case 'n':
-      need_address (state, arg, &settings->node);
+      option_address (state, arg, &settings->node);
       return 0;
     case 'N':
       settings->name = arg;
