--- a/src/types/err.c
+++ b/src/types/err.c
@@ -39,12 +39,6 @@
       return "io";
     case ERR_GONE:
       return "gone";
-    case ERR_DUPLICATE:
-      return "duplicate";
-    case ERR_PERMISSION:
-      return "permission";
-    case ERR_USAGE:
-      return "usage";
     }
   return "unnamed";
 }
--- a/src/types/err.h
+++ b/src/types/err.h
@@ -20,10 +20,7 @@
   ERR_EFFECT = -12,     /* an effect may have taken place, or not */
   ERR_VERSION = -13,    /* written by a later version of the system */
   ERR_IO = -14,         /* the system call failed */
-  ERR_GONE = -15,       /* no longer retained */
-  ERR_DUPLICATE = -16,  /* seen before */
-  ERR_PERMISSION = -17, /* the caller may not do that */
-  ERR_USAGE = -18       /* a command line that is not right */
+  ERR_GONE = -15        /* no longer retained */
 };
 
 const char *err_name (enum err code);
