--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 CFLAGS = -std=gnu11 -D_GNU_SOURCE $(CFLAGS_$(VARIANT)) $(WARN) -Isrc -I. $(PKG_CFLAGS)
 LDLIBS = $(PKG_LIBS)
 
-LIB_SRC := $(wildcard src/types/*.c src/decide/*.c src/wire/*.c src/edge/*.c src/tool/*.c)
+LIB_SRC := $(wildcard src/types/*.c src/decide/*.c src/wire/*.c src/edge/*.c src/tool/*.c platform/*.c)
 STAND_SRC := $(wildcard standins/*.c)
 SCN_SRC := $(wildcard scenarios/*.c)
 BIN_SRC := $(wildcard src/bin/*.c)
@@ -27,7 +27,7 @@
 SHOW_SRC := $(wildcard examples/programs/*.c)
 ALL_SRC := $(LIB_SRC) $(STAND_SRC) $(SCN_SRC) $(BIN_SRC) $(STANDBIN_SRC) \
 	$(TEST_SRC) $(BENCH_SRC) $(BENCHLIB_SRC) $(SCNBIN_SRC) $(SHOW_SRC)
-HEADERS := $(wildcard src/*/*.h standins/*.h scenarios/*.h tests/*.h bench/*.h)
+HEADERS := $(wildcard src/*/*.h platform/*.h standins/*.h scenarios/*.h tests/*.h bench/*.h)
 
 LIB = $(B)/libbambootally.a
 STANDLIB = $(B)/libstandins.a
--- a/src/edge/admin.c
+++ b/src/edge/admin.c
@@ -1,4 +1,5 @@
 #include "edge/node.h"
+#include "types/clock.h"
 
 #include "decide/explain.h"
 #include "edge/admin_state.h"
@@ -63,7 +64,7 @@
 {
   const struct core *core = &node->core;
   const struct view *view = &core->view;
-  gint64 now = g_get_monotonic_time ();
+  gint64 now = clock_usec ();
   JsonBuilder *builder = json_builder_new ();
   struct handle h = table_next (&view->nodes, HANDLE_NONE);
 
@@ -145,8 +146,7 @@
       answer_error (message, SOUP_STATUS_BAD_REQUEST, ERR_INVALID);
       return;
     }
-  if (explain_key (&node->core, service, key, g_get_monotonic_time (),
-                   &explanation)
+  if (explain_key (&node->core, service, key, clock_usec (), &explanation)
       != ERR_NONE)
     {
       answer_error (message, SOUP_STATUS_NOT_FOUND, ERR_NOT_FOUND);
@@ -187,7 +187,7 @@
       = query != NULL ? g_hash_table_lookup (query, "checks-fences") : NULL;
 
   if (server == NULL || address == NULL || slots == NULL
-      || address_parse (address, &node->server) != ERR_NONE)
+      || address_parse (address, &node->proxy.server) != ERR_NONE)
     {
       answer_error (message, SOUP_STATUS_BAD_REQUEST, ERR_INVALID);
       return;
@@ -224,7 +224,7 @@
     answer_status (node, message);
   else if (strcmp (path, "counters") == 0)
     answer (message, SOUP_STATUS_OK, "text/plain",
-            counters_format (&node->counters));
+            counters_format (&node->proxy.counters));
   else if (strcmp (path, "explain") == 0)
     answer_explain (node, message, query);
   else if (strcmp (path, "config") == 0)
--- /dev/null
+++ b/src/edge/dialect.c
@@ -0,0 +1,88 @@
+#include "edge/dialect.h"
+
+#include "edge/exchange.h"
+
+/* Fill in what routing needs to know of a request from its HEADERS.  Return
+   why it cannot be routed, or REASON_NONE.  */
+enum reason
+dialect_read_request (const struct dialect *dialect, struct exchange *exchange,
+                      SoupMessageHeaders *headers)
+{
+  switch (dialect->kind)
+    {
+    case DIALECT_OWN:
+      return dialect_own_read_request (&dialect->u.own, exchange, headers);
+    case DIALECT_PLATFORM:
+      return dialect_platform_read_request (&dialect->u.platform, exchange,
+                                            headers);
+    }
+  return REASON_BAD_REQUEST;
+}
+
+/* The headers with which the backend server is asked to run a request; the
+   caller releases them.  */
+SoupMessageHeaders *
+dialect_server_headers (const struct dialect *dialect,
+                        const struct exchange *exchange,
+                        const struct action_run *action)
+{
+  switch (dialect->kind)
+    {
+    case DIALECT_OWN:
+      return dialect_own_server_headers (&dialect->u.own, exchange, action);
+    case DIALECT_PLATFORM:
+      return dialect_platform_server_headers (exchange, action);
+    }
+  return NULL;
+}
+
+/* Judge the head of the backend server's answer.  */
+struct server_verdict
+dialect_judge_answer (const struct dialect *dialect,
+                      const struct exchange *exchange,
+                      const struct http_event *event)
+{
+  struct server_verdict none = { .kind = SERVER_STRAYS };
+
+  switch (dialect->kind)
+    {
+    case DIALECT_OWN:
+      return dialect_own_judge_answer (exchange, event);
+    case DIALECT_PLATFORM:
+      return dialect_platform_judge_answer (exchange, event);
+    }
+  return none;
+}
+
+/* Fill in an answer of this node's own, as ACTION has the request end.  */
+void
+dialect_fill_refusal (const struct dialect *dialect, struct exchange *exchange,
+                      const struct action_answer *action)
+{
+  switch (dialect->kind)
+    {
+    case DIALECT_OWN:
+      dialect_own_fill_refusal (exchange, action);
+      break;
+    case DIALECT_PLATFORM:
+      dialect_platform_fill_refusal (exchange, action);
+      break;
+    }
+}
+
+/* Add what the head of an answer to a caller says besides the headers that
+   are handed on.  */
+void
+dialect_finish_head (const struct dialect *dialect,
+                     const struct exchange *exchange,
+                     SoupMessageHeaders *headers)
+{
+  switch (dialect->kind)
+    {
+    case DIALECT_OWN:
+      dialect_own_finish_head (exchange, headers);
+      break;
+    case DIALECT_PLATFORM:
+      break;
+    }
+}
--- /dev/null
+++ b/src/edge/dialect.h
@@ -0,0 +1,46 @@
+#ifndef BAMBOOTALLY_DIALECT_H
+#define BAMBOOTALLY_DIALECT_H
+
+#include "edge/dialect_own.h"
+#include "edge/server_verdict.h"
+#include "platform/dialect.h"
+
+/* How requests and answers are written on the connections of callers and of
+   the backend server: by this project's own headers, or by the platform's.  */
+
+struct exchange;
+struct answer_head;
+
+enum dialect_kind
+{
+  DIALECT_OWN,     /* docs/CALLERS.md */
+  DIALECT_PLATFORM /* platform/dialect.h */
+};
+
+struct dialect
+{
+  enum dialect_kind kind;
+  union
+  {
+    struct dialect_own own;
+    struct dialect_platform platform;
+  } u;
+};
+
+enum reason dialect_read_request (const struct dialect *dialect,
+                                  struct exchange *exchange,
+                                  SoupMessageHeaders *headers);
+SoupMessageHeaders *dialect_server_headers (const struct dialect *dialect,
+                                            const struct exchange *exchange,
+                                            const struct action_run *action);
+struct server_verdict dialect_judge_answer (const struct dialect *dialect,
+                                            const struct exchange *exchange,
+                                            const struct http_event *event);
+void dialect_fill_refusal (const struct dialect *dialect,
+                           struct exchange *exchange,
+                           const struct action_answer *action);
+void dialect_finish_head (const struct dialect *dialect,
+                          const struct exchange *exchange,
+                          SoupMessageHeaders *headers);
+
+#endif
--- /dev/null
+++ b/src/edge/dialect_own.c
@@ -0,0 +1,190 @@
+#include "edge/dialect_own.h"
+
+#include "decide/rule.h"
+#include "edge/exchange.h"
+#include "edge/headers.h"
+#include "types/clock.h"
+
+#include <string.h>
+
+/* Requests */
+
+/* Look up a header for a rule.  */
+static const char *
+find_header (gpointer data, const char *name)
+{
+  return soup_message_headers_get_one (data, name);
+}
+
+/* Fill in what routing needs to know of a request from its HEADERS.  Return
+   why it cannot be routed, or REASON_NONE.  */
+enum reason
+dialect_own_read_request (const struct dialect_own *own,
+                          struct exchange *exchange,
+                          SoupMessageHeaders *headers)
+{
+  struct request *request = &exchange->request;
+  const char *id = soup_message_headers_get_one (headers, HEADER_ID);
+  const char *stamp = soup_message_headers_get_one (headers, HEADER_STAMP);
+  const char *timeout = soup_message_headers_get_one (headers, HEADER_TIMEOUT);
+  const struct config_service *service;
+  enum reason reason;
+  gint64 msec;
+
+  exchange->headers = headers_copy (headers);
+  reason = rule_match (own->config, exchange->method, exchange->path,
+                       find_header, headers, request);
+  if (reason != REASON_NONE)
+    return reason;
+  if ((id != NULL && strlen (id) >= sizeof request->id)
+      || (stamp != NULL && !headers_parse_stamp (stamp, &request->stamp)))
+    return REASON_BAD_REQUEST;
+  if (id != NULL)
+    g_strlcpy (request->id, id, sizeof request->id);
+  service = config_find_service (own->config, request->service);
+  msec = service->timeout_msec;
+  if (timeout != NULL && g_ascii_strtoll (timeout, NULL, 10) > 0)
+    msec = MIN (msec, g_ascii_strtoll (timeout, NULL, 10));
+  request->deadline = clock_usec () + msec * USEC_PER_MSEC;
+  return REASON_NONE;
+}
+
+/* The backend server */
+
+/* The headers for the backend server: the caller's, and what fences the
+   request.  The lease's end is a time of the host's clock, which the server
+   beside this node shares.  */
+SoupMessageHeaders *
+dialect_own_server_headers (const struct dialect_own *own,
+                            const struct exchange *exchange,
+                            const struct action_run *action)
+{
+  SoupMessageHeaders *headers = headers_copy (exchange->headers);
+  char *fence = fence_format (action->fence);
+  gint64 left = action->deadline - clock_usec ();
+
+  headers_set_number (headers, HEADER_ATTEMPT, (gint64)action->attempt_id);
+  headers_set_number (headers, HEADER_TIMEOUT, MAX (1, left / USEC_PER_MSEC));
+  if (exchange->request.key[0] != '\0')
+    {
+      soup_message_headers_replace (headers, HEADER_FENCE, fence);
+      soup_message_headers_replace (headers, HEADER_KEY,
+                                    exchange->request.key);
+      headers_set_number (headers, HEADER_SLICE, action->slice);
+      headers_set_number (headers, HEADER_LEASE, *own->lease_until);
+    }
+  g_free (fence);
+  return headers;
+}
+
+/* Tell whether the answer echoes the attempt it belongs to.  */
+static gboolean
+echoes_attempt (const struct exchange *exchange, SoupMessageHeaders *headers)
+{
+  const char *value = soup_message_headers_get_one (headers, HEADER_ATTEMPT);
+
+  return value != NULL
+         && g_ascii_strtoull (value, NULL, 10)
+                == exchange->target.u.server.attempt_id;
+}
+
+/* Judge the head of the backend server's answer.  */
+struct server_verdict
+dialect_own_judge_answer (const struct exchange *exchange,
+                          const struct http_event *event)
+{
+  const char *outcome
+      = soup_message_headers_get_one (event->headers, HEADER_OUTCOME);
+  const char *reason
+      = soup_message_headers_get_one (event->headers, HEADER_REASON);
+  struct server_verdict verdict = { .kind = SERVER_ENDS };
+
+  verdict.u.end.outcome = OUTCOME_UNKNOWN;
+  verdict.u.end.reason = REASON_CROSSED;
+  if (!echoes_attempt (exchange, event->headers))
+    return verdict;
+  if (outcome != NULL && strcmp (outcome, outcome_name (OUTCOME_NOT_RUN)) == 0)
+    {
+      verdict.u.end.outcome = OUTCOME_NOT_RUN;
+      verdict.u.end.reason
+          = reason != NULL ? reason_parse (reason) : REASON_SERVER_DOWN;
+      return verdict;
+    }
+  verdict.kind = SERVER_ANSWERS;
+  verdict.u.headers = headers_copy (event->headers);
+  return verdict;
+}
+
+/* Answers to callers */
+
+/* The HTTP status that goes with an outcome other than done.  */
+static guint
+status_of (enum outcome outcome, enum reason reason)
+{
+  if (outcome == OUTCOME_UNKNOWN)
+    return SOUP_STATUS_GATEWAY_TIMEOUT;
+  switch (reason)
+    {
+    case REASON_NO_RULE:
+      return SOUP_STATUS_NOT_FOUND;
+    case REASON_NO_KEY:
+    case REASON_BAD_REQUEST:
+      return SOUP_STATUS_BAD_REQUEST;
+    case REASON_NO_STAMP:
+    case REASON_OLD_STAMP:
+    case REASON_DUPLICATE:
+      return SOUP_STATUS_CONFLICT;
+    default:
+      return SOUP_STATUS_SERVICE_UNAVAILABLE;
+    }
+}
+
+/* Fill in an answer of this node's own, as ACTION has the request end.  */
+void
+dialect_own_fill_refusal (struct exchange *exchange,
+                          const struct action_answer *action)
+{
+  struct answer_head *head = &exchange->head;
+  char *text = g_strdup_printf ("{\"outcome\":\"%s\",\"reason\":\"%s\"}\n",
+                                outcome_name (action->outcome),
+                                reason_name (action->reason));
+
+  head->status = status_of (action->outcome, action->reason);
+  head->length = (gint64)strlen (text);
+  head->stamp = action->stamp;
+  soup_message_headers_append (head->headers, "Content-Type",
+                               "application/json");
+  soup_message_headers_append (head->headers, HEADER_OUTCOME,
+                               outcome_name (action->outcome));
+  soup_message_headers_append (head->headers, HEADER_REASON,
+                               reason_name (action->reason));
+  if (action->retry_msec > 0)
+    headers_set_number (head->headers, "Retry-After",
+                        (action->retry_msec + 999) / 1000);
+  body_add (&exchange->out, (const guint8 *)text, strlen (text));
+  g_free (text);
+}
+
+/* Add the outcome, the stamp and the owner to the head of an answer.  */
+void
+dialect_own_finish_head (const struct exchange *exchange,
+                         SoupMessageHeaders *headers)
+{
+  const struct answer_head *head = &exchange->head;
+
+  if (soup_message_headers_get_one (headers, HEADER_OUTCOME) == NULL)
+    soup_message_headers_append (headers, HEADER_OUTCOME,
+                                 outcome_name (OUTCOME_DONE));
+  if (head->stamp.time != 0)
+    {
+      char *stamp = headers_format_stamp (head->stamp);
+      soup_message_headers_append (headers, HEADER_STAMP, stamp);
+      g_free (stamp);
+    }
+  if (head->owner.port != 0 && exchange->has_answer)
+    {
+      char *owner = address_format (head->owner);
+      soup_message_headers_append (headers, HEADER_OWNER, owner);
+      g_free (owner);
+    }
+}
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -1,7 +1,6 @@
 #include "edge/exchange.h"
 
-#include "edge/headers.h"
-#include "edge/node.h"
+#include "edge/proxy.h"
 #include "wire/wire_forward.h"
 
 #include <string.h>
@@ -11,12 +10,12 @@
 
 /* Add a request that came from a source of KIND.  */
 struct exchange *
-exchange_add (struct node *node, enum source_kind kind)
+exchange_add (struct proxy *proxy, enum source_kind kind)
 {
-  struct handle h = table_add (&node->exchanges);
-  struct exchange *exchange = table_get (&node->exchanges, h);
+  struct handle h = table_add (&proxy->exchanges);
+  struct exchange *exchange = table_get (&proxy->exchanges, h);
 
-  exchange->node = node;
+  exchange->proxy = proxy;
   exchange->self = h;
   exchange->source.kind = kind;
   exchange->length = -1;
@@ -28,9 +27,9 @@
 
 /* The request under H, or NULL if it has gone.  */
 struct exchange *
-exchange_at (const struct node *node, struct handle h)
+exchange_at (const struct proxy *proxy, struct handle h)
 {
-  return table_get (&node->exchanges, h);
+  return table_get (&proxy->exchanges, h);
 }
 
 /* Forget a request; what is under way towards its target is dropped.  */
@@ -47,7 +46,7 @@
       {
         struct stream_key key = { exchange->source.u.peer.link.bits,
                                   exchange->source.u.peer.stream };
-        g_hash_table_remove (exchange->node->streams, &key);
+        g_hash_table_remove (exchange->proxy->streams, &key);
       }
       break;
     }
@@ -56,8 +55,9 @@
   g_clear_pointer (&exchange->headers, soup_message_headers_unref);
   g_clear_pointer (&exchange->head.headers, soup_message_headers_unref);
   g_free (exchange->method);
+  g_free (exchange->host);
   g_free (exchange->path);
-  table_remove (&exchange->node->exchanges, exchange->self);
+  table_remove (&exchange->proxy->exchanges, exchange->self);
 }
 
 /* The digest of a request: its method, path and body.  The body of a long
@@ -87,19 +87,21 @@
 
   event.u.request.exchange = exchange->self;
   event.u.request.request = exchange->request;
-  node_feed (exchange->node, &event);
+  event.u.request.host = exchange->host;
+  event.u.request.target = exchange->path;
+  proxy_tell (exchange->proxy, &event);
 }
 
 /* The source has gone away: have the work cancelled, and forget it.  */
 void
 exchange_gone (struct exchange *exchange)
 {
-  struct node *node = exchange->node;
+  struct proxy *proxy = exchange->proxy;
   struct event event = { .kind = EVENT_GONE };
 
   event.u.gone.exchange = exchange->self;
   exchange_remove (exchange);
-  node_feed (node, &event);
+  proxy_tell (proxy, &event);
 }
 
 /* Towards the target */
@@ -108,7 +110,7 @@
 void
 target_drop (struct exchange *exchange)
 {
-  struct node *node = exchange->node;
+  struct proxy *proxy = exchange->proxy;
 
   switch (exchange->target.kind)
     {
@@ -116,14 +118,14 @@
       break;
     case TARGET_SERVER:
       g_hash_table_remove (
-          node->server_calls,
+          proxy->server_calls,
           GUINT_TO_POINTER (exchange->target.u.server.call.bits));
-      http_abort (&node->http, exchange->target.u.server.call);
+      http_abort (&proxy->http, exchange->target.u.server.call);
       break;
     case TARGET_PEER:
       {
         struct link_tag tag = { 0 };
-        links_call_on (&node->links, exchange->target.u.peer.link, RPC_CANCEL,
+        links_call_on (&proxy->links, exchange->target.u.peer.link, RPC_CANCEL,
                        wire_forward_stream, &exchange->target.u.peer.stream,
                        &tag, exchange->request.deadline);
       }
@@ -134,9 +136,9 @@
 
 /* The core wants the attempt of H stopped.  */
 void
-exchange_cancel (struct node *node, struct handle h)
+exchange_cancel (struct proxy *proxy, struct handle h)
 {
-  struct exchange *exchange = exchange_at (node, h);
+  struct exchange *exchange = exchange_at (proxy, h);
 
   if (exchange != NULL)
     target_drop (exchange);
@@ -175,7 +177,7 @@
 exchange_target_ended (struct exchange *exchange, enum outcome outcome,
                        enum reason reason)
 {
-  struct node *node = exchange->node;
+  struct proxy *proxy = exchange->proxy;
   struct handle self = exchange->self;
   struct event event = { .kind = EVENT_ENDED };
 
@@ -191,11 +193,11 @@
     }
   if (outcome == OUTCOME_DONE)
     {
-      node->counters.outcomes[OUTCOME_DONE]++;
+      proxy->counters.outcomes[OUTCOME_DONE]++;
       exchange->out.end = TRUE;
     }
-  node_feed (node, &event);
-  exchange = exchange_at (node, self);
+  proxy_tell (proxy, &event);
+  exchange = exchange_at (proxy, self);
   if (exchange != NULL && outcome == OUTCOME_DONE)
     exchange_pump_out (exchange);
 }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -7,7 +7,7 @@
 #include "types/action.h"
 #include "types/forward_msg.h"
 
-struct node;
+struct proxy;
 
 /* A request on its way through this process: where it came from, where it
    goes, and the two bodies between.  */
@@ -105,12 +105,13 @@
 
 struct exchange
 {
-  struct node *node;           /* the process */
+  struct proxy *proxy;         /* the process */
   struct handle self;          /* its handle */
   struct source source;        /* where it came from */
   struct target target;        /* where it goes */
   struct request request;      /* as routing sees it */
   char *method;                /* HTTP method */
+  char *host;                  /* host that the caller named, or NULL */
   char *path;                  /* path and query */
   SoupMessageHeaders *headers; /* headers to hand on */
   gint64 length;               /* bytes in the request's body, -1 unknown */
@@ -121,34 +122,33 @@
 };
 
 /* Life.  */
-struct exchange *exchange_add (struct node *node, enum source_kind kind);
-struct exchange *exchange_at (const struct node *node, struct handle h);
+struct exchange *exchange_add (struct proxy *proxy, enum source_kind kind);
+struct exchange *exchange_at (const struct proxy *proxy, struct handle h);
 void exchange_remove (struct exchange *exchange);
 void exchange_begin (struct exchange *exchange);
 void exchange_gone (struct exchange *exchange);
 
 /* Towards the target.  */
-void exchange_run (struct node *node, const struct action_run *action);
-void exchange_forward (struct node *node, const struct action_forward *action);
-void exchange_cancel (struct node *node, struct handle h);
+void exchange_run (struct proxy *proxy, const struct action_run *action);
+void exchange_forward (struct proxy *proxy,
+                       const struct action_forward *action);
+void exchange_cancel (struct proxy *proxy, struct handle h);
 void exchange_pump_in (struct exchange *exchange);
 void exchange_target_ended (struct exchange *exchange, enum outcome outcome,
                             enum reason reason);
-void exchange_reply (struct node *node, const struct link_event *event);
+void exchange_reply (struct proxy *proxy, const struct link_event *event);
 void target_server_pump (struct exchange *exchange);
 void target_peer_pump (struct exchange *exchange);
 void target_peer_pull (struct exchange *exchange);
 void target_drop (struct exchange *exchange);
 
 /* Towards the source.  */
-void exchange_answer (struct node *node, const struct action_answer *action);
+void exchange_answer (struct proxy *proxy, const struct action_answer *action);
 void exchange_pump_out (struct exchange *exchange);
 struct exchange *source_caller_find (SoupServerMessage *message,
-                                     struct node *node);
-enum reason source_caller_read (struct exchange *exchange,
-                                SoupMessageHeaders *headers);
-void source_caller_attach (struct node *node, SoupServerMessage *message);
-void source_caller_handle (struct node *node, SoupServerMessage *message);
+                                     struct proxy *proxy);
+void source_caller_attach (struct proxy *proxy, SoupServerMessage *message);
+void source_caller_handle (struct proxy *proxy, SoupServerMessage *message);
 void source_caller_received (struct exchange *exchange);
 void source_caller_pump (struct exchange *exchange);
 void source_caller_resume (struct exchange *exchange);
@@ -156,11 +156,11 @@
 void source_caller_detach (struct exchange *exchange);
 void caller_watch_begin (struct exchange *exchange);
 void caller_watch_end (struct exchange *exchange);
-void source_peer_open (struct node *node, const struct link_event *event);
-void source_peer_data (struct node *node, const struct link_event *event);
-void source_peer_read (struct node *node, const struct link_event *event);
-void source_peer_cancel (struct node *node, const struct link_event *event);
-void source_peer_closed (struct node *node, struct handle link);
+void source_peer_open (struct proxy *proxy, const struct link_event *event);
+void source_peer_data (struct proxy *proxy, const struct link_event *event);
+void source_peer_read (struct proxy *proxy, const struct link_event *event);
+void source_peer_cancel (struct proxy *proxy, const struct link_event *event);
+void source_peer_closed (struct proxy *proxy, struct handle link);
 void source_peer_pump (struct exchange *exchange);
 void source_peer_resume (struct exchange *exchange);
 void source_peer_break (struct exchange *exchange,
--- a/src/edge/front.c
+++ b/src/edge/front.c
@@ -18,10 +18,12 @@
 on_early (SoupServer *server, SoupServerMessage *message, const char *path,
           GHashTable *query, gpointer data)
 {
+  struct node *node = data;
+
   (void)server;
   (void)query;
   if (!is_admin (path))
-    source_caller_attach (data, message);
+    source_caller_attach (&node->proxy, message);
 }
 
 /* A request has come whole.  */
@@ -29,11 +31,13 @@
 on_whole (SoupServer *server, SoupServerMessage *message, const char *path,
           GHashTable *query, gpointer data)
 {
+  struct node *node = data;
+
   (void)server;
   if (is_admin (path))
-    admin_handle (data, message, path + strlen (ADMIN_PREFIX), query);
+    admin_handle (node, message, path + strlen (ADMIN_PREFIX), query);
   else
-    source_caller_handle (data, message);
+    source_caller_handle (&node->proxy, message);
 }
 
 /* Listen for callers, operators and the backend server, with a backlog that
--- a/src/edge/headers.c
+++ b/src/edge/headers.c
@@ -41,6 +41,17 @@
   return to;
 }
 
+/* Set the header NAME to a number.  */
+void
+headers_set_number (SoupMessageHeaders *headers, const char *name,
+                    gint64 value)
+{
+  char *text = g_strdup_printf ("%" G_GINT64_FORMAT, value);
+
+  soup_message_headers_replace (headers, name, text);
+  g_free (text);
+}
+
 /* Write headers as lines, each ended by CR LF; free the text with g_free.  */
 char *
 headers_format (SoupMessageHeaders *headers)
--- a/src/edge/headers.h
+++ b/src/edge/headers.h
@@ -20,6 +20,8 @@
 #define HEADER_LEASE "Bambootally-Lease-Until"
 
 SoupMessageHeaders *headers_copy (SoupMessageHeaders *from);
+void headers_set_number (SoupMessageHeaders *headers, const char *name,
+                         gint64 value);
 char *headers_format (SoupMessageHeaders *headers);
 SoupMessageHeaders *headers_parse (const char *text);
 char *headers_format_stamp (struct stamp stamp);
--- a/src/edge/http.c
+++ b/src/edge/http.c
@@ -64,7 +64,7 @@
       break;
     case CONN_CLOSED:
       code = event->code;
-      if (call->has_head)
+      if (call->has_head && !call->passing_over)
         code = call->framing == HTTP_BY_CLOSE ? ERR_NONE : ERR_TRUNCATED;
       call->keep = FALSE;
       end_call (call, code);
@@ -82,8 +82,11 @@
   const char *name;
   const char *value;
 
-  g_string_append_printf (text, "%s %s HTTP/1.1\r\nHost: %s\r\n",
-                          request->method, request->target, host);
+  g_string_append_printf (text, "%s %s HTTP/1.1\r\n", request->method,
+                          request->target);
+  if (request->headers == NULL
+      || soup_message_headers_get_one (request->headers, "Host") == NULL)
+    g_string_append_printf (text, "Host: %s\r\n", host);
   if (request->headers != NULL)
     {
       soup_message_headers_iter_init (&iter, request->headers);
@@ -183,6 +186,17 @@
     conn_pause (call->conn, paused);
 }
 
+/* Pass over the answer whose head has just been told, and wait for the next
+   one on the connection.  */
+void
+http_pass_over (struct http *http, struct handle h)
+{
+  struct http_call *call = table_get (&http->calls, h);
+
+  if (call != NULL)
+    call->passing_over = TRUE;
+}
+
 /* Drop a call without telling its owner; the server sees the connection
    close.  */
 void
--- a/src/edge/http.h
+++ b/src/edge/http.h
@@ -73,6 +73,7 @@
   gint64 remaining;          /* bytes left of the body or chunk */
   gboolean in_chunk;         /* within a chunk's data */
   gboolean last_chunk;       /* trailers are being read */
+  gboolean passing_over;     /* this answer belongs to another request */
   gboolean keep;             /* the connection may serve another call */
   gint64 deadline;           /* when to give up */
   http_event_fn *fn;         /* told of events */
@@ -102,6 +103,7 @@
 void http_finish (struct http *http, struct handle call);
 gsize http_unsent (struct http *http, struct handle call);
 void http_pause (struct http *http, struct handle call, gboolean paused);
+void http_pass_over (struct http *http, struct handle call);
 void http_abort (struct http *http, struct handle call);
 void http_expire (struct http *http, gint64 now);
 void http_drop_idle (struct http *http, struct address to);
--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -101,7 +101,8 @@
     return TRUE;
   event.bytes = conn->received->data;
   event.count = (gsize)*count;
-  call->fn (&event, call->data);
+  if (!call->passing_over)
+    call->fn (&event, call->data);
   if (table_get (&http->calls, self) == NULL)
     return FALSE;
   conn_take (conn, (gsize)*count);
@@ -185,6 +186,16 @@
   return ERR_MALFORMED;
 }
 
+/* The answer of another request is over: the next one is awaited.  */
+static void
+end_passed_over (struct http_call *call)
+{
+  call->passing_over = FALSE;
+  call->has_head = FALSE;
+  call->in_chunk = FALSE;
+  call->last_chunk = FALSE;
+}
+
 /* Read as much of the answer as has come and tell the owner of CALL.  Return
    ERR_NONE once the answer is whole, ERR_UNAVAILABLE while more is to come;
    the owner may have dropped the call meanwhile.  */
@@ -195,16 +206,22 @@
   struct handle self = call->self;
   enum err code = ERR_NONE;
 
-  while (code == ERR_NONE && !call->has_head)
+  do
     {
-      code = read_head (call);
-      if (table_get (&http->calls, self) == NULL)
-        return ERR_CLOSED;
+      while (code == ERR_NONE && !call->has_head)
+        {
+          code = read_head (call);
+          if (table_get (&http->calls, self) == NULL)
+            return ERR_CLOSED;
+        }
+      if (code != ERR_NONE)
+        return code;
+      do
+        code = read_body (call);
+      while (code == ERR_CONFLICT);
+      if (code != ERR_NONE || !call->passing_over)
+        return code;
+      end_passed_over (call);
     }
-  if (code != ERR_NONE)
-    return code;
-  do
-    code = read_body (call);
-  while (code == ERR_CONFLICT);
-  return code;
+  while (TRUE);
 }
--- a/src/edge/log_client.c
+++ b/src/edge/log_client.c
@@ -1,4 +1,5 @@
 #include "edge/log_client.h"
+#include "types/clock.h"
 
 #include "wire/wire_record.h"
 
@@ -30,7 +31,7 @@
 
   event.u.log_failed.code = code;
   event.u.log_failed.first = client->first;
-  client->retry_at = g_get_monotonic_time () + READ_AGAIN_USEC;
+  client->retry_at = clock_usec () + READ_AGAIN_USEC;
   client->fn (&event, client->data);
 }
 
--- a/src/edge/node.c
+++ b/src/edge/node.c
@@ -1,4 +1,5 @@
 #include "edge/node.h"
+#include "types/clock.h"
 
 #include "decide/timing.h"
 #include "edge/journal.h"
@@ -16,7 +17,7 @@
   guint i;
 
   actions_init (&actions);
-  core_step (&node->core, event, g_get_monotonic_time (), &actions);
+  core_step (&node->core, event, clock_usec (), &actions);
   for (i = 0; i < actions.items->len; i++)
     node_do (node, actions_at (&actions, i));
   actions_clear (&actions);
@@ -29,6 +30,8 @@
 {
   struct event *later;
 
+  if (event->kind == EVENT_DRAIN)
+    node->proxy.leaving = TRUE;
   if (node->feeding)
     {
       g_queue_push_tail (node->later,
@@ -53,11 +56,11 @@
   struct node *node = data;
 
   if (event->kind == EVENT_RECORDS)
-    node->counters.records += event->u.records.count;
+    node->proxy.counters.records += event->u.records.count;
   if (event->kind == EVENT_RECORDS)
     tail_store_add (&node->tail, node->log.body->data, node->log.body->len);
   node_feed (node, event);
-  log_client_step (&node->log, g_get_monotonic_time ());
+  log_client_step (&node->log, clock_usec ());
 }
 
 /* The timer.  */
@@ -66,14 +69,13 @@
 {
   struct node *node = data;
   struct event event = { .kind = EVENT_TICK };
-  gint64 now = g_get_monotonic_time ();
+  gint64 now = clock_usec ();
 
-  http_expire (&node->http, now);
-  links_expire (&node->links, now);
+  proxy_expire (&node->proxy, now);
   log_client_step (&node->log, now);
   server_poll_step (node, now);
   source_tail_step (node, now);
-  event.u.tick.exchanges = node->exchanges.count + links_unsent (&node->links);
+  event.u.tick.exchanges = proxy_busy (&node->proxy);
   node_feed (node, &event);
   return G_SOURCE_CONTINUE;
 }
@@ -90,7 +92,7 @@
   if (wire_decode (wire_peer_call, body, link_event->bytes, link_event->length)
       != ERR_NONE)
     {
-      links_reply (&node->links, link_event->link, link_event->xid,
+      links_reply (&node->proxy.links, link_event->link, link_event->xid,
                    ERR_MALFORMED, NULL, NULL);
       return;
     }
@@ -122,91 +124,55 @@
     g_free (body->u.fetch.bytes);
 }
 
-/* A peer calls.  */
+/* Another node calls, or replies, about something else than a request.  */
 static void
-take_call (struct node *node, const struct link_event *event)
+on_link_event (const struct link_event *event, gpointer data)
 {
+  struct node *node = data;
+  gboolean is_call = event->kind == LINK_CALL;
+
   switch (event->procedure)
     {
-    case RPC_NULL:
-      links_reply (&node->links, event->link, event->xid, ERR_NONE, NULL,
-                   NULL);
-      break;
     case RPC_PEER:
-      take_peer_call (node, event);
-      break;
-    case RPC_OPEN:
-      source_peer_open (node, event);
-      break;
-    case RPC_DATA:
-      source_peer_data (node, event);
-      break;
-    case RPC_READ:
-      source_peer_read (node, event);
+      if (is_call)
+        take_peer_call (node, event);
+      else
+        take_peer_reply (node, event);
       break;
     case RPC_TAIL:
-      source_tail_call (node, event);
-      break;
-    case RPC_CANCEL:
-      source_peer_cancel (node, event);
+      if (is_call)
+        source_tail_call (node, event);
+      else
+        source_tail_reply (node, event);
       break;
     default:
-      links_reply (&node->links, event->link, event->xid, ERR_MALFORMED, NULL,
-                   NULL);
+      links_reply (&node->proxy.links, event->link, event->xid, ERR_MALFORMED,
+                   NULL, NULL);
       break;
     }
 }
 
-/* Something came from another node.  */
+/* Something happened to a request.  A server that failed one is asked how it
+   is.  */
 static void
-on_link_event (const struct link_event *event, gpointer data)
+on_proxy_event (const struct event *event, gpointer data)
 {
   struct node *node = data;
 
-  switch (event->kind)
-    {
-    case LINK_CALL:
-      take_call (node, event);
-      break;
-    case LINK_REPLY:
-      if (event->procedure == RPC_PEER)
-        take_peer_reply (node, event);
-      else if (event->procedure == RPC_TAIL)
-        source_tail_reply (node, event);
-      else
-        exchange_reply (node, event);
-      break;
-    case LINK_CLOSED:
-      source_peer_closed (node, event->link);
-      break;
-    }
+  if (event->kind == EVENT_ENDED
+      && (event->u.ended.reason == REASON_SERVER_DOWN
+          || event->u.ended.reason == REASON_TRUNCATED))
+    server_poll_soon (node);
+  node_feed (node, event);
 }
 
 /* Life */
 
-/* Hash a stream's name.  */
-static guint
-stream_hash (gconstpointer data)
-{
-  const struct stream_key *key = data;
-
-  return g_int64_hash (&key->stream) ^ key->link;
-}
-
-/* Compare two streams' names.  */
-static gboolean
-stream_equal (gconstpointer a, gconstpointer b)
-{
-  const struct stream_key *left = a;
-  const struct stream_key *right = b;
-
-  return left->link == right->link && left->stream == right->stream;
-}
-
 /* Start a node: it listens and begins to read the log.  */
 enum err
 node_init (struct node *node, const struct settings *settings)
 {
+  const struct proxy_owner owner = { on_proxy_event, on_link_event, node };
   enum err code;
 
   memset (node, 0, sizeof *node);
@@ -214,21 +180,19 @@
   node->later = g_queue_new ();
   node->loop = g_main_loop_new (NULL, FALSE);
   core_init (&node->core, &settings->core);
-  table_init (&node->exchanges, sizeof (struct exchange));
-  node->streams
-      = g_hash_table_new_full (stream_hash, stream_equal, g_free, NULL);
-  node->server_calls = g_hash_table_new (NULL, NULL);
   tail_store_init (&node->tail);
-  http_init (&node->http);
-  log_client_init (&node->log, &node->http, settings->log,
+  code = proxy_init (&node->proxy, settings->core.peer, &owner);
+  node->proxy.self = settings->core.incarnation;
+  node->proxy.dialect.u.own.config = &node->core.view.config;
+  node->proxy.dialect.u.own.lease_until = &node->core.lease.until;
+  log_client_init (&node->log, &node->proxy.http, settings->log,
                    settings->log_stream, on_log_event, node);
-  code = links_init (&node->links, settings->core.peer, on_link_event, node);
   if (code == ERR_NONE)
     code = front_init (node);
   if (code != ERR_NONE)
     return code;
   node->tick = g_timeout_add (TICK_USEC / USEC_PER_MSEC, on_tick, node);
-  log_client_step (&node->log, g_get_monotonic_time ());
+  log_client_step (&node->log, clock_usec ());
   return ERR_NONE;
 }
 
@@ -236,20 +200,12 @@
 void
 node_clear (struct node *node)
 {
-  struct handle h = table_next (&node->exchanges, HANDLE_NONE);
-
   node->feeding = TRUE;
   if (node->tick != 0)
     g_source_remove (node->tick);
-  for (; handle_is_set (h); h = table_next (&node->exchanges, h))
-    exchange_remove (exchange_at (node, h));
   front_clear (node);
   log_client_clear (&node->log);
-  links_clear (&node->links);
-  http_clear (&node->http);
-  table_clear (&node->exchanges);
-  g_hash_table_destroy (node->streams);
-  g_hash_table_destroy (node->server_calls);
+  proxy_clear (&node->proxy);
   core_clear (&node->core);
   tail_store_clear (&node->tail);
   if (node->served != NULL)
--- a/src/edge/node.h
+++ b/src/edge/node.h
@@ -2,9 +2,8 @@
 #define BAMBOOTALLY_NODE_H
 
 #include "decide/core.h"
-#include "edge/counters.h"
-#include "edge/exchange.h"
 #include "edge/log_client.h"
+#include "edge/proxy.h"
 #include "edge/server_poll.h"
 #include "edge/settings.h"
 #include "edge/source_tail.h"
@@ -17,19 +16,12 @@
   struct settings settings;       /* its settings */
   struct core core;               /* its decisions */
   GMainLoop *loop;                /* the one loop */
-  struct http http;               /* calls to the log and the server */
-  struct links links;             /* other nodes */
+  struct proxy proxy;             /* requests on their way */
   struct log_client log;          /* the log */
   struct tail_store tail;         /* the last records that were read */
   struct source_tail tail_source; /* the peer that records come from */
   SoupServer *front;              /* callers, operators and the server */
-  struct table exchanges;         /* struct exchange */
-  GHashTable *streams;            /* struct stream_key to exchange handle */
-  GHashTable *server_calls;       /* bits of HTTP call to bits of exchange */
-  struct address server;          /* the backend server's address */
   struct server_poll poll;        /* asks for its load */
-  guint64 last_stream;            /* name of the last attempt passed on */
-  struct counters counters;       /* what it has counted */
   GByteArray *snapshot;           /* the view as last encoded, or NULL */
   GByteArray *served;    /* the view as last encoded for a peer, or NULL */
   guint64 served_offset; /* its offset */
@@ -40,13 +32,6 @@
   gboolean again;        /* it is to start as a new incarnation */
 };
 
-/* An incoming stream: names are unique on one connection.  */
-struct stream_key
-{
-  guint32 link;   /* bits of the connection's handle */
-  guint64 stream; /* the peer's name */
-};
-
 enum err node_init (struct node *node, const struct settings *settings);
 void node_clear (struct node *node);
 void node_feed (struct node *node, const struct event *event);
--- a/src/edge/node_do.c
+++ b/src/edge/node_do.c
@@ -1,4 +1,5 @@
 #include "edge/node.h"
+#include "types/clock.h"
 
 #include "edge/journal.h"
 #include "wire/wire_peer.h"
@@ -9,8 +10,8 @@
 {
   struct link_tag tag = { .serial = action->serial, .peer = action->peer };
 
-  node->counters.control_calls++;
-  links_call (&node->links, action->to, RPC_PEER, wire_peer_call,
+  node->proxy.counters.control_calls++;
+  links_call (&node->proxy.links, action->to, RPC_PEER, wire_peer_call,
               &action->body, &tag, action->deadline);
 }
 
@@ -23,9 +24,9 @@
       = view_node_at (view, view_find_node (view, peer));
 
   if (peer == 0)
-    http_drop_idle (&node->http, node->server);
+    http_drop_idle (&node->proxy.http, node->proxy.server);
   else if (known != NULL)
-    links_drop (&node->links, known->join.peer);
+    links_drop (&node->proxy.links, known->join.peer);
 }
 
 /* Do what the core wants.  */
@@ -35,34 +36,34 @@
   switch (action->kind)
     {
     case ACTION_APPEND:
-      node->counters.appends++;
-      log_client_append (&node->log, &action->u.append.record,
-                         g_get_monotonic_time ());
+      node->proxy.counters.appends++;
+      log_client_append (&node->log, &action->u.append.record, clock_usec ());
       break;
     case ACTION_CALL:
       do_call (node, &action->u.call);
       break;
     case ACTION_REPLY:
-      links_reply (&node->links, action->u.reply.call, action->u.reply.xid,
-                   ERR_NONE, wire_peer_reply, &action->u.reply.body);
+      links_reply (&node->proxy.links, action->u.reply.call,
+                   action->u.reply.xid, ERR_NONE, wire_peer_reply,
+                   &action->u.reply.body);
       break;
     case ACTION_FORWARD:
-      node->counters.forwarded++;
-      exchange_forward (node, &action->u.forward);
+      node->proxy.counters.forwarded++;
+      exchange_forward (&node->proxy, &action->u.forward);
       break;
     case ACTION_RUN:
-      node->counters.run++;
-      exchange_run (node, &action->u.run);
+      node->proxy.counters.run++;
+      exchange_run (&node->proxy, &action->u.run);
       break;
     case ACTION_ANSWER:
-      exchange_answer (node, &action->u.answer);
+      exchange_answer (&node->proxy, &action->u.answer);
       break;
     case ACTION_CANCEL:
-      exchange_cancel (node, action->u.cancel.exchange);
+      exchange_cancel (&node->proxy, action->u.cancel.exchange);
       break;
     case ACTION_NOTE:
       if (action->u.note.id == NOTE_ROUTE_RETRY)
-        node->counters.retried++;
+        node->proxy.counters.retried++;
       journal_note (&action->u.note);
       break;
     case ACTION_FETCH:
--- a/src/edge/node_view.c
+++ b/src/edge/node_view.c
@@ -72,6 +72,6 @@
       page->bytes = node->served->data + action->position;
       page->length = MIN (PAGE_BYTES, page->total - action->position);
     }
-  links_reply (&node->links, action->call, action->xid, ERR_NONE,
+  links_reply (&node->proxy.links, action->call, action->xid, ERR_NONE,
                wire_peer_reply, &reply);
 }
--- /dev/null
+++ b/src/edge/proxy.c
@@ -0,0 +1,155 @@
+#include "edge/proxy.h"
+
+#include <string.h>
+
+/* Streams */
+
+/* Hash a stream's name.  */
+static guint
+stream_hash (gconstpointer data)
+{
+  const struct stream_key *key = data;
+
+  return g_int64_hash (&key->stream) ^ key->link;
+}
+
+/* Compare two streams' names.  */
+static gboolean
+stream_equal (gconstpointer a, gconstpointer b)
+{
+  const struct stream_key *left = a;
+  const struct stream_key *right = b;
+
+  return left->link == right->link && left->stream == right->stream;
+}
+
+/* Other nodes */
+
+/* A peer calls.  */
+static void
+take_call (struct proxy *proxy, const struct link_event *event)
+{
+  switch (event->procedure)
+    {
+    case RPC_NULL:
+      links_reply (&proxy->links, event->link, event->xid, ERR_NONE, NULL,
+                   NULL);
+      break;
+    case RPC_OPEN:
+      source_peer_open (proxy, event);
+      break;
+    case RPC_DATA:
+      source_peer_data (proxy, event);
+      break;
+    case RPC_READ:
+      source_peer_read (proxy, event);
+      break;
+    case RPC_CANCEL:
+      source_peer_cancel (proxy, event);
+      break;
+    case RPC_PEER:
+    case RPC_TAIL:
+    case RPC_MESH:
+      proxy->owner.on_link (event, proxy->owner.data);
+      break;
+    default:
+      links_reply (&proxy->links, event->link, event->xid, ERR_MALFORMED, NULL,
+                   NULL);
+      break;
+    }
+}
+
+/* A call was answered, or will not be.  */
+static void
+take_reply (struct proxy *proxy, const struct link_event *event)
+{
+  switch (event->procedure)
+    {
+    case RPC_PEER:
+    case RPC_TAIL:
+    case RPC_MESH:
+      proxy->owner.on_link (event, proxy->owner.data);
+      break;
+    case RPC_NULL:
+    case RPC_OPEN:
+    case RPC_DATA:
+    case RPC_READ:
+    case RPC_CANCEL:
+      exchange_reply (proxy, event);
+      break;
+    }
+}
+
+/* Something came from another node.  */
+static void
+on_link_event (const struct link_event *event, gpointer data)
+{
+  struct proxy *proxy = data;
+
+  switch (event->kind)
+    {
+    case LINK_CALL:
+      take_call (proxy, event);
+      break;
+    case LINK_REPLY:
+      take_reply (proxy, event);
+      break;
+    case LINK_CLOSED:
+      source_peer_closed (proxy, event->link);
+      break;
+    }
+}
+
+/* Interface */
+
+/* Tell the owner of EVENT.  */
+void
+proxy_tell (struct proxy *proxy, const struct event *event)
+{
+  proxy->owner.on_event (event, proxy->owner.data);
+}
+
+/* Set up a data path that listens for other nodes at PEERS.  */
+enum err
+proxy_init (struct proxy *proxy, struct address peers,
+            const struct proxy_owner *owner)
+{
+  memset (proxy, 0, sizeof *proxy);
+  proxy->owner = *owner;
+  table_init (&proxy->exchanges, sizeof (struct exchange));
+  proxy->streams
+      = g_hash_table_new_full (stream_hash, stream_equal, g_free, NULL);
+  proxy->server_calls = g_hash_table_new (NULL, NULL);
+  http_init (&proxy->http);
+  return links_init (&proxy->links, peers, on_link_event, proxy);
+}
+
+/* Drop all requests and connections, untold.  */
+void
+proxy_clear (struct proxy *proxy)
+{
+  struct handle h = table_next (&proxy->exchanges, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&proxy->exchanges, h))
+    exchange_remove (exchange_at (proxy, h));
+  links_clear (&proxy->links);
+  http_clear (&proxy->http);
+  table_clear (&proxy->exchanges);
+  g_hash_table_destroy (proxy->streams);
+  g_hash_table_destroy (proxy->server_calls);
+}
+
+/* Give up the calls whose deadline has passed.  */
+void
+proxy_expire (struct proxy *proxy, gint64 now)
+{
+  http_expire (&proxy->http, now);
+  links_expire (&proxy->links, now);
+}
+
+/* Requests, and replies unsent, that are in its hands.  */
+guint32
+proxy_busy (const struct proxy *proxy)
+{
+  return proxy->exchanges.count + links_unsent (&proxy->links);
+}
--- a/src/edge/server_poll.c
+++ b/src/edge/server_poll.c
@@ -37,7 +37,7 @@
 
   node->poll.failures++;
   if (code == ERR_TIMEOUT)
-    http_drop_idle (&node->http, node->server);
+    http_drop_idle (&node->proxy.http, node->proxy.server);
   server_poll_soon (node);
   event.u.server_down.gone = code == ERR_REFUSED;
   if (code == ERR_REFUSED || node->poll.failures >= FAILURES_TO_DOWN)
@@ -92,17 +92,18 @@
   struct server_poll *poll = &node->poll;
   struct http_request request = { 0 };
 
-  if (node->server.port == 0 || handle_is_set (poll->call) || now < poll->next)
+  if (node->proxy.server.port == 0 || handle_is_set (poll->call)
+      || now < poll->next)
     return;
   poll->next = now + POLL_EVERY_USEC;
   poll->begun = now;
   poll->length = 0;
-  request.to = node->server;
+  request.to = node->proxy.server;
   request.method = "GET";
   request.target = POLL_PATH;
   request.deadline = now + POLL_TIMEOUT_USEC;
-  poll->call = http_start (&node->http, &request, on_poll_event, node);
-  http_finish (&node->http, poll->call);
+  poll->call = http_start (&node->proxy.http, &request, on_poll_event, node);
+  http_finish (&node->proxy.http, poll->call);
 }
 
 /* A connection to the server broke: ask it soon.  */
--- a/src/edge/source_caller.c
+++ b/src/edge/source_caller.c
@@ -1,7 +1,7 @@
 #include "edge/exchange.h"
 
 #include "edge/headers.h"
-#include "edge/node.h"
+#include "edge/proxy.h"
 
 #include <string.h>
 
@@ -9,12 +9,12 @@
 
 /* The request that a message carries, or NULL.  */
 struct exchange *
-source_caller_find (SoupServerMessage *message, struct node *node)
+source_caller_find (SoupServerMessage *message, struct proxy *proxy)
 {
   struct handle h = { GPOINTER_TO_UINT (
       g_object_get_data (G_OBJECT (message), EXCHANGE_DATA)) };
 
-  return exchange_at (node, h);
+  return exchange_at (proxy, h);
 }
 
 /* The request's body */
@@ -23,18 +23,18 @@
 static void
 on_got_chunk (SoupServerMessage *message, GBytes *chunk, gpointer data)
 {
-  struct node *node = data;
-  struct exchange *exchange = source_caller_find (message, node);
+  struct proxy *proxy = data;
+  struct exchange *exchange = source_caller_find (message, proxy);
   gsize count;
   const guint8 *bytes = g_bytes_get_data (chunk, &count);
 
   if (exchange == NULL || exchange->has_answer)
     return;
-  node->counters.bytes_in += count;
+  proxy->counters.bytes_in += count;
   body_add (&exchange->in, bytes, count);
   if (exchange->source.u.caller.begun)
     exchange_pump_in (exchange);
-  exchange = source_caller_find (message, node);
+  exchange = source_caller_find (message, proxy);
   if (exchange == NULL || !body_is_full (&exchange->in)
       || exchange->has_answer)
     return;
@@ -59,7 +59,7 @@
 source_caller_received (struct exchange *exchange)
 {
   struct source_caller *caller = &exchange->source.u.caller;
-  struct node *node = exchange->node;
+  struct proxy *proxy = exchange->proxy;
   struct handle self = exchange->self;
 
   caller->received = TRUE;
@@ -73,7 +73,7 @@
     }
   else
     exchange_pump_in (exchange);
-  exchange = exchange_at (node, self);
+  exchange = exchange_at (proxy, self);
   if (exchange != NULL)
     source_caller_pump (exchange);
 }
@@ -97,22 +97,8 @@
   soup_message_headers_iter_init (&iter, head->headers);
   while (soup_message_headers_iter_next (&iter, &name, &value))
     soup_message_headers_append (headers, name, value);
-  if (soup_message_headers_get_one (headers, HEADER_OUTCOME) == NULL)
-    soup_message_headers_append (headers, HEADER_OUTCOME,
-                                 outcome_name (OUTCOME_DONE));
-  if (head->stamp.time != 0)
-    {
-      char *stamp = headers_format_stamp (head->stamp);
-      soup_message_headers_append (headers, HEADER_STAMP, stamp);
-      g_free (stamp);
-    }
-  if (head->owner.port != 0 && exchange->has_answer)
-    {
-      char *owner = address_format (head->owner);
-      soup_message_headers_append (headers, HEADER_OWNER, owner);
-      g_free (owner);
-    }
-  if (exchange->node->core.drain.asked)
+  dialect_finish_head (&exchange->proxy->dialect, exchange, headers);
+  if (exchange->proxy->leaving)
     soup_message_headers_replace (headers, "Connection", "close");
   if (head->length >= 0)
     soup_message_headers_set_content_length (headers, head->length);
@@ -162,7 +148,7 @@
     return;
   send_part (exchange);
   if (exchange->target.kind == TARGET_SERVER)
-    http_pause (&exchange->node->http, exchange->target.u.server.call, FALSE);
+    http_pause (&exchange->proxy->http, exchange->target.u.server.call, FALSE);
   else
     target_peer_pull (exchange);
 }
@@ -215,15 +201,15 @@
                                   .outcome = OUTCOME_NOT_RUN,
                                   .reason = reason };
 
-  exchange_answer (exchange->node, &action);
+  exchange_answer (exchange->proxy, &action);
 }
 
 /* A caller's request begins: its headers have come.  A short body is waited
    for; a long one is passed on as it comes.  */
 void
-source_caller_attach (struct node *node, SoupServerMessage *message)
+source_caller_attach (struct proxy *proxy, SoupServerMessage *message)
 {
-  struct exchange *exchange = exchange_add (node, SOURCE_CALLER);
+  struct exchange *exchange = exchange_add (proxy, SOURCE_CALLER);
   struct source_caller *caller = &exchange->source.u.caller;
   SoupMessageHeaders *headers
       = soup_server_message_get_request_headers (message);
@@ -231,7 +217,7 @@
   const char *query = g_uri_get_query (uri);
   enum reason reason;
 
-  node->counters.requests++;
+  proxy->counters.requests++;
   caller->message = g_object_ref (message);
   g_object_set_data (G_OBJECT (message), EXCHANGE_DATA,
                      GUINT_TO_POINTER (exchange->self.bits));
@@ -239,15 +225,15 @@
   exchange->path
       = g_strdup_printf ("%s%s%s", g_uri_get_path (uri),
                          query != NULL ? "?" : "", query != NULL ? query : "");
-  exchange->headers = headers_copy (headers);
   if (soup_message_headers_get_encoding (headers) != SOUP_ENCODING_CHUNKED)
     exchange->length = soup_message_headers_get_content_length (headers);
   soup_message_body_set_accumulate (
       soup_server_message_get_request_body (message), FALSE);
-  g_signal_connect (message, "got-chunk", G_CALLBACK (on_got_chunk), node);
-  g_signal_connect (message, "wrote-chunk", G_CALLBACK (on_wrote_chunk), node);
-  g_signal_connect (message, "finished", G_CALLBACK (on_finished), node);
-  reason = source_caller_read (exchange, headers);
+  g_signal_connect (message, "got-chunk", G_CALLBACK (on_got_chunk), proxy);
+  g_signal_connect (message, "wrote-chunk", G_CALLBACK (on_wrote_chunk),
+                    proxy);
+  g_signal_connect (message, "finished", G_CALLBACK (on_finished), proxy);
+  reason = dialect_read_request (&proxy->dialect, exchange, headers);
   if (reason != REASON_NONE)
     {
       caller->begun = TRUE;
@@ -267,16 +253,16 @@
   SoupServerMessage *message = exchange->source.u.caller.message;
 
   caller_watch_end (exchange);
-  g_signal_handlers_disconnect_by_data (message, exchange->node);
+  g_signal_handlers_disconnect_by_data (message, exchange->proxy);
   g_object_unref (message);
 }
 
 /* The request's body has come whole: MESSAGE carries a request, or it was
    ended already.  */
 void
-source_caller_handle (struct node *node, SoupServerMessage *message)
+source_caller_handle (struct proxy *proxy, SoupServerMessage *message)
 {
-  struct exchange *exchange = source_caller_find (message, node);
+  struct exchange *exchange = source_caller_find (message, proxy);
 
   if (exchange != NULL)
     source_caller_received (exchange);
--- a/src/edge/source_peer.c
+++ b/src/edge/source_peer.c
@@ -1,27 +1,28 @@
 #include "edge/exchange.h"
+#include "types/clock.h"
 
 #include "edge/headers.h"
-#include "edge/node.h"
+#include "edge/proxy.h"
 #include "wire/wire_forward.h"
 
 #include <string.h>
 
 /* Find the request that a peer calls STREAM.  */
 static struct exchange *
-find_stream (struct node *node, struct handle link, guint64 stream)
+find_stream (struct proxy *proxy, struct handle link, guint64 stream)
 {
   struct stream_key key = { link.bits, stream };
   struct handle h
-      = { GPOINTER_TO_UINT (g_hash_table_lookup (node->streams, &key)) };
+      = { GPOINTER_TO_UINT (g_hash_table_lookup (proxy->streams, &key)) };
 
-  return exchange_at (node, h);
+  return exchange_at (proxy, h);
 }
 
 /* Replies */
 
 /* Reply to a call to open that the request ended without an answer.  */
 static void
-reply_refusal (struct node *node, struct handle link, guint32 xid,
+reply_refusal (struct proxy *proxy, struct handle link, guint32 xid,
                const struct action_answer *action)
 {
   struct forward_head head = { .outcome = action->outcome,
@@ -30,7 +31,7 @@
                                .retry_msec = action->retry_msec,
                                .headers = (char *)"" };
 
-  links_reply (&node->links, link, xid, ERR_NONE, wire_forward_head, &head);
+  links_reply (&proxy->links, link, xid, ERR_NONE, wire_forward_head, &head);
 }
 
 /* The next bytes of the answer's body.  */
@@ -51,7 +52,7 @@
   body_pass (&exchange->out, count);
   exchange->source.u.peer.ended = end;
   if (exchange->target.kind == TARGET_SERVER && !body_is_full (&exchange->out))
-    http_pause (&exchange->node->http, exchange->target.u.server.call, FALSE);
+    http_pause (&exchange->proxy->http, exchange->target.u.server.call, FALSE);
 }
 
 /* Reply with the head and the first bytes.  */
@@ -66,7 +67,7 @@
   head.stamp = exchange->head.stamp;
   head.headers = headers_format (exchange->head.headers);
   head.count = next_bytes (exchange, &head.bytes, &head.end);
-  links_reply (&exchange->node->links, peer->link, peer->open_xid, ERR_NONE,
+  links_reply (&exchange->proxy->links, peer->link, peer->open_xid, ERR_NONE,
                wire_forward_head, &head);
   peer->head_sent = TRUE;
   bytes_went (exchange, head.count, head.end);
@@ -81,7 +82,7 @@
   struct forward_more more = { .outcome = OUTCOME_DONE };
 
   more.count = next_bytes (exchange, &more.bytes, &more.end);
-  links_reply (&exchange->node->links, peer->link, peer->read_xid, ERR_NONE,
+  links_reply (&exchange->proxy->links, peer->link, peer->read_xid, ERR_NONE,
                wire_forward_more, &more);
   peer->read_waits = FALSE;
   bytes_went (exchange, more.count, more.end);
@@ -112,7 +113,7 @@
   if (!peer->data_waits)
     return;
   peer->data_waits = FALSE;
-  links_reply (&exchange->node->links, peer->link, peer->data_xid, ERR_NONE,
+  links_reply (&exchange->proxy->links, peer->link, peer->data_xid, ERR_NONE,
                NULL, NULL);
 }
 
@@ -128,9 +129,9 @@
 
   source_peer_resume (exchange);
   if (!peer->head_sent)
-    reply_refusal (exchange->node, peer->link, peer->open_xid, action);
+    reply_refusal (exchange->proxy, peer->link, peer->open_xid, action);
   else if (peer->read_waits)
-    links_reply (&exchange->node->links, peer->link, peer->read_xid, ERR_NONE,
+    links_reply (&exchange->proxy->links, peer->link, peer->read_xid, ERR_NONE,
                  wire_forward_more, &more);
   exchange_remove (exchange);
 }
@@ -139,10 +140,10 @@
 
 /* Make a request of what a peer has opened.  */
 static void
-begin_open (struct node *node, const struct link_event *event,
+begin_open (struct proxy *proxy, const struct link_event *event,
             const struct forward_open *open)
 {
-  struct exchange *exchange = exchange_add (node, SOURCE_PEER);
+  struct exchange *exchange = exchange_add (proxy, SOURCE_PEER);
   struct stream_key key = { event->link.bits, open->stream };
 
   exchange->source.u.peer.link = event->link;
@@ -150,23 +151,23 @@
   exchange->source.u.peer.open_xid = event->xid;
   exchange->request = open->request;
   exchange->request.from_peer = TRUE;
-  exchange->request.deadline += g_get_monotonic_time ();
+  exchange->request.deadline += clock_usec ();
   exchange->method = g_strdup (open->method);
   exchange->path = g_strdup (open->target);
   exchange->headers = headers_parse (open->headers);
   exchange->length = open->length;
   body_add (&exchange->in, open->bytes, open->count);
   exchange->in.end = open->end;
-  g_hash_table_insert (node->streams, g_memdup2 (&key, sizeof key),
+  g_hash_table_insert (proxy->streams, g_memdup2 (&key, sizeof key),
                        GUINT_TO_POINTER (exchange->self.bits));
-  node->counters.from_peers++;
-  node->counters.bytes_in += open->count;
+  proxy->counters.from_peers++;
+  proxy->counters.bytes_in += open->count;
   exchange_begin (exchange);
 }
 
 /* A peer passes a request on to here.  */
 void
-source_peer_open (struct node *node, const struct link_event *event)
+source_peer_open (struct proxy *proxy, const struct link_event *event)
 {
   struct forward_open open = { 0 };
   struct action_answer wrong
@@ -175,33 +176,33 @@
   if (wire_decode (wire_forward_open, &open, event->bytes, event->length)
       != ERR_NONE)
     {
-      links_reply (&node->links, event->link, event->xid, ERR_MALFORMED, NULL,
+      links_reply (&proxy->links, event->link, event->xid, ERR_MALFORMED, NULL,
                    NULL);
       return;
     }
-  if (open.to != node->settings.core.incarnation)
-    reply_refusal (node, event->link, event->xid, &wrong);
+  if (open.to != proxy->self)
+    reply_refusal (proxy, event->link, event->xid, &wrong);
   else
-    begin_open (node, event, &open);
+    begin_open (proxy, event, &open);
   xdr_free ((xdrproc_t)wire_forward_open, (char *)&open);
 }
 
 /* A peer sends more of a request's body.  The reply waits until there is room
    for the next part; a request that is gone takes it and forgets it.  */
 void
-source_peer_data (struct node *node, const struct link_event *event)
+source_peer_data (struct proxy *proxy, const struct link_event *event)
 {
   struct forward_data data = { 0 };
   struct exchange *exchange = NULL;
 
   if (wire_decode (wire_forward_data, &data, event->bytes, event->length)
       == ERR_NONE)
-    exchange = find_stream (node, event->link, data.stream);
+    exchange = find_stream (proxy, event->link, data.stream);
   if (exchange == NULL)
-    links_reply (&node->links, event->link, event->xid, ERR_NONE, NULL, NULL);
+    links_reply (&proxy->links, event->link, event->xid, ERR_NONE, NULL, NULL);
   else
     {
-      node->counters.bytes_in += data.count;
+      proxy->counters.bytes_in += data.count;
       body_add (&exchange->in, data.bytes, data.count);
       exchange->in.end = data.end;
       exchange->source.u.peer.data_waits = TRUE;
@@ -213,7 +214,7 @@
 
 /* A peer asks for more of an answer's body.  */
 void
-source_peer_read (struct node *node, const struct link_event *event)
+source_peer_read (struct proxy *proxy, const struct link_event *event)
 {
   guint64 stream = 0;
   struct exchange *exchange = NULL;
@@ -222,10 +223,10 @@
 
   if (wire_decode (wire_forward_stream, &stream, event->bytes, event->length)
       == ERR_NONE)
-    exchange = find_stream (node, event->link, stream);
+    exchange = find_stream (proxy, event->link, stream);
   if (exchange == NULL)
     {
-      links_reply (&node->links, event->link, event->xid, ERR_NONE,
+      links_reply (&proxy->links, event->link, event->xid, ERR_NONE,
                    wire_forward_more, &gone);
       return;
     }
@@ -236,28 +237,28 @@
 
 /* A peer gives a request up.  */
 void
-source_peer_cancel (struct node *node, const struct link_event *event)
+source_peer_cancel (struct proxy *proxy, const struct link_event *event)
 {
   guint64 stream = 0;
   struct exchange *exchange = NULL;
 
   if (wire_decode (wire_forward_stream, &stream, event->bytes, event->length)
       == ERR_NONE)
-    exchange = find_stream (node, event->link, stream);
+    exchange = find_stream (proxy, event->link, stream);
   if (exchange != NULL)
     exchange_gone (exchange);
-  links_reply (&node->links, event->link, event->xid, ERR_NONE, NULL, NULL);
+  links_reply (&proxy->links, event->link, event->xid, ERR_NONE, NULL, NULL);
 }
 
 /* A connection from a peer has ended: its requests are given up.  */
 void
-source_peer_closed (struct node *node, struct handle link)
+source_peer_closed (struct proxy *proxy, struct handle link)
 {
-  struct handle h = table_next (&node->exchanges, HANDLE_NONE);
+  struct handle h = table_next (&proxy->exchanges, HANDLE_NONE);
 
-  for (; handle_is_set (h); h = table_next (&node->exchanges, h))
+  for (; handle_is_set (h); h = table_next (&proxy->exchanges, h))
     {
-      struct exchange *exchange = exchange_at (node, h);
+      struct exchange *exchange = exchange_at (proxy, h);
       if (exchange->source.kind == SOURCE_PEER
           && handle_equal (exchange->source.u.peer.link, link))
         exchange_gone (exchange);
--- a/src/edge/source_tail.c
+++ b/src/edge/source_tail.c
@@ -1,4 +1,5 @@
 #include "edge/source_tail.h"
+#include "types/clock.h"
 
 #include "edge/node.h"
 #include "wire/wire_record.h"
@@ -19,7 +20,7 @@
   struct event event = { .kind = EVENT_LOG_FAILED };
 
   node->tail_source.busy = FALSE;
-  node->tail_source.ask_at = g_get_monotonic_time () + ASK_EVERY_USEC;
+  node->tail_source.ask_at = clock_usec () + ASK_EVERY_USEC;
   event.u.log_failed.code = code;
   node_feed (node, &event);
 }
@@ -55,8 +56,8 @@
   tag.serial = ++source->serial;
   source->busy = TRUE;
   source->asked_at = now;
-  links_call (&node->links, source->to, RPC_TAIL, wire_tail_call, &call, &tag,
-              now + ASK_TIMEOUT_USEC);
+  links_call (&node->proxy.links, source->to, RPC_TAIL, wire_tail_call, &call,
+              &tag, now + ASK_TIMEOUT_USEC);
 }
 
 /* Tell the core the records of REPLY.  The answer of a peer never counts as a
@@ -77,7 +78,7 @@
             + 1;
       source->ask_at = 0;
       tail_store_add (&node->tail, reply->bytes, reply->length);
-      node->counters.records += entries->len;
+      node->proxy.counters.records += entries->len;
       event.u.records.items = (const struct log_entry *)entries->data;
       event.u.records.count = entries->len;
       event.u.records.next = source->next;
@@ -94,7 +95,7 @@
 {
   struct source_tail *source = &node->tail_source;
   struct tail_reply reply = { 0 };
-  gint64 now = g_get_monotonic_time ();
+  gint64 now = clock_usec ();
   enum err code = event->code;
 
   if (!source->active || !source->busy || event->tag.serial != source->serial)
@@ -141,10 +142,10 @@
   if (code == ERR_NONE)
     code = tail_store_read (&node->tail, call.offset, bytes);
   reply.next = node->tail.next;
-  reply.age = g_get_monotonic_time () - fresh_at (node);
+  reply.age = clock_usec () - fresh_at (node);
   reply.bytes = bytes->data;
   reply.length = bytes->len;
-  links_reply (&node->links, event->link, event->xid, code,
+  links_reply (&node->proxy.links, event->link, event->xid, code,
                code == ERR_NONE ? wire_tail_reply : NULL, &reply);
   g_byte_array_unref (bytes);
 }
--- a/src/edge/target_peer.c
+++ b/src/edge/target_peer.c
@@ -1,7 +1,8 @@
 #include "edge/exchange.h"
+#include "types/clock.h"
 
 #include "edge/headers.h"
-#include "edge/node.h"
+#include "edge/proxy.h"
 #include "wire/wire_forward.h"
 
 #include <string.h>
@@ -30,9 +31,9 @@
 
 /* Pass a request on to the owner's node.  */
 void
-exchange_forward (struct node *node, const struct action_forward *action)
+exchange_forward (struct proxy *proxy, const struct action_forward *action)
 {
-  struct exchange *exchange = exchange_at (node, action->exchange);
+  struct exchange *exchange = exchange_at (proxy, action->exchange);
   struct forward_open open = { 0 };
   struct link_tag tag;
 
@@ -43,11 +44,11 @@
   memset (&exchange->head.stamp, 0, sizeof exchange->head.stamp);
   exchange->head.owner = action->front;
   exchange->target.kind = TARGET_PEER;
-  exchange->target.u.peer.stream = ++node->last_stream;
-  open.stream = node->last_stream;
+  exchange->target.u.peer.stream = ++proxy->last_stream;
+  open.stream = proxy->last_stream;
   open.to = action->peer;
   open.request = action->request;
-  open.request.deadline -= g_get_monotonic_time ();
+  open.request.deadline -= clock_usec ();
   open.fence = action->fence;
   open.method = exchange->method;
   open.target = exchange->path;
@@ -56,7 +57,7 @@
   open.count = next_bytes (exchange, &open.bytes, &open.end);
   tag = tag_of (exchange);
   exchange->target.u.peer.link
-      = links_call (&node->links, action->to, RPC_OPEN, wire_forward_open,
+      = links_call (&proxy->links, action->to, RPC_OPEN, wire_forward_open,
                     &open, &tag, exchange->request.deadline);
   body_pass (&exchange->in, open.count);
   exchange->target.u.peer.end_sent = open.end;
@@ -76,7 +77,7 @@
       || (body_left (&exchange->in) == 0 && !exchange->in.end))
     return;
   data.count = next_bytes (exchange, &data.bytes, &data.end);
-  if (!links_call_on (&exchange->node->links, peer->link, RPC_DATA,
+  if (!links_call_on (&exchange->proxy->links, peer->link, RPC_DATA,
                       wire_forward_data, &data, &tag,
                       exchange->request.deadline))
     return;
@@ -96,7 +97,7 @@
       || peer->read_pending || body_is_full (&exchange->out))
     return;
   peer->read_pending = links_call_on (
-      &exchange->node->links, peer->link, RPC_READ, wire_forward_stream,
+      &exchange->proxy->links, peer->link, RPC_READ, wire_forward_stream,
       &peer->stream, &tag, exchange->request.deadline);
 }
 
@@ -123,9 +124,9 @@
             gboolean end)
 {
   struct handle self = exchange->self;
-  struct node *node = exchange->node;
+  struct proxy *proxy = exchange->proxy;
 
-  node->counters.bytes_out += count;
+  proxy->counters.bytes_out += count;
   body_add (&exchange->out, bytes, count);
   if (end)
     {
@@ -133,7 +134,7 @@
       return;
     }
   exchange_pump_out (exchange);
-  exchange = exchange_at (node, self);
+  exchange = exchange_at (proxy, self);
   if (exchange != NULL)
     target_peer_pull (exchange);
 }
@@ -193,9 +194,9 @@
 /* A call for a request was answered, or will not be.  A reply to an attempt
    that is over is passed over.  */
 void
-exchange_reply (struct node *node, const struct link_event *event)
+exchange_reply (struct proxy *proxy, const struct link_event *event)
 {
-  struct exchange *exchange = exchange_at (node, event->tag.exchange);
+  struct exchange *exchange = exchange_at (proxy, event->tag.exchange);
 
   if (exchange == NULL || exchange->target.kind != TARGET_PEER
       || exchange->target.u.peer.stream != event->tag.serial)
@@ -221,6 +222,7 @@
     case RPC_PEER:
     case RPC_CANCEL:
     case RPC_TAIL:
+    case RPC_MESH:
       break;
     }
 }
--- a/src/tool/tool.c
+++ b/src/tool/tool.c
@@ -1,4 +1,5 @@
 #include "tool/tool.h"
+#include "types/clock.h"
 
 #include "edge/json.h"
 
@@ -61,7 +62,7 @@
 static gboolean
 on_timer (gpointer data)
 {
-  http_expire (data, g_get_monotonic_time ());
+  http_expire (data, clock_usec ());
   return G_SOURCE_CONTINUE;
 }
 
@@ -86,7 +87,7 @@
   request.method = method;
   request.target = target;
   request.length = (gint64)count;
-  request.deadline = g_get_monotonic_time () + timeout_usec;
+  request.deadline = clock_usec () + timeout_usec;
   call = http_start (&http, &request, on_event, &question);
   http_write (&http, call, bytes, count);
   http_finish (&http, call);
--- a/src/tool/tool_append.c
+++ b/src/tool/tool_append.c
@@ -1,4 +1,5 @@
 #include "tool/tool.h"
+#include "types/clock.h"
 #include "wire/wire_record.h"
 
 #include <sys/random.h>
@@ -10,7 +11,7 @@
   guint64 value = 0;
 
   if (getrandom (&value, sizeof value, 0) < 0 || value == 0)
-    value = (guint64)g_get_monotonic_time ();
+    value = (guint64)clock_usec ();
   return value;
 }
 
--- a/src/tool/tool_declare.c
+++ b/src/tool/tool_declare.c
@@ -1,4 +1,5 @@
 #include "tool/tool.h"
+#include "types/clock.h"
 
 #include "tool/fleet.h"
 
@@ -35,7 +36,7 @@
 {
   gboolean out = FALSE;
 
-  while (!out && g_get_monotonic_time () < deadline)
+  while (!out && clock_usec () < deadline)
     {
       struct fleet fleet;
       out = fleet_ask (&fleet, tool) == ERR_NONE
@@ -54,7 +55,7 @@
 {
   struct record record
       = { .version = RECORD_VERSION, .kind = RECORD_OUT, .serial = 1 };
-  gint64 deadline = g_get_monotonic_time () + tool->timeout_usec;
+  gint64 deadline = clock_usec () + tool->timeout_usec;
   guint64 offset;
   char word[17];
   enum err code;
--- a/src/tool/tool_publish.c
+++ b/src/tool/tool_publish.c
@@ -1,4 +1,5 @@
 #include "tool/tool.h"
+#include "types/clock.h"
 
 #include "decide/config_read.h"
 #include "tool/publication.h"
@@ -54,7 +55,7 @@
 {
   enum publication found = PUBLICATION_OPEN;
 
-  while (found == PUBLICATION_OPEN && g_get_monotonic_time () < until)
+  while (found == PUBLICATION_OPEN && clock_usec () < until)
     {
       struct tool_answer answer;
       if (ask_config (publish->tool, &answer) == ERR_NONE)
@@ -89,14 +90,13 @@
         return code;
       unsure = unsure || code == ERR_EFFECT;
       publish->query.offset = MAX (publish->query.offset, offset);
-      now = g_get_monotonic_time ();
+      now = clock_usec ();
       *found = read_back (
           publish, code == ERR_NONE
                        ? publish->deadline
                        : MIN (now + RESEND_AFTER_USEC, publish->deadline));
     }
-  while (*found == PUBLICATION_OPEN
-         && g_get_monotonic_time () < publish->deadline);
+  while (*found == PUBLICATION_OPEN && clock_usec () < publish->deadline);
   return ERR_NONE;
 }
 
@@ -137,7 +137,7 @@
   enum publication found = PUBLICATION_OPEN;
   enum err code;
 
-  publish.deadline = g_get_monotonic_time () + tool->timeout_usec;
+  publish.deadline = clock_usec () + tool->timeout_usec;
   publish.record.version = RECORD_VERSION;
   publish.record.kind = RECORD_CONFIG;
   publish.record.writer = tool_random ();
--- a/src/types/action.h
+++ b/src/types/action.h
@@ -70,6 +70,7 @@
   struct fence fence;     /* fence of the slice */
   gint64 deadline;        /* monotonic usec */
   struct stamp stamp;     /* stamp for the answer */
+  char server[NAME_SIZE]; /* server that is meant, empty for any */
 };
 
 /* End a request.  */
--- /dev/null
+++ b/src/types/clock.c
@@ -0,0 +1,18 @@
+#include "types/clock.h"
+
+#include "types/limits.h"
+
+#include <time.h>
+
+#define NSEC_PER_USEC 1000 /* nanoseconds in a microsecond */
+
+/* Microseconds on a clock that goes on while the host is suspended and is
+   never set.  All leases and deadlines are kept on it.  */
+gint64
+clock_usec (void)
+{
+  struct timespec now;
+
+  clock_gettime (CLOCK_BOOTTIME, &now);
+  return (gint64)now.tv_sec * USEC_PER_SEC + now.tv_nsec / NSEC_PER_USEC;
+}
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -94,6 +94,8 @@
 {
   struct handle exchange; /* the edge's name for it */
   struct request request; /* what it is */
+  const char *host;       /* host that the caller named, or NULL */
+  const char *target;     /* path and query */
 };
 
 /* The end of an attempt.  */
--- a/src/types/limits.h
+++ b/src/types/limits.h
@@ -13,5 +13,6 @@
 #define BODY_CHUNK_BYTES 16384u  /* bytes of a body moved at a time */
 #define BODY_QUEUE_BYTES 65536u  /* bytes of one body held in a process */
 #define USEC_PER_MSEC 1000       /* microseconds in a millisecond */
+#define USEC_PER_SEC 1000000     /* microseconds in a second */
 
 #endif
--- a/src/types/reason.c
+++ b/src/types/reason.c
@@ -9,7 +9,7 @@
         "server-down",   "peer-lost",   "draining",    "no-stamp",
         "old-stamp",     "duplicate",   "quarantined", "truncated",
         "refused-grant", "caller-gone", "no-server",   "crossed",
-        "bad-request",   "hops" };
+        "bad-request",   "hops",        "garbled",     "no-config" };
 
 /* Name a reason as callers see it in Bambootally-Reason.  */
 const char *
--- a/src/types/reason.h
+++ b/src/types/reason.h
@@ -27,7 +27,9 @@
   REASON_CROSSED = 19,       /* an answer carried another attempt's id */
   REASON_BAD_REQUEST = 20,   /* a header of the request is malformed */
   REASON_HOPS = 21,          /* passed on too often */
-  REASON_LIMIT = 22          /* one past the last */
+  REASON_GARBLED = 22,       /* what came is not the server's answer */
+  REASON_NO_CONFIG = 23,     /* this node knows no configuration yet */
+  REASON_LIMIT = 24          /* one past the last */
 };
 
 const char *reason_name (enum reason reason);
--- a/src/wire/wire_rpc.h
+++ b/src/wire/wire_rpc.h
@@ -20,7 +20,8 @@
   RPC_DATA = 3,   /* struct forward_data to nothing */
   RPC_READ = 4,   /* stream to struct forward_more */
   RPC_CANCEL = 5, /* stream to nothing */
-  RPC_TAIL = 6    /* struct tail_call to struct tail_reply */
+  RPC_TAIL = 6,   /* struct tail_call to struct tail_reply */
+  RPC_MESH = 7    /* struct mesh_call to struct mesh_reply */
 };
 
 /* What the header of a message says.  */
--- a/standins/back_server.c
+++ b/standins/back_server.c
@@ -1,4 +1,5 @@
 #include "standins/back_server.h"
+#include "types/clock.h"
 
 #include "edge/inet.h"
 
@@ -34,11 +35,11 @@
       back->settings.checks_fences ? "yes" : "no");
   struct handle call;
 
-  http_expire (&back->http, g_get_monotonic_time ());
+  http_expire (&back->http, clock_usec ());
   request.to = back->settings.node;
   request.method = "POST";
   request.target = target;
-  request.deadline = g_get_monotonic_time () + ANNOUNCE_TIMEOUT_USEC;
+  request.deadline = clock_usec () + ANNOUNCE_TIMEOUT_USEC;
   call = http_start (&back->http, &request, on_announced, back);
   http_finish (&back->http, call);
   g_free (target);
@@ -84,7 +85,7 @@
     back->silent = strcmp (silent, "yes") == 0;
   if (run_msec != NULL)
     back->settings.run_msec = (guint)strtoul (run_msec, NULL, 10);
-  back->silent_since = g_get_monotonic_time ();
+  back->silent_since = clock_usec ();
   soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
 }
 
@@ -129,7 +130,7 @@
 
   memset (back, 0, sizeof *back);
   back->settings = *settings;
-  back->started = g_get_monotonic_time ();
+  back->started = clock_usec ();
   back->fences = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   if (settings->record != NULL)
     back->record = fopen (settings->record, "a");
--- a/standins/back_work.c
+++ b/standins/back_work.c
@@ -1,4 +1,5 @@
 #include "standins/back_work.h"
+#include "types/clock.h"
 
 #include "edge/headers.h"
 
@@ -43,7 +44,7 @@
     return;
   fprintf (work->back->record,
            "%" G_GINT64_FORMAT " %s key=%s slice=%s fence=%s id=%s\n",
-           g_get_monotonic_time (), event, header (message, HEADER_KEY),
+           clock_usec (), event, header (message, HEADER_KEY),
            header (message, HEADER_SLICE), header (message, HEADER_FENCE),
            header (message, HEADER_ID));
   fflush (work->back->record);
@@ -90,7 +91,7 @@
   if (!back->settings.checks_fences || slice[0] == '\0')
     return TRUE;
   if (!fence_parse (header (message, HEADER_FENCE), &fence)
-      || g_ascii_strtoll (until, NULL, 10) <= g_get_monotonic_time ())
+      || g_ascii_strtoll (until, NULL, 10) <= clock_usec ())
     return FALSE;
   seen = g_hash_table_lookup (back->fences, key);
   if (seen != NULL && fence_compare (fence, *seen) < 0)
@@ -241,7 +242,7 @@
                           : work->back->settings.run_msec;
   cold_until = work->back->started
                + (gint64)work->back->settings.cold_msec * USEC_PER_MSEC_LOCAL;
-  if (g_get_monotonic_time () < cold_until)
+  if (clock_usec () < cold_until)
     run_msec *= COLD_FACTOR;
   if (bytes != NULL)
     work->left = g_ascii_strtoull (bytes, NULL, 10);
--- a/standins/bin/standin_caller.c
+++ b/standins/bin/standin_caller.c
@@ -1,4 +1,5 @@
 #include "standins/caller.h"
+#include "types/clock.h"
 #include "tool/option.h"
 
 #include <argp.h>
@@ -48,8 +49,8 @@
       settings->count = (guint32)strtoul (arg, NULL, 10);
       return 0;
     case 's':
-      settings->until = g_get_monotonic_time ()
-                        + (gint64)(strtod (arg, NULL) * G_USEC_PER_SEC);
+      settings->until
+          = clock_usec () + (gint64)(strtod (arg, NULL) * G_USEC_PER_SEC);
       return 0;
     case 'P':
       settings->parallel = (guint32)strtoul (arg, NULL, 10);
--- a/standins/caller.c
+++ b/standins/caller.c
@@ -1,4 +1,5 @@
 #include "standins/caller_request.h"
+#include "types/clock.h"
 
 #include <string.h>
 
@@ -23,7 +24,7 @@
 wants_more (const struct caller *caller)
 {
   if (caller->settings->until != 0)
-    return g_get_monotonic_time () < caller->settings->until;
+    return clock_usec () < caller->settings->until;
   return caller->sent < caller->settings->count;
 }
 
@@ -63,7 +64,7 @@
 {
   struct caller *caller = data;
 
-  http_expire (&caller->http, g_get_monotonic_time ());
+  http_expire (&caller->http, clock_usec ());
   return G_SOURCE_CONTINUE;
 }
 
--- a/standins/caller_request.c
+++ b/standins/caller_request.c
@@ -1,4 +1,5 @@
 #include "standins/caller_request.h"
+#include "types/clock.h"
 
 #include "edge/headers.h"
 
@@ -99,7 +100,7 @@
 finish (struct caller_request *request, const struct http_event *event)
 {
   struct caller *caller = request->caller;
-  gint64 usec = g_get_monotonic_time () - request->begun;
+  gint64 usec = clock_usec () - request->begun;
 
   if (event->code == ERR_NONE && wants_stamp (request))
     {
@@ -218,7 +219,7 @@
 
   request->caller = caller;
   request->serial = caller->sent++;
-  request->begun = g_get_monotonic_time ();
+  request->begun = clock_usec ();
   request->path = path;
   request->body = g_string_new (NULL);
   request->digest = g_checksum_new (G_CHECKSUM_SHA256);
--- a/standins/log_server.c
+++ b/standins/log_server.c
@@ -1,4 +1,5 @@
 #include "standins/log_server.h"
+#include "types/clock.h"
 
 #include "edge/inet.h"
 
@@ -162,8 +163,8 @@
               GHashTable *query)
 {
   if (query != NULL && g_hash_table_contains (query, "outage-ms"))
-    log->outage_until = g_get_monotonic_time ()
-                        + (gint64)query_number (query, "outage-ms", 0) * 1000;
+    log->outage_until
+        = clock_usec () + (gint64)query_number (query, "outage-ms", 0) * 1000;
   log->delay_msec = (guint)query_number (query, "delay-ms", log->delay_msec);
   log->drop_answers
       = (guint)query_number (query, "drop-answers", log->drop_answers);
@@ -203,7 +204,7 @@
   (void)server;
   if (strcmp (path, "/control") == 0)
     take_control (log, message, query);
-  else if (g_get_monotonic_time () < log->outage_until)
+  else if (clock_usec () < log->outage_until)
     soup_server_message_set_status (message, SOUP_STATUS_SERVICE_UNAVAILABLE,
                                     NULL);
   else if (!g_str_has_prefix (path, "/streams/"))
--- a/tests/exchange_bench.h
+++ b/tests/exchange_bench.h
@@ -2,6 +2,7 @@
 #define TESTS_EXCHANGE_BENCH_H
 
 #include "edge/headers.h"
+#include "types/clock.h"
 #include "edge/node.h"
 #include "tests/suite.h"
 
@@ -136,7 +137,7 @@
       = { .to = { LOCAL, FRONT_PORT }, .method = "GET", .target = "/pay/x" };
   struct handle call;
 
-  request.deadline = g_get_monotonic_time () + CASE_USEC;
+  request.deadline = clock_usec () + CASE_USEC;
   call = http_start (&bench->caller, &request, on_caller, bench);
   http_finish (&bench->caller, call);
   return call;
@@ -146,9 +147,9 @@
 static inline void
 run_until (const guint *flag)
 {
-  gint64 until = g_get_monotonic_time () + CASE_USEC;
+  gint64 until = clock_usec () + CASE_USEC;
 
-  while (*flag == 0 && g_get_monotonic_time () < until)
+  while (*flag == 0 && clock_usec () < until)
     g_main_context_iteration (NULL, TRUE);
 }
 
@@ -172,8 +173,8 @@
   node_feed (node, &event);
   up.u.server_up.slots = 4;
   node_feed (node, &up);
-  node->server.ip = LOCAL;
-  node->server.port = SERVER_PORT;
+  node->proxy.server.ip = LOCAL;
+  node->proxy.server.port = SERVER_PORT;
   node->poll.next = G_MAXINT64;
 }
 
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -1,4 +1,5 @@
 #include "tests/exchange_bench.h"
+#include "types/clock.h"
 
 /* Cases */
 
@@ -72,9 +73,9 @@
   run_until (&bench.asked);
   CU_ASSERT_EQUAL (bench.asked, 1);
   http_abort (&bench.caller, call);
-  gone = g_get_monotonic_time ();
+  gone = clock_usec ();
   run_until (&bench.closed);
-  CU_ASSERT_TRUE (g_get_monotonic_time () - gone < CANCEL_USEC);
+  CU_ASSERT_TRUE (clock_usec () - gone < CANCEL_USEC);
   CU_ASSERT_EQUAL (bench.closed, 1);
   CU_ASSERT_EQUAL (bench.node.core.gate.busy, 0);
   end (&bench);
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,4 +1,5 @@
 #include "edge/http.h"
+#include "types/clock.h"
 #include "tests/suite.h"
 
 #include <string.h>
@@ -82,7 +83,7 @@
 static gboolean
 on_timer (gpointer data)
 {
-  http_expire (data, g_get_monotonic_time ());
+  http_expire (data, clock_usec ());
   return G_SOURCE_CONTINUE;
 }
 
@@ -113,7 +114,7 @@
   g_source_attach (source, NULL);
   http_init (&http);
   request.to = at;
-  request.deadline = g_get_monotonic_time () + usec;
+  request.deadline = clock_usec () + usec;
   http_finish (&http, http_start (&http, &request, on_event, run));
   timer = g_timeout_add (10, on_timer, &http);
   g_main_loop_run (run->loop);
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -1,4 +1,5 @@
 #include "edge/link.h"
+#include "types/clock.h"
 #include "tests/suite.h"
 #include "wire/wire_forward.h"
 
@@ -75,7 +76,7 @@
 static gboolean
 on_timer (gpointer data)
 {
-  links_expire (data, g_get_monotonic_time ());
+  links_expire (data, clock_usec ());
   return G_SOURCE_CONTINUE;
 }
 
@@ -106,7 +107,7 @@
   guint64 stream = serial;
 
   links_call (&pair->client, pair->at, procedure, wire_forward_stream, &stream,
-              &tag, g_get_monotonic_time () + usec);
+              &tag, clock_usec () + usec);
 }
 
 /* Wait for WANTED replies and clear up.  */
--- a/tests/test_log_client.c
+++ b/tests/test_log_client.c
@@ -1,4 +1,5 @@
 #include "edge/log_client.h"
+#include "types/clock.h"
 #include "standins/log_server.h"
 #include "tests/suite.h"
 #include "wire/wire_record.h"
@@ -67,9 +68,9 @@
 on_tick (gpointer data)
 {
   (void)data;
-  http_expire (&setting.http, g_get_monotonic_time ());
+  http_expire (&setting.http, clock_usec ());
   if (setting.reading)
-    log_client_step (&setting.client, g_get_monotonic_time ());
+    log_client_step (&setting.client, clock_usec ());
   return G_SOURCE_CONTINUE;
 }
 
@@ -137,7 +138,7 @@
     .version = RECORD_VERSION, .kind = RECORD_LEAVING, .writer = 1, .serial = 2
   };
 
-  log_client_append (&setting.client, &record, g_get_monotonic_time ());
+  log_client_append (&setting.client, &record, clock_usec ());
 }
 
 /* What is appended is read back at its offset, and the tail is known.  */
@@ -176,7 +177,7 @@
 test_outage (void)
 {
   set_up (1);
-  setting.log.outage_until = g_get_monotonic_time () + 100000;
+  setting.log.outage_until = clock_usec () + 100000;
   append ();
   CU_ASSERT_TRUE (wait_for (EVENT_APPENDED));
   CU_ASSERT_EQUAL (setting.code, ERR_UNAVAILABLE);
