--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,7 @@
 CFLAGS = -std=gnu11 -D_GNU_SOURCE $(CFLAGS_$(VARIANT)) $(WARN) -Isrc -I. $(PKG_CFLAGS)
 LDLIBS = $(PKG_LIBS)
 
-LIB_SRC := $(wildcard src/types/*.c src/decide/*.c src/wire/*.c src/edge/*.c src/tool/*.c platform/*.c)
+LIB_SRC := $(wildcard src/types/*.c src/fleet/*.c src/shard/*.c src/serve/*.c src/mesh/*.c src/decide/*.c src/wire/*.c src/edge/*.c src/tool/*.c platform/*.c)
 STAND_SRC := $(wildcard standins/*.c)
 SCN_SRC := $(wildcard scenarios/*.c)
 BIN_SRC := $(wildcard src/bin/*.c)
--- a/scenarios/world_do.c
+++ b/scenarios/world_do.c
@@ -255,6 +255,15 @@
       break;
     case ACTION_SUSPECT_CONNECTION:
       break;
+    case ACTION_STORE:
+    case ACTION_CONFIRM:
+    case ACTION_BEAT_ANSWER:
+    case ACTION_RELAY:
+    case ACTION_MESH_CALL:
+    case ACTION_MESH_REPLY:
+    case ACTION_FETCH_REPLY:
+    case ACTION_APPEND_FOR:
+      break;
     case ACTION_EXIT:
       do_exit (world, n);
       break;
--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -154,6 +154,14 @@
       gate_on_load (&core->gate, event->u.server_load.busy,
                     event->u.server_load.measured);
       break;
+    case EVENT_ROUTING:
+    case EVENT_FLEET:
+    case EVENT_STORE:
+    case EVENT_STORED:
+    case EVENT_BEAT:
+    case EVENT_BEAT_END:
+    case EVENT_MESH_CALL:
+    case EVENT_MESH_REPLY:
       break;
     }
 }
--- a/src/decide/gate.c
+++ b/src/decide/gate.c
@@ -61,6 +61,15 @@
   gate->slots = slots;
 }
 
+/* The server, which tells how cold it is by itself, runs SLOTS requests at
+   once; LIMIT may wait.  */
+void
+gate_set_slots (struct gate *gate, guint32 slots, guint32 limit)
+{
+  gate->slots = slots;
+  gate->limit = limit;
+}
+
 /* The server reported BUSY slots at MEASURED.  Reports lag, so the slots in
    use since the report before last count as those that the gate gave.  */
 void
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -40,6 +40,7 @@
 void gate_init (struct gate *gate);
 void gate_clear (struct gate *gate);
 void gate_on_up (struct gate *gate, guint32 slots, gint64 now);
+void gate_set_slots (struct gate *gate, guint32 slots, guint32 limit);
 void gate_on_load (struct gate *gate, guint32 busy, gint64 measured);
 void gate_on_done (struct gate *gate, gint64 usec);
 void gate_on_shed (struct gate *gate, gint64 now);
--- a/src/decide/suspect.c
+++ b/src/decide/suspect.c
@@ -6,8 +6,8 @@
 /* The requests that the server was running */
 
 /* Remember that the request with DIGEST was lost at NOW.  */
-static void
-add_loss (struct suspects *suspects, guint64 digest, gint64 now)
+void
+suspects_add_loss (struct suspects *suspects, guint64 digest, gint64 now)
 {
   struct suspect_loss *loss = &suspects->lost[suspects->lost_next];
 
@@ -16,6 +16,13 @@
   suspects->lost_next = (suspects->lost_next + 1) % SUSPECT_LOST_MAX;
 }
 
+/* Remember that a request with DIGEST has run to its end.  */
+void
+suspects_add_done (struct suspects *suspects, guint64 digest)
+{
+  suspects->done[digest % SUSPECT_DONE_MAX] = digest;
+}
+
 /* The server has ended its attempt at the request of FLIGHT.  */
 void
 suspects_on_ended (struct suspects *suspects, const struct flight *flight,
@@ -26,11 +33,11 @@
   if (digest == 0)
     return;
   if (event->outcome == OUTCOME_DONE)
-    suspects->done[digest % SUSPECT_DONE_MAX] = digest;
+    suspects_add_done (suspects, digest);
   else if (event->outcome == OUTCOME_UNKNOWN && !flight->suspected
            && (event->reason == REASON_SERVER_DOWN
                || event->reason == REASON_TRUNCATED))
-    add_loss (suspects, digest, now);
+    suspects_add_loss (suspects, digest, now);
 }
 
 /* Count the requests that run as lost, once.  */
@@ -44,7 +51,7 @@
       struct flight *flight = table_get (&core->flights, h);
       if (flight->phase != FLIGHT_RUNNING || flight->request.digest == 0)
         continue;
-      add_loss (&core->suspects, flight->request.digest, now);
+      suspects_add_loss (&core->suspects, flight->request.digest, now);
       flight->suspected = TRUE;
     }
 }
@@ -62,6 +69,25 @@
       suspects->lost[i].digest = 0;
 }
 
+/* Take out the next digest that was lost shortly before NOW and is not known
+   to run to its end; 0 if there is none.  */
+guint64
+suspects_next_loss (struct suspects *suspects, gint64 now)
+{
+  guint i;
+
+  for (i = 0; i < SUSPECT_LOST_MAX; i++)
+    {
+      guint64 digest = suspects->lost[i].digest;
+      gboolean counts = digest != 0 && suspects->lost[i].until > now
+                        && suspects->done[digest % SUSPECT_DONE_MAX] != digest;
+      forget_loss (suspects, digest);
+      if (counts)
+        return digest;
+    }
+  return 0;
+}
+
 /* Report DIGEST on the log.  */
 static void
 report (struct core *core, guint64 digest, struct actions *out)
@@ -82,19 +108,11 @@
 void
 suspects_on_crash (struct core *core, gint64 now, struct actions *out)
 {
-  struct suspects *suspects = &core->suspects;
-  guint i;
+  guint64 digest;
 
   lose_running (core, now);
-  for (i = 0; i < SUSPECT_LOST_MAX; i++)
-    {
-      guint64 digest = suspects->lost[i].digest;
-      gboolean counts = digest != 0 && suspects->lost[i].until > now
-                        && suspects->done[digest % SUSPECT_DONE_MAX] != digest;
-      forget_loss (suspects, digest);
-      if (counts)
-        report (core, digest, out);
-    }
+  while ((digest = suspects_next_loss (&core->suspects, now)) != 0)
+    report (core, digest, out);
 }
 
 /* Suspects */
--- a/src/decide/suspect.h
+++ b/src/decide/suspect.h
@@ -43,6 +43,9 @@
   guint32 lost_next;                          /* place of the next loss */
 };
 
+void suspects_add_loss (struct suspects *suspects, guint64 digest, gint64 now);
+void suspects_add_done (struct suspects *suspects, guint64 digest);
+guint64 suspects_next_loss (struct suspects *suspects, gint64 now);
 void suspects_on_ended (struct suspects *suspects, const struct flight *flight,
                         const struct event_ended *event, gint64 now);
 void suspects_on_record (struct suspects *suspects,
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -89,6 +89,7 @@
   event.u.request.request = exchange->request;
   event.u.request.host = exchange->host;
   event.u.request.target = exchange->path;
+  event.u.request.length = exchange->length;
   proxy_tell (exchange->proxy, &event);
 }
 
@@ -186,6 +187,8 @@
   event.u.ended.outcome = outcome;
   event.u.ended.reason = reason;
   event.u.ended.replayable = exchange->in.replayable && !exchange->has_answer;
+  event.u.ended.load = exchange->head.load;
+  event.u.ended.has_load = exchange->head.has_load;
   if (outcome == OUTCOME_NOT_RUN)
     {
       event.u.ended.stamp = exchange->head.stamp;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -101,6 +101,8 @@
   gint64 length;               /* bytes in the body, -1 if not known */
   struct stamp stamp;          /* stamp to hand to the caller */
   guint32 retry_msec;          /* advice when to try again, 0 for none */
+  struct load_report load;     /* how busy the node that answered is */
+  gboolean has_load;           /* it told that */
 };
 
 struct exchange
--- a/src/edge/journal.c
+++ b/src/edge/journal.c
@@ -6,20 +6,63 @@
 #define JOURNAL_CATEGORY "bambootally" /* name of the log4c category */
 
 static log4c_category_t *journal_category; /* where events go */
+static struct log_out *journal_out;        /* where lines go, or NULL */
+
+/* Hand a line of log4c's on to the output that does not block.  */
+static int
+append_line (log4c_appender_t *appender, const log4c_logging_event_t *event)
+{
+  gint64 now = g_get_real_time ();
+  char *line = g_strdup_printf (
+      "time=%" G_GINT64_FORMAT ".%03d level=%s %s", now / G_USEC_PER_SEC,
+      (int)(now % G_USEC_PER_SEC / 1000),
+      log4c_priority_to_string (event->evt_priority), event->evt_msg);
+
+  (void)appender;
+  log_out_line (journal_out, line);
+  g_free (line);
+  return 0;
+}
+
+static const log4c_appender_type_t journal_appender
+    = { "bounded", NULL, append_line, NULL };
+
+/* Have events go to OUT, in place of standard error.  */
+void
+journal_write_to (struct log_out *out)
+{
+  journal_out = out;
+  log4c_appender_type_set (&journal_appender);
+  log4c_appender_set_type (log4c_appender_get ("bounded"), &journal_appender);
+  log4c_category_set_appender (journal_category,
+                               log4c_appender_get ("bounded"));
+}
+
+/* Lines that the output had no room for.  */
+guint64
+journal_dropped (void)
+{
+  return journal_out != NULL ? journal_out->dropped : 0;
+}
+
+/* The lowest priority of events of LEVEL.  */
+static int
+lowest_priority (const char *level)
+{
+  if (strcmp (level, "error") == 0)
+    return LOG4C_PRIORITY_ERROR;
+  if (strcmp (level, "debug") == 0)
+    return LOG4C_PRIORITY_DEBUG;
+  return LOG4C_PRIORITY_INFO;
+}
 
 /* Open the journal for events of LEVEL (error, info or debug) and above.
    Return 0, or -1 if log4c cannot start.  */
 int
 journal_open (const char *level)
 {
-  int priority = LOG4C_PRIORITY_INFO;
-
   if (log4c_init () != 0)
     return -1;
-  if (strcmp (level, "error") == 0)
-    priority = LOG4C_PRIORITY_ERROR;
-  else if (strcmp (level, "debug") == 0)
-    priority = LOG4C_PRIORITY_DEBUG;
   journal_category = log4c_category_get (JOURNAL_CATEGORY);
   log4c_category_set_appender (journal_category,
                                log4c_appender_get ("stderr"));
@@ -27,7 +70,7 @@
                              log4c_layout_get ("dated"));
   log4c_layout_set_type (log4c_layout_get ("dated"),
                          log4c_layout_type_get ("dated"));
-  log4c_category_set_priority (journal_category, priority);
+  log4c_category_set_priority (journal_category, lowest_priority (level));
   return 0;
 }
 
@@ -55,7 +98,11 @@
   if (note->amount != 0)
     g_string_append_printf (text, " amount=%" G_GINT64_FORMAT, note->amount);
   if (note->text[0] != '\0')
-    g_string_append_printf (text, " text=%s", note->text);
+    g_string_append_printf (text, " %s=%s",
+                            note->id < NOTE_MESH_FIRST ? "text" : "subject",
+                            note->text);
+  if (note->detail[0] != '\0')
+    g_string_append_printf (text, " %s", note->detail);
   return g_string_free (text, FALSE);
 }
 
@@ -75,6 +122,7 @@
     case NOTE_SERVER_DOWN:
     case NOTE_SERVER_REFUSED:
     case NOTE_RECORD_UNKNOWN:
+    case NOTE_MESH_BAD_INPUT:
       return LOG4C_PRIORITY_ERROR;
     default:
       return LOG4C_PRIORITY_INFO;
--- a/src/edge/journal.h
+++ b/src/edge/journal.h
@@ -1,11 +1,15 @@
 #ifndef BAMBOOTALLY_JOURNAL_H
 #define BAMBOOTALLY_JOURNAL_H
 
+#include "edge/log_out.h"
 #include "types/note.h"
 
-/* The log file of a node: numbered events through log4c, on standard error. */
+/* The log of a process: numbered events through log4c, on standard error or
+   through an output that does not block.  */
 
 int journal_open (const char *level);
+void journal_write_to (struct log_out *out);
+guint64 journal_dropped (void);
 void journal_note (const struct note *note);
 void journal_close (void);
 char *journal_format (const struct note *note);
--- /dev/null
+++ b/src/edge/mesh_config.c
@@ -0,0 +1,127 @@
+#include "edge/mesh_config.h"
+
+#include "types/ini.h"
+
+#include <string.h>
+
+#define HOLD_MAX_USEC_DEFAULT ((gint64)10000000) /* longest grant of keys */
+#define DRAIN_USEC_DEFAULT ((gint64)2000000)     /* of a server that leaves */
+#define GRACE_USEC_DEFAULT ((gint64)6000000)     /* between stop and kill */
+
+static const struct ini_field config_fields[] = {
+  { "node", "host", INI_NAME, TRUE, 0, 0, NULL },
+  { "node", "zone", INI_NAME, TRUE, 0, 0, NULL },
+  { "node", "service", INI_NAME, TRUE, 0, 0, NULL },
+  { "listen", "callers", INI_ADDRESS, TRUE, 0, 0, NULL },
+  { "listen", "control", INI_ADDRESS, TRUE, 0, 0, NULL },
+  { "listen", "ready", INI_ADDRESS, TRUE, 0, 0, NULL },
+  { "listen", "metrics", INI_ADDRESS, TRUE, 0, 0, NULL },
+  { "listen", "peers", INI_ADDRESS, TRUE, 0, 0, NULL },
+  { "server", "address", INI_ADDRESS, TRUE, 0, 0, NULL },
+  { "server", "beat-ms", INI_DECIMAL, TRUE, 0, 0, NULL },
+  { "store", "address", INI_ADDRESS, TRUE, 0, 0, NULL },
+  { "bounds", "hold-max-ms", INI_DECIMAL, FALSE, 0, 0, NULL },
+  { "bounds", "drain-ms", INI_DECIMAL, FALSE, 0, 0, NULL },
+  { "bounds", "grace-seconds", INI_DECIMAL, FALSE, 0, 0, NULL },
+  { "journal", "level", INI_CHOICE, FALSE, 0, 0, "error|info|debug" },
+};
+
+static const struct ini_schema config_schema
+    = { config_fields, G_N_ELEMENTS (config_fields), "",
+        "node|listen|server|store|bounds|journal" };
+
+/* Read the address of KEY.  */
+static void
+read_address (const struct ini *ini, const struct ini_section *section,
+              const char *key, struct address *address)
+{
+  char *text = ini_text (ini, section, key);
+
+  address_parse (text, address);
+  g_free (text);
+}
+
+/* Read the addresses that the node listens at.  */
+static void
+read_listen (struct mesh_config *config, const struct ini *ini,
+             const struct ini_section *section)
+{
+  read_address (ini, section, "callers", &config->callers);
+  read_address (ini, section, "control", &config->control);
+  read_address (ini, section, "ready", &config->ready);
+  read_address (ini, section, "metrics", &config->metrics);
+  read_address (ini, section, "peers", &config->mesh.peer);
+}
+
+/* Read the values of SECTION, which has been checked.  */
+static void
+read_section (struct mesh_config *config, const struct ini *ini,
+              const struct ini_section *section)
+{
+  struct mesh_settings *mesh = &config->mesh;
+
+  if (strcmp (section->kind, "node") == 0)
+    {
+      ini_copy (ini, section, "host", mesh->name, sizeof mesh->name);
+      ini_copy (ini, section, "zone", mesh->zone, sizeof mesh->zone);
+      ini_copy (ini, section, "service", mesh->service, sizeof mesh->service);
+    }
+  else if (strcmp (section->kind, "listen") == 0)
+    read_listen (config, ini, section);
+  else if (strcmp (section->kind, "server") == 0)
+    {
+      read_address (ini, section, "address", &mesh->server);
+      mesh->beat_usec = ini_usec (ini, section, "beat-ms", USEC_PER_MSEC, 0);
+    }
+  else if (strcmp (section->kind, "store") == 0)
+    read_address (ini, section, "address", &config->store);
+  else if (strcmp (section->kind, "bounds") == 0)
+    {
+      mesh->hold_max_usec = ini_usec (ini, section, "hold-max-ms",
+                                      USEC_PER_MSEC, HOLD_MAX_USEC_DEFAULT);
+      mesh->drain_usec
+          = ini_usec (ini, section, "drain-ms", USEC_PER_MSEC, DRAIN_USEC_DEFAULT);
+      mesh->grace_usec
+          = ini_usec (ini, section, "grace-seconds", USEC_PER_SEC, GRACE_USEC_DEFAULT);
+    }
+  else if (strcmp (section->kind, "journal") == 0)
+    ini_copy (ini, section, "level", config->log_level,
+              sizeof config->log_level);
+}
+
+/* Set what need not be in the file.  */
+static void
+set_defaults (struct mesh_config *config)
+{
+  memset (config, 0, sizeof *config);
+  g_strlcpy (config->log_level, "info", sizeof config->log_level);
+  config->mesh.hold_max_usec = HOLD_MAX_USEC_DEFAULT;
+  config->mesh.drain_usec = DRAIN_USEC_DEFAULT;
+  config->mesh.grace_usec = GRACE_USEC_DEFAULT;
+}
+
+/* Read the settings in FILE.  Return ERR_INVALID, with each fault added to
+   FAULTS, if they are not right.  */
+enum err
+mesh_config_read (struct mesh_config *config, const char *file, GArray *faults)
+{
+  static const char *const needed[] = { "node", "listen", "server", "store" };
+  struct ini ini;
+  char *text = NULL;
+  guint i;
+
+  set_defaults (config);
+  if (!g_file_get_contents (file, &text, NULL, NULL))
+    {
+      g_strlcpy (fault_add (faults, FAULT_FILE)->file, file, PATH_SIZE);
+      return ERR_INVALID;
+    }
+  ini_read (&ini, file, text, &config_schema, faults);
+  ini_need (&ini, needed, G_N_ELEMENTS (needed), faults);
+  for (i = 0; i < ini.sections->len; i++)
+    read_section (config, &ini,
+                  &g_array_index (ini.sections, struct ini_section, i));
+  ini_clear (&ini);
+  g_free (text);
+  return faults->len > 0 ? ERR_INVALID : ERR_NONE;
+}
--- /dev/null
+++ b/src/edge/mesh_metrics.c
@@ -0,0 +1,60 @@
+#include "edge/mesh_node.h"
+
+#include "edge/journal.h"
+#include "types/clock.h"
+
+/* Add one line.  */
+static void
+add (GString *text, const char *name, gint64 value)
+{
+  g_string_append_printf (text, "%s %" G_GINT64_FORMAT "\n", name, value);
+}
+
+/* Add how often each numbered event came.  */
+static void
+add_notes (GString *text, GHashTable *notes)
+{
+  GHashTableIter iter;
+  gpointer key;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, notes);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    g_string_append_printf (text, "events{name=\"%s\"} %u\n",
+                            note_name ((enum note_id)GPOINTER_TO_INT (key)),
+                            GPOINTER_TO_UINT (value));
+}
+
+/* Write counters, gauges and histograms as text; free it with g_free.  */
+char *
+mesh_node_metrics (gpointer data)
+{
+  struct mesh_node *node = data;
+  struct mesh *mesh = &node->mesh;
+  gint64 now = clock_usec ();
+  char *counters = counters_format (&node->proxy.counters);
+  GString *text = g_string_new (counters);
+
+  g_free (counters);
+  add (text, "config_version",
+       mesh->routing != NULL ? (gint64)mesh->routing->version : 0);
+  add (text, "records_folded", (gint64)mesh->roster.next);
+  add (text, "session_left_ms",
+       session_left (&mesh->session, now) / USEC_PER_MSEC);
+  add (text, "store_lost", mesh->store_lost);
+  add (text, "members", mesh->roster.members.count);
+  add (text, "requests_in_hand", mesh->transits.count);
+  add (text, "gate_running", mesh->gate.busy);
+  add (text, "gate_waiting", mesh->gate.waiting->len);
+  add (text, "gate_slots", mesh->gate.slots);
+  add (text, "keys_granted_rows", mesh->grant.given);
+  add (text, "store_newest_calls", (gint64)node->store.made[STORE_NEWEST]);
+  add (text, "store_read_calls", (gint64)node->store.made[STORE_READ]);
+  add (text, "store_append_calls", (gint64)node->store.made[STORE_APPEND]);
+  add (text, "store_failed_calls", (gint64)node->store.failed);
+  add (text, "log_lines_dropped", (gint64)journal_dropped ());
+  add_notes (text, node->notes);
+  latency_format (&node->took, "request", text);
+  latency_format (&node->ran, "server_run", text);
+  return g_string_free (text, FALSE);
+}
--- /dev/null
+++ b/src/edge/mesh_node.c
@@ -0,0 +1,284 @@
+#include "edge/mesh_node.h"
+
+#include "edge/journal.h"
+#include "types/clock.h"
+
+#include <string.h>
+#include <sys/random.h>
+#include <sys/stat.h>
+
+#define TICK_MSEC 25u                         /* the core is woken so often */
+#define FILE_EVERY_USEC ((gint64)1000000)     /* looks at the settings file */
+
+/* Events */
+
+/* Count a note, and write it.  */
+void
+mesh_node_note (struct mesh_node *node, const struct note *note)
+{
+  gpointer key = GINT_TO_POINTER (note->id);
+  guint count = GPOINTER_TO_UINT (g_hash_table_lookup (node->notes, key));
+
+  g_hash_table_insert (node->notes, key, GUINT_TO_POINTER (count + 1));
+  journal_note (note);
+}
+
+/* Take in one event and do what the core wants.  */
+static void
+feed_one (struct mesh_node *node, const struct event *event)
+{
+  gint64 now = clock_usec ();
+  struct actions actions;
+  guint i;
+
+  actions_init (&actions);
+  mesh_step (&node->mesh, event, now, &actions);
+  node->proxy.load = mesh_load (&node->mesh, now);
+  for (i = 0; i < actions.items->len; i++)
+    mesh_node_do (node, actions_at (&actions, i));
+  actions_clear (&actions);
+}
+
+/* Give EVENT to the core.  An event that comes while another is taken in waits
+   for it; such events point at nothing.  */
+void
+mesh_node_feed (struct mesh_node *node, const struct event *event)
+{
+  struct event *later;
+
+  if (node->feeding)
+    {
+      g_queue_push_tail (node->later,
+                         g_memdup2 (event, sizeof (struct event)));
+      return;
+    }
+  node->feeding = TRUE;
+  feed_one (node, event);
+  for (later = g_queue_pop_head (node->later); later != NULL;
+       later = g_queue_pop_head (node->later))
+    {
+      feed_one (node, later);
+      g_free (later);
+    }
+  node->feeding = FALSE;
+}
+
+/* Something happened to a request.  */
+static void
+on_proxy_event (const struct event *event, gpointer data)
+{
+  struct mesh_node *node = data;
+  const struct transit *transit
+      = event->kind == EVENT_ENDED
+            ? table_get (&node->mesh.transits, event->u.ended.exchange)
+            : NULL;
+
+  if (transit != NULL && event->u.ended.outcome == OUTCOME_DONE)
+    {
+      gint64 now = clock_usec ();
+      if (!transit->request.from_peer)
+        latency_add (&node->took, now - transit->came);
+      if (transit->phase == TRANSIT_RUNNING)
+        latency_add (&node->ran, now - transit->sent);
+    }
+  mesh_node_feed (node, event);
+}
+
+/* The backend server calls.  */
+static void
+on_calls_event (const struct calls_event *calls, gpointer data)
+{
+  struct mesh_node *node = data;
+  struct event event = { .kind = EVENT_BEAT };
+  struct note note = { .id = NOTE_MESH_BAD_INPUT };
+
+  switch (calls->kind)
+    {
+    case CALLS_BEAT:
+      event.u.beat.call = calls->call;
+      event.u.beat.beat = calls->beat;
+      mesh_node_feed (node, &event);
+      break;
+    case CALLS_GOODBYE:
+      event.kind = EVENT_BEAT_END;
+      event.u.beat_end.call = calls->call;
+      g_strlcpy (event.u.beat_end.id, calls->id, sizeof event.u.beat_end.id);
+      mesh_node_feed (node, &event);
+      break;
+    case CALLS_BAD:
+      g_strlcpy (note.text, calls->id, sizeof note.text);
+      g_strlcpy (note.detail, "what=beat outcome=refused", sizeof note.detail);
+      mesh_node_note (node, &note);
+      break;
+    }
+}
+
+/* Tell whether callers may be sent here.  */
+static gboolean
+on_ready_asked (gpointer data)
+{
+  struct mesh_node *node = data;
+
+  return mesh_is_ready (&node->mesh);
+}
+
+/* Settings */
+
+/* When the settings file was last changed, or 0.  */
+static gint64
+file_time (const char *file)
+{
+  struct stat status;
+
+  if (stat (file, &status) != 0)
+    return 0;
+  return (gint64)status.st_mtim.tv_sec * USEC_PER_SEC
+         + status.st_mtim.tv_nsec / 1000;
+}
+
+/* Read the settings again.  Bounds and times are taken over; who the node is
+   and where it listens stays until it starts again.  */
+void
+mesh_node_reload (struct mesh_node *node)
+{
+  GArray *faults = g_array_new (FALSE, TRUE, sizeof (struct fault));
+  struct mesh_settings *mesh = &node->mesh.settings;
+  struct note note = { .id = NOTE_MESH_SETTINGS };
+  struct mesh_config config;
+  enum err code = mesh_config_read (&config, node->file, faults);
+
+  node->file_changed = file_time (node->file);
+  if (code == ERR_NONE)
+    {
+      mesh->beat_usec = config.mesh.beat_usec;
+      mesh->hold_max_usec = config.mesh.hold_max_usec;
+      mesh->drain_usec = config.mesh.drain_usec;
+      mesh->grace_usec = config.mesh.grace_usec;
+    }
+  g_strlcpy (note.text, mesh->name, sizeof note.text);
+  g_snprintf (note.detail, sizeof note.detail, "outcome=%s faults=%u",
+              err_name (code), faults->len);
+  mesh_node_note (node, &note);
+  g_array_free (faults, TRUE);
+}
+
+/* Look whether the settings file has changed.  */
+static void
+look_at_file (struct mesh_node *node, gint64 now)
+{
+  if (now - node->file_looked < FILE_EVERY_USEC)
+    return;
+  node->file_looked = now;
+  if (file_time (node->file) != node->file_changed)
+    mesh_node_reload (node);
+}
+
+/* Time */
+
+/* The timer.  */
+static gboolean
+on_tick (gpointer data)
+{
+  struct mesh_node *node = data;
+  struct event event = { .kind = EVENT_TICK };
+  gint64 now = clock_usec ();
+
+  proxy_expire (&node->proxy, now);
+  feed_step (&node->fleet_feed, now);
+  feed_step (&node->config_feed, now);
+  look_at_file (node, now);
+  event.u.tick.exchanges = proxy_busy (&node->proxy);
+  mesh_node_feed (node, &event);
+  return G_SOURCE_CONTINUE;
+}
+
+/* Life */
+
+/* Set up the data path.  */
+static enum err
+init_proxy (struct mesh_node *node)
+{
+  const struct proxy_owner owner
+      = { on_proxy_event, mesh_node_on_link, node };
+  enum err code
+      = proxy_init (&node->proxy, node->config.mesh.peer, &owner);
+
+  node->proxy.self = node->mesh.settings.incarnation;
+  node->proxy.server = node->config.mesh.server;
+  node->proxy.holds_answers = TRUE;
+  node->proxy.dialect.kind = DIALECT_PLATFORM;
+  node->proxy.dialect.u.platform.caller_service = node->mesh.settings.service;
+  return code;
+}
+
+/* Set up the store and what is read from it.  */
+static void
+init_store (struct mesh_node *node)
+{
+  store_init (&node->store, &node->proxy.http, node->config.store);
+  feed_init (&node->fleet_feed, &node->store, STORE_TOPIC_FLEET, mesh_node_on_fleet,
+             node);
+  feed_init (&node->config_feed, &node->store, STORE_TOPIC_CONFIG,
+             mesh_node_on_config, node);
+}
+
+/* Start a node with the settings in CONFIG, read from FILE.  */
+enum err
+mesh_node_init (struct mesh_node *node, const struct mesh_config *config,
+                const char *file)
+{
+  const struct calls_owner owner
+      = { on_calls_event, on_ready_asked, mesh_node_metrics, node };
+  enum err code;
+
+  memset (node, 0, sizeof *node);
+  node->config = *config;
+  node->file = file;
+  node->file_changed = file_time (file);
+  if (getrandom (&node->config.mesh.incarnation, sizeof (guint64), 0) < 0
+      || getrandom (&node->config.mesh.seed, sizeof (guint64), 0) < 0)
+    return ERR_IO;
+  node->later = g_queue_new ();
+  node->notes = g_hash_table_new (NULL, NULL);
+  node->config_bytes = g_byte_array_new ();
+  node->loop = g_main_loop_new (NULL, FALSE);
+  latency_init (&node->took);
+  latency_init (&node->ran);
+  mesh_init (&node->mesh, &node->config.mesh, clock_usec ());
+  code = init_proxy (node);
+  init_store (node);
+  if (code == ERR_NONE)
+    code = mesh_front_init (node);
+  if (code == ERR_NONE)
+    code = calls_init (&node->calls, config->control, config->ready,
+                       config->metrics, &owner);
+  if (code == ERR_NONE)
+    node->tick = g_timeout_add (TICK_MSEC, on_tick, node);
+  feed_step (&node->fleet_feed, clock_usec ());
+  feed_step (&node->config_feed, clock_usec ());
+  return code;
+}
+
+/* Stop a node at once and release what it holds.  */
+void
+mesh_node_clear (struct mesh_node *node)
+{
+  node->feeding = TRUE;
+  if (node->tick != 0)
+    g_source_remove (node->tick);
+  feed_clear (&node->fleet_feed);
+  feed_clear (&node->config_feed);
+  store_clear (&node->store);
+  proxy_clear (&node->proxy);
+  if (node->front != NULL)
+    soup_server_disconnect (node->front);
+  g_clear_object (&node->front);
+  calls_clear (&node->calls);
+  mesh_clear (&node->mesh);
+  latency_clear (&node->took);
+  latency_clear (&node->ran);
+  g_hash_table_destroy (node->notes);
+  g_byte_array_unref (node->config_bytes);
+  g_queue_free_full (node->later, g_free);
+  g_main_loop_unref (node->loop);
+}
--- /dev/null
+++ b/src/edge/mesh_node.h
@@ -0,0 +1,50 @@
+#ifndef BAMBOOTALLY_MESH_NODE_H
+#define BAMBOOTALLY_MESH_NODE_H
+
+#include "edge/latency.h"
+#include "edge/mesh_config.h"
+#include "edge/proxy.h"
+#include "mesh/mesh.h"
+#include "platform/calls.h"
+#include "platform/feed.h"
+#include "platform/store.h"
+
+/* One node of a mesh: its decisions and its edges on one loop.  */
+
+struct mesh_node
+{
+  struct mesh_config config;  /* its settings */
+  const char *file;           /* where they stand */
+  gint64 file_changed;        /* when that was last changed */
+  gint64 file_looked;         /* when that was last looked at */
+  struct mesh mesh;           /* its decisions */
+  GMainLoop *loop;            /* the one loop */
+  struct proxy proxy;         /* requests on their way */
+  SoupServer *front;          /* callers */
+  struct calls calls;         /* the platform's calls */
+  struct store store;         /* the platform's store */
+  struct feed fleet_feed;     /* the fleet's topic */
+  struct feed config_feed;    /* the operator's topic */
+  GByteArray *config_bytes;   /* the configuration in the store's words */
+  struct latency took;        /* requests that entered here */
+  struct latency ran;         /* requests at the server here */
+  GHashTable *notes;          /* number of an event to how often it came */
+  GQueue *later;              /* events that came during another */
+  gboolean feeding;           /* an event is being taken in */
+  guint tick;                 /* the timer */
+};
+
+enum err mesh_node_init (struct mesh_node *node,
+                         const struct mesh_config *config, const char *file);
+void mesh_node_clear (struct mesh_node *node);
+void mesh_node_feed (struct mesh_node *node, const struct event *event);
+void mesh_node_do (struct mesh_node *node, const struct action *action);
+void mesh_node_reload (struct mesh_node *node);
+enum err mesh_front_init (struct mesh_node *node);
+void mesh_node_on_link (const struct link_event *event, gpointer data);
+void mesh_node_on_fleet (const struct feed_event *event, gpointer data);
+void mesh_node_on_config (const struct feed_event *event, gpointer data);
+char *mesh_node_metrics (gpointer data);
+void mesh_node_note (struct mesh_node *node, const struct note *note);
+
+#endif
--- /dev/null
+++ b/src/edge/mesh_node_do.c
@@ -0,0 +1,223 @@
+#include "edge/mesh_node.h"
+
+#include "types/clock.h"
+#include "wire/wire_fleet.h"
+#include "wire/wire_mesh.h"
+
+#include <string.h>
+
+/* Appends */
+
+/* Whose append it was.  */
+struct append_job
+{
+  struct mesh_node *node; /* this process */
+  guint64 serial;         /* of its own append, 0: for another node */
+  struct handle link;     /* connection of the other node */
+  guint32 xid;            /* number of its call */
+};
+
+/* An append has ended.  */
+static void
+on_appended (const struct store_result *result, gpointer data)
+{
+  struct append_job *job = data;
+  struct event event = { .kind = EVENT_STORED };
+  struct mesh_reply reply = { .kind = MESH_APPEND, .code = result->code };
+
+  reply.u.append.offset = result->offset;
+  event.u.stored.serial = job->serial;
+  event.u.stored.code = result->code;
+  event.u.stored.offset = result->offset;
+  if (job->serial != 0)
+    mesh_node_feed (job->node, &event);
+  else
+    links_reply (&job->node->proxy.links, job->link, job->xid, ERR_NONE,
+                 wire_mesh_reply, &reply);
+  g_free (job);
+}
+
+/* Append a record of this node's.  */
+static void
+append_own (struct mesh_node *node, const struct action_store *action)
+{
+  struct append_job *job = g_new0 (struct append_job, 1);
+  GByteArray *bytes = action->record.kind == FLEET_DROPPED
+                          ? NULL
+                          : wire_fleet_encode (&action->record);
+
+  job->node = node;
+  job->serial = action->serial;
+  node->proxy.counters.appends++;
+  store_append (&node->store, STORE_TOPIC_FLEET, action->at, action->record.key,
+                bytes, on_appended, job);
+  if (bytes != NULL)
+    g_byte_array_unref (bytes);
+}
+
+/* Append a record for another node.  */
+static void
+append_for (struct mesh_node *node, const struct action_append_for *action)
+{
+  struct append_job *job = g_new0 (struct append_job, 1);
+  GByteArray *bytes = g_byte_array_new ();
+
+  g_byte_array_append (bytes, action->append.bytes, action->append.length);
+  job->node = node;
+  job->link = action->link;
+  job->xid = action->xid;
+  store_append (&node->store, STORE_TOPIC_FLEET, action->append.at,
+                action->append.key, bytes, on_appended, job);
+  g_byte_array_unref (bytes);
+}
+
+/* Other nodes */
+
+/* Call another node.  */
+static void
+call_node (struct mesh_node *node, const struct action_mesh_call *action)
+{
+  struct link_tag tag = { .serial = action->serial,
+                          .peer = action->call.kind,
+                          .exchange = action->member };
+
+  node->proxy.counters.control_calls++;
+  links_call (&node->proxy.links, action->to, RPC_MESH, wire_mesh_call,
+              &action->call, &tag, action->deadline);
+}
+
+/* Have another node append a record.  */
+static void
+relay (struct mesh_node *node, const struct action_relay *action)
+{
+  struct link_tag tag = { .serial = action->serial,
+                          .peer = MESH_APPEND,
+                          .exchange = action->member };
+  struct mesh_call call = { .kind = MESH_APPEND };
+  GByteArray *bytes = action->record.kind == FLEET_DROPPED
+                          ? g_byte_array_new ()
+                          : wire_fleet_encode (&action->record);
+
+  call.u.append.at = action->at;
+  g_strlcpy (call.u.append.key, action->record.key,
+             sizeof call.u.append.key);
+  call.u.append.bytes = bytes->data;
+  call.u.append.length = bytes->len;
+  links_call (&node->proxy.links, action->to, RPC_MESH, wire_mesh_call, &call,
+              &tag, action->deadline);
+  g_byte_array_unref (bytes);
+}
+
+/* Reply with the records and the configuration that another node lacks.  */
+static void
+reply_fetch (struct mesh_node *node, const struct action_fetch_reply *action)
+{
+  struct mesh_reply reply = { .kind = MESH_FETCH };
+  struct mesh_fetch_reply *fetch = &reply.u.fetch;
+  GArray *entries = roster_since (&node->mesh.roster, action->fetch.folded);
+  GByteArray *bytes = wire_fleet_encode_all (entries);
+  guint i;
+
+  fetch->next = node->mesh.roster.next;
+  fetch->bytes = bytes->data;
+  fetch->length = bytes->len;
+  if (node->mesh.routing != NULL
+      && node->mesh.routing->version > action->fetch.config)
+    {
+      fetch->config = node->mesh.routing->version;
+      fetch->config_bytes = node->config_bytes->data;
+      fetch->config_count = node->config_bytes->len;
+    }
+  links_reply (&node->proxy.links, action->link, action->xid, ERR_NONE,
+               wire_mesh_reply, &reply);
+  for (i = 0; i < entries->len; i++)
+    fleet_record_clear (
+        &g_array_index (entries, struct fleet_entry, i).record);
+  g_array_free (entries, TRUE);
+  g_byte_array_unref (bytes);
+}
+
+/* Close the connections of a peer or of the server that hang.  */
+static void
+drop_connections (struct mesh_node *node,
+                  const struct action_suspect_connection *action)
+{
+  struct handle h = table_next (&node->mesh.roster.members, HANDLE_NONE);
+
+  if (action->peer == 0)
+    http_drop_idle (&node->proxy.http, node->proxy.server);
+  for (; handle_is_set (h); h = table_next (&node->mesh.roster.members, h))
+    {
+      const struct fleet_member *member
+          = roster_member_at (&node->mesh.roster, h);
+      if (action->peer != 0 && member->incarnation == action->peer)
+        links_drop (&node->proxy.links, member->peer);
+    }
+}
+
+/* Do what the core wants.  */
+void
+mesh_node_do (struct mesh_node *node, const struct action *action)
+{
+  switch (action->kind)
+    {
+    case ACTION_FORWARD:
+      node->proxy.counters.forwarded++;
+      exchange_forward (&node->proxy, &action->u.forward);
+      break;
+    case ACTION_RUN:
+      node->proxy.counters.run++;
+      exchange_run (&node->proxy, &action->u.run);
+      break;
+    case ACTION_ANSWER:
+      exchange_answer (&node->proxy, &action->u.answer);
+      break;
+    case ACTION_CANCEL:
+      exchange_cancel (&node->proxy, action->u.cancel.exchange);
+      break;
+    case ACTION_NOTE:
+      mesh_node_note (node, &action->u.note);
+      break;
+    case ACTION_STORE:
+      append_own (node, &action->u.store);
+      break;
+    case ACTION_CONFIRM:
+      feed_confirm (&node->fleet_feed);
+      break;
+    case ACTION_BEAT_ANSWER:
+      calls_answer (&node->calls, action->u.beat_answer.call,
+                    action->u.beat_answer.code, action->u.beat_answer.answer);
+      break;
+    case ACTION_RELAY:
+      relay (node, &action->u.relay);
+      break;
+    case ACTION_MESH_CALL:
+      call_node (node, &action->u.mesh_call);
+      break;
+    case ACTION_MESH_REPLY:
+      links_reply (&node->proxy.links, action->u.mesh_reply.link,
+                   action->u.mesh_reply.xid, ERR_NONE, wire_mesh_reply,
+                   &action->u.mesh_reply.reply);
+      break;
+    case ACTION_FETCH_REPLY:
+      reply_fetch (node, &action->u.fetch_reply);
+      break;
+    case ACTION_APPEND_FOR:
+      append_for (node, &action->u.append_for);
+      break;
+    case ACTION_SUSPECT_CONNECTION:
+      drop_connections (node, &action->u.suspect);
+      break;
+    case ACTION_EXIT:
+      g_main_loop_quit (node->loop);
+      break;
+    case ACTION_APPEND:
+    case ACTION_CALL:
+    case ACTION_REPLY:
+    case ACTION_FETCH:
+    case ACTION_SNAPSHOT_ENCODE:
+    case ACTION_SNAPSHOT_DECODE:
+    case ACTION_SERVE_VIEW:
+      break;
+    }
+}
--- /dev/null
+++ b/src/edge/mesh_node_link.c
@@ -0,0 +1,131 @@
+#include "edge/mesh_node.h"
+
+#include "platform/config.h"
+#include "types/clock.h"
+#include "wire/wire_fleet.h"
+#include "wire/wire_mesh.h"
+
+#include <string.h>
+
+/* Calls */
+
+/* Another node calls.  */
+static void
+take_call (struct mesh_node *node, const struct link_event *link_event)
+{
+  struct event event = { .kind = EVENT_MESH_CALL };
+  struct mesh_call call = { 0 };
+
+  if (wire_decode (wire_mesh_call, &call, link_event->bytes,
+                   link_event->length)
+      != ERR_NONE)
+    {
+      links_reply (&node->proxy.links, link_event->link, link_event->xid,
+                   ERR_MALFORMED, NULL, NULL);
+      return;
+    }
+  event.u.mesh_call.link = link_event->link;
+  event.u.mesh_call.xid = link_event->xid;
+  event.u.mesh_call.call = &call;
+  mesh_node_feed (node, &event);
+  xdr_free ((xdrproc_t)wire_mesh_call, (char *)&call);
+}
+
+/* Replies */
+
+/* Take in a configuration that another node has.  */
+static void
+take_config (struct mesh_node *node, const struct mesh_fetch_reply *fetch)
+{
+  struct event event = { .kind = EVENT_ROUTING };
+  struct routing *routing
+      = platform_config_read (fetch->config_bytes, fetch->config_count);
+
+  if (routing == NULL)
+    return;
+  if (node->mesh.routing == NULL
+      || routing->version > node->mesh.routing->version)
+    {
+      g_byte_array_set_size (node->config_bytes, 0);
+      g_byte_array_append (node->config_bytes, fetch->config_bytes,
+                           fetch->config_count);
+    }
+  event.u.routing.routing = routing;
+  mesh_node_feed (node, &event);
+}
+
+/* Take in what another node knew and this one did not.  */
+static void
+take_fetched (struct mesh_node *node, const struct mesh_fetch_reply *fetch)
+{
+  GArray *entries = wire_fleet_decode_all (fetch->bytes, fetch->length);
+  struct event event = { .kind = EVENT_FLEET };
+  guint i;
+
+  if (entries != NULL)
+    {
+      event.u.fleet.items = (const void *)entries->data;
+      event.u.fleet.count = entries->len;
+      event.u.fleet.next = fetch->next;
+      mesh_node_feed (node, &event);
+      feed_skip (&node->fleet_feed, fetch->next);
+      for (i = 0; i < entries->len; i++)
+        fleet_record_clear (
+            &g_array_index (entries, struct fleet_entry, i).record);
+      g_array_free (entries, TRUE);
+    }
+  if (fetch->config > 0)
+    take_config (node, fetch);
+}
+
+/* The kind of the call that TAG belongs to: a reply that never came does not
+   tell.  */
+static enum mesh_msg_kind
+kind_of (const struct link_event *event)
+{
+  return (enum mesh_msg_kind)event->tag.peer;
+}
+
+/* Another node replied, or will not.  */
+static void
+take_reply (struct mesh_node *node, const struct link_event *link_event)
+{
+  struct event event = { .kind = EVENT_MESH_REPLY };
+  struct mesh_reply reply = { 0 };
+
+  if (link_event->code != ERR_NONE
+      || wire_decode (wire_mesh_reply, &reply, link_event->bytes,
+                      link_event->length)
+             != ERR_NONE)
+    {
+      memset (&reply, 0, sizeof reply);
+      reply.kind = kind_of (link_event);
+      reply.code = link_event->code == ERR_REFUSED ? ERR_REFUSED : ERR_EFFECT;
+    }
+  if (reply.kind == MESH_FETCH && reply.code == ERR_NONE)
+    take_fetched (node, &reply.u.fetch);
+  event.u.mesh_reply.serial = link_event->tag.serial;
+  event.u.mesh_reply.member = link_event->tag.exchange;
+  event.u.mesh_reply.reply = &reply;
+  mesh_node_feed (node, &event);
+  xdr_free ((xdrproc_t)wire_mesh_reply, (char *)&reply);
+}
+
+/* Something came from another node that does not concern a request.  */
+void
+mesh_node_on_link (const struct link_event *event, gpointer data)
+{
+  struct mesh_node *node = data;
+
+  if (event->procedure != RPC_MESH)
+    {
+      if (event->kind == LINK_CALL)
+        links_reply (&node->proxy.links, event->link, event->xid,
+                     ERR_MALFORMED, NULL, NULL);
+      return;
+    }
+  if (event->kind == LINK_CALL)
+    take_call (node, event);
+  else
+    take_reply (node, event);
+}
--- a/src/edge/node_do.c
+++ b/src/edge/node_do.c
@@ -82,6 +82,15 @@
     case ACTION_SUSPECT_CONNECTION:
       drop_connection (node, action->u.suspect.peer);
       break;
+    case ACTION_STORE:
+    case ACTION_CONFIRM:
+    case ACTION_BEAT_ANSWER:
+    case ACTION_RELAY:
+    case ACTION_MESH_CALL:
+    case ACTION_MESH_REPLY:
+    case ACTION_FETCH_REPLY:
+    case ACTION_APPEND_FOR:
+      break;
     case ACTION_EXIT:
       node->again = action->u.exit.again;
       g_main_loop_quit (node->loop);
--- a/src/edge/proxy.h
+++ b/src/edge/proxy.h
@@ -33,6 +33,7 @@
   guint64 last_stream;      /* name of the last attempt passed on */
   gboolean leaving;         /* callers are asked to connect elsewhere */
   gboolean holds_answers;   /* short answers go on only once they are whole */
+  struct load_report load;  /* how busy it is, told to other nodes */
   struct counters counters; /* what it has counted */
   struct dialect dialect;   /* how callers and the server speak */
   struct proxy_owner owner; /* who decides */
--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -101,36 +101,12 @@
               sizeof settings->log_level);
 }
 
-/* Add a fault for each section that must be there and is not.  */
-static void
-check_sections (const struct ini *ini, GArray *faults)
-{
-  static const char *const kinds[] = { "node", "log" };
-  guint i;
-  guint k;
-
-  for (i = 0; i < G_N_ELEMENTS (kinds); i++)
-    {
-      struct ini_section missing = { 0 };
-      gboolean found = FALSE;
-      for (k = 0; k < ini->sections->len; k++)
-        found
-            = found
-              || strcmp (
-                     kinds[i],
-                     g_array_index (ini->sections, struct ini_section, k).kind)
-                     == 0;
-      g_strlcpy (missing.kind, kinds[i], sizeof missing.kind);
-      if (!found)
-        ini_fault (ini, faults, FAULT_MISSING, &missing, NULL, NULL);
-    }
-}
-
 /* Read the settings in FILE.  Return ERR_INVALID, with each fault added to
    FAULTS, if they are not right.  */
 enum err
 settings_read (struct settings *settings, const char *file, GArray *faults)
 {
+  static const char *const needed[] = { "node", "log" };
   struct ini ini;
   char *text = NULL;
   guint i;
@@ -143,7 +119,7 @@
       return ERR_INVALID;
     }
   ini_read (&ini, file, text, &settings_schema, faults);
-  check_sections (&ini, faults);
+  ini_need (&ini, needed, G_N_ELEMENTS (needed), faults);
   for (i = 0; i < ini.sections->len; i++)
     read_section (settings, &ini,
                   &g_array_index (ini.sections, struct ini_section, i),
--- a/src/edge/source_peer.c
+++ b/src/edge/source_peer.c
@@ -25,7 +25,8 @@
 reply_refusal (struct proxy *proxy, struct handle link, guint32 xid,
                const struct action_answer *action)
 {
-  struct forward_head head = { .outcome = action->outcome,
+  struct forward_head head = { .load = proxy->load,
+                               .outcome = action->outcome,
                                .reason = action->reason,
                                .stamp = action->stamp,
                                .retry_msec = action->retry_msec,
@@ -62,6 +63,7 @@
   struct source_peer *peer = &exchange->source.u.peer;
   struct forward_head head = { .outcome = OUTCOME_DONE };
 
+  head.load = exchange->proxy->load;
   head.status = exchange->head.status;
   head.length = exchange->head.length;
   head.stamp = exchange->head.stamp;
--- a/src/edge/target_peer.c
+++ b/src/edge/target_peer.c
@@ -41,6 +41,7 @@
     return;
   body_rewind (&exchange->in);
   exchange->head.retry_msec = 0;
+  exchange->head.has_load = FALSE;
   memset (&exchange->head.stamp, 0, sizeof exchange->head.stamp);
   exchange->head.owner = action->front;
   exchange->target.kind = TARGET_PEER;
@@ -143,6 +144,8 @@
 static void
 take_head (struct exchange *exchange, const struct forward_head *head)
 {
+  exchange->head.load = head->load;
+  exchange->head.has_load = TRUE;
   if (head->outcome != OUTCOME_DONE)
     {
       exchange->head.stamp = head->stamp;
--- /dev/null
+++ b/src/mesh/mesh.c
@@ -0,0 +1,211 @@
+#include "mesh/mesh_parts.h"
+
+/* A node that is asked to stop goes on for so long at least: callers learn
+   only by and by that it is not ready.  */
+#define LINGER_USEC ((gint64)2800000)
+
+/* It ends by itself so long before it would be killed.  */
+#define GRACE_MARGIN_USEC ((gint64)500000)
+
+/* Set up a node that knows nothing yet and starts at NOW.  */
+void
+mesh_init (struct mesh *mesh, const struct mesh_settings *settings, gint64 now)
+{
+  memset (mesh, 0, sizeof *mesh);
+  mesh->settings = *settings;
+  mesh->started = now;
+  mesh->settled_at = now;
+  roster_init (&mesh->roster);
+  grant_init (&mesh->grant, now + settings->hold_max_usec);
+  gate_init (&mesh->gate);
+  table_init (&mesh->upstreams, sizeof (struct upstream));
+  table_init (&mesh->transits, sizeof (struct transit));
+  mesh->budgets = g_array_new (FALSE, TRUE, sizeof (struct mesh_budget));
+  mesh->crashes = g_array_new (FALSE, TRUE, sizeof (guint64));
+}
+
+/* Release what MESH holds.  */
+void
+mesh_clear (struct mesh *mesh)
+{
+  routing_free (mesh->routing);
+  roster_clear (&mesh->roster);
+  grant_clear (&mesh->grant);
+  gate_clear (&mesh->gate);
+  table_clear (&mesh->upstreams);
+  table_clear (&mesh->transits);
+  g_array_free (mesh->budgets, TRUE);
+  g_array_free (mesh->crashes, TRUE);
+  if (mesh->proposal.pending)
+    fleet_record_clear (&mesh->proposal.record);
+}
+
+/* Tell whether callers may be sent to this node.  */
+gboolean
+mesh_is_ready (const struct mesh *mesh)
+{
+  return mesh->routing != NULL && mesh->known && mesh->leave_at == 0;
+}
+
+/* How busy the gate is, for other nodes.  */
+struct load_report
+mesh_load (struct mesh *mesh, gint64 now)
+{
+  struct load_report load = { .running = mesh->gate.busy,
+                              .waiting = mesh->gate.waiting->len,
+                              .run_usec = mesh->gate.pace.run_usec };
+
+  if (!grant_is_leaving (&mesh->grant) && !mesh->grant.dead)
+    load.slots = pace_slots (&mesh->gate.pace, mesh->gate.slots, now);
+  return load;
+}
+
+/* Events */
+
+/* A configuration was read.  One that is not later than the one in force is
+   passed over.  */
+static void
+take_routing (struct mesh *mesh, struct routing *routing, gint64 now,
+              struct actions *out)
+{
+  guint64 before = mesh->routing != NULL ? mesh->routing->version : 0;
+
+  mesh_note (out, NOTE_MESH_ROUTING, "",
+             "version=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
+             " routes=%u services=%u outcome=%s",
+             routing->version, before, routing->routes->len,
+             routing->services->len,
+             routing->version > before ? "in-force" : "passed-over");
+  if (routing->version <= before)
+    {
+      routing_free (routing);
+      return;
+    }
+  routing_free (mesh->routing);
+  mesh->routing = routing;
+  mesh_plan_step (mesh, now, out);
+}
+
+/* The store was lost or is back.  */
+static void
+take_store (struct mesh *mesh, const struct event_store *event, gint64 now,
+            struct actions *out)
+{
+  if (event->lost == mesh->store_lost)
+    return;
+  mesh->store_lost = event->lost;
+  mesh_note (out, NOTE_MESH_STORE, mesh->settings.name,
+             "outcome=%s records=%" G_GUINT64_FORMAT
+             " session_ms=%" G_GINT64_FORMAT,
+             event->lost ? "lost" : "back", mesh->roster.next,
+             session_left (&mesh->session, now) / USEC_PER_MSEC);
+}
+
+/* The process is asked to stop.  */
+static void
+begin_leave (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  if (mesh->leave_at != 0)
+    return;
+  mesh->leave_at = now;
+  mesh_note (out, NOTE_MESH_STOP, mesh->settings.name,
+             "outcome=asked requests=%u", mesh->transits.count);
+}
+
+/* End the process once nothing is left to do, or while there is still time to
+   end by itself.  */
+static void
+leave_step (struct mesh *mesh, guint32 exchanges, gint64 now,
+            struct actions *out)
+{
+  gboolean idle = exchanges == 0 && mesh->transits.count == 0
+                  && now >= mesh->leave_at + LINGER_USEC;
+  gboolean late = now >= mesh->leave_at + mesh->settings.grace_usec
+                             - GRACE_MARGIN_USEC;
+
+  if (mesh->leave_at == 0 || mesh->exited || (!idle && !late))
+    return;
+  mesh->exited = TRUE;
+  mesh_note (out, NOTE_MESH_STOP, mesh->settings.name,
+             "outcome=ended requests=%u", mesh->transits.count);
+  actions_add (out, ACTION_EXIT);
+}
+
+/* Do what is due at NOW.  */
+static void
+step_all (struct mesh *mesh, guint32 exchanges, gint64 now,
+          struct actions *out)
+{
+  mesh_watch_step (mesh, now, out);
+  mesh_pulse_step (mesh, now, out);
+  mesh_session_step (mesh, now, out);
+  mesh_plan_step (mesh, now, out);
+  mesh_expire (mesh, now, out);
+  mesh_route_waiting (mesh, now, out);
+  mesh_admit_next (mesh, now, out);
+  leave_step (mesh, exchanges, now, out);
+}
+
+/* Take in EVENT at NOW, in microseconds, and add to OUT what is to be done.  */
+void
+mesh_step (struct mesh *mesh, const struct event *event, gint64 now,
+           struct actions *out)
+{
+  mesh->stepped_at = now;
+  switch (event->kind)
+    {
+    case EVENT_TICK:
+      step_all (mesh, event->u.tick.exchanges, now, out);
+      break;
+    case EVENT_ROUTING:
+      take_routing (mesh, event->u.routing.routing, now, out);
+      break;
+    case EVENT_FLEET:
+      mesh_fold (mesh, &event->u.fleet, now, out);
+      mesh_watch_step (mesh, now, out);
+      mesh_plan_step (mesh, now, out);
+      break;
+    case EVENT_STORE:
+      take_store (mesh, &event->u.store, now, out);
+      break;
+    case EVENT_STORED:
+      mesh_stored (mesh, &event->u.stored, now, out);
+      mesh_plan_step (mesh, now, out);
+      break;
+    case EVENT_BEAT:
+      mesh_beat (mesh, &event->u.beat, now, out);
+      break;
+    case EVENT_BEAT_END:
+      mesh_beat_end (mesh, &event->u.beat_end, now, out);
+      break;
+    case EVENT_REQUEST:
+      mesh_route_begin (mesh, &event->u.request, now, out);
+      break;
+    case EVENT_ENDED:
+      mesh_ended (mesh, &event->u.ended, now, out);
+      break;
+    case EVENT_GONE:
+      mesh_gone (mesh, event->u.gone.exchange, now, out);
+      break;
+    case EVENT_MESH_CALL:
+      mesh_take_call (mesh, &event->u.mesh_call, now, out);
+      break;
+    case EVENT_MESH_REPLY:
+      mesh_take_reply (mesh, &event->u.mesh_reply, now, out);
+      break;
+    case EVENT_DRAIN:
+      begin_leave (mesh, now, out);
+      break;
+    case EVENT_RECORDS:
+    case EVENT_LOG_FAILED:
+    case EVENT_APPENDED:
+    case EVENT_SERVER_UP:
+    case EVENT_SERVER_LOAD:
+    case EVENT_SERVER_DOWN:
+    case EVENT_PEER_CALL:
+    case EVENT_PEER_REPLY:
+    case EVENT_SNAPSHOT:
+    case EVENT_SNAPSHOT_BYTES:
+      break;
+    }
+}
--- /dev/null
+++ b/src/mesh/mesh.h
@@ -0,0 +1,61 @@
+#ifndef BAMBOOTALLY_MESH_H
+#define BAMBOOTALLY_MESH_H
+
+#include "decide/gate.h"
+#include "decide/suspect.h"
+#include "fleet/roster.h"
+#include "fleet/session.h"
+#include "mesh/mesh_budget.h"
+#include "mesh/mesh_proposal.h"
+#include "mesh/mesh_settings.h"
+#include "serve/transit.h"
+#include "serve/upstream.h"
+#include "shard/grant.h"
+#include "types/action.h"
+#include "types/event.h"
+#include "types/routing.h"
+
+/* All decisions of one node of a mesh whose members and key holders are agreed
+   on in a store with conditional appends.  It is told events with the time and
+   answers with actions; it has no socket, clock or main loop.  */
+
+struct mesh
+{
+  struct mesh_settings settings; /* who this node is */
+  struct routing *routing;       /* the configuration in force, or NULL */
+  struct roster roster;          /* members and maps */
+  struct session session;        /* with the store */
+  struct grant grant;            /* what the server here holds */
+  struct gate gate;              /* admission to it */
+  struct table upstreams;        /* struct upstream, by members' handles */
+  struct table transits;         /* struct transit, by exchanges' handles */
+  GArray *budgets;               /* struct mesh_budget */
+  struct suspects suspects;      /* requests lost with the server */
+  GArray *crashes;               /* guint64 digests to be reported */
+  struct mesh_proposal proposal; /* the record on its way */
+  gint64 propose_at;             /* nothing is proposed before */
+  gint64 started;                /* when the process started */
+  gint64 stepped_at;             /* when the last event was taken in */
+  gint64 settled_at;             /* members have not changed since */
+  gint64 confirm_at;             /* when the store was last asked directly */
+  gint64 even_at;                /* when keys were last evened out */
+  gint64 fetch_at;               /* when a peer was last asked for records */
+  gboolean store_lost;           /* the store does not answer this node */
+  gboolean known;                /* the topic was read to its end once */
+  gboolean had_session;          /* the session was live when last looked */
+  gint64 leave_at;               /* when it was asked to stop, 0: not */
+  gboolean exited;               /* it has asked to be ended */
+  guint64 serial;                /* of the last call or append */
+  guint64 draws;                 /* random numbers drawn */
+  guint64 attempt;               /* number of the last attempt */
+};
+
+void mesh_init (struct mesh *mesh, const struct mesh_settings *settings,
+                gint64 now);
+void mesh_clear (struct mesh *mesh);
+void mesh_step (struct mesh *mesh, const struct event *event, gint64 now,
+                struct actions *out);
+gboolean mesh_is_ready (const struct mesh *mesh);
+struct load_report mesh_load (struct mesh *mesh, gint64 now);
+
+#endif
--- /dev/null
+++ b/src/mesh/mesh_admit.c
@@ -0,0 +1,222 @@
+#include "mesh/mesh_parts.h"
+
+#define ADMIT_AGAIN_USEC ((gint64)20000) /* between looks for a grant */
+
+/* A server that leaves gets its last request so long before it must not get
+   any: the way to it takes time.  */
+#define DRAIN_MARGIN_USEC ((gint64)400000)
+
+/* Tell whether requests of SERVICE have one holder each.  */
+static gboolean
+is_divided (const struct mesh *mesh, const char *service)
+{
+  const struct route_service *known
+      = mesh->routing != NULL ? routing_service (mesh->routing, service)
+                              : NULL;
+
+  if (known != NULL)
+    return known->divided;
+  return roster_map (&mesh->roster, service) != NULL;
+}
+
+/* Tell whether the server here is to hold KEY, though it may not have been
+   told yet.  */
+static gboolean
+is_owned (const struct mesh *mesh, const char *service, guint32 key)
+{
+  const struct shard_map *map = roster_map (&mesh->roster, service);
+  const struct shard *shard;
+
+  if (map == NULL || grant_is_leaving (&mesh->grant))
+    return FALSE;
+  shard = shard_map_find (map, key);
+  return shard->state == SHARD_HELD && shard->next[0] == '\0'
+         && strcmp (shard->owner, mesh->settings.name) == 0;
+}
+
+/* Why the server here gets no request now, or REASON_NONE.  */
+static enum reason
+closed_for (const struct mesh *mesh, gint64 now)
+{
+  const struct grant *grant = &mesh->grant;
+
+  if (!life_is_set (&grant->life) || grant->dead)
+    return REASON_SERVER_DOWN;
+  if (grant_is_leaving (grant)
+      && now >= grant->leave_at + mesh->settings.drain_usec
+                    - DRAIN_MARGIN_USEC)
+    return REASON_DRAINING;
+  return REASON_NONE;
+}
+
+/* Give the request EXCHANGE, which has a slot, to the server.  */
+static void
+run (struct mesh *mesh, struct handle exchange, gint64 now,
+     struct actions *out)
+{
+  struct transit *transit = table_get (&mesh->transits, exchange);
+  struct action_run *action;
+
+  transit->phase = TRANSIT_RUNNING;
+  transit->sent = now;
+  mesh_note (out, NOTE_MESH_RUN, transit->request.id,
+             "server=%s key=%s waited_ms=%" G_GINT64_FORMAT
+             " left_ms=%" G_GINT64_FORMAT " busy=%u/%u beat_ms=%" G_GINT64_FORMAT,
+             mesh->grant.life.id, transit->request.key,
+             (now - transit->came) / USEC_PER_MSEC,
+             (transit->request.deadline - now) / USEC_PER_MSEC,
+             mesh->gate.busy, mesh->gate.slots,
+             (now - mesh->grant.beat_at) / USEC_PER_MSEC);
+  action = &actions_add (out, ACTION_RUN)->u.run;
+  action->exchange = exchange;
+  action->attempt_id = ++mesh->attempt;
+  action->deadline = transit->request.deadline;
+  g_strlcpy (action->server, mesh->grant.life.id, sizeof action->server);
+}
+
+/* Ask the gate about the request EXCHANGE.  */
+static void
+pass_gate (struct mesh *mesh, struct handle exchange, gint64 now,
+           struct actions *out)
+{
+  struct transit *transit = table_get (&mesh->transits, exchange);
+  enum reason reason;
+
+  switch (gate_admit (&mesh->gate, exchange, &transit->request, now, &reason))
+    {
+    case GATE_RUN:
+      run (mesh, exchange, now, out);
+      break;
+    case GATE_WAIT:
+      transit->phase = TRANSIT_QUEUED;
+      mesh_note (out, NOTE_MESH_WAIT, transit->request.id,
+                 "reason=slots busy=%u/%u waiting=%u run_ms=%" G_GINT64_FORMAT,
+                 mesh->gate.busy, mesh->gate.slots, mesh->gate.waiting->len,
+                 mesh->gate.pace.run_usec / USEC_PER_MSEC);
+      break;
+    case GATE_REFUSE:
+      mesh_refuse (mesh, exchange, reason,
+                   gate_retry_msec (&mesh->gate, now) * USEC_PER_MSEC, now,
+                   out);
+      break;
+    }
+}
+
+/* Tell whether TRANSIT, for a key that the server does not hold, is to wait
+   until it does.  */
+static gboolean
+awaits_grant (const struct mesh *mesh, const struct transit *transit,
+              gint64 now)
+{
+  return is_owned (mesh, transit->request.service, transit->request.slice)
+         && now < (transit->came + transit->request.deadline) / 2;
+}
+
+/* Bring the request EXCHANGE to the server beside this node.  */
+void
+mesh_admit (struct mesh *mesh, struct handle exchange, gint64 now,
+            struct actions *out)
+{
+  struct transit *transit = table_get (&mesh->transits, exchange);
+  enum reason reason = closed_for (mesh, now);
+
+  if (reason == REASON_NONE && is_divided (mesh, transit->request.service)
+      && !grant_has (&mesh->grant, transit->request.slice, now))
+    {
+      if (awaits_grant (mesh, transit, now))
+        {
+          transit->phase = TRANSIT_WAITING;
+          transit->retry_at = now + ADMIT_AGAIN_USEC;
+          return;
+        }
+      reason = REASON_NOT_OWNER;
+    }
+  if (reason != REASON_NONE)
+    mesh_failed_here (mesh, exchange, reason, now, out);
+  else
+    pass_gate (mesh, exchange, now, out);
+}
+
+/* Tell why TRANSIT, which waited, cannot run here any more, or REASON_NONE.  */
+static enum reason
+lost_claim (const struct mesh *mesh, const struct transit *transit, gint64 now)
+{
+  enum reason reason = closed_for (mesh, now);
+
+  if (reason == REASON_NONE && is_divided (mesh, transit->request.service)
+      && !grant_has (&mesh->grant, transit->request.slice, now))
+    reason = REASON_NOT_OWNER;
+  return reason;
+}
+
+/* Give the slots that are free to requests that wait.  */
+void
+mesh_admit_next (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  struct handle next;
+
+  while (gate_next (&mesh->gate, now, &next))
+    {
+      const struct transit *transit = table_get (&mesh->transits, next);
+      enum reason reason = REASON_NONE;
+      if (transit != NULL)
+        reason = lost_claim (mesh, transit, now);
+      if (transit != NULL && reason == REASON_NONE)
+        {
+          run (mesh, next, now, out);
+          continue;
+        }
+      gate_release (&mesh->gate);
+      if (transit != NULL)
+        mesh_failed_here (mesh, next, reason, now, out);
+    }
+}
+
+/* The server has died: what was lost with it is reported.  */
+void
+mesh_crashed (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  struct handle h = table_next (&mesh->transits, HANDLE_NONE);
+  guint64 digest;
+
+  mesh_note (out, NOTE_MESH_SERVER, mesh->grant.life.id,
+             "outcome=dead running=%u", mesh->gate.busy);
+  gate_set_slots (&mesh->gate, 0, 0);
+  for (; handle_is_set (h); h = table_next (&mesh->transits, h))
+    {
+      const struct transit *transit = table_get (&mesh->transits, h);
+      if (transit->phase == TRANSIT_RUNNING && transit->request.digest != 0)
+        suspects_add_loss (&mesh->suspects, transit->request.digest, now);
+    }
+  while ((digest = suspects_next_loss (&mesh->suspects, now)) != 0)
+    g_array_append_val (mesh->crashes, digest);
+}
+
+/* The server has ended its attempt at TRANSIT.  */
+void
+mesh_admit_ended (struct mesh *mesh, const struct transit *transit,
+                  const struct event_ended *event, gint64 now,
+                  struct actions *out)
+{
+  gate_release (&mesh->gate);
+  switch (event->outcome)
+    {
+    case OUTCOME_DONE:
+      gate_on_done (&mesh->gate, now - transit->sent);
+      suspects_add_done (&mesh->suspects, transit->request.digest);
+      break;
+    case OUTCOME_NOT_RUN:
+      if (event->reason == REASON_OVERLOAD)
+        gate_on_shed (&mesh->gate, now);
+      if (event->reason == REASON_SERVER_DOWN
+          && grant_on_refused (&mesh->grant, now))
+        mesh_crashed (mesh, now, out);
+      break;
+    case OUTCOME_UNKNOWN:
+      if ((event->reason == REASON_SERVER_DOWN
+           || event->reason == REASON_TRUNCATED)
+          && transit->request.digest != 0)
+        suspects_add_loss (&mesh->suspects, transit->request.digest, now);
+      break;
+    }
+}
--- /dev/null
+++ b/src/mesh/mesh_parts.h
@@ -0,0 +1,84 @@
+#ifndef BAMBOOTALLY_MESH_PARTS_H
+#define BAMBOOTALLY_MESH_PARTS_H
+
+#include "mesh/mesh.h"
+#include "shard/shard_duty.h"
+
+/* The parts of struct mesh's decisions, for each other.  */
+
+/* Notes, mesh_note.c.  */
+struct note *mesh_note (struct actions *out, enum note_id id,
+                        const char *subject, const char *format, ...)
+    G_GNUC_PRINTF (4, 5);
+
+/* Requests that enter here, mesh_route.c.  */
+void mesh_route_begin (struct mesh *mesh, const struct event_request *event,
+                       gint64 now, struct actions *out);
+void mesh_route_again (struct mesh *mesh, struct handle exchange, gint64 now,
+                       struct actions *out);
+void mesh_route_waiting (struct mesh *mesh, gint64 now, struct actions *out);
+
+gboolean mesh_pay_retry (struct mesh *mesh, const struct transit *transit);
+
+/* Where a request goes, mesh_pick.c.  */
+struct mesh_pick
+{
+  struct handle member; /* member that is to have it, none if there is none */
+  gboolean here;        /* that is this node */
+  enum reason reason;   /* why there is none */
+  gint64 wait_usec;     /* it may be there after so long, 0: not known */
+};
+struct mesh_pick mesh_pick (struct mesh *mesh, const struct transit *transit,
+                            gint64 now);
+
+/* Admission to the server here, mesh_admit.c.  */
+void mesh_admit (struct mesh *mesh, struct handle exchange, gint64 now,
+                 struct actions *out);
+void mesh_admit_next (struct mesh *mesh, gint64 now, struct actions *out);
+void mesh_admit_ended (struct mesh *mesh, const struct transit *transit,
+                       const struct event_ended *event, gint64 now,
+                       struct actions *out);
+void mesh_crashed (struct mesh *mesh, gint64 now, struct actions *out);
+
+/* Ends of requests, mesh_end.c.  */
+void mesh_ended (struct mesh *mesh, const struct event_ended *event,
+                 gint64 now, struct actions *out);
+void mesh_gone (struct mesh *mesh, struct handle exchange, gint64 now,
+                struct actions *out);
+void mesh_refuse (struct mesh *mesh, struct handle exchange,
+                  enum reason reason, gint64 retry_usec, gint64 now,
+                  struct actions *out);
+void mesh_failed_here (struct mesh *mesh, struct handle exchange,
+                       enum reason reason, gint64 now, struct actions *out);
+void mesh_expire (struct mesh *mesh, gint64 now, struct actions *out);
+
+/* The server's beats, mesh_beat.c.  */
+void mesh_beat (struct mesh *mesh, const struct event_beat *event, gint64 now,
+                struct actions *out);
+void mesh_beat_end (struct mesh *mesh, const struct event_beat_end *event,
+                    gint64 now, struct actions *out);
+
+/* The store, mesh_store.c.  */
+void mesh_fold (struct mesh *mesh, const struct event_fleet *event, gint64 now,
+                struct actions *out);
+void mesh_stored (struct mesh *mesh, const struct event_stored *event,
+                  gint64 now, struct actions *out);
+void mesh_propose (struct mesh *mesh, struct fleet_record *record, guint64 at,
+                   gint64 now, struct actions *out);
+void mesh_session_step (struct mesh *mesh, gint64 now, struct actions *out);
+
+/* What this node proposes, mesh_plan.c.  */
+void mesh_plan_step (struct mesh *mesh, gint64 now, struct actions *out);
+GArray *mesh_holders (struct mesh *mesh, const char *service, gint64 now);
+
+/* Other nodes, mesh_pulse.c and mesh_watch.c.  */
+void mesh_pulse_step (struct mesh *mesh, gint64 now, struct actions *out);
+void mesh_take_call (struct mesh *mesh, const struct event_mesh_call *event,
+                     gint64 now, struct actions *out);
+void mesh_take_reply (struct mesh *mesh, const struct event_mesh_reply *event,
+                      gint64 now, struct actions *out);
+void mesh_watch_step (struct mesh *mesh, gint64 now, struct actions *out);
+gboolean mesh_is_lost (struct mesh *mesh, struct handle member, gint64 now);
+guint32 mesh_rank (struct mesh *mesh, gint64 now);
+
+#endif
--- /dev/null
+++ b/src/mesh/mesh_pick.c
@@ -0,0 +1,156 @@
+#include "mesh/mesh_parts.h"
+
+/* A shard that changes hands is held again after about so long: the beats of
+   its two servers and the appends between.  */
+#define HANDOVER_USEC ((gint64)700000)
+
+/* Tell whether TRANSIT was refused or failed at MEMBER before.  */
+static gboolean
+was_tried (const struct transit *transit, struct handle member)
+{
+  guint i;
+
+  for (i = 0; i < MIN (transit->tried, TRANSIT_TRIED_MAX); i++)
+    if (handle_equal (transit->past[i], member))
+      return TRUE;
+  return FALSE;
+}
+
+/* Tell whether MEMBER is this node.  */
+static gboolean
+is_here (const struct mesh *mesh, const struct fleet_member *member)
+{
+  return strcmp (member->name, mesh->settings.name) == 0;
+}
+
+/* Tell whether requests may be sent to MEMBER now.  */
+static gboolean
+is_reachable (struct mesh *mesh, const struct fleet_member *member,
+              struct handle h, gint64 now)
+{
+  const struct upstream *upstream = table_get (&mesh->upstreams, h);
+
+  if (is_here (mesh, member))
+    return TRUE;
+  return upstream != NULL && upstream_is_heard (upstream, now)
+         && breaker_lets_pass (&upstream->breaker, now);
+}
+
+/* No node, for REASON; one may be there after WAIT_USEC.  */
+static struct mesh_pick
+none (enum reason reason, gint64 wait_usec)
+{
+  struct mesh_pick pick = { HANDLE_NONE, FALSE, reason, wait_usec };
+
+  return pick;
+}
+
+/* The owner of the key of TRANSIT.  */
+static struct mesh_pick
+pick_owner (struct mesh *mesh, const struct transit *transit, gint64 now)
+{
+  const struct shard_map *map
+      = roster_map (&mesh->roster, transit->request.service);
+  const struct fleet_member *member;
+  const struct shard *shard;
+  struct mesh_pick pick = { 0 };
+
+  if (map == NULL)
+    return none (REASON_NO_OWNER, 0);
+  shard = shard_map_find (map, transit->request.slice);
+  switch (shard->state)
+    {
+    case SHARD_FREE:
+      return none (REASON_NO_OWNER, HANDOVER_USEC);
+    case SHARD_LOST:
+      return none (REASON_LEASE, MAX (0, shard->since + SESSION_WAIT_USEC
+                                             - now)
+                                     + HANDOVER_USEC);
+    case SHARD_HELD:
+      break;
+    }
+  pick.member = roster_find (&mesh->roster, shard->owner);
+  member = roster_member_at (&mesh->roster, pick.member);
+  if (member == NULL)
+    return none (REASON_NO_OWNER, 0);
+  if (!is_reachable (mesh, member, pick.member, now))
+    return none (REASON_PEER_LOST, 0);
+  pick.here = is_here (mesh, member);
+  return pick;
+}
+
+/* What TRANSIT costs at MEMBER.  */
+static gint64
+cost_at (struct mesh *mesh, const struct transit *transit,
+         const struct fleet_member *member, struct handle h, gint64 now)
+{
+  struct upstream_ask ask
+      = { .same_zone = strcmp (member->zone, mesh->settings.zone) == 0,
+          .bytes = transit->bytes };
+  struct upstream here = { 0 };
+
+  if (!is_here (mesh, member))
+    return upstream_cost (table_get (&mesh->upstreams, h), &ask);
+  here.load = mesh_load (mesh, now);
+  return upstream_cost (&here, &ask);
+}
+
+/* Tell whether MEMBER takes requests of SERVICE.  */
+static gboolean
+takes (struct mesh *mesh, const struct fleet_member *member,
+       const char *service, struct handle h)
+{
+  const struct upstream *upstream = table_get (&mesh->upstreams, h);
+
+  if (member->state != MEMBER_READY || strcmp (member->service, service) != 0)
+    return FALSE;
+  if (is_here (mesh, member))
+    return !grant_is_leaving (&mesh->grant) && !mesh->grant.dead
+           && mesh->leave_at == 0;
+  return upstream != NULL && !upstream->leaving;
+}
+
+/* The member where TRANSIT costs least.  */
+static struct mesh_pick
+pick_cheapest (struct mesh *mesh, const struct transit *transit, gint64 now)
+{
+  struct handle h = table_next (&mesh->roster.members, HANDLE_NONE);
+  struct mesh_pick best = none (REASON_NO_SERVER, 0);
+  gint64 least = G_MAXINT64;
+
+  for (; handle_is_set (h); h = table_next (&mesh->roster.members, h))
+    {
+      const struct fleet_member *member
+          = roster_member_at (&mesh->roster, h);
+      gint64 cost;
+      if (!takes (mesh, member, transit->request.service, h)
+          || !is_reachable (mesh, member, h, now) || was_tried (transit, h))
+        continue;
+      cost = cost_at (mesh, transit, member, h, now);
+      if (cost >= least)
+        continue;
+      least = cost;
+      best.member = h;
+      best.here = is_here (mesh, member);
+      best.reason = REASON_NONE;
+    }
+  return best;
+}
+
+/* Where TRANSIT goes at NOW.  */
+struct mesh_pick
+mesh_pick (struct mesh *mesh, const struct transit *transit, gint64 now)
+{
+  const struct route_service *service
+      = mesh->routing != NULL
+            ? routing_service (mesh->routing, transit->request.service)
+            : NULL;
+
+  if (service != NULL && service->divided)
+    {
+      if (transit->request.key[0] == '\0')
+        return none (REASON_NO_KEY, 0);
+      return pick_owner (mesh, transit, now);
+    }
+  return pick_cheapest (mesh, transit, now);
+}
--- /dev/null
+++ b/src/mesh/mesh_plan.c
@@ -0,0 +1,288 @@
+#include "mesh/mesh_parts.h"
+
+/* Members that start together are let come in before keys are first given
+   out, but no longer than the second time.  */
+#define SETTLE_USEC ((gint64)700000)
+#define SETTLE_MAX_USEC ((gint64)4000000)
+
+#define EVEN_EVERY_USEC ((gint64)1500000) /* between looks at the balance */
+#define FORGET_USEC ((gint64)30000000)    /* a silent member is dropped */
+
+/* Who may take keys */
+
+/* The members whose servers may be given keys of SERVICE, struct holder; the
+   caller frees the array.  */
+GArray *
+mesh_holders (struct mesh *mesh, const char *service, gint64 now)
+{
+  GArray *holders = g_array_new (FALSE, TRUE, sizeof (struct holder));
+  struct handle h = table_next (&mesh->roster.members, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&mesh->roster.members, h))
+    {
+      const struct fleet_member *member
+          = roster_member_at (&mesh->roster, h);
+      const struct upstream *upstream = table_get (&mesh->upstreams, h);
+      gboolean self = strcmp (member->name, mesh->settings.name) == 0;
+      struct holder holder = { .weight = MAX (1, member->slots) };
+      if (strcmp (member->service, service) != 0
+          || member->state != MEMBER_READY || !life_is_set (&member->life))
+        continue;
+      if (self ? grant_is_leaving (&mesh->grant) || mesh->grant.dead
+               : upstream == NULL || !upstream_is_heard (upstream, now))
+        continue;
+      g_strlcpy (holder.name, member->name, sizeof holder.name);
+      holder.life = member->life;
+      g_array_append_val (holders, holder);
+    }
+  return holders;
+}
+
+/* The member record */
+
+/* What this node is to say of itself in the store.  */
+static void
+describe_self (struct mesh *mesh, gint64 now, struct fleet_member *member)
+{
+  const struct mesh_settings *settings = &mesh->settings;
+  const struct grant *grant = &mesh->grant;
+
+  memset (member, 0, sizeof *member);
+  g_strlcpy (member->name, settings->name, sizeof member->name);
+  g_strlcpy (member->zone, settings->zone, sizeof member->zone);
+  g_strlcpy (member->service, settings->service, sizeof member->service);
+  member->peer = settings->peer;
+  member->incarnation = settings->incarnation;
+  member->life = grant->life;
+  member->slots = grant->slots;
+  member->state = MEMBER_READY;
+  if (!life_is_set (&grant->life) || grant->left || grant_is_gone (grant, now))
+    member->state = MEMBER_DOWN;
+  else if (grant->draining)
+    member->state = MEMBER_DRAINING;
+}
+
+/* Tell whether the store says of this node what MEMBER says.  */
+static gboolean
+is_told (struct mesh *mesh, const struct fleet_member *member)
+{
+  const struct fleet_member *told
+      = roster_member_named (&mesh->roster, member->name);
+
+  return told != NULL && strcmp (told->zone, member->zone) == 0
+         && strcmp (told->service, member->service) == 0
+         && address_equal (told->peer, member->peer)
+         && told->incarnation == member->incarnation
+         && life_equal (&told->life, &member->life)
+         && told->slots == member->slots && told->state == member->state;
+}
+
+/* Propose what this node says of itself, if the store says something else.  */
+static gboolean
+propose_self (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  struct fleet_record record = { .kind = FLEET_MEMBER };
+
+  describe_self (mesh, now, &record.u.member);
+  if (is_told (mesh, &record.u.member))
+    return FALSE;
+  mesh_propose (mesh, &record, APPEND_ANYWHERE, now, out);
+  return TRUE;
+}
+
+/* Suspects */
+
+/* Propose the next request that was lost with the server.  */
+static gboolean
+propose_crash (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  struct fleet_record record = { .kind = FLEET_SUSPECT };
+  guint64 digest;
+
+  if (mesh->crashes->len == 0)
+    return FALSE;
+  digest = g_array_index (mesh->crashes, guint64, 0);
+  g_array_remove_index (mesh->crashes, 0);
+  record.u.suspect.digest = digest;
+  record.u.suspect.crashes = roster_crashes (&mesh->roster, digest) + 1;
+  mesh_propose (mesh, &record, APPEND_ANYWHERE, now, out);
+  return TRUE;
+}
+
+/* Maps */
+
+/* Propose MAP, which the proposal takes over.  */
+static void
+propose_map (struct mesh *mesh, struct shard_map *map, gint64 now,
+             struct actions *out)
+{
+  struct fleet_record record = { .kind = FLEET_MAP };
+
+  shard_map_merge (map);
+  record.u.map = *map;
+  mesh_propose (mesh, &record, mesh->roster.next, now, out);
+}
+
+/* Mark the shards of MAP whose owners are lost.  */
+static gboolean
+mark_lost (struct mesh *mesh, struct shard_map *map, gint64 now)
+{
+  gboolean changed = FALSE;
+  guint i;
+
+  for (i = 0; i < map->shards->len; i++)
+    {
+      struct shard *shard = shard_map_at (map, i);
+      if (shard->state != SHARD_HELD
+          || !mesh_is_lost (mesh, roster_find (&mesh->roster, shard->owner),
+                            now))
+        continue;
+      shard->state = SHARD_LOST;
+      shard->next[0] = '\0';
+      changed = TRUE;
+    }
+  return changed;
+}
+
+/* Propose what this node has to change about its own shards.  */
+static gboolean
+propose_duty (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  const char *service = mesh->settings.service;
+  const struct shard_map *known = roster_map (&mesh->roster, service);
+  struct duty duty = { mesh->settings.name, &mesh->grant, NULL, now };
+  struct shard_map map;
+  GArray *holders;
+  gboolean changed;
+
+  if (known == NULL)
+    return FALSE;
+  holders = mesh_holders (mesh, service, now);
+  duty.holders = holders;
+  shard_map_copy (&map, known);
+  changed = shard_duty (&map, &duty);
+  if (changed)
+    propose_map (mesh, &map, now, out);
+  else
+    shard_map_clear (&map);
+  g_array_free (holders, TRUE);
+  return changed;
+}
+
+/* Tell whether the members have had time to come in.  */
+static gboolean
+is_settled (const struct mesh *mesh, gint64 now)
+{
+  return now - mesh->settled_at >= SETTLE_USEC
+         || now - mesh->started >= SETTLE_MAX_USEC;
+}
+
+/* Change MAP as the planner of all has to; return whether it changed.  */
+static gboolean
+plan (struct mesh *mesh, struct shard_map *map, const GArray *holders,
+      gint64 now)
+{
+  gboolean changed = mark_lost (mesh, map, now);
+
+  changed = shard_place_open (map, holders, now - SESSION_WAIT_USEC)
+            || changed;
+  if (changed || now < mesh->even_at || !is_settled (mesh, now))
+    return changed;
+  mesh->even_at = now + EVEN_EVERY_USEC;
+  return shard_place_even (map, holders);
+}
+
+/* Propose what is due in the map of SERVICE.  */
+static gboolean
+propose_plan (struct mesh *mesh, const char *service, gint64 now,
+              struct actions *out)
+{
+  const struct shard_map *known = roster_map (&mesh->roster, service);
+  GArray *holders = mesh_holders (mesh, service, now);
+  struct shard_map map;
+  gboolean changed = FALSE;
+
+  if (known != NULL)
+    shard_map_copy (&map, known);
+  else
+    shard_map_init (&map, service);
+  if (known != NULL || (holders->len > 0 && is_settled (mesh, now)))
+    changed = plan (mesh, &map, holders, now);
+  if (changed)
+    propose_map (mesh, &map, now, out);
+  else
+    shard_map_clear (&map);
+  g_array_free (holders, TRUE);
+  return changed;
+}
+
+/* Tell whether any map names MEMBER.  */
+static gboolean
+owns_any (const struct mesh *mesh, const char *member)
+{
+  guint i;
+  guint k;
+
+  for (i = 0; i < mesh->roster.maps->len; i++)
+    {
+      const struct shard_map *map = g_ptr_array_index (mesh->roster.maps, i);
+      for (k = 0; k < map->shards->len; k++)
+        if (strcmp (shard_map_at (map, k)->owner, member) == 0)
+          return TRUE;
+    }
+  return FALSE;
+}
+
+/* Propose to drop a member that has been silent for long.  */
+static gboolean
+propose_drop (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  struct handle h = table_next (&mesh->roster.members, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&mesh->roster.members, h))
+    {
+      const struct fleet_member *member
+          = roster_member_at (&mesh->roster, h);
+      const struct upstream *upstream = table_get (&mesh->upstreams, h);
+      struct fleet_record record = { .kind = FLEET_DROPPED };
+      if (upstream == NULL
+          || now - MAX (upstream->heard, upstream->since) < FORGET_USEC
+          || owns_any (mesh, member->name))
+        continue;
+      g_snprintf (record.key, sizeof record.key, "member/%s", member->name);
+      mesh_propose (mesh, &record, mesh->roster.next, now, out);
+      return TRUE;
+    }
+  return FALSE;
+}
+
+/* Propose what is due in all maps; the first of the nodes that hear each other
+   does that.  */
+static void
+propose_for_all (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  guint i;
+
+  if (mesh->routing == NULL || mesh_rank (mesh, now) != 0
+      || session_left (&mesh->session, now) == 0)
+    return;
+  for (i = 0; i < mesh->routing->services->len; i++)
+    {
+      const struct route_service *service = &g_array_index (
+          mesh->routing->services, struct route_service, i);
+      if (service->divided && propose_plan (mesh, service->name, now, out))
+        return;
+    }
+  propose_drop (mesh, now, out);
+}
+
+/* Propose what is due, one record at a time.  */
+void
+mesh_plan_step (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  if (!mesh->known || mesh->proposal.pending || now < mesh->propose_at)
+    return;
+  if (!propose_self (mesh, now, out) && !propose_crash (mesh, now, out)
+      && !propose_duty (mesh, now, out))
+    propose_for_all (mesh, now, out);
+}
--- /dev/null
+++ b/src/mesh/mesh_pulse.c
@@ -0,0 +1,219 @@
+#include "mesh/mesh_parts.h"
+
+#define PULSE_EVERY_USEC ((gint64)300000)   /* between calls to one node */
+#define PULSE_TIMEOUT_USEC ((gint64)700000) /* for its reply */
+#define PULSE_SLOW_USEC ((gint64)1000000)   /* between calls to a silent one */
+
+/* A node that a peer is ahead of for so long fetches what it lacks from that
+   peer: its own read of the store should have come by then.  */
+#define BEHIND_USEC ((gint64)150000)
+#define FETCH_EVERY_USEC ((gint64)200000)  /* between fetches */
+#define FETCH_TIMEOUT_USEC ((gint64)900000) /* for the reply */
+
+/* What is said */
+
+/* Name in PULSE the nodes that are not heard.  */
+static void
+name_silent (struct mesh *mesh, struct pulse *pulse)
+{
+  struct handle h = table_next (&mesh->upstreams, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&mesh->upstreams, h))
+    {
+      const struct upstream *upstream = table_get (&mesh->upstreams, h);
+      const struct fleet_member *member
+          = roster_member_at (&mesh->roster, h);
+      if (member == NULL || !upstream->silent
+          || pulse->silent_count >= PULSE_SILENT_MAX)
+        continue;
+      g_strlcpy (pulse->silent[pulse->silent_count++], member->name,
+                 NAME_SIZE);
+    }
+}
+
+/* Say how this node is.  */
+static void
+describe (struct mesh *mesh, gint64 now, struct pulse *pulse)
+{
+  memset (pulse, 0, sizeof *pulse);
+  g_strlcpy (pulse->name, mesh->settings.name, sizeof pulse->name);
+  pulse->incarnation = mesh->settings.incarnation;
+  pulse->folded = mesh->roster.next;
+  pulse->confirmed_age = session_age (&mesh->session, now);
+  pulse->config = mesh->routing != NULL ? mesh->routing->version : 0;
+  pulse->leaving = mesh->leave_at != 0;
+  pulse->store_lost = mesh->store_lost;
+  pulse->load = mesh_load (mesh, now);
+  name_silent (mesh, pulse);
+}
+
+/* Make a call to the member H; its kind and body are the caller's to fill.  */
+static struct action_mesh_call *
+call (struct mesh *mesh, struct handle h, gint64 deadline, struct actions *out)
+{
+  struct action_mesh_call *action
+      = &actions_add (out, ACTION_MESH_CALL)->u.mesh_call;
+
+  action->serial = ++mesh->serial;
+  action->member = h;
+  action->to = roster_member_at (&mesh->roster, h)->peer;
+  action->deadline = deadline;
+  return action;
+}
+
+/* Call the nodes that are due.  */
+void
+mesh_pulse_step (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  struct handle h = table_next (&mesh->upstreams, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&mesh->upstreams, h))
+    {
+      struct upstream *upstream = table_get (&mesh->upstreams, h);
+      struct action_mesh_call *action;
+      gint64 every = upstream->silent ? PULSE_SLOW_USEC : PULSE_EVERY_USEC;
+      if (upstream->pulse_pending || now - upstream->pulse_at < every
+          || roster_member_at (&mesh->roster, h) == NULL)
+        continue;
+      upstream->pulse_pending = TRUE;
+      upstream->pulse_at = now;
+      action = call (mesh, h, now + PULSE_TIMEOUT_USEC, out);
+      action->call.kind = MESH_PULSE;
+      describe (mesh, now, &action->call.u.pulse);
+    }
+}
+
+/* What is heard */
+
+/* Remember which nodes the sender of PULSE does not hear.  */
+static void
+take_silent (struct mesh *mesh, struct upstream *upstream,
+             const struct pulse *pulse)
+{
+  guint i;
+
+  upstream->silent_count = pulse->silent_count;
+  for (i = 0; i < pulse->silent_count; i++)
+    upstream->not_heard[i] = roster_find (&mesh->roster, pulse->silent[i]);
+}
+
+/* Fetch from the member H what it knows and this node does not.  */
+static void
+fetch_if_behind (struct mesh *mesh, struct handle h, gint64 now,
+                 struct actions *out)
+{
+  struct upstream *upstream = table_get (&mesh->upstreams, h);
+  guint64 config = mesh->routing != NULL ? mesh->routing->version : 0;
+  struct action_mesh_call *action;
+
+  if (upstream->folded <= mesh->roster.next && upstream->config <= config)
+    {
+      upstream->behind_since = 0;
+      return;
+    }
+  if (upstream->behind_since == 0)
+    upstream->behind_since = now;
+  if ((now - upstream->behind_since < BEHIND_USEC && !mesh->store_lost)
+      || now - mesh->fetch_at < FETCH_EVERY_USEC)
+    return;
+  mesh->fetch_at = now;
+  action = call (mesh, h, now + FETCH_TIMEOUT_USEC, out);
+  action->call.kind = MESH_FETCH;
+  action->call.u.fetch.folded = mesh->roster.next;
+  action->call.u.fetch.config = config;
+}
+
+/* The node H said how it is.  */
+static void
+take_pulse (struct mesh *mesh, struct handle h, const struct pulse *pulse,
+            gint64 now, struct actions *out)
+{
+  struct upstream *upstream = table_get (&mesh->upstreams, h);
+
+  if (upstream == NULL)
+    return;
+  upstream_on_pulse (upstream, pulse, now);
+  take_silent (mesh, upstream, pulse);
+  fetch_if_behind (mesh, h, now, out);
+}
+
+/* Another node calls.  */
+void
+mesh_take_call (struct mesh *mesh, const struct event_mesh_call *event,
+                gint64 now, struct actions *out)
+{
+  const struct mesh_call *body = event->call;
+  struct action *action;
+
+  switch (body->kind)
+    {
+    case MESH_PULSE:
+      take_pulse (mesh, roster_find (&mesh->roster, body->u.pulse.name),
+                  &body->u.pulse, now, out);
+      action = actions_add (out, ACTION_MESH_REPLY);
+      action->u.mesh_reply.link = event->link;
+      action->u.mesh_reply.xid = event->xid;
+      action->u.mesh_reply.reply.kind = MESH_PULSE;
+      describe (mesh, now, &action->u.mesh_reply.reply.u.pulse);
+      break;
+    case MESH_FETCH:
+      action = actions_add (out, ACTION_FETCH_REPLY);
+      action->u.fetch_reply.link = event->link;
+      action->u.fetch_reply.xid = event->xid;
+      action->u.fetch_reply.fetch = body->u.fetch;
+      break;
+    case MESH_APPEND:
+      action = actions_add (out, ACTION_APPEND_FOR);
+      action->u.append_for.link = event->link;
+      action->u.append_for.xid = event->xid;
+      action->u.append_for.append = body->u.append;
+      action->u.append_for.append.bytes
+          = g_memdup2 (body->u.append.bytes, body->u.append.length);
+      break;
+    }
+}
+
+/* The node H answered a pulse.  What it has confirmed with the store holds for
+   this node too, if this node has folded as much; it was confirmed no earlier
+   than its age before the pulse was sent.  */
+static void
+take_pulse_reply (struct mesh *mesh, struct handle h,
+                  const struct mesh_reply *reply, gint64 now,
+                  struct actions *out)
+{
+  struct upstream *upstream = table_get (&mesh->upstreams, h);
+  const struct pulse *pulse = &reply->u.pulse;
+
+  if (upstream == NULL)
+    return;
+  upstream->pulse_pending = FALSE;
+  if (reply->code != ERR_NONE)
+    return;
+  take_pulse (mesh, h, pulse, now, out);
+  if (pulse->confirmed_age >= 0 && mesh->known
+      && mesh->roster.next >= pulse->folded)
+    session_confirm (&mesh->session,
+                     upstream->pulse_at - pulse->confirmed_age);
+}
+
+/* Another node replied, or will not.  */
+void
+mesh_take_reply (struct mesh *mesh, const struct event_mesh_reply *event,
+                 gint64 now, struct actions *out)
+{
+  struct event_stored stored = { .serial = event->serial };
+
+  switch (event->reply->kind)
+    {
+    case MESH_PULSE:
+      take_pulse_reply (mesh, event->member, event->reply, now, out);
+      break;
+    case MESH_APPEND:
+      stored.code = event->reply->code;
+      stored.offset = event->reply->u.append.offset;
+      mesh_stored (mesh, &stored, now, out);
+      break;
+    case MESH_FETCH:
+      break;
+    }
+}
--- /dev/null
+++ b/src/mesh/mesh_route.c
@@ -0,0 +1,212 @@
+#include "mesh/mesh_parts.h"
+
+#define ROUTE_AGAIN_USEC ((gint64)25000) /* between looks for an owner */
+
+/* A request is kept waiting for at most this share of the time that it has;
+   one that waited longer and failed would have been refused better.  */
+#define WAIT_SHARE 2 /* half */
+
+#define BUDGET_START_MILLI 3000u /* three requests sent again */
+
+#define CONFIG_STALE_USEC ((gint64)3000000) /* a path may be new by then */
+
+/* Set up TRANSIT from ROUTE.  */
+static void
+apply_route (struct transit *transit, struct route *route)
+{
+  struct request *request = &transit->request;
+
+  g_strlcpy (request->service, route_turn (route), sizeof request->service);
+  request->run_class = route->run_class;
+  request->priority = route->priority;
+  transit->attempts = MAX (1, route->attempts);
+  transit->target_usec = route->target_usec;
+  if (route->timeout_usec > 0)
+    request->deadline
+        = MIN (request->deadline, transit->came + route->timeout_usec);
+}
+
+/* Why no route was found: this node may not have heard of it.  */
+static enum reason
+unmatched (const struct mesh *mesh, gint64 now)
+{
+  gint64 age = session_age (&mesh->session, now);
+
+  if (mesh->routing == NULL || age < 0 || age > CONFIG_STALE_USEC)
+    return REASON_NO_CONFIG;
+  return REASON_NO_RULE;
+}
+
+/* The budget for sending requests of SERVICE again.  */
+static struct retry_budget *
+budget_of (struct mesh *mesh, const char *service)
+{
+  struct mesh_budget fresh = { .budget.milli = BUDGET_START_MILLI };
+  guint i;
+
+  for (i = 0; i < mesh->budgets->len; i++)
+    {
+      struct mesh_budget *budget
+          = &g_array_index (mesh->budgets, struct mesh_budget, i);
+      if (strcmp (budget->service, service) == 0)
+        return &budget->budget;
+    }
+  g_strlcpy (fresh.service, service, sizeof fresh.service);
+  g_array_append_val (mesh->budgets, fresh);
+  return &g_array_index (mesh->budgets, struct mesh_budget,
+                         mesh->budgets->len - 1)
+              .budget;
+}
+
+/* Send TRANSIT to the member that PICK names.  */
+static void
+forward (struct mesh *mesh, struct handle exchange, struct transit *transit,
+         const struct mesh_pick *pick, gint64 now, struct actions *out)
+{
+  const struct fleet_member *member
+      = roster_member_at (&mesh->roster, pick->member);
+  struct upstream *upstream = table_get (&mesh->upstreams, pick->member);
+  struct action_forward *action;
+
+  breaker_on_sent (&upstream->breaker, now);
+  upstream->sent++;
+  upstream->flying++;
+  transit->phase = TRANSIT_SENT;
+  transit->to = pick->member;
+  transit->sent = now;
+  transit->request.attempt++;
+  mesh_note (out, NOTE_MESH_ROUTE, transit->request.id,
+             "service=%s key=%s to=%s try=%u config=%" G_GUINT64_FORMAT
+             " records=%" G_GUINT64_FORMAT " heard_ms=%" G_GINT64_FORMAT
+             " busy=%u/%u",
+             transit->request.service, transit->request.key, member->name,
+             transit->request.attempt,
+             mesh->routing != NULL ? mesh->routing->version : 0,
+             mesh->roster.next, (now - upstream->heard) / USEC_PER_MSEC,
+             upstream->load.running + upstream->load.waiting,
+             upstream->load.slots);
+  action = &actions_add (out, ACTION_FORWARD)->u.forward;
+  action->exchange = exchange;
+  action->peer = member->incarnation;
+  action->to = member->peer;
+  action->request = transit->request;
+}
+
+/* Have TRANSIT wait for a node, or refuse it for what PICK says.  */
+static void
+wait_or_refuse (struct mesh *mesh, struct handle exchange,
+                struct transit *transit, const struct mesh_pick *pick,
+                gint64 now, struct actions *out)
+{
+  gint64 left = transit->request.deadline - now;
+  gint64 until
+      = transit->came + (transit->request.deadline - transit->came) / WAIT_SHARE;
+
+  if (transit->request.from_peer || now >= until || pick->wait_usec > left / 2
+      || pick->reason == REASON_NO_KEY)
+    {
+      mesh_refuse (mesh, exchange, pick->reason, pick->wait_usec, now, out);
+      return;
+    }
+  transit->phase = TRANSIT_WAITING;
+  transit->retry_at = now + ROUTE_AGAIN_USEC;
+  if (transit->waited)
+    return;
+  transit->waited = TRUE;
+  mesh_note (out, NOTE_MESH_WAIT, transit->request.id,
+             "reason=%s service=%s key=%s records=%" G_GUINT64_FORMAT
+             " left_ms=%" G_GINT64_FORMAT,
+             reason_name (pick->reason), transit->request.service,
+             transit->request.key, mesh->roster.next, left / USEC_PER_MSEC);
+}
+
+/* Send the request EXCHANGE to where it belongs now.  */
+void
+mesh_route_again (struct mesh *mesh, struct handle exchange, gint64 now,
+                  struct actions *out)
+{
+  struct transit *transit = table_get (&mesh->transits, exchange);
+  struct mesh_pick pick = mesh_pick (mesh, transit, now);
+
+  if (roster_crashes (&mesh->roster, transit->request.digest)
+      >= SUSPECT_QUARANTINED)
+    {
+      mesh_note (out, NOTE_MESH_POISON, transit->request.id,
+                 "digest=%016" G_GINT64_MODIFIER "x crashes=%u outcome=refused",
+                 transit->request.digest,
+                 roster_crashes (&mesh->roster, transit->request.digest));
+      mesh_refuse (mesh, exchange, REASON_QUARANTINED, 0, now, out);
+    }
+  else if (pick.here)
+    mesh_admit (mesh, exchange, now, out);
+  else if (handle_is_set (pick.member))
+    forward (mesh, exchange, transit, &pick, now, out);
+  else
+    wait_or_refuse (mesh, exchange, transit, &pick, now, out);
+}
+
+/* A caller's request arrived.  */
+static void
+begin_here (struct mesh *mesh, const struct event_request *event, gint64 now,
+            struct actions *out)
+{
+  struct transit *transit = table_get (&mesh->transits, event->exchange);
+  struct route *route
+      = mesh->routing != NULL
+            ? routing_match (mesh->routing, event->host, event->target)
+            : NULL;
+
+  if (route == NULL)
+    {
+      mesh_refuse (mesh, event->exchange, unmatched (mesh, now), 0, now, out);
+      return;
+    }
+  apply_route (transit, route);
+  retry_budget_earn (budget_of (mesh, transit->request.service));
+  mesh_route_again (mesh, event->exchange, now, out);
+}
+
+/* A request arrived, from a caller or from the node that it entered at.  */
+void
+mesh_route_begin (struct mesh *mesh, const struct event_request *event,
+                  gint64 now, struct actions *out)
+{
+  struct transit *transit = table_mirror (&mesh->transits, event->exchange);
+
+  transit->request = event->request;
+  transit->came = now;
+  transit->attempts = 1;
+  transit->bytes = MAX (0, event->length);
+  if (!event->request.from_peer)
+    {
+      begin_here (mesh, event, now, out);
+      return;
+    }
+  if (event->request.key[0] != '\0')
+    transit->request.slice
+        = (guint32)g_ascii_strtoull (event->request.key, NULL, 10)
+          % SHARD_KEYS;
+  mesh_admit (mesh, event->exchange, now, out);
+}
+
+/* Route the requests whose wait is over.  */
+void
+mesh_route_waiting (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  struct handle h = table_next (&mesh->transits, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&mesh->transits, h))
+    {
+      const struct transit *transit = table_get (&mesh->transits, h);
+      if (transit->phase == TRANSIT_WAITING && transit->retry_at <= now)
+        mesh_route_again (mesh, h, now, out);
+    }
+}
+
+/* Pay for sending TRANSIT again after it may have reached a server; FALSE if
+   that is too much.  */
+gboolean
+mesh_pay_retry (struct mesh *mesh, const struct transit *transit)
+{
+  return retry_budget_spend (budget_of (mesh, transit->request.service));
+}
--- /dev/null
+++ b/src/mesh/mesh_store.c
@@ -0,0 +1,261 @@
+#include "mesh/mesh_parts.h"
+
+/* The session is confirmed by a read of the store when it is this old; each
+   rank later, so that one node reads and the others hear it from that one.  */
+#define CONFIRM_AFTER_USEC ((gint64)1000000)
+#define CONFIRM_RANK_USEC ((gint64)300000)
+#define CONFIRM_EVERY_USEC ((gint64)600000) /* between reads of one node */
+
+#define PROPOSE_AGAIN_USEC ((gint64)150000) /* after one that failed */
+#define RELAY_TIMEOUT_USEC ((gint64)1200000) /* for an append by a peer */
+
+/* Records that were read */
+
+/* Say what ENTRY told.  */
+static void
+note_entry (struct mesh *mesh, const struct fleet_entry *entry,
+            struct actions *out)
+{
+  const struct fleet_record *record = &entry->record;
+  const struct fleet_member *member = &record->u.member;
+
+  switch (record->kind)
+    {
+    case FLEET_MEMBER:
+      mesh_note (out, NOTE_MESH_MEMBER, member->name,
+                 "offset=%" G_GUINT64_FORMAT " server=%s born=%" G_GINT64_FORMAT
+                 " service=%s zone=%s state=%d",
+                 entry->offset, member->life.id, member->life.born,
+                 member->service, member->zone, member->state);
+      break;
+    case FLEET_MAP:
+      mesh_note (out, NOTE_MESH_KEYS, record->u.map.service,
+                 "offset=%" G_GUINT64_FORMAT " shards=%u own=%u fence=%" G_GUINT64_FORMAT,
+                 entry->offset, record->u.map.shards->len,
+                 shard_share (&record->u.map, mesh->settings.name),
+                 record->u.map.next_fence);
+      break;
+    case FLEET_SUSPECT:
+      mesh_note (out, NOTE_MESH_POISON, "",
+                 "offset=%" G_GUINT64_FORMAT
+                 " digest=%016" G_GINT64_MODIFIER "x crashes=%u",
+                 entry->offset, record->u.suspect.digest,
+                 record->u.suspect.crashes);
+      break;
+    case FLEET_DROPPED:
+      mesh_note (out, NOTE_MESH_MEMBER, record->key,
+                 "offset=%" G_GUINT64_FORMAT " outcome=dropped",
+                 entry->offset);
+      break;
+    }
+}
+
+/* What an earlier process of this node had its server hold goes on.  */
+static void
+adopt (struct mesh *mesh, gint64 now)
+{
+  const struct fleet_member *self
+      = roster_member_named (&mesh->roster, mesh->settings.name);
+  const struct shard_map *map
+      = roster_map (&mesh->roster, mesh->settings.service);
+  struct beat_answer *presumed;
+  struct duty duty = { mesh->settings.name, &mesh->grant, NULL, now };
+
+  if (self == NULL || self->state == MEMBER_DOWN || mesh->grant.heard)
+    return;
+  grant_adopt (&mesh->grant, &self->life, self->slots);
+  gate_set_slots (&mesh->gate, self->slots, self->slots);
+  if (map == NULL)
+    return;
+  presumed = g_new0 (struct beat_answer, 1);
+  duty.holders = g_array_new (FALSE, FALSE, sizeof (struct holder));
+  presumed->renews = TRUE;
+  shard_rows (map, &duty, presumed);
+  grant_give (&mesh->grant, presumed, now);
+  g_array_free ((GArray *)duty.holders, TRUE);
+  g_free (presumed);
+}
+
+/* Records were read.  */
+void
+mesh_fold (struct mesh *mesh, const struct event_fleet *event, gint64 now,
+           struct actions *out)
+{
+  guint64 changes = mesh->roster.changes;
+  guint32 i;
+
+  for (i = 0; i < event->count; i++)
+    if (roster_fold (&mesh->roster, &event->items[i], now))
+      {
+        note_entry (mesh, &event->items[i], out);
+        if (event->items[i].record.kind == FLEET_MEMBER)
+          mesh->settled_at = now;
+      }
+  roster_reach (&mesh->roster, event->next);
+  if (event->at_end && event->next >= mesh->roster.next)
+    {
+      session_confirm (&mesh->session, event->begun);
+      if (!mesh->known)
+        adopt (mesh, now);
+      mesh->known = TRUE;
+    }
+  if (mesh->roster.changes != changes)
+    mesh_route_waiting (mesh, now, out);
+}
+
+/* Proposals */
+
+/* Propose RECORD, which the proposal takes over, to be appended where the
+   topic ends at AT.  */
+void
+mesh_propose (struct mesh *mesh, struct fleet_record *record, guint64 at,
+              gint64 now, struct actions *out)
+{
+  struct mesh_proposal *proposal = &mesh->proposal;
+  struct action_store *action;
+
+  fleet_record_set_key (record);
+  proposal->pending = TRUE;
+  proposal->relayed = FALSE;
+  proposal->serial = ++mesh->serial;
+  proposal->at = at;
+  proposal->begun = now;
+  proposal->record = *record;
+  mesh_note (out, NOTE_MESH_PROPOSE, record->key,
+             "serial=%" G_GUINT64_FORMAT " at=%" G_GINT64_FORMAT
+             " session_ms=%" G_GINT64_FORMAT,
+             proposal->serial, at == APPEND_ANYWHERE ? -1 : (gint64)at,
+             session_left (&mesh->session, now) / USEC_PER_MSEC);
+  action = &actions_add (out, ACTION_STORE)->u.store;
+  action->serial = proposal->serial;
+  action->at = at;
+  action->record = *record;
+  if (record->kind == FLEET_MAP)
+    shard_map_copy (&action->record.u.map, &record->u.map);
+}
+
+/* A member that hears the store, for appends that do not get there from here;
+   no handle if there is none.  */
+static struct handle
+relay_for (struct mesh *mesh, gint64 now)
+{
+  struct handle h = table_next (&mesh->upstreams, HANDLE_NONE);
+  struct handle best = HANDLE_NONE;
+  guint64 most = 0;
+
+  for (; handle_is_set (h); h = table_next (&mesh->upstreams, h))
+    {
+      const struct upstream *upstream = table_get (&mesh->upstreams, h);
+      guint64 draw = g_int_hash (&h.bits) * (++mesh->draws * 2654435761u);
+      if (!upstream_is_heard (upstream, now) || upstream->heard == 0
+          || upstream->store_lost
+          || roster_member_at (&mesh->roster, h) == NULL)
+        continue;
+      if (draw % G_MAXINT32 >= most)
+        {
+          most = draw % G_MAXINT32;
+          best = h;
+        }
+    }
+  return best;
+}
+
+/* Have another node append what is proposed.  Return FALSE if there is
+   none.  */
+static gboolean
+relay (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  struct mesh_proposal *proposal = &mesh->proposal;
+  struct handle h = relay_for (mesh, now);
+  const struct fleet_member *member = roster_member_at (&mesh->roster, h);
+  struct action_relay *action;
+
+  if (member == NULL)
+    return FALSE;
+  proposal->relayed = TRUE;
+  proposal->serial = ++mesh->serial;
+  mesh_note (out, NOTE_MESH_PROPOSE, proposal->record.key,
+             "serial=%" G_GUINT64_FORMAT " through=%s", proposal->serial,
+             member->name);
+  action = &actions_add (out, ACTION_RELAY)->u.relay;
+  action->serial = proposal->serial;
+  action->at = proposal->at;
+  action->member = h;
+  action->to = member->peer;
+  action->deadline = now + RELAY_TIMEOUT_USEC;
+  action->record = proposal->record;
+  if (action->record.kind == FLEET_MAP)
+    shard_map_copy (&action->record.u.map, &proposal->record.u.map);
+  return TRUE;
+}
+
+/* The record that was proposed stands at OFFSET.  */
+static void
+take_proposed (struct mesh *mesh, guint64 offset, gint64 now,
+               struct actions *out)
+{
+  struct fleet_entry entry = { .offset = offset };
+  struct event_fleet event = { .items = &entry, .count = 1 };
+  gboolean conditional = mesh->proposal.at != APPEND_ANYWHERE;
+
+  entry.record = mesh->proposal.record;
+  event.next = conditional && offset == mesh->roster.next ? offset + 1 : 0;
+  if (event.next != 0 && !mesh->proposal.relayed)
+    session_confirm (&mesh->session, mesh->proposal.begun);
+  mesh_fold (mesh, &event, now, out);
+}
+
+/* The append of what was proposed has ended.  */
+void
+mesh_stored (struct mesh *mesh, const struct event_stored *event, gint64 now,
+             struct actions *out)
+{
+  struct mesh_proposal *proposal = &mesh->proposal;
+
+  if (!proposal->pending || event->serial != proposal->serial)
+    return;
+  mesh_note (out, NOTE_MESH_PROPOSED, proposal->record.key,
+             "serial=%" G_GUINT64_FORMAT " outcome=%s offset=%" G_GUINT64_FORMAT
+             " took_ms=%" G_GINT64_FORMAT,
+             event->serial, err_name (event->code), event->offset,
+             (now - proposal->begun) / USEC_PER_MSEC);
+  if (event->code == ERR_NONE)
+    take_proposed (mesh, event->offset, now, out);
+  else if (event->code != ERR_CONFLICT && !proposal->relayed
+           && relay (mesh, now, out))
+    return;
+  proposal->pending = FALSE;
+  fleet_record_clear (&proposal->record);
+  if (event->code != ERR_NONE)
+    mesh->propose_at = now + (event->code == ERR_CONFLICT
+                                  ? PROPOSE_AGAIN_USEC / 3
+                                  : PROPOSE_AGAIN_USEC);
+}
+
+/* Session */
+
+/* Confirm the session where it has not been of late, and say when it lapsed or
+   is back.  */
+void
+mesh_session_step (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  gint64 age = session_age (&mesh->session, now);
+  gint64 due = CONFIRM_AFTER_USEC
+               + CONFIRM_RANK_USEC * (gint64)mesh_rank (mesh, now);
+  gboolean live = session_left (&mesh->session, now) > 0;
+
+  if (live != mesh->had_session)
+    {
+      mesh->had_session = live;
+      mesh_note (out, NOTE_MESH_SESSION, mesh->settings.name,
+                 "outcome=%s age_ms=%" G_GINT64_FORMAT
+                 " records=%" G_GUINT64_FORMAT,
+                 live ? "live" : "lapsed", age / USEC_PER_MSEC,
+                 mesh->roster.next);
+    }
+  if (!mesh->known || (age >= 0 && age < due)
+      || now - mesh->confirm_at < CONFIRM_EVERY_USEC)
+    return;
+  mesh->confirm_at = now;
+  actions_add (out, ACTION_CONFIRM);
+}
--- /dev/null
+++ b/src/serve/upstream.h
@@ -0,0 +1,48 @@
+#ifndef BAMBOOTALLY_UPSTREAM_H
+#define BAMBOOTALLY_UPSTREAM_H
+
+#include "decide/breaker.h"
+#include "types/handle.h"
+#include "types/mesh_msg.h"
+
+/* What this node has seen of another one: whether it is heard, how busy it
+   is, and what it knows of the store.  */
+
+struct upstream
+{
+  gint64 since;            /* when it was first looked at */
+  gint64 heard;            /* last word from it, 0: none yet */
+  gint64 pulse_at;         /* when it was last called */
+  gboolean pulse_pending;  /* that call is not answered yet */
+  guint64 incarnation;     /* its process, as it said last */
+  guint64 folded;          /* records below this it has folded */
+  guint64 config;          /* version that it has in force */
+  gint64 behind_since;     /* it has known more than this node since, 0: no */
+  gboolean leaving;        /* it is about to end */
+  gboolean store_lost;     /* the store does not answer it */
+  gboolean silent;         /* it was reported as not heard */
+  struct load_report load; /* its gate, as it said last */
+  guint32 sent;            /* requests sent to it since it said that */
+  guint32 flying;          /* requests that it has from here */
+  struct breaker breaker;  /* keeps requests away from it */
+  guint32 silent_count;    /* nodes that it does not hear */
+  struct handle not_heard[PULSE_SILENT_MAX]; /* they */
+};
+
+/* A request whose place is looked for.  */
+struct upstream_ask
+{
+  gboolean same_zone; /* no link between zones lies on the way */
+  gint64 bytes;       /* of its body */
+};
+
+gboolean upstream_is_heard (const struct upstream *upstream, gint64 now);
+gint64 upstream_wait (const struct load_report *load, guint32 ahead);
+gint64 upstream_cost (const struct upstream *upstream,
+                      const struct upstream_ask *ask);
+void upstream_on_load (struct upstream *upstream,
+                       const struct load_report *load);
+void upstream_on_pulse (struct upstream *upstream, const struct pulse *pulse,
+                        gint64 now);
+
+#endif
--- /dev/null
+++ b/src/shard/grant.c
@@ -0,0 +1,210 @@
+#include "shard/grant.h"
+
+/* A server whose port refuses connections for so long, and sends no beat
+   meanwhile, is dead: nothing listens there.  */
+#define REFUSED_USEC ((gint64)100000)
+
+/* A server that sends no beat for so long is not counted on.  */
+#define SILENT_USEC ((gint64)3000000)
+
+#define FREED_MAX 128u /* tokens kept */
+
+/* Set up for a server that is not known.  An earlier process may have granted
+   something until HOLD_UNTIL.  */
+void
+grant_init (struct grant *grant, gint64 hold_until)
+{
+  memset (grant, 0, sizeof *grant);
+  grant->hold_until = hold_until;
+  grant->hold = g_new0 (struct beat_row, BEAT_ROWS_MAX);
+  grant->give = g_new0 (struct beat_row, BEAT_ROWS_MAX);
+  grant->freed = g_array_new (FALSE, TRUE, sizeof (struct beat_row));
+}
+
+/* Release what GRANT holds.  */
+void
+grant_clear (struct grant *grant)
+{
+  g_free (grant->hold);
+  g_free (grant->give);
+  g_array_free (grant->freed, TRUE);
+}
+
+/* Another life of the server has begun; it holds nothing.  */
+static void
+begin_life (struct grant *grant, const struct life *life)
+{
+  grant->life = *life;
+  grant->number = 0;
+  grant->draining = FALSE;
+  grant->left = FALSE;
+  grant->dead = FALSE;
+  grant->leave_at = 0;
+  grant->refused_at = 0;
+  grant->held = 0;
+  grant->given = 0;
+  grant->hold_until = 0;
+  g_array_set_size (grant->freed, 0);
+}
+
+/* Take the life that an earlier process knew as that of the server, until it
+   is heard.  */
+void
+grant_adopt (struct grant *grant, const struct life *life, guint32 slots)
+{
+  if (life_is_set (&grant->life))
+    return;
+  grant->life = *life;
+  grant->slots = slots;
+}
+
+/* Remember the token of a range that was freed.  */
+static void
+keep_token (struct grant *grant, const struct beat_row *row)
+{
+  if (grant->freed->len >= FREED_MAX)
+    g_array_remove_index (grant->freed, 0);
+  g_array_append_val (grant->freed, *row);
+}
+
+/* The server sent BEAT, which came at NOW.  */
+enum grant_news
+grant_on_beat (struct grant *grant, const struct beat *beat, gint64 now)
+{
+  enum grant_news news = GRANT_SAME;
+  guint i;
+
+  if (beat->life.born < grant->life.born)
+    return GRANT_OUTDATED;
+  if (!life_equal (&beat->life, &grant->life))
+    {
+      begin_life (grant, &beat->life);
+      news = GRANT_NEW;
+    }
+  else if (beat->number <= grant->number)
+    return GRANT_OUTDATED;
+  grant->heard = TRUE;
+  grant->dead = FALSE;
+  grant->refused_at = 0;
+  grant->number = beat->number;
+  grant->slots = beat->slots;
+  grant->beat_at = now;
+  grant->warm_at = now + beat->cold_usec;
+  grant->held = beat->held;
+  memcpy (grant->hold, beat->hold, beat->held * sizeof *grant->hold);
+  for (i = 0; i < beat->freed; i++)
+    keep_token (grant, &beat->free[i]);
+  if (beat->draining)
+    {
+      grant->draining = TRUE;
+      if (grant->leave_at == 0)
+        grant->leave_at = now;
+    }
+  return news;
+}
+
+/* The server ID says goodbye.  Return FALSE if that is not its life.  */
+gboolean
+grant_on_leave (struct grant *grant, const char *id, gint64 now)
+{
+  if (strcmp (grant->life.id, id) != 0)
+    return FALSE;
+  grant->left = TRUE;
+  if (grant->leave_at == 0)
+    grant->leave_at = now;
+  return TRUE;
+}
+
+/* A connection to the server was refused at NOW.  Return TRUE once that proves
+   it dead.  */
+gboolean
+grant_on_refused (struct grant *grant, gint64 now)
+{
+  if (grant->refused_at == 0)
+    grant->refused_at = now;
+  if (grant->dead || now - grant->refused_at < REFUSED_USEC)
+    return FALSE;
+  grant->dead = TRUE;
+  return TRUE;
+}
+
+/* The server was answered with ANSWER at NOW.  */
+void
+grant_give (struct grant *grant, const struct beat_answer *answer, gint64 now)
+{
+  if (!answer->renews)
+    return;
+  grant->given = answer->count;
+  memcpy (grant->give, answer->row, answer->count * sizeof *grant->give);
+  grant->hold_until = MAX (grant->hold_until, now + answer->hold_usec);
+}
+
+/* Tell whether one of COUNT ROWS shares a key with FIRST to LAST.  */
+static gboolean
+overlaps (const struct beat_row *rows, guint32 count, guint32 first,
+          guint32 last)
+{
+  guint i;
+
+  for (i = 0; i < count; i++)
+    if (rows[i].first <= last && rows[i].last >= first)
+      return TRUE;
+  return FALSE;
+}
+
+/* Tell whether the server holds KEY at NOW as far as this node knows.  */
+gboolean
+grant_has (const struct grant *grant, guint32 key, gint64 now)
+{
+  return now < grant->hold_until && !grant->dead
+         && overlaps (grant->give, grant->given, key, key);
+}
+
+/* Tell whether the server has said that it leaves.  */
+gboolean
+grant_is_leaving (const struct grant *grant)
+{
+  return grant->draining || grant->left;
+}
+
+/* Tell whether nothing that was granted can be held any more.  */
+gboolean
+grant_is_over (const struct grant *grant, gint64 now)
+{
+  return grant->dead || now >= grant->hold_until;
+}
+
+/* Tell whether the server can be counted on no more and holds nothing.  */
+gboolean
+grant_is_gone (const struct grant *grant, gint64 now)
+{
+  return grant->dead
+         || (grant_is_over (grant, now)
+             && (grant->left || now - grant->beat_at >= SILENT_USEC));
+}
+
+/* Tell whether the server does not hold any key of SHARD any more.  TOKEN is
+   set to the handover token, or to an empty text.  */
+gboolean
+grant_is_released (const struct grant *grant, const struct shard *shard,
+                   gint64 now, const char **token)
+{
+  guint i;
+
+  *token = "";
+  for (i = grant->freed->len; i > 0; i--)
+    {
+      const struct beat_row *row
+          = &g_array_index (grant->freed, struct beat_row, i - 1);
+      if (row->first <= shard->first && row->last >= shard->last)
+        {
+          *token = row->token;
+          break;
+        }
+    }
+  if (grant_is_over (grant, now))
+    return TRUE;
+  return grant->heard
+         && !overlaps (grant->hold, grant->held, shard->first, shard->last)
+         && !overlaps (grant->give, grant->given, shard->first, shard->last);
+}
--- /dev/null
+++ b/src/shard/shard_place.c
@@ -0,0 +1,184 @@
+#include "shard/shard_place.h"
+
+/* A holder that lacks this many percent of its share has others give it some;
+   less than that is not worth the moves.  */
+#define LACK_PERCENT 40
+
+/* Shares */
+
+/* The keys that NAME owns or is to own.  */
+guint32
+shard_share (const struct shard_map *map, const char *name)
+{
+  guint32 keys = 0;
+  guint i;
+
+  for (i = 0; i < map->shards->len; i++)
+    {
+      const struct shard *shard = shard_map_at (map, i);
+      const char *owner = shard->next[0] != '\0' ? shard->next : shard->owner;
+      if (shard->state == SHARD_HELD && strcmp (owner, name) == 0)
+        keys += shard_keys (shard);
+    }
+  return keys;
+}
+
+/* The holder called NAME, or NULL.  */
+const struct holder *
+shard_holder (const GArray *holders, const char *name)
+{
+  guint i;
+
+  for (i = 0; i < holders->len; i++)
+    {
+      const struct holder *holder = &g_array_index (holders, struct holder, i);
+      if (strcmp (holder->name, name) == 0)
+        return holder;
+    }
+  return NULL;
+}
+
+/* The keys that HOLDER should have by its weight.  */
+static guint32
+fair_share (const GArray *holders, const struct holder *holder)
+{
+  guint64 total = 0;
+  guint i;
+
+  for (i = 0; i < holders->len; i++)
+    total += g_array_index (holders, struct holder, i).weight;
+  return total == 0 ? 0
+                    : (guint32)((guint64)SHARD_KEYS * holder->weight / total);
+}
+
+/* How many keys HOLDER lacks; less than zero if it has too many.  */
+static gint64
+lack_of (const struct shard_map *map, const GArray *holders,
+         const struct holder *holder)
+{
+  return (gint64)fair_share (holders, holder)
+         - (gint64)shard_share (map, holder->name);
+}
+
+/* The holder that lacks most, or NULL if there is none.  */
+const struct holder *
+shard_neediest (const struct shard_map *map, const GArray *holders)
+{
+  const struct holder *best = NULL;
+  gint64 most = G_MININT64;
+  guint i;
+
+  for (i = 0; i < holders->len; i++)
+    {
+      const struct holder *holder = &g_array_index (holders, struct holder, i);
+      gint64 lack = lack_of (map, holders, holder);
+      if (lack > most)
+        {
+          most = lack;
+          best = holder;
+        }
+    }
+  return best;
+}
+
+/* Moves */
+
+/* Have HOLDER hold SHARD, which nobody holds, with a handover TOKEN or
+   none.  */
+void
+shard_assign (struct shard_map *map, struct shard *shard,
+              const struct holder *holder, const char *token)
+{
+  char kept[NAME_SIZE];
+
+  g_strlcpy (kept, token, sizeof kept);
+  shard->state = SHARD_HELD;
+  g_strlcpy (shard->owner, holder->name, sizeof shard->owner);
+  shard->life = holder->life;
+  shard->fence = map->next_fence++;
+  g_strlcpy (shard->handover, kept, sizeof shard->handover);
+  shard->next[0] = '\0';
+}
+
+/* Tell whether SHARD may be given away: it is free, or was lost before
+   LOST_BEFORE.  */
+static gboolean
+is_open (const struct shard *shard, gint64 lost_before)
+{
+  return shard->state == SHARD_FREE
+         || (shard->state == SHARD_LOST && shard->since < lost_before);
+}
+
+/* Give out the shards that are open, in parts where one is more than the
+   neediest holder lacks.  Return whether anything changed.  */
+gboolean
+shard_place_open (struct shard_map *map, const GArray *holders,
+                  gint64 lost_before)
+{
+  gboolean changed = FALSE;
+  guint i;
+
+  for (i = 0; holders->len > 0 && i < map->shards->len; i++)
+    {
+      struct shard *shard = shard_map_at (map, i);
+      const struct holder *holder;
+      gint64 lack;
+      if (!is_open (shard, lost_before))
+        continue;
+      holder = shard_neediest (map, holders);
+      lack = MAX (1, lack_of (map, holders, holder));
+      if (holders->len > 1 && (gint64)shard_keys (shard) > lack
+          && lack > SHARD_KEYS / SHARDS_MAX)
+        shard_map_split (map, shard->first + (guint32)lack);
+      shard = shard_map_at (map, i);
+      shard_assign (map, shard, holder,
+                    shard->state == SHARD_FREE ? shard->handover : "");
+      changed = TRUE;
+    }
+  return changed;
+}
+
+/* Have others give up to WANTED keys to HOLDER.  */
+static gboolean
+take_from_others (struct shard_map *map, const GArray *holders,
+                  const struct holder *holder, gint64 wanted)
+{
+  gboolean changed = FALSE;
+  guint i;
+
+  for (i = 0; wanted > 0 && i < map->shards->len; i++)
+    {
+      struct shard *shard = shard_map_at (map, i);
+      const struct holder *giver = shard_holder (holders, shard->owner);
+      gint64 spare;
+      if (shard->state != SHARD_HELD || shard->next[0] != '\0' || giver == NULL
+          || giver == holder)
+        continue;
+      spare = MIN (wanted, -lack_of (map, holders, giver));
+      if (spare <= 0)
+        continue;
+      if ((gint64)shard_keys (shard) > spare)
+        shard_map_split (map, shard->first + (guint32)spare);
+      shard = shard_map_at (map, i);
+      g_strlcpy (shard->next, holder->name, sizeof shard->next);
+      wanted -= shard_keys (shard);
+      changed = TRUE;
+    }
+  return changed;
+}
+
+/* Have the holder that lacks most of its share given some by those that have
+   too much.  Return whether anything changed.  */
+gboolean
+shard_place_even (struct shard_map *map, const GArray *holders)
+{
+  const struct holder *holder = shard_neediest (map, holders);
+  gint64 lack;
+
+  if (holder == NULL)
+    return FALSE;
+  lack = lack_of (map, holders, holder);
+  if (lack * 100 < (gint64)fair_share (holders, holder) * LACK_PERCENT)
+    return FALSE;
+  return take_from_others (map, holders, holder, lack);
+}
--- a/src/types/action.c
+++ b/src/types/action.c
@@ -18,6 +18,22 @@
     case ACTION_SNAPSHOT_DECODE:
       g_free (action->u.snapshot_decode.bytes);
       break;
+    case ACTION_STORE:
+      fleet_record_clear (&action->u.store.record);
+      break;
+    case ACTION_BEAT_ANSWER:
+      g_free (action->u.beat_answer.answer);
+      break;
+    case ACTION_RELAY:
+      fleet_record_clear (&action->u.relay.record);
+      break;
+    case ACTION_APPEND_FOR:
+      g_free (action->u.append_for.append.bytes);
+      break;
+    case ACTION_CONFIRM:
+    case ACTION_MESH_CALL:
+    case ACTION_MESH_REPLY:
+    case ACTION_FETCH_REPLY:
     case ACTION_SNAPSHOT_ENCODE:
     case ACTION_SERVE_VIEW:
     case ACTION_CALL:
--- a/src/types/action.h
+++ b/src/types/action.h
@@ -1,6 +1,8 @@
 #ifndef BAMBOOTALLY_ACTION_H
 #define BAMBOOTALLY_ACTION_H
 
+#include "types/beat.h"
+#include "types/mesh_msg.h"
 #include "types/peer_msg.h"
 #include "types/record.h"
 #include "types/request.h"
@@ -23,7 +25,15 @@
   ACTION_SNAPSHOT_DECODE,    /* decode a snapshot of the view */
   ACTION_SERVE_VIEW,         /* reply to a fetch with a page of the view */
   ACTION_SUSPECT_CONNECTION, /* probe and replace connections to a peer */
-  ACTION_EXIT                /* the node has left */
+  ACTION_EXIT,               /* the node has left */
+  ACTION_STORE,              /* mesh: append a record to the store */
+  ACTION_CONFIRM,            /* mesh: read the end of the fleet's topic */
+  ACTION_BEAT_ANSWER,        /* mesh: answer a beat or a goodbye */
+  ACTION_RELAY,              /* mesh: have another node append a record */
+  ACTION_MESH_CALL,          /* mesh: call another node */
+  ACTION_MESH_REPLY,         /* mesh: reply to another node's call */
+  ACTION_FETCH_REPLY,        /* mesh: reply with records and configuration */
+  ACTION_APPEND_FOR          /* mesh: append for another node and reply */
 };
 
 /* Append a record.  The record belongs to the action.  */
@@ -126,6 +136,67 @@
   gboolean again; /* it is to start again as a new incarnation */
 };
 
+/* Append a record to the store.  The record belongs to the action.  */
+struct action_store
+{
+  guint64 serial;             /* comes back with the end */
+  guint64 at;                 /* where the topic must end */
+  struct fleet_record record; /* the record */
+};
+
+/* Have another node append a record.  The record belongs to the action.  */
+struct action_relay
+{
+  guint64 serial;             /* comes back with the end */
+  guint64 at;                 /* where the topic must end */
+  struct handle member;       /* member that is asked */
+  struct address to;          /* where it listens */
+  gint64 deadline;            /* when to give up, microseconds */
+  struct fleet_record record; /* the record */
+};
+
+/* Answer a beat.  The answer belongs to the action.  */
+struct action_beat_answer
+{
+  guint32 call;              /* the beat */
+  enum err code;             /* ERR_NONE, or why it is refused */
+  struct beat_answer *answer; /* what the server is to hold, or NULL */
+};
+
+/* Call another node.  */
+struct action_mesh_call
+{
+  guint64 serial;         /* comes back with the reply */
+  struct handle member;   /* member that is called */
+  struct address to;      /* where it listens */
+  gint64 deadline;        /* when to give up, microseconds */
+  struct mesh_call call;  /* what to say: a pulse, or what to fetch */
+};
+
+/* Reply to another node.  */
+struct action_mesh_reply
+{
+  struct handle link;      /* connection the call came on */
+  guint32 xid;             /* its number there */
+  struct mesh_reply reply; /* what to say */
+};
+
+/* Reply with what another node lacks.  */
+struct action_fetch_reply
+{
+  struct handle link;       /* connection the call came on */
+  guint32 xid;              /* its number there */
+  struct mesh_fetch fetch;  /* what it knows */
+};
+
+/* Append a record for another node and reply how it ended.  */
+struct action_append_for
+{
+  struct handle link;         /* connection the call came on */
+  guint32 xid;                /* its number there */
+  struct mesh_append append;  /* bytes in it belong to it */
+};
+
 /* An action.  */
 struct action
 {
@@ -145,6 +216,13 @@
     struct action_suspect_connection suspect;
     struct action_exit exit;
     struct note note;
+    struct action_store store;
+    struct action_relay relay;
+    struct action_beat_answer beat_answer;
+    struct action_mesh_call mesh_call;
+    struct action_mesh_reply mesh_reply;
+    struct action_fetch_reply fetch_reply;
+    struct action_append_for append_for;
   } u;
 };
 
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -1,9 +1,12 @@
 #ifndef BAMBOOTALLY_EVENT_H
 #define BAMBOOTALLY_EVENT_H
 
+#include "types/beat.h"
+#include "types/mesh_msg.h"
 #include "types/peer_msg.h"
 #include "types/record.h"
 #include "types/request.h"
+#include "types/routing.h"
 #include "types/view.h"
 
 /* What the core is told.  The time comes beside the event.  */
@@ -24,7 +27,15 @@
   EVENT_PEER_REPLY,    /* another node replied, or failed to */
   EVENT_DRAIN,         /* leave gracefully */
   EVENT_SNAPSHOT,      /* a snapshot of the view was decoded */
-  EVENT_SNAPSHOT_BYTES /* the view was encoded */
+  EVENT_SNAPSHOT_BYTES, /* the view was encoded */
+  EVENT_ROUTING,        /* mesh: a configuration was read */
+  EVENT_FLEET,          /* mesh: records of the fleet were read */
+  EVENT_STORE,          /* mesh: the store was lost or is back */
+  EVENT_STORED,         /* mesh: an append ended */
+  EVENT_BEAT,           /* mesh: the backend server sent a beat */
+  EVENT_BEAT_END,       /* mesh: the backend server says goodbye */
+  EVENT_MESH_CALL,      /* mesh: another node calls */
+  EVENT_MESH_REPLY      /* mesh: another node replied, or failed to */
 };
 
 /* The timer.  */
@@ -96,6 +107,7 @@
   struct request request; /* what it is */
   const char *host;       /* host that the caller named, or NULL */
   const char *target;     /* path and query */
+  gint64 length;          /* bytes in its body, -1 if not known */
 };
 
 /* The end of an attempt.  */
@@ -107,6 +119,8 @@
   gboolean replayable;    /* the body can be sent again from its start */
   struct stamp stamp;     /* stamp that the other node offered */
   guint32 retry_msec;     /* its advice when to try again, 0 for none */
+  gboolean has_load;      /* the other node told how busy it is */
+  struct load_report load; /* what it told */
 };
 
 /* A request whose caller went away.  */
@@ -146,6 +160,67 @@
   guint32 length;      /* bytes, 0 if it cannot be encoded */
 };
 
+/* A configuration that was read; the core takes it over.  */
+struct event_routing
+{
+  struct routing *routing;
+};
+
+/* Records of the fleet that were read.  */
+struct event_fleet
+{
+  const struct fleet_entry *items; /* the records, in no order */
+  guint32 count;                   /* how many */
+  guint64 next;                    /* all records below this are known then */
+  gboolean at_end;                 /* the store held nothing after them */
+  gint64 begun;                    /* when the read began, microseconds */
+};
+
+/* Whether the store answers.  */
+struct event_store
+{
+  gboolean lost; /* else it answers again */
+};
+
+/* An append that ended.  */
+struct event_stored
+{
+  guint64 serial; /* of the append */
+  enum err code;  /* ERR_CONFLICT: the topic did not end there; ERR_EFFECT: it
+                     may have taken effect */
+  guint64 offset; /* where the record stands, with ERR_NONE */
+};
+
+/* A beat of the backend server.  */
+struct event_beat
+{
+  guint32 call;            /* comes back with the answer */
+  const struct beat *beat; /* what it says */
+};
+
+/* A goodbye of a backend server.  */
+struct event_beat_end
+{
+  guint32 call;          /* comes back with the answer */
+  char id[NAME_SIZE];    /* its name */
+};
+
+/* A call from another node.  */
+struct event_mesh_call
+{
+  struct handle link;          /* connection it came on, used in the reply */
+  guint32 xid;                 /* its number there */
+  const struct mesh_call *call; /* what it says */
+};
+
+/* The reply of another node.  */
+struct event_mesh_reply
+{
+  guint64 serial;                 /* serial of the call */
+  struct handle member;           /* member that was called */
+  const struct mesh_reply *reply; /* code is set when no answer came */
+};
+
 /* An event.  */
 struct event
 {
@@ -166,6 +241,14 @@
     struct event_peer_reply peer_reply;
     struct event_snapshot snapshot;
     struct event_snapshot_bytes snapshot_bytes;
+    struct event_routing routing;
+    struct event_fleet fleet;
+    struct event_store store;
+    struct event_stored stored;
+    struct event_beat beat;
+    struct event_beat_end beat_end;
+    struct event_mesh_call mesh_call;
+    struct event_mesh_reply mesh_reply;
   } u;
 };
 
--- /dev/null
+++ b/src/types/fleet_record.c
@@ -0,0 +1,34 @@
+#include "types/fleet_record.h"
+
+/* Work out the key of RECORD from what it holds.  A dropped record has its key
+   already.  */
+void
+fleet_record_set_key (struct fleet_record *record)
+{
+  switch (record->kind)
+    {
+    case FLEET_MEMBER:
+      g_snprintf (record->key, sizeof record->key, "member/%s",
+                  record->u.member.name);
+      break;
+    case FLEET_MAP:
+      g_snprintf (record->key, sizeof record->key, "map/%s",
+                  record->u.map.service);
+      break;
+    case FLEET_SUSPECT:
+      g_snprintf (record->key, sizeof record->key,
+                  "suspect/%016" G_GINT64_MODIFIER "x",
+                  record->u.suspect.digest);
+      break;
+    case FLEET_DROPPED:
+      break;
+    }
+}
+
+/* Release what RECORD holds.  */
+void
+fleet_record_clear (struct fleet_record *record)
+{
+  if (record->kind == FLEET_MAP)
+    shard_map_clear (&record->u.map);
+}
--- a/src/types/forward_msg.h
+++ b/src/types/forward_msg.h
@@ -1,6 +1,7 @@
 #ifndef BAMBOOTALLY_FORWARD_MSG_H
 #define BAMBOOTALLY_FORWARD_MSG_H
 
+#include "types/load_report.h"
 #include "types/request.h"
 
 /* How a request travels from the node it entered at to the owner's node.  The
@@ -30,6 +31,7 @@
   enum reason reason;   /* why there is none */
   struct stamp stamp;   /* stamp to hand to the caller */
   guint32 retry_msec;   /* when to try again, 0 for no advice */
+  struct load_report load; /* how busy the sender is */
   guint32 status;       /* HTTP status */
   char *headers;        /* header lines */
   gint64 length;        /* bytes in the body, -1 if not known */
--- a/src/types/ini.c
+++ b/src/types/ini.c
@@ -179,6 +179,21 @@
   g_free (value);
 }
 
+/* The time of KEY, in units of UNIT microseconds, as microseconds; OTHERWISE
+   if it is not there.  */
+gint64
+ini_usec (const struct ini *ini, const struct ini_section *section,
+          const char *key, gint64 unit, gint64 otherwise)
+{
+  char *value = ini_text (ini, section, key);
+  gint64 usec = value[0] != '\0'
+                    ? (gint64)(g_ascii_strtod (value, NULL) * (double)unit)
+                    : otherwise;
+
+  g_free (value);
+  return usec;
+}
+
 /* The number of KEY, or OTHERWISE if it is not there.  */
 gint64
 ini_number (const struct ini *ini, const struct ini_section *section,
--- a/src/types/ini.h
+++ b/src/types/ini.h
@@ -11,7 +11,8 @@
 {
   INI_NAME,    /* letters, digits, '-', '_' and '.' */
   INI_TEXT,    /* any text that is not empty */
-  INI_NUMBER,  /* a decimal number within bounds */
+  INI_NUMBER,  /* a whole number within bounds */
+  INI_DECIMAL, /* a number that may have a fraction, not below zero */
   INI_FLAG,    /* yes or no */
   INI_ADDRESS, /* IP:PORT */
   INI_CHOICE   /* one of the words in choices */
@@ -60,6 +61,8 @@
 void ini_check_section (const struct ini *ini,
                         const struct ini_section *section,
                         const struct ini_schema *schema, GArray *faults);
+void ini_need (const struct ini *ini, const char *const *kinds, guint count,
+               GArray *faults);
 void ini_clear (struct ini *ini);
 const char *ini_group (const struct ini_section *section, char *buffer,
                        gsize size);
@@ -69,6 +72,8 @@
                const char *key, char *to, gsize size);
 gint64 ini_number (const struct ini *ini, const struct ini_section *section,
                    const char *key, gint64 otherwise);
+gint64 ini_usec (const struct ini *ini, const struct ini_section *section,
+                 const char *key, gint64 unit, gint64 otherwise);
 gboolean ini_flag (const struct ini *ini, const struct ini_section *section,
                    const char *key, gboolean otherwise);
 struct fault *ini_fault (const struct ini *ini, GArray *faults,
--- a/src/types/ini_check.c
+++ b/src/types/ini_check.c
@@ -28,6 +28,15 @@
   return text[0] != '\0' && strlen (text) < NAME_SIZE;
 }
 
+/* Tell whether TEXT is a number that is not below zero.  */
+static gboolean
+is_decimal (const char *text)
+{
+  char *end = NULL;
+
+  return g_ascii_strtod (text, &end) >= 0 && end != text && *end == '\0';
+}
+
 /* Check that VALUE is a number within the bounds of FIELD.  */
 static void
 check_number (const struct ini *ini, const struct ini_section *section,
@@ -70,6 +79,9 @@
     case INI_NUMBER:
       check_number (ini, section, field, value, faults);
       break;
+    case INI_DECIMAL:
+      good = is_decimal (value);
+      break;
     case INI_FLAG:
       good = word_in (value, "yes|no");
       break;
@@ -167,3 +179,33 @@
   check_keys (ini, section, schema, faults);
   check_required (ini, section, schema, faults);
 }
+
+/* Tell whether INI has a section of KIND.  */
+static gboolean
+has_section (const struct ini *ini, const char *kind)
+{
+  guint i;
+
+  for (i = 0; i < ini->sections->len; i++)
+    if (strcmp (g_array_index (ini->sections, struct ini_section, i).kind,
+                kind)
+        == 0)
+      return TRUE;
+  return FALSE;
+}
+
+/* Add a fault for each of the COUNT KINDS of section that is not there.  */
+void
+ini_need (const struct ini *ini, const char *const *kinds, guint count,
+          GArray *faults)
+{
+  guint i;
+
+  for (i = 0; i < count; i++)
+    {
+      struct ini_section missing = { 0 };
+      g_strlcpy (missing.kind, kinds[i], sizeof missing.kind);
+      if (!has_section (ini, kinds[i]))
+        ini_fault (ini, faults, FAULT_MISSING, &missing, NULL, NULL);
+    }
+}
--- /dev/null
+++ b/src/types/mesh_msg.h
@@ -0,0 +1,95 @@
+#ifndef BAMBOOTALLY_MESH_MSG_H
+#define BAMBOOTALLY_MESH_MSG_H
+
+#include "types/err.h"
+#include "types/fleet_record.h"
+#include "types/load_report.h"
+
+/* What the nodes of a mesh say to each other besides requests.  A call and
+   its reply share a kind.  */
+
+#define PULSE_SILENT_MAX 8u          /* silent nodes that a pulse names */
+#define MESH_BLOB_BYTES_MAX 1048576u /* bytes of records or configuration */
+
+enum mesh_msg_kind
+{
+  MESH_PULSE = 1, /* how the sender is */
+  MESH_FETCH = 2, /* give me what I lack */
+  MESH_APPEND = 3 /* append a record for me */
+};
+
+/* How a node is.  Sent both ways.  */
+struct pulse
+{
+  char name[NAME_SIZE];    /* the sender */
+  guint64 incarnation;     /* its process */
+  guint64 folded;          /* records below this are folded */
+  gint64 confirmed_age;    /* microseconds since a read of the store began
+                              that showed no later record; -1: none */
+  guint64 config;          /* version of the configuration in force */
+  gboolean leaving;        /* the process is about to end */
+  gboolean store_lost;     /* the store does not answer the sender */
+  struct load_report load; /* its gate */
+  guint32 silent_count;    /* names that follow */
+  char silent[PULSE_SILENT_MAX][NAME_SIZE]; /* nodes it does not hear */
+};
+
+/* Ask for records and the configuration.  */
+struct mesh_fetch
+{
+  guint64 folded; /* records below this are known */
+  guint64 config; /* version that is known */
+};
+
+/* Append a record.  */
+struct mesh_append
+{
+  guint64 at; /* the topic must end here; APPEND_ANYWHERE for no condition */
+  char key[FLEET_KEY_SIZE]; /* key of the record */
+  guint32 length;           /* bytes that follow; 0 drops the key */
+  guint8 *bytes;            /* encoded record */
+};
+
+#define APPEND_ANYWHERE G_MAXUINT64 /* no condition on the end */
+
+struct mesh_call
+{
+  enum mesh_msg_kind kind;
+  union
+  {
+    struct pulse pulse;
+    struct mesh_fetch fetch;
+    struct mesh_append append;
+  } u;
+};
+
+/* Records and, if it is later, the configuration as the store has it.  */
+struct mesh_fetch_reply
+{
+  guint64 next;         /* records below this are in what follows */
+  guint32 length;       /* bytes of records */
+  guint8 *bytes;        /* records, as wire_fleet_entries */
+  guint64 config;       /* version that follows, 0 for none */
+  guint32 config_count; /* bytes of it */
+  guint8 *config_bytes; /* the configuration in the store's own words */
+};
+
+/* How an append ended.  */
+struct mesh_append_reply
+{
+  guint64 offset; /* where the record stands */
+};
+
+struct mesh_reply
+{
+  enum mesh_msg_kind kind;
+  enum err code; /* ERR_NONE, or why there is no answer */
+  union
+  {
+    struct pulse pulse;
+    struct mesh_fetch_reply fetch;
+    struct mesh_append_reply append;
+  } u;
+};
+
+#endif
--- a/src/types/note.h
+++ b/src/types/note.h
@@ -52,9 +52,34 @@
   NOTE_SUSPECT = 503,        /* a request may have crashed the server */
   NOTE_QUARANTINE = 504,     /* requests with that digest are refused */
   NOTE_CONNECTION = 505,     /* connections of a peer are replaced */
-  NOTE_DRAINED = 506         /* nothing is left in flight */
+  NOTE_DRAINED = 506,        /* nothing is left in flight */
+  /* 600: requests in a mesh */
+  NOTE_MESH_FIRST = 600,
+  NOTE_MESH_ROUTE = 600,  /* a request was sent to a node */
+  NOTE_MESH_RUN = 601,    /* a request was given to the server */
+  NOTE_MESH_WAIT = 602,   /* a request waits, for a slot or for an owner */
+  NOTE_MESH_FAILED = 603, /* an attempt ended without an answer */
+  NOTE_MESH_END = 604,    /* a request has ended */
+  NOTE_MESH_POISON = 605, /* a request crashed a server, or is refused */
+  /* 620: what a node of a mesh believes */
+  NOTE_MESH_ROUTING = 620,   /* a configuration is in force */
+  NOTE_MESH_MEMBER = 621,    /* a member joined, changed or was dropped */
+  NOTE_MESH_SILENT = 622,    /* a member is not heard, or is heard again */
+  NOTE_MESH_KEYS = 623,      /* the map of a service changed */
+  NOTE_MESH_PROPOSE = 624,   /* a record goes to the store */
+  NOTE_MESH_PROPOSED = 625,  /* a proposal ended */
+  NOTE_MESH_BEAT = 626,      /* a beat changed what the server holds */
+  NOTE_MESH_SERVER = 627,    /* a life of the server began or ended */
+  NOTE_MESH_STORE = 628,     /* the store was lost or is back */
+  NOTE_MESH_SESSION = 629,   /* the session lapsed or is back */
+  NOTE_MESH_START = 630,     /* the process starts */
+  NOTE_MESH_STOP = 631,      /* the process was asked to stop, or ends */
+  NOTE_MESH_SETTINGS = 632,  /* the settings were read again */
+  NOTE_MESH_BAD_INPUT = 633, /* something that does not decode was skipped */
+  NOTE_MESH_DROPPED = 634    /* log lines were dropped */
 };
 
+#define NOTE_DETAIL_SIZE 256u /* bytes in the inputs of a decision */
 #define NOTE_TEXT_SIZE 96u /* bytes in the free field of a note */
 
 /* An event with its fields; a field that is zero or empty is not written. */
@@ -70,6 +95,7 @@
   int code;                  /* enum err or enum reason, by event */
   gint64 amount;             /* a number, by event */
   char text[NOTE_TEXT_SIZE]; /* a name or id, by event */
+  char detail[NOTE_DETAIL_SIZE]; /* inputs as "name=value ..." */
 };
 
 const char *note_name (enum note_id id);
--- /dev/null
+++ b/src/types/route.h
@@ -0,0 +1,32 @@
+#ifndef BAMBOOTALLY_TYPES_ROUTE_H
+#define BAMBOOTALLY_TYPES_ROUTE_H
+
+#include "types/request.h"
+
+/* A route: which requests go to which services, and how.  */
+
+#define ROUTE_PARTS_MAX 8u /* services that one route is split over */
+
+/* A share of a route.  */
+struct route_part
+{
+  char service[NAME_SIZE]; /* service that it goes to */
+  guint32 weight;          /* its share among the weights of the route */
+  gint64 credit;           /* what it is owed, for taking turns */
+};
+
+struct route
+{
+  char name[NAME_SIZE];     /* name of the route */
+  char host[NAME_SIZE];     /* host that callers name */
+  char prefix[PATH_SIZE];   /* beginning of the path */
+  enum run_class run_class; /* whether requests may run again */
+  enum priority priority;   /* which requests go first */
+  gint64 timeout_usec;      /* longest time a caller is kept, 0 for none */
+  gint64 target_usec;       /* an answer counts in full within this */
+  guint32 attempts;         /* servers that one request may be sent to */
+  guint32 parts;            /* shares that follow */
+  struct route_part part[ROUTE_PARTS_MAX];
+};
+
+#endif
--- /dev/null
+++ b/src/types/routing.c
@@ -0,0 +1,94 @@
+#include "types/routing.h"
+
+#include <string.h>
+
+/* Make an empty configuration; free it with routing_free.  */
+struct routing *
+routing_new (guint64 version)
+{
+  struct routing *routing = g_new0 (struct routing, 1);
+
+  routing->version = version;
+  routing->routes = g_array_new (FALSE, TRUE, sizeof (struct route));
+  routing->services = g_array_new (FALSE, TRUE, sizeof (struct route_service));
+  return routing;
+}
+
+/* Release ROUTING, which may be NULL.  */
+void
+routing_free (struct routing *routing)
+{
+  if (routing == NULL)
+    return;
+  g_array_free (routing->routes, TRUE);
+  g_array_free (routing->services, TRUE);
+  g_free (routing);
+}
+
+/* Add ROUTE where the order of prefixes has it.  */
+void
+routing_add (struct routing *routing, const struct route *route)
+{
+  gsize length = strlen (route->prefix);
+  guint at = 0;
+
+  while (at < routing->routes->len
+         && strlen (g_array_index (routing->routes, struct route, at).prefix)
+                >= length)
+    at++;
+  g_array_insert_vals (routing->routes, at, route, 1);
+}
+
+/* The route of HOST with the longest prefix of TARGET, or NULL.  */
+struct route *
+routing_match (const struct routing *routing, const char *host,
+               const char *target)
+{
+  guint i;
+
+  for (i = 0; host != NULL && i < routing->routes->len; i++)
+    {
+      struct route *route = &g_array_index (routing->routes, struct route, i);
+      if (g_str_has_prefix (target, route->prefix)
+          && g_ascii_strcasecmp (host, route->host) == 0)
+        return route;
+    }
+  return NULL;
+}
+
+/* The service called NAME, or NULL.  */
+const struct route_service *
+routing_service (const struct routing *routing, const char *name)
+{
+  guint i;
+
+  for (i = 0; i < routing->services->len; i++)
+    {
+      const struct route_service *service
+          = &g_array_index (routing->services, struct route_service, i);
+      if (strcmp (service->name, name) == 0)
+        return service;
+    }
+  return NULL;
+}
+
+/* The service whose turn it is by the weights of ROUTE: each part gains its
+   weight, and the one that is owed most pays for all.  */
+const char *
+route_turn (struct route *route)
+{
+  struct route_part *best = &route->part[0];
+  gint64 total = 0;
+  guint i;
+
+  for (i = 0; i < route->parts; i++)
+    {
+      struct route_part *part = &route->part[i];
+      part->credit += part->weight;
+      total += part->weight;
+      if (part->credit > best->credit)
+        best = part;
+    }
+  best->credit -= total;
+  return best->service;
+}
--- /dev/null
+++ b/src/types/routing.h
@@ -0,0 +1,25 @@
+#ifndef BAMBOOTALLY_ROUTING_H
+#define BAMBOOTALLY_ROUTING_H
+
+#include "types/route.h"
+#include "types/route_service.h"
+
+/* All routes and services of one version of the configuration.  */
+
+struct routing
+{
+  guint64 version;  /* later versions have higher numbers */
+  GArray *routes;   /* struct route, longest prefix first */
+  GArray *services; /* struct route_service */
+};
+
+struct routing *routing_new (guint64 version);
+void routing_free (struct routing *routing);
+void routing_add (struct routing *routing, const struct route *route);
+struct route *routing_match (const struct routing *routing, const char *host,
+                             const char *target);
+const struct route_service *routing_service (const struct routing *routing,
+                                             const char *name);
+const char *route_turn (struct route *route);
+
+#endif
--- /dev/null
+++ b/src/types/shard_map.c
@@ -0,0 +1,133 @@
+#include "types/shard_map.h"
+
+/* Set up a map whose keys are all free.  */
+void
+shard_map_init (struct shard_map *map, const char *service)
+{
+  struct shard all = { .last = SHARD_KEYS - 1 };
+
+  memset (map, 0, sizeof *map);
+  g_strlcpy (map->service, service, sizeof map->service);
+  map->next_fence = 1;
+  map->shards = g_array_new (FALSE, TRUE, sizeof (struct shard));
+  g_array_append_val (map->shards, all);
+}
+
+/* Release what MAP holds.  */
+void
+shard_map_clear (struct shard_map *map)
+{
+  if (map->shards != NULL)
+    g_array_free (map->shards, TRUE);
+  map->shards = NULL;
+}
+
+/* Make TO, which holds nothing, a copy of FROM.  */
+void
+shard_map_copy (struct shard_map *to, const struct shard_map *from)
+{
+  *to = *from;
+  to->shards = g_array_copy (from->shards);
+}
+
+/* The shard at INDEX.  */
+struct shard *
+shard_map_at (const struct shard_map *map, guint index)
+{
+  return &g_array_index (map->shards, struct shard, index);
+}
+
+/* How many keys SHARD has.  */
+guint32
+shard_keys (const struct shard *shard)
+{
+  return shard->last - shard->first + 1;
+}
+
+/* The shard that KEY, which must be below SHARD_KEYS, lies in.  */
+struct shard *
+shard_map_find (const struct shard_map *map, guint32 key)
+{
+  guint low = 0;
+  guint high = map->shards->len - 1;
+
+  while (low < high)
+    {
+      guint middle = (low + high) / 2;
+      if (shard_map_at (map, middle)->last < key)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return shard_map_at (map, low);
+}
+
+/* Make a shard begin at FIRST.  Does nothing where one does already, or in a
+   map that has as many shards as it may.  */
+void
+shard_map_split (struct shard_map *map, guint32 first)
+{
+  struct shard *left;
+  struct shard right;
+  guint index;
+
+  if (first >= SHARD_KEYS || map->shards->len >= SHARDS_MAX)
+    return;
+  left = shard_map_find (map, first);
+  if (left->first == first)
+    return;
+  right = *left;
+  right.first = first;
+  left->last = first - 1;
+  index = (guint)(left - shard_map_at (map, 0)) + 1;
+  g_array_insert_val (map->shards, index, right);
+}
+
+/* Tell whether A and B, neighbours, may be one shard.  */
+static gboolean
+are_one (const struct shard *a, const struct shard *b)
+{
+  return a->state == b->state && a->fence == b->fence
+         && strcmp (a->owner, b->owner) == 0 && life_equal (&a->life, &b->life)
+         && strcmp (a->handover, b->handover) == 0
+         && strcmp (a->next, b->next) == 0;
+}
+
+/* Join neighbours that differ in nothing.  */
+void
+shard_map_merge (struct shard_map *map)
+{
+  guint i = 1;
+
+  while (i < map->shards->len)
+    {
+      struct shard *before = shard_map_at (map, i - 1);
+      const struct shard *shard = shard_map_at (map, i);
+      if (are_one (before, shard))
+        {
+          before->last = shard->last;
+          before->since = MAX (before->since, shard->since);
+          g_array_remove_index (map->shards, i);
+        }
+      else
+        i++;
+    }
+}
+
+/* Tell whether the shards cover all keys, each once.  */
+gboolean
+shard_map_is_whole (const struct shard_map *map)
+{
+  guint32 next = 0;
+  guint i;
+
+  for (i = 0; i < map->shards->len; i++)
+    {
+      const struct shard *shard = shard_map_at (map, i);
+      if (shard->first != next || shard->last < shard->first
+          || shard->last >= SHARD_KEYS)
+        return FALSE;
+      next = shard->last + 1;
+    }
+  return next == SHARD_KEYS;
+}
--- /dev/null
+++ b/src/types/shard_map.h
@@ -0,0 +1,28 @@
+#ifndef BAMBOOTALLY_SHARD_MAP_H
+#define BAMBOOTALLY_SHARD_MAP_H
+
+#include "types/shard.h"
+
+/* All shards of one service, in the order of their keys, without gaps.  */
+
+#define SHARDS_MAX 512u /* shards of one service */
+
+struct shard_map
+{
+  char service[NAME_SIZE]; /* the service */
+  guint64 next_fence;      /* above every fence given so far */
+  GArray *shards;          /* struct shard */
+  guint64 offset;          /* where the record stands in the store */
+};
+
+void shard_map_init (struct shard_map *map, const char *service);
+void shard_map_clear (struct shard_map *map);
+void shard_map_copy (struct shard_map *to, const struct shard_map *from);
+struct shard *shard_map_at (const struct shard_map *map, guint index);
+struct shard *shard_map_find (const struct shard_map *map, guint32 key);
+void shard_map_split (struct shard_map *map, guint32 first);
+void shard_map_merge (struct shard_map *map);
+gboolean shard_map_is_whole (const struct shard_map *map);
+guint32 shard_keys (const struct shard *shard);
+
+#endif
--- /dev/null
+++ b/src/wire/wire_fleet.c
@@ -0,0 +1,212 @@
+#include "wire/wire_fleet.h"
+
+#define FLEET_VERSION 1u /* version of the format */
+
+/* Parts */
+
+/* A life.  */
+static bool_t
+wire_life (XDR *xdr, struct life *life)
+{
+  return wire_text (xdr, life->id, sizeof life->id)
+         && wire_i64 (xdr, &life->born);
+}
+
+/* A member.  */
+static bool_t
+wire_member (XDR *xdr, struct fleet_member *member)
+{
+  enum_t state = (enum_t)member->state;
+
+  if (!wire_text (xdr, member->name, sizeof member->name)
+      || !wire_text (xdr, member->zone, sizeof member->zone)
+      || !wire_text (xdr, member->service, sizeof member->service)
+      || !wire_address (xdr, &member->peer)
+      || !wire_u64 (xdr, &member->incarnation)
+      || !wire_life (xdr, &member->life)
+      || !xdr_uint32_t (xdr, &member->slots) || !xdr_enum (xdr, &state))
+    return FALSE;
+  member->state = (enum member_state)state;
+  return state >= MEMBER_READY && state <= MEMBER_DOWN;
+}
+
+/* A shard.  */
+static bool_t
+wire_shard (XDR *xdr, struct shard *shard)
+{
+  enum_t state = (enum_t)shard->state;
+
+  if (!xdr_uint32_t (xdr, &shard->first) || !xdr_uint32_t (xdr, &shard->last)
+      || !xdr_enum (xdr, &state)
+      || !wire_text (xdr, shard->owner, sizeof shard->owner)
+      || !wire_life (xdr, &shard->life) || !wire_u64 (xdr, &shard->fence)
+      || !wire_text (xdr, shard->handover, sizeof shard->handover)
+      || !wire_text (xdr, shard->next, sizeof shard->next))
+    return FALSE;
+  shard->state = (enum shard_state)state;
+  return state >= SHARD_FREE && state <= SHARD_LOST;
+}
+
+/* The shards of a map.  */
+static bool_t
+wire_shards (XDR *xdr, struct shard_map *map)
+{
+  guint32 count = map->shards != NULL ? map->shards->len : 0;
+  guint i;
+
+  if (xdr->x_op == XDR_FREE)
+    {
+      shard_map_clear (map);
+      return TRUE;
+    }
+  if (!xdr_uint32_t (xdr, &count) || count > SHARDS_MAX)
+    return FALSE;
+  if (xdr->x_op == XDR_DECODE)
+    {
+      map->shards = g_array_new (FALSE, TRUE, sizeof (struct shard));
+      g_array_set_size (map->shards, count);
+    }
+  for (i = 0; i < count; i++)
+    if (!wire_shard (xdr, shard_map_at (map, i)))
+      return FALSE;
+  return count > 0 && shard_map_is_whole (map);
+}
+
+/* A map.  */
+static bool_t
+wire_map (XDR *xdr, struct shard_map *map)
+{
+  return wire_text (xdr, map->service, sizeof map->service)
+         && wire_u64 (xdr, &map->next_fence) && wire_shards (xdr, map);
+}
+
+/* A suspect.  */
+static bool_t
+wire_suspect (XDR *xdr, struct fleet_suspect *suspect)
+{
+  return wire_u64 (xdr, &suspect->digest)
+         && xdr_uint32_t (xdr, &suspect->crashes);
+}
+
+/* A record.  */
+static bool_t
+wire_record_body (XDR *xdr, void *item)
+{
+  struct fleet_record *record = item;
+  guint32 version = FLEET_VERSION;
+  enum_t kind = (enum_t)record->kind;
+
+  if (!xdr_uint32_t (xdr, &version) || version != FLEET_VERSION
+      || !xdr_enum (xdr, &kind))
+    return FALSE;
+  record->kind = (enum fleet_record_kind)kind;
+  switch (record->kind)
+    {
+    case FLEET_MEMBER:
+      return wire_member (xdr, &record->u.member);
+    case FLEET_MAP:
+      return wire_map (xdr, &record->u.map);
+    case FLEET_SUSPECT:
+      return wire_suspect (xdr, &record->u.suspect);
+    case FLEET_DROPPED:
+      return TRUE;
+    }
+  return FALSE;
+}
+
+/* Interface */
+
+/* Encode RECORD; free the bytes with g_byte_array_unref.  NULL if it is too
+   large.  */
+GByteArray *
+wire_fleet_encode (const struct fleet_record *record)
+{
+  return wire_encode (wire_record_body, record, FLEET_RECORD_BYTES_MAX);
+}
+
+/* Decode into RECORD, which must be zero, the bytes that stand under KEY.  No
+   bytes drop the key.  ERR_MALFORMED for what is no record of this key.  */
+enum err
+wire_fleet_decode (struct fleet_record *record, const char *key,
+                   const guint8 *bytes, gsize length)
+{
+  enum err code = ERR_NONE;
+
+  record->kind = FLEET_DROPPED;
+  if (length > 0)
+    code = wire_decode (wire_record_body, record, bytes, length);
+  if (code != ERR_NONE)
+    return code;
+  if (record->kind == FLEET_DROPPED)
+    g_strlcpy (record->key, key, sizeof record->key);
+  else
+    fleet_record_set_key (record);
+  if (strcmp (record->key, key) == 0)
+    return ERR_NONE;
+  fleet_record_clear (record);
+  return ERR_MALFORMED;
+}
+
+/* An entry.  */
+static bool_t
+wire_entry (XDR *xdr, void *item)
+{
+  struct fleet_entry *entry = item;
+
+  return wire_u64 (xdr, &entry->offset)
+         && wire_text (xdr, entry->record.key, sizeof entry->record.key)
+         && wire_record_body (xdr, &entry->record);
+}
+
+/* Encode entries, struct fleet_entry, one after the other.  */
+GByteArray *
+wire_fleet_encode_all (const GArray *entries)
+{
+  GByteArray *all = g_byte_array_new ();
+  guint i;
+
+  for (i = 0; i < entries->len; i++)
+    {
+      GByteArray *one = wire_encode (
+          wire_entry, &g_array_index (entries, struct fleet_entry, i),
+          FLEET_RECORD_BYTES_MAX);
+      if (one == NULL)
+        continue;
+      g_byte_array_append (all, one->data, one->len);
+      g_byte_array_unref (one);
+    }
+  return all;
+}
+
+/* Decode entries; NULL if the bytes do not decode.  The caller clears each
+   record and frees the array.  */
+GArray *
+wire_fleet_decode_all (const guint8 *bytes, gsize length)
+{
+  GArray *entries = g_array_new (FALSE, TRUE, sizeof (struct fleet_entry));
+  bool_t good = TRUE;
+  XDR xdr;
+
+  xdrmem_create (&xdr, (char *)bytes, (u_int)length, XDR_DECODE);
+  while (good && xdr_getpos (&xdr) < length)
+    {
+      struct fleet_entry entry = { 0 };
+      good = wire_entry (&xdr, &entry);
+      if (good)
+        g_array_append_val (entries, entry);
+      else
+        fleet_record_clear (&entry.record);
+    }
+  xdr_destroy (&xdr);
+  if (good)
+    return entries;
+  while (entries->len > 0)
+    {
+      guint last = entries->len - 1;
+      fleet_record_clear (
+          &g_array_index (entries, struct fleet_entry, last).record);
+      g_array_set_size (entries, last);
+    }
+  g_array_free (entries, TRUE);
+  return NULL;
+}
--- a/src/wire/wire_forward.c
+++ b/src/wire/wire_forward.c
@@ -1,5 +1,7 @@
 #include "wire/wire_forward.h"
 
+#include "wire/wire_mesh.h"
+
 /* An outcome with its reason.  */
 static bool_t
 wire_outcome (XDR *xdr, enum outcome *outcome, enum reason *reason)
@@ -62,6 +64,7 @@
   return wire_outcome (xdr, &head->outcome, &head->reason)
          && wire_stamp (xdr, &head->stamp)
          && xdr_uint32_t (xdr, &head->retry_msec)
+         && wire_load_report (xdr, &head->load)
          && xdr_uint32_t (xdr, &head->status)
          && wire_string (xdr, &head->headers, HEADERS_BYTES_MAX)
          && wire_i64 (xdr, &head->length)
--- /dev/null
+++ b/src/wire/wire_mesh.c
@@ -0,0 +1,107 @@
+#include "wire/wire_mesh.h"
+
+/* How busy a gate is.  */
+bool_t
+wire_load_report (XDR *xdr, struct load_report *load)
+{
+  return xdr_uint32_t (xdr, &load->running)
+         && xdr_uint32_t (xdr, &load->waiting)
+         && xdr_uint32_t (xdr, &load->slots) && wire_i64 (xdr, &load->run_usec);
+}
+
+/* How a node is.  */
+static bool_t
+wire_pulse (XDR *xdr, struct pulse *pulse)
+{
+  guint i;
+
+  if (!wire_text (xdr, pulse->name, sizeof pulse->name)
+      || !wire_u64 (xdr, &pulse->incarnation)
+      || !wire_u64 (xdr, &pulse->folded)
+      || !wire_i64 (xdr, &pulse->confirmed_age)
+      || !wire_u64 (xdr, &pulse->config) || !wire_flag (xdr, &pulse->leaving)
+      || !wire_flag (xdr, &pulse->store_lost)
+      || !wire_load_report (xdr, &pulse->load)
+      || !xdr_uint32_t (xdr, &pulse->silent_count)
+      || pulse->silent_count > PULSE_SILENT_MAX)
+    return FALSE;
+  for (i = 0; i < pulse->silent_count; i++)
+    if (!wire_text (xdr, pulse->silent[i], NAME_SIZE))
+      return FALSE;
+  return TRUE;
+}
+
+/* What a node lacks.  */
+static bool_t
+wire_fetch (XDR *xdr, struct mesh_fetch *fetch)
+{
+  return wire_u64 (xdr, &fetch->folded) && wire_u64 (xdr, &fetch->config);
+}
+
+/* A record to append.  */
+static bool_t
+wire_append (XDR *xdr, struct mesh_append *append)
+{
+  return wire_u64 (xdr, &append->at)
+         && wire_text (xdr, append->key, sizeof append->key)
+         && wire_blob (xdr, &append->bytes, &append->length,
+                       FLEET_RECORD_BYTES_MAX);
+}
+
+/* Records and a configuration.  */
+static bool_t
+wire_fetch_reply (XDR *xdr, struct mesh_fetch_reply *reply)
+{
+  return wire_u64 (xdr, &reply->next)
+         && wire_blob (xdr, &reply->bytes, &reply->length,
+                       MESH_BLOB_BYTES_MAX)
+         && wire_u64 (xdr, &reply->config)
+         && wire_blob (xdr, &reply->config_bytes, &reply->config_count,
+                       MESH_BLOB_BYTES_MAX);
+}
+
+/* A call.  */
+bool_t
+wire_mesh_call (XDR *xdr, void *item)
+{
+  struct mesh_call *call = item;
+  enum_t kind = (enum_t)call->kind;
+
+  if (!xdr_enum (xdr, &kind))
+    return FALSE;
+  call->kind = (enum mesh_msg_kind)kind;
+  switch (call->kind)
+    {
+    case MESH_PULSE:
+      return wire_pulse (xdr, &call->u.pulse);
+    case MESH_FETCH:
+      return wire_fetch (xdr, &call->u.fetch);
+    case MESH_APPEND:
+      return wire_append (xdr, &call->u.append);
+    }
+  return FALSE;
+}
+
+/* A reply.  */
+bool_t
+wire_mesh_reply (XDR *xdr, void *item)
+{
+  struct mesh_reply *reply = item;
+  enum_t kind = (enum_t)reply->kind;
+  enum_t code = (enum_t)reply->code;
+
+  if (!xdr_enum (xdr, &kind) || !xdr_enum (xdr, &code))
+    return FALSE;
+  reply->kind = (enum mesh_msg_kind)kind;
+  reply->code = (enum err)code;
+  switch (reply->kind)
+    {
+    case MESH_PULSE:
+      return wire_pulse (xdr, &reply->u.pulse);
+    case MESH_FETCH:
+      return wire_fetch_reply (xdr, &reply->u.fetch);
+    case MESH_APPEND:
+      return wire_u64 (xdr, &reply->u.append.offset);
+    }
+  return FALSE;
+}
