Keys move by how often they are asked for; a reset is told from an end

An owner counts requests by key and has the shortest range that evens the load out go to the server that has least to do.

--- a/src/edge/conn.h
+++ b/src/edge/conn.h
@@ -21,7 +21,8 @@
 struct conn_event
 {
   enum conn_event_kind kind;
-  enum err code; /* with CONN_CLOSED: why */
+  enum err code; /* with CONN_CLOSED: ERR_CLOSED if the other end has ended
+                    it, ERR_IO if it broke, ERR_REFUSED if it was not made */
 };
 
 struct conn;
--- a/src/edge/conn_io.c
+++ b/src/edge/conn_io.c
@@ -24,8 +24,8 @@
       g_error_free (error);
       return TRUE;
     }
+  conn_fail (conn, got == 0 ? ERR_CLOSED : ERR_IO);
   g_clear_error (&error);
-  conn_fail (conn, ERR_CLOSED);
   return FALSE;
 }
 
--- a/src/edge/http.c
+++ b/src/edge/http.c
@@ -65,7 +65,9 @@
     case CONN_CLOSED:
       code = event->code;
       if (call->has_head && !call->passing_over)
-        code = call->framing == HTTP_BY_CLOSE ? ERR_NONE : ERR_TRUNCATED;
+        code = call->framing == HTTP_BY_CLOSE && event->code == ERR_CLOSED
+                   ? ERR_NONE
+                   : ERR_TRUNCATED;
       call->keep = FALSE;
       end_call (call, code);
       break;
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -1,9 +1,5 @@
 #include "mesh/mesh_parts.h"
 
-/* A node that is asked to stop goes on for so long at least: callers learn
-   only by and by that it is not ready.  */
-#define LINGER_USEC ((gint64)2800000)
-
 /* It ends by itself so long before it would be killed.  */
 #define GRACE_MARGIN_USEC ((gint64)500000)
 
@@ -18,6 +14,7 @@
   roster_init (&mesh->roster);
   grant_init (&mesh->grant, now + settings->hold_max_usec);
   gate_init (&mesh->gate);
+  heat_init (&mesh->heat);
   table_init (&mesh->upstreams, sizeof (struct upstream));
   table_init (&mesh->transits, sizeof (struct transit));
   mesh->budgets = g_array_new (FALSE, TRUE, sizeof (struct mesh_budget));
@@ -32,6 +29,7 @@
   roster_clear (&mesh->roster);
   grant_clear (&mesh->grant);
   gate_clear (&mesh->gate);
+  heat_clear (&mesh->heat);
   table_clear (&mesh->upstreams);
   table_clear (&mesh->transits);
   g_array_free (mesh->budgets, TRUE);
@@ -53,7 +51,8 @@
 {
   struct load_report load = { .running = mesh->gate.busy,
                               .waiting = mesh->gate.waiting->len,
-                              .run_usec = mesh->gate.pace.run_usec };
+                              .run_usec = mesh->gate.pace.run_usec,
+                              .demand = mesh_demand (mesh) };
 
   if (!grant_is_leaving (&mesh->grant) && !mesh->grant.dead)
     load.slots = pace_slots (&mesh->gate.pace, mesh->gate.slots, now);
@@ -119,7 +118,7 @@
             struct actions *out)
 {
   gboolean idle = exchanges == 0 && mesh->transits.count == 0
-                  && now >= mesh->leave_at + LINGER_USEC;
+                  && now >= mesh->leave_at + MESH_LINGER_USEC;
   gboolean late = now >= mesh->leave_at + mesh->settings.grace_usec
                              - GRACE_MARGIN_USEC;
 
@@ -136,6 +135,7 @@
 step_all (struct mesh *mesh, guint32 exchanges, gint64 now,
           struct actions *out)
 {
+  heat_step (&mesh->heat, now);
   mesh_watch_step (mesh, now, out);
   mesh_pulse_step (mesh, now, out);
   mesh_session_step (mesh, now, out);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -11,6 +11,7 @@
 #include "serve/transit.h"
 #include "serve/upstream.h"
 #include "shard/grant.h"
+#include "shard/heat.h"
 #include "types/action.h"
 #include "types/event.h"
 #include "types/routing.h"
@@ -27,6 +28,7 @@
   struct session session;        /* with the store */
   struct grant grant;            /* what the server here holds */
   struct gate gate;              /* admission to it */
+  struct heat heat;              /* how often its keys are asked for */
   struct table upstreams;        /* struct upstream, by members' handles */
   struct table transits;         /* struct transit, by exchanges' handles */
   GArray *budgets;               /* struct mesh_budget */
@@ -38,6 +40,7 @@
   gint64 stepped_at;             /* when the last event was taken in */
   gint64 settled_at;             /* members have not changed since */
   gint64 confirm_at;             /* when the store was last asked directly */
+  gint64 balance_at;             /* no keys are offered before */
   gint64 even_at;                /* when keys were last evened out */
   gint64 fetch_at;               /* when a peer was last asked for records */
   gboolean store_lost;           /* the store does not answer this node */
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -42,6 +42,8 @@
 
   if (!life_is_set (&grant->life) || grant->dead)
     return REASON_SERVER_DOWN;
+  if (mesh->leave_at != 0 && now >= mesh->leave_at + MESH_LINGER_USEC)
+    return REASON_DRAINING;
   if (grant_is_leaving (grant)
       && now >= grant->leave_at + mesh->settings.drain_usec
                     - DRAIN_MARGIN_USEC)
@@ -112,6 +114,18 @@
          && now < (transit->came + transit->request.deadline) / 2;
 }
 
+/* Count that the key of TRANSIT was asked for, if it is owned here.  */
+static void
+count_key (struct mesh *mesh, const struct transit *transit, gint64 now)
+{
+  if (transit->phase == TRANSIT_WAITING && transit->came < now
+      && transit->waited)
+    return;
+  if (grant_has (&mesh->grant, transit->request.slice, now)
+      || is_owned (mesh, transit->request.service, transit->request.slice))
+    heat_add (&mesh->heat, transit->request.slice);
+}
+
 /* Bring the request EXCHANGE to the server beside this node.  */
 void
 mesh_admit (struct mesh *mesh, struct handle exchange, gint64 now,
@@ -120,12 +134,14 @@
   struct transit *transit = table_get (&mesh->transits, exchange);
   enum reason reason = closed_for (mesh, now);
 
+  count_key (mesh, transit, now);
   if (reason == REASON_NONE && is_divided (mesh, transit->request.service)
       && !grant_has (&mesh->grant, transit->request.slice, now))
     {
       if (awaits_grant (mesh, transit, now))
         {
           transit->phase = TRANSIT_WAITING;
+          transit->waited = TRUE;
           transit->retry_at = now + ADMIT_AGAIN_USEC;
           return;
         }
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -6,6 +6,10 @@
 
 /* The parts of struct mesh's decisions, for each other.  */
 
+/* A node that is asked to stop goes on for so long: callers learn only by and
+   by that it is not ready.  Then its server gets no more from it.  */
+#define MESH_LINGER_USEC ((gint64)2600000)
+
 /* Notes, mesh_note.c.  */
 struct note *mesh_note (struct actions *out, enum note_id id,
                         const char *subject, const char *format, ...)
@@ -71,6 +75,11 @@
 void mesh_plan_step (struct mesh *mesh, gint64 now, struct actions *out);
 GArray *mesh_holders (struct mesh *mesh, const char *service, gint64 now);
 
+/* Balance of the keys, mesh_balance.c.  */
+guint32 mesh_demand (const struct mesh *mesh);
+gboolean mesh_balance (struct mesh *mesh, struct shard_map *map,
+                       const GArray *holders, gint64 now, struct actions *out);
+
 /* Other nodes, mesh_pulse.c and mesh_watch.c.  */
 void mesh_pulse_step (struct mesh *mesh, gint64 now, struct actions *out);
 void mesh_take_call (struct mesh *mesh, const struct event_mesh_call *event,
--- a/src/mesh/mesh_plan.c
+++ b/src/mesh/mesh_plan.c
@@ -160,7 +160,8 @@
   holders = mesh_holders (mesh, service, now);
   duty.holders = holders;
   shard_map_copy (&map, known);
-  changed = shard_duty (&map, &duty);
+  changed = shard_duty (&map, &duty)
+            || mesh_balance (mesh, &map, holders, now, out);
   if (changed)
     propose_map (mesh, &map, now, out);
   else
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -198,7 +198,11 @@
   for (; handle_is_set (h); h = table_next (&mesh->transits, h))
     {
       const struct transit *transit = table_get (&mesh->transits, h);
-      if (transit->phase == TRANSIT_WAITING && transit->retry_at <= now)
+      if (transit->phase != TRANSIT_WAITING || transit->retry_at > now)
+        continue;
+      if (transit->request.from_peer)
+        mesh_admit (mesh, h, now, out);
+      else
         mesh_route_again (mesh, h, now, out);
     }
 }
--- /dev/null
+++ b/src/shard/heat.h
@@ -0,0 +1,30 @@
+#ifndef BAMBOOTALLY_HEAT_H
+#define BAMBOOTALLY_HEAT_H
+
+#include "types/shard_map.h"
+
+/* How often each key that this node owns is asked for, of late.  */
+
+struct heat
+{
+  guint32 *count;   /* by key, in parts of HEAT_UNIT */
+  guint64 total;    /* of all keys */
+  gint64 halve_at;  /* all counts are halved then */
+};
+
+/* A range of keys that is asked for about as often as was wanted.  */
+struct heat_range
+{
+  guint32 first; /* lowest key */
+  guint32 last;  /* highest key; below first: there is no such range */
+};
+
+void heat_init (struct heat *heat);
+void heat_clear (struct heat *heat);
+void heat_add (struct heat *heat, guint32 key);
+void heat_step (struct heat *heat, gint64 now);
+guint32 heat_rate (const struct heat *heat);
+struct heat_range heat_find (const struct heat *heat,
+                             const struct shard *shard, guint32 rate);
+
+#endif
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -23,6 +23,18 @@
   return keys;
 }
 
+/* Tell whether NAME is to be given keys that another still holds.  */
+gboolean
+shard_is_receiving (const struct shard_map *map, const char *name)
+{
+  guint i;
+
+  for (i = 0; i < map->shards->len; i++)
+    if (strcmp (shard_map_at (map, i)->next, name) == 0)
+      return TRUE;
+  return FALSE;
+}
+
 /* The holder called NAME, or NULL.  */
 const struct holder *
 shard_holder (const GArray *holders, const char *name)
--- a/src/shard/shard_place.h
+++ b/src/shard/shard_place.h
@@ -12,6 +12,7 @@
 const struct holder *shard_holder (const GArray *holders, const char *name);
 void shard_assign (struct shard_map *map, struct shard *shard,
                    const struct holder *holder, const char *token);
+gboolean shard_is_receiving (const struct shard_map *map, const char *name);
 gboolean shard_place_open (struct shard_map *map, const GArray *holders,
                            gint64 lost_before);
 gboolean shard_place_even (struct shard_map *map, const GArray *holders);
--- a/src/types/load_report.h
+++ b/src/types/load_report.h
@@ -11,6 +11,8 @@
   guint32 waiting; /* requests in the queue */
   guint32 slots;   /* requests that it runs at once; 0: none now */
   gint64 run_usec; /* mean time of a run */
+  guint32 demand;  /* thousandths of what the server can do that the keys it
+                      holds ask of it */
 };
 
 #endif
--- a/src/types/note.c
+++ b/src/types/note.c
@@ -67,7 +67,7 @@
   { NOTE_MESH_STOP, "mesh-stop" },
   { NOTE_MESH_SETTINGS, "mesh-settings" },
   { NOTE_MESH_BAD_INPUT, "mesh-bad-input" },
-  { NOTE_MESH_DROPPED, "mesh-dropped" },
+  { NOTE_MESH_BALANCE, "mesh-balance" },
 };
 
 /* Name an event as docs/EVENTS.md does.  */
--- a/src/types/note.h
+++ b/src/types/note.h
@@ -76,7 +76,7 @@
   NOTE_MESH_STOP = 631,      /* the process was asked to stop, or ends */
   NOTE_MESH_SETTINGS = 632,  /* the settings were read again */
   NOTE_MESH_BAD_INPUT = 633, /* something that does not decode was skipped */
-  NOTE_MESH_DROPPED = 634    /* log lines were dropped */
+  NOTE_MESH_BALANCE = 634    /* keys are to go to another server */
 };
 
 #define NOTE_DETAIL_SIZE 256u /* bytes in the inputs of a decision */
--- a/src/wire/wire_mesh.c
+++ b/src/wire/wire_mesh.c
@@ -6,7 +6,8 @@
 {
   return xdr_uint32_t (xdr, &load->running)
          && xdr_uint32_t (xdr, &load->waiting)
-         && xdr_uint32_t (xdr, &load->slots) && wire_i64 (xdr, &load->run_usec);
+         && xdr_uint32_t (xdr, &load->slots) && wire_i64 (xdr, &load->run_usec)
+         && xdr_uint32_t (xdr, &load->demand);
 }
 
 /* How a node is.  */
