--- a/src/decide/gate.c
+++ b/src/decide/gate.c
@@ -13,6 +13,7 @@
   gate->peak = 0;
   gate->peak_before = 0;
   gate->limit = 0;
+  gate->patience = 100;
   memset (&gate->pace, 0, sizeof gate->pace);
   server_load_init (&gate->load);
   gate->waiting = g_array_new (FALSE, TRUE, sizeof (struct gate_waiter));
@@ -163,7 +164,8 @@
             const struct request *request, gint64 now, enum reason *reason)
 {
   struct gate_waiter waiter
-      = { exchange, request->priority, request->deadline };
+      = { exchange, request->priority, request->deadline,
+          now + (request->deadline - now) * gate->patience / 100 };
 
   *reason = REASON_NONE;
   if (gate->slots == 0)
@@ -208,7 +210,7 @@
   return TRUE;
 }
 
-/* Take one request whose deadline has passed out of the queue.  Return FALSE
+/* Take one request that has waited as long as it may out of the queue.  Return FALSE
    if there is none.  */
 gboolean
 gate_expire (struct gate *gate, gint64 now, struct handle *exchange)
@@ -219,7 +221,7 @@
     {
       const struct gate_waiter *waiter
           = &g_array_index (gate->waiting, struct gate_waiter, i);
-      if (waiter->deadline > now)
+      if (waiter->until > now)
         continue;
       *exchange = waiter->exchange;
       g_array_remove_index (gate->waiting, i);
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -14,7 +14,8 @@
 {
   struct handle exchange; /* the request */
   enum priority priority; /* its priority */
-  gint64 deadline;        /* monotonic microseconds */
+  gint64 deadline;        /* microseconds */
+  gint64 until;           /* it waits no longer */
 };
 
 struct gate
@@ -24,6 +25,7 @@
   guint32 peak;  /* most slots in use since the last load report */
   guint32 peak_before;     /* most between the two reports before */
   guint32 limit;           /* requests that may wait */
+  guint32 patience;        /* percent of its time that a request may wait */
   struct pace pace;        /* how fast the server runs requests */
   struct server_load load; /* what it reports */
   GArray *waiting;         /* struct gate_waiter, first to run first */
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -135,6 +135,17 @@
   memset (&exchange->target, 0, sizeof exchange->target);
 }
 
+/* Begin another attempt: the request's body from its start, and nothing of an
+   answer that broke off.  */
+void
+exchange_restart (struct exchange *exchange)
+{
+  body_rewind (&exchange->in);
+  body_clear (&exchange->out);
+  body_init (&exchange->out);
+  g_clear_pointer (&exchange->head.headers, soup_message_headers_unref);
+}
+
 /* The core wants the attempt of H stopped.  */
 void
 exchange_cancel (struct proxy *proxy, struct handle h)
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -135,6 +135,7 @@
 void exchange_forward (struct proxy *proxy,
                        const struct action_forward *action);
 void exchange_cancel (struct proxy *proxy, struct handle h);
+void exchange_restart (struct exchange *exchange);
 void exchange_pump_in (struct exchange *exchange);
 void exchange_target_ended (struct exchange *exchange, enum outcome outcome,
                             enum reason reason);
--- a/src/edge/target_peer.c
+++ b/src/edge/target_peer.c
@@ -39,7 +39,7 @@
 
   if (exchange == NULL)
     return;
-  body_rewind (&exchange->in);
+  exchange_restart (exchange);
   exchange->head.retry_msec = 0;
   exchange->head.has_load = FALSE;
   memset (&exchange->head.stamp, 0, sizeof exchange->head.stamp);
--- a/src/edge/target_server.c
+++ b/src/edge/target_server.c
@@ -98,7 +98,9 @@
   else if (exchange->target.has_head)
     exchange_target_ended (exchange, OUTCOME_UNKNOWN, REASON_TRUNCATED);
   else if (!event->sent)
-    exchange_target_ended (exchange, OUTCOME_NOT_RUN, REASON_SERVER_DOWN);
+    exchange_target_ended (exchange, OUTCOME_NOT_RUN,
+                           event->code == ERR_TIMEOUT ? REASON_DEADLINE
+                                                      : REASON_SERVER_DOWN);
   else
     exchange_target_ended (exchange, OUTCOME_UNKNOWN, reason_of (event->code));
 }
@@ -151,7 +153,7 @@
 
   if (exchange == NULL)
     return;
-  body_rewind (&exchange->in);
+  exchange_restart (exchange);
   request.to = proxy->server;
   request.method = exchange->method;
   request.target = exchange->path;
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -1,5 +1,9 @@
 #include "mesh/mesh_parts.h"
 
+/* A request waits for a slot at most this share of the time that it has: one
+   that is then refused can still be served when it comes again.  */
+#define PATIENCE_PERCENT 40u
+
 /* It ends by itself so long before it would be killed.  */
 #define GRACE_MARGIN_USEC ((gint64)500000)
 
@@ -14,6 +18,7 @@
   roster_init (&mesh->roster);
   grant_init (&mesh->grant, now + settings->hold_max_usec);
   gate_init (&mesh->gate);
+  mesh->gate.patience = PATIENCE_PERCENT;
   heat_init (&mesh->heat);
   table_init (&mesh->upstreams, sizeof (struct upstream));
   table_init (&mesh->transits, sizeof (struct transit));
@@ -118,7 +123,7 @@
             struct actions *out)
 {
   gboolean idle = exchanges == 0 && mesh->transits.count == 0
-                  && now >= mesh->leave_at + MESH_LINGER_USEC;
+                  && mesh_is_closing (mesh, now);
   gboolean late = now >= mesh->leave_at + mesh->settings.grace_usec
                              - GRACE_MARGIN_USEC;
 
@@ -141,7 +146,7 @@
   mesh_session_step (mesh, now, out);
   mesh_plan_step (mesh, now, out);
   mesh_expire (mesh, now, out);
-  mesh_route_waiting (mesh, now, out);
+  mesh_route_waiting (mesh, FALSE, now, out);
   mesh_admit_next (mesh, now, out);
   leave_step (mesh, exchanges, now, out);
 }
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -2,6 +2,9 @@
 
 #define ADMIT_AGAIN_USEC ((gint64)20000) /* between looks for a grant */
 
+/* What its server has is ended in so long before the process is killed.  */
+#define CLOSE_MARGIN_USEC ((gint64)2000000)
+
 /* A server that leaves gets its last request so long before it must not get
    any: the way to it takes time.  */
 #define DRAIN_MARGIN_USEC ((gint64)400000)
@@ -34,6 +37,24 @@
          && strcmp (shard->owner, mesh->settings.name) == 0;
 }
 
+/* Tell whether this process, which was asked to stop, gives its server no more
+   requests: it has none of its own callers' left, or little time.  */
+gboolean
+mesh_is_closing (const struct mesh *mesh, gint64 now)
+{
+  struct handle h = table_next (&mesh->transits, HANDLE_NONE);
+
+  if (mesh->leave_at == 0 || now < mesh->leave_at + MESH_LINGER_USEC)
+    return FALSE;
+  if (now >= mesh->leave_at + mesh->settings.grace_usec - CLOSE_MARGIN_USEC)
+    return TRUE;
+  for (; handle_is_set (h); h = table_next (&mesh->transits, h))
+    if (!((const struct transit *)table_get (&mesh->transits, h))
+             ->request.from_peer)
+      return FALSE;
+  return TRUE;
+}
+
 /* Why the server here gets no request now, or REASON_NONE.  */
 static enum reason
 closed_for (const struct mesh *mesh, gint64 now)
@@ -42,7 +63,7 @@
 
   if (!life_is_set (&grant->life) || grant->dead)
     return REASON_SERVER_DOWN;
-  if (mesh->leave_at != 0 && now >= mesh->leave_at + MESH_LINGER_USEC)
+  if (mesh_is_closing (mesh, now))
     return REASON_DRAINING;
   if (grant_is_leaving (grant)
       && now >= grant->leave_at + mesh->settings.drain_usec
--- a/src/mesh/mesh_beat.c
+++ b/src/mesh/mesh_beat.c
@@ -1,9 +1,9 @@
 #include "mesh/mesh_parts.h"
 
-/* Keys are granted for three beats and the time that one may come late, so
-   that a lost beat or two does not cost the server its keys.  */
-#define HOLD_BEATS 3
-#define HOLD_LATE_USEC ((gint64)1000000)
+/* Keys are granted for two beats and the time that one may come late, so that
+   a lost beat does not cost the server its keys.  */
+#define HOLD_BEATS 2
+#define HOLD_LATE_USEC ((gint64)1200000)
 
 #define QUEUE_PER_SLOT 4u /* requests that may wait for each slot */
 
--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -3,6 +3,7 @@
 #define RETRY_LEAST_USEC ((gint64)50000)    /* shortest advice */
 #define RETRY_UNKNOWN_USEC ((gint64)250000) /* where no better is known */
 #define ROUTE_AGAIN_USEC ((gint64)25000)    /* before an owner is tried again */
+#define ROUTE_AGAIN_MOST 6u                 /* longest wait, as so many */
 
 /* An attempt needs so long at least: less is no use to the caller.  */
 #define ATTEMPT_LEAST_USEC ((gint64)30000)
@@ -108,7 +109,7 @@
   else if (keyed && is_about_owner (event->reason))
     {
       transit->phase = TRANSIT_WAITING;
-      transit->retry_at = now + ROUTE_AGAIN_USEC;
+      transit->retry_at = now + ROUTE_AGAIN_USEC * MIN (transit->tried, ROUTE_AGAIN_MOST);
       if (now - transit->came > left)
         mesh_refuse (mesh, exchange, event->reason, advice, now, out);
     }
@@ -265,7 +266,7 @@
   mesh_admit_next (mesh, now, out);
 }
 
-/* End the requests whose deadline passed while they waited.  */
+/* End the requests that have waited as long as they may.  */
 void
 mesh_expire (struct mesh *mesh, gint64 now, struct actions *out)
 {
@@ -273,7 +274,9 @@
 
   while (gate_expire (&mesh->gate, now, &h))
     if (table_get (&mesh->transits, h) != NULL)
-      mesh_refuse (mesh, h, REASON_DEADLINE, 0, now, out);
+      mesh_refuse (mesh, h, REASON_OVERLOAD,
+                   gate_retry_msec (&mesh->gate, now) * USEC_PER_MSEC, now,
+                   out);
   h = table_next (&mesh->transits, HANDLE_NONE);
   for (; handle_is_set (h); h = table_next (&mesh->transits, h))
     {
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -10,6 +10,11 @@
    by that it is not ready.  Then its server gets no more from it.  */
 #define MESH_LINGER_USEC ((gint64)2600000)
 
+/* Then callers that come all the same are sent away for as long as a process
+   takes to start again.  */
+#define MESH_TURN_AWAY_USEC ((gint64)3200000)
+#define MESH_RESTART_USEC ((gint64)800000)
+
 /* Notes, mesh_note.c.  */
 struct note *mesh_note (struct actions *out, enum note_id id,
                         const char *subject, const char *format, ...)
@@ -20,7 +25,8 @@
                        gint64 now, struct actions *out);
 void mesh_route_again (struct mesh *mesh, struct handle exchange, gint64 now,
                        struct actions *out);
-void mesh_route_waiting (struct mesh *mesh, gint64 now, struct actions *out);
+void mesh_route_waiting (struct mesh *mesh, gboolean all, gint64 now,
+                         struct actions *out);
 
 gboolean mesh_pay_retry (struct mesh *mesh, const struct transit *transit);
 
@@ -36,6 +42,7 @@
                             gint64 now);
 
 /* Admission to the server here, mesh_admit.c.  */
+gboolean mesh_is_closing (const struct mesh *mesh, gint64 now);
 void mesh_admit (struct mesh *mesh, struct handle exchange, gint64 now,
                  struct actions *out);
 void mesh_admit_next (struct mesh *mesh, gint64 now, struct actions *out);
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -156,6 +156,12 @@
             ? routing_match (mesh->routing, event->host, event->target)
             : NULL;
 
+  if (mesh->leave_at != 0 && now >= mesh->leave_at + MESH_TURN_AWAY_USEC)
+    {
+      mesh_refuse (mesh, event->exchange, REASON_DRAINING, MESH_RESTART_USEC,
+                   now, out);
+      return;
+    }
   if (route == NULL)
     {
       mesh_refuse (mesh, event->exchange, unmatched (mesh, now), 0, now, out);
@@ -189,16 +195,18 @@
   mesh_admit (mesh, event->exchange, now, out);
 }
 
-/* Route the requests whose wait is over.  */
+/* Route the requests whose wait is over, or ALL that wait.  */
 void
-mesh_route_waiting (struct mesh *mesh, gint64 now, struct actions *out)
+mesh_route_waiting (struct mesh *mesh, gboolean all, gint64 now,
+                    struct actions *out)
 {
   struct handle h = table_next (&mesh->transits, HANDLE_NONE);
 
   for (; handle_is_set (h); h = table_next (&mesh->transits, h))
     {
       const struct transit *transit = table_get (&mesh->transits, h);
-      if (transit->phase != TRANSIT_WAITING || transit->retry_at > now)
+      if (transit->phase != TRANSIT_WAITING
+          || (!all && transit->retry_at > now))
         continue;
       if (transit->request.from_peer)
         mesh_admit (mesh, h, now, out);
--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -100,7 +100,7 @@
       mesh->known = TRUE;
     }
   if (mesh->roster.changes != changes)
-    mesh_route_waiting (mesh, now, out);
+    mesh_route_waiting (mesh, TRUE, now, out);
 }
 
 /* Proposals */
--- a/src/shard/grant.c
+++ b/src/shard/grant.c
@@ -1,7 +1,7 @@
 #include "shard/grant.h"
 
 /* A server whose port refuses connections for so long, and sends no beat
-   meanwhile, is dead: nothing listens there.  */
+   meanwhile, gets no more requests.  */
 #define REFUSED_USEC ((gint64)100000)
 
 /* A server that sends no beat for so long is not counted on.  */
@@ -115,14 +115,15 @@
   return TRUE;
 }
 
-/* A connection to the server was refused at NOW.  Return TRUE once that proves
-   it dead.  */
+/* A connection to the server was refused at NOW.  Return TRUE once it is to be
+   taken for dead.  */
 gboolean
 grant_on_refused (struct grant *grant, gint64 now)
 {
   if (grant->refused_at == 0)
     grant->refused_at = now;
-  if (grant->dead || now - grant->refused_at < REFUSED_USEC)
+  if (grant->dead || now - grant->refused_at < REFUSED_USEC
+      || now - grant->beat_at < REFUSED_USEC)
     return FALSE;
   grant->dead = TRUE;
   return TRUE;
@@ -167,20 +168,21 @@
   return grant->draining || grant->left;
 }
 
-/* Tell whether nothing that was granted can be held any more.  */
+/* Tell whether nothing that was granted can be held any more.  That a port
+   refuses connections does not prove that: a full server refuses some too.  */
 gboolean
 grant_is_over (const struct grant *grant, gint64 now)
 {
-  return grant->dead || now >= grant->hold_until;
+  return now >= grant->hold_until;
 }
 
 /* Tell whether the server can be counted on no more and holds nothing.  */
 gboolean
 grant_is_gone (const struct grant *grant, gint64 now)
 {
-  return grant->dead
-         || (grant_is_over (grant, now)
-             && (grant->left || now - grant->beat_at >= SILENT_USEC));
+  return grant_is_over (grant, now)
+         && (grant->dead || grant->left
+             || now - grant->beat_at >= SILENT_USEC);
 }
 
 /* Tell whether the server does not hold any key of SHARD any more.  TOKEN is
--- a/src/shard/grant.h
+++ b/src/shard/grant.h
@@ -22,7 +22,7 @@
   gboolean heard;             /* it has sent a beat to this process */
   gboolean draining;          /* it has said that it leaves */
   gboolean left;              /* it has said goodbye */
-  gboolean dead;              /* proved: that life is over */
+  gboolean dead;              /* it seems to have ended: nothing listens */
   gint64 leave_at;            /* when its leaving was acknowledged, 0: not */
   gint64 beat_at;             /* when its last beat came, 0: never */
   gint64 warm_at;             /* it is slow until then */
