--- a/src/decide/gate.c
+++ b/src/decide/gate.c
@@ -210,8 +210,8 @@
   return TRUE;
 }
 
-/* Take one request that has waited as long as it may out of the queue.  Return FALSE
-   if there is none.  */
+/* Take one request that has waited as long as it may out of the queue.  Return
+   FALSE if there is none.  */
 gboolean
 gate_expire (struct gate *gate, gint64 now, struct handle *exchange)
 {
--- a/src/edge/latency.c
+++ b/src/edge/latency.c
@@ -58,8 +58,7 @@
         g_string_append_printf (text, "%s_ms_bucket{le=\"%g\"} %.0f\n", name,
                                 high, total);
     }
-  g_string_append_printf (text,
-                          "%s_ms_sum %.3f\n%s_ms_count %" G_GUINT64_FORMAT
-                          "\n",
-                          name, latency->sum, name, latency->count);
+  g_string_append_printf (
+      text, "%s_ms_sum %.3f\n%s_ms_count %" G_GUINT64_FORMAT "\n", name,
+      latency->sum, name, latency->count);
 }
--- a/src/edge/mesh_config.c
+++ b/src/edge/mesh_config.c
@@ -79,10 +79,10 @@
     {
       mesh->hold_max_usec = ini_usec (ini, section, "hold-max-ms",
                                       USEC_PER_MSEC, HOLD_MAX_USEC_DEFAULT);
-      mesh->drain_usec
-          = ini_usec (ini, section, "drain-ms", USEC_PER_MSEC, DRAIN_USEC_DEFAULT);
-      mesh->grace_usec
-          = ini_usec (ini, section, "grace-seconds", USEC_PER_SEC, GRACE_USEC_DEFAULT);
+      mesh->drain_usec = ini_usec (ini, section, "drain-ms", USEC_PER_MSEC,
+                                   DRAIN_USEC_DEFAULT);
+      mesh->grace_usec = ini_usec (ini, section, "grace-seconds", USEC_PER_SEC,
+                                   GRACE_USEC_DEFAULT);
     }
   else if (strcmp (section->kind, "journal") == 0)
     ini_copy (ini, section, "level", config->log_level,
--- a/src/edge/mesh_front.c
+++ b/src/edge/mesh_front.c
@@ -37,8 +37,8 @@
 
   if (socket == NULL)
     return code;
-  node->front = soup_server_new ("server-header", "bambootally",
-                                 "raw-paths", TRUE, NULL);
+  node->front = soup_server_new ("server-header", "bambootally", "raw-paths",
+                                 TRUE, NULL);
   soup_server_add_early_handler (node->front, NULL, on_early, node, NULL);
   soup_server_add_handler (node->front, NULL, on_whole, node, NULL);
   if (!soup_server_listen_socket (node->front, socket, 0, NULL))
--- a/src/edge/mesh_node.c
+++ b/src/edge/mesh_node.c
@@ -7,8 +7,8 @@
 #include <sys/random.h>
 #include <sys/stat.h>
 
-#define TICK_MSEC 25u                         /* the core is woken so often */
-#define FILE_EVERY_USEC ((gint64)1000000)     /* looks at the settings file */
+#define TICK_MSEC 25u                     /* the core is woken so often */
+#define FILE_EVERY_USEC ((gint64)1000000) /* looks at the settings file */
 
 /* Events */
 
@@ -198,10 +198,8 @@
 static enum err
 init_proxy (struct mesh_node *node)
 {
-  const struct proxy_owner owner
-      = { on_proxy_event, mesh_node_on_link, node };
-  enum err code
-      = proxy_init (&node->proxy, node->config.mesh.peer, &owner);
+  const struct proxy_owner owner = { on_proxy_event, mesh_node_on_link, node };
+  enum err code = proxy_init (&node->proxy, node->config.mesh.peer, &owner);
 
   node->proxy.self = node->mesh.settings.incarnation;
   node->proxy.server = node->config.mesh.server;
@@ -216,8 +214,8 @@
 init_store (struct mesh_node *node)
 {
   store_init (&node->store, &node->proxy.http, node->config.store);
-  feed_init (&node->fleet_feed, &node->store, STORE_TOPIC_FLEET, mesh_node_on_fleet,
-             node);
+  feed_init (&node->fleet_feed, &node->store, STORE_TOPIC_FLEET,
+             mesh_node_on_fleet, node);
   feed_init (&node->config_feed, &node->store, STORE_TOPIC_CONFIG,
              mesh_node_on_config, node);
 }
--- a/src/edge/mesh_node_do.c
+++ b/src/edge/mesh_node_do.c
@@ -49,8 +49,8 @@
   job->node = node;
   job->serial = action->serial;
   node->proxy.counters.appends++;
-  store_append (&node->store, STORE_TOPIC_FLEET, action->at, action->record.key,
-                bytes, on_appended, job);
+  store_append (&node->store, STORE_TOPIC_FLEET, action->at,
+                action->record.key, bytes, on_appended, job);
   if (bytes != NULL)
     g_byte_array_unref (bytes);
 }
@@ -99,8 +99,7 @@
                           : wire_fleet_encode (&action->record);
 
   call.u.append.at = action->at;
-  g_strlcpy (call.u.append.key, action->record.key,
-             sizeof call.u.append.key);
+  g_strlcpy (call.u.append.key, action->record.key, sizeof call.u.append.key);
   call.u.append.bytes = bytes->data;
   call.u.append.length = bytes->len;
   links_call (&node->proxy.links, action->to, RPC_MESH, wire_mesh_call, &call,
--- a/src/fleet/roster.c
+++ b/src/fleet/roster.c
@@ -16,7 +16,8 @@
 {
   memset (roster, 0, sizeof *roster);
   table_init (&roster->members, sizeof (struct fleet_member));
-  roster->by_name = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  roster->by_name
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   roster->maps = g_ptr_array_new_with_free_func (free_map);
   roster->suspects = g_array_new (FALSE, TRUE, sizeof (struct fleet_suspect));
   roster->key_offset
@@ -132,8 +133,8 @@
 
 /* Take in who holds the keys of a service.  */
 static void
-fold_map (struct roster *roster, const struct shard_map *record, guint64 offset,
-          gint64 now)
+fold_map (struct roster *roster, const struct shard_map *record,
+          guint64 offset, gint64 now)
 {
   struct shard_map *known = roster_map (roster, record->service);
   struct shard_map *map = g_new0 (struct shard_map, 1);
@@ -182,7 +183,8 @@
 
 /* Fold ENTRY at NOW.  Return FALSE if a later record of its key is known.  */
 gboolean
-roster_fold (struct roster *roster, const struct fleet_entry *entry, gint64 now)
+roster_fold (struct roster *roster, const struct fleet_entry *entry,
+             gint64 now)
 {
   const struct fleet_record *record = &entry->record;
   guint64 *offset = g_hash_table_lookup (roster->key_offset, record->key);
--- a/src/fleet/roster.h
+++ b/src/fleet/roster.h
@@ -24,14 +24,15 @@
 void roster_init (struct roster *roster);
 void roster_clear (struct roster *roster);
 gboolean roster_fold (struct roster *roster, const struct fleet_entry *entry,
-                     gint64 now);
+                      gint64 now);
 void roster_reach (struct roster *roster, guint64 next);
 struct handle roster_find (const struct roster *roster, const char *name);
 const struct fleet_member *roster_member_at (const struct roster *roster,
-                                            struct handle h);
+                                             struct handle h);
 const struct fleet_member *roster_member_named (const struct roster *roster,
-                                               const char *name);
-struct shard_map *roster_map (const struct roster *roster, const char *service);
+                                                const char *name);
+struct shard_map *roster_map (const struct roster *roster,
+                              const char *service);
 guint32 roster_crashes (const struct roster *roster, guint64 digest);
 GArray *roster_since (const struct roster *roster, guint64 offset);
 
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -124,8 +124,8 @@
 {
   gboolean idle = exchanges == 0 && mesh->transits.count == 0
                   && mesh_is_closing (mesh, now);
-  gboolean late = now >= mesh->leave_at + mesh->settings.grace_usec
-                             - GRACE_MARGIN_USEC;
+  gboolean late
+      = now >= mesh->leave_at + mesh->settings.grace_usec - GRACE_MARGIN_USEC;
 
   if (mesh->leave_at == 0 || mesh->exited || (!idle && !late))
     return;
@@ -151,7 +151,7 @@
   leave_step (mesh, exchanges, now, out);
 }
 
-/* Take in EVENT at NOW, in microseconds, and add to OUT what is to be done.  */
+/* Take in EVENT at NOW, in microseconds, and add to OUT what is to be done. */
 void
 mesh_step (struct mesh *mesh, const struct event *event, gint64 now,
            struct actions *out)
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -82,14 +82,14 @@
 
   transit->phase = TRANSIT_RUNNING;
   transit->sent = now;
-  mesh_note (out, NOTE_MESH_RUN, transit->request.id,
-             "server=%s key=%s waited_ms=%" G_GINT64_FORMAT
-             " left_ms=%" G_GINT64_FORMAT " busy=%u/%u beat_ms=%" G_GINT64_FORMAT,
-             mesh->grant.life.id, transit->request.key,
-             (now - transit->came) / USEC_PER_MSEC,
-             (transit->request.deadline - now) / USEC_PER_MSEC,
-             mesh->gate.busy, mesh->gate.slots,
-             (now - mesh->grant.beat_at) / USEC_PER_MSEC);
+  mesh_note (
+      out, NOTE_MESH_RUN, transit->request.id,
+      "server=%s key=%s waited_ms=%" G_GINT64_FORMAT
+      " left_ms=%" G_GINT64_FORMAT " busy=%u/%u beat_ms=%" G_GINT64_FORMAT,
+      mesh->grant.life.id, transit->request.key,
+      (now - transit->came) / USEC_PER_MSEC,
+      (transit->request.deadline - now) / USEC_PER_MSEC, mesh->gate.busy,
+      mesh->gate.slots, (now - mesh->grant.beat_at) / USEC_PER_MSEC);
   action = &actions_add (out, ACTION_RUN)->u.run;
   action->exchange = exchange;
   action->attempt_id = ++mesh->attempt;
@@ -174,7 +174,7 @@
     pass_gate (mesh, exchange, now, out);
 }
 
-/* Tell why TRANSIT, which waited, cannot run here any more, or REASON_NONE.  */
+/* Tell why TRANSIT, which waited, cannot run here any more, or REASON_NONE. */
 static enum reason
 lost_claim (const struct mesh *mesh, const struct transit *transit, gint64 now)
 {
--- a/src/mesh/mesh_beat.c
+++ b/src/mesh/mesh_beat.c
@@ -26,8 +26,7 @@
   const struct shard_map *map
       = roster_map (&mesh->roster, mesh->settings.service);
   GArray *holders = mesh_holders (mesh, mesh->settings.service, now);
-  struct duty duty
-      = { mesh->settings.name, &mesh->grant, holders, now };
+  struct duty duty = { mesh->settings.name, &mesh->grant, holders, now };
 
   answer->hold_usec = hold_time (mesh, now);
   answer->renews = map != NULL && mesh->known && answer->hold_usec > 0;
@@ -52,15 +51,15 @@
                beat->cold_usec / USEC_PER_MSEC);
   if (beat->freed > 0 || beat->held != answer->count || beat->draining
       || news != GRANT_SAME)
-    mesh_note (out, NOTE_MESH_BEAT, beat->life.id,
-               "number=%" G_GUINT64_FORMAT " held=%u freed=%u draining=%d "
-               "given=%u hold_ms=%" G_GINT64_FORMAT
-               " records=%" G_GUINT64_FORMAT " session_ms=%" G_GINT64_FORMAT,
-               beat->number, beat->held, beat->freed, beat->draining,
-               answer->count,
-               answer->renews ? answer->hold_usec / USEC_PER_MSEC : 0,
-               mesh->roster.next,
-               session_left (&mesh->session, mesh->stepped_at) / USEC_PER_MSEC);
+    mesh_note (
+        out, NOTE_MESH_BEAT, beat->life.id,
+        "number=%" G_GUINT64_FORMAT " held=%u freed=%u draining=%d "
+        "given=%u hold_ms=%" G_GINT64_FORMAT " records=%" G_GUINT64_FORMAT
+        " session_ms=%" G_GINT64_FORMAT,
+        beat->number, beat->held, beat->freed, beat->draining, answer->count,
+        answer->renews ? answer->hold_usec / USEC_PER_MSEC : 0,
+        mesh->roster.next,
+        session_left (&mesh->session, mesh->stepped_at) / USEC_PER_MSEC);
 }
 
 /* Refuse the beat CALL with CODE.  */
--- a/src/mesh/mesh_budget.h
+++ b/src/mesh/mesh_budget.h
@@ -8,7 +8,7 @@
 
 struct mesh_budget
 {
-  char service[NAME_SIZE];     /* the service */
+  char service[NAME_SIZE];    /* the service */
   struct retry_budget budget; /* what is left */
 };
 
--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -2,8 +2,8 @@
 
 #define RETRY_LEAST_USEC ((gint64)50000)    /* shortest advice */
 #define RETRY_UNKNOWN_USEC ((gint64)250000) /* where no better is known */
-#define ROUTE_AGAIN_USEC ((gint64)25000)    /* before an owner is tried again */
-#define ROUTE_AGAIN_MOST 6u                 /* longest wait, as so many */
+#define ROUTE_AGAIN_USEC ((gint64)25000) /* before an owner is tried again */
+#define ROUTE_AGAIN_MOST 6u              /* longest wait, as so many */
 
 /* An attempt needs so long at least: less is no use to the caller.  */
 #define ATTEMPT_LEAST_USEC ((gint64)30000)
@@ -109,7 +109,8 @@
   else if (keyed && is_about_owner (event->reason))
     {
       transit->phase = TRANSIT_WAITING;
-      transit->retry_at = now + ROUTE_AGAIN_USEC * MIN (transit->tried, ROUTE_AGAIN_MOST);
+      transit->retry_at
+          = now + ROUTE_AGAIN_USEC * MIN (transit->tried, ROUTE_AGAIN_MOST);
       if (now - transit->came > left)
         mesh_refuse (mesh, exchange, event->reason, advice, now, out);
     }
@@ -186,10 +187,9 @@
     }
   if (event->reason == REASON_DEADLINE)
     return;
-  breaker_on_ended (&upstream->breaker,
-                    event->reason == REASON_PEER_LOST ? BREAKER_LOST
-                                                      : BREAKER_REACHED,
-                    now);
+  breaker_on_ended (
+      &upstream->breaker,
+      event->reason == REASON_PEER_LOST ? BREAKER_LOST : BREAKER_REACHED, now);
 }
 
 /* Say that an attempt ended without an answer.  */
--- a/src/mesh/mesh_pick.c
+++ b/src/mesh/mesh_pick.c
@@ -63,9 +63,9 @@
     case SHARD_FREE:
       return none (REASON_NO_OWNER, HANDOVER_USEC);
     case SHARD_LOST:
-      return none (REASON_LEASE, MAX (0, shard->since + SESSION_WAIT_USEC
-                                             - now)
-                                     + HANDOVER_USEC);
+      return none (REASON_LEASE,
+                   MAX (0, shard->since + SESSION_WAIT_USEC - now)
+                       + HANDOVER_USEC);
     case SHARD_HELD:
       break;
     }
@@ -120,8 +120,7 @@
 
   for (; handle_is_set (h); h = table_next (&mesh->roster.members, h))
     {
-      const struct fleet_member *member
-          = roster_member_at (&mesh->roster, h);
+      const struct fleet_member *member = roster_member_at (&mesh->roster, h);
       gint64 cost;
       if (!takes (mesh, member, transit->request.service, h)
           || !is_reachable (mesh, member, h, now) || was_tried (transit, h))
--- a/src/mesh/mesh_plan.c
+++ b/src/mesh/mesh_plan.c
@@ -20,8 +20,7 @@
 
   for (; handle_is_set (h); h = table_next (&mesh->roster.members, h))
     {
-      const struct fleet_member *member
-          = roster_member_at (&mesh->roster, h);
+      const struct fleet_member *member = roster_member_at (&mesh->roster, h);
       const struct upstream *upstream = table_get (&mesh->upstreams, h);
       gboolean self = strcmp (member->name, mesh->settings.name) == 0;
       struct holder holder = { .weight = MAX (1, member->slots) };
@@ -185,8 +184,8 @@
 {
   gboolean changed = mark_lost (mesh, map, now);
 
-  changed = shard_place_open (map, holders, now - SESSION_WAIT_USEC)
-            || changed;
+  changed
+      = shard_place_open (map, holders, now - SESSION_WAIT_USEC) || changed;
   if (changed || now < mesh->even_at || !is_settled (mesh, now))
     return changed;
   mesh->even_at = now + EVEN_EVERY_USEC;
@@ -242,8 +241,7 @@
 
   for (; handle_is_set (h); h = table_next (&mesh->roster.members, h))
     {
-      const struct fleet_member *member
-          = roster_member_at (&mesh->roster, h);
+      const struct fleet_member *member = roster_member_at (&mesh->roster, h);
       const struct upstream *upstream = table_get (&mesh->upstreams, h);
       struct fleet_record record = { .kind = FLEET_DROPPED };
       if (upstream == NULL
@@ -269,8 +267,8 @@
     return;
   for (i = 0; i < mesh->routing->services->len; i++)
     {
-      const struct route_service *service = &g_array_index (
-          mesh->routing->services, struct route_service, i);
+      const struct route_service *service
+          = &g_array_index (mesh->routing->services, struct route_service, i);
       if (service->divided && propose_plan (mesh, service->name, now, out))
         return;
     }
--- a/src/mesh/mesh_pulse.c
+++ b/src/mesh/mesh_pulse.c
@@ -7,7 +7,7 @@
 /* A node that a peer is ahead of for so long fetches what it lacks from that
    peer: its own read of the store should have come by then.  */
 #define BEHIND_USEC ((gint64)150000)
-#define FETCH_EVERY_USEC ((gint64)200000)  /* between fetches */
+#define FETCH_EVERY_USEC ((gint64)200000)   /* between fetches */
 #define FETCH_TIMEOUT_USEC ((gint64)900000) /* for the reply */
 
 /* What is said */
@@ -21,8 +21,7 @@
   for (; handle_is_set (h); h = table_next (&mesh->upstreams, h))
     {
       const struct upstream *upstream = table_get (&mesh->upstreams, h);
-      const struct fleet_member *member
-          = roster_member_at (&mesh->roster, h);
+      const struct fleet_member *member = roster_member_at (&mesh->roster, h);
       if (member == NULL || !upstream->silent
           || pulse->silent_count >= PULSE_SILENT_MAX)
         continue;
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -99,8 +99,8 @@
                 gint64 now, struct actions *out)
 {
   gint64 left = transit->request.deadline - now;
-  gint64 until
-      = transit->came + (transit->request.deadline - transit->came) / WAIT_SHARE;
+  gint64 until = transit->came
+                 + (transit->request.deadline - transit->came) / WAIT_SHARE;
 
   if (transit->request.from_peer || now >= until || pick->wait_usec > left / 2
       || pick->reason == REASON_NO_KEY)
@@ -132,7 +132,8 @@
       >= SUSPECT_QUARANTINED)
     {
       mesh_note (out, NOTE_MESH_POISON, transit->request.id,
-                 "digest=%016" G_GINT64_MODIFIER "x crashes=%u outcome=refused",
+                 "digest=%016" G_GINT64_MODIFIER
+                 "x crashes=%u outcome=refused",
                  transit->request.digest,
                  roster_crashes (&mesh->roster, transit->request.digest));
       mesh_refuse (mesh, exchange, REASON_QUARANTINED, 0, now, out);
--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -6,7 +6,7 @@
 #define CONFIRM_RANK_USEC ((gint64)300000)
 #define CONFIRM_EVERY_USEC ((gint64)600000) /* between reads of one node */
 
-#define PROPOSE_AGAIN_USEC ((gint64)150000) /* after one that failed */
+#define PROPOSE_AGAIN_USEC ((gint64)150000)  /* after one that failed */
 #define RELAY_TIMEOUT_USEC ((gint64)1200000) /* for an append by a peer */
 
 /* Records that were read */
@@ -23,22 +23,24 @@
     {
     case FLEET_MEMBER:
       mesh_note (out, NOTE_MESH_MEMBER, member->name,
-                 "offset=%" G_GUINT64_FORMAT " server=%s born=%" G_GINT64_FORMAT
+                 "offset=%" G_GUINT64_FORMAT
+                 " server=%s born=%" G_GINT64_FORMAT
                  " service=%s zone=%s state=%d",
                  entry->offset, member->life.id, member->life.born,
                  member->service, member->zone, member->state);
       break;
     case FLEET_MAP:
       mesh_note (out, NOTE_MESH_KEYS, record->u.map.service,
-                 "offset=%" G_GUINT64_FORMAT " shards=%u own=%u fence=%" G_GUINT64_FORMAT,
+                 "offset=%" G_GUINT64_FORMAT
+                 " shards=%u own=%u fence=%" G_GUINT64_FORMAT,
                  entry->offset, record->u.map.shards->len,
                  shard_share (&record->u.map, mesh->settings.name),
                  record->u.map.next_fence);
       break;
     case FLEET_SUSPECT:
       mesh_note (out, NOTE_MESH_POISON, "",
-                 "offset=%" G_GUINT64_FORMAT
-                 " digest=%016" G_GINT64_MODIFIER "x crashes=%u",
+                 "offset=%" G_GUINT64_FORMAT " digest=%016" G_GINT64_MODIFIER
+                 "x crashes=%u",
                  entry->offset, record->u.suspect.digest,
                  record->u.suspect.crashes);
       break;
@@ -215,7 +217,8 @@
   if (!proposal->pending || event->serial != proposal->serial)
     return;
   mesh_note (out, NOTE_MESH_PROPOSED, proposal->record.key,
-             "serial=%" G_GUINT64_FORMAT " outcome=%s offset=%" G_GUINT64_FORMAT
+             "serial=%" G_GUINT64_FORMAT
+             " outcome=%s offset=%" G_GUINT64_FORMAT
              " took_ms=%" G_GINT64_FORMAT,
              event->serial, err_name (event->code), event->offset,
              (now - proposal->begun) / USEC_PER_MSEC);
@@ -227,9 +230,9 @@
   proposal->pending = FALSE;
   fleet_record_clear (&proposal->record);
   if (event->code != ERR_NONE)
-    mesh->propose_at = now + (event->code == ERR_CONFLICT
-                                  ? PROPOSE_AGAIN_USEC / 3
-                                  : PROPOSE_AGAIN_USEC);
+    mesh->propose_at = now
+                       + (event->code == ERR_CONFLICT ? PROPOSE_AGAIN_USEC / 3
+                                                      : PROPOSE_AGAIN_USEC);
 }
 
 /* Session */
@@ -240,18 +243,17 @@
 mesh_session_step (struct mesh *mesh, gint64 now, struct actions *out)
 {
   gint64 age = session_age (&mesh->session, now);
-  gint64 due = CONFIRM_AFTER_USEC
-               + CONFIRM_RANK_USEC * (gint64)mesh_rank (mesh, now);
+  gint64 due
+      = CONFIRM_AFTER_USEC + CONFIRM_RANK_USEC * (gint64)mesh_rank (mesh, now);
   gboolean live = session_left (&mesh->session, now) > 0;
 
   if (live != mesh->had_session)
     {
       mesh->had_session = live;
-      mesh_note (out, NOTE_MESH_SESSION, mesh->settings.name,
-                 "outcome=%s age_ms=%" G_GINT64_FORMAT
-                 " records=%" G_GUINT64_FORMAT,
-                 live ? "live" : "lapsed", age / USEC_PER_MSEC,
-                 mesh->roster.next);
+      mesh_note (
+          out, NOTE_MESH_SESSION, mesh->settings.name,
+          "outcome=%s age_ms=%" G_GINT64_FORMAT " records=%" G_GUINT64_FORMAT,
+          live ? "live" : "lapsed", age / USEC_PER_MSEC, mesh->roster.next);
     }
   if (!mesh->known || (age >= 0 && age < due)
       || now - mesh->confirm_at < CONFIRM_EVERY_USEC)
--- a/src/mesh/mesh_watch.c
+++ b/src/mesh/mesh_watch.c
@@ -58,8 +58,7 @@
   for (; handle_is_set (h); h = table_next (&mesh->upstreams, h))
     {
       const struct upstream *upstream = table_get (&mesh->upstreams, h);
-      const struct fleet_member *member
-          = roster_member_at (&mesh->roster, h);
+      const struct fleet_member *member = roster_member_at (&mesh->roster, h);
       if (member != NULL && upstream->heard != 0
           && upstream_is_heard (upstream, now) && !upstream->leaving
           && !upstream->store_lost
@@ -94,8 +93,7 @@
 
   for (; handle_is_set (h); h = table_next (&mesh->roster.members, h))
     {
-      const struct fleet_member *member
-          = roster_member_at (&mesh->roster, h);
+      const struct fleet_member *member = roster_member_at (&mesh->roster, h);
       struct upstream *upstream;
       if (strcmp (member->name, mesh->settings.name) == 0)
         continue;
--- a/src/shard/grant.c
+++ b/src/shard/grant.c
@@ -30,7 +30,9 @@
   g_array_free (grant->freed, TRUE);
 }
 
-/* Another life of the server has begun; it holds nothing.  */
+/* Another life of the server has begun.  It holds nothing yet, unless this
+   process has never heard the server: then an earlier one may have granted it
+   something.  */
 static void
 begin_life (struct grant *grant, const struct life *life)
 {
@@ -43,7 +45,8 @@
   grant->refused_at = 0;
   grant->held = 0;
   grant->given = 0;
-  grant->hold_until = 0;
+  if (grant->heard)
+    grant->hold_until = 0;
   g_array_set_size (grant->freed, 0);
 }
 
--- a/src/shard/grant.h
+++ b/src/shard/grant.h
@@ -16,23 +16,23 @@
 
 struct grant
 {
-  struct life life;           /* of the server; empty: never heard of */
-  guint64 number;             /* of the last beat */
-  guint32 slots;              /* requests that it runs at once */
-  gboolean heard;             /* it has sent a beat to this process */
-  gboolean draining;          /* it has said that it leaves */
-  gboolean left;              /* it has said goodbye */
-  gboolean dead;              /* it seems to have ended: nothing listens */
-  gint64 leave_at;            /* when its leaving was acknowledged, 0: not */
-  gint64 beat_at;             /* when its last beat came, 0: never */
-  gint64 warm_at;             /* it is slow until then */
-  gint64 refused_at;          /* first refused connection since, 0: none */
-  gint64 hold_until;          /* nothing granted lasts longer */
-  struct beat_row *hold;      /* what it holds by its last beat */
-  guint32 held;               /* rows of it */
-  struct beat_row *give;      /* what it was granted last */
-  guint32 given;              /* rows of it */
-  GArray *freed;              /* struct beat_row: tokens not used yet */
+  struct life life;      /* of the server; empty: never heard of */
+  guint64 number;        /* of the last beat */
+  guint32 slots;         /* requests that it runs at once */
+  gboolean heard;        /* it has sent a beat to this process */
+  gboolean draining;     /* it has said that it leaves */
+  gboolean left;         /* it has said goodbye */
+  gboolean dead;         /* it seems to have ended: nothing listens */
+  gint64 leave_at;       /* when its leaving was acknowledged, 0: not */
+  gint64 beat_at;        /* when its last beat came, 0: never */
+  gint64 warm_at;        /* it is slow until then */
+  gint64 refused_at;     /* first refused connection since, 0: none */
+  gint64 hold_until;     /* nothing granted lasts longer */
+  struct beat_row *hold; /* what it holds by its last beat */
+  guint32 held;          /* rows of it */
+  struct beat_row *give; /* what it was granted last */
+  guint32 given;         /* rows of it */
+  GArray *freed;         /* struct beat_row: tokens not used yet */
 };
 
 enum grant_news
--- a/src/shard/heat.c
+++ b/src/shard/heat.c
@@ -1,7 +1,7 @@
 #include "shard/heat.h"
 
-#define HEAT_UNIT 1024u                  /* one request */
-#define HALVE_USEC ((gint64)1000000)     /* between halvings */
+#define HEAT_UNIT 1024u              /* one request */
+#define HALVE_USEC ((gint64)1000000) /* between halvings */
 
 /* Counts that are halved every second settle, between two halvings, around one
    and a half of what comes in a second.  */
--- a/src/shard/heat.h
+++ b/src/shard/heat.h
@@ -7,9 +7,9 @@
 
 struct heat
 {
-  guint32 *count;   /* by key, in parts of HEAT_UNIT */
-  guint64 total;    /* of all keys */
-  gint64 halve_at;  /* all counts are halved then */
+  guint32 *count;  /* by key, in parts of HEAT_UNIT */
+  guint64 total;   /* of all keys */
+  gint64 halve_at; /* all counts are halved then */
 };
 
 /* A range of keys that is asked for about as often as was wanted.  */
--- a/src/shard/shard_duty.c
+++ b/src/shard/shard_duty.c
@@ -4,9 +4,8 @@
 static gboolean
 has_others (const struct duty *duty)
 {
-  return duty->holders->len > (shard_holder (duty->holders, duty->self) != NULL
-                                   ? 1u
-                                   : 0u);
+  return duty->holders->len
+         > (shard_holder (duty->holders, duty->self) != NULL ? 1u : 0u);
 }
 
 /* Tell whether the server is to give SHARD, which this node owns, up.  One
--- a/src/shard/shard_duty.h
+++ b/src/shard/shard_duty.h
@@ -10,10 +10,10 @@
 /* Who asks.  */
 struct duty
 {
-  const char *self;           /* this node */
-  const struct grant *grant;  /* its server */
-  const GArray *holders;      /* struct holder: who may take keys */
-  gint64 now;                 /* microseconds */
+  const char *self;          /* this node */
+  const struct grant *grant; /* its server */
+  const GArray *holders;     /* struct holder: who may take keys */
+  gint64 now;                /* microseconds */
 };
 
 gboolean shard_duty (struct shard_map *map, const struct duty *duty);
--- a/src/types/action.h
+++ b/src/types/action.h
@@ -158,19 +158,19 @@
 /* Answer a beat.  The answer belongs to the action.  */
 struct action_beat_answer
 {
-  guint32 call;              /* the beat */
-  enum err code;             /* ERR_NONE, or why it is refused */
+  guint32 call;               /* the beat */
+  enum err code;              /* ERR_NONE, or why it is refused */
   struct beat_answer *answer; /* what the server is to hold, or NULL */
 };
 
 /* Call another node.  */
 struct action_mesh_call
 {
-  guint64 serial;         /* comes back with the reply */
-  struct handle member;   /* member that is called */
-  struct address to;      /* where it listens */
-  gint64 deadline;        /* when to give up, microseconds */
-  struct mesh_call call;  /* what to say: a pulse, or what to fetch */
+  guint64 serial;        /* comes back with the reply */
+  struct handle member;  /* member that is called */
+  struct address to;     /* where it listens */
+  gint64 deadline;       /* when to give up, microseconds */
+  struct mesh_call call; /* what to say: a pulse, or what to fetch */
 };
 
 /* Reply to another node.  */
@@ -184,17 +184,17 @@
 /* Reply with what another node lacks.  */
 struct action_fetch_reply
 {
-  struct handle link;       /* connection the call came on */
-  guint32 xid;              /* its number there */
-  struct mesh_fetch fetch;  /* what it knows */
+  struct handle link;      /* connection the call came on */
+  guint32 xid;             /* its number there */
+  struct mesh_fetch fetch; /* what it knows */
 };
 
 /* Append a record for another node and reply how it ended.  */
 struct action_append_for
 {
-  struct handle link;         /* connection the call came on */
-  guint32 xid;                /* its number there */
-  struct mesh_append append;  /* bytes in it belong to it */
+  struct handle link;        /* connection the call came on */
+  guint32 xid;               /* its number there */
+  struct mesh_append append; /* bytes in it belong to it */
 };
 
 /* An action.  */
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -13,20 +13,20 @@
 
 enum event_kind
 {
-  EVENT_TICK,          /* time has passed */
-  EVENT_RECORDS,       /* records were read from the log or a peer */
-  EVENT_LOG_FAILED,    /* a read of the log failed */
-  EVENT_APPENDED,      /* an append ended */
-  EVENT_SERVER_UP,     /* the backend server announced itself */
-  EVENT_SERVER_LOAD,   /* the backend server reported its load */
-  EVENT_SERVER_DOWN,   /* the backend server cannot be reached */
-  EVENT_REQUEST,       /* a request arrived */
-  EVENT_ENDED,         /* an attempt ended */
-  EVENT_GONE,          /* the caller or peer of a request went away */
-  EVENT_PEER_CALL,     /* another node calls */
-  EVENT_PEER_REPLY,    /* another node replied, or failed to */
-  EVENT_DRAIN,         /* leave gracefully */
-  EVENT_SNAPSHOT,      /* a snapshot of the view was decoded */
+  EVENT_TICK,           /* time has passed */
+  EVENT_RECORDS,        /* records were read from the log or a peer */
+  EVENT_LOG_FAILED,     /* a read of the log failed */
+  EVENT_APPENDED,       /* an append ended */
+  EVENT_SERVER_UP,      /* the backend server announced itself */
+  EVENT_SERVER_LOAD,    /* the backend server reported its load */
+  EVENT_SERVER_DOWN,    /* the backend server cannot be reached */
+  EVENT_REQUEST,        /* a request arrived */
+  EVENT_ENDED,          /* an attempt ended */
+  EVENT_GONE,           /* the caller or peer of a request went away */
+  EVENT_PEER_CALL,      /* another node calls */
+  EVENT_PEER_REPLY,     /* another node replied, or failed to */
+  EVENT_DRAIN,          /* leave gracefully */
+  EVENT_SNAPSHOT,       /* a snapshot of the view was decoded */
   EVENT_SNAPSHOT_BYTES, /* the view was encoded */
   EVENT_ROUTING,        /* mesh: a configuration was read */
   EVENT_FLEET,          /* mesh: records of the fleet were read */
@@ -113,13 +113,13 @@
 /* The end of an attempt.  */
 struct event_ended
 {
-  struct handle exchange; /* the request */
-  enum outcome outcome;   /* how it ended */
-  enum reason reason;     /* why */
-  gboolean replayable;    /* the body can be sent again from its start */
-  struct stamp stamp;     /* stamp that the other node offered */
-  guint32 retry_msec;     /* its advice when to try again, 0 for none */
-  gboolean has_load;      /* the other node told how busy it is */
+  struct handle exchange;  /* the request */
+  enum outcome outcome;    /* how it ended */
+  enum reason reason;      /* why */
+  gboolean replayable;     /* the body can be sent again from its start */
+  struct stamp stamp;      /* stamp that the other node offered */
+  guint32 retry_msec;      /* its advice when to try again, 0 for none */
+  gboolean has_load;       /* the other node told how busy it is */
   struct load_report load; /* what it told */
 };
 
@@ -201,15 +201,15 @@
 /* A goodbye of a backend server.  */
 struct event_beat_end
 {
-  guint32 call;          /* comes back with the answer */
-  char id[NAME_SIZE];    /* its name */
+  guint32 call;       /* comes back with the answer */
+  char id[NAME_SIZE]; /* its name */
 };
 
 /* A call from another node.  */
 struct event_mesh_call
 {
-  struct handle link;          /* connection it came on, used in the reply */
-  guint32 xid;                 /* its number there */
+  struct handle link;           /* connection it came on, used in the reply */
+  guint32 xid;                  /* its number there */
   const struct mesh_call *call; /* what it says */
 };
 
--- a/src/types/fleet_record.h
+++ b/src/types/fleet_record.h
@@ -8,7 +8,7 @@
 /* What the nodes of a fleet keep in the store.  The store keeps the newest
    record of each key, so a record holds all there is to say of its key.  */
 
-#define FLEET_KEY_SIZE 128u          /* bytes in a key, with the zero */
+#define FLEET_KEY_SIZE 128u           /* bytes in a key, with the zero */
 #define FLEET_RECORD_BYTES_MAX 65536u /* bytes in a record */
 
 enum fleet_record_kind
--- a/src/types/forward_msg.h
+++ b/src/types/forward_msg.h
@@ -27,17 +27,17 @@
 /* The head of the answer, or how the request ended without one.  */
 struct forward_head
 {
-  enum outcome outcome; /* OUTCOME_DONE if there is a head */
-  enum reason reason;   /* why there is none */
-  struct stamp stamp;   /* stamp to hand to the caller */
-  guint32 retry_msec;   /* when to try again, 0 for no advice */
+  enum outcome outcome;    /* OUTCOME_DONE if there is a head */
+  enum reason reason;      /* why there is none */
+  struct stamp stamp;      /* stamp to hand to the caller */
+  guint32 retry_msec;      /* when to try again, 0 for no advice */
   struct load_report load; /* how busy the sender is */
-  guint32 status;       /* HTTP status */
-  char *headers;        /* header lines */
-  gint64 length;        /* bytes in the body, -1 if not known */
-  guint32 count;        /* bytes of the body that follow */
-  guint8 *bytes;        /* they */
-  gboolean end;         /* the body ends with them */
+  guint32 status;          /* HTTP status */
+  char *headers;           /* header lines */
+  gint64 length;           /* bytes in the body, -1 if not known */
+  guint32 count;           /* bytes of the body that follow */
+  guint8 *bytes;           /* they */
+  gboolean end;            /* the body ends with them */
 };
 
 /* More of the body of a request; the reply says that it was taken.  */
--- a/src/types/note.h
+++ b/src/types/note.h
@@ -80,21 +80,21 @@
 };
 
 #define NOTE_DETAIL_SIZE 256u /* bytes in the inputs of a decision */
-#define NOTE_TEXT_SIZE 96u /* bytes in the free field of a note */
+#define NOTE_TEXT_SIZE 96u    /* bytes in the free field of a note */
 
 /* An event with its fields; a field that is zero or empty is not written. */
 struct note
 {
   enum note_id id;
-  char service[NAME_SIZE];   /* service */
-  char key[KEY_SIZE];        /* key */
-  guint32 slice;             /* slice, from 0 */
-  gboolean has_slice;        /* whether slice counts */
-  guint64 node;              /* incarnation of another node */
-  guint64 offset;            /* offset on the log */
-  int code;                  /* enum err or enum reason, by event */
-  gint64 amount;             /* a number, by event */
-  char text[NOTE_TEXT_SIZE]; /* a name or id, by event */
+  char service[NAME_SIZE];       /* service */
+  char key[KEY_SIZE];            /* key */
+  guint32 slice;                 /* slice, from 0 */
+  gboolean has_slice;            /* whether slice counts */
+  guint64 node;                  /* incarnation of another node */
+  guint64 offset;                /* offset on the log */
+  int code;                      /* enum err or enum reason, by event */
+  gint64 amount;                 /* a number, by event */
+  char text[NOTE_TEXT_SIZE];     /* a name or id, by event */
   char detail[NOTE_DETAIL_SIZE]; /* inputs as "name=value ..." */
 };
 
--- a/src/wire/wire_fleet.c
+++ b/src/wire/wire_fleet.c
@@ -23,8 +23,8 @@
       || !wire_text (xdr, member->service, sizeof member->service)
       || !wire_address (xdr, &member->peer)
       || !wire_u64 (xdr, &member->incarnation)
-      || !wire_life (xdr, &member->life)
-      || !xdr_uint32_t (xdr, &member->slots) || !xdr_enum (xdr, &state))
+      || !wire_life (xdr, &member->life) || !xdr_uint32_t (xdr, &member->slots)
+      || !xdr_enum (xdr, &state))
     return FALSE;
   member->state = (enum member_state)state;
   return state >= MEMBER_READY && state <= MEMBER_DOWN;
--- a/src/wire/wire_mesh.c
+++ b/src/wire/wire_mesh.c
@@ -54,8 +54,7 @@
 wire_fetch_reply (XDR *xdr, struct mesh_fetch_reply *reply)
 {
   return wire_u64 (xdr, &reply->next)
-         && wire_blob (xdr, &reply->bytes, &reply->length,
-                       MESH_BLOB_BYTES_MAX)
+         && wire_blob (xdr, &reply->bytes, &reply->length, MESH_BLOB_BYTES_MAX)
          && wire_u64 (xdr, &reply->config)
          && wire_blob (xdr, &reply->config_bytes, &reply->config_count,
                        MESH_BLOB_BYTES_MAX);
