--- a/src/edge/mesh_node_feed.c
+++ b/src/edge/mesh_node_feed.c
@@ -61,6 +61,7 @@
   event.u.fleet.count = count;
   event.u.fleet.next = feed->next;
   event.u.fleet.at_end = feed->at_end;
+  event.u.fleet.complete = feed->at_end;
   event.u.fleet.begun = feed->begun;
   mesh_node_feed (node, &event);
   for (i = 0; i < count; i++)
--- a/src/edge/mesh_node_link.c
+++ b/src/edge/mesh_node_link.c
@@ -67,6 +67,7 @@
       event.u.fleet.items = (const void *)entries->data;
       event.u.fleet.count = entries->len;
       event.u.fleet.next = fetch->next;
+      event.u.fleet.complete = fetch->next > 0;
       mesh_node_feed (node, &event);
       feed_skip (&node->fleet_feed, fetch->next);
       for (i = 0; i < entries->len; i++)
--- a/src/edge/target_peer.c
+++ b/src/edge/target_peer.c
@@ -44,6 +44,7 @@
   exchange->head.has_load = FALSE;
   memset (&exchange->head.stamp, 0, sizeof exchange->head.stamp);
   exchange->head.owner = action->front;
+  exchange->request.deadline = action->request.deadline;
   exchange->target.kind = TARGET_PEER;
   exchange->target.u.peer.stream = ++proxy->last_stream;
   open.stream = proxy->last_stream;
--- a/src/mesh/mesh_balance.c
+++ b/src/mesh/mesh_balance.c
@@ -46,7 +46,8 @@
       const struct holder *holder = &g_array_index (holders, struct holder, i);
       struct handle h = roster_find (&mesh->roster, holder->name);
       const struct upstream *upstream = table_get (&mesh->upstreams, h);
-      if (upstream == NULL || shard_is_receiving (map, holder->name)
+      if (upstream == NULL || upstream->load.slots == 0
+          || shard_is_receiving (map, holder->name)
           || (best != NULL && upstream->load.demand >= *demand))
         continue;
       best = roster_member_at (&mesh->roster, h);
--- a/src/mesh/mesh_pick.c
+++ b/src/mesh/mesh_pick.c
@@ -107,7 +107,7 @@
   if (is_here (mesh, member))
     return !grant_is_leaving (&mesh->grant) && !mesh->grant.dead
            && mesh->leave_at == 0;
-  return upstream != NULL && !upstream->leaving;
+  return upstream != NULL && !upstream->leaving && upstream->load.slots > 0;
 }
 
 /* The member where TRANSIT costs least.  */
--- a/src/mesh/mesh_pulse.c
+++ b/src/mesh/mesh_pulse.c
@@ -10,6 +10,13 @@
 #define FETCH_EVERY_USEC ((gint64)200000)   /* between fetches */
 #define FETCH_TIMEOUT_USEC ((gint64)900000) /* for the reply */
 
+/* The version of the configuration in force, 0 for none.  */
+static guint64
+config_version (const struct mesh *mesh)
+{
+  return mesh->routing != NULL ? mesh->routing->version : 0;
+}
+
 /* What is said */
 
 /* Name in PULSE the nodes that are not heard.  */
@@ -36,26 +43,29 @@
 {
   memset (pulse, 0, sizeof *pulse);
   g_strlcpy (pulse->name, mesh->settings.name, sizeof pulse->name);
+  pulse->from = mesh->settings.peer;
   pulse->incarnation = mesh->settings.incarnation;
   pulse->folded = mesh->roster.next;
   pulse->confirmed_age = session_age (&mesh->session, now);
-  pulse->config = mesh->routing != NULL ? mesh->routing->version : 0;
+  pulse->config = config_version (mesh);
   pulse->leaving = mesh->leave_at != 0;
   pulse->store_lost = mesh->store_lost;
   pulse->load = mesh_load (mesh, now);
   name_silent (mesh, pulse);
 }
 
-/* Make a call to the member H; its kind and body are the caller's to fill.  */
+/* Make a call to the member H at TO; its kind and body are the caller's to
+   fill.  */
 static struct action_mesh_call *
-call (struct mesh *mesh, struct handle h, gint64 deadline, struct actions *out)
+call (struct mesh *mesh, struct handle h, struct address to, gint64 deadline,
+      struct actions *out)
 {
   struct action_mesh_call *action
       = &actions_add (out, ACTION_MESH_CALL)->u.mesh_call;
 
   action->serial = ++mesh->serial;
   action->member = h;
-  action->to = roster_member_at (&mesh->roster, h)->peer;
+  action->to = to;
   action->deadline = deadline;
   return action;
 }
@@ -71,12 +81,13 @@
       struct upstream *upstream = table_get (&mesh->upstreams, h);
       struct action_mesh_call *action;
       gint64 every = upstream->silent ? PULSE_SLOW_USEC : PULSE_EVERY_USEC;
+      const struct fleet_member *member = roster_member_at (&mesh->roster, h);
       if (upstream->pulse_pending || now - upstream->pulse_at < every
-          || roster_member_at (&mesh->roster, h) == NULL)
+          || member == NULL)
         continue;
       upstream->pulse_pending = TRUE;
       upstream->pulse_at = now;
-      action = call (mesh, h, now + PULSE_TIMEOUT_USEC, out);
+      action = call (mesh, h, member->peer, now + PULSE_TIMEOUT_USEC, out);
       action->call.kind = MESH_PULSE;
       describe (mesh, now, &action->call.u.pulse);
     }
@@ -96,33 +107,44 @@
     upstream->not_heard[i] = roster_find (&mesh->roster, pulse->silent[i]);
 }
 
-/* Fetch from the member H what it knows and this node does not.  */
+/* Fetch from the node at FROM, the member H if it is known as one, what it
+   knows and this node does not.  */
 static void
-fetch_if_behind (struct mesh *mesh, struct handle h, gint64 now,
-                 struct actions *out)
+fetch (struct mesh *mesh, struct handle h, struct address from, gint64 now,
+       struct actions *out)
 {
-  struct upstream *upstream = table_get (&mesh->upstreams, h);
-  guint64 config = mesh->routing != NULL ? mesh->routing->version : 0;
   struct action_mesh_call *action;
 
-  if (upstream->folded <= mesh->roster.next && upstream->config <= config)
+  if (now - mesh->fetch_at < FETCH_EVERY_USEC)
+    return;
+  mesh->fetch_at = now;
+  action = call (mesh, h, from, now + FETCH_TIMEOUT_USEC, out);
+  action->call.kind = MESH_FETCH;
+  action->call.u.fetch.folded = mesh->roster.next;
+  action->call.u.fetch.config = config_version (mesh);
+}
+
+/* Fetch from the member H if it has known more for a while.  */
+static void
+fetch_if_behind (struct mesh *mesh, struct handle h, struct address from,
+                 gint64 now, struct actions *out)
+{
+  struct upstream *upstream = table_get (&mesh->upstreams, h);
+
+  if (upstream->folded <= mesh->roster.next
+      && upstream->config <= config_version (mesh))
     {
       upstream->behind_since = 0;
       return;
     }
   if (upstream->behind_since == 0)
     upstream->behind_since = now;
-  if ((now - upstream->behind_since < BEHIND_USEC && !mesh->store_lost)
-      || now - mesh->fetch_at < FETCH_EVERY_USEC)
-    return;
-  mesh->fetch_at = now;
-  action = call (mesh, h, now + FETCH_TIMEOUT_USEC, out);
-  action->call.kind = MESH_FETCH;
-  action->call.u.fetch.folded = mesh->roster.next;
-  action->call.u.fetch.config = config;
+  if (now - upstream->behind_since >= BEHIND_USEC || mesh->store_lost)
+    fetch (mesh, h, from, now, out);
 }
 
-/* The node H said how it is.  */
+/* The node H said how it is.  A node that knows nothing yet, as one does that
+   starts while the store does not answer, learns from the first that calls. */
 static void
 take_pulse (struct mesh *mesh, struct handle h, const struct pulse *pulse,
             gint64 now, struct actions *out)
@@ -130,10 +152,14 @@
   struct upstream *upstream = table_get (&mesh->upstreams, h);
 
   if (upstream == NULL)
-    return;
+    {
+      if (!mesh->known && pulse->folded > 0)
+        fetch (mesh, h, pulse->from, now, out);
+      return;
+    }
   upstream_on_pulse (upstream, pulse, now);
   take_silent (mesh, upstream, pulse);
-  fetch_if_behind (mesh, h, now, out);
+  fetch_if_behind (mesh, h, pulse->from, now, out);
 }
 
 /* Another node calls.  */
@@ -172,9 +198,10 @@
     }
 }
 
-/* The node H answered a pulse.  What it has confirmed with the store holds for
-   this node too, if this node has folded as much; it was confirmed no earlier
-   than its age before the pulse was sent.  */
+/* The node H answered a pulse, or another one that has its address now.  What
+   it has confirmed with the store holds for this node too, if this node has
+   folded as much; it was confirmed no earlier than its age before the pulse
+   was sent.  */
 static void
 take_pulse_reply (struct mesh *mesh, struct handle h,
                   const struct mesh_reply *reply, gint64 now,
@@ -186,7 +213,8 @@
   if (upstream == NULL)
     return;
   upstream->pulse_pending = FALSE;
-  if (reply->code != ERR_NONE)
+  if (reply->code != ERR_NONE
+      || !handle_equal (h, roster_find (&mesh->roster, pulse->name)))
     return;
   take_pulse (mesh, h, pulse, now, out);
   if (pulse->confirmed_age >= 0 && mesh->known
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -87,7 +87,7 @@
              upstream->load.slots);
   action = &actions_add (out, ACTION_FORWARD)->u.forward;
   action->exchange = exchange;
-  action->peer = member->incarnation;
+  action->peer = upstream->incarnation;
   action->to = member->peer;
   action->request = transit->request;
 }
--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -95,11 +95,11 @@
       }
   roster_reach (&mesh->roster, event->next);
   if (event->at_end && event->next >= mesh->roster.next)
+    session_confirm (&mesh->session, event->begun);
+  if (event->complete && !mesh->known)
     {
-      session_confirm (&mesh->session, event->begun);
-      if (!mesh->known)
-        adopt (mesh, now);
       mesh->known = TRUE;
+      adopt (mesh, now);
     }
   if (mesh->roster.changes != changes)
     mesh_route_waiting (mesh, TRUE, now, out);
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -4,6 +4,9 @@
    less than that is not worth the moves.  */
 #define LACK_PERCENT 40
 
+/* What is left of a shard after a split is no smaller than this share.  */
+#define REST_SHARE 32
+
 /* Shares */
 
 /* The keys that NAME owns or is to own.  */
@@ -139,7 +142,7 @@
         continue;
       holder = shard_neediest (map, holders);
       lack = MAX (1, lack_of (map, holders, holder));
-      if (holders->len > 1 && (gint64)shard_keys (shard) > lack
+      if (holders->len > 1 && (gint64)shard_keys (shard) > lack + lack / REST_SHARE
           && lack > SHARD_KEYS / SHARDS_MAX)
         shard_map_split (map, shard->first + (guint32)lack);
       shard = shard_map_at (map, i);
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -172,6 +172,8 @@
   const struct fleet_entry *items; /* the records, in no order */
   guint32 count;                   /* how many */
   guint64 next;                    /* all records below this are known then */
+  gboolean complete;               /* they are all that was not known below
+                                      next */
   gboolean at_end;                 /* the store held nothing after them */
   gint64 begun;                    /* when the read began, microseconds */
 };
--- a/src/types/mesh_msg.h
+++ b/src/types/mesh_msg.h
@@ -22,6 +22,7 @@
 struct pulse
 {
   char name[NAME_SIZE];    /* the sender */
+  struct address from;     /* where it is reached */
   guint64 incarnation;     /* its process */
   guint64 folded;          /* records below this are folded */
   gint64 confirmed_age;    /* microseconds since a read of the store began
--- a/src/wire/wire_mesh.c
+++ b/src/wire/wire_mesh.c
@@ -17,6 +17,7 @@
   guint i;
 
   if (!wire_text (xdr, pulse->name, sizeof pulse->name)
+      || !wire_address (xdr, &pulse->from)
       || !wire_u64 (xdr, &pulse->incarnation)
       || !wire_u64 (xdr, &pulse->folded)
       || !wire_i64 (xdr, &pulse->confirmed_age)
--- /dev/null
+++ b/tests/test_grant.c
@@ -0,0 +1,163 @@
+#include "shard/shard_duty.h"
+#include "tests/suite.h"
+
+#define SECOND ((gint64)1000000)
+
+/* A beat of the life ID born at BORN, number NUMBER, that holds FIRST to LAST
+   if LAST is not below FIRST.  */
+static struct beat *
+make_beat (const char *id, gint64 born, guint64 number, guint32 first,
+           guint32 last)
+{
+  struct beat *beat = g_new0 (struct beat, 1);
+
+  g_strlcpy (beat->life.id, id, sizeof beat->life.id);
+  beat->life.born = born;
+  beat->number = number;
+  beat->slots = 4;
+  if (last >= first)
+    {
+      beat->held = 1;
+      beat->hold[0].first = first;
+      beat->hold[0].last = last;
+      beat->hold[0].fence = 1;
+    }
+  return beat;
+}
+
+/* Take in a beat made on the spot.  */
+static enum grant_news
+take (struct grant *grant, struct beat *beat, gint64 now)
+{
+  enum grant_news news = grant_on_beat (grant, beat, now);
+
+  g_free (beat);
+  return news;
+}
+
+/* Grant FIRST to LAST for HOLD_USEC.  */
+static void
+give (struct grant *grant, guint32 first, guint32 last, gint64 hold_usec,
+      gint64 now)
+{
+  struct beat_answer *answer = g_new0 (struct beat_answer, 1);
+
+  answer->renews = TRUE;
+  answer->hold_usec = hold_usec;
+  answer->count = last >= first ? 1 : 0;
+  answer->row[0].first = first;
+  answer->row[0].last = last;
+  grant_give (grant, answer, now);
+  g_free (answer);
+}
+
+/* A process that has just started does not take what an earlier one granted
+   for lapsed, also where the server's beat is the first it hears.  */
+static void
+test_restart (void)
+{
+  struct shard shard = { .first = 0, .last = 9 };
+  struct grant grant;
+  const char *token;
+
+  grant_init (&grant, 10 * SECOND);
+  CU_ASSERT_EQUAL (take (&grant, make_beat ("s", 5, 8, 0, 9), SECOND),
+                   GRANT_NEW);
+  CU_ASSERT_FALSE (grant_is_over (&grant, 2 * SECOND));
+  CU_ASSERT_FALSE (grant_is_released (&grant, &shard, 2 * SECOND, &token));
+  CU_ASSERT_TRUE (grant_is_over (&grant, 10 * SECOND));
+  grant_clear (&grant);
+}
+
+/* Another life that this process sees begin holds nothing of the first.  */
+static void
+test_new_life (void)
+{
+  struct shard shard = { .first = 0, .last = 9 };
+  struct grant grant;
+  const char *token;
+
+  grant_init (&grant, 0);
+  take (&grant, make_beat ("s", 5, 1, 1, 0), SECOND);
+  give (&grant, 0, 9, 3 * SECOND, SECOND);
+  CU_ASSERT_TRUE (grant_has (&grant, 3, SECOND));
+  CU_ASSERT_EQUAL (take (&grant, make_beat ("s", 6, 1, 1, 0), 2 * SECOND),
+                   GRANT_NEW);
+  CU_ASSERT_FALSE (grant_has (&grant, 3, 2 * SECOND));
+  CU_ASSERT_TRUE (grant_is_released (&grant, &shard, 2 * SECOND, &token));
+  grant_clear (&grant);
+}
+
+/* A beat of a life that is over, or one that was overtaken, changes
+   nothing.  */
+static void
+test_late_beats (void)
+{
+  struct grant grant;
+
+  grant_init (&grant, 0);
+  take (&grant, make_beat ("s", 6, 4, 1, 0), SECOND);
+  CU_ASSERT_EQUAL (take (&grant, make_beat ("r", 5, 9, 0, 9), SECOND),
+                   GRANT_OUTDATED);
+  CU_ASSERT_EQUAL (take (&grant, make_beat ("s", 6, 3, 0, 9), SECOND),
+                   GRANT_OUTDATED);
+  CU_ASSERT_EQUAL (grant.held, 0);
+  CU_ASSERT_EQUAL (grant.number, 4);
+  grant_clear (&grant);
+}
+
+/* A server that refuses connections gets no requests, and yet may hold what it
+   was granted until that has lapsed.  */
+static void
+test_refused_is_no_proof (void)
+{
+  struct shard shard = { .first = 0, .last = 9 };
+  struct grant grant;
+  const char *token;
+
+  grant_init (&grant, 0);
+  take (&grant, make_beat ("s", 6, 1, 1, 0), SECOND);
+  give (&grant, 0, 9, 3 * SECOND, SECOND);
+  CU_ASSERT_FALSE (grant_on_refused (&grant, 2 * SECOND));
+  CU_ASSERT_TRUE (grant_on_refused (&grant, 2 * SECOND + SECOND / 5));
+  CU_ASSERT_FALSE (grant_has (&grant, 3, 3 * SECOND));
+  CU_ASSERT_FALSE (grant_is_released (&grant, &shard, 3 * SECOND, &token));
+  CU_ASSERT_TRUE (grant_is_released (&grant, &shard, 4 * SECOND, &token));
+  grant_clear (&grant);
+}
+
+/* What was freed comes with its token.  */
+static void
+test_freed (void)
+{
+  struct shard shard = { .first = 0, .last = 9 };
+  struct beat *beat = make_beat ("s", 6, 2, 10, 20);
+  struct grant grant;
+  const char *token;
+
+  grant_init (&grant, 0);
+  take (&grant, make_beat ("s", 6, 1, 0, 20), SECOND);
+  give (&grant, 10, 20, 3 * SECOND, SECOND);
+  CU_ASSERT_FALSE (grant_is_released (&grant, &shard, SECOND, &token));
+  beat->freed = 1;
+  beat->free[0].last = 9;
+  g_strlcpy (beat->free[0].token, "t", sizeof beat->free[0].token);
+  take (&grant, beat, SECOND);
+  CU_ASSERT_TRUE (grant_is_released (&grant, &shard, SECOND, &token));
+  CU_ASSERT_STRING_EQUAL (token, "t");
+  grant_clear (&grant);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[]
+      = { { "a restarted process", test_restart },
+          { "a new life", test_new_life },
+          { "late beats", test_late_beats },
+          { "refused connections", test_refused_is_no_proof },
+          { "freed ranges", test_freed },
+          CU_TEST_INFO_NULL };
+
+  return suite_run ("grant", tests);
+}
--- /dev/null
+++ b/tests/test_shard_map.c
@@ -0,0 +1,198 @@
+#include "shard/heat.h"
+#include "shard/shard_duty.h"
+#include "tests/suite.h"
+
+#define SECOND ((gint64)1000000)
+
+/* Add a holder.  */
+static void
+add_holder (GArray *holders, const char *name, guint32 weight)
+{
+  struct holder holder = { .weight = weight };
+
+  g_strlcpy (holder.name, name, sizeof holder.name);
+  g_strlcpy (holder.life.id, name, sizeof holder.life.id);
+  holder.life.born = 1;
+  g_array_append_val (holders, holder);
+}
+
+/* Three holders of the same weight.  */
+static GArray *
+three (void)
+{
+  GArray *holders = g_array_new (FALSE, TRUE, sizeof (struct holder));
+
+  add_holder (holders, "a", 1);
+  add_holder (holders, "b", 1);
+  add_holder (holders, "c", 1);
+  return holders;
+}
+
+/* Splitting and merging keep all keys covered once.  */
+static void
+test_split (void)
+{
+  struct shard_map map;
+
+  shard_map_init (&map, "s");
+  shard_map_split (&map, 100);
+  shard_map_split (&map, 50);
+  shard_map_split (&map, 100);
+  CU_ASSERT_EQUAL (map.shards->len, 3);
+  CU_ASSERT_TRUE (shard_map_is_whole (&map));
+  CU_ASSERT_EQUAL (shard_map_find (&map, 99)->first, 50);
+  CU_ASSERT_EQUAL (shard_map_find (&map, 65535)->first, 100);
+  shard_map_merge (&map);
+  CU_ASSERT_EQUAL (map.shards->len, 1);
+  CU_ASSERT_TRUE (shard_map_is_whole (&map));
+  shard_map_clear (&map);
+}
+
+/* All keys are given out, evenly, each under its own fence.  */
+static void
+test_first_placement (void)
+{
+  GArray *holders = three ();
+  struct shard_map map;
+
+  shard_map_init (&map, "s");
+  CU_ASSERT_TRUE (shard_place_open (&map, holders, 0));
+  CU_ASSERT_TRUE (shard_map_is_whole (&map));
+  CU_ASSERT_TRUE (shard_share (&map, "a") > SHARD_KEYS / 4);
+  CU_ASSERT_TRUE (shard_share (&map, "b") > SHARD_KEYS / 4);
+  CU_ASSERT_TRUE (shard_share (&map, "c") > SHARD_KEYS / 4);
+  CU_ASSERT_FALSE (shard_place_open (&map, holders, 0));
+  shard_map_clear (&map);
+  g_array_free (holders, TRUE);
+}
+
+/* A lost shard is not given away before its owner's session is over.  */
+static void
+test_lost_waits (void)
+{
+  GArray *holders = three ();
+  struct shard_map map;
+  struct shard *shard;
+  guint64 fence;
+
+  shard_map_init (&map, "s");
+  shard_place_open (&map, holders, 0);
+  shard = shard_map_at (&map, 0);
+  fence = shard->fence;
+  shard->state = SHARD_LOST;
+  shard->since = 5 * SECOND;
+  CU_ASSERT_FALSE (shard_place_open (&map, holders, 5 * SECOND));
+  CU_ASSERT_TRUE (shard_place_open (&map, holders, 6 * SECOND));
+  CU_ASSERT_TRUE (shard_map_at (&map, 0)->fence > fence);
+  shard_map_clear (&map);
+  g_array_free (holders, TRUE);
+}
+
+/* An empty holder is given a share by the others, who keep it meanwhile.  */
+static void
+test_even (void)
+{
+  GArray *holders = three ();
+  struct shard_map map;
+  guint32 before;
+
+  shard_map_init (&map, "s");
+  shard_place_open (&map, holders, 0);
+  before = shard_share (&map, "a");
+  CU_ASSERT_FALSE (shard_place_even (&map, holders));
+  add_holder (holders, "d", 1);
+  CU_ASSERT_TRUE (shard_place_even (&map, holders));
+  CU_ASSERT_TRUE (shard_share (&map, "d") > SHARD_KEYS / 5);
+  CU_ASSERT_TRUE (shard_share (&map, "a") < before);
+  CU_ASSERT_TRUE (shard_map_is_whole (&map));
+  shard_map_clear (&map);
+  g_array_free (holders, TRUE);
+}
+
+/* A shard that is to go is left out of what the server is to hold, and passed
+   on with its token once the server has freed it.  */
+static void
+test_duty (void)
+{
+  GArray *holders = three ();
+  struct beat_answer *answer = g_new0 (struct beat_answer, 1);
+  struct beat *beat = g_new0 (struct beat, 1);
+  struct duty duty = { "a", NULL, holders, SECOND };
+  struct shard_map map;
+  struct shard *shard;
+  struct grant grant;
+
+  grant_init (&grant, 0);
+  g_strlcpy (beat->life.id, "a", sizeof beat->life.id);
+  beat->life.born = 1;
+  beat->number = 1;
+  grant_on_beat (&grant, beat, SECOND);
+  duty.grant = &grant;
+  shard_map_init (&map, "s");
+  shard_place_open (&map, holders, 0);
+  shard_rows (&map, &duty, answer);
+  CU_ASSERT_EQUAL (answer->count, 1);
+  answer->renews = TRUE;
+  answer->hold_usec = 3 * SECOND;
+  grant_give (&grant, answer, SECOND);
+  shard = shard_map_at (&map, 0);
+  CU_ASSERT_STRING_EQUAL_FATAL (shard->owner, "a");
+  g_strlcpy (shard->next, "b", sizeof shard->next);
+  CU_ASSERT_FALSE (shard_duty (&map, &duty));
+  shard_rows (&map, &duty, answer);
+  CU_ASSERT_EQUAL (answer->count, 0);
+  grant_give (&grant, answer, SECOND);
+  beat->number = 2;
+  beat->freed = 1;
+  beat->free[0].last = shard->last;
+  g_strlcpy (beat->free[0].token, "t", sizeof beat->free[0].token);
+  grant_on_beat (&grant, beat, SECOND);
+  CU_ASSERT_TRUE (shard_duty (&map, &duty));
+  shard = shard_map_at (&map, 0);
+  CU_ASSERT_STRING_EQUAL (shard->owner, "b");
+  CU_ASSERT_STRING_EQUAL (shard->handover, "t");
+  grant_clear (&grant);
+  shard_map_clear (&map);
+  g_array_free (holders, TRUE);
+  g_free (answer);
+  g_free (beat);
+}
+
+/* The shortest range with about the rate that is wanted is found, without the
+   key that is asked for much more often.  */
+static void
+test_heat (void)
+{
+  struct shard shard = { .first = 0, .last = SHARD_KEYS - 1 };
+  struct heat_range range;
+  struct heat heat;
+  guint i;
+
+  heat_init (&heat);
+  for (i = 0; i < 600; i++)
+    heat_add (&heat, 7);
+  for (i = 0; i < 60; i++)
+    heat_add (&heat, 100 + i % 3);
+  heat_step (&heat, SECOND);
+  range = heat_find (&heat, &shard, 20);
+  CU_ASSERT_TRUE (range.first >= 100);
+  CU_ASSERT_TRUE (range.last <= 102);
+  CU_ASSERT_TRUE (range.last >= range.first);
+  range = heat_find (&heat, &shard, 100000);
+  CU_ASSERT_TRUE (range.last < range.first);
+  heat_clear (&heat);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = { { "split and merge", test_split },
+                          { "first placement", test_first_placement },
+                          { "a lost shard", test_lost_waits },
+                          { "evening out", test_even },
+                          { "duties of an owner", test_duty },
+                          { "heat", test_heat },
+                          CU_TEST_INFO_NULL };
+
+  return suite_run ("shard_map", tests);
+}
