--- a/src/decide/gate.c
+++ b/src/decide/gate.c
@@ -33,7 +33,7 @@
 {
   if (a->priority != b->priority)
     return a->priority < b->priority;
-  return a->deadline < b->deadline;
+  return a->order < b->order;
 }
 
 /* Put WAITER where it belongs in the queue.  */
@@ -165,6 +165,7 @@
 {
   struct gate_waiter waiter
       = { exchange, request->priority, request->deadline,
+          gate->in_turn ? now : request->deadline,
           now + (request->deadline - now) * gate->patience / 100 };
 
   *reason = REASON_NONE;
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -15,6 +15,7 @@
   struct handle exchange; /* the request */
   enum priority priority; /* its priority */
   gint64 deadline;        /* microseconds */
+  gint64 order;           /* of equal priority, the least goes first */
   gint64 until;           /* it waits no longer */
 };
 
@@ -25,6 +26,8 @@
   guint32 peak;  /* most slots in use since the last load report */
   guint32 peak_before;     /* most between the two reports before */
   guint32 limit;           /* requests that may wait */
+  gboolean in_turn;        /* of equal priority, who came first goes first;
+                              else who must end first */
   guint32 patience;        /* percent of its time that a request may wait */
   struct pace pace;        /* how fast the server runs requests */
   struct server_load load; /* what it reports */
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -67,8 +67,9 @@
 /* The backend server.  */
 struct target_server
 {
-  struct handle call; /* the HTTP call */
-  guint64 attempt_id; /* must be echoed */
+  struct handle call;       /* the HTTP call */
+  guint64 attempt_id;       /* must be echoed */
+  char expected[NAME_SIZE]; /* server that is meant, empty for any */
 };
 
 /* The owner's node.  */
--- a/src/edge/source_peer.c
+++ b/src/edge/source_peer.c
@@ -173,7 +173,7 @@
 {
   struct forward_open open = { 0 };
   struct action_answer wrong
-      = { .outcome = OUTCOME_NOT_RUN, .reason = REASON_NOT_OWNER };
+      = { .outcome = OUTCOME_NOT_RUN, .reason = REASON_PEER_LOST };
 
   if (wire_decode (wire_forward_open, &open, event->bytes, event->length)
       != ERR_NONE)
--- a/src/edge/target_server.c
+++ b/src/edge/target_server.c
@@ -164,6 +164,7 @@
   exchange->head.owner = (struct address){ 0, 0 };
   exchange->target.kind = TARGET_SERVER;
   exchange->target.u.server.attempt_id = action->attempt_id;
+  g_strlcpy (exchange->target.u.server.expected, action->server, NAME_SIZE);
   exchange->target.u.server.call
       = http_start (&proxy->http, &request, on_server_event, proxy);
   g_hash_table_insert (proxy->server_calls,
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -229,6 +229,21 @@
     g_array_append_val (mesh->crashes, digest);
 }
 
+/* Take the server for dead where REASON says that it is not there.  */
+static void
+take_loss (struct mesh *mesh, enum reason reason, gint64 now,
+           struct actions *out)
+{
+  gboolean was_dead = mesh->grant.dead;
+
+  if (reason == REASON_MISDIRECTED)
+    grant_on_misdirected (&mesh->grant);
+  else if (reason == REASON_SERVER_DOWN)
+    grant_on_refused (&mesh->grant, now);
+  if (mesh->grant.dead && !was_dead)
+    mesh_crashed (mesh, now, out);
+}
+
 /* The server has ended its attempt at TRANSIT.  */
 void
 mesh_admit_ended (struct mesh *mesh, const struct transit *transit,
@@ -245,9 +260,9 @@
     case OUTCOME_NOT_RUN:
       if (event->reason == REASON_OVERLOAD)
         gate_on_shed (&mesh->gate, now);
-      if (event->reason == REASON_SERVER_DOWN
-          && grant_on_refused (&mesh->grant, now))
-        mesh_crashed (mesh, now, out);
+      if (event->reason == REASON_NOT_OWNER)
+        grant_on_denied (&mesh->grant, now);
+      take_loss (mesh, event->reason, now, out);
       break;
     case OUTCOME_UNKNOWN:
       if ((event->reason == REASON_SERVER_DOWN
--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -85,6 +85,7 @@
     case REASON_PEER_LOST:
     case REASON_DRAINING:
     case REASON_SERVER_DOWN:
+    case REASON_MISDIRECTED:
       return TRUE;
     default:
       return FALSE;
@@ -169,7 +170,8 @@
 
 /* Events */
 
-/* Learn from an attempt at another node.  */
+/* Learn from an attempt at another node.  A refusal because the process that
+   was meant is not there tells nothing of it.  */
 static void
 learn (struct mesh *mesh, const struct transit *transit,
        const struct event_ended *event, gint64 now)
@@ -180,7 +182,7 @@
     return;
   if (upstream->flying > 0)
     upstream->flying--;
-  if (event->has_load)
+  if (event->has_load && event->reason != REASON_PEER_LOST)
     {
       upstream->heard = now;
       upstream_on_load (upstream, &event->load);
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -12,7 +12,10 @@
 
 /* Then callers that come all the same are sent away for as long as a process
    takes to start again.  */
-#define MESH_TURN_AWAY_USEC ((gint64)3200000)
+#define MESH_TURN_AWAY_USEC ((gint64)2900000)
+/* What comes after the stop was asked for ends so long before the process is
+   killed.  */
+#define MESH_END_MARGIN_USEC ((gint64)800000)
 #define MESH_RESTART_USEC ((gint64)800000)
 
 /* Notes, mesh_note.c.  */
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -12,7 +12,8 @@
 
 /* Set up TRANSIT from ROUTE.  */
 static void
-apply_route (struct transit *transit, struct route *route)
+apply_route (const struct mesh *mesh, struct transit *transit,
+             struct route *route)
 {
   struct request *request = &transit->request;
 
@@ -24,6 +25,10 @@
   if (route->timeout_usec > 0)
     request->deadline
         = MIN (request->deadline, transit->came + route->timeout_usec);
+  if (mesh->leave_at != 0)
+    request->deadline
+        = MIN (request->deadline, mesh->leave_at + mesh->settings.grace_usec
+                                      - MESH_END_MARGIN_USEC);
 }
 
 /* Why no route was found: this node may not have heard of it.  */
@@ -168,7 +173,7 @@
       mesh_refuse (mesh, event->exchange, unmatched (mesh, now), 0, now, out);
       return;
     }
-  apply_route (transit, route);
+  apply_route (mesh, transit, route);
   retry_budget_earn (budget_of (mesh, transit->request.service));
   mesh_route_again (mesh, event->exchange, now, out);
 }
--- a/src/shard/grant.c
+++ b/src/shard/grant.c
@@ -4,6 +4,9 @@
    meanwhile, gets no more requests.  */
 #define REFUSED_USEC ((gint64)100000)
 
+/* Time for a server to read the answer to its beat.  */
+#define DENIED_USEC ((gint64)100000)
+
 /* A server that sends no beat for so long is not counted on.  */
 #define SILENT_USEC ((gint64)3000000)
 
@@ -132,6 +135,21 @@
   return TRUE;
 }
 
+/* The server said at NOW that it does not hold a key that it was granted: it
+   may not have read that yet, and gets no keyed requests for a moment.  */
+void
+grant_on_denied (struct grant *grant, gint64 now)
+{
+  grant->doubt_until = now + DENIED_USEC;
+}
+
+/* Another server answered at the address: the life that is known is over.  */
+void
+grant_on_misdirected (struct grant *grant)
+{
+  grant->dead = TRUE;
+}
+
 /* The server was answered with ANSWER at NOW.  */
 void
 grant_give (struct grant *grant, const struct beat_answer *answer, gint64 now)
@@ -160,7 +178,7 @@
 gboolean
 grant_has (const struct grant *grant, guint32 key, gint64 now)
 {
-  return now < grant->hold_until && !grant->dead
+  return now < grant->hold_until && !grant->dead && now >= grant->doubt_until
          && overlaps (grant->give, grant->given, key, key);
 }
 
--- a/src/shard/grant.h
+++ b/src/shard/grant.h
@@ -27,6 +27,7 @@
   gint64 beat_at;        /* when its last beat came, 0: never */
   gint64 warm_at;        /* it is slow until then */
   gint64 refused_at;     /* first refused connection since, 0: none */
+  gint64 doubt_until;    /* the server said that it lacks a key */
   gint64 hold_until;     /* nothing granted lasts longer */
   struct beat_row *hold; /* what it holds by its last beat */
   guint32 held;          /* rows of it */
@@ -47,6 +48,8 @@
 enum grant_news grant_on_beat (struct grant *grant, const struct beat *beat,
                                gint64 now);
 gboolean grant_on_leave (struct grant *grant, const char *id, gint64 now);
+void grant_on_denied (struct grant *grant, gint64 now);
+void grant_on_misdirected (struct grant *grant);
 gboolean grant_on_refused (struct grant *grant, gint64 now);
 void grant_adopt (struct grant *grant, const struct life *life, guint32 slots);
 void grant_give (struct grant *grant, const struct beat_answer *answer,
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -142,7 +142,8 @@
         continue;
       holder = shard_neediest (map, holders);
       lack = MAX (1, lack_of (map, holders, holder));
-      if (holders->len > 1 && (gint64)shard_keys (shard) > lack + lack / REST_SHARE
+      if (holders->len > 1
+          && (gint64)shard_keys (shard) > lack + lack / REST_SHARE
           && lack > SHARD_KEYS / SHARDS_MAX)
         shard_map_split (map, shard->first + (guint32)lack);
       shard = shard_map_at (map, i);
--- a/src/types/reason.h
+++ b/src/types/reason.h
@@ -29,7 +29,8 @@
   REASON_HOPS = 21,          /* passed on too often */
   REASON_GARBLED = 22,       /* what came is not the server's answer */
   REASON_NO_CONFIG = 23,     /* this node knows no configuration yet */
-  REASON_LIMIT = 24          /* one past the last */
+  REASON_MISDIRECTED = 24,   /* another server answers at the address */
+  REASON_LIMIT = 25          /* one past the last */
 };
 
 const char *reason_name (enum reason reason);
--- a/tests/test_grant.c
+++ b/tests/test_grant.c
@@ -151,13 +151,12 @@
 int
 main (void)
 {
-  CU_TestInfo tests[]
-      = { { "a restarted process", test_restart },
-          { "a new life", test_new_life },
-          { "late beats", test_late_beats },
-          { "refused connections", test_refused_is_no_proof },
-          { "freed ranges", test_freed },
-          CU_TEST_INFO_NULL };
+  CU_TestInfo tests[] = { { "a restarted process", test_restart },
+                          { "a new life", test_new_life },
+                          { "late beats", test_late_beats },
+                          { "refused connections", test_refused_is_no_proof },
+                          { "freed ranges", test_freed },
+                          CU_TEST_INFO_NULL };
 
   return suite_run ("grant", tests);
 }
