A lost owner's session is waited out; worlds of random trouble

Marking now sets the time, and a term tells one loss from the next. A reply to a pulse counts only for the last pulse sent.

--- a/src/fleet/roster.c
+++ b/src/fleet/roster.c
@@ -113,7 +113,8 @@
   known->offset = offset;
 }
 
-/* Carry over from BEFORE when each shard of MAP came to its state.  */
+/* Carry over from BEFORE when each shard of MAP came to its state.  One that
+   was lost, taken up again and lost anew has another term.  */
 static void
 keep_since (struct shard_map *map, const struct shard_map *before, gint64 now)
 {
@@ -125,7 +126,7 @@
       const struct shard *old
           = before != NULL ? shard_map_find (before, shard->first) : NULL;
       gboolean same = old != NULL && old->state == shard->state
-                      && old->fence == shard->fence
+                      && old->fence == shard->fence && old->term == shard->term
                       && old->last >= shard->last;
       shard->since = same ? old->since : now;
     }
--- a/src/fleet/session.h
+++ b/src/fleet/session.h
@@ -10,7 +10,7 @@
    says so in the store and then waits for SESSION_WAIT_USEC: a read that began
    later would have shown it.  */
 
-/* From docs/PLATFORM-RUN.md: longer bridges longer outages of the store,
+/* From docs/MESH.md: longer bridges longer outages of the store,
    shorter brings the keys of a lost host back sooner.  */
 #define SESSION_USEC ((gint64)5000000)
 #define SESSION_WAIT_USEC (SESSION_USEC + SESSION_USEC / 25) /* 4 % drift */
--- a/src/mesh/mesh_plan.c
+++ b/src/mesh/mesh_plan.c
@@ -137,6 +137,8 @@
                             now))
         continue;
       shard->state = SHARD_LOST;
+      shard->term = map->next_fence++;
+      shard->since = now;
       shard->next[0] = '\0';
       changed = TRUE;
     }
--- a/src/mesh/mesh_pulse.c
+++ b/src/mesh/mesh_pulse.c
@@ -88,6 +88,7 @@
       upstream->pulse_pending = TRUE;
       upstream->pulse_at = now;
       action = call (mesh, h, member->peer, now + PULSE_TIMEOUT_USEC, out);
+      upstream->pulse_serial = action->serial;
       action->call.kind = MESH_PULSE;
       describe (mesh, now, &action->call.u.pulse);
     }
@@ -203,14 +204,15 @@
    folded as much; it was confirmed no earlier than its age before the pulse
    was sent.  */
 static void
-take_pulse_reply (struct mesh *mesh, struct handle h,
-                  const struct mesh_reply *reply, gint64 now,
-                  struct actions *out)
+take_pulse_reply (struct mesh *mesh, const struct event_mesh_reply *event,
+                  gint64 now, struct actions *out)
 {
+  struct handle h = event->member;
   struct upstream *upstream = table_get (&mesh->upstreams, h);
+  const struct mesh_reply *reply = event->reply;
   const struct pulse *pulse = &reply->u.pulse;
 
-  if (upstream == NULL)
+  if (upstream == NULL || event->serial != upstream->pulse_serial)
     return;
   upstream->pulse_pending = FALSE;
   if (reply->code != ERR_NONE
@@ -233,7 +235,7 @@
   switch (event->reply->kind)
     {
     case MESH_PULSE:
-      take_pulse_reply (mesh, event->member, event->reply, now, out);
+      take_pulse_reply (mesh, event, now, out);
       break;
     case MESH_APPEND:
       stored.code = event->reply->code;
--- a/src/serve/upstream.h
+++ b/src/serve/upstream.h
@@ -13,6 +13,7 @@
   gint64 since;            /* when it was first looked at */
   gint64 heard;            /* last word from it, 0: none yet */
   gint64 pulse_at;         /* when it was last called */
+  guint64 pulse_serial;    /* of that call */
   gboolean pulse_pending;  /* that call is not answered yet */
   guint64 incarnation;     /* its process, as it said last */
   guint64 folded;          /* records below this it has folded */
--- a/src/types/shard.h
+++ b/src/types/shard.h
@@ -24,6 +24,7 @@
   guint64 fence;            /* rises with each holder of a key */
   char handover[NAME_SIZE]; /* token of the holder before, or empty */
   char next[NAME_SIZE];     /* node that is to own it next, or empty */
+  guint64 term;             /* rises each time that it is found lost */
   gint64 since;             /* when this process first saw the state */
 };
 
--- a/src/types/shard_map.c
+++ b/src/types/shard_map.c
@@ -87,7 +87,7 @@
 static gboolean
 are_one (const struct shard *a, const struct shard *b)
 {
-  return a->state == b->state && a->fence == b->fence
+  return a->state == b->state && a->fence == b->fence && a->term == b->term
          && strcmp (a->owner, b->owner) == 0 && life_equal (&a->life, &b->life)
          && strcmp (a->handover, b->handover) == 0
          && strcmp (a->next, b->next) == 0;
--- a/src/wire/wire_fleet.c
+++ b/src/wire/wire_fleet.c
@@ -40,6 +40,7 @@
       || !xdr_enum (xdr, &state)
       || !wire_text (xdr, shard->owner, sizeof shard->owner)
       || !wire_life (xdr, &shard->life) || !wire_u64 (xdr, &shard->fence)
+      || !wire_u64 (xdr, &shard->term)
       || !wire_text (xdr, shard->handover, sizeof shard->handover)
       || !wire_text (xdr, shard->next, sizeof shard->next))
     return FALSE;
--- /dev/null
+++ b/tests/mesh_world.h
@@ -0,0 +1,656 @@
+#ifndef TESTS_MESH_WORLD_H
+#define TESTS_MESH_WORLD_H
+
+#include "mesh/mesh.h"
+#include "tests/suite.h"
+
+/* A few nodes of a mesh with their servers, a store and the ways between, all
+   under scripted time.  Trouble is drawn from a seed; the world checks after
+   each step that no key has two holders and that fences rise.  */
+
+#define WORLD_NODES 4u
+#define STEP_USEC ((gint64)10000)
+#define BEAT_USEC ((gint64)900000)
+#define ANSWER_USEC ((gint64)1000000) /* a later answer to a beat is ignored  \
+                                       */
+#define SERVICE "keys"
+
+/* What is on its way.  */
+enum letter_kind
+{
+  LETTER_APPEND,  /* a record to the store */
+  LETTER_STORED,  /* how an append ended */
+  LETTER_READ,    /* a read of the store */
+  LETTER_RECORDS, /* what was read */
+  LETTER_CALL,    /* a call to a node */
+  LETTER_REPLY,   /* its reply */
+  LETTER_TIMEOUT, /* no reply came in time */
+  LETTER_BEAT     /* an answer to a server's beat */
+};
+
+struct letter
+{
+  gint64 due;            /* it arrives then */
+  enum letter_kind kind; /* what it is */
+  guint from;            /* node that began it */
+  guint to;              /* node that it goes to */
+  guint32 life;          /* process that began it */
+  guint64 serial;        /* of the call */
+  guint64 at;            /* condition of an append, or where a read ends */
+  gint64 begun;          /* when a read or a beat began */
+  enum err code;         /* how an append ended */
+  struct handle member;  /* as the caller names the callee */
+  struct fleet_record record; /* an append */
+  struct mesh_call call;      /* a call */
+  struct mesh_reply reply;    /* a reply */
+  struct beat_answer *answer; /* to a beat */
+};
+
+/* A backend server.  */
+struct fake_server
+{
+  struct life life;                   /* its life */
+  gboolean up;                        /* it runs */
+  guint64 number;                     /* of its last beat */
+  gint64 beat_at;                     /* its next beat */
+  gint64 hold_until;                  /* what it holds lapses then */
+  struct beat_row row[BEAT_ROWS_MAX]; /* what it holds */
+  guint32 rows;
+  struct beat_row freed[BEAT_ROWS_MAX]; /* to be told */
+  guint32 frees;
+};
+
+/* A node.  */
+struct world_node
+{
+  struct mesh mesh;          /* its decisions */
+  struct fake_server server; /* beside it */
+  gboolean up;               /* the process runs */
+  guint32 life;              /* rises with each process */
+  gboolean cut;              /* no way to other nodes */
+  gboolean off_store;        /* no way to the store */
+  gint64 frozen_until;       /* it stands still */
+  gint64 up_at;              /* it starts again */
+  gint64 well_at;            /* its ways heal */
+  guint64 read;              /* records below this were read */
+};
+
+struct world
+{
+  struct world_node node[WORLD_NODES];
+  GArray *log;               /* struct fleet_record: the store */
+  GArray *letters;           /* struct letter */
+  GRand *random;             /* of the seed */
+  gint64 now;                /* the time */
+  gint64 store_at;           /* the store answers from then on */
+  guint64 fence[SHARD_KEYS]; /* highest fence under which a key was held */
+  guint8 owner[SHARD_KEYS];  /* node that held it then, from 1 */
+  guint doubles;             /* keys seen with two holders */
+  guint falls;               /* keys taken under a fence that was not higher */
+};
+
+/* A time between LOW and HIGH milliseconds.  */
+static inline gint64
+draw_msec (struct world *world, gint low, gint high)
+{
+  return (gint64)g_rand_int_range (world->random, low, high + 1)
+         * USEC_PER_MSEC;
+}
+
+/* Put LETTER on its way.  */
+static inline void
+post (struct world *world, struct letter *letter, gint64 delay)
+{
+  letter->due = world->now + delay;
+  g_array_append_vals (world->letters, letter, 1);
+}
+
+/* A copy of RECORD that owns what it holds.  */
+static inline struct fleet_record
+copy_record (const struct fleet_record *record)
+{
+  struct fleet_record copy = *record;
+
+  if (record->kind == FLEET_MAP)
+    shard_map_copy (&copy.u.map, &record->u.map);
+  return copy;
+}
+
+/* Tell whether the store answers node I now.  */
+static inline gboolean
+has_store (const struct world *world, guint i)
+{
+  return world->now >= world->store_at && !world->node[i].off_store;
+}
+
+/* Do what node I wants.  */
+static inline void
+obey (struct world *world, guint i, const struct actions *actions)
+{
+  guint a;
+
+  for (a = 0; a < actions->items->len; a++)
+    {
+      const struct action *action = actions_at (actions, a);
+      struct letter letter = { .from = i, .life = world->node[i].life };
+      switch (action->kind)
+        {
+        case ACTION_STORE:
+          letter.kind = LETTER_APPEND;
+          letter.serial = action->u.store.serial;
+          letter.at = action->u.store.at;
+          letter.record = copy_record (&action->u.store.record);
+          post (world, &letter, draw_msec (world, 3, 30));
+          break;
+        case ACTION_RELAY:
+          letter.kind = LETTER_APPEND;
+          letter.serial = action->u.relay.serial;
+          letter.at = action->u.relay.at;
+          letter.to = action->u.relay.to.port;
+          letter.record = copy_record (&action->u.relay.record);
+          post (world, &letter, draw_msec (world, 10, 60));
+          break;
+        case ACTION_CONFIRM:
+          letter.kind = LETTER_READ;
+          letter.begun = world->now;
+          post (world, &letter, draw_msec (world, 3, 200));
+          break;
+        case ACTION_MESH_CALL:
+          letter.kind = LETTER_CALL;
+          letter.to = action->u.mesh_call.to.port;
+          letter.serial = action->u.mesh_call.serial;
+          letter.member = action->u.mesh_call.member;
+          letter.call = action->u.mesh_call.call;
+          post (world, &letter, draw_msec (world, 1, 40));
+          letter.kind = LETTER_TIMEOUT;
+          post (world, &letter, action->u.mesh_call.deadline - world->now);
+          break;
+        case ACTION_MESH_REPLY:
+          letter.kind = LETTER_REPLY;
+          letter.to = action->u.mesh_reply.link.bits;
+          letter.serial = action->u.mesh_reply.xid;
+          letter.reply = action->u.mesh_reply.reply;
+          post (world, &letter, draw_msec (world, 1, 40));
+          break;
+        case ACTION_BEAT_ANSWER:
+          letter.kind = LETTER_BEAT;
+          letter.begun = world->now;
+          letter.answer = g_memdup2 (action->u.beat_answer.answer,
+                                     sizeof (struct beat_answer));
+          post (world, &letter, draw_msec (world, 1, 3));
+          break;
+        default:
+          break;
+        }
+    }
+}
+
+/* Give EVENT to node I, if it runs.  */
+static inline void
+tell (struct world *world, guint i, const struct event *event)
+{
+  struct actions actions;
+
+  if (!world->node[i].up || world->now < world->node[i].frozen_until)
+    return;
+  actions_init (&actions);
+  mesh_step (&world->node[i].mesh, event, world->now, &actions);
+  obey (world, i, &actions);
+  actions_clear (&actions);
+}
+
+/* Start the process of node I.  */
+static inline void
+start_node (struct world *world, guint i)
+{
+  struct world_node *node = &world->node[i];
+  struct mesh_settings settings = { .beat_usec = BEAT_USEC,
+                                    .hold_max_usec = 10 * USEC_PER_SEC,
+                                    .drain_usec = 2 * USEC_PER_SEC,
+                                    .grace_usec = 6 * USEC_PER_SEC };
+  struct route_service service = { .name = SERVICE, .divided = TRUE };
+  struct event event = { .kind = EVENT_ROUTING };
+
+  g_snprintf (settings.name, sizeof settings.name, "node-%u", i);
+  g_strlcpy (settings.service, SERVICE, sizeof settings.service);
+  settings.peer.port = (guint16)i;
+  settings.server.port = (guint16)(100 + i);
+  settings.incarnation = ((guint64)i << 32) + ++node->life;
+  mesh_init (&node->mesh, &settings, world->now);
+  node->up = TRUE;
+  node->read = 0;
+  event.u.routing.routing = routing_new (1);
+  g_array_append_val (event.u.routing.routing->services, service);
+  tell (world, i, &event);
+}
+
+/* Kill the process of node I.  */
+static inline void
+kill_node (struct world *world, guint i)
+{
+  if (world->node[i].up)
+    mesh_clear (&world->node[i].mesh);
+  world->node[i].up = FALSE;
+}
+
+/* A new life of the server of node I begins.  */
+static inline void
+start_server (struct world *world, guint i)
+{
+  struct fake_server *server = &world->node[i].server;
+  gint64 born = server->life.born + 1;
+
+  memset (server, 0, sizeof *server);
+  g_snprintf (server->life.id, sizeof server->life.id, "s%u", i);
+  server->life.born = born;
+  server->up = TRUE;
+  server->beat_at = world->now;
+}
+
+/* Servers */
+
+/* The server of node I sends a beat.  */
+static inline void
+send_beat (struct world *world, guint i)
+{
+  struct fake_server *server = &world->node[i].server;
+  struct beat *beat = g_new0 (struct beat, 1);
+  struct event event = { .kind = EVENT_BEAT };
+
+  beat->life = server->life;
+  g_strlcpy (beat->service, SERVICE, sizeof beat->service);
+  beat->address.port = (guint16)(100 + i);
+  beat->number = ++server->number;
+  beat->slots = 4;
+  beat->held = server->rows;
+  memcpy (beat->hold, server->row, sizeof beat->hold);
+  beat->freed = server->frees;
+  memcpy (beat->free, server->freed, sizeof beat->free);
+  server->beat_at = world->now + BEAT_USEC;
+  event.u.beat.beat = beat;
+  tell (world, i, &event);
+  g_free (beat);
+}
+
+/* Tell whether ANSWER has all of ROW.  */
+static inline gboolean
+is_given (const struct beat_answer *answer, const struct beat_row *row)
+{
+  guint i;
+
+  for (i = 0; i < answer->count; i++)
+    if (answer->row[i].first <= row->first && answer->row[i].last >= row->last)
+      return TRUE;
+  return FALSE;
+}
+
+/* The server of LETTER's node reads the answer to its beat.  */
+static inline void
+take_answer (struct world *world, const struct letter *letter)
+{
+  struct fake_server *server = &world->node[letter->from].server;
+  const struct beat_answer *answer = letter->answer;
+  guint i;
+
+  if (!server->up || answer == NULL
+      || world->now - letter->begun > ANSWER_USEC)
+    return;
+  server->frees = 0;
+  if (!answer->renews)
+    return;
+  for (i = 0; i < server->rows; i++)
+    if (!is_given (answer, &server->row[i]))
+      {
+        server->freed[server->frees] = server->row[i];
+        server->frees++;
+        server->beat_at = world->now + USEC_PER_SEC / 10;
+      }
+  memcpy (server->row, answer->row, sizeof server->row);
+  server->rows = answer->count;
+  server->hold_until
+      = letter->begun + answer->hold_usec + answer->hold_usec / 50;
+}
+
+/* The store */
+
+/* A record comes to the store.  */
+static inline void
+take_append (struct world *world, struct letter *letter)
+{
+  struct letter back = { .kind = LETTER_STORED,
+                         .from = letter->from,
+                         .life = letter->life,
+                         .serial = letter->serial };
+  guint via = letter->to != 0 ? letter->to : letter->from;
+
+  if (!has_store (world, via))
+    back.code = ERR_UNAVAILABLE;
+  else if (letter->at != APPEND_ANYWHERE && letter->at != world->log->len)
+    back.code = ERR_CONFLICT;
+  else
+    {
+      struct fleet_record record = copy_record (&letter->record);
+      back.at = world->log->len;
+      g_array_append_val (world->log, record);
+      if (g_rand_int_range (world->random, 0, 20) == 0)
+        back.code = ERR_EFFECT;
+    }
+  post (world, &back, draw_msec (world, 3, 30));
+}
+
+/* A read comes to the store.  */
+static inline void
+take_read (struct world *world, const struct letter *letter)
+{
+  struct letter back = *letter;
+
+  if (!has_store (world, letter->from))
+    return;
+  back.kind = LETTER_RECORDS;
+  back.at = world->log->len;
+  post (world, &back, draw_msec (world, 3, 100));
+}
+
+/* Records below NEXT come to node I by a read that began at BEGUN, or from a
+   peer where that is 0.  */
+static inline void
+take_records (struct world *world, guint i, guint64 next, gint64 begun)
+{
+  struct world_node *node = &world->node[i];
+  struct event event = { .kind = EVENT_FLEET };
+  GArray *entries = g_array_new (FALSE, TRUE, sizeof (struct fleet_entry));
+  guint64 at;
+
+  if (!node->up || world->now < node->frozen_until)
+    {
+      g_array_free (entries, TRUE);
+      return;
+    }
+  for (at = node->read; at < next; at++)
+    {
+      struct fleet_entry entry
+          = { at, g_array_index (world->log, struct fleet_record, at) };
+      g_array_append_val (entries, entry);
+    }
+  node->read = MAX (node->read, next);
+  event.u.fleet.items = (const void *)entries->data;
+  event.u.fleet.count = entries->len;
+  event.u.fleet.next = next;
+  event.u.fleet.complete = TRUE;
+  event.u.fleet.at_end = begun != 0;
+  event.u.fleet.begun = begun;
+  tell (world, i, &event);
+  g_array_free (entries, TRUE);
+}
+
+/* Letters */
+
+/* A call comes to the node that LETTER goes to.  */
+static inline void
+take_call (struct world *world, const struct letter *letter)
+{
+  struct event event = { .kind = EVENT_MESH_CALL };
+  const struct world_node *to = &world->node[letter->to];
+
+  if (to->cut || world->node[letter->from].cut || !to->up)
+    return;
+  if (letter->call.kind == MESH_FETCH)
+    {
+      take_records (world, letter->from, to->mesh.roster.next, 0);
+      return;
+    }
+  event.u.mesh_call.link.bits = letter->from;
+  event.u.mesh_call.xid = (guint32)letter->serial;
+  event.u.mesh_call.call = &letter->call;
+  tell (world, letter->to, &event);
+}
+
+/* The call that LETTER made is answered: it does not time out.  */
+static inline void
+answered (struct world *world, const struct letter *letter)
+{
+  guint i;
+
+  for (i = 0; i < world->letters->len; i++)
+    {
+      const struct letter *other
+          = &g_array_index (world->letters, struct letter, i);
+      if (other->kind == LETTER_TIMEOUT && other->from == letter->to
+          && other->serial == letter->serial)
+        {
+          g_array_remove_index (world->letters, i);
+          return;
+        }
+    }
+}
+
+/* No reply came.  */
+static inline void
+take_timeout (struct world *world, const struct letter *letter)
+{
+  struct mesh_reply reply = { .kind = letter->call.kind, .code = ERR_EFFECT };
+  struct event event = { .kind = EVENT_MESH_REPLY };
+
+  event.u.mesh_reply.serial = letter->serial;
+  event.u.mesh_reply.member = letter->member;
+  event.u.mesh_reply.reply = &reply;
+  if (world->node[letter->from].life == letter->life)
+    tell (world, letter->from, &event);
+}
+
+/* A reply to a pulse comes back.  The caller finds the callee by its name.  */
+static inline void
+take_reply (struct world *world, const struct letter *letter)
+{
+  struct world_node *to = &world->node[letter->to];
+  struct event event = { .kind = EVENT_MESH_REPLY };
+
+  if (to->cut || world->node[letter->from].cut || !to->up)
+    return;
+  answered (world, letter);
+  event.u.mesh_reply.serial = letter->serial;
+  event.u.mesh_reply.member
+      = roster_find (&to->mesh.roster, letter->reply.u.pulse.name);
+  event.u.mesh_reply.reply = &letter->reply;
+  tell (world, letter->to, &event);
+}
+
+/* LETTER arrives.  */
+static inline void
+arrive (struct world *world, struct letter *letter)
+{
+  struct event event = { .kind = EVENT_STORED };
+  gboolean same = world->node[letter->from].life == letter->life;
+
+  switch (letter->kind)
+    {
+    case LETTER_APPEND:
+      take_append (world, letter);
+      fleet_record_clear (&letter->record);
+      break;
+    case LETTER_STORED:
+      event.u.stored.serial = letter->serial;
+      event.u.stored.code = letter->code;
+      event.u.stored.offset = letter->at;
+      if (same)
+        tell (world, letter->from, &event);
+      break;
+    case LETTER_READ:
+      take_read (world, letter);
+      break;
+    case LETTER_RECORDS:
+      if (same)
+        take_records (world, letter->from, letter->at, letter->begun);
+      break;
+    case LETTER_CALL:
+      take_call (world, letter);
+      break;
+    case LETTER_REPLY:
+      take_reply (world, letter);
+      break;
+    case LETTER_TIMEOUT:
+      take_timeout (world, letter);
+      break;
+    case LETTER_BEAT:
+      take_answer (world, letter);
+      g_free (letter->answer);
+      break;
+    }
+}
+
+/* Let all that is due arrive.  */
+static inline void
+deliver (struct world *world)
+{
+  guint i = 0;
+
+  while (i < world->letters->len)
+    {
+      struct letter letter = g_array_index (world->letters, struct letter, i);
+      if (letter.due > world->now)
+        {
+          i++;
+          continue;
+        }
+      g_array_remove_index (world->letters, i);
+      arrive (world, &letter);
+    }
+}
+
+/* Checks */
+
+/* Note that node I's server holds ROW now.  */
+static inline void
+check_row (struct world *world, guint i, const struct beat_row *row,
+           guint8 *holder)
+{
+  guint32 key;
+
+  for (key = row->first; key <= row->last; key++)
+    {
+      if (holder[key] != 0)
+        world->doubles++;
+      holder[key] = (guint8)(i + 1);
+      if (world->owner[key] != 0 && world->owner[key] != i + 1
+          && row->fence <= world->fence[key])
+        world->falls++;
+      world->owner[key] = (guint8)(i + 1);
+      world->fence[key] = MAX (world->fence[key], row->fence);
+    }
+}
+
+/* Look at what all servers hold.  */
+static inline void
+check_holders (struct world *world)
+{
+  static guint8 holder[SHARD_KEYS];
+  guint i;
+  guint k;
+
+  memset (holder, 0, sizeof holder);
+  for (i = 0; i < WORLD_NODES; i++)
+    {
+      const struct fake_server *server = &world->node[i].server;
+      for (k = 0;
+           server->up && world->now < server->hold_until && k < server->rows;
+           k++)
+        check_row (world, i, &server->row[k], holder);
+    }
+}
+
+/* Keys that some server holds now.  */
+static inline guint
+held_keys (const struct world *world)
+{
+  guint keys = 0;
+  guint i;
+  guint k;
+
+  for (i = 0; i < WORLD_NODES; i++)
+    {
+      const struct fake_server *server = &world->node[i].server;
+      for (k = 0;
+           server->up && world->now < server->hold_until && k < server->rows;
+           k++)
+        keys += server->row[k].last - server->row[k].first + 1;
+    }
+  return keys;
+}
+
+/* Time */
+
+/* One step of all nodes.  */
+static inline void
+step_world (struct world *world)
+{
+  struct event tick = { .kind = EVENT_TICK };
+  guint i;
+
+  world->now += STEP_USEC;
+  deliver (world);
+  for (i = 0; i < WORLD_NODES; i++)
+    {
+      struct world_node *node = &world->node[i];
+      struct letter read = {
+        .kind = LETTER_READ, .from = i, .life = node->life, .begun = world->now
+      };
+      if (!node->up && world->now >= node->up_at)
+        start_node (world, i);
+      if (world->now >= node->well_at)
+        node->cut = node->off_store = FALSE;
+      if (!node->server.up && world->now >= node->server.beat_at)
+        start_server (world, i);
+      if (node->server.up && world->now >= node->server.beat_at)
+        send_beat (world, i);
+      if (node->up && g_rand_int_range (world->random, 0, 12) == 0)
+        post (world, &read, draw_msec (world, 3, 30));
+      tell (world, i, &tick);
+    }
+  check_holders (world);
+}
+
+/* Set up a world from SEED.  */
+static inline struct world *
+world_new (guint32 seed)
+{
+  struct world *world = g_new0 (struct world, 1);
+  guint i;
+
+  world->log = g_array_new (FALSE, TRUE, sizeof (struct fleet_record));
+  world->letters = g_array_new (FALSE, TRUE, sizeof (struct letter));
+  world->random = g_rand_new_with_seed (seed);
+  world->now = 100 * USEC_PER_SEC;
+  for (i = 0; i < WORLD_NODES; i++)
+    {
+      start_server (world, i);
+      start_node (world, i);
+    }
+  return world;
+}
+
+/* Release WORLD.  */
+static inline void
+world_free (struct world *world)
+{
+  guint i;
+
+  for (i = 0; i < WORLD_NODES; i++)
+    kill_node (world, i);
+  for (i = 0; i < world->letters->len; i++)
+    {
+      struct letter *letter
+          = &g_array_index (world->letters, struct letter, i);
+      if (letter->kind == LETTER_APPEND)
+        fleet_record_clear (&letter->record);
+      if (letter->kind == LETTER_BEAT)
+        g_free (letter->answer);
+    }
+  for (i = 0; i < world->log->len; i++)
+    fleet_record_clear (&g_array_index (world->log, struct fleet_record, i));
+  g_array_free (world->log, TRUE);
+  g_array_free (world->letters, TRUE);
+  g_rand_free (world->random);
+  g_free (world);
+}
+
+#endif
