What may have been given away is not granted

A map that was proposed stays in doubt until the record at its offset is known, and what it gives away is not granted meanwhile; any record settles it.

--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -24,6 +24,8 @@
   table_init (&mesh->upstreams, sizeof (struct upstream));
   table_init (&mesh->transits, sizeof (struct transit));
   mesh->budgets = g_array_new (FALSE, TRUE, sizeof (struct mesh_budget));
+  mesh->doubts = g_array_new (FALSE, TRUE, sizeof (struct mesh_doubt));
+  g_array_set_clear_func (mesh->doubts, mesh_doubt_clear);
   mesh->crashes = g_array_new (FALSE, TRUE, sizeof (guint64));
 }
 
@@ -39,6 +41,7 @@
   table_clear (&mesh->upstreams);
   table_clear (&mesh->transits);
   g_array_free (mesh->budgets, TRUE);
+  g_array_free (mesh->doubts, TRUE);
   g_array_free (mesh->crashes, TRUE);
   if (mesh->proposal.pending)
     fleet_record_clear (&mesh->proposal.record);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -6,6 +6,7 @@
 #include "fleet/roster.h"
 #include "fleet/session.h"
 #include "mesh/mesh_budget.h"
+#include "mesh/mesh_doubt.h"
 #include "mesh/mesh_proposal.h"
 #include "mesh/mesh_settings.h"
 #include "serve/transit.h"
@@ -34,6 +35,7 @@
   GArray *budgets;               /* struct mesh_budget */
   struct suspects suspects;      /* requests lost with the server */
   GArray *crashes;               /* guint64 digests to be reported */
+  GArray *doubts;                /* struct mesh_doubt */
   struct mesh_proposal proposal; /* the record on its way */
   gint64 propose_at;             /* nothing is proposed before */
   gint64 started;                /* when the process started */
--- a/src/mesh/mesh_beat.c
+++ b/src/mesh/mesh_beat.c
@@ -32,7 +32,9 @@
   answer->renews = map != NULL && mesh->known && answer->hold_usec > 0;
   if (answer->renews)
     {
-      shard_rows (map, &duty, answer);
+      struct shard_map safe = mesh_doubt_apply (mesh, map);
+      shard_rows (&safe, &duty, answer);
+      shard_map_clear (&safe);
       grant_give (&mesh->grant, answer, now);
     }
   g_array_free (holders, TRUE);
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -81,6 +81,14 @@
                    gint64 now, struct actions *out);
 void mesh_session_step (struct mesh *mesh, gint64 now, struct actions *out);
 
+/* What may stand in the store, mesh_doubt.c.  */
+void mesh_doubt_clear (gpointer data);
+void mesh_doubt_add (struct mesh *mesh, const struct shard_map *map,
+                     guint64 at);
+void mesh_doubt_settle (struct mesh *mesh);
+struct shard_map mesh_doubt_apply (const struct mesh *mesh,
+                                   const struct shard_map *map);
+
 /* What this node proposes, mesh_plan.c.  */
 void mesh_plan_step (struct mesh *mesh, gint64 now, struct actions *out);
 GArray *mesh_holders (struct mesh *mesh, const char *service, gint64 now);
--- a/src/mesh/mesh_plan.c
+++ b/src/mesh/mesh_plan.c
@@ -6,6 +6,7 @@
 #define SETTLE_MAX_USEC ((gint64)4000000)
 
 #define EVEN_EVERY_USEC ((gint64)1500000) /* between looks at the balance */
+#define PROPOSAL_USEC ((gint64)4000000)   /* longest that one is awaited */
 #define FORGET_USEC ((gint64)30000000)    /* a silent member is dropped */
 
 /* Who may take keys */
@@ -76,14 +77,16 @@
          && told->slots == member->slots && told->state == member->state;
 }
 
-/* Propose what this node says of itself, if the store says something else.  */
+/* Propose what this node says of itself, if the store says something else, or
+   AGAIN.  */
 static gboolean
-propose_self (struct mesh *mesh, gint64 now, struct actions *out)
+propose_self (struct mesh *mesh, gboolean again, gint64 now,
+              struct actions *out)
 {
   struct fleet_record record = { .kind = FLEET_MEMBER };
 
   describe_self (mesh, now, &record.u.member);
-  if (is_told (mesh, &record.u.member))
+  if (!again && is_told (mesh, &record.u.member))
     return FALSE;
   mesh_propose (mesh, &record, APPEND_ANYWHERE, now, out);
   return TRUE;
@@ -277,13 +280,29 @@
   propose_drop (mesh, now, out);
 }
 
-/* Propose what is due, one record at a time.  */
+/* Count no more on a proposal that has not ended; it stays in doubt.  */
+static void
+give_up_proposal (struct mesh *mesh, gint64 now)
+{
+  if (!mesh->proposal.pending || now - mesh->proposal.begun < PROPOSAL_USEC)
+    return;
+  mesh->proposal.pending = FALSE;
+  fleet_record_clear (&mesh->proposal.record);
+}
+
+/* Propose what is due, one record at a time.  Any record settles what is in
+   doubt.  */
 void
 mesh_plan_step (struct mesh *mesh, gint64 now, struct actions *out)
 {
+  give_up_proposal (mesh, now);
   if (!mesh->known || mesh->proposal.pending || now < mesh->propose_at)
     return;
-  if (!propose_self (mesh, now, out) && !propose_crash (mesh, now, out)
-      && !propose_duty (mesh, now, out))
+  if (propose_self (mesh, FALSE, now, out) || propose_crash (mesh, now, out)
+      || propose_duty (mesh, now, out))
+    return;
+  if (mesh->doubts->len > 0)
+    propose_self (mesh, TRUE, now, out);
+  else
     propose_for_all (mesh, now, out);
 }
--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -94,6 +94,7 @@
           mesh->settled_at = now;
       }
   roster_reach (&mesh->roster, event->next);
+  mesh_doubt_settle (mesh);
   if (event->at_end && event->next >= mesh->roster.next)
     session_confirm (&mesh->session, event->begun);
   if (event->complete && !mesh->known)
@@ -117,6 +118,8 @@
   struct action_store *action;
 
   fleet_record_set_key (record);
+  if (record->kind == FLEET_MAP)
+    mesh_doubt_add (mesh, &record->u.map, at);
   proposal->pending = TRUE;
   proposal->relayed = FALSE;
   proposal->serial = ++mesh->serial;
--- a/tests/mesh_world.h
+++ b/tests/mesh_world.h
@@ -11,8 +11,9 @@
 #define WORLD_NODES 4u
 #define STEP_USEC ((gint64)10000)
 #define BEAT_USEC ((gint64)900000)
-#define ANSWER_USEC ((gint64)1000000) /* a later answer to a beat is ignored  \
-                                       */
+#define ANSWER_USEC                                                           \
+  ((gint64)1000000) /* a later answer to a beat is ignored                    \
+                     */
 #define SERVICE "keys"
 
 /* What is on its way.  */
