--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -105,6 +105,8 @@
 void mesh_take_reply (struct mesh *mesh, const struct event_mesh_reply *event,
                       gint64 now, struct actions *out);
 void mesh_watch_step (struct mesh *mesh, gint64 now, struct actions *out);
+void mesh_watch_vouch (struct mesh *mesh, const struct shard_map *record,
+                       gint64 now);
 gboolean mesh_is_lost (struct mesh *mesh, struct handle member, gint64 now);
 guint32 mesh_rank (struct mesh *mesh, gint64 now);
 
--- a/src/mesh/mesh_pulse.c
+++ b/src/mesh/mesh_pulse.c
@@ -82,6 +82,9 @@
       struct action_mesh_call *action;
       gint64 every = upstream->silent ? PULSE_SLOW_USEC : PULSE_EVERY_USEC;
       const struct fleet_member *member = roster_member_at (&mesh->roster, h);
+      if (upstream->pulse_pending
+          && now - upstream->pulse_at >= 2 * PULSE_TIMEOUT_USEC)
+        upstream->pulse_pending = FALSE;
       if (upstream->pulse_pending || now - upstream->pulse_at < every
           || member == NULL)
         continue;
--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -87,12 +87,15 @@
   guint32 i;
 
   for (i = 0; i < event->count; i++)
-    if (roster_fold (&mesh->roster, &event->items[i], now))
-      {
-        note_entry (mesh, &event->items[i], out);
-        if (event->items[i].record.kind == FLEET_MEMBER)
-          mesh->settled_at = now;
-      }
+    {
+      if (event->items[i].record.kind == FLEET_MAP)
+        mesh_watch_vouch (mesh, &event->items[i].record.u.map, now);
+      if (!roster_fold (&mesh->roster, &event->items[i], now))
+        continue;
+      note_entry (mesh, &event->items[i], out);
+      if (event->items[i].record.kind == FLEET_MEMBER)
+        mesh->settled_at = now;
+    }
   roster_reach (&mesh->roster, event->next);
   mesh_doubt_settle (mesh);
   if (event->at_end && event->next >= mesh->roster.next)
--- a/src/mesh/mesh_watch.c
+++ b/src/mesh/mesh_watch.c
@@ -6,6 +6,8 @@
 /* A node that this one has not heard for so long is named in its pulses.  */
 #define NAMED_USEC ((gint64)1100000)
 
+#define VOUCH_USEC ((gint64)8000000) /* an owner is taken to be alive */
+
 /* The last word from UPSTREAM, or when it was first looked for.  */
 static gint64
 last_word (const struct upstream *upstream)
@@ -36,7 +38,8 @@
 
   if (known == NULL)
     return TRUE;
-  if (upstream == NULL || now - last_word (upstream) < LOST_USEC)
+  if (upstream == NULL || now < upstream->vouched_until
+      || now - last_word (upstream) < LOST_USEC)
     return FALSE;
   for (; handle_is_set (h); h = table_next (&mesh->upstreams, h))
     {
@@ -48,6 +51,28 @@
   return TRUE;
 }
 
+/* The map in RECORD was read.  An owner that has taken a shard up again that
+   was marked lost is alive, though this node may not hear it: to mark it again
+   would only take its keys out of service.  */
+void
+mesh_watch_vouch (struct mesh *mesh, const struct shard_map *record,
+                  gint64 now)
+{
+  const struct shard_map *known = roster_map (&mesh->roster, record->service);
+  guint i;
+
+  for (i = 0; known != NULL && i < record->shards->len; i++)
+    {
+      const struct shard *shard = shard_map_at (record, i);
+      const struct shard *old = shard_map_find (known, shard->first);
+      struct upstream *upstream = table_get (
+          &mesh->upstreams, roster_find (&mesh->roster, shard->owner));
+      if (upstream != NULL && shard->state == SHARD_HELD
+          && old->state == SHARD_LOST && old->fence == shard->fence)
+        upstream->vouched_until = now + VOUCH_USEC;
+    }
+}
+
 /* How many of the nodes that are heard come before this one by name.  */
 guint32
 mesh_rank (struct mesh *mesh, gint64 now)
--- a/src/serve/upstream.h
+++ b/src/serve/upstream.h
@@ -18,6 +18,7 @@
   guint64 incarnation;     /* its process, as it said last */
   guint64 folded;          /* records below this it has folded */
   guint64 config;          /* version that it has in force */
+  gint64 vouched_until;    /* the store has shown it alive */
   gint64 behind_since;     /* it has known more than this node since, 0: no */
   gboolean leaving;        /* it is about to end */
   gboolean store_lost;     /* the store does not answer it */
--- /dev/null
+++ b/tests/test_platform_read.c
@@ -0,0 +1,189 @@
+#include "platform/beat.h"
+#include "platform/config.h"
+#include "platform/store_decode.h"
+#include "tests/suite.h"
+
+#include <string.h>
+
+static const char config_text[]
+    = "{\"version\":\"r12\",\"routes\":{\"columns\":[\"name\",\"host\","
+      "\"path-prefix\",\"route-type\",\"timeout-ms\",\"target-latency-ms\","
+      "\"priority\",\"weighted-services\",\"max-attempts\",\"service\"],"
+      "\"rows\":[[\"a\",\"h.example\",\"/x/\",\"idempotent\",1000,500,2,"
+      "[{\"service\":\"s1\",\"weight\":90},{\"service\":\"s2\",\"weight\":10}"
+      "],2,null],[\"b\",\"h.example\",\"/x/y/\",\"non_idempotent\",1200,600,1,"
+      "null,null,\"s2\"]]},\"services\":{\"columns\":[\"name\",\"max-conns\","
+      "\"sharded\"],\"rows\":[[\"s1\",110,true],[\"s2\",110,null]]}}";
+
+/* A configuration is read into the project's own types.  */
+static void
+test_config (void)
+{
+  struct routing *routing = platform_config_read ((const guint8 *)config_text,
+                                                  strlen (config_text));
+  struct route *route;
+  guint first = 0;
+  guint i;
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (routing);
+  CU_ASSERT_EQUAL (routing->version, 12);
+  CU_ASSERT_TRUE (routing_service (routing, "s1")->divided);
+  CU_ASSERT_FALSE (routing_service (routing, "s2")->divided);
+  route = routing_match (routing, "H.example", "/x/y/z");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  CU_ASSERT_STRING_EQUAL (route->name, "b");
+  CU_ASSERT_EQUAL (route->run_class, RUN_ONCE);
+  CU_ASSERT_EQUAL (route->attempts, 1);
+  CU_ASSERT_EQUAL (route->timeout_usec, 1200000);
+  route = routing_match (routing, "h.example", "/x/z");
+  CU_ASSERT_STRING_EQUAL (route->name, "a");
+  for (i = 0; i < 100; i++)
+    if (strcmp (route_turn (route), "s1") == 0)
+      first++;
+  CU_ASSERT_EQUAL (first, 90);
+  CU_ASSERT_PTR_NULL (routing_match (routing, "h.example", "/y/"));
+  CU_ASSERT_PTR_NULL (routing_match (routing, "other", "/x/y/"));
+  routing_free (routing);
+}
+
+/* What is no configuration is none, wherever it breaks off.  */
+static void
+test_broken_config (void)
+{
+  gsize length;
+
+  for (length = 0; length < strlen (config_text); length++)
+    CU_ASSERT_PTR_NULL (
+        platform_config_read ((const guint8 *)config_text, length));
+}
+
+/* Read TEXT as a beat of s-1.  */
+static enum err
+read_beat (const char *text, struct beat *beat)
+{
+  return platform_beat_read ("s-1", (const guint8 *)text, strlen (text), beat);
+}
+
+/* A beat is read, with what the server holds and has freed.  */
+static void
+test_beat (void)
+{
+  static struct beat beat;
+
+  CU_ASSERT_EQUAL (
+      read_beat ("{\"born\":7,\"address\":\"10.1.0.8:80\",\"info\":{"
+                 "\"service\":\"s\",\"slots\":6},\"status\":{\"state\":"
+                 "\"draining\",\"seq\":4,\"cold-left-ms\":30},\"holds\":"
+                 "[[0,9,3]],\"freed\":[[10,19,\"t\"]]}",
+                 &beat),
+      ERR_NONE);
+  CU_ASSERT_EQUAL (beat.life.born, 7);
+  CU_ASSERT_EQUAL (beat.slots, 6);
+  CU_ASSERT_EQUAL (beat.number, 4);
+  CU_ASSERT_EQUAL (beat.cold_usec, 30000);
+  CU_ASSERT_TRUE (beat.draining);
+  CU_ASSERT_EQUAL (beat.held, 1);
+  CU_ASSERT_EQUAL (beat.hold[0].fence, 3);
+  CU_ASSERT_EQUAL (beat.freed, 1);
+  CU_ASSERT_STRING_EQUAL (beat.free[0].token, "t");
+}
+
+/* Beats of other writers name no server.  */
+static void
+test_broken_beats (void)
+{
+  static const char *const texts[] = {
+    "",
+    "[]",
+    "{}",
+    "{\"born\":\"x\"}",
+    "{\"born\":7,\"address\":\"10.1.0.8:80\",\"info\":{\"service\":\"s\","
+    "\"slots\":6},\"status\":{\"state\":\"asleep\",\"seq\":4}}",
+    "{\"born\":7,\"address\":\"nowhere\",\"info\":{\"service\":\"s\","
+    "\"slots\":6},\"status\":{\"state\":\"ready\",\"seq\":4}}",
+    "{\"born\":7,\"address\":\"10.1.0.8:80\",\"info\":{\"service\":\"s\","
+    "\"slots\":6},\"status\":{\"state\":\"ready\",\"seq\":4},\"holds\":"
+    "[[9,0,1]]}",
+    "{\"born\":7,\"address\":\"10.1.0.8:80\",\"info\":{\"service\":\"s\","
+    "\"slots\":6},\"status\":{\"state\":\"ready\",\"seq\":4},\"holds\":"
+    "\"all\"}"
+  };
+  static struct beat beat;
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (texts); i++)
+    CU_ASSERT_EQUAL (read_beat (texts[i], &beat), ERR_MALFORMED);
+}
+
+/* An answer lists what is to be held, or renews nothing.  */
+static void
+test_answer (void)
+{
+  static struct beat_answer answer
+      = { .renews = TRUE,
+          .hold_usec = 2500000,
+          .count = 2,
+          .row = { { 0, 9, 3, "" }, { 20, 29, 4, "t" } } };
+  char *text = platform_beat_answer (&answer);
+
+  CU_ASSERT_STRING_EQUAL (
+      text, "{\"hold-ms\":2500,\"holds\":[[0,9,3,\"\"],[20,29,4,\"t\"]]}");
+  g_free (text);
+  answer.renews = FALSE;
+  text = platform_beat_answer (&answer);
+  CU_ASSERT_STRING_EQUAL (text, "{}");
+  g_free (text);
+}
+
+/* Records that were read keep their offsets, also behind one that is not
+   right.  */
+static void
+test_read (void)
+{
+  static const guint8 bytes[] = { 0, 0, 0, 0, 0, 0,   0,   9,
+                                  0, 0, 0, 0, 0, 0,   0,   0, /* end, first */
+                                  0, 0, 0, 4, 1, 'k', 'v', 'w', /* k: vw */
+                                  0, 0, 0, 1, 7,                /* no key */
+                                  0, 0, 0, 2, 1, 'l' };         /* l dropped */
+  struct store_result result = { .offset = 6 };
+  GByteArray *body = g_byte_array_new ();
+  const struct store_item *item;
+
+  result.items = g_array_new (FALSE, TRUE, sizeof (struct store_item));
+  g_byte_array_append (body, bytes, sizeof bytes);
+  CU_ASSERT_EQUAL (store_decode_read (body, &result), ERR_NONE);
+  CU_ASSERT_EQUAL (result.end, 9);
+  CU_ASSERT_EQUAL (result.offset, 9);
+  CU_ASSERT_EQUAL_FATAL (result.items->len, 2);
+  item = &g_array_index (result.items, struct store_item, 0);
+  CU_ASSERT_STRING_EQUAL (item->key, "k");
+  CU_ASSERT_EQUAL (item->offset, 6);
+  CU_ASSERT_EQUAL (item->length, 2);
+  item = &g_array_index (result.items, struct store_item, 1);
+  CU_ASSERT_STRING_EQUAL (item->key, "l");
+  CU_ASSERT_EQUAL (item->offset, 8);
+  CU_ASSERT_EQUAL (item->length, 0);
+  g_free (g_array_index (result.items, struct store_item, 0).key);
+  g_free (g_array_index (result.items, struct store_item, 1).key);
+  g_array_set_size (result.items, 0);
+  g_byte_array_set_size (body, body->len - 1);
+  result.offset = 6;
+  CU_ASSERT_EQUAL (store_decode_read (body, &result), ERR_MALFORMED);
+  g_free (g_array_index (result.items, struct store_item, 0).key);
+  g_array_free (result.items, TRUE);
+  g_byte_array_unref (body);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = { { "configuration", test_config },
+                          { "broken configurations", test_broken_config },
+                          { "beat", test_beat },
+                          { "beats of other writers", test_broken_beats },
+                          { "answers to beats", test_answer },
+                          { "records", test_read },
+                          CU_TEST_INFO_NULL };
+
+  return suite_run ("platform_read", tests);
+}
