--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -1,5 +1,8 @@
 #include "mesh/mesh_parts.h"
 
+/* A request that has less than this share of a mean run left is not begun.  */
+#define RUN_LEAST_PERCENT 80
+
 #define ADMIT_AGAIN_USEC ((gint64)20000) /* between looks for a grant */
 
 /* What its server has is ended in so long before the process is killed.  */
@@ -183,6 +186,10 @@
   if (reason == REASON_NONE && is_divided (mesh, transit->request.service)
       && !grant_has (&mesh->grant, transit->request.slice, now))
     reason = REASON_NOT_OWNER;
+  if (reason == REASON_NONE
+      && transit->request.deadline - now
+             < mesh->gate.pace.run_usec * RUN_LEAST_PERCENT / 100)
+    reason = REASON_OVERLOAD;
   return reason;
 }
 
--- a/src/mesh/mesh_balance.c
+++ b/src/mesh/mesh_balance.c
@@ -5,8 +5,8 @@
 #define GAP_PERMILLE 150
 #define BUSY_PERMILLE 450
 
-#define BALANCE_EVERY_USEC ((gint64)400000) /* between looks */
-#define BALANCE_REST_USEC ((gint64)1500000) /* after a move */
+#define BALANCE_EVERY_USEC ((gint64)250000) /* between looks */
+#define BALANCE_REST_USEC ((gint64)1100000) /* after a move */
 #define BALANCE_SHARDS_MAX 300u             /* a map with more is left alone */
 #define RATE_LEAST 2u                       /* requests a second worth it */
 
--- a/src/mesh/mesh_pulse.c
+++ b/src/mesh/mesh_pulse.c
@@ -5,9 +5,9 @@
 #define PULSE_SLOW_USEC ((gint64)1000000)   /* between calls to a silent one */
 
 /* A node that a peer is ahead of for so long fetches what it lacks from that
-   peer: its own read of the store should have come by then.  */
+   peer: its own read of the store, if it makes one, should have come then.  */
 #define BEHIND_USEC ((gint64)150000)
-#define FETCH_EVERY_USEC ((gint64)200000)   /* between fetches */
+#define FETCH_EVERY_USEC ((gint64)100000)   /* between fetches */
 #define FETCH_TIMEOUT_USEC ((gint64)900000) /* for the reply */
 
 /* The version of the configuration in force, 0 for none.  */
@@ -143,7 +143,8 @@
     }
   if (upstream->behind_since == 0)
     upstream->behind_since = now;
-  if (now - upstream->behind_since >= BEHIND_USEC || mesh->store_lost)
+  if (now - upstream->behind_since >= BEHIND_USEC || mesh->store_lost
+      || !mesh_reads_store (mesh, now))
     fetch (mesh, h, from, now, out);
 }
 
