Dead connections are dropped; the configuration's end is confirmed too

Cause, by reading: a connection may go silent while new ones work. Pulses on it timed out for good, so that a living node passed for silent; requests to the server took such connections one after the other; a reader whose poll of the operator's topic hung would have learned of a change after 20 s. Two missed pulses drop the connection; a time-out while the server answers nothing drops those kept to it; the node that confirms reads the ends of both topics.

Fields that nothing used are gone. Tests: test_mesh, the last two.

--- a/src/edge/mesh_node_do.c
+++ b/src/edge/mesh_node_do.c
@@ -182,6 +182,7 @@
       break;
     case ACTION_CONFIRM:
       feed_confirm (&node->fleet_feed);
+      feed_confirm (&node->config_feed);
       break;
     case ACTION_BEAT_ANSWER:
       calls_answer (&node->calls, action->u.beat_answer.call,
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -14,6 +14,7 @@
   memset (mesh, 0, sizeof *mesh);
   mesh->settings = *settings;
   mesh->started = now;
+  mesh->draws = settings->seed;
   mesh->settled_at = now;
   roster_init (&mesh->roster);
   grant_init (&mesh->grant, now + settings->hold_max_usec);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -45,6 +45,7 @@
   gint64 balance_at;             /* no keys are offered before */
   gint64 even_at;                /* when keys were last evened out */
   gint64 fetch_at;               /* when a peer was last asked for records */
+  gint64 answered_at;            /* when the server last answered */
   gboolean store_lost;           /* the store does not answer this node */
   gboolean known;                /* the topic was read to its end once */
   gboolean had_session;          /* the session was live when last looked */
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -251,7 +251,8 @@
     mesh_crashed (mesh, now, out);
 }
 
-/* The server has ended its attempt at TRANSIT.  */
+/* The server has ended its attempt at TRANSIT.  Where it has answered nothing
+   meanwhile, the connections that are kept to it may be dead.  */
 void
 mesh_admit_ended (struct mesh *mesh, const struct transit *transit,
                   const struct event_ended *event, gint64 now,
@@ -261,6 +262,7 @@
   switch (event->outcome)
     {
     case OUTCOME_DONE:
+      mesh->answered_at = now;
       gate_on_done (&mesh->gate, now - transit->sent);
       suspects_add_done (&mesh->suspects, transit->request.digest);
       break;
@@ -272,6 +274,9 @@
       take_loss (mesh, event->reason, now, out);
       break;
     case OUTCOME_UNKNOWN:
+      if (event->reason == REASON_DEADLINE
+          && mesh->answered_at < transit->sent)
+        actions_add (out, ACTION_SUSPECT_CONNECTION)->u.suspect.peer = 0;
       if ((event->reason == REASON_SERVER_DOWN
            || event->reason == REASON_TRUNCATED)
           && transit->request.digest != 0)
--- a/src/mesh/mesh_pulse.c
+++ b/src/mesh/mesh_pulse.c
@@ -2,6 +2,7 @@
 
 #define PULSE_EVERY_USEC ((gint64)300000)   /* between calls to one node */
 #define PULSE_TIMEOUT_USEC ((gint64)700000) /* for its reply */
+#define PULSES_MISSED 2u                    /* until a connection is dropped */
 #define PULSE_SLOW_USEC ((gint64)1000000)   /* between calls to a silent one */
 
 /* A node that a peer is ahead of for so long fetches what it lacks from that
@@ -203,6 +204,20 @@
     }
 }
 
+/* A pulse to the node H was not answered.  After some in a row the connection
+   is taken to be dead, though the node may not be: the next one opens anew. */
+static void
+miss_pulse (struct mesh *mesh, struct handle h, struct actions *out)
+{
+  struct upstream *upstream = table_get (&mesh->upstreams, h);
+  const struct fleet_member *member = roster_member_at (&mesh->roster, h);
+
+  upstream->pulses_missed++;
+  if (upstream->pulses_missed % PULSES_MISSED == 0 && member != NULL)
+    actions_add (out, ACTION_SUSPECT_CONNECTION)->u.suspect.peer
+        = member->incarnation;
+}
+
 /* The node H answered a pulse, or another one that has its address now.  What
    it has confirmed with the store holds for this node too, if this node has
    folded as much; it was confirmed no earlier than its age before the pulse
@@ -219,9 +234,12 @@
   if (upstream == NULL || event->serial != upstream->pulse_serial)
     return;
   upstream->pulse_pending = FALSE;
+  if (reply->code != ERR_NONE)
+    miss_pulse (mesh, h, out);
   if (reply->code != ERR_NONE
       || !handle_equal (h, roster_find (&mesh->roster, pulse->name)))
     return;
+  upstream->pulses_missed = 0;
   take_pulse (mesh, h, pulse, now, out);
   if (pulse->confirmed_age >= 0 && mesh->known
       && mesh->roster.next >= pulse->folded)
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -21,7 +21,6 @@
   request->run_class = route->run_class;
   request->priority = route->priority;
   transit->attempts = MAX (1, route->attempts);
-  transit->target_usec = route->target_usec;
   if (route->timeout_usec > 0)
     request->deadline
         = MIN (request->deadline, transit->came + route->timeout_usec);
--- a/src/serve/transit.h
+++ b/src/serve/transit.h
@@ -20,8 +20,6 @@
   struct request request;   /* what it is; its deadline is this node's */
   enum transit_phase phase; /* where it is */
   gint64 came;              /* when it came */
-  gint64 target_usec;       /* an answer counts in full within this, 0: not
-                               known */
   gint64 bytes;             /* of its body, 0 if not known */
   guint32 attempts;         /* servers that it may be sent to */
   guint32 reached;          /* servers that it may have reached */
--- a/src/serve/upstream.h
+++ b/src/serve/upstream.h
@@ -14,6 +14,7 @@
   gint64 heard;            /* last word from it, 0: none yet */
   gint64 pulse_at;         /* when it was last called */
   guint64 pulse_serial;    /* of that call */
+  guint32 pulses_missed;   /* in a row */
   gboolean pulse_pending;  /* that call is not answered yet */
   guint64 incarnation;     /* its process, as it said last */
   guint64 folded;          /* records below this it has folded */
--- a/src/shard/grant.c
+++ b/src/shard/grant.c
@@ -95,7 +95,6 @@
   grant->number = beat->number;
   grant->slots = beat->slots;
   grant->beat_at = now;
-  grant->warm_at = now + beat->cold_usec;
   grant->held = beat->held;
   memcpy (grant->hold, beat->hold, beat->held * sizeof *grant->hold);
   for (i = 0; i < beat->freed; i++)
--- a/src/shard/grant.h
+++ b/src/shard/grant.h
@@ -25,7 +25,6 @@
   gboolean dead;         /* it seems to have ended: nothing listens */
   gint64 leave_at;       /* when its leaving was acknowledged, 0: not */
   gint64 beat_at;        /* when its last beat came, 0: never */
-  gint64 warm_at;        /* it is slow until then */
   gint64 refused_at;     /* first refused connection since, 0: none */
   gint64 doubt_until;    /* the server said that it lacks a key */
   gint64 hold_until;     /* nothing granted lasts longer */
--- a/src/types/action.h
+++ b/src/types/action.h
@@ -27,7 +27,7 @@
   ACTION_SUSPECT_CONNECTION, /* probe and replace connections to a peer */
   ACTION_EXIT,               /* the node has left */
   ACTION_STORE,              /* mesh: append a record to the store */
-  ACTION_CONFIRM,            /* mesh: read the end of the fleet's topic */
+  ACTION_CONFIRM,            /* mesh: read the ends of the topics */
   ACTION_BEAT_ANSWER,        /* mesh: answer a beat or a goodbye */
   ACTION_RELAY,              /* mesh: have another node append a record */
   ACTION_MESH_CALL,          /* mesh: call another node */
--- a/src/types/route_service.h
+++ b/src/types/route_service.h
@@ -10,7 +10,6 @@
 {
   char name[NAME_SIZE]; /* name of the service */
   gboolean divided;     /* each key has one holder */
-  guint32 connections;  /* connections that a server accepts, 0: not told */
 };
 
 #endif
--- a/tests/mesh_world.h
+++ b/tests/mesh_world.h
@@ -137,6 +137,7 @@
   settings.incarnation = ((guint64)i << 32) + ++node->life;
   mesh_init (&node->mesh, &settings, world->now);
   node->up = TRUE;
+  node->frozen_until = 0;
   node->read = 0;
   event.u.routing.routing = routing_new (1);
   g_array_append_val (event.u.routing.routing->services, service);
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -333,16 +333,68 @@
   bench_free (bench);
 }
 
+/* The reply to the pulse that the node sent to the other one, or none.  */
+static void
+answer_pulse (struct bench *bench, enum err code)
+{
+  struct event event = { .kind = EVENT_MESH_REPLY };
+  struct mesh_reply reply = { .kind = MESH_PULSE, .code = code };
+  struct handle other = roster_find (&bench->mesh.roster, "b");
+  const struct upstream *upstream = table_get (&bench->mesh.upstreams, other);
+
+  g_strlcpy (reply.u.pulse.name, "b", NAME_SIZE);
+  event.u.mesh_reply.serial = upstream->pulse_serial;
+  event.u.mesh_reply.member = other;
+  event.u.mesh_reply.reply = &reply;
+  feed (bench, &event);
+}
+
+/* A connection on which pulses get no answer is dropped.  */
+static void
+test_dead_connection (void)
+{
+  struct bench *bench = bench_new ();
+  const struct action *action;
+
+  pass (bench, 310 * MSEC);
+  answer_pulse (bench, ERR_EFFECT);
+  CU_ASSERT_PTR_NULL (find (bench, ACTION_SUSPECT_CONNECTION));
+  pass (bench, 710 * MSEC);
+  answer_pulse (bench, ERR_EFFECT);
+  action = find (bench, ACTION_SUSPECT_CONNECTION);
+  CU_ASSERT_PTR_NOT_NULL (action);
+  if (action != NULL)
+    CU_ASSERT_EQUAL (action->u.suspect.peer, 77);
+  bench_free (bench);
+}
+
+/* A request that the server let time out, answering nothing else meanwhile,
+   has the kept connections dropped.  */
+static void
+test_dead_server_connection (void)
+{
+  struct bench *bench = bench_new ();
+  struct handle exchange = ask (bench, "/once/x");
+
+  bench->now += 1000 * MSEC;
+  end (bench, exchange, OUTCOME_UNKNOWN, REASON_DEADLINE);
+  CU_ASSERT_PTR_NOT_NULL (find (bench, ACTION_SUSPECT_CONNECTION));
+  bench_free (bench);
+}
+
 int
 main (void)
 {
-  CU_TestInfo tests[] = { { "timeout of a route", test_timeout_of_route },
-                          { "another process", test_other_process },
-                          { "misdirected", test_misdirected },
-                          { "patience", test_patience },
-                          { "stop", test_stop },
-                          { "repeats", test_repeats },
-                          CU_TEST_INFO_NULL };
+  CU_TestInfo tests[]
+      = { { "timeout of a route", test_timeout_of_route },
+          { "another process", test_other_process },
+          { "misdirected", test_misdirected },
+          { "patience", test_patience },
+          { "stop", test_stop },
+          { "repeats", test_repeats },
+          { "dead connection", test_dead_connection },
+          { "dead connection to the server", test_dead_server_connection },
+          CU_TEST_INFO_NULL };
 
   return suite_run ("mesh", tests);
 }
