--- a/src/edge/mesh_config.c
+++ b/src/edge/mesh_config.c
@@ -30,27 +30,16 @@
     = { config_fields, G_N_ELEMENTS (config_fields), "",
         "node|listen|server|store|bounds|journal" };
 
-/* Read the address of KEY.  */
-static void
-read_address (const struct ini *ini, const struct ini_section *section,
-              const char *key, struct address *address)
-{
-  char *text = ini_text (ini, section, key);
-
-  address_parse (text, address);
-  g_free (text);
-}
-
 /* Read the addresses that the node listens at.  */
 static void
 read_listen (struct mesh_config *config, const struct ini *ini,
              const struct ini_section *section)
 {
-  read_address (ini, section, "callers", &config->callers);
-  read_address (ini, section, "control", &config->control);
-  read_address (ini, section, "ready", &config->ready);
-  read_address (ini, section, "metrics", &config->metrics);
-  read_address (ini, section, "peers", &config->mesh.peer);
+  ini_address (ini, section, "callers", &config->callers);
+  ini_address (ini, section, "control", &config->control);
+  ini_address (ini, section, "ready", &config->ready);
+  ini_address (ini, section, "metrics", &config->metrics);
+  ini_address (ini, section, "peers", &config->mesh.peer);
 }
 
 /* Read the values of SECTION, which has been checked.  */
@@ -70,11 +59,11 @@
     read_listen (config, ini, section);
   else if (strcmp (section->kind, "server") == 0)
     {
-      read_address (ini, section, "address", &mesh->server);
+      ini_address (ini, section, "address", &mesh->server);
       mesh->beat_usec = ini_usec (ini, section, "beat-ms", USEC_PER_MSEC, 0);
     }
   else if (strcmp (section->kind, "store") == 0)
-    read_address (ini, section, "address", &config->store);
+    ini_address (ini, section, "address", &config->store);
   else if (strcmp (section->kind, "bounds") == 0)
     {
       mesh->hold_max_usec = ini_usec (ini, section, "hold-max-ms",
--- a/src/edge/settings.c
+++ b/src/edge/settings.c
@@ -33,17 +33,6 @@
     = { settings_fields, G_N_ELEMENTS (settings_fields), "",
         "node|log|peers|journal" };
 
-/* Read the address of KEY.  */
-static void
-read_address (const struct ini *ini, const struct ini_section *section,
-              const char *key, struct address *address)
-{
-  char *text = ini_text (ini, section, key);
-
-  address_parse (text, address);
-  g_free (text);
-}
-
 /* Read the peers to start from: addresses with commas between.  */
 static void
 read_seeds (struct core_settings *core, const struct ini *ini,
@@ -79,12 +68,12 @@
       ini_copy (ini, section, "zone", core->zone, sizeof core->zone);
       ini_copy (ini, section, "region", core->region, sizeof core->region);
       ini_copy (ini, section, "service", core->service, sizeof core->service);
-      read_address (ini, section, "front", &core->front);
-      read_address (ini, section, "peer", &core->peer);
+      ini_address (ini, section, "front", &core->front);
+      ini_address (ini, section, "peer", &core->peer);
     }
   else if (strcmp (section->kind, "log") == 0)
     {
-      read_address (ini, section, "address", &settings->log);
+      ini_address (ini, section, "address", &settings->log);
       ini_copy (ini, section, "stream", settings->log_stream,
                 sizeof settings->log_stream);
       core->relays
--- a/src/types/ini.c
+++ b/src/types/ini.c
@@ -194,6 +194,17 @@
   return usec;
 }
 
+/* Read the address of KEY; ADDRESS stays as it is where there is none.  */
+void
+ini_address (const struct ini *ini, const struct ini_section *section,
+             const char *key, struct address *address)
+{
+  char *text = ini_text (ini, section, key);
+
+  address_parse (text, address);
+  g_free (text);
+}
+
 /* The number of KEY, or OTHERWISE if it is not there.  */
 gint64
 ini_number (const struct ini *ini, const struct ini_section *section,
--- a/src/types/ini.h
+++ b/src/types/ini.h
@@ -1,6 +1,7 @@
 #ifndef BAMBOOTALLY_INI_H
 #define BAMBOOTALLY_INI_H
 
+#include "types/address.h"
 #include "types/fault.h"
 
 /* An INI text checked against a schema.  Sections are called KIND or KIND
@@ -70,6 +71,8 @@
                 const char *key);
 void ini_copy (const struct ini *ini, const struct ini_section *section,
                const char *key, char *to, gsize size);
+void ini_address (const struct ini *ini, const struct ini_section *section,
+                  const char *key, struct address *address);
 gint64 ini_number (const struct ini *ini, const struct ini_section *section,
                    const char *key, gint64 otherwise);
 gint64 ini_usec (const struct ini *ini, const struct ini_section *section,
