Pulses go to neighbours on a ring; what is out of the ordinary is passed on

Ruled out: load of requests (0.02 cores a node without the calls). Change: a node calls the four that follow it by name and those at doubling distances; silent, leaving and storeless nodes are told of in the pulses, the later word counts. Load comes with answers and pulses of neighbours.

--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -3,6 +3,7 @@
 
 #include "decide/gate.h"
 #include "decide/suspect.h"
+#include "fleet/ring.h"
 #include "fleet/roster.h"
 #include "fleet/session.h"
 #include "mesh/mesh_budget.h"
@@ -30,7 +31,9 @@
   struct grant grant;            /* what the server here holds */
   struct gate gate;              /* admission to it */
   struct heat heat;              /* how often its keys are asked for */
+  struct ring ring;              /* whom this node calls */
   struct table upstreams;        /* struct upstream, by members' handles */
+  struct handle news_next;       /* where the next pulse's news begins */
   struct table transits;         /* struct transit, by exchanges' handles */
   GArray *budgets;               /* struct mesh_budget */
   struct suspects suspects;      /* requests lost with the server */
--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -184,8 +184,8 @@
     upstream->flying--;
   if (event->has_load && event->reason != REASON_PEER_LOST)
     {
-      upstream->heard = now;
-      upstream_on_load (upstream, &event->load);
+      upstream_on_word (upstream, now);
+      upstream_on_load (upstream, &event->load, now);
     }
   if (event->reason == REASON_DEADLINE)
     return;
--- /dev/null
+++ b/src/mesh/mesh_news.c
@@ -0,0 +1,109 @@
+#include "mesh/mesh_parts.h"
+
+/* Nodes tell each other in their pulses of nodes that are silent, about to end
+   or without the store, so that each knows that of all though it calls few.
+   Of two entries for a node the one with the later word from it counts.  */
+
+/* Something that changed is told for so long: it has crossed the fleet by
+   then.  */
+#define NEWS_USEC ((gint64)3000000)
+
+/* A word from a node that is so much later than what an entry says makes the
+   entry worth an answer.  */
+#define REFUTE_USEC ((gint64)400000)
+
+/* Word that is so old when it is told means that the node is silent.  */
+#define SILENT_AGE_MSEC 900u
+
+/* Have the others be told of UPSTREAM.  */
+void
+mesh_news_tell (struct upstream *upstream, gint64 now)
+{
+  upstream->news_until = now + NEWS_USEC;
+}
+
+/* Tell whether UPSTREAM is worth an entry.  */
+static gboolean
+is_news (const struct upstream *upstream, gint64 now)
+{
+  return now < upstream->news_until || upstream->silent || upstream->leaving
+         || upstream->store_lost;
+}
+
+/* Put into PULSE what is to be told, beginning where the last one ended.  */
+void
+mesh_news_fill (struct mesh *mesh, struct pulse *pulse, gint64 now)
+{
+  struct handle h = mesh->news_next;
+  guint32 left = mesh->upstreams.count;
+
+  for (; left > 0 && pulse->news_count < PULSE_NEWS_MAX; left--)
+    {
+      const struct upstream *upstream;
+      h = table_next (&mesh->upstreams, h);
+      if (!handle_is_set (h))
+        h = table_next (&mesh->upstreams, HANDLE_NONE);
+      upstream = table_get (&mesh->upstreams, h);
+      if (is_news (upstream, now) && upstream->recorded != 0)
+        {
+          struct news *news = &pulse->news[pulse->news_count++];
+          news->incarnation = upstream->incarnation;
+          news->age_msec = (guint32)((now - upstream_last_told (upstream))
+                                     / USEC_PER_MSEC);
+          news->leaving = upstream->leaving;
+          news->store_lost = upstream->store_lost;
+        }
+    }
+  mesh->news_next = h;
+}
+
+/* Take in one entry.  */
+static void
+take (struct upstream *upstream, const struct news *news, gint64 now)
+{
+  gint64 said = now - (gint64)news->age_msec * USEC_PER_MSEC;
+  gboolean suspected = news->age_msec >= SILENT_AGE_MSEC;
+
+  if (said <= upstream->told)
+    {
+      if (suspected && upstream->told - said >= REFUTE_USEC)
+        mesh_news_tell (upstream, now);
+      return;
+    }
+  if (suspected != upstream->suspected || news->leaving != upstream->leaving
+      || news->store_lost != upstream->store_lost)
+    mesh_news_tell (upstream, now);
+  upstream->told = said;
+  upstream->suspected = suspected;
+  upstream->leaving = news->leaving;
+  upstream->store_lost = news->store_lost;
+}
+
+/* The upstream whose process has INCARNATION, or NULL.  */
+static struct upstream *
+find (struct mesh *mesh, guint64 incarnation)
+{
+  struct handle h = table_next (&mesh->upstreams, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&mesh->upstreams, h))
+    {
+      struct upstream *upstream = table_get (&mesh->upstreams, h);
+      if (upstream->incarnation == incarnation)
+        return upstream;
+    }
+  return NULL;
+}
+
+/* Take in what PULSE tells.  */
+void
+mesh_news_take (struct mesh *mesh, const struct pulse *pulse, gint64 now)
+{
+  guint32 i;
+
+  for (i = 0; i < pulse->news_count; i++)
+    {
+      struct upstream *upstream = find (mesh, pulse->news[i].incarnation);
+      if (upstream != NULL)
+        take (upstream, &pulse->news[i], now);
+    }
+}
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -100,6 +100,11 @@
 gboolean mesh_balance (struct mesh *mesh, struct shard_map *map,
                        const GArray *holders, gint64 now, struct actions *out);
 
+/* What nodes tell of others, mesh_news.c.  */
+void mesh_news_tell (struct upstream *upstream, gint64 now);
+void mesh_news_fill (struct mesh *mesh, struct pulse *pulse, gint64 now);
+void mesh_news_take (struct mesh *mesh, const struct pulse *pulse, gint64 now);
+
 /* Other nodes, mesh_pulse.c and mesh_watch.c.  */
 void mesh_pulse_step (struct mesh *mesh, gint64 now, struct actions *out);
 void mesh_take_call (struct mesh *mesh, const struct event_mesh_call *event,
--- a/src/mesh/mesh_pick.c
+++ b/src/mesh/mesh_pick.c
@@ -90,9 +90,10 @@
   struct upstream here = { 0 };
 
   if (!is_here (mesh, member))
-    return upstream_cost (table_get (&mesh->upstreams, h), &ask);
+    return upstream_cost (table_get (&mesh->upstreams, h), &ask, now);
   here.load = mesh_load (mesh, now);
-  return upstream_cost (&here, &ask);
+  here.load_at = now;
+  return upstream_cost (&here, &ask, now);
 }
 
 /* Tell whether MEMBER takes requests of SERVICE.  */
--- a/src/mesh/mesh_plan.c
+++ b/src/mesh/mesh_plan.c
@@ -220,8 +220,8 @@
       const struct fleet_member *member = roster_member_at (&mesh->roster, h);
       const struct upstream *upstream = table_get (&mesh->upstreams, h);
       struct fleet_record record = { .kind = FLEET_DROPPED };
-      if (upstream == NULL
-          || now - MAX (upstream->heard, upstream->since) < FORGET_USEC
+      if (upstream == NULL || !upstream->silent
+          || now - upstream_last_told (upstream) < FORGET_USEC
           || owns_any (mesh, member->name))
         continue;
       g_snprintf (record.key, sizeof record.key, "member/%s", member->name);
--- a/src/mesh/mesh_pulse.c
+++ b/src/mesh/mesh_pulse.c
@@ -4,6 +4,11 @@
 #define PULSE_TIMEOUT_USEC ((gint64)700000) /* for its reply */
 #define PULSES_MISSED 2u                    /* until a connection is dropped */
 #define PULSE_SLOW_USEC ((gint64)1000000)   /* between calls to a silent one */
+#define PULSE_PUSH_USEC ((gint64)100000)    /* between calls to one behind */
+
+/* A watched node that others call, not this one, is called after so long
+   without a word from it.  */
+#define PULSE_PROBE_USEC ((gint64)450000)
 
 /* A node that a peer is ahead of for so long fetches what it lacks from that
    peer: its own read of the store, if it makes one, should have come then.  */
@@ -20,24 +25,6 @@
 
 /* What is said */
 
-/* Name in PULSE the nodes that are not heard.  */
-static void
-name_silent (struct mesh *mesh, struct pulse *pulse)
-{
-  struct handle h = table_next (&mesh->upstreams, HANDLE_NONE);
-
-  for (; handle_is_set (h); h = table_next (&mesh->upstreams, h))
-    {
-      const struct upstream *upstream = table_get (&mesh->upstreams, h);
-      const struct fleet_member *member = roster_member_at (&mesh->roster, h);
-      if (member == NULL || !upstream->silent
-          || pulse->silent_count >= PULSE_SILENT_MAX)
-        continue;
-      g_strlcpy (pulse->silent[pulse->silent_count++], member->name,
-                 NAME_SIZE);
-    }
-}
-
 /* Say how this node is.  */
 static void
 describe (struct mesh *mesh, gint64 now, struct pulse *pulse)
@@ -52,7 +39,7 @@
   pulse->leaving = mesh->leave_at != 0;
   pulse->store_lost = mesh->store_lost;
   pulse->load = mesh_load (mesh, now);
-  name_silent (mesh, pulse);
+  mesh_news_fill (mesh, pulse, now);
 }
 
 /* Make a call to the member H at TO; its kind and body are the caller's to
@@ -71,6 +58,33 @@
   return action;
 }
 
+/* Tell whether the neighbour UPSTREAM lacks something that this node has.  */
+static gboolean
+is_behind (const struct mesh *mesh, const struct upstream *upstream)
+{
+  return upstream->neighbour && upstream->heard != 0
+         && (upstream->folded < mesh->roster.next
+             || upstream->config < config_version (mesh));
+}
+
+/* Tell whether UPSTREAM is to be called.  */
+static gboolean
+is_due (const struct mesh *mesh, const struct upstream *upstream, gint64 now)
+{
+  gint64 since = now - upstream->pulse_at;
+
+  if (upstream->pulse_pending || !upstream->watched)
+    return FALSE;
+  if (upstream->silent)
+    return since >= PULSE_SLOW_USEC;
+  if (is_behind (mesh, upstream))
+    return since >= PULSE_PUSH_USEC;
+  if (upstream->called)
+    return since >= PULSE_EVERY_USEC;
+  return since >= PULSE_EVERY_USEC
+         && now - upstream_last_word (upstream) >= PULSE_PROBE_USEC;
+}
+
 /* Call the nodes that are due.  */
 void
 mesh_pulse_step (struct mesh *mesh, gint64 now, struct actions *out)
@@ -81,13 +95,14 @@
     {
       struct upstream *upstream = table_get (&mesh->upstreams, h);
       struct action_mesh_call *action;
-      gint64 every = upstream->silent ? PULSE_SLOW_USEC : PULSE_EVERY_USEC;
-      const struct fleet_member *member = roster_member_at (&mesh->roster, h);
+      const struct fleet_member *member;
       if (upstream->pulse_pending
           && now - upstream->pulse_at >= 2 * PULSE_TIMEOUT_USEC)
         upstream->pulse_pending = FALSE;
-      if (upstream->pulse_pending || now - upstream->pulse_at < every
-          || member == NULL)
+      if (!is_due (mesh, upstream, now))
+        continue;
+      member = roster_member_at (&mesh->roster, h);
+      if (member == NULL)
         continue;
       upstream->pulse_pending = TRUE;
       upstream->pulse_at = now;
@@ -100,18 +115,6 @@
 
 /* What is heard */
 
-/* Remember which nodes the sender of PULSE does not hear.  */
-static void
-take_silent (struct mesh *mesh, struct upstream *upstream,
-             const struct pulse *pulse)
-{
-  guint i;
-
-  upstream->silent_count = pulse->silent_count;
-  for (i = 0; i < pulse->silent_count; i++)
-    upstream->not_heard[i] = roster_find (&mesh->roster, pulse->silent[i]);
-}
-
 /* Fetch from the node at FROM, the member H if it is known as one, what it
    knows and this node does not.  */
 static void
@@ -163,8 +166,11 @@
         fetch (mesh, h, pulse->from, now, out);
       return;
     }
+  if (pulse->leaving != upstream->leaving
+      || pulse->store_lost != upstream->store_lost)
+    mesh_news_tell (upstream, now);
   upstream_on_pulse (upstream, pulse, now);
-  take_silent (mesh, upstream, pulse);
+  mesh_news_take (mesh, pulse, now);
   fetch_if_behind (mesh, h, pulse->from, now, out);
 }
 
--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -158,8 +158,7 @@
     {
       const struct upstream *upstream = table_get (&mesh->upstreams, h);
       guint64 draw = g_int_hash (&h.bits) * (++mesh->draws * 2654435761u);
-      if (!upstream_is_heard (upstream, now) || upstream->heard == 0
-          || upstream->store_lost
+      if (!upstream_is_heard (upstream, now) || upstream->store_lost
           || roster_member_at (&mesh->roster, h) == NULL)
         continue;
       if (draw % G_MAXINT32 >= most)
--- a/src/mesh/mesh_watch.c
+++ b/src/mesh/mesh_watch.c
@@ -1,54 +1,37 @@
 #include "mesh/mesh_parts.h"
 
-/* A node that nobody has heard for so long is taken to be lost.  */
-#define LOST_USEC ((gint64)1500000)
+/* A node that nobody has heard for so long is taken to be lost.  It is longer
+   than the time after which a node is named silent by what it takes those who
+   do hear it to say so.  */
+#define LOST_USEC ((gint64)1700000)
 
-/* A node that this one has not heard for so long is named in its pulses.  */
-#define NAMED_USEC ((gint64)1100000)
+/* A node that has not been heard for so long is named as silent.  */
+#define NAMED_USEC ((gint64)1000000)
 
 #define VOUCH_USEC ((gint64)8000000) /* an owner is taken to be alive */
 
-/* The last word from UPSTREAM, or when it was first looked for.  */
-static gint64
-last_word (const struct upstream *upstream)
-{
-  return MAX (upstream->heard, upstream->since);
-}
-
-/* Tell whether the node WITNESS, which this one hears, has heard MEMBER.  */
+/* Tell whether UPSTREAM is silent: this node waits for a word from it in vain,
+   or others do.  */
 static gboolean
-hears (const struct upstream *witness, struct handle member)
+is_silent (const struct upstream *upstream, gint64 now)
 {
-  guint i;
-
-  for (i = 0; i < witness->silent_count; i++)
-    if (handle_equal (witness->not_heard[i], member))
-      return FALSE;
-  return TRUE;
+  if (!upstream->watched)
+    return upstream->suspected;
+  return now - upstream_last_word (upstream) >= NAMED_USEC;
 }
 
-/* Tell whether neither this node nor any that it hears has heard MEMBER of
+/* Tell whether neither this node nor any that it hears of has heard MEMBER of
    late.  A member that is not in the roster is lost.  */
 gboolean
 mesh_is_lost (struct mesh *mesh, struct handle member, gint64 now)
 {
-  const struct fleet_member *known = roster_member_at (&mesh->roster, member);
   const struct upstream *upstream = table_get (&mesh->upstreams, member);
-  struct handle h = table_next (&mesh->upstreams, HANDLE_NONE);
 
-  if (known == NULL)
+  if (roster_member_at (&mesh->roster, member) == NULL)
     return TRUE;
-  if (upstream == NULL || now < upstream->vouched_until
-      || now - last_word (upstream) < LOST_USEC)
-    return FALSE;
-  for (; handle_is_set (h); h = table_next (&mesh->upstreams, h))
-    {
-      const struct upstream *witness = table_get (&mesh->upstreams, h);
-      if (!handle_equal (h, member) && witness->heard != 0
-          && upstream_is_heard (witness, now) && hears (witness, member))
-        return FALSE;
-    }
-  return TRUE;
+  return upstream != NULL && now >= upstream->vouched_until
+         && is_silent (upstream, now)
+         && now - upstream_last_told (upstream) >= LOST_USEC;
 }
 
 /* The map in RECORD was read.  An owner that has taken a shard up again that
@@ -84,9 +67,8 @@
     {
       const struct upstream *upstream = table_get (&mesh->upstreams, h);
       const struct fleet_member *member = roster_member_at (&mesh->roster, h);
-      if (member != NULL && upstream->heard != 0
-          && upstream_is_heard (upstream, now) && !upstream->leaving
-          && !upstream->store_lost
+      if (member != NULL && upstream_is_heard (upstream, now)
+          && !upstream->leaving && !upstream->store_lost
           && strcmp (member->name, mesh->settings.name) < 0)
         rank++;
     }
@@ -98,33 +80,66 @@
 note_silence (struct mesh *mesh, struct handle h, struct upstream *upstream,
               gint64 now, struct actions *out)
 {
-  gboolean silent = now - last_word (upstream) >= NAMED_USEC;
+  gboolean silent = is_silent (upstream, now);
 
   if (silent == upstream->silent)
     return;
   upstream->silent = silent;
+  mesh_news_tell (upstream, now);
   mesh_note (out, NOTE_MESH_SILENT, roster_member_at (&mesh->roster, h)->name,
-             "outcome=%s heard_ms=%" G_GINT64_FORMAT " flying=%u",
+             "outcome=%s heard_ms=%" G_GINT64_FORMAT
+             " told_ms=%" G_GINT64_FORMAT " by=%s flying=%u",
              silent ? "silent" : "heard",
-             (now - last_word (upstream)) / USEC_PER_MSEC, upstream->flying);
+             (now - upstream_last_word (upstream)) / USEC_PER_MSEC,
+             (now - upstream->told) / USEC_PER_MSEC,
+             upstream->watched ? "self" : "others", upstream->flying);
+}
+
+/* Take over who the neighbours on the ring are, if they are others now.  */
+static void
+take_ring (struct mesh *mesh)
+{
+  struct handle h = table_next (&mesh->upstreams, HANDLE_NONE);
+  guint32 i;
+
+  if (!ring_update (&mesh->ring, &mesh->roster, mesh->settings.name))
+    return;
+  for (; handle_is_set (h); h = table_next (&mesh->upstreams, h))
+    {
+      struct upstream *upstream = table_get (&mesh->upstreams, h);
+      upstream->neighbour = FALSE;
+      upstream->called = FALSE;
+    }
+  for (i = 0; i < mesh->ring.count; i++)
+    {
+      const struct ring_neighbour *neighbour = &mesh->ring.neighbour[i];
+      struct upstream *upstream
+          = table_mirror (&mesh->upstreams, neighbour->member);
+      upstream->neighbour = TRUE;
+      upstream->called = neighbour->calls;
+    }
 }
 
-/* Look at all members: those that are new are watched from now on, those that
-   are gone no more.  */
+/* Look at all members: those that are new are known from now on, those that
+   are gone no more.  Watched are the neighbours on the ring and whoever has a
+   request from here.  */
 void
 mesh_watch_step (struct mesh *mesh, gint64 now, struct actions *out)
 {
   struct handle h = table_next (&mesh->roster.members, HANDLE_NONE);
 
+  take_ring (mesh);
   for (; handle_is_set (h); h = table_next (&mesh->roster.members, h))
     {
       const struct fleet_member *member = roster_member_at (&mesh->roster, h);
       struct upstream *upstream;
-      if (strcmp (member->name, mesh->settings.name) == 0)
+      if (member->incarnation == mesh->settings.incarnation
+          || strcmp (member->name, mesh->settings.name) == 0)
         continue;
       upstream = table_mirror (&mesh->upstreams, h);
-      if (upstream->since == 0)
-        upstream->since = now;
+      upstream_on_record (upstream, member, now);
+      upstream_watch (upstream, upstream->neighbour || upstream->flying > 0,
+                      now);
       note_silence (mesh, h, upstream, now, out);
     }
   h = table_next (&mesh->upstreams, HANDLE_NONE);
--- a/src/serve/upstream.c
+++ b/src/serve/upstream.c
@@ -9,14 +9,75 @@
 #define ZONE_USEC_PER_KB ((gint64)2500)
 #define BYTES_PER_KB 1024
 
+/* What a node said of its load this long ago tells nothing of it now.  */
+#define LOAD_STALE_USEC ((gint64)1000000)
+
 #define RUN_UNKNOWN_USEC ((gint64)100000) /* run time of an unknown server */
 
-/* Tell whether the node has been heard of late.  One that has just been found
-   is given the time to answer.  */
+/* The last word that this node had from the other one, or when it began to
+   wait for one.  */
+gint64
+upstream_last_word (const struct upstream *upstream)
+{
+  return MAX (upstream->heard, upstream->since);
+}
+
+/* The last word from it that any node is known to have had.  */
+gint64
+upstream_last_told (const struct upstream *upstream)
+{
+  gint64 own = upstream->watched ? upstream_last_word (upstream) : 0;
+
+  return MAX (own, upstream->told);
+}
+
+/* Tell whether the node can be counted on to answer.  One that is not watched
+   is, unless others say that it is silent.  */
 gboolean
 upstream_is_heard (const struct upstream *upstream, gint64 now)
 {
-  return now - MAX (upstream->heard, upstream->since) < HEARD_USEC;
+  if (!upstream->watched)
+    return !upstream->suspected;
+  return now - upstream_last_word (upstream) < HEARD_USEC;
+}
+
+/* Begin or end to notice whether the node is silent.  One that has just been
+   found is given the time to answer.  */
+void
+upstream_watch (struct upstream *upstream, gboolean watched, gint64 now)
+{
+  if (watched && !upstream->watched)
+    upstream->since = now;
+  upstream->watched = watched;
+}
+
+/* The store says of the node what MEMBER says.  A new process is alive and
+   knows nothing of what was sent to the one before.  */
+void
+upstream_on_record (struct upstream *upstream,
+                    const struct fleet_member *member, gint64 now)
+{
+  if (upstream->recorded == member->incarnation)
+    return;
+  if (upstream->recorded != 0)
+    upstream->since = now;
+  upstream->recorded = member->incarnation;
+  upstream->incarnation = member->incarnation;
+  upstream->told = now;
+  upstream->suspected = FALSE;
+  upstream->leaving = FALSE;
+  upstream->store_lost = FALSE;
+  if (upstream->load_at == 0)
+    upstream->load.slots = member->slots;
+}
+
+/* Something came from the node itself.  */
+void
+upstream_on_word (struct upstream *upstream, gint64 now)
+{
+  upstream->heard = now;
+  upstream->told = now;
+  upstream->suspected = FALSE;
 }
 
 /* How long a request waits for a slot behind AHEAD others.  */
@@ -30,14 +91,27 @@
   return run * (ahead - load->slots + 1) / load->slots;
 }
 
+/* How many requests are thought to be there.  A node that has said nothing of
+   late is taken to be half busy, besides what it has from here.  */
+static guint32
+ahead_at (const struct upstream *upstream, gint64 now)
+{
+  const struct load_report *load = &upstream->load;
+
+  if (now - upstream->load_at >= LOAD_STALE_USEC)
+    return load->slots / 2 + upstream->flying;
+  return load->running + load->waiting + upstream->sent;
+}
+
 /* What a request costs there, in microseconds: its wait and its run, which
    counts more the busier the server is, and the way there.  */
 gint64
-upstream_cost (const struct upstream *upstream, const struct upstream_ask *ask)
+upstream_cost (const struct upstream *upstream, const struct upstream_ask *ask,
+               gint64 now)
 {
   const struct load_report *load = &upstream->load;
   gint64 run = load->run_usec > 0 ? load->run_usec : RUN_UNKNOWN_USEC;
-  guint32 ahead = load->running + load->waiting + upstream->sent;
+  guint32 ahead = ahead_at (upstream, now);
   gint64 cost = upstream_wait (load, ahead);
 
   if (load->slots > 0)
@@ -49,9 +123,11 @@
 
 /* The node said how busy it is.  */
 void
-upstream_on_load (struct upstream *upstream, const struct load_report *load)
+upstream_on_load (struct upstream *upstream, const struct load_report *load,
+                  gint64 now)
 {
   upstream->load = *load;
+  upstream->load_at = now;
   upstream->sent = 0;
 }
 
@@ -60,11 +136,11 @@
 upstream_on_pulse (struct upstream *upstream, const struct pulse *pulse,
                    gint64 now)
 {
-  upstream->heard = now;
+  upstream_on_word (upstream, now);
   upstream->incarnation = pulse->incarnation;
   upstream->folded = pulse->folded;
   upstream->config = pulse->config;
   upstream->leaving = pulse->leaving;
   upstream->store_lost = pulse->store_lost;
-  upstream_on_load (upstream, &pulse->load);
+  upstream_on_load (upstream, &pulse->load, now);
 }
--- a/src/serve/upstream.h
+++ b/src/serve/upstream.h
@@ -10,13 +10,21 @@
 
 struct upstream
 {
-  gint64 since;            /* when it was first looked at */
+  gint64 since;            /* its silence counts from here at the earliest */
   gint64 heard;            /* last word from it, 0: none yet */
+  gint64 told;             /* last word from it that any node heard, as far as
+                              that was told */
+  gint64 news_until;       /* other nodes are told of it until then */
+  gboolean neighbour;      /* it is one on the ring */
+  gboolean called;         /* it is called at intervals */
+  gboolean watched;        /* its silence is noticed here */
+  gboolean suspected;      /* others say that it is silent */
   gint64 pulse_at;         /* when it was last called */
   guint64 pulse_serial;    /* of that call */
   guint32 pulses_missed;   /* in a row */
   gboolean pulse_pending;  /* that call is not answered yet */
-  guint64 incarnation;     /* its process, as it said last */
+  guint64 incarnation;     /* its process, as it or its record said last */
+  guint64 recorded;        /* its process, as its record said last */
   guint64 folded;          /* records below this it has folded */
   guint64 config;          /* version that it has in force */
   gint64 vouched_until;    /* the store has shown it alive */
@@ -25,11 +33,10 @@
   gboolean store_lost;     /* the store does not answer it */
   gboolean silent;         /* it was reported as not heard */
   struct load_report load; /* its gate, as it said last */
+  gint64 load_at;          /* when it said that, 0: never */
   guint32 sent;            /* requests sent to it since it said that */
   guint32 flying;          /* requests that it has from here */
   struct breaker breaker;  /* keeps requests away from it */
-  guint32 silent_count;    /* nodes that it does not hear */
-  struct handle not_heard[PULSE_SILENT_MAX]; /* they */
 };
 
 /* A request whose place is looked for.  */
@@ -39,12 +46,18 @@
   gint64 bytes;       /* of its body */
 };
 
+gint64 upstream_last_word (const struct upstream *upstream);
+gint64 upstream_last_told (const struct upstream *upstream);
 gboolean upstream_is_heard (const struct upstream *upstream, gint64 now);
+void upstream_watch (struct upstream *upstream, gboolean watched, gint64 now);
+void upstream_on_record (struct upstream *upstream,
+                         const struct fleet_member *member, gint64 now);
+void upstream_on_word (struct upstream *upstream, gint64 now);
 gint64 upstream_wait (const struct load_report *load, guint32 ahead);
 gint64 upstream_cost (const struct upstream *upstream,
-                      const struct upstream_ask *ask);
+                      const struct upstream_ask *ask, gint64 now);
 void upstream_on_load (struct upstream *upstream,
-                       const struct load_report *load);
+                       const struct load_report *load, gint64 now);
 void upstream_on_pulse (struct upstream *upstream, const struct pulse *pulse,
                         gint64 now);
 
--- a/src/types/mesh_msg.h
+++ b/src/types/mesh_msg.h
@@ -8,7 +8,7 @@
 /* What the nodes of a mesh say to each other besides requests.  A call and
    its reply share a kind.  */
 
-#define PULSE_SILENT_MAX 8u          /* silent nodes that a pulse names */
+#define PULSE_NEWS_MAX 48u           /* nodes that a pulse tells of */
 #define MESH_BLOB_BYTES_MAX 1048576u /* bytes of records or configuration */
 
 enum mesh_msg_kind
@@ -18,6 +18,15 @@
   MESH_APPEND = 3 /* append a record for me */
 };
 
+/* What the sender of a pulse has heard of a third node.  */
+struct news
+{
+  guint64 incarnation; /* process of that node */
+  guint32 age_msec;    /* since the last word from it that anyone heard */
+  gboolean leaving;    /* it was about to end then */
+  gboolean store_lost; /* the store did not answer it then */
+};
+
 /* How a node is.  Sent both ways.  */
 struct pulse
 {
@@ -31,8 +40,9 @@
   gboolean leaving;        /* the process is about to end */
   gboolean store_lost;     /* the store does not answer the sender */
   struct load_report load; /* its gate */
-  guint32 silent_count;    /* names that follow */
-  char silent[PULSE_SILENT_MAX][NAME_SIZE]; /* nodes it does not hear */
+  guint32 news_count;      /* entries that follow */
+  struct news news[PULSE_NEWS_MAX]; /* of nodes that are not as usual, or were
+                                       not until lately */
 };
 
 /* Ask for records and the configuration.  */
--- a/src/wire/wire_mesh.c
+++ b/src/wire/wire_mesh.c
@@ -10,6 +10,16 @@
          && xdr_uint32_t (xdr, &load->demand);
 }
 
+/* What is told of another node.  */
+static bool_t
+wire_news (XDR *xdr, struct news *news)
+{
+  return wire_u64 (xdr, &news->incarnation)
+         && xdr_uint32_t (xdr, &news->age_msec)
+         && wire_flag (xdr, &news->leaving)
+         && wire_flag (xdr, &news->store_lost);
+}
+
 /* How a node is.  */
 static bool_t
 wire_pulse (XDR *xdr, struct pulse *pulse)
@@ -24,11 +34,11 @@
       || !wire_u64 (xdr, &pulse->config) || !wire_flag (xdr, &pulse->leaving)
       || !wire_flag (xdr, &pulse->store_lost)
       || !wire_load_report (xdr, &pulse->load)
-      || !xdr_uint32_t (xdr, &pulse->silent_count)
-      || pulse->silent_count > PULSE_SILENT_MAX)
+      || !xdr_uint32_t (xdr, &pulse->news_count)
+      || pulse->news_count > PULSE_NEWS_MAX)
     return FALSE;
-  for (i = 0; i < pulse->silent_count; i++)
-    if (!wire_text (xdr, pulse->silent[i], NAME_SIZE))
+  for (i = 0; i < pulse->news_count; i++)
+    if (!wire_news (xdr, &pulse->news[i]))
       return FALSE;
   return TRUE;
 }
