--- a/src/edge/mesh_node.c
+++ b/src/edge/mesh_node.c
@@ -175,13 +175,22 @@
 
 /* Time */
 
-/* Tell whether this node follows the store itself.  */
+/* Tell whether this node follows the fleet's topic itself.  */
 static gboolean
-follows_store (gpointer data)
+follows_fleet (gpointer data)
 {
   struct mesh_node *node = data;
 
-  return mesh_reads_store (&node->mesh, clock_usec ());
+  return mesh_reads_fleet (&node->mesh, clock_usec ());
+}
+
+/* Tell whether this node follows the operator's topic itself.  */
+static gboolean
+follows_config (gpointer data)
+{
+  struct mesh_node *node = data;
+
+  return mesh_reads_config (&node->mesh, clock_usec ());
 }
 
 /* The timer.  */
@@ -193,11 +202,10 @@
   gint64 now = clock_usec ();
 
   proxy_expire (&node->proxy, now);
-  if (follows_store (node))
-    {
-      feed_step (&node->fleet_feed, now);
-      feed_step (&node->config_feed, now);
-    }
+  if (follows_fleet (node))
+    feed_step (&node->fleet_feed, now);
+  if (follows_config (node))
+    feed_step (&node->config_feed, now);
   look_at_file (node, now);
   event.u.tick.exchanges = proxy_busy (&node->proxy);
   mesh_node_feed (node, &event);
@@ -227,9 +235,9 @@
 {
   store_init (&node->store, &node->proxy.http, node->config.store);
   feed_init (&node->fleet_feed, &node->store, STORE_TOPIC_FLEET,
-             mesh_node_on_fleet, follows_store, node);
+             mesh_node_on_fleet, follows_fleet, node);
   feed_init (&node->config_feed, &node->store, STORE_TOPIC_CONFIG,
-             mesh_node_on_config, follows_store, node);
+             mesh_node_on_config, follows_config, node);
 }
 
 /* Start a node with the settings in CONFIG, read from FILE.  */
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -64,7 +64,8 @@
 void mesh_clear (struct mesh *mesh);
 void mesh_step (struct mesh *mesh, const struct event *event, gint64 now,
                 struct actions *out);
-gboolean mesh_reads_store (struct mesh *mesh, gint64 now);
+gboolean mesh_reads_fleet (struct mesh *mesh, gint64 now);
+gboolean mesh_reads_config (struct mesh *mesh, gint64 now);
 gboolean mesh_is_ready (const struct mesh *mesh);
 struct load_report mesh_load (struct mesh *mesh, gint64 now);
 
--- a/src/mesh/mesh_plan.c
+++ b/src/mesh/mesh_plan.c
@@ -5,6 +5,10 @@
 #define SETTLE_USEC ((gint64)700000)
 #define SETTLE_MAX_USEC ((gint64)4000000)
 
+/* A node that does not know its server yet says nothing of itself for so long
+   after its start: the first beat is due by then.  */
+#define UNMET_USEC ((gint64)2500000)
+
 #define EVEN_EVERY_USEC ((gint64)1500000) /* between looks at the balance */
 #define PROPOSAL_USEC ((gint64)4000000)   /* longest that one is awaited */
 #define FORGET_USEC ((gint64)30000000)    /* a silent member is dropped */
@@ -56,6 +60,8 @@
 {
   struct fleet_record record = { .kind = FLEET_MEMBER };
 
+  if (!life_is_set (&mesh->grant.life) && now - mesh->started < UNMET_USEC)
+    return FALSE;
   describe_self (mesh, now, &record.u.member);
   if (!again && is_told (mesh, &record.u.member))
     return FALSE;
--- a/src/mesh/mesh_pulse.c
+++ b/src/mesh/mesh_pulse.c
@@ -148,7 +148,7 @@
   if (upstream->behind_since == 0)
     upstream->behind_since = now;
   if (now - upstream->behind_since >= BEHIND_USEC || mesh->store_lost
-      || !mesh_reads_store (mesh, now))
+      || !mesh_reads_fleet (mesh, now))
     fetch (mesh, h, from, now, out);
 }
 
--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -6,9 +6,6 @@
 #define CONFIRM_RANK_USEC ((gint64)300000)
 #define CONFIRM_EVERY_USEC ((gint64)600000) /* between reads of one node */
 
-#define READERS 3u                   /* nodes that follow the store */
-#define UNFED_USEC ((gint64)2200000) /* a session this old is not fed */
-
 #define PROPOSE_AGAIN_USEC ((gint64)150000)  /* after one that failed */
 #define RELAY_TIMEOUT_USEC ((gint64)1200000) /* for an append by a peer */
 
@@ -243,20 +240,6 @@
                                                       : PROPOSE_AGAIN_USEC);
 }
 
-/* Who reads */
-
-/* Tell whether this node follows the store itself.  The first few do; the
-   others hear from their pulses that there is more, and fetch it from them.
-   One that has not heard so for a while reads for itself.  */
-gboolean
-mesh_reads_store (struct mesh *mesh, gint64 now)
-{
-  gint64 age = session_age (&mesh->session, now);
-
-  return mesh->routing == NULL || !mesh->known || age < 0 || age > UNFED_USEC
-         || mesh_rank (mesh, now) < READERS;
-}
-
 /* Session */
 
 /* Confirm the session where it has not been of late, and say when it lapsed or
