Keys go where a request costs least, by offers that only their owner knows

Ruled out: moves by count of keys (the planner's; they are few). Change: an offer stays with the owner until its server has released the range; the cost of a request is its server's run time, and more beyond half of what the server can; a hot key moves by itself where that helps much; run times are kept by route, so that short calls are not refused for long reports; one node reads the fleet's topic; connections stand in one epoll set.

--- a/src/decide/gate.c
+++ b/src/decide/gate.c
@@ -147,7 +147,7 @@
                       &g_array_index (gate->waiting, struct gate_waiter, i)))
       ahead++;
   return now + pace_wait (&gate->pace, ahead, slots_at (gate, now))
-             + gate->pace.run_usec
+             + waiter->run_usec
          <= waiter->deadline;
 }
 
@@ -164,9 +164,12 @@
             const struct request *request, gint64 now, enum reason *reason)
 {
   struct gate_waiter waiter
-      = { exchange, request->priority, request->deadline,
+      = { exchange,
+          request->priority,
+          request->deadline,
           gate->in_turn ? now : request->deadline,
-          now + (request->deadline - now) * gate->patience / 100 };
+          now + (request->deadline - now) * gate->patience / 100,
+          request->run_usec > 0 ? request->run_usec : gate->pace.run_usec };
 
   *reason = REASON_NONE;
   if (gate->slots == 0)
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -17,6 +17,7 @@
   gint64 deadline;        /* microseconds */
   gint64 order;           /* of equal priority, the least goes first */
   gint64 until;           /* it waits no longer */
+  gint64 run_usec;        /* how long it is thought to run */
 };
 
 struct gate
--- a/src/edge/conn.c
+++ b/src/edge/conn.c
@@ -21,25 +21,14 @@
   g_free (conn);
 }
 
-/* Stop and drop a watch.  */
-void
-conn_drop_source (GSource **source)
-{
-  if (*source == NULL)
-    return;
-  g_source_destroy (*source);
-  g_source_unref (*source);
-  *source = NULL;
-}
-
-/* Close the socket and its watches.  */
+/* Close the socket and its watch.  */
 static void
 shut (struct conn *conn)
 {
-  conn_drop_source (&conn->in);
-  conn_drop_source (&conn->out);
   if (conn->socket == NULL)
     return;
+  conn_want (conn, 0);
+  poller_remove (conn->watch);
   g_socket_close (conn->socket, NULL);
   g_clear_object (&conn->socket);
 }
@@ -107,7 +96,7 @@
   if (socket != NULL)
     {
       g_socket_connect (socket, address, NULL, NULL);
-      conn_watch_out (conn);
+      conn_want (conn, POLLER_OUT);
     }
   g_object_unref (address);
   return conn;
@@ -120,7 +109,7 @@
   struct conn *conn = conn_new (socket, fn, data);
 
   conn->opened = TRUE;
-  conn_watch_in (conn);
+  conn_want (conn, POLLER_IN);
   return conn;
 }
 
@@ -154,7 +143,7 @@
   if (length == 0)
     return;
   g_byte_array_append (conn->queued, bytes, (guint)length);
-  conn_watch_out (conn);
+  conn_want (conn, conn->wanted | POLLER_OUT);
 }
 
 /* Bytes that are queued and not sent.  */
@@ -178,7 +167,7 @@
 {
   conn->paused = paused;
   if (paused)
-    conn_drop_source (&conn->in);
+    conn_want (conn, conn->wanted & ~POLLER_IN);
   else if (conn->opened)
-    conn_watch_in (conn);
+    conn_want (conn, conn->wanted | POLLER_IN);
 }
--- a/src/edge/conn.h
+++ b/src/edge/conn.h
@@ -3,6 +3,7 @@
 
 #include "types/address.h"
 #include "types/err.h"
+#include "types/handle.h"
 
 #include <gio/gio.h>
 
@@ -34,8 +35,8 @@
 {
   guint refs;           /* references held */
   GSocket *socket;      /* the socket, NULL once closed */
-  GSource *in;          /* watch for bytes to read */
-  GSource *out;         /* watch for room to write */
+  struct handle watch;  /* of the socket at the poller */
+  guint32 wanted;       /* POLLER_ bits that it is watched for */
   GByteArray *received; /* bytes the owner has not taken yet */
   GByteArray *queued;   /* bytes to send */
   gsize queued_at;      /* first byte of queued not sent yet */
--- a/src/edge/conn_io.c
+++ b/src/edge/conn_io.c
@@ -29,20 +29,6 @@
   return FALSE;
 }
 
-/* There is something to read.  */
-static gboolean
-on_readable (GSocket *socket, GIOCondition condition, gpointer data)
-{
-  struct conn *conn = data;
-
-  (void)socket;
-  (void)condition;
-  conn->refs++;
-  read_some (conn);
-  conn_unref (conn);
-  return G_SOURCE_CONTINUE;
-}
-
 /* Send what is queued as far as the socket takes it.  Return FALSE once the
    connection has ended.  */
 static gboolean
@@ -66,7 +52,7 @@
               conn_fail (conn, ERR_CLOSED);
               return FALSE;
             }
-          conn_watch_out (conn);
+          conn_want (conn, conn->wanted | POLLER_OUT);
           return TRUE;
         }
       conn->sent = TRUE;
@@ -74,7 +60,7 @@
     }
   g_byte_array_set_size (conn->queued, 0);
   conn->queued_at = 0;
-  conn_drop_source (&conn->out);
+  conn_want (conn, conn->wanted & ~POLLER_OUT);
   return TRUE;
 }
 
@@ -92,50 +78,44 @@
     }
   conn->opened = TRUE;
   if (!conn->paused)
-    conn_watch_in (conn);
+    conn_want (conn, conn->wanted | POLLER_IN);
   conn_tell (conn, CONN_OPENED, ERR_NONE);
   return conn->socket != NULL;
 }
 
 /* There is room to write, or the attempt to connect has ended.  */
-static gboolean
-on_writable (GSocket *socket, GIOCondition condition, gpointer data)
+static void
+on_writable (struct conn *conn)
 {
-  struct conn *conn = data;
-
-  (void)socket;
-  (void)condition;
-  conn->refs++;
   if (conn->opened || finish_open (conn))
     if (send_some (conn) && conn->queued->len == 0)
       conn_tell (conn, CONN_DRAINED, ERR_NONE);
-  conn_unref (conn);
-  return G_SOURCE_CONTINUE;
 }
 
-/* Watch for CONDITION.  */
-static GSource *
-watch (struct conn *conn, GIOCondition condition, GSocketSourceFunc fn)
+/* The socket is READY.  */
+static void
+on_ready (guint32 ready, gpointer data)
 {
-  GSource *source = g_socket_create_source (conn->socket, condition, NULL);
-
-  g_source_set_callback (source, G_SOURCE_FUNC (fn), conn, NULL);
-  g_source_attach (source, NULL);
-  return source;
-}
+  struct conn *conn = data;
 
-/* Watch for bytes to read.  */
-void
-conn_watch_in (struct conn *conn)
-{
-  if (conn->in == NULL && conn->socket != NULL)
-    conn->in = watch (conn, G_IO_IN, on_readable);
+  conn->refs++;
+  if (ready & POLLER_OUT)
+    on_writable (conn);
+  if ((ready & POLLER_IN) && (conn->wanted & POLLER_IN))
+    read_some (conn);
+  conn_unref (conn);
 }
 
-/* Watch for room to write.  */
+/* Watch the socket for what is WANTED, POLLER_ bits.  */
 void
-conn_watch_out (struct conn *conn)
+conn_want (struct conn *conn, guint32 wanted)
 {
-  if (conn->out == NULL && conn->socket != NULL)
-    conn->out = watch (conn, G_IO_OUT, on_writable);
+  if (conn->socket == NULL || conn->wanted == wanted)
+    return;
+  conn->wanted = wanted;
+  if (handle_is_set (conn->watch))
+    poller_want (conn->watch, wanted);
+  else
+    conn->watch
+        = poller_add (g_socket_get_fd (conn->socket), wanted, on_ready, conn);
 }
--- a/src/edge/mesh_node_do.c
+++ b/src/edge/mesh_node_do.c
@@ -29,6 +29,7 @@
   event.u.stored.serial = job->serial;
   event.u.stored.code = result->code;
   event.u.stored.offset = result->offset;
+  event.u.stored.end = result->end;
   if (job->serial != 0)
     mesh_node_feed (job->node, &event);
   else
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -27,6 +27,7 @@
   mesh->budgets = g_array_new (FALSE, TRUE, sizeof (struct mesh_budget));
   mesh->doubts = g_array_new (FALSE, TRUE, sizeof (struct mesh_doubt));
   g_array_set_clear_func (mesh->doubts, mesh_doubt_clear);
+  mesh->offers = g_array_new (FALSE, TRUE, sizeof (struct mesh_offer));
   mesh->crashes = g_array_new (FALSE, TRUE, sizeof (guint64));
 }
 
@@ -43,6 +44,7 @@
   table_clear (&mesh->transits);
   g_array_free (mesh->budgets, TRUE);
   g_array_free (mesh->doubts, TRUE);
+  g_array_free (mesh->offers, TRUE);
   g_array_free (mesh->crashes, TRUE);
   if (mesh->proposal.pending)
     fleet_record_clear (&mesh->proposal.record);
@@ -61,7 +63,7 @@
 {
   struct load_report load = { .running = mesh->gate.busy,
                               .waiting = mesh->gate.waiting->len,
-                              .run_usec = mesh->gate.pace.run_usec,
+                              .run_usec = run_times_mean (&mesh->run_times),
                               .demand = mesh_demand (mesh) };
 
   if (!grant_is_leaving (&mesh->grant) && !mesh->grant.dead)
@@ -173,6 +175,7 @@
     case EVENT_FLEET:
       mesh_fold (mesh, &event->u.fleet, now, out);
       mesh_watch_step (mesh, now, out);
+      mesh_pulse_step (mesh, now, out);
       mesh_plan_step (mesh, now, out);
       break;
     case EVENT_STORE:
@@ -180,6 +183,7 @@
       break;
     case EVENT_STORED:
       mesh_stored (mesh, &event->u.stored, now, out);
+      mesh_pulse_step (mesh, now, out);
       mesh_plan_step (mesh, now, out);
       break;
     case EVENT_BEAT:
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -8,8 +8,10 @@
 #include "fleet/session.h"
 #include "mesh/mesh_budget.h"
 #include "mesh/mesh_doubt.h"
+#include "mesh/mesh_offer.h"
 #include "mesh/mesh_proposal.h"
 #include "mesh/mesh_settings.h"
+#include "serve/run_times.h"
 #include "serve/transit.h"
 #include "serve/upstream.h"
 #include "shard/grant.h"
@@ -30,6 +32,7 @@
   struct session session;        /* with the store */
   struct grant grant;            /* what the server here holds */
   struct gate gate;              /* admission to it */
+  struct run_times run_times;    /* how long requests run there */
   struct heat heat;              /* how often its keys are asked for */
   struct ring ring;              /* whom this node calls */
   struct table upstreams;        /* struct upstream, by members' handles */
@@ -39,8 +42,10 @@
   struct suspects suspects;      /* requests lost with the server */
   GArray *crashes;               /* guint64 digests to be reported */
   GArray *doubts;                /* struct mesh_doubt */
+  GArray *offers;                /* struct mesh_offer */
   struct mesh_proposal proposal; /* the record on its way */
   gint64 propose_at;             /* nothing is proposed before */
+  guint64 propose_past;          /* nor before this is folded, for a while */
   gint64 started;                /* when the process started */
   gint64 stepped_at;             /* when the last event was taken in */
   gint64 settled_at;             /* members have not changed since */
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -37,6 +37,7 @@
     return FALSE;
   shard = shard_map_find (map, key);
   return shard->state == SHARD_HELD && shard->next[0] == '\0'
+         && !mesh_is_offered (mesh, key)
          && strcmp (shard->owner, mesh->settings.name) == 0;
 }
 
@@ -108,6 +109,8 @@
   struct transit *transit = table_get (&mesh->transits, exchange);
   enum reason reason;
 
+  transit->request.run_usec
+      = run_times_of (&mesh->run_times, transit->request.route);
   switch (gate_admit (&mesh->gate, exchange, &transit->request, now, &reason))
     {
     case GATE_RUN:
@@ -118,7 +121,7 @@
       mesh_note (out, NOTE_MESH_WAIT, transit->request.id,
                  "reason=slots busy=%u/%u waiting=%u run_ms=%" G_GINT64_FORMAT,
                  mesh->gate.busy, mesh->gate.slots, mesh->gate.waiting->len,
-                 mesh->gate.pace.run_usec / USEC_PER_MSEC);
+                 transit->request.run_usec / USEC_PER_MSEC);
       break;
     case GATE_REFUSE:
       mesh_refuse (mesh, exchange, reason,
@@ -188,7 +191,8 @@
     reason = REASON_NOT_OWNER;
   if (reason == REASON_NONE
       && transit->request.deadline - now
-             < mesh->gate.pace.run_usec * RUN_LEAST_PERCENT / 100)
+             < run_times_of (&mesh->run_times, transit->request.route)
+                   * RUN_LEAST_PERCENT / 100)
     reason = REASON_OVERLOAD;
   return reason;
 }
@@ -264,6 +268,8 @@
     case OUTCOME_DONE:
       mesh->answered_at = now;
       gate_on_done (&mesh->gate, now - transit->sent);
+      run_times_add (&mesh->run_times, transit->request.route,
+                     now - transit->sent);
       suspects_add_done (&mesh->suspects, transit->request.digest);
       break;
     case OUTCOME_NOT_RUN:
--- a/src/mesh/mesh_beat.c
+++ b/src/mesh/mesh_beat.c
@@ -33,6 +33,7 @@
   if (answer->renews)
     {
       struct shard_map safe = mesh_doubt_apply (mesh, map);
+      mesh_offers_apply (mesh, &safe, holders, now);
       shard_rows (&safe, &duty, answer);
       shard_map_clear (&safe);
       grant_give (&mesh->grant, answer, now);
@@ -95,6 +96,8 @@
       && beat->life.born > mesh->grant.life.born && !mesh->grant.dead)
     mesh_crashed (mesh, now, out);
   news = grant_on_beat (&mesh->grant, beat, now);
+  if (news == GRANT_NEW)
+    memset (&mesh->run_times, 0, sizeof mesh->run_times);
   answer = g_new0 (struct beat_answer, 1);
   if (news != GRANT_OUTDATED)
     {
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -89,6 +89,13 @@
 struct shard_map mesh_doubt_apply (const struct mesh *mesh,
                                    const struct shard_map *map);
 
+/* Keys that are to go to other nodes, mesh_offer.c.  */
+void mesh_offer_add (struct mesh *mesh, guint32 first, guint32 last,
+                     const char *next, gint64 now);
+gboolean mesh_is_offered (const struct mesh *mesh, guint32 key);
+void mesh_offers_apply (struct mesh *mesh, struct shard_map *map,
+                        const GArray *holders, gint64 now);
+
 /* Who may take keys, mesh_holders.c.  */
 GArray *mesh_holders (struct mesh *mesh, const char *service, gint64 now);
 
@@ -97,8 +104,8 @@
 
 /* Balance of the keys, mesh_balance.c.  */
 guint32 mesh_demand (const struct mesh *mesh);
-gboolean mesh_balance (struct mesh *mesh, struct shard_map *map,
-                       const GArray *holders, gint64 now, struct actions *out);
+void mesh_balance (struct mesh *mesh, struct shard_map *map,
+                   const GArray *holders, gint64 now, struct actions *out);
 
 /* What nodes tell of others, mesh_news.c.  */
 void mesh_news_tell (struct upstream *upstream, gint64 now);
--- a/src/mesh/mesh_plan.c
+++ b/src/mesh/mesh_plan.c
@@ -11,6 +11,7 @@
 
 #define EVEN_EVERY_USEC ((gint64)1500000) /* between looks at the balance */
 #define PROPOSAL_USEC ((gint64)4000000)   /* longest that one is awaited */
+#define CATCH_UP_USEC ((gint64)400000)    /* to fold what was in the way */
 #define FORGET_USEC ((gint64)30000000)    /* a silent member is dropped */
 
 /* The member record */
@@ -141,8 +142,9 @@
   holders = mesh_holders (mesh, service, now);
   duty.holders = holders;
   shard_map_copy (&map, known);
-  changed = shard_duty (&map, &duty)
-            || mesh_balance (mesh, &map, holders, now, out);
+  mesh_offers_apply (mesh, &map, holders, now);
+  mesh_balance (mesh, &map, holders, now, out);
+  changed = shard_duty (&map, &duty);
   if (changed)
     propose_map (mesh, &map, now, out);
   else
@@ -267,6 +269,15 @@
   fleet_record_clear (&mesh->proposal.record);
 }
 
+/* Tell whether this node has yet to fold what stood in the way of its last
+   map: until then another one would meet the same.  */
+static gboolean
+is_catching_up (const struct mesh *mesh, gint64 now)
+{
+  return mesh->roster.next < mesh->propose_past
+         && now < mesh->propose_at + CATCH_UP_USEC;
+}
+
 /* Propose what is due, one record at a time.  Any record settles what is in
    doubt.  */
 void
@@ -276,7 +287,7 @@
   if (!mesh->known || mesh->proposal.pending || now < mesh->propose_at)
     return;
   if (propose_self (mesh, FALSE, now, out) || propose_crash (mesh, now, out)
-      || propose_duty (mesh, now, out))
+      || is_catching_up (mesh, now) || propose_duty (mesh, now, out))
     return;
   if (mesh->doubts->len > 0)
     propose_self (mesh, TRUE, now, out);
--- a/src/mesh/mesh_pulse.c
+++ b/src/mesh/mesh_pulse.c
@@ -4,7 +4,7 @@
 #define PULSE_TIMEOUT_USEC ((gint64)700000) /* for its reply */
 #define PULSES_MISSED 2u                    /* until a connection is dropped */
 #define PULSE_SLOW_USEC ((gint64)1000000)   /* between calls to a silent one */
-#define PULSE_PUSH_USEC ((gint64)100000)    /* between calls to one behind */
+#define PULSE_PUSH_USEC ((gint64)50000)     /* between calls to one behind */
 
 /* A watched node that others call, not this one, is called after so long
    without a word from it.  */
@@ -162,7 +162,7 @@
 
   if (upstream == NULL)
     {
-      if (!mesh->known && pulse->folded > 0)
+      if (pulse->folded > mesh->roster.next)
         fetch (mesh, h, pulse->from, now, out);
       return;
     }
--- a/src/mesh/mesh_read.c
+++ b/src/mesh/mesh_read.c
@@ -3,7 +3,10 @@
 /* Who reads the store.  The first few nodes by name do; the others hear in
    their pulses that there is more and fetch it from whoever said so.  */
 
-#define READERS 2u /* nodes that follow the store */
+/* Nodes that follow the fleet's topic, and the operator's.  The latter is
+   followed by two, since it has to be in force within seconds.  */
+#define FLEET_READERS 1u
+#define CONFIG_READERS 2u
 
 /* A node whose session is so old is not fed and reads for itself; each rank
    later, so that not all of them do when the store is away.  */
@@ -14,34 +17,47 @@
    it, though others read it too.  */
 #define UNTAUGHT_USEC ((gint64)3500000)
 
-/* Tell whether this node has read the store but does not stand in it yet, as
-   all do when a fleet starts.  It reads on once it does and so knows its rank:
-   otherwise each of them would read each record of the others.  */
+/* Tell whether this node, at its start, leaves reading to others.  A fleet
+   that starts finds the topic empty; if each node took itself for the first by
+   name until it knows better, each would read each record.  So those whose own
+   record is among the first go on, the others wait to be called by them.  */
 static gboolean
 is_coming_in (const struct mesh *mesh, gint64 now)
 {
-  return mesh->known && now - mesh->started < UNTAUGHT_USEC
-         && roster_member_named (&mesh->roster, mesh->settings.name) == NULL;
+  const struct fleet_member *self
+      = roster_member_named (&mesh->roster, mesh->settings.name);
+
+  if (!mesh->known || now - mesh->started >= UNTAUGHT_USEC
+      || mesh->roster.members.count > 1)
+    return FALSE;
+  return self == NULL || self->offset >= CONFIG_READERS;
 }
 
-/* Tell whether this node follows the fleet's topic itself.  */
-gboolean
-mesh_reads_fleet (struct mesh *mesh, gint64 now)
+/* Tell whether this node is among the first READERS by name, or is not fed by
+   others.  */
+static gboolean
+is_reader (struct mesh *mesh, guint32 readers, gint64 now)
 {
   gint64 age = session_age (&mesh->session, now);
   guint32 rank = mesh_rank (mesh, now);
 
   if (is_coming_in (mesh, now))
     return FALSE;
-  return !mesh->known || rank < READERS || age < 0
+  return !mesh->known || rank < readers || age < 0
          || age > UNFED_USEC + UNFED_RANK_USEC * (gint64)rank;
 }
 
+/* Tell whether this node follows the fleet's topic itself.  */
+gboolean
+mesh_reads_fleet (struct mesh *mesh, gint64 now)
+{
+  return is_reader (mesh, FLEET_READERS, now);
+}
+
 /* Tell whether this node follows the operator's topic itself.  */
 gboolean
 mesh_reads_config (struct mesh *mesh, gint64 now)
 {
-  if (mesh->routing == NULL && now - mesh->started >= UNTAUGHT_USEC)
-    return TRUE;
-  return mesh_reads_fleet (mesh, now);
+  return (mesh->routing == NULL && now - mesh->started >= UNTAUGHT_USEC)
+         || is_reader (mesh, CONFIG_READERS, now);
 }
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -20,6 +20,7 @@
   g_strlcpy (request->service, route_turn (route), sizeof request->service);
   request->run_class = route->run_class;
   request->priority = route->priority;
+  request->route = route->number;
   transit->attempts = MAX (1, route->attempts);
   if (route->timeout_usec > 0)
     request->deadline
--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -234,10 +234,10 @@
     return;
   proposal->pending = FALSE;
   fleet_record_clear (&proposal->record);
+  if (event->code == ERR_CONFLICT)
+    mesh->propose_past = event->end;
   if (event->code != ERR_NONE)
-    mesh->propose_at = now
-                       + (event->code == ERR_CONFLICT ? PROPOSE_AGAIN_USEC / 3
-                                                      : PROPOSE_AGAIN_USEC);
+    mesh->propose_at = now + PROPOSE_AGAIN_USEC;
 }
 
 /* Session */
--- /dev/null
+++ b/src/serve/run_times.c
@@ -0,0 +1,52 @@
+#include "serve/run_times.h"
+
+/* A run counts for one part in so many of the mean.  Fewer follow a server
+   that turns slow sooner; more tell a slow server from a few long runs.  */
+#define MEAN_RUNS 32u
+
+/* Add a run of USEC to MEAN.  */
+static void
+add (struct run_mean *mean, gint64 usec)
+{
+  if (mean->count < MEAN_RUNS)
+    mean->count++;
+  mean->usec += (usec - mean->usec) / (gint64)mean->count;
+  mean->usec = MAX (mean->usec, 1);
+}
+
+/* A request by ROUTE ran for USEC to its end.  */
+void
+run_times_add (struct run_times *times, guint32 route, gint64 usec)
+{
+  guint32 i = 0;
+
+  add (&times->all, usec);
+  while (i < times->routes && times->route[i].route != route)
+    i++;
+  if (i == RUN_TIMES_ROUTES_MAX)
+    return;
+  if (i == times->routes)
+    times->route[times->routes++].route = route;
+  add (&times->route[i], usec);
+}
+
+/* How long a request runs, in microseconds; 0 until enough have run to tell:
+   the first to end are the short ones.  */
+gint64
+run_times_mean (const struct run_times *times)
+{
+  return times->all.count >= MEAN_RUNS / 2 ? times->all.usec : 0;
+}
+
+/* How long a request by ROUTE runs, in microseconds; 0 if that is not
+   known.  */
+gint64
+run_times_of (const struct run_times *times, guint32 route)
+{
+  guint32 i;
+
+  for (i = 0; i < times->routes; i++)
+    if (times->route[i].route == route)
+      return times->route[i].usec;
+  return times->all.usec;
+}
--- /dev/null
+++ b/src/serve/run_times.h
@@ -0,0 +1,29 @@
+#ifndef BAMBOOTALLY_RUN_TIMES_H
+#define BAMBOOTALLY_RUN_TIMES_H
+
+#include <glib.h>
+
+/* How long requests run at the backend server here: a mean for each route,
+   since one server may run short calls and long reports, and one for all.  */
+
+#define RUN_TIMES_ROUTES_MAX 32u /* routes that are told apart */
+
+struct run_mean
+{
+  guint32 route; /* number of the route, 0: all others */
+  guint32 count; /* runs seen, no higher than matters */
+  gint64 usec;   /* mean, 0: not known */
+};
+
+struct run_times
+{
+  struct run_mean all;                         /* of all requests */
+  struct run_mean route[RUN_TIMES_ROUTES_MAX]; /* of each route */
+  guint32 routes;                              /* how many */
+};
+
+void run_times_add (struct run_times *times, guint32 route, gint64 usec);
+gint64 run_times_mean (const struct run_times *times);
+gint64 run_times_of (const struct run_times *times, guint32 route);
+
+#endif
--- a/src/shard/heat.c
+++ b/src/shard/heat.c
@@ -69,6 +69,26 @@
   return (guint32)rate_of (heat->total);
 }
 
+/* Requests in a second for KEY.  */
+guint32
+heat_of (const struct heat *heat, guint32 key)
+{
+  return (guint32)rate_of (heat->count[key]);
+}
+
+/* The key of SHARD that is asked for most.  */
+guint32
+heat_hottest (const struct heat *heat, const struct shard *shard)
+{
+  guint32 best = shard->first;
+  guint32 key;
+
+  for (key = shard->first; key <= shard->last; key++)
+    if (heat->count[key] > heat->count[best])
+      best = key;
+  return best;
+}
+
 /* The shortest range of SHARD that is asked for about RATE times a second.  A
    single key that is asked for much more often is in none: to move it would
    only move the trouble.  */
--- a/src/shard/heat.h
+++ b/src/shard/heat.h
@@ -24,6 +24,8 @@
 void heat_add (struct heat *heat, guint32 key);
 void heat_step (struct heat *heat, gint64 now);
 guint32 heat_rate (const struct heat *heat);
+guint32 heat_of (const struct heat *heat, guint32 key);
+guint32 heat_hottest (const struct heat *heat, const struct shard *shard);
 struct heat_range heat_find (const struct heat *heat,
                              const struct shard *shard, guint32 rate);
 
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -191,6 +191,7 @@
   enum err code;  /* ERR_CONFLICT: the topic did not end there; ERR_EFFECT: it
                      may have taken effect */
   guint64 offset; /* where the record stands, with ERR_NONE */
+  guint64 end;    /* where the topic ends, with ERR_CONFLICT, 0: not known */
 };
 
 /* A beat of the backend server.  */
--- a/src/types/request.h
+++ b/src/types/request.h
@@ -42,6 +42,9 @@
   guint32 slice;            /* slice of the key */
   enum run_class run_class; /* from the rule */
   enum priority priority;   /* from the rule */
+  guint32 route;            /* number of the route or rule, 0: not known */
+  gint64 run_usec;          /* how long such requests run here, 0: not known;
+                               this node's own */
   char id[REQUEST_ID_SIZE]; /* the caller's request id, or empty */
   struct stamp stamp;       /* the stamp it carries */
   guint64 digest;           /* digest of method, path and first bytes */
--- a/src/types/route.h
+++ b/src/types/route.h
@@ -18,6 +18,7 @@
 struct route
 {
   char name[NAME_SIZE];     /* name of the route */
+  guint32 number;           /* of its host and prefix, the same everywhere */
   char host[NAME_SIZE];     /* host that callers name */
   char prefix[PATH_SIZE];   /* beginning of the path */
   enum run_class run_class; /* whether requests may run again */
--- a/src/types/routing.c
+++ b/src/types/routing.c
@@ -1,6 +1,7 @@
 #include "types/routing.h"
 
 #include <string.h>
+#include <xxhash.h>
 
 /* Make an empty configuration; free it with routing_free.  */
 struct routing *
@@ -25,6 +26,15 @@
   g_free (routing);
 }
 
+/* The number of the route from HOST and PREFIX.  */
+static guint32
+number_of (const char *host, const char *prefix)
+{
+  guint64 digest = XXH3_64bits (host, strlen (host));
+
+  return (guint32)XXH3_64bits_withSeed (prefix, strlen (prefix), digest);
+}
+
 /* Add ROUTE where the order of prefixes has it.  */
 void
 routing_add (struct routing *routing, const struct route *route)
@@ -37,6 +47,8 @@
                 >= length)
     at++;
   g_array_insert_vals (routing->routes, at, route, 1);
+  g_array_index (routing->routes, struct route, at).number
+      = number_of (route->host, route->prefix);
 }
 
 /* The route of HOST with the longest prefix of TARGET, or NULL.  */
