--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -144,6 +144,7 @@
   body_clear (&exchange->out);
   body_init (&exchange->out);
   g_clear_pointer (&exchange->head.headers, soup_message_headers_unref);
+  exchange->has_answer = FALSE;
 }
 
 /* The core wants the attempt of H stopped.  */
@@ -198,6 +199,8 @@
   event.u.ended.outcome = outcome;
   event.u.ended.reason = reason;
   event.u.ended.replayable = exchange->in.replayable && !exchange->has_answer;
+  event.u.ended.passed_on = exchange->source.kind == SOURCE_CALLER
+                            && exchange->source.u.caller.head_sent;
   event.u.ended.load = exchange->head.load;
   event.u.ended.has_load = exchange->head.has_load;
   if (outcome == OUTCOME_NOT_RUN)
@@ -209,6 +212,9 @@
     {
       proxy->counters.outcomes[OUTCOME_DONE]++;
       exchange->out.end = TRUE;
+      event.u.ended.status = exchange->head.status;
+      event.u.ended.replayable
+          = exchange->in.replayable && !event.u.ended.passed_on;
     }
   proxy_tell (proxy, &event);
   exchange = exchange_at (proxy, self);
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -64,7 +64,8 @@
   struct load_report load = { .running = mesh->gate.busy,
                               .waiting = mesh->gate.waiting->len,
                               .run_usec = run_times_mean (&mesh->run_times),
-                              .demand = mesh_demand (mesh) };
+                              .demand = mesh_demand (mesh),
+                              .failing = mesh->run_times.failing };
 
   if (!grant_is_leaving (&mesh->grant) && !mesh->grant.dead)
     load.slots = pace_slots (&mesh->gate.pace, mesh->gate.slots, now);
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -13,8 +13,8 @@
 #define DRAIN_MARGIN_USEC ((gint64)400000)
 
 /* Tell whether requests of SERVICE have one holder each.  */
-static gboolean
-is_divided (const struct mesh *mesh, const char *service)
+gboolean
+mesh_is_divided (const struct mesh *mesh, const char *service)
 {
   const struct route_service *known
       = mesh->routing != NULL ? routing_service (mesh->routing, service)
@@ -162,7 +162,7 @@
   enum reason reason = closed_for (mesh, now);
 
   count_key (mesh, transit, now);
-  if (reason == REASON_NONE && is_divided (mesh, transit->request.service)
+  if (reason == REASON_NONE && mesh_is_divided (mesh, transit->request.service)
       && !grant_has (&mesh->grant, transit->request.slice, now))
     {
       if (awaits_grant (mesh, transit, now))
@@ -186,7 +186,7 @@
 {
   enum reason reason = closed_for (mesh, now);
 
-  if (reason == REASON_NONE && is_divided (mesh, transit->request.service)
+  if (reason == REASON_NONE && mesh_is_divided (mesh, transit->request.service)
       && !grant_has (&mesh->grant, transit->request.slice, now))
     reason = REASON_NOT_OWNER;
   if (reason == REASON_NONE
@@ -255,6 +255,22 @@
     mesh_crashed (mesh, now, out);
 }
 
+/* Tell whether the attempt that EVENT ends says nothing against the server. */
+static gboolean
+is_good (const struct event_ended *event)
+{
+  switch (event->outcome)
+    {
+    case OUTCOME_DONE:
+      return event->status < STATUS_FAILED;
+    case OUTCOME_NOT_RUN:
+      return event->reason != REASON_SHED;
+    case OUTCOME_UNKNOWN:
+      return FALSE;
+    }
+  return TRUE;
+}
+
 /* The server has ended its attempt at TRANSIT.  Where it has answered nothing
    meanwhile, the connections that are kept to it may be dead.  */
 void
@@ -263,6 +279,7 @@
                   struct actions *out)
 {
   gate_release (&mesh->gate);
+  run_times_judge (&mesh->run_times, is_good (event));
   switch (event->outcome)
     {
     case OUTCOME_DONE:
@@ -273,8 +290,6 @@
       suspects_add_done (&mesh->suspects, transit->request.digest);
       break;
     case OUTCOME_NOT_RUN:
-      if (event->reason == REASON_OVERLOAD)
-        gate_on_shed (&mesh->gate, now);
       if (event->reason == REASON_NOT_OWNER)
         grant_on_denied (&mesh->grant, now);
       take_loss (mesh, event->reason, now, out);
--- a/src/mesh/mesh_balance.c
+++ b/src/mesh/mesh_balance.c
@@ -98,12 +98,14 @@
 }
 
 /* What a request costs that runs for RUN_USEC at a server that has DEMAND to
-   do, in thousandths of what it can.  */
+   do, in thousandths of what it can, and fails FAILING of a thousand.  */
 static gint64
-cost_at (gint64 run_usec, gint64 demand)
+cost_at (gint64 run_usec, gint64 demand, guint32 failing)
 {
-  return run_usec * (1000 + COST_SLOPE * MAX (0, demand - BUSY_PERMILLE))
-         / 1000;
+  gint64 cost = run_usec
+                * (1000 + COST_SLOPE * MAX (0, demand - BUSY_PERMILLE)) / 1000;
+
+  return cost + cost * failing * LOAD_FAILING_WEIGHT / 1000;
 }
 
 /* Who is to take keys: of two drawn at random from those that may, the one
@@ -128,8 +130,10 @@
         continue;
       drawn++;
       if (best.member == NULL
-          || cost_at (taker.load.run_usec, taker.load.demand)
-                 < cost_at (best.load.run_usec, best.load.demand))
+          || cost_at (taker.load.run_usec, taker.load.demand,
+                      taker.load.failing)
+                 < cost_at (best.load.run_usec, best.load.demand,
+                            best.load.failing))
         best = taker;
     }
   return best;
@@ -185,13 +189,15 @@
   gint64 gap = own >= BUSY_PERMILLE ? GAP_BUSY_PERCENT : GAP_SLOW_PERCENT;
   guint32 part;
 
-  if (cost_at (run, own) * 100 < cost_at (other_run, other) * gap)
+  if (cost_at (run, own, load->failing) * 100
+      < cost_at (other_run, other, taker->load.failing) * gap)
     return 0;
   for (part = 2; part <= PART_MAX && rate / part >= RATE_LEAST; part *= 2)
     {
       gint64 moved = rate / part;
-      if (cost_at (other_run, other + moved * other_price / USEC_PER_MSEC)
-          <= cost_at (run, own - moved * price / USEC_PER_MSEC))
+      if (cost_at (other_run, other + moved * other_price / USEC_PER_MSEC,
+                   taker->load.failing)
+          <= cost_at (run, own - moved * price / USEC_PER_MSEC, load->failing))
         return (guint32)moved;
     }
   return 0;
@@ -206,7 +212,8 @@
   gint64 other_run = taker->load.run_usec > 0 ? taker->load.run_usec : run;
 
   return cost_at (other_run,
-                  taker->load.demand + (gint64)rate * price / USEC_PER_MSEC);
+                  taker->load.demand + (gint64)rate * price / USEC_PER_MSEC,
+                  taker->load.failing);
 }
 
 /* The server among HOLDERS where requests that come RATE times a second cost
@@ -267,7 +274,7 @@
     return 0;
   taker = best_taker (mesh, holders, map, load->run_usec, rate);
   if (taker.member == NULL
-      || cost_at (load->run_usec, load->demand) * 100
+      || cost_at (load->run_usec, load->demand, load->failing) * 100
              < cost_with (&taker, load->run_usec, rate) * GAP_HOT_PERCENT)
     return 0;
   mesh_offer_add (mesh, key, key, taker.member->name, now);
--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -13,6 +13,15 @@
 
 /* Ends */
 
+/* The name of the node under H, or an empty text.  */
+static const char *
+member_name (struct mesh *mesh, struct handle h)
+{
+  const struct fleet_member *member = roster_member_at (&mesh->roster, h);
+
+  return member != NULL ? member->name : "";
+}
+
 /* Forget the request EXCHANGE, and say how it ended.  */
 static void
 forget (struct mesh *mesh, struct handle exchange, enum outcome outcome,
@@ -73,9 +82,10 @@
   transit->tried++;
 }
 
-/* Tell whether REASON concerns who holds a key.  */
+/* Tell whether the one server that holds a key may run a request for it soon,
+   or another that takes it over, though it was not run for REASON.  */
 static gboolean
-is_about_owner (enum reason reason)
+may_run_soon (enum reason reason)
 {
   switch (reason)
     {
@@ -86,6 +96,7 @@
     case REASON_DRAINING:
     case REASON_SERVER_DOWN:
     case REASON_MISDIRECTED:
+    case REASON_SHED:
       return TRUE;
     default:
       return FALSE;
@@ -99,15 +110,16 @@
          const struct event_ended *event, gint64 now, struct actions *out)
 {
   struct transit *transit = table_get (&mesh->transits, exchange);
-  gboolean keyed = transit->request.key[0] != '\0';
+  gboolean keyed = mesh_is_divided (mesh, transit->request.service);
   gint64 left = transit->request.deadline - now;
   gint64 advice = (gint64)event->retry_msec * USEC_PER_MSEC;
 
   strike (transit);
   if (transit->request.from_peer || !event->replayable
-      || left < ATTEMPT_LEAST_USEC)
+      || left < ATTEMPT_LEAST_USEC
+      || (event->reason == REASON_SHED && !mesh_pay_retry (mesh, transit)))
     mesh_refuse (mesh, exchange, event->reason, advice, now, out);
-  else if (keyed && is_about_owner (event->reason))
+  else if (keyed && may_run_soon (event->reason))
     {
       transit->phase = TRANSIT_WAITING;
       transit->retry_at
@@ -137,6 +149,21 @@
   not_run (mesh, exchange, &event, now, out);
 }
 
+/* Tell whether the answer that EVENT tells of is a failure that another run
+   may not meet: the server has slots to spare, so that what failed is not for
+   want of them.  */
+static gboolean
+is_failure (struct mesh *mesh, const struct transit *transit,
+            const struct event_ended *event)
+{
+  const struct upstream *upstream = table_get (&mesh->upstreams, transit->to);
+  const struct load_report *load
+      = event->has_load || upstream == NULL ? &event->load : &upstream->load;
+
+  return event->status >= STATUS_FAILED && !event->passed_on
+         && load->running + load->waiting < load->slots;
+}
+
 /* Tell whether TRANSIT may be sent again though it may have run.  */
 static gboolean
 may_repeat (struct mesh *mesh, const struct transit *transit,
@@ -168,6 +195,31 @@
   mesh_route_again (mesh, exchange, now, out);
 }
 
+/* The request EXCHANGE has a whole answer.  A failure is not passed on where
+   another run may do better.  */
+static void
+done (struct mesh *mesh, struct handle exchange,
+      const struct event_ended *event, gint64 now, struct actions *out)
+{
+  struct transit *transit = table_get (&mesh->transits, exchange);
+
+  if (!is_failure (mesh, transit, event)
+      || transit->reached + 1 >= transit->attempts
+      || !may_repeat (mesh, transit, event, now))
+    {
+      forget (mesh, exchange, OUTCOME_DONE, REASON_NONE, now, out);
+      return;
+    }
+  mesh_note (out, NOTE_MESH_FAILED, transit->request.id,
+             "outcome=done status=%u at=%s took_ms=%" G_GINT64_FORMAT,
+             event->status, member_name (mesh, transit->to),
+             (now - transit->sent) / USEC_PER_MSEC);
+  transit->may_have_run = TRUE;
+  transit->reached++;
+  strike (transit);
+  mesh_route_again (mesh, exchange, now, out);
+}
+
 /* Events */
 
 /* Learn from an attempt at another node.  A refusal because the process that
@@ -199,17 +251,13 @@
 note_failed (struct mesh *mesh, const struct transit *transit,
              const struct event_ended *event, gint64 now, struct actions *out)
 {
-  const struct fleet_member *member
-      = roster_member_at (&mesh->roster, transit->to);
-
-  mesh_note (out, NOTE_MESH_FAILED, transit->request.id,
-             "outcome=%s reason=%s at=%s took_ms=%" G_GINT64_FORMAT
-             " retry_ms=%u",
-             outcome_name (event->outcome), reason_name (event->reason),
-             transit->phase == TRANSIT_RUNNING ? mesh->grant.life.id
-             : member != NULL                  ? member->name
-                                               : "",
-             (now - transit->sent) / USEC_PER_MSEC, event->retry_msec);
+  mesh_note (
+      out, NOTE_MESH_FAILED, transit->request.id,
+      "outcome=%s reason=%s at=%s took_ms=%" G_GINT64_FORMAT " retry_ms=%u",
+      outcome_name (event->outcome), reason_name (event->reason),
+      transit->phase == TRANSIT_RUNNING ? mesh->grant.life.id
+                                        : member_name (mesh, transit->to),
+      (now - transit->sent) / USEC_PER_MSEC, event->retry_msec);
 }
 
 /* An attempt ended.  */
@@ -233,7 +281,7 @@
   switch (event->outcome)
     {
     case OUTCOME_DONE:
-      forget (mesh, event->exchange, OUTCOME_DONE, REASON_NONE, now, out);
+      done (mesh, event->exchange, event, now, out);
       break;
     case OUTCOME_NOT_RUN:
       not_run (mesh, event->exchange, event, now, out);
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -45,6 +45,7 @@
                             gint64 now);
 
 /* Admission to the server here, mesh_admit.c.  */
+gboolean mesh_is_divided (const struct mesh *mesh, const char *service);
 gboolean mesh_is_closing (const struct mesh *mesh, gint64 now);
 void mesh_admit (struct mesh *mesh, struct handle exchange, gint64 now,
                  struct actions *out);
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -6,7 +6,14 @@
    one that waited longer and failed would have been refused better.  */
 #define WAIT_SHARE 2 /* half */
 
-#define BUDGET_START_MILLI 3000u /* three requests sent again */
+/* What a node may have saved up, in thousandths of a request sent again, and
+   begins with.  All nodes may spend theirs at the same time.  */
+#define BUDGET_SAVED_MILLI 3000u
+
+/* What a caller's request earns, in thousandths of one sent again.  It is well
+   below the fifth that the platform allows, since requests that are run again
+   make their calls again.  */
+#define BUDGET_EARN_MILLI 70u
 
 #define CONFIG_STALE_USEC ((gint64)3000000) /* a path may be new by then */
 
@@ -46,7 +53,7 @@
 static struct retry_budget *
 budget_of (struct mesh *mesh, const char *service)
 {
-  struct mesh_budget fresh = { .budget.milli = BUDGET_START_MILLI };
+  struct mesh_budget fresh = { .budget.milli = BUDGET_SAVED_MILLI };
   guint i;
 
   for (i = 0; i < mesh->budgets->len; i++)
@@ -63,6 +70,15 @@
               .budget;
 }
 
+/* A caller's request for SERVICE came: it earns a share of one sent again.  */
+static void
+earn_retry (struct mesh *mesh, const char *service)
+{
+  struct retry_budget *budget = budget_of (mesh, service);
+
+  budget->milli = MIN (budget->milli + BUDGET_EARN_MILLI, BUDGET_SAVED_MILLI);
+}
+
 /* Send TRANSIT to the member that PICK names.  */
 static void
 forward (struct mesh *mesh, struct handle exchange, struct transit *transit,
@@ -174,7 +190,7 @@
       return;
     }
   apply_route (mesh, transit, route);
-  retry_budget_earn (budget_of (mesh, transit->request.service));
+  earn_retry (mesh, transit->request.service);
   mesh_route_again (mesh, event->exchange, now, out);
 }
 
--- a/src/serve/run_times.c
+++ b/src/serve/run_times.c
@@ -4,6 +4,9 @@
    that turns slow sooner; more tell a slow server from a few long runs.  */
 #define MEAN_RUNS 32u
 
+/* An attempt counts for one part in so many of the share that fails.  */
+#define JUDGED_RUNS 16u
+
 /* Add a run of USEC to MEAN.  */
 static void
 add (struct run_mean *mean, gint64 usec)
@@ -14,6 +17,17 @@
   mean->usec = MAX (mean->usec, 1);
 }
 
+/* An attempt came to a GOOD end or not.  */
+void
+run_times_judge (struct run_times *times, gboolean good)
+{
+  gint32 sign = good ? 0 : 1000;
+
+  times->failing
+      = (guint32)((gint32)times->failing
+                  + (sign - (gint32)times->failing) / (gint32)JUDGED_RUNS);
+}
+
 /* A request by ROUTE ran for USEC to its end.  */
 void
 run_times_add (struct run_times *times, guint32 route, gint64 usec)
--- a/src/serve/run_times.h
+++ b/src/serve/run_times.h
@@ -20,8 +20,11 @@
   struct run_mean all;                         /* of all requests */
   struct run_mean route[RUN_TIMES_ROUTES_MAX]; /* of each route */
   guint32 routes;                              /* how many */
+  guint32 failing; /* thousandths of the last attempts that did not come to a
+                      good end */
 };
 
+void run_times_judge (struct run_times *times, gboolean good);
 void run_times_add (struct run_times *times, guint32 route, gint64 usec);
 gint64 run_times_mean (const struct run_times *times);
 gint64 run_times_of (const struct run_times *times, guint32 route);
--- a/src/serve/upstream.c
+++ b/src/serve/upstream.c
@@ -116,6 +116,7 @@
 
   if (load->slots > 0)
     cost += run / 2 + run * (ahead + 1) / load->slots;
+  cost += cost * load->failing / 1000 * LOAD_FAILING_WEIGHT;
   if (!ask->same_zone)
     cost += ZONE_USEC + ask->bytes * ZONE_USEC_PER_KB / BYTES_PER_KB;
   return cost;
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -111,6 +111,8 @@
 };
 
 /* The end of an attempt.  */
+#define STATUS_FAILED 500u /* least HTTP status of a server's failure */
+
 struct event_ended
 {
   struct handle exchange;  /* the request */
@@ -119,6 +121,8 @@
   gboolean replayable;     /* the body can be sent again from its start */
   struct stamp stamp;      /* stamp that the other node offered */
   guint32 retry_msec;      /* its advice when to try again, 0 for none */
+  guint32 status;          /* HTTP status of a whole answer, 0: none */
+  gboolean passed_on;      /* the caller has got some of the answer */
   gboolean has_load;       /* the other node told how busy it is */
   struct load_report load; /* what it told */
 };
--- a/src/types/load_report.h
+++ b/src/types/load_report.h
@@ -5,6 +5,9 @@
 
 /* How busy the gate of a node is, as the node tells others.  */
 
+/* In choices by cost, an attempt that fails counts as so many that do not.  */
+#define LOAD_FAILING_WEIGHT 8
+
 struct load_report
 {
   guint32 running; /* requests at the server */
@@ -13,6 +16,8 @@
   gint64 run_usec; /* mean time of a run */
   guint32 demand;  /* thousandths of what the server can do that the keys it
                       holds ask of it */
+  guint32 failing; /* thousandths of the last attempts that the server did not
+                      run to a good end */
 };
 
 #endif
--- a/src/types/reason.c
+++ b/src/types/reason.c
@@ -3,13 +3,14 @@
 #include <string.h>
 
 /* Names in the order of the numbers.  */
-static const char *const reason_names[REASON_LIMIT] = {
-  "none",        "no-rule",       "no-key",      "no-owner",    "not-owner",
-  "lease",       "overload",      "deadline",    "server-down", "peer-lost",
-  "draining",    "no-stamp",      "old-stamp",   "duplicate",   "quarantined",
-  "truncated",   "refused-grant", "caller-gone", "no-server",   "crossed",
-  "bad-request", "hops",          "garbled",     "no-config",   "misdirected"
-};
+static const char *const reason_names[REASON_LIMIT]
+    = { "none",          "no-rule",     "no-key",      "no-owner",
+        "not-owner",     "lease",       "overload",    "deadline",
+        "server-down",   "peer-lost",   "draining",    "no-stamp",
+        "old-stamp",     "duplicate",   "quarantined", "truncated",
+        "refused-grant", "caller-gone", "no-server",   "crossed",
+        "bad-request",   "hops",        "garbled",     "no-config",
+        "misdirected",   "shed" };
 
 /* Name a reason as callers see it in Bambootally-Reason.  */
 const char *
--- a/src/types/reason.h
+++ b/src/types/reason.h
@@ -30,7 +30,8 @@
   REASON_GARBLED = 22,       /* what came is not the server's answer */
   REASON_NO_CONFIG = 23,     /* this node knows no configuration yet */
   REASON_MISDIRECTED = 24,   /* another server answers at the address */
-  REASON_LIMIT = 25          /* one past the last */
+  REASON_SHED = 25,          /* the server said that it did not run it */
+  REASON_LIMIT = 26          /* one past the last */
 };
 
 const char *reason_name (enum reason reason);
--- a/src/wire/wire_mesh.c
+++ b/src/wire/wire_mesh.c
@@ -7,7 +7,8 @@
   return xdr_uint32_t (xdr, &load->running)
          && xdr_uint32_t (xdr, &load->waiting)
          && xdr_uint32_t (xdr, &load->slots) && wire_i64 (xdr, &load->run_usec)
-         && xdr_uint32_t (xdr, &load->demand);
+         && xdr_uint32_t (xdr, &load->demand)
+         && xdr_uint32_t (xdr, &load->failing);
 }
 
 /* What is told of another node.  */
--- a/tests/mesh_bench.h
+++ b/tests/mesh_bench.h
@@ -171,12 +171,13 @@
   g_free (bench);
 }
 
-/* A request for TARGET comes that its caller awaits for 2 s.  */
+/* A request for TARGET with KEY comes that its caller awaits for 2 s.  */
 static inline struct handle
-ask (struct bench *bench, const char *target)
+ask_with_key (struct bench *bench, const char *target, const char *key)
 {
   struct event event = { .kind = EVENT_REQUEST };
 
+  g_strlcpy (event.u.request.request.key, key, KEY_SIZE);
   event.u.request.exchange = handle_make (++bench->last, 1);
   event.u.request.request.deadline = bench->now + 2000 * MSEC;
   event.u.request.host = "h";
@@ -185,6 +186,28 @@
   return event.u.request.exchange;
 }
 
+/* A request for TARGET without a key comes.  */
+static inline struct handle
+ask (struct bench *bench, const char *target)
+{
+  return ask_with_key (bench, target, "");
+}
+
+/* EXCHANGE is answered with the failure STATUS by a server with room.  */
+static inline void
+fail_with (struct bench *bench, struct handle exchange, guint32 status)
+{
+  struct event event = { .kind = EVENT_ENDED };
+
+  event.u.ended.exchange = exchange;
+  event.u.ended.outcome = OUTCOME_DONE;
+  event.u.ended.status = status;
+  event.u.ended.replayable = TRUE;
+  event.u.ended.has_load = TRUE;
+  event.u.ended.load.slots = 4;
+  feed (bench, &event);
+}
+
 /* The attempt of EXCHANGE ends.  */
 static inline void
 end (struct bench *bench, struct handle exchange, enum outcome outcome,
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1,3 +1,4 @@
+#include "mesh/mesh_parts.h"
 #include "tests/mesh_bench.h"
 
 /* A request goes on with no more time than its route has.  */
@@ -176,6 +177,137 @@
   bench_free (bench);
 }
 
+/* Have the node hear of another one, "c", that serves OTHER_SERVICE.  */
+static void
+teach_third (struct bench *bench)
+{
+  struct event event = { .kind = EVENT_FLEET };
+  struct fleet_entry entry
+      = { .offset = bench->mesh.roster.next, .record.kind = FLEET_MEMBER };
+  struct fleet_member *member = &entry.record.u.member;
+
+  g_strlcpy (member->name, "c", sizeof member->name);
+  g_strlcpy (member->service, OTHER_SERVICE, sizeof member->service);
+  g_strlcpy (member->life.id, "sc", sizeof member->life.id);
+  member->incarnation = 78;
+  member->slots = 4;
+  fleet_record_set_key (&entry.record);
+  event.u.fleet.items = &entry;
+  event.u.fleet.count = 1;
+  event.u.fleet.next = entry.offset + 1;
+  feed (bench, &event);
+}
+
+/* A request for an undivided service that one node has no room for goes to
+   another one, also if it carries a key.  */
+static void
+test_offered_elsewhere (void)
+{
+  struct bench *bench = bench_new ();
+  struct handle exchange;
+  const struct action *action;
+  guint64 first;
+
+  teach_third (bench);
+  exchange = ask_with_key (bench, "/other/x", "17");
+  action = find (bench, ACTION_FORWARD);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (action);
+  first = action->u.forward.peer;
+  end (bench, exchange, OUTCOME_NOT_RUN, REASON_OVERLOAD);
+  action = find (bench, ACTION_FORWARD);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (action);
+  CU_ASSERT_NOT_EQUAL (action->u.forward.peer, first);
+  bench_free (bench);
+}
+
+/* A server that refuses requests though it has slots keeps all its slots: it
+   is not for want of them.  */
+static void
+test_shed_keeps_slots (void)
+{
+  struct bench *bench = bench_new ();
+  guint i;
+
+  for (i = 0; i < 20; i++)
+    {
+      struct handle exchange = ask (bench, "/own/x");
+      end (bench, exchange, OUTCOME_NOT_RUN, REASON_SHED);
+    }
+  CU_ASSERT_EQUAL (mesh_load (&bench->mesh, bench->now).slots, 1);
+  CU_ASSERT_TRUE (mesh_load (&bench->mesh, bench->now).failing > 500);
+  CU_ASSERT_EQUAL (bench->mesh.gate.pace.held, 0);
+  bench_free (bench);
+}
+
+/* Requests that a server refused are sent again no more often than the budget
+   has it.  */
+static void
+test_shed_is_paid (void)
+{
+  struct bench *bench = bench_new ();
+  guint sent = 0;
+  guint i;
+
+  teach_third (bench);
+  for (i = 0; i < 20; i++)
+    {
+      struct handle exchange = ask (bench, "/other/x");
+      while (find (bench, ACTION_FORWARD) != NULL)
+        {
+          sent++;
+          end (bench, exchange, OUTCOME_NOT_RUN, REASON_SHED);
+        }
+    }
+  CU_ASSERT_TRUE (sent > 20);
+  CU_ASSERT_TRUE (sent <= 20 + 3 + 20 / 10);
+  bench_free (bench);
+}
+
+/* A server's failure is not passed on where another one may do better; one
+   that must run once is.  */
+static void
+test_failure_repeated (void)
+{
+  struct bench *bench = bench_new ();
+  struct handle exchange;
+
+  teach_third (bench);
+  exchange = ask (bench, "/other/x");
+  fail_with (bench, exchange, 500);
+  CU_ASSERT_PTR_NOT_NULL (find (bench, ACTION_FORWARD));
+  exchange = ask (bench, "/once/x");
+  fail_with (bench, exchange, 500);
+  CU_ASSERT_PTR_NULL (find (bench, ACTION_RUN));
+  bench_free (bench);
+}
+
+/* A silent node that others watch is known by what they say; a later word of
+   it, told by anyone, counts more.  */
+static void
+test_news (void)
+{
+  struct bench *bench = bench_new ();
+  struct handle other = roster_find (&bench->mesh.roster, "b");
+  struct upstream *upstream = table_get (&bench->mesh.upstreams, other);
+  struct pulse pulse = { .news_count = 1 };
+
+  upstream->neighbour = FALSE;
+  upstream_watch (upstream, FALSE, bench->now);
+  bench->now += 5000 * MSEC;
+  CU_ASSERT_TRUE (upstream_is_heard (upstream, bench->now));
+  pulse.news[0].incarnation = 77;
+  pulse.news[0].age_msec = 1200;
+  mesh_news_take (&bench->mesh, &pulse, bench->now);
+  CU_ASSERT_FALSE (upstream_is_heard (upstream, bench->now));
+  pulse.news[0].age_msec = 4000;
+  mesh_news_take (&bench->mesh, &pulse, bench->now);
+  CU_ASSERT_FALSE (upstream_is_heard (upstream, bench->now));
+  pulse.news[0].age_msec = 300;
+  mesh_news_take (&bench->mesh, &pulse, bench->now);
+  CU_ASSERT_TRUE (upstream_is_heard (upstream, bench->now));
+  bench_free (bench);
+}
+
 int
 main (void)
 {
@@ -188,6 +320,11 @@
           { "repeats", test_repeats },
           { "dead connection", test_dead_connection },
           { "dead connection to the server", test_dead_server_connection },
+          { "offered elsewhere", test_offered_elsewhere },
+          { "shedding keeps slots", test_shed_keeps_slots },
+          { "shedding is paid for", test_shed_is_paid },
+          { "failure repeated", test_failure_repeated },
+          { "news", test_news },
           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh", tests);
