Keys move at a beat, to servers that beat soon; one range at a time

Ruled out: fewer requests worth moving (demand stood at several times of what the server can, for seconds). Change: an offer is made at the beat whose answer leaves the keys out; nodes tell when their servers beat next, and a taker that is told soon is preferred; what is offered leaves the counts at once.

--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -67,6 +67,9 @@
                               .demand = mesh_demand (mesh),
                               .failing = mesh->run_times.failing };
 
+  load.beat_in_msec
+      = (guint32)(MAX (0, mesh->grant.beat_at + mesh->settings.beat_usec - now)
+                  / USEC_PER_MSEC);
   if (!grant_is_leaving (&mesh->grant) && !mesh->grant.dead)
     load.slots = pace_slots (&mesh->gate.pace, mesh->gate.slots, now);
   return load;
--- a/src/mesh/mesh_beat.c
+++ b/src/mesh/mesh_beat.c
@@ -21,7 +21,8 @@
 
 /* Work out what the server is to hold.  */
 static void
-fill_answer (struct mesh *mesh, gint64 now, struct beat_answer *answer)
+fill_answer (struct mesh *mesh, gint64 now, struct beat_answer *answer,
+             struct actions *out)
 {
   const struct shard_map *map
       = roster_map (&mesh->roster, mesh->settings.service);
@@ -34,6 +35,8 @@
     {
       struct shard_map safe = mesh_doubt_apply (mesh, map);
       mesh_offers_apply (mesh, &safe, holders, now);
+      mesh_balance (mesh, &safe, holders, now, out);
+      mesh_offers_apply (mesh, &safe, holders, now);
       shard_rows (&safe, &duty, answer);
       shard_map_clear (&safe);
       grant_give (&mesh->grant, answer, now);
@@ -104,7 +107,7 @@
       g_strlcpy (mesh->settings.service, beat->service,
                  sizeof mesh->settings.service);
       gate_set_slots (&mesh->gate, beat->slots, QUEUE_PER_SLOT * beat->slots);
-      fill_answer (mesh, now, answer);
+      fill_answer (mesh, now, answer, out);
     }
   note_beat (mesh, beat, news, answer, out);
   actions_add (out, ACTION_BEAT_ANSWER)->u.beat_answer.call = event->call;
--- a/src/mesh/mesh_offer.c
+++ b/src/mesh/mesh_offer.c
@@ -32,7 +32,8 @@
   return FALSE;
 }
 
-/* Mark in MAP what OFFER gives away.  Return whether there was anything.  */
+/* Mark in MAP what OFFER gives away, where it is not marked already.  Return
+   whether there is anything.  */
 static gboolean
 mark (const struct mesh *mesh, struct shard_map *map,
       const struct mesh_offer *offer)
@@ -47,11 +48,12 @@
     {
       struct shard *shard = shard_map_at (map, i);
       if (shard->first < offer->first || shard->last > offer->last
-          || shard->state != SHARD_HELD || shard->next[0] != '\0'
+          || shard->state != SHARD_HELD
           || strcmp (shard->owner, mesh->settings.name) != 0)
         continue;
-      g_strlcpy (shard->next, offer->next, sizeof shard->next);
-      any = TRUE;
+      if (shard->next[0] == '\0')
+        g_strlcpy (shard->next, offer->next, sizeof shard->next);
+      any = any || strcmp (shard->next, offer->next) == 0;
     }
   return any;
 }
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -2,6 +2,7 @@
 #define BAMBOOTALLY_MESH_PARTS_H
 
 #include "mesh/mesh.h"
+#include "mesh/mesh_taker.h"
 #include "shard/shard_duty.h"
 
 /* The parts of struct mesh's decisions, for each other.  */
@@ -103,10 +104,19 @@
 /* What this node proposes, mesh_plan.c.  */
 void mesh_plan_step (struct mesh *mesh, gint64 now, struct actions *out);
 
-/* Balance of the keys, mesh_balance.c.  */
+/* Balance of the keys, mesh_balance.c and mesh_taker.c.  Beyond
+   MESH_BUSY_PERMILLE of what a server can do requests come to wait.  */
+#define MESH_BUSY_PERMILLE 500
 guint32 mesh_demand (const struct mesh *mesh);
-void mesh_balance (struct mesh *mesh, struct shard_map *map,
+void mesh_balance (struct mesh *mesh, const struct shard_map *map,
                    const GArray *holders, gint64 now, struct actions *out);
+gint64 mesh_key_cost (gint64 run_usec, gint64 demand, guint32 failing);
+gint64 mesh_rate_price (const struct load_report *load, gint64 run_otherwise);
+gint64 mesh_taker_cost (const struct mesh_taker *taker, gint64 run,
+                        guint32 rate);
+struct mesh_taker mesh_taker_draw (struct mesh *mesh, const GArray *holders,
+                                   const struct shard_map *map, gboolean all,
+                                   gint64 run, guint32 rate, gint64 now);
 
 /* What nodes tell of others, mesh_news.c.  */
 void mesh_news_tell (struct upstream *upstream, gint64 now);
--- a/src/mesh/mesh_plan.c
+++ b/src/mesh/mesh_plan.c
@@ -143,7 +143,6 @@
   duty.holders = holders;
   shard_map_copy (&map, known);
   mesh_offers_apply (mesh, &map, holders, now);
-  mesh_balance (mesh, &map, holders, now, out);
   changed = shard_duty (&map, &duty);
   if (changed)
     propose_map (mesh, &map, now, out);
--- a/src/shard/heat.c
+++ b/src/shard/heat.c
@@ -69,6 +69,19 @@
   return (guint32)rate_of (heat->total);
 }
 
+/* The keys FIRST to LAST are asked for elsewhere from now on.  */
+void
+heat_drop (struct heat *heat, guint32 first, guint32 last)
+{
+  guint32 key;
+
+  for (key = first; key <= last; key++)
+    {
+      heat->total -= heat->count[key];
+      heat->count[key] = 0;
+    }
+}
+
 /* Requests in a second for KEY.  */
 guint32
 heat_of (const struct heat *heat, guint32 key)
--- a/src/shard/heat.h
+++ b/src/shard/heat.h
@@ -26,6 +26,7 @@
 guint32 heat_rate (const struct heat *heat);
 guint32 heat_of (const struct heat *heat, guint32 key);
 guint32 heat_hottest (const struct heat *heat, const struct shard *shard);
+void heat_drop (struct heat *heat, guint32 first, guint32 last);
 struct heat_range heat_find (const struct heat *heat,
                              const struct shard *shard, guint32 rate);
 
--- a/src/types/load_report.h
+++ b/src/types/load_report.h
@@ -16,6 +16,7 @@
   gint64 run_usec; /* mean time of a run */
   guint32 demand;  /* thousandths of what the server can do that the keys it
                       holds ask of it */
+  guint32 beat_in_msec; /* until the server's next beat is due */
   guint32 failing; /* thousandths of the last attempts that the server did not
                       run to a good end */
 };
--- a/src/wire/wire_mesh.c
+++ b/src/wire/wire_mesh.c
@@ -8,6 +8,7 @@
          && xdr_uint32_t (xdr, &load->waiting)
          && xdr_uint32_t (xdr, &load->slots) && wire_i64 (xdr, &load->run_usec)
          && xdr_uint32_t (xdr, &load->demand)
+         && xdr_uint32_t (xdr, &load->beat_in_msec)
          && xdr_uint32_t (xdr, &load->failing);
 }
 
--- /dev/null
+++ b/tests/test_offer.c
@@ -0,0 +1,87 @@
+#include "mesh/mesh_parts.h"
+#include "tests/mesh_bench.h"
+
+/* A map in which all keys are the node's own.  */
+static void
+own_all (struct bench *bench, struct shard_map *map)
+{
+  struct shard *shard;
+
+  shard_map_init (map, OWN_SERVICE);
+  shard = shard_map_at (map, 0);
+  shard->state = SHARD_HELD;
+  g_strlcpy (shard->owner, bench->mesh.settings.name, sizeof shard->owner);
+}
+
+/* Holders "a" and "b".  */
+static GArray *
+two_holders (void)
+{
+  GArray *holders = g_array_new (FALSE, TRUE, sizeof (struct holder));
+  struct holder holder = { .weight = 1 };
+
+  g_strlcpy (holder.name, "a", sizeof holder.name);
+  g_array_append_val (holders, holder);
+  g_strlcpy (holder.name, "b", sizeof holder.name);
+  g_array_append_val (holders, holder);
+  return holders;
+}
+
+/* Several offers stand side by side, also where they are marked again in the
+   same map.  */
+static void
+test_several (void)
+{
+  struct bench *bench = bench_new ();
+  GArray *holders = two_holders ();
+  struct shard_map map;
+
+  own_all (bench, &map);
+  mesh_offer_add (&bench->mesh, 10, 19, "b", bench->now);
+  mesh_offers_apply (&bench->mesh, &map, holders, bench->now);
+  mesh_offer_add (&bench->mesh, 30, 30, "b", bench->now);
+  mesh_offers_apply (&bench->mesh, &map, holders, bench->now);
+  CU_ASSERT_EQUAL (bench->mesh.offers->len, 2);
+  CU_ASSERT_STRING_EQUAL (shard_map_find (&map, 10)->next, "b");
+  CU_ASSERT_STRING_EQUAL (shard_map_find (&map, 20)->next, "");
+  CU_ASSERT_STRING_EQUAL (shard_map_find (&map, 30)->next, "b");
+  CU_ASSERT_TRUE (mesh_is_offered (&bench->mesh, 19));
+  CU_ASSERT_FALSE (mesh_is_offered (&bench->mesh, 20));
+  shard_map_clear (&map);
+  g_array_free (holders, TRUE);
+  bench_free (bench);
+}
+
+/* An offer ends with its time, with its taker, and with the keys.  */
+static void
+test_ends (void)
+{
+  struct bench *bench = bench_new ();
+  GArray *holders = two_holders ();
+  struct shard_map map;
+
+  own_all (bench, &map);
+  mesh_offer_add (&bench->mesh, 10, 19, "gone", bench->now);
+  mesh_offers_apply (&bench->mesh, &map, holders, bench->now);
+  CU_ASSERT_EQUAL (bench->mesh.offers->len, 0);
+  mesh_offer_add (&bench->mesh, 10, 19, "b", bench->now);
+  mesh_offers_apply (&bench->mesh, &map, holders, bench->now + 60000 * MSEC);
+  CU_ASSERT_EQUAL (bench->mesh.offers->len, 0);
+  mesh_offer_add (&bench->mesh, 10, 19, "b", bench->now);
+  g_strlcpy (shard_map_at (&map, 0)->owner, "b", NAME_SIZE);
+  mesh_offers_apply (&bench->mesh, &map, holders, bench->now);
+  CU_ASSERT_EQUAL (bench->mesh.offers->len, 0);
+  shard_map_clear (&map);
+  g_array_free (holders, TRUE);
+  bench_free (bench);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = { { "several", test_several },
+                          { "ends", test_ends },
+                          CU_TEST_INFO_NULL };
+
+  return suite_run ("offer", tests);
+}
