--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -24,6 +24,8 @@
    on in a store with conditional appends.  It is told events with the time and
    answers with actions; it has no socket, clock or main loop.  */
 
+#define MESH_MAPS_SEEN 4u /* maps whose times a node remembers */
+
 struct mesh
 {
   struct mesh_settings settings; /* who this node is */
@@ -51,6 +53,8 @@
   gint64 settled_at;             /* members have not changed since */
   gint64 confirm_at;             /* when the store was last asked directly */
   gint64 balance_at;             /* no keys are offered before */
+  gint64 map_at[MESH_MAPS_SEEN]; /* when the last maps of its service came */
+  guint32 maps;                  /* how many came */
   gint64 even_at;                /* when keys were last evened out */
   gint64 fetch_at;               /* when a peer was last asked for records */
   gint64 answered_at;            /* when the server last answered */
--- a/src/mesh/mesh_balance.c
+++ b/src/mesh/mesh_balance.c
@@ -20,6 +20,7 @@
 
 #define BUSY_REST_USEC ((gint64)700000)  /* after a move */
 #define SLOW_REST_USEC ((gint64)3000000) /* after one from a slow server */
+#define MAPS_USEC ((gint64)1000000)      /* for MESH_MAPS_SEEN maps at least */
 #define BALANCE_SHARDS_MAX 300u          /* a map with more is left alone */
 #define RATE_LEAST 3u                    /* requests a second worth it */
 
@@ -192,6 +193,15 @@
   return TRUE;
 }
 
+/* Tell whether maps are written so often that another writer would meet them:
+   its keys would have no holder until it had its turn.  */
+static gboolean
+is_crowded (const struct mesh *mesh, gint64 now)
+{
+  return mesh->maps >= MESH_MAPS_SEEN
+         && now - mesh->map_at[mesh->maps % MESH_MAPS_SEEN] < MAPS_USEC;
+}
+
 /* Offer keys that this node shares with HOLDERS by MAP to another where they
    cost less.  This is done at a beat, whose answer leaves them out.  */
 void
@@ -201,8 +211,9 @@
   struct load_report load = mesh_load (mesh, now);
   gboolean busy = load.demand >= MESH_BUSY_PERMILLE;
 
-  if (now < mesh->balance_at || load.demand < LEAST_PERMILLE || load.slots == 0
-      || load.run_usec == 0 || map->shards->len > BALANCE_SHARDS_MAX)
+  if (now < mesh->balance_at || is_crowded (mesh, now)
+      || load.demand < LEAST_PERMILLE || load.slots == 0 || load.run_usec == 0
+      || map->shards->len > BALANCE_SHARDS_MAX)
     return;
   if ((busy && offer_hot_key (mesh, map, holders, &load, now, out))
       || offer_range (mesh, map, holders, &load, now, out))
--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -95,6 +95,8 @@
       note_entry (mesh, &event->items[i], out);
       if (event->items[i].record.kind == FLEET_MEMBER)
         mesh->settled_at = now;
+      if (event->items[i].record.kind == FLEET_MAP)
+        mesh->map_at[mesh->maps++ % MESH_MAPS_SEEN] = now;
     }
   roster_reach (&mesh->roster, event->next);
   mesh_doubt_settle (mesh);
