A soak of real nodes under trouble from outside

Real node processes with stand-ins for the platform's store, the servers and the callers; relays that delay, silence, cut one way and reset; processes killed, stopped, paused and reloaded; a store that refuses, is silent or loses answers; servers that begin another life. Checked while it runs: one holder a key, at most once, refused is not run, whole answers to their own callers, and nearly all served once all heals.

--- a/Makefile
+++ b/Makefile
@@ -24,27 +24,32 @@
 BENCH_SRC := $(wildcard bench/bench_*.c)
 BENCHLIB_SRC := $(filter-out $(BENCH_SRC),$(wildcard bench/*.c))
 SCNBIN_SRC := $(wildcard scenarios/bin/*.c)
+SOAK_SRC := $(wildcard soak/*.c)
+SOAKBIN_SRC := $(wildcard soak/bin/*.c)
 SHOW_SRC := $(wildcard examples/programs/*.c)
 ALL_SRC := $(LIB_SRC) $(STAND_SRC) $(SCN_SRC) $(BIN_SRC) $(STANDBIN_SRC) \
-	$(TEST_SRC) $(BENCH_SRC) $(BENCHLIB_SRC) $(SCNBIN_SRC) $(SHOW_SRC)
-HEADERS := $(wildcard src/*/*.h platform/*.h standins/*.h scenarios/*.h tests/*.h bench/*.h)
+	$(TEST_SRC) $(BENCH_SRC) $(BENCHLIB_SRC) $(SCNBIN_SRC) $(SHOW_SRC) \
+	$(SOAK_SRC) $(SOAKBIN_SRC)
+HEADERS := $(wildcard src/*/*.h platform/*.h standins/*.h scenarios/*.h tests/*.h bench/*.h soak/*.h)
 
 LIB = $(B)/libbambootally.a
 STANDLIB = $(B)/libstandins.a
 SCNLIB = $(B)/libscenario.a
 BENCHLIB = $(B)/libbench.a
+SOAKLIB = $(B)/libsoak.a
 BINS := $(BIN_SRC:src/bin/%.c=$(B)/%)
 STANDBINS := $(STANDBIN_SRC:standins/bin/%.c=$(B)/%)
 TESTS := $(TEST_SRC:tests/%.c=$(B)/%)
 BENCHES := $(BENCH_SRC:bench/%.c=$(B)/%)
 SCNBINS := $(SCNBIN_SRC:scenarios/bin/%.c=$(B)/%)
+SOAKBINS := $(SOAKBIN_SRC:soak/bin/%.c=$(B)/%)
 SHOWS := $(SHOW_SRC:examples/programs/%.c=$(B)/show_%)
 
 .PHONY: all check lint format format-check tidy test asan-test scenarios \
-	model demo bench packages clean chaos rolling state
+	model demo bench packages clean chaos rolling state soak
 .SECONDARY:
 
-all: $(BINS) $(STANDBINS) $(BENCHES) $(SCNBINS) $(SHOWS)
+all: $(BINS) $(STANDBINS) $(BENCHES) $(SCNBINS) $(SOAKBINS) $(SHOWS)
 
 $(B)/obj/%.o: %.c
 	@mkdir -p $(dir $@)
@@ -64,6 +69,10 @@
 	@rm -f $@
 	@ar rcs $@ $^
 
+$(SOAKLIB): $(SOAK_SRC:%.c=$(B)/obj/%.o)
+	@rm -f $@
+	@ar rcs $@ $^
+
 LINK = $(CC) $(CFLAGS) $< $(filter %.a,$^) -o $@ $(LDLIBS)
 $(BINS): $(B)/%: $(B)/obj/src/bin/%.o $(LIB)
 	@$(LINK)
@@ -75,6 +84,8 @@
 	@$(LINK)
 $(SCNBINS): $(B)/%: $(B)/obj/scenarios/bin/%.o $(SCNLIB) $(STANDLIB) $(LIB)
 	@$(LINK)
+$(SOAKBINS): $(B)/%: $(B)/obj/soak/bin/%.o $(SOAKLIB) $(LIB)
+	@$(LINK)
 $(SHOWS): $(B)/show_%: $(B)/obj/examples/programs/%.o $(LIB)
 	@$(LINK)
 
@@ -84,7 +95,7 @@
 	@sh .ci/packages
 
 # The checks CI runs.
-check: format-check tidy all asan-test scenarios model
+check: format-check tidy all asan-test scenarios model soak
 	@echo "check: all passed"
 
 lint: format-check tidy
@@ -106,6 +117,8 @@
 	@if [ -x scenarios/run.sh ]; then sh scenarios/run.sh $(B); fi
 model:
 	@if [ -x spec/run.sh ]; then sh spec/run.sh; fi
+soak: all
+	sh soak/run.sh $(B)
 demo: packages
 	$(MAKE) all
 	sh examples/demo.sh $(B) wales
--- /dev/null
+++ b/soak/soak_caller.c
@@ -0,0 +1,86 @@
+#include "soak/soak_caller.h"
+
+#include "types/clock.h"
+
+#include <string.h>
+
+#define DEADLINE_MSEC "1500"                /* that the caller waits */
+#define DEADLINE_USEC ((gint64)3000000)     /* then it gives the call up */
+#define BODY "a body that must arrive once" /* of requests that run once */
+
+/* The caller knows how its request ended.  */
+static void
+finish (struct soak_caller *caller, const struct http_event *event)
+{
+  char *body
+      = g_strndup ((const char *)caller->answer->data, caller->answer->len);
+  char *right = g_strdup_printf ("answer to %s", caller->id);
+
+  soak_book_told (caller->book, caller->id,
+                  event->code == ERR_NONE ? caller->status : 0,
+                  caller->stamped && strcmp (body, right) == 0);
+  g_free (body);
+  g_free (right);
+  g_byte_array_unref (caller->answer);
+  g_free (caller);
+}
+
+/* Something happened to the request.  */
+static void
+on_event (const struct http_event *event, gpointer data)
+{
+  struct soak_caller *caller = data;
+
+  switch (event->kind)
+    {
+    case HTTP_HEAD:
+      caller->status = event->status;
+      caller->stamped
+          = soup_message_headers_get_one (event->headers, "Server-Stamp")
+            != NULL;
+      break;
+    case HTTP_DATA:
+      g_byte_array_append (caller->answer, event->bytes, (guint)event->count);
+      break;
+    case HTTP_ENDED:
+      finish (caller, event);
+      break;
+    case HTTP_FLUSH:
+    case HTTP_DRAINED:
+      break;
+    }
+}
+
+/* Send what ASK says by HTTP; BOOK is told of it and of its end.  */
+void
+soak_caller_send (struct soak_book *book, struct http *http,
+                  const struct soak_ask *ask)
+{
+  struct soak_caller *caller = g_new0 (struct soak_caller, 1);
+  SoupMessageHeaders *headers
+      = soup_message_headers_new (SOUP_MESSAGE_HEADERS_REQUEST);
+  struct http_request request = { .to = ask->node,
+                                  .method = ask->once ? "POST" : "GET",
+                                  .target = ask->once ? "/once/x" : "/own/x",
+                                  .headers = headers,
+                                  .length = ask->once ? strlen (BODY) : 0 };
+  char key[KEY_SIZE];
+  struct handle call;
+
+  caller->book = book;
+  caller->answer = g_byte_array_new ();
+  g_strlcpy (caller->id, ask->id, sizeof caller->id);
+  g_snprintf (key, sizeof key, "%u", ask->key);
+  soup_message_headers_append (headers, "Host", "soak");
+  soup_message_headers_append (headers, "Request-Id", ask->id);
+  soup_message_headers_append (headers, "Deadline-Ms", DEADLINE_MSEC);
+  if (!ask->once)
+    soup_message_headers_append (headers, "Shard-Key", key);
+  request.deadline = clock_usec () + DEADLINE_USEC;
+  soak_book_sent (book, ask->id, ask->once, clock_usec ());
+  call = http_start (http, &request, on_event, caller);
+  if (ask->once)
+    http_write (http, call, (const guint8 *)BODY, strlen (BODY));
+  http_finish (http, call);
+  soup_message_headers_unref (headers);
+}
--- /dev/null
+++ b/soak/soak_store.c
@@ -0,0 +1,333 @@
+#include "soak/soak_store.h"
+
+#include "edge/conn.h"
+
+#include <string.h>
+
+#define LENGTH_BYTES 4u /* length of a record in a body */
+
+/* A read that waits for a record.  */
+struct soak_read
+{
+  struct soak_store *store;   /* where */
+  SoupServerMessage *message; /* the call */
+  GPtrArray *records;         /* of the topic */
+  guint64 from;               /* first offset that is wanted */
+  guint timer;                /* its wait */
+};
+
+/* Records */
+
+/* The records of the topic called NAME.  */
+static GPtrArray *
+topic (struct soak_store *store, const char *name)
+{
+  GPtrArray *records = g_hash_table_lookup (store->topics, name);
+
+  if (records == NULL)
+    {
+      records = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
+      g_hash_table_insert (store->topics, g_strdup (name), records);
+    }
+  return records;
+}
+
+/* Append NUMBER to BYTES in network order.  */
+static void
+add_u64 (GByteArray *bytes, guint64 number)
+{
+  guint64 big = GUINT64_TO_BE (number);
+
+  g_byte_array_append (bytes, (const guint8 *)&big, sizeof big);
+}
+
+/* Answers */
+
+/* Answer MESSAGE with STATUS and BODY, which it takes over.  */
+static void
+respond (SoupServerMessage *message, guint status, GByteArray *body)
+{
+  gsize length = body->len;
+
+  soup_server_message_set_status (message, status, NULL);
+  soup_server_message_set_response (
+      message, "application/octet-stream", SOUP_MEMORY_TAKE,
+      (char *)g_byte_array_free (body, FALSE), length);
+}
+
+/* Answer MESSAGE with STATUS and TEXT, which it takes over.  */
+static void
+respond_text (SoupServerMessage *message, guint status, char *text)
+{
+  soup_server_message_set_status (message, status, NULL);
+  soup_server_message_set_response (message, "application/json",
+                                    SOUP_MEMORY_TAKE, text, strlen (text));
+}
+
+/* Answer a read of RECORDS from FROM on.  */
+static void
+respond_records (SoupServerMessage *message, const GPtrArray *records,
+                 guint64 from)
+{
+  GByteArray *body = g_byte_array_new ();
+  guint64 i;
+
+  add_u64 (body, records->len);
+  add_u64 (body, 0);
+  for (i = from; i < records->len; i++)
+    {
+      gsize length;
+      const guint8 *bytes
+          = g_bytes_get_data (g_ptr_array_index (records, i), &length);
+      guint32 mark = GUINT32_TO_BE ((guint32)length);
+      g_byte_array_append (body, (const guint8 *)&mark, sizeof mark);
+      g_byte_array_append (body, bytes, (guint)length);
+    }
+  respond (message, SOUP_STATUS_OK, body);
+}
+
+/* Reads that wait */
+
+/* Forget a read; for GPtrArray.  */
+static void
+free_read (gpointer data)
+{
+  struct soak_read *read = data;
+
+  if (read->timer != 0)
+    g_source_remove (read->timer);
+  g_object_unref (read->message);
+  g_free (read);
+}
+
+/* Answer a read with what there is.  */
+static void
+end_read (struct soak_read *read)
+{
+  respond_records (read->message, read->records, read->from);
+  soup_server_message_unpause (read->message);
+  g_ptr_array_remove (read->store->waiting, read);
+}
+
+/* The wait of a read is over.  */
+static gboolean
+on_waited (gpointer data)
+{
+  struct soak_read *read = data;
+
+  read->timer = 0;
+  end_read (read);
+  return G_SOURCE_REMOVE;
+}
+
+/* Answer the reads that wait for RECORDS.  */
+static void
+wake (struct soak_store *store, const GPtrArray *records)
+{
+  guint i = 0;
+
+  while (i < store->waiting->len)
+    {
+      struct soak_read *read = g_ptr_array_index (store->waiting, i);
+      if (read->records == records && read->from < records->len)
+        end_read (read);
+      else
+        i++;
+    }
+}
+
+/* Calls */
+
+/* The number NAME in QUERY, or OTHERWISE.  */
+static guint64
+number (GHashTable *query, const char *name, guint64 otherwise)
+{
+  const char *text = g_hash_table_lookup (query, name);
+
+  return text != NULL ? g_ascii_strtoull (text, NULL, 10) : otherwise;
+}
+
+/* Append the records in the body of MESSAGE.  */
+static void
+take_append (struct soak_store *store, SoupServerMessage *message,
+             GHashTable *query, GPtrArray *records)
+{
+  GBytes *body = soup_message_body_flatten (
+      soup_server_message_get_request_body (message));
+  gsize left;
+  const guint8 *at = g_bytes_get_data (body, &left);
+  guint64 offset = records->len;
+
+  if (number (query, "at", offset) != offset)
+    {
+      respond_text (message, SOUP_STATUS_PRECONDITION_FAILED,
+                    g_strdup_printf ("{\"end\":%u}", records->len));
+      g_bytes_unref (body);
+      return;
+    }
+  while (left >= LENGTH_BYTES)
+    {
+      guint32 mark;
+      memcpy (&mark, at, sizeof mark);
+      mark = MIN (GUINT32_FROM_BE (mark), (guint32)(left - LENGTH_BYTES));
+      g_ptr_array_add (records, g_bytes_new (at + LENGTH_BYTES, mark));
+      at += LENGTH_BYTES + mark;
+      left -= LENGTH_BYTES + mark;
+    }
+  g_bytes_unref (body);
+  respond_text (message, SOUP_STATUS_OK,
+                g_strdup_printf ("{\"offset\":%" G_GUINT64_FORMAT
+                                 ",\"end\":%u}",
+                                 offset, records->len));
+  wake (store, records);
+}
+
+/* Read RECORDS, now or once there is one.  */
+static void
+take_read (struct soak_store *store, SoupServerMessage *message,
+           GHashTable *query, GPtrArray *records)
+{
+  guint64 from = number (query, "from", 0);
+  guint wait = (guint)number (query, "wait-ms", 0);
+  struct soak_read *read;
+
+  if (from < records->len || wait == 0)
+    {
+      respond_records (message, records, from);
+      return;
+    }
+  read = g_new0 (struct soak_read, 1);
+  read->store = store;
+  read->message = g_object_ref (message);
+  read->records = records;
+  read->from = from;
+  read->timer = g_timeout_add (wait, on_waited, read);
+  g_ptr_array_add (store->waiting, read);
+  soup_server_message_pause (message);
+}
+
+/* Add the record at OFFSET to TEXT, unless it drops its key.  */
+static void
+add_item (GString *text, GBytes *record, guint offset)
+{
+  gsize length;
+  const guint8 *bytes = g_bytes_get_data (record, &length);
+  gsize key = bytes[0];
+  char *value;
+
+  if (length <= 1 + key)
+    return;
+  value = g_base64_encode (bytes + 1 + key, length - 1 - key);
+  g_string_append_printf (
+      text, "%s{\"key\":\"%.*s\",\"value\":\"%s\",\"offset\":%u}",
+      text->str[text->len - 1] == '[' ? "" : ",", (int)key,
+      (const char *)bytes + 1, value, offset);
+  g_free (value);
+}
+
+/* Tell the newest record of each key of RECORDS.  */
+static void
+take_newest (SoupServerMessage *message, const GPtrArray *records)
+{
+  GString *text = g_string_new ("{\"items\":[");
+  guint i;
+  guint k;
+
+  for (i = 0; i < records->len; i++)
+    {
+      GBytes *record = g_ptr_array_index (records, i);
+      const guint8 *key = g_bytes_get_data (record, NULL);
+      gboolean newest = TRUE;
+      for (k = i + 1; newest && k < records->len; k++)
+        {
+          const guint8 *other
+              = g_bytes_get_data (g_ptr_array_index (records, k), NULL);
+          newest = other[0] != key[0] || memcmp (other, key, key[0] + 1u) != 0;
+        }
+      if (newest)
+        add_item (text, record, i);
+    }
+  g_string_append_printf (text, "],\"has-more\":false,\"end\":%u}",
+                          records->len);
+  respond_text (message, SOUP_STATUS_OK, g_string_free (text, FALSE));
+}
+
+/* Leave MESSAGE without an answer.  */
+static void
+ignore (SoupServerMessage *message)
+{
+  soup_server_message_pause (message);
+}
+
+/* A call came.  */
+static void
+on_call (SoupServer *server, SoupServerMessage *message, const char *path,
+         GHashTable *query, gpointer data)
+{
+  struct soak_store *store = data;
+  const char *name = query != NULL ? g_hash_table_lookup (query, "topic") : "";
+  GPtrArray *records = topic (store, name != NULL ? name : "");
+  gboolean append = strcmp (path, "/api/log-append") == 0;
+
+  (void)server;
+  if (store->mode == SOAK_STORE_BUSY)
+    soup_server_message_set_status (message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+                                    NULL);
+  else if (store->mode == SOAK_STORE_SILENT)
+    ignore (message);
+  else if (append)
+    take_append (store, message, query, records);
+  else if (strcmp (path, "/api/log-read") == 0)
+    take_read (store, message, query, records);
+  else if (strcmp (path, "/api/log-newest") == 0)
+    take_newest (message, records);
+  else
+    soup_server_message_set_status (message, SOUP_STATUS_NOT_FOUND, NULL);
+  if (append && store->mode == SOAK_STORE_LOSES)
+    ignore (message);
+}
+
+/* Interface */
+
+/* Have the operator write VALUE under KEY of TOPIC.  */
+void
+soak_store_put (struct soak_store *store, const char *name, const char *key,
+                const char *value)
+{
+  GPtrArray *records = topic (store, name);
+  GByteArray *bytes = g_byte_array_new ();
+  guint8 length = (guint8)strlen (key);
+
+  g_byte_array_append (bytes, &length, 1);
+  g_byte_array_append (bytes, (const guint8 *)key, length);
+  g_byte_array_append (bytes, (const guint8 *)value, (guint)strlen (value));
+  g_ptr_array_add (records, g_byte_array_free_to_bytes (bytes));
+  wake (store, records);
+}
+
+/* Listen at AT; FALSE if that cannot be.  */
+gboolean
+soak_store_init (struct soak_store *store, struct address at)
+{
+  enum err code;
+  GSocket *socket = conn_listen (at, &code);
+
+  memset (store, 0, sizeof *store);
+  store->topics = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                         (GDestroyNotify)g_ptr_array_unref);
+  store->waiting = g_ptr_array_new_with_free_func (free_read);
+  store->server = soup_server_new (NULL, NULL);
+  soup_server_add_handler (store->server, NULL, on_call, store, NULL);
+  return socket != NULL
+         && soup_server_listen_socket (store->server, socket, 0, NULL);
+}
+
+/* Stop.  */
+void
+soak_store_clear (struct soak_store *store)
+{
+  g_ptr_array_free (store->waiting, TRUE);
+  soup_server_disconnect (store->server);
+  g_object_unref (store->server);
+  g_hash_table_destroy (store->topics);
+}
