A node that is watched anew is not thereby heard

A member that came to be watched, as neighbours on the ring changed, was given time to answer, and that time was told to others as a word from it; each such entry began the wait anew. Change: when a member was first seen, when its silence counts from, and the last word that any node had are three things; only the last is told.

--- a/Makefile
+++ b/Makefile
@@ -95,7 +95,8 @@
 	@sh .ci/packages
 
 # The checks CI runs.
-check: format-check tidy all asan-test scenarios model soak
+check: format-check tidy all asan-test scenarios model
+	@$(MAKE) soak
 	@echo "check: all passed"
 
 lint: format-check tidy
--- a/src/serve/upstream.c
+++ b/src/serve/upstream.c
@@ -22,13 +22,12 @@
   return MAX (upstream->heard, upstream->since);
 }
 
-/* The last word from it that any node is known to have had.  */
+/* The last word from it that any node is known to have had, or when this node
+   first knew of it.  */
 gint64
 upstream_last_told (const struct upstream *upstream)
 {
-  gint64 own = upstream->watched ? upstream_last_word (upstream) : 0;
-
-  return MAX (own, upstream->told);
+  return MAX (upstream->seen, upstream->told);
 }
 
 /* Tell whether the node can be counted on to answer.  One that is not watched
@@ -42,11 +41,12 @@
 }
 
 /* Begin or end to notice whether the node is silent.  One that has just been
-   found is given the time to answer.  */
+   found is given the time to answer, unless others wait for it in vain
+   already.  */
 void
 upstream_watch (struct upstream *upstream, gboolean watched, gint64 now)
 {
-  if (watched && !upstream->watched)
+  if (watched && !upstream->watched && !upstream->suspected)
     upstream->since = now;
   upstream->watched = watched;
 }
@@ -59,11 +59,13 @@
 {
   if (upstream->recorded == member->incarnation)
     return;
-  if (upstream->recorded != 0)
-    upstream->since = now;
+  if (upstream->recorded == 0)
+    upstream->seen = now;
+  else
+    upstream->told = now;
+  upstream->since = now;
   upstream->recorded = member->incarnation;
   upstream->incarnation = member->incarnation;
-  upstream->told = now;
   upstream->suspected = FALSE;
   upstream->leaving = FALSE;
   upstream->store_lost = FALSE;
--- a/src/serve/upstream.h
+++ b/src/serve/upstream.h
@@ -10,6 +10,7 @@
 
 struct upstream
 {
+  gint64 seen;             /* when this node first knew of it */
   gint64 since;            /* its silence counts from here at the earliest */
   gint64 heard;            /* last word from it, 0: none yet */
   gint64 told;             /* last word from it that any node heard, as far as
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -314,6 +314,33 @@
   bench_free (bench);
 }
 
+/* A node that is watched anew, as neighbours on the ring change, is no proof
+   that it lives: it stays silent, and no later word of it is told.  */
+static void
+test_watched_anew (void)
+{
+  struct bench *bench = bench_new ();
+  struct handle other = roster_find (&bench->mesh.roster, "b");
+  struct upstream *upstream = table_get (&bench->mesh.upstreams, other);
+  struct pulse pulse = { .news_count = 1 };
+  struct pulse said = { 0 };
+
+  upstream_watch (upstream, FALSE, bench->now);
+  pulse.news[0].incarnation = 77;
+  pulse.news[0].age_msec = 1500;
+  bench->now += 5000 * MSEC;
+  mesh_news_take (&bench->mesh, &pulse, bench->now);
+  upstream_watch (upstream, TRUE, bench->now);
+  CU_ASSERT_FALSE (upstream_is_heard (upstream, bench->now));
+  bench->now += 300 * MSEC;
+  CU_ASSERT_TRUE (mesh_is_lost (&bench->mesh, other, bench->now));
+  upstream->silent = TRUE;
+  mesh_news_fill (&bench->mesh, &said, bench->now);
+  CU_ASSERT_EQUAL (said.news_count, 1);
+  CU_ASSERT_EQUAL (said.news[0].age_msec, 1800);
+  bench_free (bench);
+}
+
 int
 main (void)
 {
@@ -331,6 +358,7 @@
           { "shedding is paid for", test_shed_is_paid },
           { "failure repeated", test_failure_repeated },
           { "news", test_news },
+          { "watched anew", test_watched_anew },
           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh", tests);
