Files that grew are split: retries, ends of runs, the settings file; soak nodes end with the soak

No decision changes. The soak's processes ask to be ended with their parent: one run that crashed had left six nodes behind, which answered the next runs.

--- a/soak/soak_node.c
+++ b/soak/soak_node.c
@@ -5,27 +5,39 @@
 #include <fcntl.h>
 #include <glib.h>
 #include <signal.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
+#define LOG_MODE 0644                 /* of a node's log */
+#define EXIT_NOT_STARTED 127          /* the program could not be started */
 #define RESTART_USEC ((gint64)400000) /* after a process has ended */
 
-extern char **environ;
+/* Become the node's program: its lines go to its log, and it ends with the
+   process that started it, PARENT.  */
+static void
+become (const struct soak_node *node, pid_t parent)
+{
+  char *argv[] = { (char *)node->program, "--settings", node->settings, NULL };
+  int log = open (node->log, O_WRONLY | O_CREAT | O_APPEND, LOG_MODE);
+
+  prctl (PR_SET_PDEATHSIG, SIGKILL);
+  if (getppid () == parent && log >= 0 && dup2 (log, STDOUT_FILENO) >= 0)
+    execv (node->program, argv);
+  _exit (EXIT_NOT_STARTED);
+}
 
 /* Start the process.  */
 void
 soak_node_start (struct soak_node *node)
 {
-  char *argv[] = { (char *)node->program, "--settings", node->settings, NULL };
-  posix_spawn_file_actions_t files;
+  pid_t parent = getpid ();
 
-  posix_spawn_file_actions_init (&files);
-  posix_spawn_file_actions_addopen (&files, 1, node->log,
-                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
-  if (posix_spawn (&node->pid, node->program, &files, NULL, argv, environ)
-      != 0)
+  node->pid = fork ();
+  if (node->pid < 0)
     g_error ("cannot start %s", node->program);
-  posix_spawn_file_actions_destroy (&files);
+  if (node->pid == 0)
+    become (node, parent);
   node->starts++;
   node->paused = FALSE;
 }
--- a/src/edge/mesh_node.c
+++ b/src/edge/mesh_node.c
@@ -5,10 +5,8 @@
 
 #include <string.h>
 #include <sys/random.h>
-#include <sys/stat.h>
 
-#define TICK_MSEC 25u                     /* the core is woken so often */
-#define FILE_EVERY_USEC ((gint64)1000000) /* looks at the settings file */
+#define TICK_MSEC 25u /* the core is woken so often */
 
 /* Events */
 
@@ -122,57 +120,6 @@
   return mesh_is_ready (&node->mesh);
 }
 
-/* Settings */
-
-/* When the settings file was last changed, or 0.  */
-static gint64
-file_time (const char *file)
-{
-  struct stat status;
-
-  if (stat (file, &status) != 0)
-    return 0;
-  return (gint64)status.st_mtim.tv_sec * USEC_PER_SEC
-         + status.st_mtim.tv_nsec / 1000;
-}
-
-/* Read the settings again.  Bounds and times are taken over; who the node is
-   and where it listens stays until it starts again.  */
-void
-mesh_node_reload (struct mesh_node *node)
-{
-  GArray *faults = g_array_new (FALSE, TRUE, sizeof (struct fault));
-  struct mesh_settings *mesh = &node->mesh.settings;
-  struct note note = { .id = NOTE_MESH_SETTINGS };
-  struct mesh_config config;
-  enum err code = mesh_config_read (&config, node->file, faults);
-
-  node->file_changed = file_time (node->file);
-  if (code == ERR_NONE)
-    {
-      mesh->beat_usec = config.mesh.beat_usec;
-      mesh->hold_max_usec = config.mesh.hold_max_usec;
-      mesh->drain_usec = config.mesh.drain_usec;
-      mesh->grace_usec = config.mesh.grace_usec;
-    }
-  g_strlcpy (note.text, mesh->name, sizeof note.text);
-  g_snprintf (note.detail, sizeof note.detail, "outcome=%s faults=%u",
-              err_name (code), faults->len);
-  mesh_node_note (node, &note);
-  g_array_free (faults, TRUE);
-}
-
-/* Look whether the settings file has changed.  */
-static void
-look_at_file (struct mesh_node *node, gint64 now)
-{
-  if (now - node->file_looked < FILE_EVERY_USEC)
-    return;
-  node->file_looked = now;
-  if (file_time (node->file) != node->file_changed)
-    mesh_node_reload (node);
-}
-
 /* Time */
 
 /* Tell whether this node follows the fleet's topic itself.  */
@@ -206,7 +153,7 @@
     feed_step (&node->fleet_feed, now);
   if (follows_config (node))
     feed_step (&node->config_feed, now);
-  look_at_file (node, now);
+  mesh_node_look_at_file (node, now);
   event.u.tick.exchanges = proxy_busy (&node->proxy);
   mesh_node_feed (node, &event);
   return G_SOURCE_CONTINUE;
@@ -252,7 +199,7 @@
   memset (node, 0, sizeof *node);
   node->config = *config;
   node->file = file;
-  node->file_changed = file_time (file);
+  node->file_changed = mesh_node_file_time (file);
   if (getrandom (&node->config.mesh.incarnation, sizeof (guint64), 0) < 0
       || getrandom (&node->config.mesh.seed, sizeof (guint64), 0) < 0)
     return ERR_IO;
--- a/src/edge/mesh_node.h
+++ b/src/edge/mesh_node.h
@@ -39,6 +39,8 @@
 void mesh_node_clear (struct mesh_node *node);
 void mesh_node_feed (struct mesh_node *node, const struct event *event);
 void mesh_node_do (struct mesh_node *node, const struct action *action);
+gint64 mesh_node_file_time (const char *file);
+void mesh_node_look_at_file (struct mesh_node *node, gint64 now);
 void mesh_node_reload (struct mesh_node *node);
 enum err mesh_front_init (struct mesh_node *node);
 void mesh_node_on_link (const struct link_event *event, gpointer data);
--- /dev/null
+++ b/src/edge/mesh_node_file.c
@@ -0,0 +1,55 @@
+#include "edge/mesh_node.h"
+
+#include <string.h>
+#include <sys/stat.h>
+
+#define FILE_EVERY_USEC ((gint64)1000000) /* looks at the settings file */
+
+/* When the settings file was last changed, or 0.  */
+gint64
+mesh_node_file_time (const char *file)
+{
+  struct stat status;
+
+  if (stat (file, &status) != 0)
+    return 0;
+  return (gint64)status.st_mtim.tv_sec * USEC_PER_SEC
+         + status.st_mtim.tv_nsec / 1000;
+}
+
+/* Read the settings again.  Bounds and times are taken over; who the node is
+   and where it listens stays until it starts again.  */
+void
+mesh_node_reload (struct mesh_node *node)
+{
+  GArray *faults = g_array_new (FALSE, TRUE, sizeof (struct fault));
+  struct mesh_settings *mesh = &node->mesh.settings;
+  struct note note = { .id = NOTE_MESH_SETTINGS };
+  struct mesh_config config;
+  enum err code = mesh_config_read (&config, node->file, faults);
+
+  node->file_changed = mesh_node_file_time (node->file);
+  if (code == ERR_NONE)
+    {
+      mesh->beat_usec = config.mesh.beat_usec;
+      mesh->hold_max_usec = config.mesh.hold_max_usec;
+      mesh->drain_usec = config.mesh.drain_usec;
+      mesh->grace_usec = config.mesh.grace_usec;
+    }
+  g_strlcpy (note.text, mesh->name, sizeof note.text);
+  g_snprintf (note.detail, sizeof note.detail, "outcome=%s faults=%u",
+              err_name (code), faults->len);
+  mesh_node_note (node, &note);
+  g_array_free (faults, TRUE);
+}
+
+/* Look whether the settings file has changed.  */
+void
+mesh_node_look_at_file (struct mesh_node *node, gint64 now)
+{
+  if (now - node->file_looked < FILE_EVERY_USEC)
+    return;
+  node->file_looked = now;
+  if (mesh_node_file_time (node->file) != node->file_changed)
+    mesh_node_reload (node);
+}
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -51,12 +51,21 @@
 void mesh_admit (struct mesh *mesh, struct handle exchange, gint64 now,
                  struct actions *out);
 void mesh_admit_next (struct mesh *mesh, gint64 now, struct actions *out);
+
+/* Ends of runs at the server here, mesh_run_end.c.  */
 void mesh_admit_ended (struct mesh *mesh, const struct transit *transit,
                        const struct event_ended *event, gint64 now,
                        struct actions *out);
 void mesh_crashed (struct mesh *mesh, gint64 now, struct actions *out);
 
 /* Ends of requests, mesh_end.c.  */
+const char *mesh_member_name (struct mesh *mesh, struct handle h);
+void mesh_forget (struct mesh *mesh, struct handle exchange,
+                  enum outcome outcome, enum reason reason, gint64 now,
+                  struct actions *out);
+void mesh_answer (struct mesh *mesh, struct handle exchange,
+                  enum outcome outcome, enum reason reason, gint64 retry_usec,
+                  gint64 now, struct actions *out);
 void mesh_ended (struct mesh *mesh, const struct event_ended *event,
                  gint64 now, struct actions *out);
 void mesh_gone (struct mesh *mesh, struct handle exchange, gint64 now,
@@ -64,9 +73,20 @@
 void mesh_refuse (struct mesh *mesh, struct handle exchange,
                   enum reason reason, gint64 retry_usec, gint64 now,
                   struct actions *out);
+void mesh_expire (struct mesh *mesh, gint64 now, struct actions *out);
+
+/* Other tries, mesh_retry.c.  */
+void mesh_not_run (struct mesh *mesh, struct handle exchange,
+                   const struct event_ended *event, gint64 now,
+                   struct actions *out);
+void mesh_unknown (struct mesh *mesh, struct handle exchange,
+                   const struct event_ended *event, gint64 now,
+                   struct actions *out);
+void mesh_done (struct mesh *mesh, struct handle exchange,
+                const struct event_ended *event, gint64 now,
+                struct actions *out);
 void mesh_failed_here (struct mesh *mesh, struct handle exchange,
                        enum reason reason, gint64 now, struct actions *out);
-void mesh_expire (struct mesh *mesh, gint64 now, struct actions *out);
 
 /* The server's beats, mesh_beat.c.  */
 void mesh_beat (struct mesh *mesh, const struct event_beat *event, gint64 now,
