Long files of tests and soak are split; one cost of a taker

Ruled out: the queue of later events in node.c and mesh_node.c, and the actions that both do: they touch bambootallyd's loop and want scenarios of their own. Change: no decision, bound or assertion changes; 45 assertions of test_mesh stand in three programs (27, 10, 8). Measured: the test programs in release, format, the linter on these files.

--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -34,6 +34,7 @@
 gboolean soak_server_init (struct soak_server *server, struct http *http,
                            struct soak_book *book, struct address at);
 void soak_server_clear (struct soak_server *server);
+void soak_server_beat_in (struct soak_server *server, guint msec);
 void soak_server_begin (struct soak_server *server);
 gboolean soak_server_holds (const struct soak_server *server, guint32 key,
                             gint64 now);
--- a/src/mesh/mesh_balance.c
+++ b/src/mesh/mesh_balance.c
@@ -79,26 +79,20 @@
           guint32 rate)
 {
   gint64 run = load->run_usec;
-  gint64 other_run = taker->load.run_usec > 0 ? taker->load.run_usec : run;
   gint64 price = mesh_rate_price (load, run);
-  gint64 other_price = mesh_rate_price (&taker->load, run);
   gint64 own = load->demand;
-  gint64 other = taker->load.demand;
   gint64 gap = own >= MESH_BUSY_PERMILLE ? GAP_BUSY_PERCENT : GAP_SLOW_PERCENT;
   guint32 part;
 
   if (mesh_key_cost (run, own, load->failing) * 100
-      < mesh_key_cost (other_run, other, taker->load.failing) * gap)
+      < mesh_taker_cost (taker, run, 0) * gap)
     return 0;
   for (part = 2; part <= PART_MAX && rate / part >= RATE_LEAST; part *= 2)
     {
-      gint64 moved = rate / part;
-      if (mesh_key_cost (other_run,
-                         other + moved * other_price / USEC_PER_MSEC,
-                         taker->load.failing)
-          <= mesh_key_cost (run, own - moved * price / USEC_PER_MSEC,
-                            load->failing))
-        return (guint32)moved;
+      guint32 moved = rate / part;
+      if (mesh_taker_cost (taker, run, moved) <= mesh_key_cost (
+              run, own - moved * price / USEC_PER_MSEC, load->failing))
+        return moved;
     }
   return 0;
 }
--- /dev/null
+++ b/tests/test_mesh_retry.c
@@ -0,0 +1,123 @@
+#include "tests/mesh_bench.h"
+
+/* Have the node hear of another one, "c", that serves OTHER_SERVICE.  */
+static void
+teach_third (struct bench *bench)
+{
+  struct event event = { .kind = EVENT_FLEET };
+  struct fleet_entry entry
+      = { .offset = bench->mesh.roster.next, .record.kind = FLEET_MEMBER };
+  struct fleet_member *member = &entry.record.u.member;
+
+  g_strlcpy (member->name, "c", sizeof member->name);
+  g_strlcpy (member->service, OTHER_SERVICE, sizeof member->service);
+  g_strlcpy (member->life.id, "sc", sizeof member->life.id);
+  member->incarnation = 78;
+  member->slots = 4;
+  fleet_record_set_key (&entry.record);
+  event.u.fleet.items = &entry;
+  event.u.fleet.count = 1;
+  event.u.fleet.next = entry.offset + 1;
+  feed (bench, &event);
+}
+
+/* The process that the last step sent a request to, 0 for none.  */
+static guint64
+sent_to (const struct bench *bench)
+{
+  const struct action *action = find (bench, ACTION_FORWARD);
+
+  return action != NULL ? action->u.forward.peer : 0;
+}
+
+/* A request for an undivided service that one node has no room for goes to
+   another one, also if it carries a key.  */
+static void
+test_offered_elsewhere (void)
+{
+  struct bench *bench = bench_new ();
+  struct handle exchange;
+  guint64 first;
+
+  teach_third (bench);
+  exchange = ask_with_key (bench, "/other/x", "17");
+  first = sent_to (bench);
+  CU_ASSERT_NOT_EQUAL (first, 0);
+  end (bench, exchange, OUTCOME_NOT_RUN, REASON_OVERLOAD);
+  CU_ASSERT_NOT_EQUAL (sent_to (bench), 0);
+  CU_ASSERT_NOT_EQUAL (sent_to (bench), first);
+  bench_free (bench);
+}
+
+/* A server that refuses requests though it has slots keeps all its slots: it
+   is not for want of them.  */
+static void
+test_shed_keeps_slots (void)
+{
+  struct bench *bench = bench_new ();
+  guint i;
+
+  for (i = 0; i < 20; i++)
+    {
+      struct handle exchange = ask (bench, "/own/x");
+      end (bench, exchange, OUTCOME_NOT_RUN, REASON_SHED);
+    }
+  CU_ASSERT_EQUAL (mesh_load (&bench->mesh, bench->now).slots, 1);
+  CU_ASSERT_TRUE (mesh_load (&bench->mesh, bench->now).failing > 500);
+  CU_ASSERT_EQUAL (bench->mesh.gate.pace.held, 0);
+  bench_free (bench);
+}
+
+/* Requests that a server refused are sent again no more often than the budget
+   has it.  */
+static void
+test_shed_is_paid (void)
+{
+  struct bench *bench = bench_new ();
+  guint sent = 0;
+  guint i;
+
+  teach_third (bench);
+  for (i = 0; i < 20; i++)
+    {
+      struct handle exchange = ask (bench, "/other/x");
+      while (find (bench, ACTION_FORWARD) != NULL)
+        {
+          sent++;
+          end (bench, exchange, OUTCOME_NOT_RUN, REASON_SHED);
+        }
+    }
+  CU_ASSERT_TRUE (sent > 20);
+  CU_ASSERT_TRUE (sent <= 20 + 3 + 20 / 10);
+  bench_free (bench);
+}
+
+/* A server's failure is not passed on where another one may do better; one
+   that must run once is.  */
+static void
+test_failure_repeated (void)
+{
+  struct bench *bench = bench_new ();
+  struct handle exchange;
+
+  teach_third (bench);
+  exchange = ask (bench, "/other/x");
+  fail_with (bench, exchange, 500);
+  CU_ASSERT_PTR_NOT_NULL (find (bench, ACTION_FORWARD));
+  exchange = ask (bench, "/once/x");
+  fail_with (bench, exchange, 500);
+  CU_ASSERT_PTR_NULL (find (bench, ACTION_RUN));
+  bench_free (bench);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = { { "offered elsewhere", test_offered_elsewhere },
+                          { "shedding keeps slots", test_shed_keeps_slots },
+                          { "shedding is paid for", test_shed_is_paid },
+                          { "failure repeated", test_failure_repeated },
+                          CU_TEST_INFO_NULL };
+
+  return suite_run ("mesh_retry", tests);
+}
--- /dev/null
+++ b/tests/test_news.c
@@ -0,0 +1,66 @@
+#include "mesh/mesh_parts.h"
+#include "tests/mesh_bench.h"
+
+/* A silent node that others watch is known by what they say; a later word of
+   it, told by anyone, counts more.  */
+static void
+test_news (void)
+{
+  struct bench *bench = bench_new ();
+  struct handle other = roster_find (&bench->mesh.roster, "b");
+  struct upstream *upstream = table_get (&bench->mesh.upstreams, other);
+  struct pulse pulse = { .news_count = 1 };
+
+  upstream->neighbour = FALSE;
+  upstream_watch (upstream, FALSE, bench->now);
+  bench->now += 5000 * MSEC;
+  CU_ASSERT_TRUE (upstream_is_heard (upstream, bench->now));
+  pulse.news[0].incarnation = 77;
+  pulse.news[0].age_msec = 1200;
+  mesh_news_take (&bench->mesh, &pulse, bench->now);
+  CU_ASSERT_FALSE (upstream_is_heard (upstream, bench->now));
+  pulse.news[0].age_msec = 4000;
+  mesh_news_take (&bench->mesh, &pulse, bench->now);
+  CU_ASSERT_FALSE (upstream_is_heard (upstream, bench->now));
+  pulse.news[0].age_msec = 300;
+  mesh_news_take (&bench->mesh, &pulse, bench->now);
+  CU_ASSERT_TRUE (upstream_is_heard (upstream, bench->now));
+  bench_free (bench);
+}
+
+/* A node that is watched anew, as neighbours on the ring change, is no proof
+   that it lives: it stays silent, and no later word of it is told.  */
+static void
+test_watched_anew (void)
+{
+  struct bench *bench = bench_new ();
+  struct handle other = roster_find (&bench->mesh.roster, "b");
+  struct upstream *upstream = table_get (&bench->mesh.upstreams, other);
+  struct pulse pulse = { .news_count = 1 };
+  struct pulse said = { 0 };
+
+  upstream_watch (upstream, FALSE, bench->now);
+  pulse.news[0].incarnation = 77;
+  pulse.news[0].age_msec = 1500;
+  bench->now += 5000 * MSEC;
+  mesh_news_take (&bench->mesh, &pulse, bench->now);
+  upstream_watch (upstream, TRUE, bench->now);
+  CU_ASSERT_FALSE (upstream_is_heard (upstream, bench->now));
+  bench->now += 300 * MSEC;
+  CU_ASSERT_TRUE (mesh_is_lost (&bench->mesh, other, bench->now));
+  upstream->silent = TRUE;
+  mesh_news_fill (&bench->mesh, &said, bench->now);
+  CU_ASSERT_EQUAL (said.news_count, 1);
+  CU_ASSERT_EQUAL (said.news[0].age_msec, 1800);
+  bench_free (bench);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[] = { { "news", test_news },
+                          { "watched anew", test_watched_anew },
+                          CU_TEST_INFO_NULL };
+
+  return suite_run ("news", tests);
+}
