Logs and metrics that tell why requests are refused and runs fail

mesh-refuse (606) is a line for each refusal of the gate, with what was ahead and the forecast; mesh-wait has the same fields, so that they can be held against waited_ms of mesh-run. mesh-end has status, route, rank and retry_ms, mesh-route has route, rank and load_ms. No decision changes.

--- a/src/decide/gate.c
+++ b/src/decide/gate.c
@@ -135,20 +135,29 @@
   gate->peak = MAX (gate->peak, gate->busy);
 }
 
-/* Tell whether WAITER can end in time behind those that run before it.  */
-static gboolean
-can_end (struct gate *gate, const struct gate_waiter *waiter, gint64 now)
+/* What is to come of WAITER in the queue.  */
+static struct gate_forecast
+forecast (struct gate *gate, const struct gate_waiter *waiter, gint64 now)
 {
-  guint32 ahead = 0;
+  struct gate_forecast forecast = { .run_usec = waiter->run_usec };
   guint i;
 
   for (i = 0; i < gate->waiting->len; i++)
     if (!runs_before (waiter,
                       &g_array_index (gate->waiting, struct gate_waiter, i)))
-      ahead++;
-  return now + pace_wait (&gate->pace, ahead, slots_at (gate, now))
-             + waiter->run_usec
-         <= waiter->deadline;
+      forecast.ahead++;
+  forecast.wait_usec
+      = pace_wait (&gate->pace, forecast.ahead, slots_at (gate, now));
+  return forecast;
+}
+
+/* Tell whether WAITER can end in time behind those that run before it.  */
+static gboolean
+can_end (struct gate *gate, const struct gate_waiter *waiter, gint64 now)
+{
+  struct gate_forecast coming = forecast (gate, waiter, now);
+
+  return now + coming.wait_usec + coming.run_usec <= waiter->deadline;
 }
 
 /* Tell whether there is no place for a request in the queue.  */
@@ -158,10 +167,10 @@
   return gate->waiting->len >= gate->limit;
 }
 
-/* Give REQUEST a slot, let it wait, or refuse it for REASON.  */
-enum gate_verdict
-gate_admit (struct gate *gate, struct handle exchange,
-            const struct request *request, gint64 now, enum reason *reason)
+/* REQUEST as it would stand in the queue at NOW.  */
+static struct gate_waiter
+waiter_of (const struct gate *gate, struct handle exchange,
+           const struct request *request, gint64 now)
 {
   struct gate_waiter waiter
       = { exchange,
@@ -171,6 +180,25 @@
           now + (request->deadline - now) * gate->patience / 100,
           request->run_usec > 0 ? request->run_usec : gate->pace.run_usec };
 
+  return waiter;
+}
+
+/* What is to come of REQUEST if it joins the queue at NOW.  */
+struct gate_forecast
+gate_forecast (struct gate *gate, const struct request *request, gint64 now)
+{
+  struct gate_waiter waiter = waiter_of (gate, HANDLE_NONE, request, now);
+
+  return forecast (gate, &waiter, now);
+}
+
+/* Give REQUEST a slot, let it wait, or refuse it for REASON.  */
+enum gate_verdict
+gate_admit (struct gate *gate, struct handle exchange,
+            const struct request *request, gint64 now, enum reason *reason)
+{
+  struct gate_waiter waiter = waiter_of (gate, exchange, request, now);
+
   *reason = REASON_NONE;
   if (gate->slots == 0)
     *reason = REASON_SERVER_DOWN;
--- a/src/decide/gate.h
+++ b/src/decide/gate.h
@@ -20,6 +20,14 @@
   gint64 run_usec;        /* how long it is thought to run */
 };
 
+/* What the gate expects of a request in its queue.  */
+struct gate_forecast
+{
+  guint32 ahead;    /* requests that go before it */
+  gint64 wait_usec; /* until it has a slot */
+  gint64 run_usec;  /* how long it then runs */
+};
+
 struct gate
 {
   guint32 slots; /* requests the server runs at once; 0 while it is down */
@@ -52,6 +60,8 @@
 void gate_on_shed (struct gate *gate, gint64 now);
 gboolean gate_has_room (struct gate *gate, gint64 now);
 guint32 gate_retry_msec (struct gate *gate, gint64 now);
+struct gate_forecast gate_forecast (struct gate *gate,
+                                    const struct request *request, gint64 now);
 enum gate_verdict gate_admit (struct gate *gate, struct handle exchange,
                               const struct request *request, gint64 now,
                               enum reason *reason);
--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -53,8 +53,10 @@
   add (text, "store_append_calls", (gint64)node->store.made[STORE_APPEND]);
   add (text, "store_failed_calls", (gint64)node->store.failed);
   add (text, "log_lines_dropped", (gint64)journal_dropped ());
+  add (text, "server_runs_failed", (gint64)node->runs_failed);
   add_notes (text, node->notes);
   latency_format (&node->took, "request", text);
   latency_format (&node->ran, "server_run", text);
+  latency_format (&node->queued, "server_wait", text);
   return g_string_free (text, FALSE);
 }
--- a/src/edge/mesh_node.c
+++ b/src/edge/mesh_node.c
@@ -61,24 +61,38 @@
   node->feeding = FALSE;
 }
 
-/* Something happened to a request.  */
+/* Measure an attempt that ended as EVENT has it.  */
 static void
-on_proxy_event (const struct event *event, gpointer data)
+measure (struct mesh_node *node, const struct event_ended *event)
 {
-  struct mesh_node *node = data;
   const struct transit *transit
-      = event->kind == EVENT_ENDED
-            ? table_get (&node->mesh.transits, event->u.ended.exchange)
-            : NULL;
+      = table_get (&node->mesh.transits, event->exchange);
+  gint64 now = clock_usec ();
 
-  if (transit != NULL && event->u.ended.outcome == OUTCOME_DONE)
+  if (transit == NULL)
+    return;
+  if (transit->phase == TRANSIT_RUNNING)
     {
-      gint64 now = clock_usec ();
-      if (!transit->request.from_peer)
-        latency_add (&node->took, now - transit->came);
-      if (transit->phase == TRANSIT_RUNNING)
-        latency_add (&node->ran, now - transit->sent);
+      latency_add (&node->queued, transit->sent - transit->came);
+      if (event->outcome == OUTCOME_UNKNOWN || event->status >= STATUS_FAILED)
+        node->runs_failed++;
     }
+  if (event->outcome != OUTCOME_DONE)
+    return;
+  if (!transit->request.from_peer)
+    latency_add (&node->took, now - transit->came);
+  if (transit->phase == TRANSIT_RUNNING)
+    latency_add (&node->ran, now - transit->sent);
+}
+
+/* Something happened to a request.  */
+static void
+on_proxy_event (const struct event *event, gpointer data)
+{
+  struct mesh_node *node = data;
+
+  if (event->kind == EVENT_ENDED)
+    measure (node, &event->u.ended);
   mesh_node_feed (node, event);
 }
 
@@ -209,6 +223,7 @@
   node->loop = g_main_loop_new (NULL, FALSE);
   latency_init (&node->took);
   latency_init (&node->ran);
+  latency_init (&node->queued);
   mesh_init (&node->mesh, &node->config.mesh, clock_usec ());
   code = init_proxy (node);
   init_store (node);
@@ -242,6 +257,7 @@
   mesh_clear (&node->mesh);
   latency_clear (&node->took);
   latency_clear (&node->ran);
+  latency_clear (&node->queued);
   g_hash_table_destroy (node->notes);
   g_byte_array_unref (node->config_bytes);
   g_queue_free_full (node->later, g_free);
--- a/src/edge/mesh_node.h
+++ b/src/edge/mesh_node.h
@@ -28,6 +28,8 @@
   GByteArray *config_bytes;  /* the configuration in the store's words */
   struct latency took;       /* requests that entered here */
   struct latency ran;        /* requests at the server here */
+  struct latency queued;     /* requests that ran here, until they began */
+  guint64 runs_failed;       /* runs at the server without a good answer */
   GHashTable *notes;         /* number of an event to how often it came */
   GQueue *later;             /* events that came during another */
   gboolean feeding;          /* an event is being taken in */
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -88,10 +88,10 @@
   transit->sent = now;
   mesh_note (
       out, NOTE_MESH_RUN, transit->request.id,
-      "server=%s key=%s waited_ms=%" G_GINT64_FORMAT
+      "server=%s key=%s rank=%d waited_ms=%" G_GINT64_FORMAT
       " left_ms=%" G_GINT64_FORMAT " busy=%u/%u beat_ms=%" G_GINT64_FORMAT,
       mesh->grant.life.id, transit->request.key,
-      (now - transit->came) / USEC_PER_MSEC,
+      (int)transit->request.priority, (now - transit->came) / USEC_PER_MSEC,
       (transit->request.deadline - now) / USEC_PER_MSEC, mesh->gate.busy,
       mesh->gate.slots, (now - mesh->grant.beat_at) / USEC_PER_MSEC);
   action = &actions_add (out, ACTION_RUN)->u.run;
@@ -101,16 +101,35 @@
   g_strlcpy (action->server, mesh->grant.life.id, sizeof action->server);
 }
 
+/* Say that TRANSIT waits, or is refused, for REASON, as COMING has it.  */
+static void
+note_queue (struct mesh *mesh, enum note_id id, const struct transit *transit,
+            const char *reason, const struct gate_forecast *coming, gint64 now,
+            struct actions *out)
+{
+  mesh_note (out, id, transit->request.id,
+             "reason=%s rank=%d busy=%u/%u waiting=%u ahead=%u"
+             " wait_ms=%" G_GINT64_FORMAT " run_ms=%" G_GINT64_FORMAT
+             " left_ms=%" G_GINT64_FORMAT,
+             reason, (int)transit->request.priority, mesh->gate.busy,
+             mesh->gate.slots, mesh->gate.waiting->len, coming->ahead,
+             coming->wait_usec / USEC_PER_MSEC,
+             coming->run_usec / USEC_PER_MSEC,
+             (transit->request.deadline - now) / USEC_PER_MSEC);
+}
+
 /* Ask the gate about the request EXCHANGE.  */
 static void
 pass_gate (struct mesh *mesh, struct handle exchange, gint64 now,
            struct actions *out)
 {
   struct transit *transit = table_get (&mesh->transits, exchange);
+  struct gate_forecast coming;
   enum reason reason;
 
   transit->request.run_usec
       = run_times_of (&mesh->run_times, transit->request.route);
+  coming = gate_forecast (&mesh->gate, &transit->request, now);
   switch (gate_admit (&mesh->gate, exchange, &transit->request, now, &reason))
     {
     case GATE_RUN:
@@ -118,12 +137,11 @@
       break;
     case GATE_WAIT:
       transit->phase = TRANSIT_QUEUED;
-      mesh_note (out, NOTE_MESH_WAIT, transit->request.id,
-                 "reason=slots busy=%u/%u waiting=%u run_ms=%" G_GINT64_FORMAT,
-                 mesh->gate.busy, mesh->gate.slots, mesh->gate.waiting->len,
-                 transit->request.run_usec / USEC_PER_MSEC);
+      note_queue (mesh, NOTE_MESH_WAIT, transit, "slots", &coming, now, out);
       break;
     case GATE_REFUSE:
+      note_queue (mesh, NOTE_MESH_REFUSE, transit, reason_name (reason),
+                  &coming, now, out);
       mesh_refuse (mesh, exchange, reason,
                    (gint64)gate_retry_msec (&mesh->gate, now) * USEC_PER_MSEC,
                    now, out);
--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -22,14 +22,17 @@
   struct transit *transit = table_get (&mesh->transits, exchange);
 
   mesh_note (out, NOTE_MESH_END, transit->request.id,
-             "outcome=%s reason=%s service=%s key=%s from=%s tries=%u "
-             "took_ms=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT
+             "outcome=%s reason=%s status=%u service=%s route=%s rank=%d"
+             " key=%s from=%s tries=%u took_ms=%" G_GINT64_FORMAT
+             " left_ms=%" G_GINT64_FORMAT " retry_ms=%" G_GINT64_FORMAT
              " config=%" G_GUINT64_FORMAT,
-             outcome_name (outcome), reason_name (reason),
-             transit->request.service, transit->request.key,
+             outcome_name (outcome), reason_name (reason), transit->status,
+             transit->request.service, transit->route,
+             (int)transit->request.priority, transit->request.key,
              transit->request.from_peer ? "node" : "caller",
              transit->request.attempt, (now - transit->came) / USEC_PER_MSEC,
              (transit->request.deadline - now) / USEC_PER_MSEC,
+             transit->advice_usec / USEC_PER_MSEC,
              mesh->routing != NULL ? mesh->routing->version : 0);
   table_remove (&mesh->transits, exchange);
 }
@@ -41,7 +44,9 @@
              struct actions *out)
 {
   struct action_answer *action = &actions_add (out, ACTION_ANSWER)->u.answer;
+  struct transit *transit = table_get (&mesh->transits, exchange);
 
+  transit->advice_usec = retry_usec;
   action->exchange = exchange;
   action->outcome = outcome;
   action->reason = reason;
@@ -113,6 +118,7 @@
 
   if (transit == NULL)
     return;
+  transit->status = event->status;
   if (event->outcome != OUTCOME_DONE)
     note_failed (mesh, transit, event, now, out);
   if (transit->phase == TRANSIT_RUNNING)
--- a/src/mesh/mesh_note.c
+++ b/src/mesh/mesh_note.c
@@ -2,6 +2,14 @@
 
 #include <stdarg.h>
 
+/* How long before NOW something was at THEN, in milliseconds; -1 if it never
+   was.  */
+gint64
+mesh_age_msec (gint64 then, gint64 now)
+{
+  return then != 0 ? (now - then) / USEC_PER_MSEC : -1;
+}
+
 /* Add a note on SUBJECT, a request's id or a name, with its inputs written as
    FORMAT has them; good until the next action.  */
 struct note *
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -24,6 +24,8 @@
                         const char *subject, const char *format, ...)
     G_GNUC_PRINTF (4, 5);
 
+gint64 mesh_age_msec (gint64 then, gint64 now);
+
 /* Requests that enter here, mesh_route.c.  */
 void mesh_route_begin (struct mesh *mesh, const struct event_request *event,
                        gint64 now, struct actions *out);
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -25,6 +25,7 @@
   struct request *request = &transit->request;
 
   g_strlcpy (request->service, route_turn (route), sizeof request->service);
+  g_strlcpy (transit->route, route->name, sizeof transit->route);
   request->run_class = route->run_class;
   request->priority = route->priority;
   request->route = route->number;
@@ -96,16 +97,17 @@
   transit->to = pick->member;
   transit->sent = now;
   transit->request.attempt++;
-  mesh_note (out, NOTE_MESH_ROUTE, transit->request.id,
-             "service=%s key=%s to=%s try=%u config=%" G_GUINT64_FORMAT
-             " records=%" G_GUINT64_FORMAT " heard_ms=%" G_GINT64_FORMAT
-             " busy=%u/%u",
-             transit->request.service, transit->request.key, member->name,
-             transit->request.attempt,
-             mesh->routing != NULL ? mesh->routing->version : 0,
-             mesh->roster.next, (now - upstream->heard) / USEC_PER_MSEC,
-             upstream->load.running + upstream->load.waiting,
-             upstream->load.slots);
+  mesh_note (
+      out, NOTE_MESH_ROUTE, transit->request.id,
+      "service=%s route=%s rank=%d key=%s to=%s try=%u"
+      " config=%" G_GUINT64_FORMAT " records=%" G_GUINT64_FORMAT
+      " heard_ms=%" G_GINT64_FORMAT " load_ms=%" G_GINT64_FORMAT " busy=%u/%u",
+      transit->request.service, transit->route, (int)transit->request.priority,
+      transit->request.key, member->name, transit->request.attempt,
+      mesh->routing != NULL ? mesh->routing->version : 0, mesh->roster.next,
+      mesh_age_msec (upstream->heard, now),
+      mesh_age_msec (upstream->load_at, now),
+      upstream->load.running + upstream->load.waiting, upstream->load.slots);
   action = &actions_add (out, ACTION_FORWARD)->u.forward;
   action->exchange = exchange;
   action->peer = upstream->incarnation;
--- a/src/mesh/mesh_watch.c
+++ b/src/mesh/mesh_watch.c
@@ -91,7 +91,7 @@
              " told_ms=%" G_GINT64_FORMAT " by=%s flying=%u",
              silent ? "silent" : "heard",
              (now - upstream_last_word (upstream)) / USEC_PER_MSEC,
-             (now - upstream->told) / USEC_PER_MSEC,
+             mesh_age_msec (upstream->told, now),
              upstream->watched ? "self" : "others", upstream->flying);
 }
 
--- a/src/serve/transit.h
+++ b/src/serve/transit.h
@@ -19,12 +19,15 @@
 {
   struct request request;   /* what it is; its deadline is this node's */
   enum transit_phase phase; /* where it is */
+  char route[NAME_SIZE];    /* name of the route, where it entered */
   gint64 came;              /* when it came */
   gint64 bytes;             /* of its body, 0 if not known */
   guint32 attempts;         /* servers that it may be sent to */
   guint32 reached;          /* servers that it may have reached */
   gboolean may_have_run;    /* an attempt may have run */
   gboolean waited;          /* that it waits was logged */
+  guint32 status;           /* of the last whole answer, 0: none */
+  gint64 advice_usec;       /* its caller is to come again after so long */
   gint64 sent;              /* when the attempt under way began */
   gint64 retry_at;          /* when it is routed again */
   struct handle to;         /* member that has it */
--- a/src/types/note.c
+++ b/src/types/note.c
@@ -53,6 +53,7 @@
   { NOTE_MESH_FAILED, "mesh-failed" },
   { NOTE_MESH_END, "mesh-end" },
   { NOTE_MESH_POISON, "mesh-poison" },
+  { NOTE_MESH_REFUSE, "mesh-refuse" },
   { NOTE_MESH_ROUTING, "mesh-routing" },
   { NOTE_MESH_MEMBER, "mesh-member" },
   { NOTE_MESH_SILENT, "mesh-silent" },
--- a/src/types/note.h
+++ b/src/types/note.h
@@ -61,6 +61,7 @@
   NOTE_MESH_FAILED = 603, /* an attempt ended without an answer */
   NOTE_MESH_END = 604,    /* a request has ended */
   NOTE_MESH_POISON = 605, /* a request crashed a server, or is refused */
+  NOTE_MESH_REFUSE = 606, /* the gate has no slot in time for a request */
   /* 620: what a node of a mesh believes */
   NOTE_MESH_ROUTING = 620,   /* a configuration is in force */
   NOTE_MESH_MEMBER = 621,    /* a member joined, changed or was dropped */
@@ -79,7 +80,7 @@
   NOTE_MESH_BALANCE = 634    /* keys are to go to another server */
 };
 
-#define NOTE_DETAIL_SIZE 256u /* bytes in the inputs of a decision */
+#define NOTE_DETAIL_SIZE 384u /* bytes in the inputs of a decision */
 #define NOTE_TEXT_SIZE 96u    /* bytes in the free field of a note */
 
 /* An event with its fields; a field that is zero or empty is not written. */
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1,5 +1,7 @@
 #include "tests/mesh_bench.h"
 
+#include "mesh/mesh_parts.h"
+
 /* A request goes on with no more time than its route has.  */
 static void
 test_timeout_of_route (void)
@@ -176,6 +178,46 @@
   bench_free (bench);
 }
 
+/* The detail of the first note ID in the last step, or an empty text.  */
+static const char *
+noted (const struct bench *bench, enum note_id id)
+{
+  guint i;
+
+  for (i = 0; i < bench->actions.items->len; i++)
+    {
+      const struct action *action = actions_at (&bench->actions, i);
+      if (action->kind == ACTION_NOTE && action->u.note.id == id)
+        return action->u.note.detail;
+    }
+  return "";
+}
+
+/* The lines of a request that waits, and of one that the gate refuses, tell
+   what the gate expects; an age that is not known is not a large one.  */
+static void
+test_notes_tell_forecast (void)
+{
+  struct bench *bench = bench_new ();
+  guint i;
+
+  ask (bench, "/other/x");
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (noted (bench, NOTE_MESH_ROUTE), " heard_ms=0 load_ms=0 "));
+  CU_ASSERT_EQUAL (mesh_age_msec (0, bench->now), -1);
+  for (i = 0; i < 2; i++)
+    ask (bench, "/own/x");
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (noted (bench, NOTE_MESH_WAIT), "rank=1 busy=1/1 waiting=1 "));
+  bench->mesh.gate.limit = 1;
+  ask (bench, "/own/x");
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (noted (bench, NOTE_MESH_REFUSE), "reason=overload rank=1 "));
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (noted (bench, NOTE_MESH_END), "status=0 service=own "));
+  bench_free (bench);
+}
+
 int
 main (void)
 {
@@ -188,6 +230,7 @@
           { "repeats", test_repeats },
           { "dead connection", test_dead_connection },
           { "dead connection to the server", test_dead_server_connection },
+          { "notes tell the forecast", test_notes_tell_forecast },
           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh", tests);
