No keys are offered while this node cannot write the map

Cause: an owner that is cut off from the store, or waits for an append, offered keys for balance all the same and had its server give them up. The map that names their next owner could not be written until the append was settled: kotagede-3 offered keys at 8.42 s with an append under way since 7.03 s; that one and two more timed out, and the keys were held again after 13 s. Balance interrupts its keys; it must not do so when it cannot end the interruption.

test_offer, no offer while the map is stuck: fails without the change.

--- a/src/mesh/mesh_balance.c
+++ b/src/mesh/mesh_balance.c
@@ -196,6 +196,14 @@
          && now - mesh->map_at[mesh->maps % MESH_MAPS_SEEN] < MAPS_USEC;
 }
 
+/* Tell whether this node can write a map soon: what it gives up before it can
+   is held by nobody meanwhile.  */
+static gboolean
+can_write (const struct mesh *mesh)
+{
+  return !mesh->proposal.pending && !mesh->store_lost;
+}
+
 /* Offer keys that this node shares with HOLDERS by MAP to another where they
    cost less.  This is done at a beat, whose answer leaves them out.  */
 void
@@ -205,7 +213,7 @@
   struct load_report load = mesh_load (mesh, now);
   gboolean busy = load.demand >= MESH_BUSY_PERMILLE;
 
-  if (now < mesh->balance_at || is_crowded (mesh, now)
+  if (now < mesh->balance_at || is_crowded (mesh, now) || !can_write (mesh)
       || load.demand < LEAST_PERMILLE || load.slots == 0 || load.run_usec == 0
       || map->shards->len > BALANCE_SHARDS_MAX)
     return;
--- a/tests/test_offer.c
+++ b/tests/test_offer.c
@@ -76,11 +76,55 @@
   bench_free (bench);
 }
 
+/* Have the node's server be asked for KEY far more than it can do.  */
+static void
+overload (struct bench *bench, guint32 key)
+{
+  guint i;
+
+  for (i = 0; i < 400; i++)
+    {
+      run_times_add (&bench->mesh.run_times, 1, 200 * MSEC);
+      heat_add (&bench->mesh.heat, key - i % 20);
+    }
+  heat_step (&bench->mesh.heat, bench->now);
+  bench->now += 1000 * MSEC;
+  heat_step (&bench->mesh.heat, bench->now);
+}
+
+/* Keys are not given up for balance while the map that would name their next
+   owner cannot be written: nobody would hold them until then.  */
+static void
+test_no_offer_while_map_is_stuck (void)
+{
+  struct bench *bench = bench_new ();
+  GArray *holders = two_holders ();
+  struct shard_map map;
+
+  own_all (bench, &map);
+  overload (bench, 100);
+  bench->mesh.proposal.pending = TRUE;
+  mesh_balance (&bench->mesh, &map, holders, bench->now, &bench->actions);
+  CU_ASSERT_EQUAL (bench->mesh.offers->len, 0);
+  bench->mesh.proposal.pending = FALSE;
+  bench->mesh.store_lost = TRUE;
+  mesh_balance (&bench->mesh, &map, holders, bench->now, &bench->actions);
+  CU_ASSERT_EQUAL (bench->mesh.offers->len, 0);
+  bench->mesh.store_lost = FALSE;
+  mesh_balance (&bench->mesh, &map, holders, bench->now, &bench->actions);
+  CU_ASSERT_EQUAL (bench->mesh.offers->len, 1);
+  shard_map_clear (&map);
+  g_array_free (holders, TRUE);
+  bench_free (bench);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = { { "several", test_several },
                           { "ends", test_ends },
+                          { "no offer while the map is stuck",
+                            test_no_offer_while_map_is_stuck },
                           CU_TEST_INFO_NULL };
 
   return suite_run ("offer", tests);
