A node that answers late does not look idle

What callers saw: calls and sales that were sent to certain nodes got no answer within their deadline, while other servers of the service had room.

Cause: what a node had said of its load counted in full for a second, and then the node was taken to be half busy.

Change: a load fades over three seconds in place of a step; the time for which a node has owed an answer counts as cost, and so does that of a request that was given up, for as long again, at most a second.

test_upstream: late node looks idle, late node is tried again, load fades.

--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -81,8 +81,10 @@
 
   if (upstream == NULL)
     return;
-  if (upstream->flying > 0)
-    upstream->flying--;
+  if (event->outcome == OUTCOME_DONE || event->has_load)
+    upstream_on_answer (upstream, now);
+  else
+    upstream_on_abandoned (upstream, now);
   if (event->has_load && event->reason != REASON_PEER_LOST)
     {
       upstream_on_word (upstream, now);
@@ -158,9 +160,8 @@
   upstream = table_get (&mesh->upstreams, transit->to);
   if (transit->phase == TRANSIT_RUNNING)
     gate_release (&mesh->gate);
-  else if (transit->phase == TRANSIT_SENT && upstream != NULL
-           && upstream->flying > 0)
-    upstream->flying--;
+  else if (transit->phase == TRANSIT_SENT && upstream != NULL)
+    upstream_on_abandoned (upstream, now);
   actions_add (out, ACTION_CANCEL)->u.cancel.exchange = exchange;
   mesh_forget (mesh, exchange, OUTCOME_UNKNOWN, REASON_CALLER_GONE, now, out);
   mesh_admit_next (mesh, now, out);
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -101,8 +101,7 @@
   struct action_forward *action;
 
   breaker_on_sent (&upstream->breaker, now);
-  upstream->sent++;
-  upstream->flying++;
+  upstream_on_sent (upstream, now);
   transit->phase = TRANSIT_SENT;
   transit->to = pick->member;
   transit->sent = now;
--- a/src/serve/upstream.c
+++ b/src/serve/upstream.c
@@ -9,8 +9,13 @@
 #define ZONE_USEC_PER_KB ((gint64)2500)
 #define BYTES_PER_KB 1024
 
-/* What a node said of its load this long ago tells nothing of it now.  */
-#define LOAD_STALE_USEC ((gint64)1000000)
+/* What a node said of its load this long ago tells nothing of it now; until
+   then it tells less and less.  */
+#define LOAD_STALE_USEC ((gint64)3000000)
+
+/* A node that left a request without an answer is thought to be late for as
+   long as it did, at most so long.  */
+#define LATE_MAX_USEC ((gint64)1000000)
 
 #define RUN_UNKNOWN_USEC ((gint64)100000) /* run time of an unknown server */
 
@@ -82,6 +87,39 @@
   upstream->suspected = FALSE;
 }
 
+/* A request was sent to the node.  */
+void
+upstream_on_sent (struct upstream *upstream, gint64 now)
+{
+  upstream->sent++;
+  if (upstream->flying++ == 0)
+    upstream->owes_since = now;
+}
+
+/* The node answered a request, or refused it.  */
+void
+upstream_on_answer (struct upstream *upstream, gint64 now)
+{
+  if (upstream->flying > 0)
+    upstream->flying--;
+  upstream->owes_since = upstream->flying > 0 ? now : 0;
+  upstream->late_until = 0;
+}
+
+/* A request that the node has was given up without an answer.  */
+void
+upstream_on_abandoned (struct upstream *upstream, gint64 now)
+{
+  gint64 owed = upstream->owes_since != 0 ? now - upstream->owes_since : 0;
+
+  if (upstream->flying > 0)
+    upstream->flying--;
+  if (upstream->flying == 0)
+    upstream->owes_since = 0;
+  upstream->late_until
+      = MAX (upstream->late_until, now + MIN (owed, LATE_MAX_USEC));
+}
+
 /* How long a request waits for a slot behind AHEAD others.  */
 gint64
 upstream_wait (const struct load_report *load, guint32 ahead)
@@ -99,10 +137,20 @@
 ahead_at (const struct upstream *upstream, gint64 now)
 {
   const struct load_report *load = &upstream->load;
+  gint64 told = load->running + load->waiting + upstream->sent;
+  gint64 unknown = load->slots / 2 + upstream->flying;
+  gint64 age = MIN (now - upstream->load_at, LOAD_STALE_USEC);
+
+  return (guint32)(told + (unknown - told) * age / LOAD_STALE_USEC);
+}
+
+/* How late the node's answers are thought to be.  */
+static gint64
+lateness (const struct upstream *upstream, gint64 now)
+{
+  gint64 owed = upstream->owes_since != 0 ? now - upstream->owes_since : 0;
 
-  if (now - upstream->load_at >= LOAD_STALE_USEC)
-    return load->slots / 2 + upstream->flying;
-  return load->running + load->waiting + upstream->sent;
+  return MAX (owed, upstream->late_until - now);
 }
 
 /* What a request costs there, in microseconds: its wait and its run, which
@@ -119,6 +167,7 @@
   if (load->slots > 0)
     cost += run / 2 + run * (ahead + 1) / load->slots;
   cost += cost * load->failing / 1000 * LOAD_FAILING_WEIGHT;
+  cost += MAX (0, lateness (upstream, now));
   if (!ask->same_zone)
     cost += ZONE_USEC + ask->bytes * ZONE_USEC_PER_KB / BYTES_PER_KB;
   return cost;
--- a/src/serve/upstream.h
+++ b/src/serve/upstream.h
@@ -37,6 +37,9 @@
   gint64 load_at;          /* when it said that, 0: never */
   guint32 sent;            /* requests sent to it since it said that */
   guint32 flying;          /* requests that it has from here */
+  gint64 owes_since;       /* it has answered nothing since then though it has
+                              requests from here; 0: it has none */
+  gint64 late_until;       /* it is thought to answer late until then */
   struct breaker breaker;  /* keeps requests away from it */
 };
 
@@ -54,6 +57,9 @@
 void upstream_on_record (struct upstream *upstream,
                          const struct fleet_member *member, gint64 now);
 void upstream_on_word (struct upstream *upstream, gint64 now);
+void upstream_on_sent (struct upstream *upstream, gint64 now);
+void upstream_on_answer (struct upstream *upstream, gint64 now);
+void upstream_on_abandoned (struct upstream *upstream, gint64 now);
 gint64 upstream_wait (const struct load_report *load, guint32 ahead);
 gint64 upstream_cost (const struct upstream *upstream,
                       const struct upstream_ask *ask, gint64 now);
--- /dev/null
+++ b/tests/test_upstream.c
@@ -0,0 +1,94 @@
+#include "serve/upstream.h"
+
+#include "tests/suite.h"
+
+#define START ((gint64)100000000)
+#define MSEC ((gint64)1000)
+
+static const struct upstream_ask near_by = { .same_zone = TRUE };
+
+/* A node with 6 slots that said at START that RUNNING and WAITING requests are
+   there, each of which takes 100 ms.  */
+static struct upstream
+told (guint32 running, guint32 waiting)
+{
+  struct upstream upstream = { 0 };
+  struct load_report load = {
+    .running = running, .waiting = waiting, .slots = 6, .run_usec = 100 * MSEC
+  };
+
+  upstream_on_load (&upstream, &load, START);
+  return upstream;
+}
+
+/* A node that answers late, so that what it said of its load is old, does not
+   look better than one that is known to be full.  */
+static void
+test_late_node_looks_idle (void)
+{
+  struct upstream late = told (6, 6);
+  struct upstream full = told (6, 6);
+  gint64 now = START + 1000 * MSEC;
+
+  upstream_on_sent (&late, START + 100 * MSEC);
+  upstream_on_load (&full, &full.load, now);
+  CU_ASSERT_TRUE (upstream_cost (&late, &near_by, now)
+                  > upstream_cost (&full, &near_by, now));
+  upstream_on_abandoned (&late, now);
+  CU_ASSERT_EQUAL (late.flying, 0);
+  CU_ASSERT_TRUE (upstream_cost (&late, &near_by, now + 100 * MSEC)
+                  > upstream_cost (&full, &near_by, now + 100 * MSEC));
+}
+
+/* It is tried again after a while, and counts as before once it answers.  */
+static void
+test_late_node_is_tried_again (void)
+{
+  struct upstream late = told (6, 6);
+  struct upstream full = told (6, 6);
+  gint64 now = START + 1500 * MSEC;
+  gint64 before;
+
+  upstream_on_sent (&late, START);
+  upstream_on_abandoned (&late, now);
+  now += 1500 * MSEC;
+  upstream_on_load (&full, &full.load, now);
+  CU_ASSERT_TRUE (upstream_cost (&late, &near_by, now)
+                  < upstream_cost (&full, &near_by, now));
+  before = upstream_cost (&late, &near_by, now);
+  upstream_on_sent (&late, now);
+  upstream_on_answer (&late, now + 10 * MSEC);
+  CU_ASSERT_EQUAL (late.owes_since, 0);
+  CU_ASSERT_TRUE (upstream_cost (&late, &near_by, now) < before + 200 * MSEC);
+}
+
+/* What a node said of its load tells less the older it is.  */
+static void
+test_load_fades (void)
+{
+  struct upstream busy = told (6, 6);
+  struct upstream idle = told (0, 0);
+  gint64 later = START + 1000 * MSEC;
+
+  CU_ASSERT_TRUE (upstream_cost (&busy, &near_by, later)
+                  < upstream_cost (&busy, &near_by, START));
+  CU_ASSERT_TRUE (upstream_cost (&idle, &near_by, later)
+                  > upstream_cost (&idle, &near_by, START));
+  CU_ASSERT_TRUE (upstream_cost (&busy, &near_by, later)
+                  > upstream_cost (&idle, &near_by, later));
+  later += 10000 * MSEC;
+  CU_ASSERT_EQUAL (upstream_cost (&busy, &near_by, later),
+                   upstream_cost (&idle, &near_by, later));
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[]
+      = { { "late node looks idle", test_late_node_looks_idle },
+          { "late node is tried again", test_late_node_is_tried_again },
+          { "load fades", test_load_fades },
+          CU_TEST_INFO_NULL };
+
+  return suite_run ("upstream", tests);
+}
