A server that had mostly short requests does not look fast

Cause: nodes tell the mean run time of their server, and choices take it for its speed. It is a mean over whatever ran of late. A server that has run mostly calls (33 ms) looks five times as fast as one that runs sales, so it is sent more of everything; its queue fills, calls go first there, and its mean falls further. malioboro-21 was sent 485 requests a second with busy=30/6 known at the senders; its processor could not read them, and they were seen up to 2.1 s late.

Change: the mean over the routes, each counted once, is told in its place. Demand on keys still goes by what ran.

Ruled out: stale loads (the loads were 20 to 900 ms old and right), and a cut-off node (it answered, late).

test_run_times, short runs look like speed: by the plain mean the two servers differ by a factor of five, by this one they are equal.

--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -62,7 +62,7 @@
 {
   struct load_report load = { .running = mesh->gate.busy,
                               .waiting = mesh->gate.waiting->len,
-                              .run_usec = run_times_mean (&mesh->run_times),
+                              .run_usec = run_times_even (&mesh->run_times),
                               .demand = mesh_demand (mesh),
                               .failing = mesh->run_times.failing };
 
--- a/src/serve/run_times.c
+++ b/src/serve/run_times.c
@@ -52,6 +52,25 @@
   return times->all.count >= MEAN_RUNS / 2 ? times->all.usec : 0;
 }
 
+/* The mean over the routes of how long their requests run, in microseconds,
+   however often each comes: servers of a service can be compared by it though
+   one had more of the short ones of late.  0 until enough have run.  */
+gint64
+run_times_even (const struct run_times *times)
+{
+  gint64 total = 0;
+  gint64 known = 0;
+  guint32 i;
+
+  for (i = 0; i < times->routes; i++)
+    if (times->route[i].count >= MEAN_RUNS / 2)
+      {
+        total += times->route[i].usec;
+        known++;
+      }
+  return known > 0 ? total / known : run_times_mean (times);
+}
+
 /* How long a request by ROUTE runs, in microseconds; 0 if that is not
    known.  */
 gint64
--- a/src/serve/run_times.h
+++ b/src/serve/run_times.h
@@ -27,6 +27,7 @@
 void run_times_judge (struct run_times *times, gboolean good);
 void run_times_add (struct run_times *times, guint32 route, gint64 usec);
 gint64 run_times_mean (const struct run_times *times);
+gint64 run_times_even (const struct run_times *times);
 gint64 run_times_of (const struct run_times *times, guint32 route);
 
 #endif
--- /dev/null
+++ b/tests/test_run_times.c
@@ -0,0 +1,60 @@
+#include "serve/run_times.h"
+
+#include "tests/suite.h"
+
+#define MSEC ((gint64)1000)
+#define CALL 1u /* route of short requests */
+#define SALE 2u /* route of long ones */
+
+/* Add COUNT runs of USEC by ROUTE.  */
+static void
+add (struct run_times *times, guint32 route, gint64 usec, guint count)
+{
+  guint i;
+
+  for (i = 0; i < count; i++)
+    run_times_add (times, route, usec);
+}
+
+/* A server that had mostly short requests of late is not taken for a fast
+   one: it would be sent ever more.  */
+static void
+test_short_runs_look_like_speed (void)
+{
+  struct run_times mostly_short = { 0 };
+  struct run_times mostly_long = { 0 };
+
+  add (&mostly_short, SALE, 170 * MSEC, 32);
+  add (&mostly_short, CALL, 30 * MSEC, 400);
+  add (&mostly_long, CALL, 30 * MSEC, 32);
+  add (&mostly_long, SALE, 170 * MSEC, 400);
+  CU_ASSERT_TRUE (run_times_mean (&mostly_short) < 31 * MSEC);
+  CU_ASSERT_EQUAL (run_times_even (&mostly_short), 100 * MSEC);
+  CU_ASSERT_EQUAL (run_times_even (&mostly_long), 100 * MSEC);
+}
+
+/* A slow server shows, and a few runs tell nothing.  */
+static void
+test_slow_server_shows (void)
+{
+  struct run_times slow = { 0 };
+  struct run_times few = { 0 };
+
+  add (&slow, CALL, 60 * MSEC, 40);
+  add (&slow, SALE, 340 * MSEC, 40);
+  CU_ASSERT_EQUAL (run_times_even (&slow), 200 * MSEC);
+  add (&few, CALL, 30 * MSEC, 5);
+  CU_ASSERT_EQUAL (run_times_even (&few), 0);
+  CU_ASSERT_EQUAL (run_times_of (&few, CALL), 30 * MSEC);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[]
+      = { { "short runs look like speed", test_short_runs_look_like_speed },
+          { "slow server shows", test_slow_server_shows },
+          CU_TEST_INFO_NULL };
+
+  return suite_run ("run_times", tests);
+}
