A connection on which requests are answered is not dropped

Cause: a connection was taken to be dead after two pulses without a reply in 0.7 s each. Pulses share the connection with requests, and wait behind them at a node that is busy; all that the connection carried was lost, and each drop set off more.

Change: an answer to a request counts as a sign of life, as a reply to a pulse does. A connection that is silent is dropped as before.

test_mesh, busy connection is dropped: fails without the change.

--- a/src/serve/upstream.c
+++ b/src/serve/upstream.c
@@ -96,7 +96,8 @@
     upstream->owes_since = now;
 }
 
-/* The node answered a request, or refused it.  */
+/* The node answered a request, or refused it.  The connection to it lives,
+   though pulses may be late.  */
 void
 upstream_on_answer (struct upstream *upstream, gint64 now)
 {
@@ -104,6 +105,7 @@
     upstream->flying--;
   upstream->owes_since = upstream->flying > 0 ? now : 0;
   upstream->late_until = 0;
+  upstream->pulses_missed = 0;
 }
 
 /* A request that the node has was given up without an answer.  */
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -164,6 +164,26 @@
   bench_free (bench);
 }
 
+/* A connection on which requests are answered is kept though pulses are
+   late: what it carries would be lost.  */
+static void
+test_busy_connection_is_dropped (void)
+{
+  struct bench *bench = bench_new ();
+  struct handle exchange = ask (bench, "/other/x");
+
+  pass (bench, 310 * MSEC);
+  answer_pulse (bench, ERR_EFFECT);
+  end (bench, exchange, OUTCOME_DONE, REASON_NONE);
+  pass (bench, 710 * MSEC);
+  answer_pulse (bench, ERR_EFFECT);
+  CU_ASSERT_PTR_NULL (find (bench, ACTION_SUSPECT_CONNECTION));
+  pass (bench, 1010 * MSEC);
+  answer_pulse (bench, ERR_EFFECT);
+  CU_ASSERT_PTR_NOT_NULL (find (bench, ACTION_SUSPECT_CONNECTION));
+  bench_free (bench);
+}
+
 /* A request that the server let time out, answering nothing else meanwhile,
    has the kept connections dropped.  */
 static void
@@ -229,6 +249,7 @@
           { "stop", test_stop },
           { "repeats", test_repeats },
           { "dead connection", test_dead_connection },
+          { "busy connection is dropped", test_busy_connection_is_dropped },
           { "dead connection to the server", test_dead_server_connection },
           { "notes tell the forecast", test_notes_tell_forecast },
           CU_TEST_INFO_NULL };
