A connection to a slow node is replaced without losing its calls

Cause: after two pulses in a row without a reply the connection was closed and all its calls were lost. At a node that reads its messages 0.5 s late that is no sign of a dead connection (wrecsam-18: busy=86/18, the wait for a message to be read 456 ms).

Change: the connection is retired.

Ruled out: an end of the process (no mesh-start), a cut of the link (none at that time).

test_link: slow connection loses calls, dead connection is given up. Before, the call under way ended as closed.

--- a/src/edge/link.c
+++ b/src/edge/link.c
@@ -54,6 +54,7 @@
 
   if (rpc_read_header (bytes, length, &header) != ERR_NONE)
     return FALSE;
+  link->alive_by = 0;
   event.xid = header.xid;
   event.bytes = bytes + header.length;
   event.length = length - header.length;
@@ -164,7 +165,7 @@
   for (; handle_is_set (h); h = table_next (&links->table, h))
     {
       struct link *link = table_get (&links->table, h);
-      if (link->to.port != 0 && address_equal (link->to, to))
+      if (link->to.port != 0 && !link->retired && address_equal (link->to, to))
         return link;
     }
   return add_link (links, to, NULL);
--- a/src/edge/link.h
+++ b/src/edge/link.h
@@ -56,6 +56,9 @@
   struct conn *conn;   /* the connection */
   GHashTable *calls;   /* xid to struct link_call */
   guint32 next_xid;    /* number of the next call */
+  gboolean retired;    /* new calls go on another connection */
+  gint64 alive_by;     /* retired: it must show a sign of life by then; 0: it
+                          has */
 };
 
 struct links
@@ -82,6 +85,6 @@
                   enum err code, wire_filter *filter, const void *item);
 guint32 links_unsent (const struct links *links);
 void links_expire (struct links *links, gint64 now);
-void links_drop (struct links *links, struct address to);
+void links_retire (struct links *links, struct address to, gint64 now);
 
 #endif
--- a/src/edge/link_call.c
+++ b/src/edge/link_call.c
@@ -1,5 +1,9 @@
 #include "edge/link_table.h"
 
+/* A retired connection that brings nothing for so long is dead: two pulses
+   have gone unanswered before.  */
+#define RETIRED_ALIVE_USEC ((gint64)1500000)
+
 /* Call PROCEDURE with ITEM on a connection; FALSE if it has ended.  */
 gboolean
 links_call_on (struct links *links, struct handle h,
@@ -78,14 +82,29 @@
   g_array_free (lost, TRUE);
 }
 
-/* Give up the calls whose deadline has passed.  */
+/* Tell whether LINK is of no more use: retired, and without calls or a sign of
+   life.  */
+static gboolean
+is_spent (const struct link *link, gint64 now)
+{
+  return link->retired
+         && (g_hash_table_size (link->calls) == 0
+             || (link->alive_by != 0 && now >= link->alive_by));
+}
+
+/* Give up the calls whose deadline has passed, and retired connections.  */
 void
 links_expire (struct links *links, gint64 now)
 {
   struct handle h = table_next (&links->table, HANDLE_NONE);
 
   for (; handle_is_set (h); h = table_next (&links->table, h))
-    expire_calls (links, table_get (&links->table, h), now);
+    {
+      struct link *link = table_get (&links->table, h);
+      expire_calls (links, link, now);
+      if (table_get (&links->table, h) == link && is_spent (link, now))
+        link_end (link, ERR_CLOSED);
+    }
 }
 
 /* Connections that came in and have replies to send.  */
@@ -104,19 +123,20 @@
   return count;
 }
 
-/* Close the connection that leads to TO; its calls are lost.  */
+/* Have new calls go to TO on another connection than until now, which got no
+   answer of late.  If it lives all the same, the calls under way end on it;
+   else they are lost.  */
 void
-links_drop (struct links *links, struct address to)
+links_retire (struct links *links, struct address to, gint64 now)
 {
   struct handle h = table_next (&links->table, HANDLE_NONE);
 
   for (; handle_is_set (h); h = table_next (&links->table, h))
     {
       struct link *link = table_get (&links->table, h);
-      if (link->to.port != 0 && address_equal (link->to, to))
-        {
-          link_end (link, ERR_CLOSED);
-          return;
-        }
+      if (link->to.port == 0 || link->retired || !address_equal (link->to, to))
+        continue;
+      link->retired = TRUE;
+      link->alive_by = now + RETIRED_ALIVE_USEC;
     }
 }
--- a/src/edge/mesh_node_do.c
+++ b/src/edge/mesh_node_do.c
@@ -137,7 +137,8 @@
   g_byte_array_unref (bytes);
 }
 
-/* Close the connections of a peer or of the server that hang.  */
+/* Replace the connections of a peer, or close those of the server, that
+   hang.  */
 static void
 drop_connections (struct mesh_node *node,
                   const struct action_suspect_connection *action)
@@ -151,7 +152,7 @@
       const struct fleet_member *member
           = roster_member_at (&node->mesh.roster, h);
       if (action->peer != 0 && member->incarnation == action->peer)
-        links_drop (&node->proxy.links, member->peer);
+        links_retire (&node->proxy.links, member->peer, clock_usec ());
     }
 }
 
--- a/src/edge/node_do.c
+++ b/src/edge/node_do.c
@@ -15,7 +15,8 @@
               &action->body, &tag, action->deadline);
 }
 
-/* Close the connection to PEER, or the kept ones to the server if it is 0.  */
+/* Replace the connection to PEER, or close the kept ones to the server if it
+   is 0.  */
 static void
 drop_connection (struct node *node, guint64 peer)
 {
@@ -26,7 +27,7 @@
   if (peer == 0)
     http_drop_idle (&node->proxy.http, node->proxy.server);
   else if (known != NULL)
-    links_drop (&node->proxy.links, known->join.peer);
+    links_retire (&node->proxy.links, known->join.peer, clock_usec ());
 }
 
 /* Do what the core wants.  */
--- a/tests/test_link.c
+++ b/tests/test_link.c
@@ -26,6 +26,7 @@
 {
   struct links *links = data;
   static guint32 held;
+  static struct handle held_on;
 
   if (event->kind != LINK_CALL)
     return;
@@ -33,11 +34,12 @@
     {
     case RPC_CANCEL:
       held = event->xid;
+      held_on = event->link;
       break;
     case RPC_NULL:
       links_reply (links, event->link, event->xid, ERR_NONE, NULL, NULL);
       if (held != 0)
-        links_reply (links, event->link, held, ERR_NONE, NULL, NULL);
+        links_reply (links, held_on, held, ERR_NONE, NULL, NULL);
       held = 0;
       break;
     case RPC_DATA:
@@ -186,14 +188,58 @@
   CU_ASSERT_EQUAL (pair.told.codes[0], ERR_CLOSED);
 }
 
+/* A connection that is replaced while its peer is slow loses no call: new ones
+   go elsewhere, and it ends with the last one under way.  */
+static void
+test_slow_connection_loses_calls (void)
+{
+  struct pair pair;
+
+  pair_init (&pair);
+  pair_call (&pair, RPC_CANCEL, 1, CALL_USEC);
+  links_retire (&pair.client, pair.at, clock_usec ());
+  pair_call (&pair, RPC_NULL, 2, CALL_USEC);
+  CU_ASSERT_EQUAL (pair.client.table.count, 2);
+  pair.told.wanted = 2;
+  g_main_loop_run (pair.told.loop);
+  CU_ASSERT_EQUAL (pair.told.codes[0], ERR_NONE);
+  CU_ASSERT_EQUAL (pair.told.codes[1], ERR_NONE);
+  links_expire (&pair.client, clock_usec ());
+  CU_ASSERT_EQUAL (pair.client.table.count, 1);
+  pair_finish (&pair, 2);
+}
+
+/* One that shows no sign of life is given up before the deadline of its
+   calls.  */
+static void
+test_dead_connection_is_given_up (void)
+{
+  struct pair pair;
+  gint64 now = clock_usec ();
+
+  pair_init (&pair);
+  pair_call (&pair, RPC_READ, 3, 10 * CALL_USEC);
+  links_retire (&pair.client, pair.at, now);
+  links_expire (&pair.client, now + CALL_USEC / 4);
+  CU_ASSERT_EQUAL (pair.told.count, 0);
+  links_expire (&pair.client, now + CALL_USEC);
+  CU_ASSERT_EQUAL (pair.told.count, 1);
+  CU_ASSERT_EQUAL (pair.told.codes[0], ERR_CLOSED);
+  CU_ASSERT_EQUAL (pair.client.table.count, 0);
+  pair_finish (&pair, 1);
+}
+
 int
 main (void)
 {
-  static CU_TestInfo tests[] = { { "out of order", test_out_of_order },
-                                 { "silence", test_silence },
-                                 { "refused", test_refused },
-                                 { "garbage", test_garbage },
-                                 CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[]
+      = { { "out of order", test_out_of_order },
+          { "silence", test_silence },
+          { "refused", test_refused },
+          { "garbage", test_garbage },
+          { "slow connection loses calls", test_slow_connection_loses_calls },
+          { "dead connection is given up", test_dead_connection_is_given_up },
+          CU_TEST_INFO_NULL };
 
   return suite_run ("link", tests);
 }
