A test: bytes without end in a head or a body of a server's answer

A head without end is given up at 64 KiB, informational heads and a body without end at the deadline of the call; nothing is kept of them. No change of code was needed.

--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -8,6 +8,8 @@
    in one part a write.  */
 
 #define CALL_USEC ((gint64)2000000) /* a call may take so long */
+#define UNSENT_MAX 65536u           /* bytes that wait for the client */
+#define EIGHT(text) text text text text text text text text
 
 /* One case under way.  */
 struct run
@@ -17,6 +19,8 @@
   struct conn *peer;        /* the server's end */
   const char *const *parts; /* what it answers */
   gboolean close;           /* whether it closes after that */
+  const char *endless;      /* what it then sends without end, or NULL */
+  guint pump;               /* sends it */
   GString *body;            /* what the client told of the body */
   guint status;             /* the status it told */
   enum err code;            /* how the call ended */
@@ -24,16 +28,45 @@
   guint heads;              /* heads told */
 };
 
+/* Send more of what has no end.  */
+static gboolean
+on_pump (gpointer data)
+{
+  struct run *run = data;
+
+  if (conn_unsent (run->peer) < UNSENT_MAX)
+    conn_send (run->peer, (const guint8 *)run->endless, strlen (run->endless));
+  return G_SOURCE_CONTINUE;
+}
+
+/* Stop sending.  */
+static void
+stop_pump (struct run *run)
+{
+  if (run->pump != 0)
+    g_source_remove (run->pump);
+  run->pump = 0;
+}
+
 /* Something came at the server's end: answer once.  */
 static void
 on_peer (struct conn *conn, const struct conn_event *event, gpointer data)
 {
   struct run *run = data;
 
+  if (event->kind == CONN_CLOSED)
+    {
+      stop_pump (run);
+      run->peer = NULL;
+      conn_close (conn);
+      return;
+    }
   if (event->kind != CONN_RECEIVED)
     return;
   for (; run->parts != NULL && *run->parts != NULL; run->parts++)
     conn_send (conn, (const guint8 *)*run->parts, strlen (*run->parts));
+  if (run->endless != NULL && run->pump == 0)
+    run->pump = g_timeout_add (1, on_pump, run);
   if (run->close)
     {
       run->peer = NULL;
@@ -87,10 +120,11 @@
   return G_SOURCE_CONTINUE;
 }
 
-/* Call a server that answers PARTS and then closes if CLOSE is set.  */
+/* Call a server that answers PARTS, then ENDLESS without end unless it is
+   NULL, and closes if CLOSE is set.  */
 static void
-run_case (struct run *run, const char *const *parts, gboolean close,
-          gint64 usec)
+run_endless (struct run *run, const char *const *parts, const char *endless,
+             gboolean close, gint64 usec)
 {
   struct address at = { 0x7f000001, 0 };
   struct http_request request = { .method = "GET", .target = "/" };
@@ -105,6 +139,7 @@
   run->body = g_string_new (NULL);
   run->parts = parts;
   run->close = close;
+  run->endless = endless;
   run->listener = conn_listen (at, &code);
   local = g_socket_get_local_address (run->listener, NULL);
   at.port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (local));
@@ -119,6 +154,7 @@
   timer = g_timeout_add (10, on_timer, &http);
   g_main_loop_run (run->loop);
   g_source_remove (timer);
+  stop_pump (run);
   http_clear (&http);
   if (run->peer != NULL)
     conn_close (run->peer);
@@ -128,6 +164,14 @@
   g_main_loop_unref (run->loop);
 }
 
+/* Call a server that answers PARTS and then closes if CLOSE is set.  */
+static void
+run_case (struct run *run, const char *const *parts, gboolean close,
+          gint64 usec)
+{
+  run_endless (run, parts, NULL, close, usec);
+}
+
 /* An answer with a length, in parts cut at odd places.  */
 static void
 test_length (void)
@@ -212,13 +256,41 @@
   g_string_free (run.body, TRUE);
 }
 
+/* Bytes without end: a head is given up once it is too long, informational
+   heads and a body at the deadline of the call.  */
+static void
+test_endless (void)
+{
+  static const char *const head[] = { "HTTP/1.1 200 OK\r\n", NULL };
+  static const char *const body[]
+      = { "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\n", NULL };
+  static const char *const none[] = { NULL };
+  struct run run;
+
+  run_endless (&run, head, EIGHT (EIGHT ("X-Noise: again and again\r\n")),
+               FALSE, 60 * CALL_USEC);
+  CU_ASSERT_EQUAL (run.code, ERR_TOO_LARGE);
+  g_string_free (run.body, TRUE);
+  run_endless (&run, none, "HTTP/1.1 102 Processing\r\n\r\n", FALSE, 50000);
+  CU_ASSERT_EQUAL (run.code, ERR_TIMEOUT);
+  CU_ASSERT_EQUAL (run.heads, 0);
+  g_string_free (run.body, TRUE);
+  run_endless (&run, body, "more of the same ", FALSE, 50000);
+  CU_ASSERT_EQUAL (run.code, ERR_TIMEOUT);
+  CU_ASSERT_EQUAL (run.heads, 1);
+  g_string_free (run.body, TRUE);
+}
+
 int
 main (void)
 {
-  static CU_TestInfo tests[]
-      = { { "length", test_length },       { "chunks", test_chunks },
-          { "cut short", test_cut_short }, { "silence", test_silence },
-          { "malformed", test_malformed }, CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[] = { { "length", test_length },
+                                 { "chunks", test_chunks },
+                                 { "cut short", test_cut_short },
+                                 { "silence", test_silence },
+                                 { "malformed", test_malformed },
+                                 { "endless", test_endless },
+                                 CU_TEST_INFO_NULL };
 
   return suite_run ("http", tests);
 }
