A server that has just started is not taken for a fast one

Change: a node tells a run time only when each route that brings a sixteenth of its requests has run often enough; until then it counts as the average of the servers of its service. Counts are halved at 1,024, so that routes that are gone count no more.

test_run_times: first to end are short, old routes are forgotten; test_upstream: new server looks fast.

--- a/src/mesh/mesh_pick.c
+++ b/src/mesh/mesh_pick.c
@@ -79,14 +79,39 @@
   return pick;
 }
 
-/* What TRANSIT costs at MEMBER.  */
+/* The mean of the run times that servers of SERVICE have told, 0 if none
+   has.  */
+static gint64
+mean_run (struct mesh *mesh, const char *service)
+{
+  struct handle h = table_next (&mesh->roster.members, HANDLE_NONE);
+  gint64 total = 0;
+  gint64 count = 0;
+
+  for (; handle_is_set (h); h = table_next (&mesh->roster.members, h))
+    {
+      const struct upstream *upstream = table_get (&mesh->upstreams, h);
+      if (upstream == NULL || upstream->load.run_usec == 0
+          || strcmp (roster_member_at (&mesh->roster, h)->service, service)
+                 != 0)
+        continue;
+      total += upstream->load.run_usec;
+      count++;
+    }
+  return count > 0 ? total / count : 0;
+}
+
+/* What TRANSIT costs at MEMBER, if requests run for RUN at a server that has
+   told nothing.  */
 static gint64
 cost_at (struct mesh *mesh, const struct transit *transit,
-         const struct fleet_member *member, struct handle h, gint64 now)
+         const struct fleet_member *member, struct handle h, gint64 run,
+         gint64 now)
 {
   struct upstream_ask ask
       = { .same_zone = strcmp (member->zone, mesh->settings.zone) == 0,
-          .bytes = transit->bytes };
+          .bytes = transit->bytes,
+          .run_usec = run };
   struct upstream here = { 0 };
 
   if (!is_here (mesh, member))
@@ -117,6 +142,7 @@
 {
   struct handle h = table_next (&mesh->roster.members, HANDLE_NONE);
   struct mesh_pick best = none (REASON_NO_SERVER, 0);
+  gint64 run = mean_run (mesh, transit->request.service);
   gint64 least = G_MAXINT64;
 
   for (; handle_is_set (h); h = table_next (&mesh->roster.members, h))
@@ -126,7 +152,7 @@
       if (!takes (mesh, member, transit->request.service, h)
           || !is_reachable (mesh, member, h, now) || was_tried (transit, h))
         continue;
-      cost = cost_at (mesh, transit, member, h, now);
+      cost = cost_at (mesh, transit, member, h, run, now);
       if (cost >= least)
         continue;
       least = cost;
--- a/src/serve/run_times.c
+++ b/src/serve/run_times.c
@@ -4,6 +4,17 @@
    that turns slow sooner; more tell a slow server from a few long runs.  */
 #define MEAN_RUNS 32u
 
+/* A route counts if at least one run in so many is by it.  */
+#define ROUTE_PART 16u
+
+/* The counts of runs are halved at so many, so that routes that are used no
+   more are forgotten.  */
+#define RUNS_SEEN_MAX 1024u
+
+/* So many runs tell which routes there are: the first to end are the short
+   ones.  */
+#define RUNS_TELL_ROUTES 32u
+
 /* An attempt counts for one part in so many of the share that fails.  */
 #define JUDGED_RUNS 16u
 
@@ -13,6 +24,7 @@
 {
   if (mean->count < MEAN_RUNS)
     mean->count++;
+  mean->seen++;
   mean->usec += (usec - mean->usec) / (gint64)mean->count;
   mean->usec = MAX (mean->usec, 1);
 }
@@ -28,19 +40,38 @@
                   + (sign - (gint32)times->failing) / (gint32)JUDGED_RUNS);
 }
 
+/* Halve the counts of runs, and forget routes of which none is left.  */
+static void
+halve (struct run_times *times)
+{
+  guint32 i = 0;
+
+  times->all.seen /= 2;
+  while (i < times->routes)
+    {
+      times->route[i].seen /= 2;
+      if (times->route[i].seen > 0)
+        i++;
+      else
+        times->route[i] = times->route[--times->routes];
+    }
+}
+
 /* A request by ROUTE ran for USEC to its end.  */
 void
 run_times_add (struct run_times *times, guint32 route, gint64 usec)
 {
   guint32 i = 0;
 
+  if (times->all.seen >= RUNS_SEEN_MAX)
+    halve (times);
   add (&times->all, usec);
   while (i < times->routes && times->route[i].route != route)
     i++;
   if (i == RUN_TIMES_ROUTES_MAX)
     return;
   if (i == times->routes)
-    times->route[times->routes++].route = route;
+    times->route[times->routes++] = (struct run_mean){ .route = route };
   add (&times->route[i], usec);
 }
 
@@ -54,21 +85,28 @@
 
 /* The mean over the routes of how long their requests run, in microseconds,
    however often each comes: servers of a service can be compared by it though
-   one had more of the short ones of late.  0 until enough have run.  */
+   one had more of the short ones of late.  0 until enough have run by each
+   route.  */
 gint64
 run_times_even (const struct run_times *times)
 {
   gint64 total = 0;
-  gint64 known = 0;
+  gint64 counted = 0;
   guint32 i;
 
+  if (times->routes > 1 && times->all.seen < RUNS_TELL_ROUTES)
+    return 0;
   for (i = 0; i < times->routes; i++)
-    if (times->route[i].count >= MEAN_RUNS / 2)
-      {
-        total += times->route[i].usec;
-        known++;
-      }
-  return known > 0 ? total / known : run_times_mean (times);
+    {
+      const struct run_mean *route = &times->route[i];
+      if (route->seen * ROUTE_PART < times->all.seen)
+        continue;
+      if (route->count < MEAN_RUNS / 2)
+        return 0;
+      total += route->usec;
+      counted++;
+    }
+  return counted > 0 ? total / counted : run_times_mean (times);
 }
 
 /* How long a request by ROUTE runs, in microseconds; 0 if that is not
--- a/src/serve/run_times.h
+++ b/src/serve/run_times.h
@@ -12,6 +12,7 @@
 {
   guint32 route; /* number of the route, 0: all others */
   guint32 count; /* runs seen, no higher than matters */
+  guint32 seen;  /* runs seen, halved now and then with all others */
   gint64 usec;   /* mean, 0: not known */
 };
 
--- a/src/serve/upstream.c
+++ b/src/serve/upstream.c
@@ -17,7 +17,7 @@
    long as it did, at most so long.  */
 #define LATE_MAX_USEC ((gint64)1000000)
 
-#define RUN_UNKNOWN_USEC ((gint64)100000) /* run time of an unknown server */
+#define RUN_UNKNOWN_USEC ((gint64)100000) /* run time where none is known */
 
 /* The last word that this node had from the other one, or when it began to
    wait for one.  */
@@ -122,15 +122,21 @@
       = MAX (upstream->late_until, now + MIN (owed, LATE_MAX_USEC));
 }
 
-/* How long a request waits for a slot behind AHEAD others.  */
-gint64
-upstream_wait (const struct load_report *load, guint32 ahead)
+/* How long a request runs at a server that told LOAD, for ASK.  */
+static gint64
+run_time (const struct load_report *load, const struct upstream_ask *ask)
 {
-  gint64 run = load->run_usec > 0 ? load->run_usec : RUN_UNKNOWN_USEC;
+  if (load->run_usec > 0)
+    return load->run_usec;
+  return ask->run_usec > 0 ? ask->run_usec : RUN_UNKNOWN_USEC;
+}
 
-  if (load->slots == 0 || ahead < load->slots)
-    return 0;
-  return run * (ahead - load->slots + 1) / load->slots;
+/* How long a request waits behind AHEAD others for one of SLOTS, in which
+   requests run for RUN.  */
+static gint64
+wait_time (gint64 run, guint32 ahead, guint32 slots)
+{
+  return ahead < slots ? 0 : run * (ahead - slots + 1) / slots;
 }
 
 /* How many requests are thought to be there.  A node that has said nothing of
@@ -162,12 +168,13 @@
                gint64 now)
 {
   const struct load_report *load = &upstream->load;
-  gint64 run = load->run_usec > 0 ? load->run_usec : RUN_UNKNOWN_USEC;
+  gint64 run = run_time (load, ask);
   guint32 ahead = ahead_at (upstream, now);
-  gint64 cost = upstream_wait (load, ahead);
+  gint64 cost = 0;
 
   if (load->slots > 0)
-    cost += run / 2 + run * (ahead + 1) / load->slots;
+    cost = wait_time (run, ahead, load->slots) + run / 2
+           + run * (ahead + 1) / load->slots;
   cost += cost * load->failing / 1000 * LOAD_FAILING_WEIGHT;
   cost += MAX (0, lateness (upstream, now));
   if (!ask->same_zone)
--- a/src/serve/upstream.h
+++ b/src/serve/upstream.h
@@ -47,6 +47,7 @@
 struct upstream_ask
 {
   gboolean same_zone; /* no link between zones lies on the way */
+  gint64 run_usec;    /* of a server that has told no run time, 0: not known */
   gint64 bytes;       /* of its body */
 };
 
@@ -60,7 +61,6 @@
 void upstream_on_sent (struct upstream *upstream, gint64 now);
 void upstream_on_answer (struct upstream *upstream, gint64 now);
 void upstream_on_abandoned (struct upstream *upstream, gint64 now);
-gint64 upstream_wait (const struct load_report *load, guint32 ahead);
 gint64 upstream_cost (const struct upstream *upstream,
                       const struct upstream_ask *ask, gint64 now);
 void upstream_on_load (struct upstream *upstream,
--- a/tests/test_run_times.c
+++ b/tests/test_run_times.c
@@ -48,12 +48,48 @@
   CU_ASSERT_EQUAL (run_times_of (&few, CALL), 30 * MSEC);
 }
 
+/* A server that has just started has ended only short requests: it tells
+   nothing until it has run enough of the long ones.  */
+static void
+test_first_to_end_are_short (void)
+{
+  struct run_times times = { 0 };
+
+  add (&times, CALL, 30 * MSEC, 40);
+  add (&times, SALE, 170 * MSEC, 4);
+  CU_ASSERT_EQUAL (run_times_even (&times), 0);
+  add (&times, CALL, 30 * MSEC, 40);
+  CU_ASSERT_EQUAL (run_times_even (&times), 30 * MSEC);
+  add (&times, SALE, 170 * MSEC, 4);
+  CU_ASSERT_EQUAL (run_times_even (&times), 0);
+  add (&times, SALE, 170 * MSEC, 8);
+  CU_ASSERT_EQUAL (run_times_even (&times), 100 * MSEC);
+}
+
+/* Routes that are used no more do not count for ever, and make place for
+   others.  */
+static void
+test_old_routes_are_forgotten (void)
+{
+  struct run_times times = { 0 };
+  guint i;
+
+  for (i = 0; i < RUN_TIMES_ROUTES_MAX; i++)
+    add (&times, 100 + i, 10 * MSEC, 1);
+  add (&times, CALL, 30 * MSEC, 2000);
+  CU_ASSERT_EQUAL (run_times_even (&times), 30 * MSEC);
+  CU_ASSERT_EQUAL (times.routes, 1);
+  CU_ASSERT_EQUAL (run_times_of (&times, CALL), 30 * MSEC);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[]
       = { { "short runs look like speed", test_short_runs_look_like_speed },
           { "slow server shows", test_slow_server_shows },
+          { "first to end are short", test_first_to_end_are_short },
+          { "old routes are forgotten", test_old_routes_are_forgotten },
           CU_TEST_INFO_NULL };
 
   return suite_run ("run_times", tests);
--- a/tests/test_upstream.c
+++ b/tests/test_upstream.c
@@ -81,6 +81,21 @@
                    upstream_cost (&idle, &near_by, later));
 }
 
+/* A server that has told no run time yet is taken for an average one, not for
+   a fast one.  */
+static void
+test_new_server_looks_fast (void)
+{
+  struct upstream fresh = told (6, 0);
+  struct upstream average = told (6, 0);
+  struct upstream_ask ask = { .same_zone = TRUE, .run_usec = 300 * MSEC };
+
+  fresh.load.run_usec = 0;
+  average.load.run_usec = 300 * MSEC;
+  CU_ASSERT_EQUAL (upstream_cost (&fresh, &ask, START),
+                   upstream_cost (&average, &ask, START));
+}
+
 int
 main (void)
 {
@@ -88,6 +103,7 @@
       = { { "late node looks idle", test_late_node_looks_idle },
           { "late node is tried again", test_late_node_is_tried_again },
           { "load fades", test_load_fades },
+          { "new server looks fast", test_new_server_looks_fast },
           CU_TEST_INFO_NULL };
 
   return suite_run ("upstream", tests);
