Requests whose owner is lost are refused at once

Cause: an owner that is not heard counted as one that may answer any moment, however long it had been silent. Once all are agreed that it is lost, its keys cannot be served before its session has ended and they are handed over, which is longer than any of these requests has.

Change: then the request is refused at once with that time as Retry-After. An owner that was heard a moment ago is waited for as before.

--- a/src/mesh/mesh_pick.c
+++ b/src/mesh/mesh_pick.c
@@ -74,7 +74,9 @@
   if (member == NULL)
     return none (REASON_NO_OWNER, 0);
   if (!is_reachable (mesh, member, pick.member, now))
-    return none (REASON_PEER_LOST, 0);
+    return none (REASON_PEER_LOST, mesh_is_lost (mesh, pick.member, now)
+                                       ? SESSION_WAIT_USEC + HANDOVER_USEC
+                                       : 0);
   pick.here = is_here (mesh, member);
   return pick;
 }
