Word of a node that is gone grows old

Cause: nodes pass on how long ago anybody has heard a node, and the youngest word counts. What a message takes on its way is not in the age it carries, so each hop makes the word a little younger; between nodes that take a while to read their messages it never grows old. At 20 s mesh-silent said told_ms=625 of a process that had ended seven seconds before. A node that is never silent to all is never taken to be lost, and its keys stay.

Change: each pulse has a stamp that its process counts up, and word of a node is newer only if its stamp is higher. Word with the same stamp cannot make a node look alive; it can still say that it has been silent since.

Ruled out: that the marks were not written (nobody proposed any), and that the node was still heard by some (no line of its own after 12.845 s).

test_news, gone node passes for alive: word of 0.6 s that is passed on for four seconds stayed 0.6 s old before. The older cases have stamps now; what they demand is the same.

--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -64,6 +64,7 @@
   gint64 leave_at;               /* when it was asked to stop, 0: not */
   gboolean exited;               /* it has asked to be ended */
   guint64 serial;                /* of the last call or append */
+  guint64 pulses;                /* stamp of the last pulse */
   guint64 draws;                 /* random numbers drawn */
   guint64 attempt;               /* number of the last attempt */
 };
--- a/src/mesh/mesh_news.c
+++ b/src/mesh/mesh_news.c
@@ -13,7 +13,7 @@
 #define REFUTE_USEC ((gint64)400000)
 
 /* Word that is so old when it is told means that the node is silent.  */
-#define SILENT_AGE_MSEC 900u
+#define SILENT_AGE_USEC ((gint64)900000)
 
 /* Have the others be told of UPSTREAM.  */
 void
@@ -48,6 +48,7 @@
         {
           struct news *news = &pulse->news[pulse->news_count++];
           news->incarnation = upstream->incarnation;
+          news->stamp = upstream->stamp;
           news->age_msec = (guint32)((now - upstream_last_told (upstream))
                                      / USEC_PER_MSEC);
           news->leaving = upstream->leaving;
@@ -57,17 +58,38 @@
   mesh->news_next = h;
 }
 
+/* Take in one entry that tells of no later word than is known.  It may say
+   that the node has been silent since.  */
+static void
+take_old (struct upstream *upstream, const struct news *news, gint64 said,
+          gint64 now)
+{
+  if (now - said < SILENT_AGE_USEC)
+    return;
+  if (now - upstream->told < SILENT_AGE_USEC)
+    {
+      if (upstream->told - said >= REFUTE_USEC)
+        mesh_news_tell (upstream, now);
+    }
+  else if (news->stamp == upstream->stamp && !upstream->suspected)
+    {
+      upstream->suspected = TRUE;
+      mesh_news_tell (upstream, now);
+    }
+}
+
 /* Take in one entry.  */
 static void
 take (struct upstream *upstream, const struct news *news, gint64 now)
 {
   gint64 said = now - (gint64)news->age_msec * USEC_PER_MSEC;
-  gboolean suspected = news->age_msec >= SILENT_AGE_MSEC;
+  gboolean suspected = now - said >= SILENT_AGE_USEC;
+  gboolean later = news->stamp > upstream->stamp;
 
-  if (said <= upstream->told)
+  upstream->stamp = MAX (upstream->stamp, news->stamp);
+  if (!later || said <= upstream->told)
     {
-      if (suspected && upstream->told - said >= REFUTE_USEC)
-        mesh_news_tell (upstream, now);
+      take_old (upstream, news, said, now);
       return;
     }
   if (suspected != upstream->suspected || news->leaving != upstream->leaving
--- a/src/mesh/mesh_pulse.c
+++ b/src/mesh/mesh_pulse.c
@@ -33,6 +33,7 @@
   g_strlcpy (pulse->name, mesh->settings.name, sizeof pulse->name);
   pulse->from = mesh->settings.peer;
   pulse->incarnation = mesh->settings.incarnation;
+  pulse->stamp = ++mesh->pulses;
   pulse->folded = mesh->roster.next;
   pulse->confirmed_age = session_age (&mesh->session, now);
   pulse->config = config_version (mesh);
--- a/src/serve/upstream.c
+++ b/src/serve/upstream.c
@@ -71,6 +71,7 @@
   upstream->since = now;
   upstream->recorded = member->incarnation;
   upstream->incarnation = member->incarnation;
+  upstream->stamp = 0;
   upstream->suspected = FALSE;
   upstream->leaving = FALSE;
   upstream->store_lost = FALSE;
@@ -198,7 +199,10 @@
                    gint64 now)
 {
   upstream_on_word (upstream, now);
+  if (upstream->incarnation != pulse->incarnation)
+    upstream->stamp = 0;
   upstream->incarnation = pulse->incarnation;
+  upstream->stamp = MAX (upstream->stamp, pulse->stamp);
   upstream->folded = pulse->folded;
   upstream->config = pulse->config;
   upstream->leaving = pulse->leaving;
--- a/src/serve/upstream.h
+++ b/src/serve/upstream.h
@@ -15,6 +15,7 @@
   gint64 heard;            /* last word from it, 0: none yet */
   gint64 told;             /* last word from it that any node heard, as far as
                               that was told */
+  guint64 stamp;           /* highest of its process that was heard of */
   gint64 news_until;       /* other nodes are told of it until then */
   gboolean neighbour;      /* it is one on the ring */
   gboolean called;         /* it is called at intervals */
--- a/src/types/mesh_msg.h
+++ b/src/types/mesh_msg.h
@@ -22,6 +22,7 @@
 struct news
 {
   guint64 incarnation; /* process of that node */
+  guint64 stamp;       /* the highest of its stamps that anyone heard */
   guint32 age_msec;    /* since the last word from it that anyone heard */
   gboolean leaving;    /* it was about to end then */
   gboolean store_lost; /* the store did not answer it then */
@@ -33,6 +34,7 @@
   char name[NAME_SIZE];    /* the sender */
   struct address from;     /* where it is reached */
   guint64 incarnation;     /* its process */
+  guint64 stamp;           /* grows with each pulse of the process */
   guint64 folded;          /* records below this are folded */
   gint64 confirmed_age;    /* microseconds since a read of the store began
                               that showed no later record; -1: none */
--- a/src/wire/wire_mesh.c
+++ b/src/wire/wire_mesh.c
@@ -16,7 +16,7 @@
 static bool_t
 wire_news (XDR *xdr, struct news *news)
 {
-  return wire_u64 (xdr, &news->incarnation)
+  return wire_u64 (xdr, &news->incarnation) && wire_u64 (xdr, &news->stamp)
          && xdr_uint32_t (xdr, &news->age_msec)
          && wire_flag (xdr, &news->leaving)
          && wire_flag (xdr, &news->store_lost);
@@ -30,7 +30,7 @@
 
   if (!wire_text (xdr, pulse->name, sizeof pulse->name)
       || !wire_address (xdr, &pulse->from)
-      || !wire_u64 (xdr, &pulse->incarnation)
+      || !wire_u64 (xdr, &pulse->incarnation) || !wire_u64 (xdr, &pulse->stamp)
       || !wire_u64 (xdr, &pulse->folded)
       || !wire_i64 (xdr, &pulse->confirmed_age)
       || !wire_u64 (xdr, &pulse->config) || !wire_flag (xdr, &pulse->leaving)
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -16,12 +16,15 @@
   bench->now += 5000 * MSEC;
   CU_ASSERT_TRUE (upstream_is_heard (upstream, bench->now));
   pulse.news[0].incarnation = 77;
+  pulse.news[0].stamp = 8;
   pulse.news[0].age_msec = 1200;
   mesh_news_take (&bench->mesh, &pulse, bench->now);
   CU_ASSERT_FALSE (upstream_is_heard (upstream, bench->now));
+  pulse.news[0].stamp = 7;
   pulse.news[0].age_msec = 4000;
   mesh_news_take (&bench->mesh, &pulse, bench->now);
   CU_ASSERT_FALSE (upstream_is_heard (upstream, bench->now));
+  pulse.news[0].stamp = 9;
   pulse.news[0].age_msec = 300;
   mesh_news_take (&bench->mesh, &pulse, bench->now);
   CU_ASSERT_TRUE (upstream_is_heard (upstream, bench->now));
@@ -41,6 +44,7 @@
 
   upstream_watch (upstream, FALSE, bench->now);
   pulse.news[0].incarnation = 77;
+  pulse.news[0].stamp = 8;
   pulse.news[0].age_msec = 1500;
   bench->now += 5000 * MSEC;
   mesh_news_take (&bench->mesh, &pulse, bench->now);
@@ -55,12 +59,43 @@
   bench_free (bench);
 }
 
+/* Word of a node that is gone grows old also where it is passed on between
+   nodes that take a while to read it: none of them gets it any younger.  */
+static void
+test_gone_node_passes_for_alive (void)
+{
+  struct bench *bench = bench_new ();
+  struct handle other = roster_find (&bench->mesh.roster, "b");
+  struct upstream *upstream = table_get (&bench->mesh.upstreams, other);
+  struct pulse pulse = { .news_count = 1 };
+  guint i;
+
+  upstream->neighbour = FALSE;
+  upstream_watch (upstream, FALSE, bench->now);
+  pulse.news[0].incarnation = 77;
+  pulse.news[0].stamp = 8;
+  pulse.news[0].age_msec = 600;
+  for (i = 0; i < 40; i++)
+    {
+      bench->now += 100 * MSEC;
+      mesh_news_take (&bench->mesh, &pulse, bench->now);
+    }
+  CU_ASSERT_TRUE (bench->now - upstream_last_told (upstream) >= 3900 * MSEC);
+  pulse.news[0].age_msec = 1000;
+  mesh_news_take (&bench->mesh, &pulse, bench->now);
+  CU_ASSERT_FALSE (upstream_is_heard (upstream, bench->now));
+  CU_ASSERT_TRUE (mesh_is_lost (&bench->mesh, other, bench->now));
+  bench_free (bench);
+}
+
 int
 main (void)
 {
-  CU_TestInfo tests[] = { { "news", test_news },
-                          { "watched anew", test_watched_anew },
-                          CU_TEST_INFO_NULL };
+  CU_TestInfo tests[]
+      = { { "news", test_news },
+          { "watched anew", test_watched_anew },
+          { "gone node passes for alive", test_gone_node_passes_for_alive },
+          CU_TEST_INFO_NULL };
 
   return suite_run ("news", tests);
 }
