What the own server has no room for is offered elsewhere

Cause: the gate's refusal at the node where a request had entered ended it. It now counts as one offer, as it does at any other node. Where no other node could have it, it is refused at once; it would have waited for half of its time for a server to appear, as did requests that all the few servers had refused.

Besides: the lines at the node beside the server name the route too, and a request refused by a process that was not the one meant is no answer.

test_mesh_retry, own server is full: fails without the change. test_mesh_admit, long targets starved: guards the order by due time from the other side, and passed before.";

--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -118,16 +118,6 @@
              (transit->request.deadline - now) / USEC_PER_MSEC);
 }
 
-/* Refuse the request EXCHANGE for REASON until the gate has room.  */
-static void
-refuse_for_load (struct mesh *mesh, struct handle exchange, enum reason reason,
-                 gint64 now, struct actions *out)
-{
-  mesh_refuse (mesh, exchange, reason,
-               (gint64)gate_retry_msec (&mesh->gate, now) * USEC_PER_MSEC, now,
-               out);
-}
-
 /* Refuse the request that lost its place in the queue, if one did.  */
 static void
 refuse_displaced (struct mesh *mesh, gint64 now, struct actions *out)
@@ -136,7 +126,8 @@
 
   if (gate_displace (&mesh->gate, &displaced)
       && table_get (&mesh->transits, displaced) != NULL)
-    refuse_for_load (mesh, displaced, REASON_OVERLOAD, now, out);
+    mesh_failed_here (mesh, displaced, REASON_OVERLOAD,
+                      gate_retry_msec (&mesh->gate, now), now, out);
 }
 
 /* Ask the gate about the request EXCHANGE.  */
@@ -164,7 +155,8 @@
     case GATE_REFUSE:
       note_queue (mesh, NOTE_MESH_REFUSE, transit, reason_name (reason),
                   &coming, now, out);
-      refuse_for_load (mesh, exchange, reason, now, out);
+      mesh_failed_here (mesh, exchange, reason,
+                        gate_retry_msec (&mesh->gate, now), now, out);
       break;
     }
 }
@@ -213,7 +205,7 @@
       reason = REASON_NOT_OWNER;
     }
   if (reason != REASON_NONE)
-    mesh_failed_here (mesh, exchange, reason, now, out);
+    mesh_failed_here (mesh, exchange, reason, 0, now, out);
   else
     pass_gate (mesh, exchange, now, out);
 }
@@ -254,6 +246,6 @@
         }
       gate_release (&mesh->gate);
       if (transit != NULL)
-        mesh_failed_here (mesh, next, reason, now, out);
+        mesh_failed_here (mesh, next, reason, 0, now, out);
     }
 }
--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -78,14 +78,15 @@
        const struct event_ended *event, gint64 now)
 {
   struct upstream *upstream = table_get (&mesh->upstreams, transit->to);
+  gboolean told = event->has_load && event->reason != REASON_PEER_LOST;
 
   if (upstream == NULL)
     return;
-  if (event->outcome == OUTCOME_DONE || event->has_load)
+  if (event->outcome == OUTCOME_DONE || told)
     upstream_on_answer (upstream, now);
   else
     upstream_on_abandoned (upstream, now);
-  if (event->has_load && event->reason != REASON_PEER_LOST)
+  if (told)
     {
       upstream_on_word (upstream, now);
       upstream_on_load (upstream, &event->load, now);
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -88,7 +88,8 @@
                 const struct event_ended *event, gint64 now,
                 struct actions *out);
 void mesh_failed_here (struct mesh *mesh, struct handle exchange,
-                       enum reason reason, gint64 now, struct actions *out);
+                       enum reason reason, guint32 retry_msec, gint64 now,
+                       struct actions *out);
 
 /* The server's beats, mesh_beat.c.  */
 void mesh_beat (struct mesh *mesh, const struct event_beat *event, gint64 now,
--- a/src/mesh/mesh_retry.c
+++ b/src/mesh/mesh_retry.c
@@ -63,22 +63,26 @@
       if (now - transit->came > left)
         mesh_refuse (mesh, exchange, event->reason, advice, now, out);
     }
-  else if (!keyed && transit->tried < OFFERS_MAX)
+  else if (!keyed && transit->tried < OFFERS_MAX
+           && handle_is_set (mesh_pick (mesh, transit, now).member))
     mesh_route_again (mesh, exchange, now, out);
   else
     mesh_refuse (mesh, exchange, event->reason, advice, now, out);
 }
 
 /* The request EXCHANGE, which entered here and goes to the server here, cannot
-   be run for REASON; one from another node is that node's to send on.  */
+   be run for REASON; one from another node is that node's to send on.  The
+   server may have room after RETRY_MSEC, 0 if that is not known.  */
 void
 mesh_failed_here (struct mesh *mesh, struct handle exchange,
-                  enum reason reason, gint64 now, struct actions *out)
+                  enum reason reason, guint32 retry_msec, gint64 now,
+                  struct actions *out)
 {
   struct transit *transit = table_get (&mesh->transits, exchange);
   struct event_ended event = { .exchange = exchange,
                                .outcome = OUTCOME_NOT_RUN,
                                .reason = reason,
+                               .retry_msec = retry_msec,
                                .replayable = TRUE };
 
   transit->to = roster_find (&mesh->roster, mesh->settings.name);
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -17,13 +17,11 @@
 
 #define CONFIG_STALE_USEC ((gint64)3000000) /* a path may be new by then */
 
-/* When a request by ROUTE, which may be NULL, that came at CAME is due; 0 if
-   that is not known.  */
+/* When a request by ROUTE that came at CAME is due; 0 if that is not known. */
 static gint64
 due_by (const struct route *route, gint64 came)
 {
-  return route != NULL && route->target_usec > 0 ? came + route->target_usec
-                                                 : 0;
+  return route->target_usec > 0 ? came + route->target_usec : 0;
 }
 
 /* Set up TRANSIT from ROUTE.  */
@@ -205,6 +203,22 @@
   mesh_route_again (mesh, event->exchange, now, out);
 }
 
+/* Set what this node knows of the route of TRANSIT, which another one chose.
+ */
+static void
+know_route (const struct mesh *mesh, struct transit *transit)
+{
+  const struct route *route
+      = mesh->routing != NULL
+            ? routing_route (mesh->routing, transit->request.route)
+            : NULL;
+
+  if (route == NULL)
+    return;
+  g_strlcpy (transit->route, route->name, sizeof transit->route);
+  transit->request.due = due_by (route, transit->came);
+}
+
 /* A request arrived, from a caller or from the node that it entered at.  */
 void
 mesh_route_begin (struct mesh *mesh, const struct event_request *event,
@@ -221,9 +235,7 @@
       begin_here (mesh, event, now, out);
       return;
     }
-  if (mesh->routing != NULL)
-    transit->request.due
-        = due_by (routing_route (mesh->routing, event->request.route), now);
+  know_route (mesh, transit);
   if (event->request.key[0] != '\0')
     transit->request.slice
         = (guint32)g_ascii_strtoull (event->request.key, NULL, 10)
--- a/src/serve/transit.h
+++ b/src/serve/transit.h
@@ -19,7 +19,7 @@
 {
   struct request request;   /* what it is; its deadline is this node's */
   enum transit_phase phase; /* where it is */
-  char route[NAME_SIZE];    /* name of the route, where it entered */
+  char route[NAME_SIZE];    /* name of the route, empty if not known */
   gint64 came;              /* when it came */
   gint64 bytes;             /* of its body, 0 if not known */
   guint32 attempts;         /* servers that it may be sent to */
--- a/tests/test_mesh_admit.c
+++ b/tests/test_mesh_admit.c
@@ -211,6 +211,29 @@
   CU_ASSERT_TRUE (sale.held_max <= sale.target);
 }
 
+/* Short requests that ask for more than the server can do do not keep long
+   ones of their rank away from it.  */
+static void
+test_long_targets_starved (void)
+{
+  struct kind kinds[] = {
+    { .every = 100 * MSEC,
+      .work = 170 * MSEC,
+      .time = 1500 * MSEC,
+      .target = 600 * MSEC },
+    { .every = 3 * MSEC,
+      .work = 33 * MSEC,
+      .time = 400 * MSEC,
+      .target = 150 * MSEC },
+  };
+  const struct kind *sale = &kinds[0];
+  const struct kind *call = &kinds[1];
+
+  play (kinds, G_N_ELEMENTS (kinds), 20000 * MSEC);
+  CU_ASSERT_TRUE (sale->done * (sale->asked + call->asked) * 4
+                  >= (sale->done + call->done) * sale->asked);
+}
+
 int
 main (void)
 {
@@ -218,6 +241,7 @@
       = { { "short deadlines starved", test_short_deadlines_starved },
           { "standing queue makes all late",
             test_standing_queue_makes_all_late },
+          { "long targets starved", test_long_targets_starved },
           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_admit", tests);
--- a/tests/test_mesh_retry.c
+++ b/tests/test_mesh_retry.c
@@ -1,18 +1,20 @@
 #include "tests/mesh_bench.h"
 
-/* Have the node hear of another one, "c", that serves OTHER_SERVICE.  */
+/* Have the node hear of another one, NAME, whose process is PROCESS and that
+   serves SERVICE.  */
 static void
-teach_third (struct bench *bench)
+teach_member (struct bench *bench, const char *name, const char *service,
+              guint64 process)
 {
   struct event event = { .kind = EVENT_FLEET };
   struct fleet_entry entry
       = { .offset = bench->mesh.roster.next, .record.kind = FLEET_MEMBER };
   struct fleet_member *member = &entry.record.u.member;
 
-  g_strlcpy (member->name, "c", sizeof member->name);
-  g_strlcpy (member->service, OTHER_SERVICE, sizeof member->service);
-  g_strlcpy (member->life.id, "sc", sizeof member->life.id);
-  member->incarnation = 78;
+  g_strlcpy (member->name, name, sizeof member->name);
+  g_strlcpy (member->service, service, sizeof member->service);
+  g_strlcpy (member->life.id, name, sizeof member->life.id);
+  member->incarnation = process;
   member->slots = 4;
   fleet_record_set_key (&entry.record);
   event.u.fleet.items = &entry;
@@ -21,6 +23,13 @@
   feed (bench, &event);
 }
 
+/* Have the node hear of another one, "c", that serves OTHER_SERVICE.  */
+static void
+teach_third (struct bench *bench)
+{
+  teach_member (bench, "c", OTHER_SERVICE, 78);
+}
+
 /* The process that the last step sent a request to, 0 for none.  */
 static guint64
 sent_to (const struct bench *bench)
@@ -110,6 +119,32 @@
   bench_free (bench);
 }
 
+/* What the server here has no room for is offered to another one, though that
+   is busier; where there is none it is refused at once.  */
+static void
+test_own_server_is_full (void)
+{
+  struct bench *bench = bench_new ();
+  struct load_report busy = { .running = 4, .waiting = 60, .slots = 4 };
+  const struct action *action;
+
+  bench->mesh.gate.busy = bench->mesh.gate.slots;
+  bench->mesh.gate.limit = 0;
+  ask (bench, "/own/x");
+  action = find (bench, ACTION_ANSWER);
+  CU_ASSERT_PTR_NOT_NULL (action);
+  if (action != NULL)
+    CU_ASSERT_EQUAL (action->u.answer.reason, REASON_OVERLOAD);
+  teach_member (bench, "d", OWN_SERVICE, 79);
+  upstream_on_load (table_get (&bench->mesh.upstreams,
+                               roster_find (&bench->mesh.roster, "d")),
+                    &busy, bench->now);
+  ask (bench, "/own/x");
+  CU_ASSERT_EQUAL (sent_to (bench), 79);
+  bench->mesh.gate.busy = 0;
+  bench_free (bench);
+}
+
 int
 main (void)
 {
@@ -117,6 +152,7 @@
                           { "shedding keeps slots", test_shed_keeps_slots },
                           { "shedding is paid for", test_shed_is_paid },
                           { "failure repeated", test_failure_repeated },
+                          { "own server is full", test_own_server_is_full },
                           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_retry", tests);
