Stamps stand at the end of pulses, where earlier versions pass over them

What would have been seen: with nodes of the landed version and of this one side by side, as in any rolling update, each would have read the other's pulses shifted by one field: a count of pulses for the records folded, those for the age of the last confirmation. A node could have taken its session for confirmed that was not, and granted keys after its time.

Change: the stamps follow all other fields. Earlier versions do not read that far; what they send ends before and is read as without stamps, and what they tell of others goes by its age as it did.

A fleet of both versions was not run.

--- a/src/mesh/mesh_news.c
+++ b/src/mesh/mesh_news.c
@@ -78,13 +78,15 @@
     }
 }
 
-/* Take in one entry.  */
+/* Take in one entry, which goes BY_AGE if it comes from a process of a version
+   that knows no stamps.  */
 static void
-take (struct upstream *upstream, const struct news *news, gint64 now)
+take (struct upstream *upstream, const struct news *news, gboolean by_age,
+      gint64 now)
 {
   gint64 said = now - (gint64)news->age_msec * USEC_PER_MSEC;
   gboolean suspected = now - said >= SILENT_AGE_USEC;
-  gboolean later = news->stamp > upstream->stamp;
+  gboolean later = by_age || news->stamp > upstream->stamp;
 
   upstream->stamp = MAX (upstream->stamp, news->stamp);
   if (!later || said <= upstream->told)
@@ -126,6 +128,6 @@
     {
       struct upstream *upstream = find (mesh, pulse->news[i].incarnation);
       if (upstream != NULL)
-        take (upstream, &pulse->news[i], now);
+        take (upstream, &pulse->news[i], pulse->stamp == 0, now);
     }
 }
--- a/src/wire/wire_mesh.c
+++ b/src/wire/wire_mesh.c
@@ -16,12 +16,30 @@
 static bool_t
 wire_news (XDR *xdr, struct news *news)
 {
-  return wire_u64 (xdr, &news->incarnation) && wire_u64 (xdr, &news->stamp)
+  return wire_u64 (xdr, &news->incarnation)
          && xdr_uint32_t (xdr, &news->age_msec)
          && wire_flag (xdr, &news->leaving)
          && wire_flag (xdr, &news->store_lost);
 }
 
+/* The stamps of PULSE and of its news.  They stand at the end, where nodes of
+   versions that know none pass over them; what such nodes send has none.  */
+static bool_t
+wire_stamps (XDR *xdr, struct pulse *pulse)
+{
+  gboolean all = wire_u64 (xdr, &pulse->stamp);
+  guint i;
+
+  for (i = 0; all && i < pulse->news_count; i++)
+    all = wire_u64 (xdr, &pulse->news[i].stamp);
+  if (all || xdr->x_op != XDR_DECODE)
+    return all;
+  pulse->stamp = 0;
+  for (i = 0; i < pulse->news_count; i++)
+    pulse->news[i].stamp = 0;
+  return TRUE;
+}
+
 /* How a node is.  */
 static bool_t
 wire_pulse (XDR *xdr, struct pulse *pulse)
@@ -30,7 +48,7 @@
 
   if (!wire_text (xdr, pulse->name, sizeof pulse->name)
       || !wire_address (xdr, &pulse->from)
-      || !wire_u64 (xdr, &pulse->incarnation) || !wire_u64 (xdr, &pulse->stamp)
+      || !wire_u64 (xdr, &pulse->incarnation)
       || !wire_u64 (xdr, &pulse->folded)
       || !wire_i64 (xdr, &pulse->confirmed_age)
       || !wire_u64 (xdr, &pulse->config) || !wire_flag (xdr, &pulse->leaving)
@@ -42,7 +60,7 @@
   for (i = 0; i < pulse->news_count; i++)
     if (!wire_news (xdr, &pulse->news[i]))
       return FALSE;
-  return TRUE;
+  return wire_stamps (xdr, pulse);
 }
 
 /* What a node lacks.  */
--- a/tests/test_news.c
+++ b/tests/test_news.c
@@ -9,7 +9,7 @@
   struct bench *bench = bench_new ();
   struct handle other = roster_find (&bench->mesh.roster, "b");
   struct upstream *upstream = table_get (&bench->mesh.upstreams, other);
-  struct pulse pulse = { .news_count = 1 };
+  struct pulse pulse = { .stamp = 1, .news_count = 1 };
 
   upstream->neighbour = FALSE;
   upstream_watch (upstream, FALSE, bench->now);
@@ -39,7 +39,7 @@
   struct bench *bench = bench_new ();
   struct handle other = roster_find (&bench->mesh.roster, "b");
   struct upstream *upstream = table_get (&bench->mesh.upstreams, other);
-  struct pulse pulse = { .news_count = 1 };
+  struct pulse pulse = { .stamp = 1, .news_count = 1 };
   struct pulse said = { 0 };
 
   upstream_watch (upstream, FALSE, bench->now);
@@ -67,7 +67,7 @@
   struct bench *bench = bench_new ();
   struct handle other = roster_find (&bench->mesh.roster, "b");
   struct upstream *upstream = table_get (&bench->mesh.upstreams, other);
-  struct pulse pulse = { .news_count = 1 };
+  struct pulse pulse = { .stamp = 1, .news_count = 1 };
   guint i;
 
   upstream->neighbour = FALSE;
@@ -88,6 +88,28 @@
   bench_free (bench);
 }
 
+/* What a process of a version without stamps tells goes by its age.  */
+static void
+test_news_without_stamps (void)
+{
+  struct bench *bench = bench_new ();
+  struct handle other = roster_find (&bench->mesh.roster, "b");
+  struct upstream *upstream = table_get (&bench->mesh.upstreams, other);
+  struct pulse pulse = { .news_count = 1 };
+
+  upstream->neighbour = FALSE;
+  upstream_watch (upstream, FALSE, bench->now);
+  bench->now += 5000 * MSEC;
+  pulse.news[0].incarnation = 77;
+  pulse.news[0].age_msec = 1200;
+  mesh_news_take (&bench->mesh, &pulse, bench->now);
+  CU_ASSERT_FALSE (upstream_is_heard (upstream, bench->now));
+  pulse.news[0].age_msec = 300;
+  mesh_news_take (&bench->mesh, &pulse, bench->now);
+  CU_ASSERT_TRUE (upstream_is_heard (upstream, bench->now));
+  bench_free (bench);
+}
+
 int
 main (void)
 {
@@ -95,6 +117,7 @@
       = { { "news", test_news },
           { "watched anew", test_watched_anew },
           { "gone node passes for alive", test_gone_node_passes_for_alive },
+          { "news without stamps", test_news_without_stamps },
           CU_TEST_INFO_NULL };
 
   return suite_run ("news", tests);
