Run times of routes that became rare still count

A server that is given mostly calls refuses more and more of the rest, so the long routes drop out, it looks as fast as its calls are short (16 ms), and is sent still more: busy=30/6 was known at the senders, 20 to 900 ms old, and it was the cheapest all the same.

Change: a route that has run often enough counts whatever its share is now; the share only says whether a route that has not is waited for. Routes are not forgotten with time, but give their place to new ones when the table is full, the rarest first.

--- a/src/serve/run_times.c
+++ b/src/serve/run_times.c
@@ -4,11 +4,11 @@
    that turns slow sooner; more tell a slow server from a few long runs.  */
 #define MEAN_RUNS 32u
 
-/* A route counts if at least one run in so many is by it.  */
+/* A route that has not run often is waited for if one run in so many is by
+   it.  */
 #define ROUTE_PART 16u
 
-/* The counts of runs are halved at so many, so that routes that are used no
-   more are forgotten.  */
+/* The counts of runs are halved at so many, so that they tell of late ones. */
 #define RUNS_SEEN_MAX 1024u
 
 /* So many runs tell which routes there are: the first to end are the short
@@ -40,21 +40,31 @@
                   + (sign - (gint32)times->failing) / (gint32)JUDGED_RUNS);
 }
 
-/* Halve the counts of runs, and forget routes of which none is left.  */
+/* Halve the counts of runs.  */
 static void
 halve (struct run_times *times)
 {
-  guint32 i = 0;
+  guint32 i;
 
   times->all.seen /= 2;
-  while (i < times->routes)
-    {
-      times->route[i].seen /= 2;
-      if (times->route[i].seen > 0)
-        i++;
-      else
-        times->route[i] = times->route[--times->routes];
-    }
+  for (i = 0; i < times->routes; i++)
+    times->route[i].seen /= 2;
+}
+
+/* The place of a new route: the next one, or that of the route that ran least
+   of late.  */
+static guint32
+place_for_route (struct run_times *times)
+{
+  guint32 least = 0;
+  guint32 i;
+
+  if (times->routes < RUN_TIMES_ROUTES_MAX)
+    return times->routes++;
+  for (i = 1; i < times->routes; i++)
+    if (times->route[i].seen < times->route[least].seen)
+      least = i;
+  return least;
 }
 
 /* A request by ROUTE ran for USEC to its end.  */
@@ -68,10 +78,11 @@
   add (&times->all, usec);
   while (i < times->routes && times->route[i].route != route)
     i++;
-  if (i == RUN_TIMES_ROUTES_MAX)
-    return;
   if (i == times->routes)
-    times->route[times->routes++] = (struct run_mean){ .route = route };
+    {
+      i = place_for_route (times);
+      times->route[i] = (struct run_mean){ .route = route };
+    }
   add (&times->route[i], usec);
 }
 
@@ -99,10 +110,12 @@
   for (i = 0; i < times->routes; i++)
     {
       const struct run_mean *route = &times->route[i];
-      if (route->seen * ROUTE_PART < times->all.seen)
-        continue;
       if (route->count < MEAN_RUNS / 2)
-        return 0;
+        {
+          if (route->seen * ROUTE_PART < times->all.seen)
+            continue;
+          return 0;
+        }
       total += route->usec;
       counted++;
     }
