--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -32,7 +32,7 @@
              transit->request.from_peer ? "node" : "caller",
              transit->request.attempt, (now - transit->came) / USEC_PER_MSEC,
              (transit->request.deadline - now) / USEC_PER_MSEC,
-             transit->advice_usec / USEC_PER_MSEC,
+             MAX (0, transit->return_at - now) / USEC_PER_MSEC,
              mesh->routing != NULL ? mesh->routing->version : 0);
   table_remove (&mesh->transits, exchange);
 }
@@ -46,7 +46,7 @@
   struct action_answer *action = &actions_add (out, ACTION_ANSWER)->u.answer;
   struct transit *transit = table_get (&mesh->transits, exchange);
 
-  transit->advice_usec = retry_usec;
+  transit->return_at = retry_usec > 0 ? now + retry_usec : 0;
   action->exchange = exchange;
   action->outcome = outcome;
   action->reason = reason;
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -203,8 +203,8 @@
   mesh_route_again (mesh, event->exchange, now, out);
 }
 
-/* Set what this node knows of the route of TRANSIT, which another one chose.
- */
+/* Set from the configuration here what it says of the route of TRANSIT, which
+   the node chose that it entered at.  */
 static void
 know_route (const struct mesh *mesh, struct transit *transit)
 {
--- a/src/serve/transit.h
+++ b/src/serve/transit.h
@@ -27,7 +27,8 @@
   gboolean may_have_run;    /* an attempt may have run */
   gboolean waited;          /* that it waits was logged */
   guint32 status;           /* of the last whole answer, 0: none */
-  gint64 advice_usec;       /* its caller is to come again after so long */
+  gint64 return_at;         /* its caller is told to come again then, 0: it is
+                               not told when */
   gint64 sent;              /* when the attempt under way began */
   gint64 retry_at;          /* when it is routed again */
   struct handle to;         /* member that has it */
