mesh-end tells the phase and how long ago the timer ticked

Cause: the logs could not tell a node that learns of a close late (it lags) from one that learns of it in time and goes on with work all the same.

Change: mesh-end has phase= and tick_ms=; the metrics have a histogram of the time between ticks.

--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -64,5 +64,6 @@
   latency_format (&node->request_latency, "request", text);
   latency_format (&node->server_latency, "server_run", text);
   latency_format (&node->queue_latency, "server_wait", text);
+  latency_format (&node->tick_latency, "tick_interval", text);
   return g_string_free (text, FALSE);
 }
--- a/src/edge/mesh_node.c
+++ b/src/edge/mesh_node.c
@@ -173,6 +173,7 @@
   struct event event = { .kind = EVENT_TICK };
   gint64 now = clock_usec ();
 
+  latency_add (&node->tick_latency, now - node->mesh.last_tick_at);
   proxy_expire (&node->proxy, now);
   if (reads_fleet (node))
     topic_reader_step (&node->fleet_reader, now);
@@ -238,6 +239,7 @@
   latency_init (&node->request_latency);
   latency_init (&node->server_latency);
   latency_init (&node->queue_latency);
+  latency_init (&node->tick_latency);
   mesh_init (&node->mesh, &node->config.mesh, clock_usec ());
   code = init_proxy (node);
   init_store (node);
@@ -273,6 +275,7 @@
   latency_clear (&node->request_latency);
   latency_clear (&node->server_latency);
   latency_clear (&node->queue_latency);
+  latency_clear (&node->tick_latency);
   g_hash_table_destroy (node->log_event_counts);
   g_byte_array_unref (node->config_bytes);
   g_queue_free_full (node->deferred_events, g_free);
--- a/src/edge/mesh_node.h
+++ b/src/edge/mesh_node.h
@@ -34,6 +34,8 @@
   struct latency server_latency; /* duration of runs at the local server */
   struct latency queue_latency;  /* time from the arrival of a request to the
                                     start of its run */
+  struct latency tick_latency;   /* time between ticks; more than TICK_MSEC
+                                    where the loop lags */
   guint64 failed_server_runs;    /* runs that ended with an unknown outcome
                                     or a 5xx status */
   GHashTable *log_event_counts;  /* counts by enum log_event_id */
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -14,6 +14,7 @@
   memset (mesh, 0, sizeof *mesh);
   mesh->settings = *settings;
   mesh->started_at = now;
+  mesh->last_tick_at = now;
   mesh->random_count = settings->random_seed;
   mesh->members_changed_at = now;
   fleet_state_init (&mesh->fleet);
@@ -180,6 +181,7 @@
   switch (event->kind)
     {
     case EVENT_TICK:
+      mesh->last_tick_at = now;
       step_timers (mesh, event->u.tick.pending_exchanges, now, out);
       break;
     case EVENT_ROUTING:
--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -14,6 +14,24 @@
   return member != NULL ? member->name : "";
 }
 
+/* Return the name of PHASE for the log.  */
+static const char *
+phase_name (enum mesh_request_phase phase)
+{
+  switch (phase)
+    {
+    case MESH_REQUEST_WAITING:
+      return "waiting";
+    case MESH_REQUEST_SENT:
+      return "sent";
+    case MESH_REQUEST_QUEUED:
+      return "queued";
+    case MESH_REQUEST_RUNNING:
+      return "running";
+    }
+  return "";
+}
+
 /* Remove the request EXCHANGE from the table and log how it ended.  */
 void
 mesh_remove_request (struct mesh *mesh, struct handle exchange,
@@ -23,11 +41,13 @@
   struct mesh_request *request = table_get (&mesh->requests, exchange);
 
   mesh_log (out, LOG_EVENT_MESH_END, request->request.id,
-            "outcome=%s reason=%s status=%u service=%s route=%s rank=%d"
+            "outcome=%s reason=%s phase=%s status=%u service=%s route=%s"
+            " rank=%d"
             " key=%s from=%s tries=%u took_ms=%" G_GINT64_FORMAT
             " left_ms=%" G_GINT64_FORMAT " retry_ms=%" G_GINT64_FORMAT
-            " config=%" G_GUINT64_FORMAT,
-            outcome_name (outcome), reason_name (reason), request->last_status,
+            " tick_ms=%" G_GINT64_FORMAT " config=%" G_GUINT64_FORMAT,
+            outcome_name (outcome), reason_name (reason),
+            phase_name (request->phase), request->last_status,
             request->request.service, request->route_name,
             (int)request->request.priority, request->request.key,
             request->request.forwarded ? "node" : "caller",
@@ -35,6 +55,7 @@
             (now - request->arrived_at) / USEC_PER_MSEC,
             (request->request.deadline - now) / USEC_PER_MSEC,
             MAX (0, request->caller_retry_at - now) / USEC_PER_MSEC,
+            (now - mesh->last_tick_at) / USEC_PER_MSEC,
             mesh->routing != NULL ? mesh->routing->version : 0);
   table_remove (&mesh->requests, exchange);
 }
