--- a/tests/exchange_bench.h
+++ b/tests/exchange_bench.h
@@ -31,9 +31,11 @@
   struct node node;         /* the node */
   GSocket *listener;        /* listening socket of the server */
   GSource *accept_source;   /* accepts the server's connections */
+  GPtrArray *connections;   /* open connections of the server */
   const char *response;     /* text after the response's first two lines */
   gboolean wrong_attempt;   /* the server echoes another attempt's id */
   gboolean close;           /* close the connection after the response */
+  gboolean keeps_serving;   /* respond to all requests, not only the first */
   guint requests;           /* requests received by the server */
   guint closed_connections; /* connections that the node closed */
   struct http caller;       /* HTTP client of the caller */
@@ -76,10 +78,12 @@
   if (event->kind == CONN_CLOSED)
     {
       bench->closed_connections++;
+      g_ptr_array_remove_fast (bench->connections, conn);
       conn_close (conn);
       return;
     }
-  if (event->kind == CONN_RECEIVED && bench->requests == 0)
+  if (event->kind == CONN_RECEIVED
+      && (bench->requests == 0 || bench->keeps_serving))
     {
       if (bench->response != NULL)
         send_response (bench, conn);
@@ -87,15 +91,22 @@
         bench->requests++;
     }
   if (event->kind == CONN_DRAINED && bench->close && bench->requests > 0)
-    conn_close (conn);
+    {
+      g_ptr_array_remove_fast (bench->connections, conn);
+      conn_close (conn);
+    }
 }
 
 /* Accept a connection from the node.  */
 static inline gboolean
 on_accept (GSocket *socket, GIOCondition condition, gpointer data)
 {
+  struct bench *bench = data;
+  struct conn *conn
+      = conn_adopt (g_socket_accept (socket, NULL, NULL), on_server, bench);
+
   (void)condition;
-  conn_adopt (g_socket_accept (socket, NULL, NULL), on_server, data);
+  g_ptr_array_add (bench->connections, conn);
   return G_SOURCE_CONTINUE;
 }
 
@@ -192,6 +203,7 @@
   memset (bench, 0, sizeof *bench);
   bench->response = text;
   bench->body = g_string_new (NULL);
+  bench->connections = g_ptr_array_new ();
   settings.core.front_address = (struct address){ LOCAL, FRONT_PORT };
   settings.core.peer_address = (struct address){ LOCAL, PEER_PORT };
   settings.log_address = (struct address){ LOCAL, LOG_PORT };
@@ -214,6 +226,8 @@
 {
   http_clear (&bench->caller);
   node_clear (&bench->node);
+  g_ptr_array_set_free_func (bench->connections, (GDestroyNotify)conn_close);
+  g_ptr_array_free (bench->connections, TRUE);
   while (g_main_context_iteration (NULL, FALSE))
     continue;
   g_source_destroy (bench->accept_source);
--- /dev/null
+++ b/tests/test_source_peer.c
@@ -0,0 +1,136 @@
+#include "tests/exchange_bench.h"
+
+#include "wire/wire_forward.h"
+
+/* Requests that another node forwards and cancels.  */
+
+#define FILLER_CALLS 3u /* forwarded requests that fill one read */
+
+/* The forwarding node.  */
+struct sender
+{
+  struct links links;  /* its connections */
+  struct address to;   /* the node under test */
+  guint64 incarnation; /* incarnation of that node */
+  guint64 last_stream; /* id of the last forwarded request */
+  guint replies;       /* replies to forwarded requests */
+};
+
+/* Count a reply to a forwarded request.  */
+static void
+on_sender (const struct link_event *event, gpointer data)
+{
+  struct sender *sender = data;
+
+  if (event->kind == LINK_REPLY && event->procedure == RPC_FORWARD_REQUEST)
+    sender->replies++;
+}
+
+/* Start the forwarding node beside BENCH.  */
+static void
+sender_init (struct sender *sender, const struct bench *bench)
+{
+  struct address any = { LOCAL, 0 };
+
+  memset (sender, 0, sizeof *sender);
+  sender->to = (struct address){ LOCAL, PEER_PORT };
+  sender->incarnation = bench->node.proxy.self_incarnation;
+  CU_ASSERT_EQUAL_FATAL (links_init (&sender->links, any, on_sender, sender),
+                         ERR_NONE);
+}
+
+/* Forward a request with a body of COUNT bytes.  Return its stream.  */
+static guint64
+forward (struct sender *sender, guint32 count)
+{
+  static guint8 bytes[BODY_QUEUE_BYTES];
+  struct link_tag tag = { 0 };
+  struct forward_request message
+      = { .stream = ++sender->last_stream,
+          .target_incarnation = sender->incarnation,
+          .method = (char *)(count > 0 ? "POST" : "GET"),
+          .target = (char *)"/pay/x",
+          .headers = (char *)"",
+          .body_length = count,
+          .chunk_length = count,
+          .chunk = bytes,
+          .is_last_chunk = TRUE };
+
+  g_strlcpy (message.request.service, "pay", sizeof message.request.service);
+  message.request.priority = PRIORITY_NORMAL;
+  message.request.deadline = CASE_USEC;
+  links_call (&sender->links, sender->to, RPC_FORWARD_REQUEST,
+              wire_forward_request, &message, &tag, clock_usec () + CASE_USEC);
+  return message.stream;
+}
+
+/* Cancel the forwarded request STREAM.  */
+static void
+cancel (struct sender *sender, guint64 stream)
+{
+  struct link_tag tag = { 0 };
+
+  links_call (&sender->links, sender->to, RPC_CANCEL, wire_forward_stream,
+              &stream, &tag, clock_usec () + CASE_USEC);
+}
+
+/* A forwarded request does not reach the server if its cancellation has
+   already arrived when it is read.  */
+static void
+test_cancelled_before_read (void)
+{
+  struct bench bench;
+  struct sender sender;
+
+  bench_start (&bench, "Content-Length: 5\r\n\r\nhello");
+  bench.keeps_serving = TRUE;
+  sender_init (&sender, &bench);
+  forward (&sender, 0);
+  run_until (&sender.replies);
+  CU_ASSERT_EQUAL (bench.requests, 1);
+  cancel (&sender, forward (&sender, 0));
+  sender.replies = 0;
+  forward (&sender, 0);
+  run_until (&sender.replies);
+  CU_ASSERT_EQUAL (bench.requests, 2);
+  links_clear (&sender.links);
+  bench_stop (&bench);
+}
+
+/* The same, if more has arrived between the two than one read returns.  */
+static void
+test_cancelled_behind_backlog (void)
+{
+  struct bench bench;
+  struct sender sender;
+  guint64 streams[FILLER_CALLS];
+  guint i;
+
+  bench_start (&bench, "Content-Length: 5\r\n\r\nhello");
+  bench.keeps_serving = TRUE;
+  sender_init (&sender, &bench);
+  forward (&sender, 0);
+  run_until (&sender.replies);
+  CU_ASSERT_EQUAL (bench.requests, 1);
+  for (i = 0; i < FILLER_CALLS; i++)
+    streams[i] = forward (&sender, BODY_QUEUE_BYTES / 2);
+  for (i = 0; i < FILLER_CALLS; i++)
+    cancel (&sender, streams[i]);
+  sender.replies = 0;
+  forward (&sender, 0);
+  run_until (&sender.replies);
+  CU_ASSERT_EQUAL (bench.requests, 2);
+  links_clear (&sender.links);
+  bench_stop (&bench);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[]
+      = { { "cancelled before it was read", test_cancelled_before_read },
+          { "cancelled behind a backlog", test_cancelled_behind_backlog },
+          CU_TEST_INFO_NULL };
+
+  return suite_run ("source peer", tests);
+}
