A request whose caller left before it was read is not submitted

What callers saw: on a node that lags, requests were sent to servers after their callers had left.

Cause: work begun on stale input. A request that has waited in the socket is read with the caller's close behind it, and was submitted without a look.

Change: the caller's connection is looked at before the request is submitted; counter left_before_read. The bench of the exchange tests takes received requests off its buffer, since a second one on a kept connection was answered with the first one's attempt id and so repeated.

Evidence: test_caller_watch, caller left before its request was read: fails without the change to src/, also with the corrected bench; passes with it.

--- a/src/edge/caller_watch.c
+++ b/src/edge/caller_watch.c
@@ -17,24 +17,43 @@
   return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
 }
 
+/* Return whether the caller of EXCHANGE has closed its connection.  */
+gboolean
+caller_watch_has_left (const struct exchange *exchange)
+{
+  GSocket *socket
+      = soup_server_message_get_socket (exchange->source.u.caller.message);
+  gboolean has_bytes;
+
+  return socket == NULL || is_closed (socket, &has_bytes);
+}
+
+/* Cancel EXCHANGE, whose caller has left, and let libsoup end its paused
+   message.  */
+void
+caller_watch_cancel (struct exchange *exchange)
+{
+  SoupServerMessage *message
+      = g_object_ref (exchange->source.u.caller.message);
+
+  exchange_disconnected (exchange);
+  soup_server_message_set_status (message, SOUP_STATUS_SERVICE_UNAVAILABLE,
+                                  NULL);
+  soup_server_message_unpause (message);
+  g_object_unref (message);
+}
+
 /* Handle a readable connection of a caller.  If the caller has closed it, the
    exchange is cancelled; if it has sent its next request, the watch ends.  */
 static gboolean
 on_readable (GSocket *socket, GIOCondition condition, gpointer data)
 {
-  struct exchange *exchange = data;
-  SoupServerMessage *message = exchange->source.u.caller.message;
   gboolean has_bytes;
 
   (void)condition;
   if (!is_closed (socket, &has_bytes))
     return has_bytes ? G_SOURCE_REMOVE : G_SOURCE_CONTINUE;
-  g_object_ref (message);
-  exchange_disconnected (exchange);
-  soup_server_message_set_status (message, SOUP_STATUS_SERVICE_UNAVAILABLE,
-                                  NULL);
-  soup_server_message_unpause (message);
-  g_object_unref (message);
+  caller_watch_cancel (data);
   return G_SOURCE_REMOVE;
 }
 
--- a/src/edge/counters.h
+++ b/src/edge/counters.h
@@ -11,6 +11,8 @@
 struct counters
 {
   guint64 caller_requests;    /* requests received from callers */
+  guint64 left_before_read;   /* of these, whose callers had left when they
+                                 were read */
   guint64 peer_requests;      /* requests that other nodes forwarded here */
   guint64 server_runs;        /* runs started at the local server */
   guint64 forwarded_attempts; /* attempts forwarded to other nodes */
--- a/src/edge/source_caller.c
+++ b/src/edge/source_caller.c
@@ -55,7 +55,8 @@
   soup_server_message_unpause (caller->message);
 }
 
-/* Handle the end of the request body.  */
+/* Handle the end of the request body.  A node that lags may read a request
+   after its caller has left; such a request is not submitted.  */
 void
 source_caller_received (struct exchange *exchange)
 {
@@ -67,7 +68,12 @@
   exchange->request_body.is_complete = TRUE;
   soup_server_message_pause (caller->message);
   caller_watch_start (exchange);
-  if (!caller->submitted)
+  if (!caller->submitted && caller_watch_has_left (exchange))
+    {
+      proxy->counters.left_before_read++;
+      caller_watch_cancel (exchange);
+    }
+  else if (!caller->submitted)
     {
       caller->submitted = TRUE;
       exchange_submit (exchange);
@@ -246,8 +252,9 @@
       caller->submitted = TRUE;
       end_unrouted (exchange, reason);
     }
-  else if (exchange->request_length < 0
-           || exchange->request_length > BODY_CHUNK_BYTES)
+  else if ((exchange->request_length < 0
+            || exchange->request_length > BODY_CHUNK_BYTES)
+           && !caller_watch_has_left (exchange))
     {
       caller->submitted = TRUE;
       exchange_submit (exchange);
--- a/tests/exchange_bench.h
+++ b/tests/exchange_bench.h
@@ -64,6 +64,7 @@
       attempt + bench->wrong_attempt, bench->response);
 
   bench->requests++;
+  conn_consume (conn, conn->receive_buffer->len);
   conn_send (conn, (const guint8 *)head, strlen (head));
   g_free (head);
   g_free (text);
