A close behind bytes of the next request is noticed

What callers saw: a server went on with a request, and one waiting for a slot was given to it, after its caller had left, when the caller had already sent bytes of its next request.

Cause: a blind spot of the watch. It peeked at the socket and ended once bytes could be read, so the close after them was not seen until the answer was written.

Change: the watch is a descriptor of the poller and waits for a hang-up, which epoll reports also behind unread bytes; the poller has POLLER_HANGUP for it and poller_forget for a descriptor that libsoup has closed before.

Evidence: test_caller_watch, caller left behind bytes of its next request: the work was cancelled only by its deadline of 2 s; now within the bound of 1 s.

--- a/src/edge/caller_watch.c
+++ b/src/edge/caller_watch.c
@@ -1,5 +1,7 @@
 #include "edge/exchange.h"
 
+#include "edge/poller.h"
+
 #include <errno.h>
 #include <sys/socket.h>
 
@@ -43,18 +45,22 @@
   g_object_unref (message);
 }
 
-/* Handle a readable connection of a caller.  If the caller has closed it, the
-   exchange is cancelled; if it has sent its next request, the watch ends.  */
-static gboolean
-on_readable (GSocket *socket, GIOCondition condition, gpointer data)
+/* Handle READY, the POLLER_ events of a caller's connection.  If the caller
+   has closed it, the exchange is cancelled.  Once the caller has sent bytes of
+   its next request, only a hang-up is waited for.  */
+static void
+on_ready (guint32 ready, gpointer data)
 {
-  gboolean has_bytes;
+  struct exchange *exchange = data;
+  struct source_caller *caller = &exchange->source.u.caller;
+  GSocket *socket = soup_server_message_get_socket (caller->message);
+  gboolean has_bytes = FALSE;
 
-  (void)condition;
-  if (!is_closed (socket, &has_bytes))
-    return has_bytes ? G_SOURCE_REMOVE : G_SOURCE_CONTINUE;
-  caller_watch_cancel (data);
-  return G_SOURCE_REMOVE;
+  if ((ready & POLLER_HANGUP) || socket == NULL
+      || is_closed (socket, &has_bytes))
+    caller_watch_cancel (exchange);
+  else if (has_bytes)
+    poller_set_events (caller->close_watch, POLLER_HANGUP);
 }
 
 /* Watch the caller's connection while its message is paused: libsoup does not
@@ -65,23 +71,25 @@
   struct source_caller *caller = &exchange->source.u.caller;
   GSocket *socket = soup_server_message_get_socket (caller->message);
 
-  if (socket == NULL || caller->close_watch != NULL)
+  if (socket == NULL || handle_is_set (caller->close_watch))
     return;
-  caller->close_watch = g_socket_create_source (socket, G_IO_IN, NULL);
-  g_source_set_callback (caller->close_watch, G_SOURCE_FUNC (on_readable),
-                         exchange, NULL);
-  g_source_attach (caller->close_watch, NULL);
+  caller->watched_socket = g_object_ref (socket);
+  caller->close_watch = poller_add (
+      g_socket_get_fd (socket), POLLER_IN | POLLER_HANGUP, on_ready, exchange);
 }
 
-/* Stop watching the caller's connection.  */
+/* Stop watching the caller's connection, which libsoup may have closed.  */
 void
 caller_watch_stop (struct exchange *exchange)
 {
   struct source_caller *caller = &exchange->source.u.caller;
 
-  if (caller->close_watch == NULL)
+  if (!handle_is_set (caller->close_watch))
     return;
-  g_source_destroy (caller->close_watch);
-  g_source_unref (caller->close_watch);
-  caller->close_watch = NULL;
+  if (g_socket_is_closed (caller->watched_socket))
+    poller_forget (caller->close_watch);
+  else
+    poller_remove (caller->close_watch);
+  caller->close_watch = HANDLE_NONE;
+  g_clear_object (&caller->watched_socket);
 }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -23,7 +23,8 @@
 struct source_caller
 {
   SoupServerMessage *message; /* the HTTP message; owns a reference */
-  GSource *close_watch;       /* detects a disconnect of the caller, or NULL */
+  struct handle close_watch;  /* watch for a disconnect of the caller */
+  GSocket *watched_socket;    /* socket of that watch; owns a reference */
   gboolean submitted;         /* the request was submitted to the core */
   gboolean body_received;     /* the whole request body was received */
   gboolean body_paused;       /* reading of the request body is suspended */
--- a/src/edge/poller.c
+++ b/src/edge/poller.c
@@ -37,6 +37,8 @@
     event.events |= EPOLLIN;
   if (entry->events & POLLER_OUT)
     event.events |= EPOLLOUT;
+  if (entry->events & POLLER_HANGUP)
+    event.events |= EPOLLRDHUP;
   if (epoll_ctl (poller.epoll_fd, operation, entry->fd, &event) != 0)
     g_critical ("epoll_ctl %d of descriptor %d: %s", operation, entry->fd,
                 g_strerror (errno));
@@ -57,8 +59,10 @@
     ready |= POLLER_IN;
   if (epoll_events & EPOLLOUT)
     ready |= POLLER_OUT;
+  if (epoll_events & EPOLLRDHUP)
+    ready |= POLLER_HANGUP;
   if (epoll_events & (EPOLLERR | EPOLLHUP))
-    ready = POLLER_IN | POLLER_OUT;
+    ready = POLLER_IN | POLLER_OUT | POLLER_HANGUP;
   ready &= entry->events;
   if (ready != 0)
     entry->fn (ready, entry->data);
@@ -144,3 +148,11 @@
   poller_set_events (h, 0);
   table_remove (&poller.entries, h);
 }
+
+/* Forget the descriptor H, which is closed already: the kernel has taken it
+   out of the epoll set, and its number may belong to another descriptor.  */
+void
+poller_forget (struct handle h)
+{
+  table_remove (&poller.entries, h);
+}
