A caller that leaves during a paused upload is noticed

What callers saw: a long upload that waited for a slot was sent to the server after its caller had left.

Cause: a blind spot of the watch. While the node reads no more of a body that it has buffered as far as it may, libsoup does not read, and the watch began only with the end of the body.

Change: the connection is watched while the body is paused. A close behind bytes that do not fit into the socket has not arrived and cannot be seen; the test's upload was cut to what fits for that reason.

Evidence: test_caller_watch, caller left during a paused upload: fails without the change to src/, also with the shorter upload; passes with it.

--- a/src/edge/source_caller.c
+++ b/src/edge/source_caller.c
@@ -20,7 +20,7 @@
 /* The request's body */
 
 /* Handle a part of the request body.  Reading is suspended if the buffer is
-   full.  */
+   full; the caller's connection is watched meanwhile.  */
 static void
 on_got_chunk (SoupServerMessage *message, GBytes *chunk, gpointer data)
 {
@@ -41,6 +41,7 @@
     return;
   exchange->source.u.caller.body_paused = TRUE;
   soup_server_message_pause (message);
+  caller_watch_start (exchange);
 }
 
 /* Resume reading the request body.  */
@@ -52,6 +53,7 @@
   if (!caller->body_paused)
     return;
   caller->body_paused = FALSE;
+  caller_watch_stop (exchange);
   soup_server_message_unpause (caller->message);
 }
 
--- a/tests/test_caller_watch.c
+++ b/tests/test_caller_watch.c
@@ -6,7 +6,9 @@
 
 /* Callers that leave before their requests are answered.  */
 
-#define UPLOAD_BYTES (4 * BODY_QUEUE_BYTES) /* more than a node buffers */
+/* More than a node buffers; the rest fits into the socket, so that the close
+   behind it arrives.  */
+#define UPLOAD_BYTES (BODY_QUEUE_BYTES + BODY_CHUNK_BYTES)
 #define SHORT_REQUEST "GET /pay/x HTTP/1.1\r\nHost: h\r\n\r\n"
 
 /* Connect a caller to the node and return its socket, which does not
