A forwarded request is started once all that has arrived was read

What callers saw: on a node that lags, requests of callers that had left were started at the server before the cancellations behind them were read.

Cause: work begun on stale input. Each message of a read was acted on before the next was looked at, at most 64 KiB a read, and a request goes out on a kept connection to the server within the same call.

Change: a link reads all that has arrived, up to 1 MiB, and reports the end of the batch; forwarded requests are submitted then, those cancelled meanwhile are not. Counter cancelled_before_start.

--- a/src/edge/conn.h
+++ b/src/edge/conn.h
@@ -43,6 +43,8 @@
   gsize sent_bytes;           /* bytes of send_buffer that were sent */
   gboolean connected;         /* the connection is established */
   gboolean read_paused;       /* reading is suspended */
+  gboolean reads_all;         /* all that has arrived is read before it is
+                                 reported, up to a limit */
   gboolean any_sent;          /* at least one byte was sent */
   conn_event_fn *on_event;    /* receives the events */
   gpointer data;              /* passed to the callback */
--- a/src/edge/conn_io.c
+++ b/src/edge/conn_io.c
@@ -2,21 +2,39 @@
 
 #define READ_BYTES 65536 /* bytes read at a time */
 
-/* Read from the socket into the receive buffer and report CONN_RECEIVED.
-   Return FALSE if the connection has ended.  */
-static gboolean
-read_socket (struct conn *conn)
+/* Most reads at a time on a connection that reads all that has arrived.  */
+#define READS_MAX 16
+
+/* Read up to READ_BYTES from the socket into the receive buffer.  Return their
+   number, 0 at the end of the stream, or -1 with ERROR set.  */
+static gssize
+receive (struct conn *conn, GError **error)
 {
   guint before = conn->receive_buffer->len;
-  GError *error = NULL;
   gssize count;
 
   g_byte_array_set_size (conn->receive_buffer, before + READ_BYTES);
   count = g_socket_receive (conn->socket,
                             (char *)conn->receive_buffer->data + before,
-                            READ_BYTES, NULL, &error);
+                            READ_BYTES, NULL, error);
   g_byte_array_set_size (conn->receive_buffer,
                          before + (count > 0 ? (guint)count : 0u));
+  return count;
+}
+
+/* Read from the socket and report CONN_RECEIVED.  An end or an error behind
+   the bytes is left to the next read.  Return FALSE if the connection has
+   ended.  */
+static gboolean
+read_socket (struct conn *conn)
+{
+  GError *error = NULL;
+  gssize count = receive (conn, &error);
+  gssize more = count;
+  int reads = 1;
+
+  while (conn->reads_all && more == READ_BYTES && reads++ < READS_MAX)
+    more = receive (conn, NULL);
   if (count > 0)
     {
       conn_notify (conn, CONN_RECEIVED, ERR_NONE);
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -165,6 +165,7 @@
 void caller_watch_stop (struct exchange *exchange);
 void source_peer_on_forward (struct proxy *proxy,
                              const struct link_event *event);
+void source_peer_submit_arrivals (struct proxy *proxy);
 void source_peer_on_chunk (struct proxy *proxy,
                            const struct link_event *event);
 void source_peer_on_read (struct proxy *proxy, const struct link_event *event);
--- a/src/edge/link.c
+++ b/src/edge/link.c
@@ -82,14 +82,16 @@
   return TRUE;
 }
 
-/* Dispatch all messages that have been received completely.  A handler may
-   close the connection meanwhile, hence the reference to it.  */
+/* Dispatch all messages that have been received completely, and report
+   LINK_BATCH_END after the last one.  A handler may close the connection
+   meanwhile, hence the reference to it.  */
 static void
 handle_received (struct link *link)
 {
   struct links *links = link->links;
   struct handle h = link->self;
   struct conn *conn = link->conn;
+  struct link_event end = { .kind = LINK_BATCH_END, .link = h };
   gsize at = 0;
 
   conn->ref_count++;
@@ -121,6 +123,7 @@
     }
   conn_consume (conn, MIN (at, conn->receive_buffer->len));
   conn_unref (conn);
+  links->fn (&end, links->data);
 }
 
 /* Handle an event of a connection.  */
@@ -161,6 +164,7 @@
   link->pending_calls = g_hash_table_new_full (NULL, NULL, NULL, g_free);
   link->conn = socket != NULL ? conn_adopt (socket, on_link_event, link)
                               : conn_open (to, on_link_event, link);
+  link->conn->reads_all = TRUE;
   return link;
 }
 
--- a/src/edge/link.h
+++ b/src/edge/link.h
@@ -22,9 +22,10 @@
 /* Events of a connection.  */
 enum link_event_kind
 {
-  LINK_CALL,  /* a peer made a call */
-  LINK_REPLY, /* a call of this node was answered or failed */
-  LINK_CLOSED /* a connection was closed */
+  LINK_CALL,      /* a peer made a call */
+  LINK_REPLY,     /* a call of this node was answered or failed */
+  LINK_BATCH_END, /* all that had arrived on a connection was reported */
+  LINK_CLOSED     /* a connection was closed */
 };
 
 struct link_event
--- a/src/edge/proxy.c
+++ b/src/edge/proxy.c
@@ -94,6 +94,9 @@
     case LINK_REPLY:
       dispatch_reply (proxy, event);
       break;
+    case LINK_BATCH_END:
+      source_peer_submit_arrivals (proxy);
+      break;
     case LINK_CLOSED:
       source_peer_on_closed (proxy, event->link);
       break;
@@ -120,6 +123,7 @@
   table_init (&proxy->exchanges, sizeof (struct exchange));
   proxy->streams
       = g_hash_table_new_full (stream_hash, stream_equal, g_free, NULL);
+  proxy->arrivals = g_array_new (FALSE, FALSE, sizeof (struct handle));
   proxy->server_calls = g_hash_table_new (NULL, NULL);
   http_init (&proxy->http);
   return links_init (&proxy->links, peers, on_link_event, proxy);
@@ -137,6 +141,7 @@
   http_clear (&proxy->http);
   table_clear (&proxy->exchanges);
   g_hash_table_destroy (proxy->streams);
+  g_array_free (proxy->arrivals, TRUE);
   g_hash_table_destroy (proxy->server_calls);
 }
 
--- a/src/edge/source_peer.c
+++ b/src/edge/source_peer.c
@@ -149,10 +149,12 @@
 
 /* RPCs */
 
-/* Create an exchange for the request in FORWARD, sent by a peer.  */
+/* Create an exchange for the request in FORWARD, sent by a peer.  It is
+   submitted at the end of the batch, since its cancellation may have arrived
+   with it.  */
 static void
-start_exchange (struct proxy *proxy, const struct link_event *event,
-                const struct forward_request *forward)
+add_arrival (struct proxy *proxy, const struct link_event *event,
+             const struct forward_request *forward)
 {
   struct exchange *exchange = exchange_add (proxy, SOURCE_PEER);
   struct stream_key key = { event->link.bits, forward->stream };
@@ -173,7 +175,25 @@
                        GUINT_TO_POINTER (exchange->self.bits));
   proxy->counters.peer_requests++;
   proxy->counters.request_bytes += forward->chunk_length;
-  exchange_submit (exchange);
+  g_array_append_val (proxy->arrivals, exchange->self);
+}
+
+/* Submit the requests that have arrived and were not cancelled meanwhile.  */
+void
+source_peer_submit_arrivals (struct proxy *proxy)
+{
+  guint i;
+
+  for (i = 0; i < proxy->arrivals->len; i++)
+    {
+      struct exchange *exchange = exchange_get (
+          proxy, g_array_index (proxy->arrivals, struct handle, i));
+      if (exchange != NULL)
+        exchange_submit (exchange);
+      else
+        proxy->counters.cancelled_before_start++;
+    }
+  g_array_set_size (proxy->arrivals, 0);
 }
 
 /* Handle RPC_FORWARD_REQUEST: a peer forwards a request.  It is refused unless
@@ -195,7 +215,7 @@
   if (forward.target_incarnation != proxy->self_incarnation)
     reply_error (proxy, event->link, event->xid, &error);
   else
-    start_exchange (proxy, event, &forward);
+    add_arrival (proxy, event, &forward);
   xdr_free ((xdrproc_t)wire_forward_request, (char *)&forward);
 }
 
