A forwarded request that timed out is cancelled

What callers saw: a node that lags started requests at its server after their callers' deadlines.

Cause: the entry node ended the attempt at its deadline without a word to the other node, which counts the time left from when it reads the request and so may start it later.

Change: a timeout sends the cancellation too.

Evidence: test_target_peer, request that timed out is not cancelled: red before, passes now.

--- a/src/edge/target_peer.c
+++ b/src/edge/target_peer.c
@@ -112,11 +112,16 @@
 
 /* End an attempt whose RPC failed with CODE.  ERR_REFUSED shows that nothing
    was sent, and ERR_MALFORMED that the arguments were rejected: in both cases
-   the request was not run.  */
+   the request was not run.  After a timeout the other node may still have the
+   request, and is told to drop it.  */
 static void
 on_call_failed (struct exchange *exchange, enum err code)
 {
-  if (exchange->target.has_head)
+  gboolean has_head = exchange->target.has_head;
+
+  if (code == ERR_TIMEOUT)
+    target_abort (exchange);
+  if (has_head)
     exchange_attempt_ended (exchange, OUTCOME_UNKNOWN, REASON_TRUNCATED);
   else if (code == ERR_REFUSED || code == ERR_MALFORMED)
     exchange_attempt_ended (exchange, OUTCOME_NOT_RUN, REASON_PEER_LOST);
