A request that is given up before it was sent is withdrawn

What callers saw: requests reached another node's server after their callers had left, when the connection to that node had stalled.

Cause: late delivery. A cancelled or expired request stayed in the queue of its connection, was sent when the connection moved again, and its cancellation only behind it.

Change: calls know their place in the stream; those of which no byte was sent are taken out of the queue when they are cancelled or expire. A forwarded request that expires unsent is reported as not run.

Evidence: test_target_peer, cancelled request is sent later and expired request is sent later: red before, pass now; test_link passes.

--- a/src/edge/conn.c
+++ b/src/edge/conn.c
@@ -130,6 +130,7 @@
 {
   if (conn->socket == NULL)
     return;
+  conn->queued_bytes += length;
   if (conn->connected && conn->send_buffer->len == 0)
     {
       gssize sent = g_socket_send (conn->socket, (const char *)bytes, length,
@@ -147,6 +148,22 @@
   conn_set_poll_events (conn, conn->poll_events | POLLER_OUT);
 }
 
+/* Withdraw LENGTH queued bytes, of which the first was passed to conn_send
+   when queued_bytes was POSITION.  Return FALSE if any of them has been sent.
+ */
+gboolean
+conn_withdraw (struct conn *conn, guint64 position, gsize length)
+{
+  guint64 buffer_start = conn->queued_bytes - conn->send_buffer->len;
+
+  if (conn->socket == NULL || position < buffer_start + conn->sent_bytes)
+    return FALSE;
+  g_byte_array_remove_range (conn->send_buffer,
+                             (guint)(position - buffer_start), (guint)length);
+  conn->queued_bytes -= length;
+  return TRUE;
+}
+
 /* Return the number of bytes that are queued and not sent.  */
 gsize
 conn_unsent (const struct conn *conn)
--- a/src/edge/conn.h
+++ b/src/edge/conn.h
@@ -41,6 +41,7 @@
   GByteArray *receive_buffer; /* bytes not consumed by the owner */
   GByteArray *send_buffer;    /* bytes to send */
   gsize sent_bytes;           /* bytes of send_buffer that were sent */
+  guint64 queued_bytes;       /* bytes passed to conn_send and not withdrawn */
   gboolean connected;         /* the connection is established */
   gboolean read_paused;       /* reading is suspended */
   gboolean reads_all;         /* all that has arrived is read before it is
@@ -55,6 +56,7 @@
 void conn_set_callback (struct conn *conn, conn_event_fn *fn, gpointer data);
 void conn_send (struct conn *conn, const guint8 *bytes, gsize length);
 gsize conn_unsent (const struct conn *conn);
+gboolean conn_withdraw (struct conn *conn, guint64 position, gsize length);
 void conn_consume (struct conn *conn, gsize length);
 void conn_pause (struct conn *conn, gboolean paused);
 void conn_close (struct conn *conn);
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -130,7 +130,13 @@
       break;
     case TARGET_PEER:
       {
+        const struct target_peer *peer = &exchange->target.u.peer;
         struct link_tag tag = { 0 };
+        links_withdraw (&proxy->links, peer->link, RPC_FORWARD_CHUNK,
+                        peer->stream);
+        if (links_withdraw (&proxy->links, peer->link, RPC_FORWARD_REQUEST,
+                            peer->stream))
+          break;
         links_call_on (&proxy->links, exchange->target.u.peer.link, RPC_CANCEL,
                        wire_forward_stream, &exchange->target.u.peer.stream,
                        &tag, exchange->request.deadline);
--- a/src/edge/link.c
+++ b/src/edge/link.c
@@ -15,7 +15,8 @@
                               .xid = call->xid,
                               .procedure = call->procedure,
                               .tag = call->tag,
-                              .code = code };
+                              .code = code,
+                              .unsent = call->unsent };
 
   links->fn (&event, links->data);
 }
--- a/src/edge/link.h
+++ b/src/edge/link.h
@@ -37,6 +37,8 @@
   struct link_tag tag; /* LINK_REPLY: tag that was given with the call */
   enum err code;       /* LINK_REPLY: result; ERR_REFUSED: nothing was
                           sent */
+  gboolean unsent;     /* LINK_REPLY that failed: the call was withdrawn before
+                          any of it was sent */
   const guint8 *bytes; /* encoded arguments or results */
   gsize length;        /* length of bytes */
 };
@@ -50,6 +52,9 @@
   enum rpc_procedure procedure; /* called procedure */
   struct link_tag tag;          /* returned with the reply */
   gint64 deadline;              /* when the call times out, monotonic usec */
+  guint64 position; /* where the call starts in the connection's stream */
+  gsize length;     /* length of the encoded call, bytes */
+  gboolean unsent;  /* the call was withdrawn */
 };
 
 /* A connection to a peer or from one.  */
@@ -88,6 +93,8 @@
                         enum rpc_procedure procedure, wire_filter *filter,
                         const void *item, const struct link_tag *tag,
                         gint64 deadline);
+gboolean links_withdraw (struct links *links, struct handle link,
+                         enum rpc_procedure procedure, guint64 serial);
 void links_reply (struct links *links, struct handle link, guint32 xid,
                   enum err code, wire_filter *filter, const void *item);
 guint32 links_unsent_count (const struct links *links);
--- a/src/edge/link_call.c
+++ b/src/edge/link_call.c
@@ -5,6 +5,53 @@
    retired.  */
 #define RETIRED_LINK_TIMEOUT_USEC ((gint64)1500000)
 
+/* Take CALL out of the bytes that LINK has yet to send, together with its
+   place among the calls behind it.  Return FALSE if any of it has been sent.
+ */
+static gboolean
+withdraw_call (struct link *link, const struct link_call *call)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  if (!conn_withdraw (link->conn, call->position, call->length))
+    return FALSE;
+  g_hash_table_iter_init (&iter, link->pending_calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct link_call *other = value;
+      if (other->position > call->position)
+        other->position -= call->length;
+    }
+  return TRUE;
+}
+
+/* Withdraw the calls of PROCEDURE with the tag SERIAL on the connection H that
+   have not been sent; they get no reply.  Return whether there was one.  */
+gboolean
+links_withdraw (struct links *links, struct handle h,
+                enum rpc_procedure procedure, guint64 serial)
+{
+  struct link *link = table_get (&links->link_table, h);
+  gboolean withdrawn = FALSE;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (link == NULL || conn_unsent (link->conn) == 0)
+    return FALSE;
+  g_hash_table_iter_init (&iter, link->pending_calls);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct link_call *call = value;
+      if (call->procedure != procedure || call->tag.serial != serial
+          || !withdraw_call (link, call))
+        continue;
+      g_hash_table_iter_remove (&iter);
+      withdrawn = TRUE;
+    }
+  return withdrawn;
+}
+
 /* Call PROCEDURE with ITEM, encoded by FILTER, on the connection H.  The reply
    comes as LINK_REPLY with TAG, with ERR_TIMEOUT once DEADLINE (monotonic
    usec) has passed.  Return FALSE if the connection is closed.  */
@@ -28,6 +75,8 @@
                        call);
   bytes = g_byte_array_new ();
   rpc_write_call (bytes, call->xid, procedure, filter, item);
+  call->position = link->conn->queued_bytes;
+  call->length = bytes->len;
   conn_send (link->conn, bytes->data, bytes->len);
   g_byte_array_unref (bytes);
   return TRUE;
@@ -64,7 +113,7 @@
 }
 
 /* Fail the calls of one connection whose deadline has passed by NOW with
-   ERR_TIMEOUT.  */
+   ERR_TIMEOUT.  Those that have not been sent are withdrawn.  */
 static void
 expire_calls (struct links *links, struct link *link, gint64 now)
 {
@@ -78,7 +127,9 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     if (((struct link_call *)value)->deadline <= now)
       {
-        g_array_append_vals (expired, value, 1);
+        struct link_call *call = value;
+        call->unsent = withdraw_call (link, call);
+        g_array_append_vals (expired, call, 1);
         g_hash_table_iter_remove (&iter);
       }
   for (i = 0; i < expired->len; i++)
--- a/src/edge/target_peer.c
+++ b/src/edge/target_peer.c
@@ -110,15 +110,22 @@
 
 /* Replies */
 
-/* End an attempt whose RPC failed with CODE.  ERR_REFUSED shows that nothing
-   was sent, and ERR_MALFORMED that the arguments were rejected: in both cases
-   the request was not run.  After a timeout the other node may still have the
-   request, and is told to drop it.  */
+/* End an attempt whose RPC failed as EVENT says.  ERR_REFUSED shows that
+   nothing was sent, and ERR_MALFORMED that the arguments were rejected: in
+   both cases, and if the request was withdrawn, it was not run.  After a
+   timeout the other node may still have the request, and is told to drop it.
+ */
 static void
-on_call_failed (struct exchange *exchange, enum err code)
+on_call_failed (struct exchange *exchange, const struct link_event *event)
 {
   gboolean has_head = exchange->target.has_head;
+  enum err code = event->code;
 
+  if (event->unsent && event->procedure == RPC_FORWARD_REQUEST)
+    {
+      exchange_attempt_ended (exchange, OUTCOME_NOT_RUN, REASON_DEADLINE);
+      return;
+    }
   if (code == ERR_TIMEOUT)
     target_abort (exchange);
   if (has_head)
@@ -223,7 +230,7 @@
     return;
   if (event->code != ERR_NONE)
     {
-      on_call_failed (exchange, event->code);
+      on_call_failed (exchange, event);
       return;
     }
   switch (event->procedure)
