Aborting a call drops what the network has not delivered

What callers saw: on links that lose packets or are cut, requests reached a server or another node after their callers had left.

Cause: late delivery. A call that is aborted closed its connection in order, and the kernel goes on to deliver what was sent on it.

Change: conn_abort resets the connection if bytes are not acknowledged yet, and ends it in order otherwise, since a reset that is lost is not repeated. It is used where a call ends early and where a connection to a node is given up.

--- a/src/edge/conn.c
+++ b/src/edge/conn.c
@@ -3,9 +3,12 @@
 #include "edge/conn_io.h"
 #include "edge/inet.h"
 
+#include <errno.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 /* Lifetime */
@@ -43,6 +46,34 @@
   conn_unref (conn);
 }
 
+/* Return whether the socket of CONN has bytes that were sent and that the
+   other end has not acknowledged.  */
+static gboolean
+has_undelivered (const struct conn *conn)
+{
+  int count = 0;
+
+  return conn->socket != NULL
+         && ioctl (g_socket_get_fd (conn->socket), SIOCOUTQ, &count) == 0
+         && count > 0;
+}
+
+/* Close CONN like conn_close.  Bytes that were sent and not delivered yet are
+   dropped: the connection is reset then.  Without such bytes it ends in order,
+   since a reset that is lost is not repeated.  */
+void
+conn_abort (struct conn *conn)
+{
+  struct linger drop = { .l_onoff = 1, .l_linger = 0 };
+
+  if (has_undelivered (conn)
+      && setsockopt (g_socket_get_fd (conn->socket), SOL_SOCKET, SO_LINGER,
+                     &drop, sizeof drop)
+             != 0)
+    g_warning ("SO_LINGER: %s", g_strerror (errno));
+  conn_close (conn);
+}
+
 /* Report an event of CONN to its owner.  */
 void
 conn_notify (struct conn *conn, enum conn_event_kind kind, enum err code)
--- a/src/edge/conn.h
+++ b/src/edge/conn.h
@@ -60,6 +60,7 @@
 void conn_consume (struct conn *conn, gsize length);
 void conn_pause (struct conn *conn, gboolean paused);
 void conn_close (struct conn *conn);
+void conn_abort (struct conn *conn);
 void conn_unref (struct conn *conn);
 GSocket *conn_listen (struct address at, enum err *code);
 
--- a/src/edge/http.c
+++ b/src/edge/http.c
@@ -10,7 +10,7 @@
 
 /* End CALL with CODE and report HTTP_ENDED to its callback.  The
    connection is kept for reuse if request and response are complete, and
-   closed otherwise.  */
+   aborted otherwise.  */
 static void
 end_call (struct http_call *call, enum err code)
 {
@@ -27,7 +27,7 @@
       && conn_unsent (call->conn) == 0)
     http_keep_idle (http, call->address, call->conn);
   else
-    conn_close (call->conn);
+    conn_abort (call->conn);
   table_remove (&http->calls, call->self);
   fn (&event, data);
 }
@@ -203,7 +203,7 @@
     call->skip_response = TRUE;
 }
 
-/* Abort a call without an event.  Its connection is closed, which tells the
+/* Abort a call without an event.  Its connection is aborted, which tells the
    server that the call was cancelled.  */
 void
 http_abort (struct http *http, struct handle h)
@@ -212,7 +212,7 @@
 
   if (call == NULL)
     return;
-  conn_close (call->conn);
+  conn_abort (call->conn);
   table_remove (&http->calls, h);
 }
 
--- a/src/edge/link.c
+++ b/src/edge/link.c
@@ -21,9 +21,9 @@
   links->fn (&event, links->data);
 }
 
-/* Close LINK and remove it.  Its pending calls fail with CODE, or with
-   ERR_CLOSED if the connection had been established, because then the call may
-   have reached the peer.  */
+/* Abort the connection of LINK and remove it.  Its pending calls fail with
+   CODE, or with ERR_CLOSED if the connection had been established, because
+   then the call may have reached the peer.  */
 void
 link_close (struct link *link, enum err code)
 {
@@ -36,7 +36,7 @@
 
   if (link->conn->connected)
     code = ERR_CLOSED;
-  conn_close (link->conn);
+  conn_abort (link->conn);
   table_remove (&links->link_table, h);
   g_hash_table_iter_init (&iter, calls);
   while (g_hash_table_iter_next (&iter, NULL, &value))
