A freed slot is not given to a request that is cancelled already

What callers saw: a request in a server's queue was started after its caller had left, on a node that had the cancellation in a socket and read the server's answer first.

Cause: work begun on stale input. The descriptors that are ready were handled in the order in which they had become so.

Change: the poller reports first those that tell of work that is not wanted any more, the links to other nodes and the watched callers, and takes up to 1024 events a round for that.

Evidence: test_source_peer, cancelled while it waits: red before, passes now.

--- a/src/edge/caller_watch.c
+++ b/src/edge/caller_watch.c
@@ -76,6 +76,7 @@
   caller->watched_socket = g_object_ref (socket);
   caller->close_watch = poller_add (
       g_socket_get_fd (socket), POLLER_IN | POLLER_HANGUP, on_ready, exchange);
+  poller_report_first (caller->close_watch);
 }
 
 /* Stop watching the caller's connection, which libsoup may have closed.  */
--- a/src/edge/link.c
+++ b/src/edge/link.c
@@ -1,5 +1,7 @@
 #include "edge/link_table.h"
 
+#include "edge/poller.h"
+
 #include <string.h>
 
 /* Closing */
@@ -166,6 +168,7 @@
   link->conn = socket != NULL ? conn_adopt (socket, on_link_event, link)
                               : conn_open (to, on_link_event, link);
   link->conn->reads_all = TRUE;
+  poller_report_first (link->conn->poll_handle);
   return link;
 }
 
--- a/src/edge/poller.c
+++ b/src/edge/poller.c
@@ -6,15 +6,16 @@
 #include <glib-unix.h>
 #include <sys/epoll.h>
 
-#define READY_MAX 64 /* events taken from epoll at a time */
+#define READY_MAX 1024 /* events taken from epoll at a time */
 
 /* A watched descriptor.  */
 struct poller_entry
 {
   int fd;         /* the descriptor */
   guint32 events; /* watched events, POLLER_ bits; 0: not in the epoll set */
-  poller_fn *fn;  /* called when an event is ready */
-  gpointer data;  /* argument of fn */
+  gboolean is_first; /* reported before the others that are ready */
+  poller_fn *fn;     /* called when an event is ready */
+  gpointer data;     /* argument of fn */
 };
 
 /* The epoll set of the process.  */
@@ -44,16 +45,16 @@
                 g_strerror (errno));
 }
 
-/* Report the ready events of the descriptor H.  An error or a hang-up makes
-   all watched events ready: the read or write that follows returns the
-   error.  */
+/* Report the ready events of the descriptor H if it is one that IS_FIRST.  An
+   error or a hang-up makes all watched events ready: the read or write that
+   follows returns the error.  */
 static void
-dispatch (struct handle h, guint32 epoll_events)
+dispatch (struct handle h, guint32 epoll_events, gboolean is_first)
 {
   const struct poller_entry *entry = table_get (&poller.entries, h);
   guint32 ready = 0;
 
-  if (entry == NULL)
+  if (entry == NULL || entry->is_first != is_first)
     return;
   if (epoll_events & EPOLLIN)
     ready |= POLLER_IN;
@@ -68,7 +69,8 @@
     entry->fn (ready, entry->data);
 }
 
-/* Report all descriptors of the epoll set that are ready.  */
+/* Report all descriptors of the epoll set that are ready, those that are to be
+   first before the others.  */
 static gboolean
 on_ready (gint fd, GIOCondition condition, gpointer data)
 {
@@ -81,7 +83,12 @@
   for (i = 0; i < count; i++)
     {
       struct handle h = { events[i].data.u32 };
-      dispatch (h, events[i].events);
+      dispatch (h, events[i].events, TRUE);
+    }
+  for (i = 0; i < count; i++)
+    {
+      struct handle h = { events[i].data.u32 };
+      dispatch (h, events[i].events, FALSE);
     }
   return G_SOURCE_CONTINUE;
 }
@@ -118,6 +125,18 @@
   return h;
 }
 
+/* Report the descriptor H before the others that are ready with it.  This is
+   for descriptors that tell which work is no longer wanted: the events of the
+   others may start such work.  */
+void
+poller_report_first (struct handle h)
+{
+  struct poller_entry *entry = table_get (&poller.entries, h);
+
+  if (entry != NULL)
+    entry->is_first = TRUE;
+}
+
 /* Watch the descriptor H for EVENTS instead.  A descriptor without events is
    removed from the epoll set, because epoll reports a hang-up even if no event
    is requested, and would wake the loop again and again.  */
--- a/tests/test_source_peer.c
+++ b/tests/test_source_peer.c
@@ -124,12 +124,62 @@
   bench_stop (&bench);
 }
 
+/* Run the main loop for as long as something is ready.  */
+static void
+run_ready (void)
+{
+  while (g_main_context_iteration (NULL, FALSE))
+    continue;
+}
+
+/* A request that waits for a slot does not reach the server if its
+   cancellation has arrived by the time at which a slot becomes free.  */
+static void
+test_cancelled_while_waiting (void)
+{
+  struct bench bench;
+  struct sender sender;
+  struct admission *admission = &bench.node.core.admission;
+  gint64 deadline = clock_usec () + CASE_USEC;
+  guint64 waiting;
+  guint running;
+
+  bench_start (&bench, NULL);
+  bench.keeps_serving = TRUE;
+  sender_init (&sender, &bench);
+  while (admission_has_free_slot (admission, clock_usec ())
+         && clock_usec () < deadline)
+    {
+      guint32 busy = admission->busy_slots;
+      forward (&sender, 0);
+      while (admission->busy_slots == busy && clock_usec () < deadline)
+        g_main_context_iteration (NULL, FALSE);
+    }
+  running = admission->busy_slots;
+  waiting = forward (&sender, 0);
+  while (
+      (bench.node.proxy.exchanges.count == running || bench.requests < running)
+      && clock_usec () < deadline)
+    g_main_context_iteration (NULL, FALSE);
+  run_ready ();
+  bench.response = "Content-Length: 5\r\n\r\nhello";
+  send_response (&bench, g_ptr_array_index (bench.connections, 0));
+  bench.requests = 0;
+  cancel (&sender, waiting);
+  run_until (&sender.replies);
+  run_ready ();
+  CU_ASSERT_EQUAL (bench.requests, 0);
+  links_clear (&sender.links);
+  bench_stop (&bench);
+}
+
 int
 main (void)
 {
   static CU_TestInfo tests[]
       = { { "cancelled before it was read", test_cancelled_before_read },
           { "cancelled behind a backlog", test_cancelled_behind_backlog },
+          { "cancelled while it waits", test_cancelled_while_waiting },
           CU_TEST_INFO_NULL };
 
   return suite_run ("source peer", tests);
