What a server says of itself in its answers is read and logged

Cause: nothing read the headers for a limit and for leaving, so neither the logs nor the decisions could know of them.

Change: platform/ decodes both into struct server_notice, which comes with the end of an attempt at the local server; event mesh-limit tells each change. No decision uses it yet.

--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -156,6 +156,7 @@
   body_init (&exchange->response_body);
   g_clear_pointer (&exchange->response.headers, soup_message_headers_unref);
   exchange->has_response = FALSE;
+  exchange->response.has_notice = FALSE;
 }
 
 /* Abort the attempt of exchange H for the core.  */
@@ -218,6 +219,8 @@
         && exchange->source.u.caller.head_sent;
   event.u.attempt_ended.load = exchange->response.load;
   event.u.attempt_ended.has_load = exchange->response.has_load;
+  event.u.attempt_ended.has_notice = exchange->response.has_notice;
+  event.u.attempt_ended.notice = exchange->response.notice;
   if (outcome == OUTCOME_NOT_RUN)
     {
       event.u.attempt_ended.stamp = exchange->response.stamp;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -6,6 +6,7 @@
 #include "edge/link.h"
 #include "types/action.h"
 #include "types/forward_msg.h"
+#include "types/server_notice.h"
 
 struct proxy;
 
@@ -105,6 +106,8 @@
   guint32 retry_after_msec;     /* delay before a retry, 0 for none */
   struct load_report load;      /* load of the node that responded */
   gboolean has_load;            /* the load was reported */
+  gboolean has_notice;          /* the local server answered */
+  struct server_notice notice;  /* what the local server said of itself */
 };
 
 struct exchange
--- a/src/edge/target_server.c
+++ b/src/edge/target_server.c
@@ -54,6 +54,8 @@
 
   if (class.has_load)
     report_load (exchange->proxy, &class.load);
+  exchange->response.has_notice = class.kind != RESPONSE_MISMATCHED;
+  exchange->response.notice = class.notice;
   switch (class.kind)
     {
     case RESPONSE_FAILED:
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -55,18 +55,19 @@
   gint64 started_at;             /* start of the process */
   gint64 last_event_at;          /* time of the last event */
   gint64 last_tick_at; /* last tick; a node that lags gets its ticks late */
-  gint64 members_changed_at;     /* time of the last change of a member */
+  gint64 members_changed_at; /* time of the last change of a member */
   gint64 store_read_at; /* last time at which the ends of the topics were read
                            to confirm the session */
   gint64 balance_paused_until; /* no handoff is planned before this time */
   gint64 map_received_at[MESH_MAP_TIMES]; /* ring of the times at which the
                                              last maps arrived */
   guint32 maps_received;                  /* number of maps that arrived */
-  gint64 next_balance_at;     /* shards are not balanced between members before
-                                 this time */
-  gint64 last_fetch_at;       /* last fetch of records from a peer */
-  gint64 server_answered_at;  /* last answer of the backend server */
-  gboolean store_lost;        /* the store does not answer this node */
+  gint64 next_balance_at;    /* shards are not balanced between members before
+                                this time */
+  gint64 last_fetch_at;      /* last fetch of records from a peer */
+  gint64 server_answered_at; /* last answer of the backend server */
+  struct server_notice server_notice; /* what that answer said of the server */
+  gboolean store_lost;                /* the store does not answer this node */
   gboolean initial_read_done; /* the fleet's topic was read to its end once */
   gboolean session_was_live;  /* the session was live at the last check */
   gint64 stop_requested_at; /* when the process was asked to stop, 0: never */
--- a/src/mesh/mesh_heartbeat.c
+++ b/src/mesh/mesh_heartbeat.c
@@ -115,7 +115,10 @@
     mesh_server_crashed (mesh, now, out);
   change = grant_on_heartbeat (&mesh->grant, heartbeat, now);
   if (change == GRANT_NEW_INSTANCE)
-    memset (&mesh->run_times, 0, sizeof mesh->run_times);
+    {
+      memset (&mesh->run_times, 0, sizeof mesh->run_times);
+      memset (&mesh->server_notice, 0, sizeof mesh->server_notice);
+    }
   answer = g_new0 (struct heartbeat_answer, 1);
   if (change != GRANT_OUTDATED)
     {
--- /dev/null
+++ b/src/mesh/mesh_notice.c
@@ -0,0 +1,41 @@
+#include "mesh/mesh_parts.h"
+
+/* Return the name of STATE for the log.  */
+static const char *
+limit_name (enum limit_notice state)
+{
+  switch (state)
+    {
+    case LIMIT_NOTICE_NONE:
+      return "none";
+    case LIMIT_NOTICE_NAMED:
+      return "named";
+    case LIMIT_NOTICE_UNREADABLE:
+      return "unreadable";
+    }
+  return "";
+}
+
+/* Return whether A and B say the same.  */
+static gboolean
+notice_equal (const struct server_notice *a, const struct server_notice *b)
+{
+  return a->limit == b->limit && a->limit_milli_per_s == b->limit_milli_per_s
+         && a->is_leaving == b->is_leaving;
+}
+
+/* Process NOTICE, what the local server said of itself in an answer.  */
+void
+mesh_on_notice (struct mesh *mesh, const struct server_notice *notice,
+                struct actions *out)
+{
+  if (notice_equal (notice, &mesh->server_notice))
+    return;
+  mesh->server_notice = *notice;
+  mesh_log (out, LOG_EVENT_MESH_LIMIT, mesh->grant.instance.id,
+            "limit=%s milli_per_s=%" G_GUINT64_FORMAT " leaving=%d"
+            " busy=%u/%u waiting=%u",
+            limit_name (notice->limit), notice->limit_milli_per_s,
+            notice->is_leaving, mesh->admission.busy_slots,
+            mesh->admission.slots, mesh->admission.queue->len);
+}
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -63,6 +63,10 @@
                      struct actions *out);
 void mesh_server_crashed (struct mesh *mesh, gint64 now, struct actions *out);
 
+/* What the local backend server says of itself, mesh_notice.c.  */
+void mesh_on_notice (struct mesh *mesh, const struct server_notice *notice,
+                     struct actions *out);
+
 /* The end of requests, mesh_end.c.  */
 const char *mesh_member_name (struct mesh *mesh, struct handle h);
 void mesh_remove_request (struct mesh *mesh, struct handle exchange,
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -7,6 +7,7 @@
 #include "types/record.h"
 #include "types/request.h"
 #include "types/routing.h"
+#include "types/server_notice.h"
 #include "types/view.h"
 
 /* Events: what the edge tells the core.  The time of an event is passed beside
@@ -128,6 +129,8 @@
   gboolean response_started; /* the caller was sent a part of the answer */
   gboolean has_load;         /* load holds a report of the other node */
   struct load_report load;   /* load that the other node reported */
+  gboolean has_notice;       /* notice holds what the local server said */
+  struct server_notice notice; /* notice in the local server's answer */
 };
 
 /* The caller or the peer of a request closed its connection.  */
--- /dev/null
+++ b/tests/test_dialect.c
@@ -0,0 +1,90 @@
+#include "platform/dialect.h"
+
+#include "edge/exchange.h"
+#include "edge/response_class.h"
+#include "tests/suite.h"
+
+#include <string.h>
+
+/* The head of the backend server's answers on the platform.  */
+
+/* Classify an answer with STATUS and the header lines in TEXT to a request
+   with the id r-1.  */
+static struct response_class
+classify (guint status, const char *text)
+{
+  struct exchange exchange = { 0 };
+  struct http_event event = { .kind = HTTP_HEAD, .status = status };
+  struct response_class class;
+  char *head = g_strdup_printf ("HTTP/1.1 200 OK\r\n%s", text);
+
+  g_strlcpy (exchange.request.id, "r-1", sizeof exchange.request.id);
+  event.headers = soup_message_headers_new (SOUP_MESSAGE_HEADERS_RESPONSE);
+  CU_ASSERT_TRUE (soup_headers_parse_response (
+      head, (int)strlen (head), event.headers, NULL, NULL, NULL));
+  class = dialect_platform_classify_response (&exchange, &event);
+  if (class.kind == RESPONSE_ACCEPTED)
+    soup_message_headers_unref (class.u.headers);
+  soup_message_headers_unref (event.headers);
+  g_free (head);
+  return class;
+}
+
+/* Return the notice in an answer with the header line LINE.  */
+static struct server_notice
+notice_of (const char *line)
+{
+  char *text
+      = g_strdup_printf ("Request-Id: r-1\r\nServer-Stamp: s\r\n%s", line);
+  struct response_class class = classify (200, text);
+
+  CU_ASSERT_EQUAL (class.kind, RESPONSE_ACCEPTED);
+  g_free (text);
+  return class.notice;
+}
+
+/* A limit is a decimal number; anything else is unreadable.  */
+static void
+test_limit (void)
+{
+  static const char *const unreadable[]
+      = { "", "-1", "1e3", "inf", "nan", "0x10", "1,5", "12a", ".", "1.2.3" };
+  guint i;
+
+  CU_ASSERT_EQUAL (notice_of ("").limit, LIMIT_NOTICE_NONE);
+  CU_ASSERT_EQUAL (notice_of ("Server-Limit: 23.8\r\n").limit,
+                   LIMIT_NOTICE_NAMED);
+  CU_ASSERT_EQUAL (notice_of ("Server-Limit: 23.8\r\n").limit_milli_per_s,
+                   23800);
+  CU_ASSERT_EQUAL (notice_of ("Server-Limit: 0\r\n").limit,
+                   LIMIT_NOTICE_NAMED);
+  CU_ASSERT_EQUAL (notice_of ("Server-Limit: 0\r\n").limit_milli_per_s, 0);
+  CU_ASSERT_EQUAL (notice_of ("Server-Limit: 99999999999999999999\r\n").limit,
+                   LIMIT_NOTICE_NONE);
+  for (i = 0; i < G_N_ELEMENTS (unreadable); i++)
+    {
+      char *line = g_strdup_printf ("Server-Limit: %s\r\n", unreadable[i]);
+      CU_ASSERT_EQUAL (notice_of (line).limit, LIMIT_NOTICE_UNREADABLE);
+      g_free (line);
+    }
+}
+
+/* Only a 1 says that the server leaves.  */
+static void
+test_leaving (void)
+{
+  CU_ASSERT_FALSE (notice_of ("").is_leaving);
+  CU_ASSERT_TRUE (notice_of ("Server-Leaving: 1\r\n").is_leaving);
+  CU_ASSERT_FALSE (notice_of ("Server-Leaving: 0\r\n").is_leaving);
+  CU_ASSERT_FALSE (notice_of ("Server-Leaving: maybe\r\n").is_leaving);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[] = { { "limit", test_limit },
+                                 { "leaving", test_leaving },
+                                 CU_TEST_INFO_NULL };
+
+  return suite_run ("dialect", tests);
+}
