A server gets no more requests than the limit that it names

Cause: a limit of the server that the system does not know. The admission bounds how many requests run at once, not how many start a second.

A request whose start comes too late for it is refused at once, also one that waits already when the limit is named; refused callers are told to return one after the other.

Why here: all requests to a server pass the node beside it, wherever they entered, so the sum over all nodes is kept by one of them.

Evidence: test_mesh_limit, server gets more than its limit and request beyond the limit is held: red on the commit before, pass now; test_server_limit.

--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -4,6 +4,15 @@
 
 #define RETRY_MSEC_MIN 50u /* shortest retry advice */
 
+/* A free place under a limit is noticed this long after it is due, at most. */
+#define START_DELAY_USEC ((gint64)30000)
+
+/* Until the server has answered it gets one part in this many of its slots,
+   at least UNANSWERED_SLOTS_MIN: it may have named a limit to an earlier
+   process of this node.  */
+#define UNANSWERED_DIVISOR 4u
+#define UNANSWERED_SLOTS_MIN 2u
+
 /* Share of the spare time before its due time that a request may be expected
    to spend in the queue.  The share is less than 100 because run times vary
    around their mean.  */
@@ -21,6 +30,8 @@
   admission->max_wait_percent = 100;
   memset (&admission->limiter, 0, sizeof admission->limiter);
   server_load_init (&admission->server_load);
+  memset (&admission->limit, 0, sizeof admission->limit);
+  admission->awaits_answer = FALSE;
   admission->queue
       = g_array_new (FALSE, TRUE, sizeof (struct admission_waiter));
 }
@@ -112,8 +123,9 @@
   server_load_on_shed (&admission->server_load);
 }
 
-/* Return how many slots may be in use at NOW: less than the server has while
-   it warms up, after refusals, and while it is loaded by others.  */
+/* Return how many slots may be in use at NOW: less than the server has until
+   it has answered, while it warms up, after refusals, and while it is loaded
+   by others.  */
 static guint32
 usable_slots (struct admission *admission, gint64 now)
 {
@@ -121,33 +133,47 @@
 
   if (slots == 0)
     return 0;
+  if (admission->awaits_answer)
+    return MIN (slots, MAX (slots / UNANSWERED_DIVISOR, UNANSWERED_SLOTS_MIN));
   return slots
          - MIN (server_load_withheld (&admission->server_load, now),
                 slots - 1);
 }
 
+/* Tell whether the server may be given one more request now: a slot is free
+   and the limit that the server names allows another start.  */
+static gboolean
+may_start (struct admission *admission, gint64 now)
+{
+  return admission->busy_slots < usable_slots (admission, now)
+         && server_limit_wait_usec (&admission->limit, 0, now) == 0;
+}
+
 /* Tell whether a request would run at once.  */
 gboolean
 admission_has_free_slot (struct admission *admission, gint64 now)
 {
-  return admission->busy_slots < usable_slots (admission, now)
-         && admission->queue->len == 0;
+  return admission->queue->len == 0 && may_start (admission, now);
 }
 
-/* Return after how many milliseconds a refused request may find a slot.  */
+/* Return after how many milliseconds a refused request may find a slot.  Under
+   a limit that the server names, each call returns a later time.  */
 guint32
 admission_retry_msec (struct admission *admission, gint64 now)
 {
-  gint64 wait = limiter_wait_usec (&admission->limiter, admission->queue->len,
-                                   usable_slots (admission, now));
+  guint32 queued = admission->queue->len;
+  gint64 wait = MAX (limiter_wait_usec (&admission->limiter, queued,
+                                        usable_slots (admission, now)),
+                     server_limit_retry_usec (&admission->limit, queued, now));
 
   return MAX ((guint32)(wait / USEC_PER_MSEC), RETRY_MSEC_MIN);
 }
 
 /* Mark one more slot as in use.  */
 static void
-take_slot (struct admission *admission)
+take_slot (struct admission *admission, gint64 now)
 {
+  server_limit_take (&admission->limit, now);
   admission->busy_slots++;
   admission->peak_busy = MAX (admission->peak_busy, admission->busy_slots);
 }
@@ -165,15 +191,31 @@
                                               struct admission_waiter, i)))
       forecast.requests_ahead++;
   forecast.wait_usec
-      = limiter_wait_usec (&admission->limiter, forecast.requests_ahead,
-                           usable_slots (admission, now));
+      = MAX (limiter_wait_usec (&admission->limiter, forecast.requests_ahead,
+                                usable_slots (admission, now)),
+             server_limit_wait_usec (&admission->limit,
+                                     forecast.requests_ahead, now));
   return forecast;
 }
 
+/* Return whether WAITER, behind AHEAD others, starts within its longest wait
+   under the limit that the server names.  */
+gboolean
+admission_starts_in_time (const struct admission *admission,
+                          const struct admission_waiter *waiter, guint32 ahead,
+                          gint64 now)
+{
+  gint64 wait = server_limit_wait_usec (&admission->limit, ahead, now);
+
+  return wait == 0 || now + wait + START_DELAY_USEC <= waiter->wait_until;
+}
+
 /* Return why WAITER must not enter the queue, or REASON_NONE.  Under overload,
    a queue of requests that end late would make all later ones late too, so a
    request is refused if its expected wait is too long.  One request may always
-   wait, so that the server has no idle slots.  */
+   wait for a slot, so that the server has no idle ones.  The wait under a
+   limit is certain, so a request that would not start in time is refused at
+   once.  */
 static enum reason
 check_wait (struct admission *admission, const struct admission_waiter *waiter,
             gint64 now)
@@ -183,6 +225,9 @@
 
   if (now + expected.wait_usec + expected.run_usec > waiter->deadline)
     return REASON_DEADLINE;
+  if (!admission_starts_in_time (admission, waiter, expected.requests_ahead,
+                                 now))
+    return REASON_OVERLOAD;
   if (expected.requests_ahead > 0 && waiter->due_at < waiter->deadline
       && expected.wait_usec > spare * WAIT_SPARE_PERCENT / 100)
     return REASON_OVERLOAD;
@@ -250,7 +295,7 @@
     return ADMISSION_REFUSE;
   if (admission_has_free_slot (admission, now))
     {
-      take_slot (admission);
+      take_slot (admission, now);
       return ADMISSION_RUN;
     }
   *reason = check_wait (admission, &waiter, now);
@@ -270,18 +315,25 @@
   admission->busy_slots--;
 }
 
+/* Free the slot of a request that was not sent to the server after all.  */
+void
+admission_give_back (struct admission *admission)
+{
+  server_limit_give_back (&admission->limit);
+  admission_release (admission);
+}
+
 /* Give a free slot to the first request in the queue and put that request into
    EXCHANGE.  Return FALSE if no slot is free or the queue is empty.  */
 gboolean
 admission_next (struct admission *admission, gint64 now,
                 struct handle *exchange)
 {
-  if (admission->queue->len == 0
-      || admission->busy_slots >= usable_slots (admission, now))
+  if (admission->queue->len == 0 || !may_start (admission, now))
     return FALSE;
   *exchange
       = g_array_index (admission->queue, struct admission_waiter, 0).exchange;
   g_array_remove_index (admission->queue, 0);
-  take_slot (admission);
+  take_slot (admission, now);
   return TRUE;
 }
--- a/src/decide/admission.h
+++ b/src/decide/admission.h
@@ -2,6 +2,7 @@
 #define BAMBOOTALLY_ADMISSION_H
 
 #include "decide/limiter.h"
+#include "decide/server_limit.h"
 #include "decide/server_load.h"
 #include "types/request.h"
 
@@ -45,7 +46,10 @@
   /* measured run times; limits slots after a start and refusals */
   struct limiter limiter;
   struct server_load server_load; /* load that the server reports */
-  GArray *queue;                  /* struct admission_waiter, in run order */
+  struct server_limit limit;      /* limit that the server names */
+  gboolean awaits_answer; /* no answer of the server has come yet that would
+                             name its limit */
+  GArray *queue;          /* struct admission_waiter, in run order */
 };
 
 /* Result of a request for a slot.  */
@@ -76,8 +80,14 @@
                                          const struct request *request,
                                          gint64 now, enum reason *reason);
 void admission_release (struct admission *admission);
+void admission_give_back (struct admission *admission);
 gboolean admission_next (struct admission *admission, gint64 now,
                          struct handle *exchange);
+gboolean admission_starts_in_time (const struct admission *admission,
+                                   const struct admission_waiter *waiter,
+                                   guint32 ahead, gint64 now);
+gboolean admission_evict_late (struct admission *admission, gint64 now,
+                               struct handle *exchange);
 gboolean admission_evict (struct admission *admission,
                           struct handle *exchange);
 gboolean admission_expire (struct admission *admission, gint64 now,
--- a/src/decide/dispatch.c
+++ b/src/decide/dispatch.c
@@ -202,7 +202,7 @@
           run_request (core, next, now, out);
           continue;
         }
-      admission_release (&core->admission);
+      admission_give_back (&core->admission);
       if (inflight != NULL)
         reply_not_run (core, next, reason, out);
     }
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -247,12 +247,27 @@
   return reason;
 }
 
+/* Refuse the requests in the queue that would not start in time under the
+   limit that the server names.  */
+static void
+refuse_late (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  struct handle late;
+
+  while (admission_evict_late (&mesh->admission, now, &late))
+    if (table_get (&mesh->requests, late) != NULL)
+      mesh_reject_here (mesh, late, REASON_OVERLOAD,
+                        admission_retry_msec (&mesh->admission, now), now,
+                        out);
+}
+
 /* Give the free slots to requests in the queue.  */
 void
 mesh_admit_queued (struct mesh *mesh, gint64 now, struct actions *out)
 {
   struct handle next;
 
+  refuse_late (mesh, now, out);
   while (admission_next (&mesh->admission, now, &next))
     {
       const struct mesh_request *request = table_get (&mesh->requests, next);
@@ -264,7 +279,7 @@
           run (mesh, next, now, out);
           continue;
         }
-      admission_release (&mesh->admission);
+      admission_give_back (&mesh->admission);
       if (request != NULL)
         mesh_reject_here (mesh, next, reason, 0, now, out);
     }
--- a/src/mesh/mesh_notice.c
+++ b/src/mesh/mesh_notice.c
@@ -27,8 +27,9 @@
 /* Process NOTICE, what the local server said of itself in an answer.  */
 void
 mesh_on_notice (struct mesh *mesh, const struct server_notice *notice,
-                struct actions *out)
+                gint64 now, struct actions *out)
 {
+  server_limit_on_notice (&mesh->admission.limit, notice, now);
   if (notice_equal (notice, &mesh->server_notice))
     return;
   mesh->server_notice = *notice;
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -65,7 +65,7 @@
 
 /* What the local backend server says of itself, mesh_notice.c.  */
 void mesh_on_notice (struct mesh *mesh, const struct server_notice *notice,
-                     struct actions *out);
+                     gint64 now, struct actions *out);
 
 /* The end of requests, mesh_end.c.  */
 const char *mesh_member_name (struct mesh *mesh, struct handle h);
--- a/src/mesh/mesh_run_end.c
+++ b/src/mesh/mesh_run_end.c
@@ -67,7 +67,7 @@
   admission_release (&mesh->admission);
   run_times_on_attempt (&mesh->run_times, is_success (event));
   if (event->has_notice)
-    mesh_on_notice (mesh, &event->notice, out);
+    mesh_on_notice (mesh, &event->notice, now, out);
   switch (event->outcome)
     {
     case OUTCOME_DONE:
