A node that has just started sends its server little until it has answered

What callers saw: nothing yet; after a restart of the node beside it a server under a low limit got a burst of as many requests as it has slots, while other nodes had long been told of the limit.

Cause: what the server said is lost with the process and not known before its next answer.

--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -21,6 +21,7 @@
   grant_init (&mesh->grant, now + settings->max_grant_usec);
   admission_init (&mesh->admission);
   mesh->admission.max_wait_percent = MAX_WAIT_PERCENT;
+  mesh->admission.awaits_answer = TRUE;
   key_rate_init (&mesh->key_rate);
   table_init (&mesh->peers, sizeof (struct peer_state));
   table_init (&mesh->requests, sizeof (struct mesh_request));
--- a/src/mesh/mesh_run_end.c
+++ b/src/mesh/mesh_run_end.c
@@ -66,6 +66,8 @@
 {
   admission_release (&mesh->admission);
   run_times_on_attempt (&mesh->run_times, is_success (event));
+  if (event->has_notice || event->outcome == OUTCOME_DONE)
+    mesh->admission.awaits_answer = FALSE;
   if (event->has_notice)
     mesh_on_notice (mesh, &event->notice, now, out);
   switch (event->outcome)
