Choices and the balance of keys know of a server's limit

What callers saw: requests were still sent to servers that may start few a second, since these run few at once and so looked idle; they were refused there.

Cause: the load that a node reports tells slots and run times, which a limit does not change.

Change: reported slots are those that the limit keeps busy, and the demand on a server is taken against its limit where that is less, so that callers are sent elsewhere and keys move away.

Evidence: test_mesh_limit, limit is missing from the load report: red before, passes now.

--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -78,8 +78,10 @@
                               + mesh->settings.heartbeat_usec - now)
                   / USEC_PER_MSEC);
   if (!grant_is_leaving (&mesh->grant) && !mesh->grant.presumed_dead)
-    load.slots
-        = limiter_slots (&mesh->admission.limiter, mesh->admission.slots, now);
+    load.slots = server_limit_slots (
+        &mesh->admission.limit,
+        limiter_slots (&mesh->admission.limiter, mesh->admission.slots, now),
+        run_times_mean (&mesh->run_times));
   return load;
 }
 
--- a/src/mesh/mesh_balance.c
+++ b/src/mesh/mesh_balance.c
@@ -38,17 +38,20 @@
 #define HOT_KEY_DIVISOR 3u
 
 /* Return the demand on the local server in thousandths of its capacity, from
-   the rate of its requests and their mean run time.  */
+   the rate of its requests and their mean run time, or from its limit if that
+   is less.  */
 guint32
 mesh_demand (const struct mesh *mesh)
 {
   const struct admission *admission = &mesh->admission;
+  guint32 rate = key_rate_total (&mesh->key_rate);
 
   if (admission->slots == 0)
     return 0;
-  return (guint32)((guint64)key_rate_total (&mesh->key_rate)
-                   * (guint64)run_times_mean (&mesh->run_times)
-                   / ((guint64)admission->slots * USEC_PER_MSEC));
+  return MAX (
+      (guint32)((guint64)rate * (guint64)run_times_mean (&mesh->run_times)
+                / ((guint64)admission->slots * USEC_PER_MSEC)),
+      server_limit_demand (&admission->limit, rate));
 }
 
 /* Return whether SHARD is owned by this node and has no next owner yet.  */
