A server that says in an answer that it leaves is taken to leave

What callers saw: nothing yet; a server that leaves without a draining heartbeat would get requests until it ends (DRAIN by answers).

Cause: leaving was known by heartbeats and deregistrations alone.

Change: an answer of the known instance that says so counts like a heartbeat that does: keys move away, no node chooses the server any more, and the node beside it gives it no request from a margin before the drain limit on. That node reads each answer before any node passes it on, so the bound holds for requests that enter anywhere. Notices in answers to requests from before the known instance are not used.

--- a/src/mesh/mesh_notice.c
+++ b/src/mesh/mesh_notice.c
@@ -24,12 +24,18 @@
          && a->is_leaving == b->is_leaving;
 }
 
-/* Process NOTICE, what the local server said of itself in an answer.  */
+/* Process NOTICE, what the local server said of itself in an answer.  A server
+   that leaves says so in its answers and perhaps not in its heartbeats.  */
 void
 mesh_on_notice (struct mesh *mesh, const struct server_notice *notice,
                 gint64 now, struct actions *out)
 {
   server_limit_on_notice (&mesh->admission.limit, notice, now);
+  if (notice->is_leaving && !grant_is_leaving (&mesh->grant))
+    {
+      grant_on_leaving (&mesh->grant, now);
+      mesh_plan_step (mesh, now, out);
+    }
   if (notice_equal (notice, &mesh->server_notice))
     return;
   mesh->server_notice = *notice;
--- a/src/mesh/mesh_run_end.c
+++ b/src/mesh/mesh_run_end.c
@@ -68,7 +68,7 @@
   run_times_on_attempt (&mesh->run_times, is_success (event));
   if (event->has_notice || event->outcome == OUTCOME_DONE)
     mesh->admission.awaits_answer = FALSE;
-  if (event->has_notice)
+  if (event->has_notice && request->sent_at >= mesh->grant.instance_since)
     mesh_on_notice (mesh, &event->notice, now, out);
   switch (event->outcome)
     {
--- a/src/shard/grant.c
+++ b/src/shard/grant.c
@@ -39,9 +39,11 @@
    keys yet, unless this process never received a heartbeat: then an earlier
    process of this node may have granted keys to INSTANCE.  */
 static void
-start_instance (struct grant *grant, const struct server_instance *instance)
+start_instance (struct grant *grant, const struct server_instance *instance,
+                gint64 now)
 {
   grant->instance = *instance;
+  grant->instance_since = now;
   grant->heartbeat_sequence = 0;
   grant->is_draining = FALSE;
   grant->is_deregistered = FALSE;
@@ -77,6 +79,15 @@
   g_array_append_val (grant->released_ranges, *range);
 }
 
+/* Record that the server announced at NOW that it stops.  */
+void
+grant_on_leaving (struct grant *grant, gint64 now)
+{
+  grant->is_draining = TRUE;
+  if (grant->leave_acked_at == 0)
+    grant->leave_acked_at = now;
+}
+
 /* Process HEARTBEAT, received at NOW.  */
 enum grant_change
 grant_on_heartbeat (struct grant *grant, const struct heartbeat *heartbeat,
@@ -89,7 +100,7 @@
     return GRANT_OUTDATED;
   if (!server_instance_equal (&heartbeat->instance, &grant->instance))
     {
-      start_instance (grant, &heartbeat->instance);
+      start_instance (grant, &heartbeat->instance, now);
       change = GRANT_NEW_INSTANCE;
     }
   else if (heartbeat->sequence <= grant->heartbeat_sequence)
@@ -106,11 +117,7 @@
   for (i = 0; i < heartbeat->released_count; i++)
     keep_token (grant, &heartbeat->released_ranges[i]);
   if (heartbeat->draining)
-    {
-      grant->is_draining = TRUE;
-      if (grant->leave_acked_at == 0)
-        grant->leave_acked_at = now;
-    }
+    grant_on_leaving (grant, now);
   return change;
 }
 
--- a/src/shard/grant.h
+++ b/src/shard/grant.h
@@ -19,11 +19,13 @@
 struct grant
 {
   struct server_instance instance; /* known instance; empty id: none */
-  guint64 heartbeat_sequence;      /* sequence number of the last heartbeat */
-  guint32 slots;                   /* requests that the server runs at once */
-  gboolean heartbeat_received;     /* this process has received a heartbeat */
-  gboolean is_draining;            /* the server has announced that it stops */
-  gboolean is_deregistered;        /* the server has deregistered */
+  gint64 instance_since;      /* since when this process knows that instance */
+  guint64 heartbeat_sequence; /* sequence number of the last heartbeat */
+  guint32 slots;              /* requests that the server runs at once */
+  gboolean heartbeat_received; /* this process has received a heartbeat */
+  gboolean is_draining;        /* the server has announced that it stops,
+                                  in a heartbeat or an answer */
+  gboolean is_deregistered;    /* the server has deregistered */
   gboolean presumed_dead;   /* the server refuses connections, or another one
                                answers in its place */
   gint64 leave_acked_at;    /* when the stop was acknowledged, 0: never */
@@ -55,6 +57,7 @@
                                       const struct heartbeat *heartbeat,
                                       gint64 now);
 gboolean grant_on_deregister (struct grant *grant, const char *id, gint64 now);
+void grant_on_leaving (struct grant *grant, gint64 now);
 void grant_on_key_denied (struct grant *grant, gint64 now);
 void grant_on_misdirected (struct grant *grant);
 gboolean grant_on_connection_refused (struct grant *grant, gint64 now);
