A restarted node does not take a leaving server for ready

What callers saw: nothing yet; after a restart of the node beside it, a server that leaves got requests again until it said so once more.

Cause: the node took the instance from its record in the store and passed over the record's state.

Change: a server whose record says that it drains gets no request from the new process; when it announced that is not known, so the drain limit counts as passed.

Evidence: test_mesh_leaving, leaving server is forgotten in a restart: red before, passes now; make test, 68 passed.

--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -53,7 +53,8 @@
 }
 
 /* Restore the grant that the server has from an earlier process of this node,
-   as far as the records show it.  */
+   as far as the records show it.  A server that was about to stop gets no more
+   requests: when it announced that is not known.  */
 static void
 restore_grant (struct mesh *mesh, gint64 now)
 {
@@ -68,6 +69,9 @@
       || mesh->grant.heartbeat_received)
     return;
   grant_restore_instance (&mesh->grant, &self->instance, self->slots);
+  if (self->state == MEMBER_DRAINING)
+    grant_on_leaving (&mesh->grant,
+                      MAX (1, now - mesh->settings.drain_limit_usec));
   admission_set_slots (&mesh->admission, self->slots, self->slots);
   if (map == NULL)
     return;
