Times of the platform that are too large stay times

Cause: milliseconds were multiplied without a bound, so a number near the largest became a negative time; a fraction beyond the range of integers was converted all the same.

--- a/tests/test_json_fields.c
+++ b/tests/test_json_fields.c
@@ -1,5 +1,6 @@
 #include "platform/json_fields.h"
 
+#include "platform/config.h"
 #include "platform/heartbeat.h"
 #include "platform/store_decode.h"
 #include "tests/suite.h"
@@ -96,6 +97,37 @@
     }
 }
 
+/* A time that is too large stays a time.  */
+static void
+test_times (void)
+{
+  static struct heartbeat heartbeat;
+  const char *text
+      = "{\"born\":7,\"address\":\"10.1.0.8:80\",\"info\":{\"service\":\"s\","
+        "\"slots\":6},\"status\":{\"state\":\"ready\",\"seq\":4,"
+        "\"cold-left-ms\":9223372036854775807}}";
+  const char *config
+      = "{\"version\":\"r1\",\"routes\":{\"columns\":[\"name\",\"host\","
+        "\"path-prefix\",\"route-type\",\"timeout-ms\","
+        "\"target-latency-ms\",\"service\"],\"rows\":[[\"a\",\"h\",\"/x/\","
+        "\"idempotent\",9223372036854775807,1e300,\"s\"]]},"
+        "\"services\":{\"columns\":[\"name\"],\"rows\":[[\"s\"]]}}";
+  struct routing *routing;
+  const struct route *route;
+
+  CU_ASSERT_EQUAL (platform_heartbeat_read ("s-1", (const guint8 *)text,
+                                            strlen (text), &heartbeat),
+                   ERR_NONE);
+  CU_ASSERT_TRUE (heartbeat.warmup_usec > 0);
+  routing = platform_config_read ((const guint8 *)config, strlen (config));
+  CU_ASSERT_PTR_NOT_NULL_FATAL (routing);
+  route = routing_match (routing, "h", "/x/");
+  CU_ASSERT_PTR_NOT_NULL_FATAL (route);
+  CU_ASSERT_TRUE (route->timeout_usec > 0);
+  CU_ASSERT_TRUE (route->target_latency_usec > 0);
+  routing_free (routing);
+}
+
 /* An address with a port out of range names no server.  */
 static void
 test_ports (void)
@@ -157,6 +189,7 @@
   static CU_TestInfo tests[]
       = { { "deep nesting ends the process", test_nesting },
           { "number too large", test_numbers },
+          { "time too large", test_times },
           { "port out of range", test_ports },
           { "odd item hides the others", test_page },
           CU_TEST_INFO_NULL };
