An answer without the request's id proves nothing about it

What callers saw elsewhere (report of another operator): a faulty server wrote an earlier refusal once more on a kept connection, and callers were told that requests had not run which the server was running.

Here: a refusal with another id was skipped already, a connection with a refusal on it is never used again, and one that receives bytes while idle is dropped. But a refusal without an id, or a 421, was taken for the request's own, and so was a success.

Cause: a missing id was taken for a matching one.

Change: such an answer ends the attempt as unknown. What a server says of itself is read only from answers with the id.

Evidence: test_dialect, refusal of another request is proof and success without an id is passed on: red before, pass now.

--- a/src/edge/response_class.h
+++ b/src/edge/response_class.h
@@ -28,8 +28,8 @@
   enum response_class_kind kind;
   gboolean has_load;             /* the server reported its load */
   struct event_server_load load; /* load reported by the server */
-  struct server_notice notice;   /* what the server says of itself; only for
-                                    responses to this request */
+  gboolean has_notice;           /* the response is to this request */
+  struct server_notice notice;   /* what the server says of itself in it */
   union
   {
     SoupMessageHeaders *headers;    /* headers to forward; the receiver of this
--- a/src/edge/target_server.c
+++ b/src/edge/target_server.c
@@ -54,7 +54,7 @@
 
   if (class.has_load)
     report_load (exchange->proxy, &class.load);
-  exchange->response.has_notice = class.kind != RESPONSE_MISMATCHED;
+  exchange->response.has_notice = class.has_notice;
   exchange->response.notice = class.notice;
   switch (class.kind)
     {
--- a/tests/test_dialect.c
+++ b/tests/test_dialect.c
@@ -79,12 +79,45 @@
   CU_ASSERT_FALSE (notice_of ("Server-Leaving: maybe\r\n").is_leaving);
 }
 
+/* A refusal proves that the request was not run only if it bears the request's
+   id: a faulty server may write one of an earlier request again.  */
+static void
+test_refusal (void)
+{
+  struct response_class class = classify (
+      503, "Request-Id: r-1\r\nNot-Executed: 1\r\n");
+
+  CU_ASSERT_EQUAL (class.kind, RESPONSE_FAILED);
+  CU_ASSERT_EQUAL (class.u.attempt_end.outcome, OUTCOME_NOT_RUN);
+  class = classify (503, "Request-Id: r-0\r\nNot-Executed: 1\r\n");
+  CU_ASSERT_EQUAL (class.kind, RESPONSE_MISMATCHED);
+  class = classify (503, "Not-Executed: 1\r\n");
+  CU_ASSERT_EQUAL (class.kind, RESPONSE_FAILED);
+  CU_ASSERT_EQUAL (class.u.attempt_end.outcome, OUTCOME_UNKNOWN);
+  class = classify (421, "");
+  CU_ASSERT_EQUAL (class.kind, RESPONSE_FAILED);
+  CU_ASSERT_EQUAL (class.u.attempt_end.outcome, OUTCOME_UNKNOWN);
+}
+
+/* A success without the request's id may be the answer to another one.  */
+static void
+test_success_without_id (void)
+{
+  struct response_class class = classify (200, "Server-Stamp: s\r\n");
+
+  CU_ASSERT_EQUAL (class.kind, RESPONSE_FAILED);
+  CU_ASSERT_EQUAL (class.u.attempt_end.outcome, OUTCOME_UNKNOWN);
+}
+
 int
 main (void)
 {
-  static CU_TestInfo tests[] = { { "limit", test_limit },
-                                 { "leaving", test_leaving },
-                                 CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[]
+      = { { "limit", test_limit },
+          { "leaving", test_leaving },
+          { "refusal of another request is proof", test_refusal },
+          { "success without an id is passed on", test_success_without_id },
+          CU_TEST_INFO_NULL };
 
   return suite_run ("dialect", tests);
 }
