A negative length makes a server's answer malformed

Cause: a length beyond the largest number, or below zero, was taken over as a count of bytes to read; the buffer was asked for more than it has.

Change: such an answer is malformed.

Evidence: test_http, length below zero: red before, passes now.

--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -75,6 +75,11 @@
       return ERR_NONE;
     }
   choose_framing (call, event.status, headers);
+  if (call->framing == HTTP_BY_LENGTH && call->remaining_bytes < 0)
+    {
+      soup_message_headers_unref (headers);
+      return ERR_MALFORMED;
+    }
   if (version == SOUP_HTTP_1_0
       || soup_message_headers_header_contains (headers, "Connection", "close"))
     call->keep_alive = FALSE;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -3,6 +3,7 @@
 #include "tests/suite.h"
 
 #include <string.h>
+#include <sys/socket.h>
 
 /* Tests the HTTP client against a server that sends the bytes given by each
    test, each part in a write of its own.  */
@@ -48,6 +49,19 @@
   run->send_timer = 0;
 }
 
+/* Whether the server resets the connections that it closes.  */
+static gboolean resets;
+
+/* Reset the server's connection, instead of ending it in order.  */
+static void
+reset_peer (struct run *run)
+{
+  struct linger drop = { .l_onoff = 1, .l_linger = 0 };
+
+  setsockopt (g_socket_get_fd (run->peer->socket), SOL_SOCKET, SO_LINGER,
+              &drop, sizeof drop);
+}
+
 /* Handle an event of the server's connection: respond to the first bytes.  */
 static void
 on_peer (struct conn *conn, const struct conn_event *event, gpointer data)
@@ -69,6 +83,8 @@
     run->send_timer = g_timeout_add (1, on_endless_timer, run);
   if (run->close)
     {
+      if (resets)
+        reset_peer (run);
       run->peer = NULL;
       conn_close (conn);
     }
@@ -229,6 +245,70 @@
   g_string_free (run.body, TRUE);
 }
 
+/* A response that stops in the middle of its head, or whose head ends in the
+   middle of a line, is none.  */
+static void
+test_cut_head (void)
+{
+  static const char *const heads[][2]
+      = { { "HTTP/1.1 200 OK\r\nContent-Len", NULL },
+          { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n", NULL },
+          { "HTTP/1.1 200 OK", NULL },
+          { "HTTP/1.1 200 OK\r\n\r", NULL } };
+  struct run run;
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (heads); i++)
+    {
+      run_case (&run, heads[i], TRUE, CALL_USEC);
+      CU_ASSERT_NOT_EQUAL (run.code, ERR_NONE);
+      CU_ASSERT_EQUAL (run.heads, 0);
+      CU_ASSERT_TRUE (run.sent);
+      g_string_free (run.body, TRUE);
+    }
+}
+
+/* A body that ends with its connection is complete if the connection ends in
+   order, and not if it is reset.  */
+static void
+test_reset_body (void)
+{
+  static const char *const parts[]
+      = { "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhel", NULL };
+  struct run run;
+
+  run_case (&run, parts, TRUE, CALL_USEC);
+  CU_ASSERT_EQUAL (run.code, ERR_NONE);
+  CU_ASSERT_STRING_EQUAL (run.body->str, "hel");
+  g_string_free (run.body, TRUE);
+  resets = TRUE;
+  run_case (&run, parts, TRUE, CALL_USEC);
+  resets = FALSE;
+  CU_ASSERT_NOT_EQUAL (run.code, ERR_NONE);
+  g_string_free (run.body, TRUE);
+}
+
+/* A length that is no number of bytes makes the response invalid.  */
+static void
+test_odd_length (void)
+{
+  static const char *const heads[][2]
+      = { { "HTTP/1.1 200 OK\r\nContent-Length: -2\r\n\r\nhello", NULL },
+          { "HTTP/1.1 200 OK\r\nContent-Length: "
+            "18446744073709551614\r\n\r\nhello",
+            NULL } };
+  struct run run;
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (heads); i++)
+    {
+      run_case (&run, heads[i], FALSE, 50000);
+      CU_ASSERT_NOT_EQUAL (run.code, ERR_NONE);
+      CU_ASSERT_EQUAL (run.body->len, 0);
+      g_string_free (run.body, TRUE);
+    }
+}
+
 /* Without a response the call ends at its deadline, and reports that bytes
    were sent.  */
 static void
@@ -288,13 +368,17 @@
 int
 main (void)
 {
-  static CU_TestInfo tests[] = { { "length", test_length },
-                                 { "chunks", test_chunks },
-                                 { "cut short", test_cut_short },
-                                 { "no response", test_no_response },
-                                 { "malformed", test_malformed },
-                                 { "endless", test_endless },
-                                 CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[]
+      = { { "length", test_length },
+          { "chunks", test_chunks },
+          { "cut short", test_cut_short },
+          { "head cut short is an answer", test_cut_head },
+          { "reset body is complete", test_reset_body },
+          { "length below zero", test_odd_length },
+          { "no response", test_no_response },
+          { "malformed", test_malformed },
+          { "endless", test_endless },
+          CU_TEST_INFO_NULL };
 
   return suite_run ("http", tests);
 }
