A failed send is not the end of an answer

What callers might have seen: a 200 with a short body, framed as whole, when a server sent an answer that ends with its connection, and reset the connection while the node was still sending the request's body.

Cause: a failed send was reported like an end in order.

Change: it is reported as an error; only an end of the stream is an end.

Evidence: test_conn, failed send is an end in order: red before, passes now.

--- a/src/edge/conn.h
+++ b/src/edge/conn.h
@@ -22,9 +22,9 @@
 struct conn_event
 {
   enum conn_event_kind kind;
-  enum err code; /* with CONN_CLOSED: ERR_CLOSED if the other end closed it or
-                    a send failed, ERR_IO after a read error, ERR_REFUSED if it
-                    could not be established */
+  enum err code; /* with CONN_CLOSED: ERR_CLOSED if the other end closed it in
+                    order, ERR_IO after a failed read or send, ERR_REFUSED if
+                    it could not be established */
 };
 
 struct conn;
--- a/src/edge/conn_io.c
+++ b/src/edge/conn_io.c
@@ -70,7 +70,7 @@
           g_clear_error (&error);
           if (!would_block)
             {
-              conn_fail (conn, ERR_CLOSED);
+              conn_fail (conn, ERR_IO);
               return FALSE;
             }
           conn_set_poll_events (conn, conn->poll_events | POLLER_OUT);
--- a/tests/test_conn.c
+++ b/tests/test_conn.c
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <errno.h>
+#include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -21,6 +22,8 @@
   int listener;      /* listening socket */
   int peer;          /* other end */
   guint connected;   /* CONN_CONNECTED was reported */
+  guint closed;      /* CONN_CLOSED was reported */
+  enum err code;     /* its code */
 };
 
 /* Record that the connection is established.  */
@@ -31,6 +34,10 @@
 
   (void)conn;
   pair->connected += event->kind == CONN_CONNECTED;
+  if (event->kind != CONN_CLOSED)
+    return;
+  pair->closed++;
+  pair->code = event->code;
 }
 
 /* Connect both ends.  */
@@ -44,7 +51,7 @@
   gint64 deadline = clock_usec () + CASE_USEC;
   struct address to = { LOCAL, 0 };
 
-  pair->connected = 0;
+  memset (pair, 0, sizeof *pair);
   pair->listener = socket (AF_INET, SOCK_STREAM, 0);
   setsockopt (pair->listener, SOL_SOCKET, SO_RCVBUF, &window, sizeof window);
   CU_ASSERT_EQUAL_FATAL (
@@ -111,12 +118,35 @@
   CU_ASSERT_EQUAL (read_to_end (&pair), 0);
 }
 
+/* A send that fails is not the end of the stream: a response whose body ends
+   with its connection is not complete then.  */
+static void
+test_failed_send (void)
+{
+  struct linger drop = { .l_onoff = 1, .l_linger = 0 };
+  gint64 deadline = clock_usec () + CASE_USEC;
+  struct pair pair;
+
+  pair_init (&pair);
+  while (conn_unsent (pair.conn) == 0)
+    send_much (&pair);
+  setsockopt (pair.peer, SOL_SOCKET, SO_LINGER, &drop, sizeof drop);
+  close (pair.peer);
+  close (pair.listener);
+  while (pair.closed == 0 && clock_usec () < deadline)
+    g_main_context_iteration (NULL, FALSE);
+  CU_ASSERT_EQUAL (pair.closed, 1);
+  CU_ASSERT_EQUAL (pair.code, ERR_IO);
+  conn_close (pair.conn);
+}
+
 int
 main (void)
 {
   static CU_TestInfo tests[]
       = { { "bytes are delivered after an abort", test_aborted },
           { "abort of an idle connection", test_aborted_idle },
+          { "failed send is an end in order", test_failed_send },
           CU_TEST_INFO_NULL };
 
   return suite_run ("conn", tests);
