One answer without it does not drop a server's limit

What callers saw: nothing yet; beside a server that spoils some of its answers, each spoiled one without the header would have dropped the limit, and the server had got a request in each of its slots before the next answer.

Cause: the last answer alone said whether there is a limit.

Change: a limit is dropped once answers without it have come for half a second.

Evidence: test_server_limit, limit is dropped by one answer: red before, passes now.

--- a/src/decide/server_limit.c
+++ b/src/decide/server_limit.c
@@ -10,6 +10,11 @@
    shows that the limit was raised.  */
 #define INTERVAL_MAX_USEC ((gint64)2000000)
 
+/* A limit is dropped once answers without it have come for this long.  A
+   single one may be spoiled, and the server would get a request in each slot.
+ */
+#define UNNAMED_USEC ((gint64)500000)
+
 /* Refused callers are told to return within this time after the wait that a
    request would have, one after the other.  */
 #define RETRY_SPREAD_USEC ((gint64)1000000)
@@ -35,10 +40,14 @@
   switch (notice->limit)
     {
     case LIMIT_NOTICE_NONE:
-      limit->is_named = FALSE;
+      if (limit->unnamed_since == 0)
+        limit->unnamed_since = now;
+      if (now - limit->unnamed_since >= UNNAMED_USEC)
+        limit->is_named = FALSE;
       break;
     case LIMIT_NOTICE_NAMED:
       limit->is_named = TRUE;
+      limit->unnamed_since = 0;
       limit->milli_per_s = notice->limit_milli_per_s;
       if (!before.is_named)
         limit->next_start_at = now + BURST_USEC;
--- a/src/decide/server_limit.h
+++ b/src/decide/server_limit.h
@@ -12,6 +12,8 @@
   guint64 milli_per_s;  /* the limit, thousandths of a request a second */
   gint64 next_start_at; /* when the next request starts if starts are evenly
                            spaced, monotonic usec */
+  gint64 unnamed_since; /* first answer without a limit since the last one with
+                           it, monotonic usec; 0: none */
   gint64 next_retry_at; /* when the next refused caller is to return,
                            monotonic usec */
 };
