The soak names limits and checks that they are kept

Cause: no run of our own had servers that name a limit; and the soak's servers refused without the request's id, which the platform's servers do not.

Change: one more fault, a server that names a limit of 1 to 5 requests a second for 8 to 20 s, and a check of the bound, not counted around faults of the node beside it and of the connection between them. Refusals bear the id.

--- a/soak/soak_cluster.c
+++ b/soak/soak_cluster.c
@@ -209,10 +209,11 @@
       cluster->random, 0, (gint32)cluster->host_count)];
 
   cluster->injected_fault_count++;
-  switch (g_rand_int_range (cluster->random, 0, 8))
+  switch (g_rand_int_range (cluster->random, 0, 9))
     {
     case 0:
       host->node.start_at = random_time (cluster, now, 100, 4000);
+      soak_limit_excuse (&host->server.limit, host->node.start_at);
       soak_node_signal (&host->node, SIGKILL);
       break;
     case 1:
@@ -220,6 +221,7 @@
       break;
     case 2:
       host->node.resume_at = random_time (cluster, now, 300, 7000);
+      soak_limit_excuse (&host->server.limit, host->node.resume_at);
       soak_node_signal (&host->node, SIGSTOP);
       break;
     case 3:
@@ -232,10 +234,16 @@
     case 5:
       soak_relay_set_mode (&host->server_relay, random_fault_mode (cluster));
       host->server_heal_at = random_time (cluster, now, 200, 3000);
+      soak_limit_excuse (&host->server.limit, host->server_heal_at);
       break;
     case 6:
       soak_server_begin_instance (&host->server);
       break;
+    case 7:
+      soak_limit_set (&host->server.limit,
+                      (guint)g_rand_int_range (cluster->random, 1, 6),
+                      random_time (cluster, now, 8000, 20000));
+      break;
     default:
       cluster->store.mode = (enum soak_store_mode)g_rand_int_range (
           cluster->random, SOAK_STORE_UNAVAILABLE,
@@ -260,6 +268,7 @@
       host->node.start_at = now;
       host->store_heal_at = now;
       host->server_heal_at = now;
+      soak_limit_set (&host->server.limit, 0, 0);
     }
 }
 
--- a/soak/soak_server.c
+++ b/soak/soak_server.c
@@ -10,6 +10,7 @@
 /* A request that runs.  */
 struct soak_run
 {
+  struct soak_server *server; /* server that runs it */
   SoupServerMessage *message; /* HTTP message of the request */
   char *request_id;           /* request id */
 };
@@ -31,18 +32,21 @@
 
 /* Requests */
 
-/* Refuse MESSAGE with status 421 and the header that says that it has not
-   run.  */
+/* Refuse MESSAGE, the request ID, with status 421 and the header that says
+   that it has not run.  */
 static void
-refuse (const struct soak_server *server, SoupServerMessage *message)
+refuse (struct soak_server *server, SoupServerMessage *message, const char *id)
 {
   SoupMessageHeaders *headers
       = soup_server_message_get_response_headers (message);
 
   soup_server_message_set_status (message, SOUP_STATUS_MISDIRECTED_REQUEST,
                                   NULL);
+  if (id != NULL)
+    soup_message_headers_append (headers, "Request-Id", id);
   soup_message_headers_append (headers, "Not-Executed", "1");
   soup_message_headers_append (headers, "Instance-Id", server->instance.id);
+  soak_limit_on_answer (&server->limit, headers, clock_usec ());
 }
 
 /* Answer a request whose run has ended.  Timer callback.  */
@@ -57,6 +61,7 @@
   soup_server_message_set_status (run->message, SOUP_STATUS_OK, NULL);
   soup_message_headers_append (headers, "Request-Id", run->request_id);
   soup_message_headers_append (headers, "Server-Stamp", "s");
+  soak_limit_on_answer (&run->server->limit, headers, clock_usec ());
   soup_server_message_set_response (run->message, "text/plain",
                                     SOUP_MEMORY_TAKE, body, strlen (body));
   soup_server_message_unpause (run->message);
@@ -84,6 +89,7 @@
   (void)http_server;
   (void)path;
   (void)query;
+  soak_limit_on_arrival (&server->limit, server->checker, clock_usec ());
   if (id == NULL
       || (expected_instance != NULL
           && strcmp (expected_instance, server->instance.id) != 0)
@@ -93,11 +99,12 @@
                                      (guint32)g_ascii_strtoull (key, NULL, 10),
                                      clock_usec ()))))
     {
-      refuse (server, message);
+      refuse (server, message, id);
       return;
     }
   soak_checker_run_started (server->checker, id);
   run = g_new0 (struct soak_run, 1);
+  run->server = server;
   run->message = g_object_ref (message);
   run->request_id = g_strdup (id);
   soup_server_message_pause (message);
@@ -116,6 +123,7 @@
   server->held_range_count = 0;
   server->released_range_count = 0;
   server->held_until = 0;
+  soak_limit_set (&server->limit, 0, 0);
   if (!server->heartbeat_pending)
     soak_server_schedule_heartbeat (server, FIRST_HEARTBEAT_MSEC);
 }
@@ -133,6 +141,7 @@
   server->http_client = http_client;
   server->checker = checker;
   server->heartbeat_answer = g_byte_array_new ();
+  soak_limit_init (&server->limit);
   server->http_server = soup_server_new (NULL, NULL);
   soup_server_add_handler (server->http_server, NULL, on_request, server,
                            NULL);
@@ -152,4 +161,5 @@
   soup_server_disconnect (server->http_server);
   g_object_unref (server->http_server);
   g_byte_array_unref (server->heartbeat_answer);
+  soak_limit_clear (&server->limit);
 }
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -3,6 +3,7 @@
 
 #include "edge/http.h"
 #include "soak/soak_checker.h"
+#include "soak/soak_limit.h"
 #include "types/heartbeat.h"
 
 /* A simulated backend server.  It sends heartbeats to its node, holds the key
@@ -16,7 +17,8 @@
   struct address announced_address; /* relay's address, sent in heartbeats */
   struct address control_address;   /* node's address for heartbeats */
   char service[NAME_SIZE];          /* name of the service */
-  gboolean sharded; /* a request runs only while its key is held */
+  gboolean sharded;        /* a request runs only while its key is held */
+  struct soak_limit limit; /* limit that the server names */
   struct server_instance instance; /* current run of the simulated process */
   guint64 heartbeat_seq;    /* number of the instance's last heartbeat */
   guint32 held_range_count; /* length of held_ranges */
