--- a/src/decide/admission_remove.c
+++ b/src/decide/admission_remove.c
@@ -20,8 +20,8 @@
 }
 
 /* Remove the last request from the queue that would not start within its
-   longest wait under the limit that the server names, and put it into
-   EXCHANGE. Return FALSE if there is none.  */
+   longest wait under the server's limit, and put it into EXCHANGE.  Return
+   FALSE if there is none.  */
 gboolean
 admission_evict_late (struct admission *admission, gint64 now,
                       struct handle *exchange)
--- a/src/decide/server_limit.c
+++ b/src/decide/server_limit.c
@@ -10,9 +10,8 @@
    shows that the limit was raised.  */
 #define INTERVAL_MAX_USEC ((gint64)2000000)
 
-/* A limit is dropped once answers without it have come for this long.  A
-   single one may be spoiled, and the server would get a request in each slot.
- */
+/* A limit is dropped once answers without it have come for this long, since a
+   single one may be spoiled.  */
 #define UNNAMED_USEC ((gint64)500000)
 
 /* Refused callers are told to return within this time after the wait that a
--- a/src/edge/conn.c
+++ b/src/edge/conn.c
@@ -179,9 +179,8 @@
   conn_set_poll_events (conn, conn->poll_events | POLLER_OUT);
 }
 
-/* Withdraw LENGTH queued bytes, of which the first was passed to conn_send
-   when queued_bytes was POSITION.  Return FALSE if any of them has been sent.
- */
+/* Withdraw the LENGTH bytes that were passed to conn_send when queued_bytes
+   was POSITION.  Return FALSE if any of them has been sent.  */
 gboolean
 conn_withdraw (struct conn *conn, guint64 position, gsize length)
 {
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -112,7 +112,8 @@
 
 /* Request path, towards the target */
 
-/* Abort the attempt in progress, so that another one can start.  */
+/* Abort the attempt in progress, so that another one can start.  What has not
+   been sent to another node is withdrawn.  */
 void
 target_abort (struct exchange *exchange)
 {
@@ -137,9 +138,9 @@
         if (links_withdraw (&proxy->links, peer->link, RPC_FORWARD_REQUEST,
                             peer->stream))
           break;
-        links_call_on (&proxy->links, exchange->target.u.peer.link, RPC_CANCEL,
-                       wire_forward_stream, &exchange->target.u.peer.stream,
-                       &tag, exchange->request.deadline);
+        links_call_on (&proxy->links, peer->link, RPC_CANCEL,
+                       wire_forward_stream, &peer->stream, &tag,
+                       exchange->request.deadline);
       }
       break;
     }
--- a/src/edge/target_peer.c
+++ b/src/edge/target_peer.c
@@ -110,11 +110,10 @@
 
 /* Replies */
 
-/* End an attempt whose RPC failed as EVENT says.  ERR_REFUSED shows that
-   nothing was sent, and ERR_MALFORMED that the arguments were rejected: in
-   both cases, and if the request was withdrawn, it was not run.  After a
-   timeout the other node may still have the request, and is told to drop it.
- */
+/* End an attempt whose RPC failed as EVENT says.  It was not run if nothing of
+   the request was sent (ERR_REFUSED, or it was withdrawn) or if its arguments
+   were rejected (ERR_MALFORMED).  After a timeout the other node may still
+   have the request, and is told to drop it.  */
 static void
 on_call_failed (struct exchange *exchange, const struct link_event *event)
 {
