An upload whose caller left before its head was read is not submitted

What callers saw: on a node that lags, the heads of uploads were sent to servers after their callers had left.

Cause: work begun on stale input. A long request is submitted with its head; the look at the connection saw the bytes of the body and not the close behind them.

Change: if bytes are there, the connection is asked for a hang-up as well.

Evidence: test_caller_watch, caller left before its upload was read: red before, passes now.

--- a/src/edge/caller_watch.c
+++ b/src/edge/caller_watch.c
@@ -3,6 +3,7 @@
 #include "edge/poller.h"
 
 #include <errno.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 /* Return TRUE if the caller at the other end of SOCKET has closed the
@@ -19,15 +20,28 @@
   return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
 }
 
+/* Return whether the caller at the other end of SOCKET has closed the
+   connection behind bytes that were not read.  */
+static gboolean
+is_hung_up (GSocket *socket)
+{
+  struct pollfd polled
+      = { .fd = g_socket_get_fd (socket), .events = POLLRDHUP };
+
+  return poll (&polled, 1, 0) > 0
+         && (polled.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 /* Return whether the caller of EXCHANGE has closed its connection.  */
 gboolean
 caller_watch_has_left (const struct exchange *exchange)
 {
   GSocket *socket
       = soup_server_message_get_socket (exchange->source.u.caller.message);
-  gboolean has_bytes;
+  gboolean has_bytes = FALSE;
 
-  return socket == NULL || is_closed (socket, &has_bytes);
+  return socket == NULL || is_closed (socket, &has_bytes)
+         || (has_bytes && is_hung_up (socket));
 }
 
 /* Cancel EXCHANGE, whose caller has left, and let libsoup end its paused
--- a/tests/test_caller_watch.c
+++ b/tests/test_caller_watch.c
@@ -63,6 +63,33 @@
   bench_stop (&bench);
 }
 
+/* The same for an upload, whose head is read with the body and the close
+   behind it.  */
+static void
+test_left_before_upload_read (void)
+{
+  static const char body[2 * BODY_CHUNK_BYTES];
+  struct bench bench;
+  char *head = g_strdup_printf ("POST /pay/x HTTP/1.1\r\nHost: h\r\n"
+                                "Content-Length: %zu\r\n\r\n",
+                                sizeof body);
+  int caller;
+
+  bench_start (&bench, "Content-Length: 5\r\n\r\nhello");
+  bench.keeps_serving = TRUE;
+  serve_one (&bench);
+  caller = connect_caller ();
+  send_text (caller, head);
+  CU_ASSERT_EQUAL (send (caller, body, sizeof body, MSG_NOSIGNAL),
+                   (ssize_t)sizeof body);
+  close (caller);
+  serve_one (&bench);
+  serve_one (&bench);
+  CU_ASSERT_EQUAL (bench.requests, 3);
+  g_free (head);
+  bench_stop (&bench);
+}
+
 /* A caller that has sent bytes of its next request and then leaves is
    noticed.  */
 static void
@@ -157,13 +184,14 @@
 int
 main (void)
 {
-  static CU_TestInfo tests[]
-      = { { "caller left before its request was read", test_left_before_read },
-          { "caller left behind bytes of its next request",
-            test_left_behind_next_request },
-          { "caller left during a paused upload",
-            test_left_during_paused_upload },
-          CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[] = {
+    { "caller left before its request was read", test_left_before_read },
+    { "caller left before its upload was read", test_left_before_upload_read },
+    { "caller left behind bytes of its next request",
+      test_left_behind_next_request },
+    { "caller left during a paused upload", test_left_during_paused_upload },
+    CU_TEST_INFO_NULL
+  };
 
   return suite_run ("caller watch", tests);
 }
