--- a/src/edge/caller_watch.c
+++ b/src/edge/caller_watch.c
@@ -21,7 +21,8 @@
 }
 
 /* Return whether the caller at the other end of SOCKET has closed the
-   connection behind bytes that were not read.  */
+   connection behind bytes that were not read.  FALSE if the system cannot
+   tell.  */
 static gboolean
 is_hung_up (GSocket *socket)
 {
--- a/src/edge/conn.c
+++ b/src/edge/conn.c
@@ -47,7 +47,7 @@
 }
 
 /* Return whether the socket of CONN has bytes that were sent and that the
-   other end has not acknowledged.  */
+   other end has not acknowledged.  FALSE if the system cannot tell.  */
 static gboolean
 has_undelivered (const struct conn *conn)
 {
