Tests share the start of a node and of a served connection

Cause: two new tests set up a node and a first request word for word as others do. Change: fixture_start in mesh_fixture.h, start_served in test_source_peer.

--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -139,10 +139,9 @@
     }
 }
 
-/* Set up a node with the other member, the configuration, a gossip message and
-   a heartbeat, and with its own records confirmed.  */
+/* Return a node "a" that has read and heard nothing yet.  */
 static inline struct fixture *
-fixture_new (void)
+fixture_start (void)
 {
   struct mesh_settings settings = { .name = "a",
                                     .service = OWN_SERVICE,
@@ -156,6 +155,16 @@
   fixture->now = START;
   actions_init (&fixture->actions);
   mesh_init (&fixture->mesh, &settings, fixture->now);
+  return fixture;
+}
+
+/* Set up a node with the other member, the configuration, a gossip message and
+   a heartbeat, and with its own records confirmed.  */
+static inline struct fixture *
+fixture_new (void)
+{
+  struct fixture *fixture = fixture_start ();
+
   add_other_member (fixture);
   add_services (fixture);
   gossip_from_other (fixture);
--- a/tests/test_mesh_leaving.c
+++ b/tests/test_mesh_leaving.c
@@ -117,19 +117,9 @@
 static gboolean
 serves_after_restart (enum member_state state)
 {
-  struct mesh_settings settings = { .name = "a",
-                                    .service = OWN_SERVICE,
-                                    .incarnation = 5,
-                                    .heartbeat_usec = 900 * MSEC,
-                                    .max_grant_usec = 10000 * MSEC,
-                                    .drain_limit_usec = 2000 * MSEC,
-                                    .stop_grace_usec = 6000 * MSEC };
-  struct fixture *fixture = g_new0 (struct fixture, 1);
+  struct fixture *fixture = fixture_start ();
   gboolean served;
 
-  fixture->now = START;
-  actions_init (&fixture->actions);
-  mesh_init (&fixture->mesh, &settings, fixture->now);
   add_own_record (fixture, state);
   add_services (fixture);
   served = is_served (fixture);
--- a/tests/test_source_peer.c
+++ b/tests/test_source_peer.c
@@ -74,6 +74,19 @@
               &stream, &tag, clock_usec () + CASE_USEC);
 }
 
+/* Start both, and let the server answer a request, so that a connection to it
+   is idle.  */
+static void
+start_served (struct bench *bench, struct sender *sender)
+{
+  bench_start (bench, "Content-Length: 5\r\n\r\nhello");
+  bench->keeps_serving = TRUE;
+  sender_init (sender, bench);
+  forward (sender, 0);
+  run_until (&sender->replies);
+  CU_ASSERT_EQUAL (bench->requests, 1);
+}
+
 /* A forwarded request does not reach the server if its cancellation has
    already arrived when it is read.  */
 static void
@@ -82,12 +95,7 @@
   struct bench bench;
   struct sender sender;
 
-  bench_start (&bench, "Content-Length: 5\r\n\r\nhello");
-  bench.keeps_serving = TRUE;
-  sender_init (&sender, &bench);
-  forward (&sender, 0);
-  run_until (&sender.replies);
-  CU_ASSERT_EQUAL (bench.requests, 1);
+  start_served (&bench, &sender);
   cancel (&sender, forward (&sender, 0));
   sender.replies = 0;
   forward (&sender, 0);
@@ -106,12 +114,7 @@
   guint64 streams[FILLER_CALLS];
   guint i;
 
-  bench_start (&bench, "Content-Length: 5\r\n\r\nhello");
-  bench.keeps_serving = TRUE;
-  sender_init (&sender, &bench);
-  forward (&sender, 0);
-  run_until (&sender.replies);
-  CU_ASSERT_EQUAL (bench.requests, 1);
+  start_served (&bench, &sender);
   for (i = 0; i < FILLER_CALLS; i++)
     streams[i] = forward (&sender, BODY_QUEUE_BYTES / 2);
   for (i = 0; i < FILLER_CALLS; i++)
