Keys granted by calls to the backend server

Cause: where the platform's servers take their keys from calls at their own address, nothing here sent these calls, so no key was ever granted.

Change: how a server is told its keys is a tagged union in struct grant: by the answers to its heartbeats (answer_grants) or by calls (lease_book). Who owns what stays one code. A release has a higher fence than the grants of its shard, and keys are given up only once it was answered. A 421 of the server closes the gate for the range until it is granted again, and a request goes to a server that denies its key at most twice.

--- a/scenarios/world_perform.c
+++ b/scenarios/world_perform.c
@@ -283,6 +283,7 @@
     case ACTION_MESH_REPLY:
     case ACTION_MESH_FETCH_REPLY:
     case ACTION_APPEND_FOR_PEER:
+    case ACTION_KEY_ORDER:
       break;
     case ACTION_EXIT:
       perform_exit (world, n);
--- a/src/edge/mesh_config.c
+++ b/src/edge/mesh_config.c
@@ -21,6 +21,7 @@
   { "listen", "peers", INI_ADDRESS, TRUE, 0, 0, NULL },
   { "server", "address", INI_ADDRESS, TRUE, 0, 0, NULL },
   { "server", "beat-ms", INI_DECIMAL, TRUE, 0, 0, NULL },
+  { "server", "grants", INI_CHOICE, FALSE, 0, 0, "heartbeat|call" },
   { "store", "address", INI_ADDRESS, TRUE, 0, 0, NULL },
   { "bounds", "hold-max-ms", INI_DECIMAL, FALSE, 0, 0, NULL },
   { "bounds", "drain-ms", INI_DECIMAL, FALSE, 0, 0, NULL },
@@ -44,6 +45,16 @@
   ini_address (ini, section, "peers", &config->mesh.peer_address);
 }
 
+/* Return how the server is told its keys, by the section server.  */
+static enum grant_method
+read_method (const struct ini *ini, const struct ini_section *section)
+{
+  char word[NAME_SIZE] = "";
+
+  ini_copy (ini, section, "grants", word, sizeof word);
+  return strcmp (word, "call") == 0 ? GRANT_BY_CALL : GRANT_BY_ANSWER;
+}
+
 /* Read the values of SECTION, which has been checked against the schema.  */
 static void
 read_section (struct mesh_config *config, const struct ini *ini,
@@ -64,6 +75,7 @@
       ini_address (ini, section, "address", &mesh->server_address);
       mesh->heartbeat_usec
           = ini_duration_usec (ini, section, "beat-ms", USEC_PER_MSEC, 0);
+      mesh->grant_method = read_method (ini, section);
     }
   else if (strcmp (section->kind, "store") == 0)
     ini_address (ini, section, "address", &config->store_address);
--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -50,7 +50,8 @@
   add_line (text, "gate_running", mesh->admission.busy_slots);
   add_line (text, "gate_waiting", mesh->admission.queue->len);
   add_line (text, "gate_slots", mesh->admission.slots);
-  add_line (text, "keys_granted_rows", mesh->grant.granted_count);
+  add_line (text, "keys_granted_rows",
+            grant_range_count (&mesh->grant, clock_usec ()));
   add_line (text, "store_newest_calls",
             (gint64)node->store.call_counts[STORE_NEWEST]);
   add_line (text, "store_read_calls",
--- a/src/edge/mesh_node.c
+++ b/src/edge/mesh_node.c
@@ -203,6 +203,20 @@
   return code;
 }
 
+/* Pass the end of a call for keys of the server to the decision logic.  */
+static void
+on_key_order (const struct key_order_result *result, gpointer data)
+{
+  struct event event = { .kind = EVENT_KEY_ORDER_ENDED };
+
+  event.u.key_order_ended.serial = result->serial;
+  event.u.key_order_ended.order = result->order;
+  event.u.key_order_ended.code = result->code;
+  g_strlcpy (event.u.key_order_ended.handover_token, result->handover_token,
+             sizeof event.u.key_order_ended.handover_token);
+  mesh_node_handle_event (data, &event);
+}
+
 /* Initialize the client of the store and the readers of its topics.  */
 static void
 init_store (struct mesh_node *node)
@@ -243,6 +257,8 @@
   mesh_init (&node->mesh, &node->config.mesh, clock_usec ());
   code = init_proxy (node);
   init_store (node);
+  key_orders_init (&node->key_orders, &node->proxy.http,
+                   node->proxy.server_address, on_key_order, node);
   if (code == ERR_NONE)
     code = mesh_front_init (node);
   if (code == ERR_NONE)
@@ -266,6 +282,7 @@
   topic_reader_clear (&node->fleet_reader);
   topic_reader_clear (&node->config_reader);
   store_clear (&node->store);
+  key_orders_clear (&node->key_orders);
   proxy_clear (&node->proxy);
   if (node->front != NULL)
     soup_server_disconnect (node->front);
--- a/src/edge/mesh_node.h
+++ b/src/edge/mesh_node.h
@@ -6,6 +6,7 @@
 #include "edge/proxy.h"
 #include "mesh/mesh.h"
 #include "platform/control_api.h"
+#include "platform/key_orders.h"
 #include "platform/topic_reader.h"
 #include "platform/store.h"
 
@@ -25,6 +26,7 @@
   struct proxy proxy;                /* data path */
   SoupServer *front;                 /* HTTP server for callers */
   struct control_api control_api;    /* heartbeats, readiness and metrics */
+  struct key_orders key_orders;      /* grants and releases of keys */
   struct store store;                /* client of the platform's store */
   struct topic_reader fleet_reader;  /* reads the fleet topic */
   struct topic_reader config_reader; /* reads the configuration topic */
--- a/src/edge/mesh_node_perform.c
+++ b/src/edge/mesh_node_perform.c
@@ -217,6 +217,11 @@
     case ACTION_APPEND_FOR_PEER:
       append_for_peer (node, &action->u.append_for_peer);
       break;
+    case ACTION_KEY_ORDER:
+      key_orders_send (&node->key_orders, action->u.key_order.serial,
+                       &action->u.key_order.order,
+                       action->u.key_order.deadline);
+      break;
     case ACTION_DROP_CONNECTIONS:
       drop_connections (node, &action->u.drop_connections);
       break;
--- a/src/edge/node_perform.c
+++ b/src/edge/node_perform.c
@@ -92,6 +92,7 @@
     case ACTION_MESH_REPLY:
     case ACTION_MESH_FETCH_REPLY:
     case ACTION_APPEND_FOR_PEER:
+    case ACTION_KEY_ORDER:
       break;
     case ACTION_EXIT:
       node->should_restart = action->u.exit.restart;
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -18,7 +18,8 @@
   mesh->random_count = settings->random_seed;
   mesh->members_changed_at = now;
   fleet_state_init (&mesh->fleet);
-  grant_init (&mesh->grant, now + settings->max_grant_usec);
+  grant_init (&mesh->grant, settings->grant_method,
+              now + settings->max_grant_usec);
   admission_init (&mesh->admission);
   mesh->admission.max_wait_percent = MAX_WAIT_PERCENT;
   mesh->admission.awaits_answer = TRUE;
@@ -73,10 +74,11 @@
           .demand_permille = mesh_demand (mesh),
           .failed_permille = mesh->run_times.failed_permille };
 
-  load.next_heartbeat_msec
-      = (guint32)(MAX (0, mesh->grant.last_heartbeat_at
-                              + mesh->settings.heartbeat_usec - now)
-                  / USEC_PER_MSEC);
+  if (mesh->grant.method == GRANT_BY_ANSWER)
+    load.next_heartbeat_msec
+        = (guint32)(MAX (0, mesh->grant.last_heartbeat_at
+                                + mesh->settings.heartbeat_usec - now)
+                    / USEC_PER_MSEC);
   if (!grant_is_leaving (&mesh->grant) && !mesh->grant.presumed_dead)
     load.slots = server_limit_slots (
         &mesh->admission.limit,
@@ -167,6 +169,7 @@
   mesh_liveness_step (mesh, now, out);
   mesh_gossip_step (mesh, now, out);
   mesh_session_step (mesh, now, out);
+  mesh_orders_step (mesh, now, out);
   mesh_plan_step (mesh, now, out);
   mesh_expire_requests (mesh, now, out);
   mesh_route_waiting (mesh, FALSE, now, out);
@@ -195,6 +198,7 @@
       mesh_liveness_step (mesh, now, out);
       mesh_gossip_step (mesh, now, out);
       mesh_plan_step (mesh, now, out);
+      mesh_orders_update (mesh, now, out);
       break;
     case EVENT_STORE_STATE:
       on_store (mesh, &event->u.store_state, now, out);
@@ -203,6 +207,7 @@
       mesh_append_ended (mesh, &event->u.store_appended, now, out);
       mesh_gossip_step (mesh, now, out);
       mesh_plan_step (mesh, now, out);
+      mesh_orders_update (mesh, now, out);
       break;
     case EVENT_HEARTBEAT:
       mesh_heartbeat (mesh, &event->u.heartbeat, now, out);
@@ -225,6 +230,9 @@
     case EVENT_MESH_REPLY:
       mesh_on_reply (mesh, &event->u.mesh_reply, now, out);
       break;
+    case EVENT_KEY_ORDER_ENDED:
+      mesh_order_ended (mesh, &event->u.key_order_ended, now, out);
+      break;
     case EVENT_DRAIN:
       begin_stop (mesh, now, out);
       break;
--- a/src/mesh/mesh_notice.c
+++ b/src/mesh/mesh_notice.c
@@ -35,6 +35,7 @@
     {
       grant_on_leaving (&mesh->grant, now);
       mesh_plan_step (mesh, now, out);
+      mesh_orders_update (mesh, now, out);
     }
   if (notice_equal (notice, &mesh->server_notice))
     return;
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -105,6 +105,13 @@
 void mesh_deregister (struct mesh *mesh, const struct event_deregister *event,
                       gint64 now, struct actions *out);
 
+/* Calls that grant the server keys, mesh_orders.c.  */
+void mesh_orders_update (struct mesh *mesh, gint64 now, struct actions *out);
+void mesh_orders_step (struct mesh *mesh, gint64 now, struct actions *out);
+void mesh_order_ended (struct mesh *mesh,
+                       const struct event_key_order_ended *event, gint64 now,
+                       struct actions *out);
+
 /* The store, mesh_store.c.  */
 void mesh_apply_records (struct mesh *mesh,
                          const struct event_fleet_records *event, gint64 now,
--- a/src/mesh/mesh_receiver.c
+++ b/src/mesh/mesh_receiver.c
@@ -61,7 +61,8 @@
 }
 
 /* Return how long keys that are released at NOW have no holder, until the
-   server of PEER sends a heartbeat and is granted them.  */
+   server of PEER sends a heartbeat and is granted them.  A server that is
+   granted keys by calls need not be waited for.  */
 static gint64
 unheld_usec_until (const struct mesh *mesh, const struct peer_state *peer,
                    gint64 now)
@@ -71,6 +72,8 @@
                    + (gint64)peer->load.next_heartbeat_msec * USEC_PER_MSEC;
   gint64 earliest_at = now + RELEASE_USEC;
 
+  if (mesh->settings.grant_method == GRANT_BY_CALL)
+    return 0;
   if (next_at < earliest_at)
     next_at += (earliest_at - next_at + interval_usec - 1) / interval_usec
                * interval_usec;
--- a/src/mesh/mesh_retry.c
+++ b/src/mesh/mesh_retry.c
@@ -9,6 +9,10 @@
    too late for the caller.  */
 #define ATTEMPT_MIN_USEC ((gint64)30000)
 
+/* A request is sent to servers that deny holding its key at most this many
+   times.  */
+#define DENIED_ATTEMPTS_MAX 2u
+
 /* A request of an unsharded service is sent to at most this many nodes.  */
 #define UNSHARDED_ATTEMPTS_MAX 3u
 
@@ -36,6 +40,7 @@
     case REASON_SERVER_DOWN:
     case REASON_MISDIRECTED:
     case REASON_SHED:
+    case REASON_KEY_DENIED:
       return TRUE;
     default:
       return FALSE;
@@ -55,8 +60,11 @@
   gint64 advice_usec = (gint64)event->retry_after_msec * USEC_PER_MSEC;
 
   exclude_last (request);
+  if (event->reason == REASON_KEY_DENIED)
+    request->denied_count++;
   if (request->request.forwarded || !event->body_replayable
       || left_usec < ATTEMPT_MIN_USEC
+      || request->denied_count >= DENIED_ATTEMPTS_MAX
       || (event->reason == REASON_SHED && !mesh_spend_retry (mesh, request)))
     mesh_refuse (mesh, exchange, event->reason, advice_usec, now, out);
   else if (sharded && may_run_soon (event->reason))
--- a/src/mesh/mesh_run_end.c
+++ b/src/mesh/mesh_run_end.c
@@ -80,8 +80,8 @@
       suspects_add_completed (&mesh->suspects, request->request.digest);
       break;
     case OUTCOME_NOT_RUN:
-      if (event->reason == REASON_NOT_OWNER)
-        grant_on_key_denied (&mesh->grant, now);
+      if (event->reason == REASON_KEY_DENIED)
+        grant_on_key_denied (&mesh->grant, request->request.slice, now);
       check_server_gone (mesh, event->reason, now, out);
       break;
     case OUTCOME_UNKNOWN:
--- a/src/serve/mesh_request.h
+++ b/src/serve/mesh_request.h
@@ -31,6 +31,8 @@
   gint64 sent_at;         /* when the current attempt began */
   gint64 retry_at;        /* when the request is routed again */
   struct handle sent_to;  /* member that the last attempt went to */
+  guint32 denied_count;   /* attempts at servers that denied to hold the
+                             key */
   guint32 tried_count;    /* attempts that failed or were refused; may exceed
                              MESH_REQUEST_TRIED_MAX */
 
--- a/src/shard/grant.c
+++ b/src/shard/grant.c
@@ -4,35 +4,59 @@
    between, gets no more requests.  */
 #define REFUSED_USEC ((gint64)100000)
 
-/* Time for a server to read the answer to its heartbeat.  */
-#define DENIED_USEC ((gint64)100000)
-
 /* A server without a heartbeat for this long is not expected to serve any
    more.  */
 #define HEARTBEAT_TIMEOUT_USEC ((gint64)3000000)
 
-#define RELEASED_MAX 128u /* released ranges that are kept */
-
-/* Initialize GRANT for an unknown server.  An earlier process of this node may
-   have granted ranges until GRANTED_UNTIL.  */
+/* Initialize GRANT for an unknown server that is told its keys by METHOD.  An
+   earlier process of this node may have granted ranges until
+   GRANTED_UNTIL.  */
 void
-grant_init (struct grant *grant, gint64 granted_until)
+grant_init (struct grant *grant, enum grant_method method,
+            gint64 granted_until)
 {
   memset (grant, 0, sizeof *grant);
+  grant->method = method;
   grant->granted_until = granted_until;
-  grant->held_ranges = g_new0 (struct key_range, HEARTBEAT_RANGES_MAX);
-  grant->granted_ranges = g_new0 (struct key_range, HEARTBEAT_RANGES_MAX);
-  grant->released_ranges
-      = g_array_new (FALSE, TRUE, sizeof (struct key_range));
+  switch (method)
+    {
+    case GRANT_BY_ANSWER:
+      answer_grants_init (&grant->u.answers);
+      break;
+    case GRANT_BY_CALL:
+      lease_book_init (&grant->u.calls);
+      break;
+    }
 }
 
 /* Free the memory of GRANT.  */
 void
 grant_clear (struct grant *grant)
 {
-  g_free (grant->held_ranges);
-  g_free (grant->granted_ranges);
-  g_array_free (grant->released_ranges, TRUE);
+  switch (grant->method)
+    {
+    case GRANT_BY_ANSWER:
+      answer_grants_clear (&grant->u.answers);
+      break;
+    case GRANT_BY_CALL:
+      lease_book_clear (&grant->u.calls);
+      break;
+    }
+}
+
+/* Forget the keys of a server that has ended.  */
+static void
+reset_keys (struct grant *grant)
+{
+  switch (grant->method)
+    {
+    case GRANT_BY_ANSWER:
+      answer_grants_reset (&grant->u.answers);
+      break;
+    case GRANT_BY_CALL:
+      lease_book_reset (&grant->u.calls);
+      break;
+    }
 }
 
 /* Start over with INSTANCE, a new process of the server.  INSTANCE holds no
@@ -50,11 +74,9 @@
   grant->presumed_dead = FALSE;
   grant->leave_acked_at = 0;
   grant->refused_since = 0;
-  grant->held_count = 0;
-  grant->granted_count = 0;
   if (grant->heartbeat_received)
     grant->granted_until = 0;
-  g_array_set_size (grant->released_ranges, 0);
+  reset_keys (grant);
 }
 
 /* Restore the server instance known to an earlier process of this node, until
@@ -69,16 +91,6 @@
   grant->slots = slots;
 }
 
-/* Keep RANGE, which was released, for its handover token; drop the oldest kept
-   range if there are RELEASED_MAX.  */
-static void
-keep_token (struct grant *grant, const struct key_range *range)
-{
-  if (grant->released_ranges->len >= RELEASED_MAX)
-    g_array_remove_index (grant->released_ranges, 0);
-  g_array_append_val (grant->released_ranges, *range);
-}
-
 /* Record that the server announced at NOW that it stops.  */
 void
 grant_on_leaving (struct grant *grant, gint64 now)
@@ -94,7 +106,6 @@
                     gint64 now)
 {
   enum grant_change change = GRANT_SAME_INSTANCE;
-  guint i;
 
   if (heartbeat->instance.started_at_msec < grant->instance.started_at_msec)
     return GRANT_OUTDATED;
@@ -111,11 +122,8 @@
   grant->heartbeat_sequence = heartbeat->sequence;
   grant->slots = heartbeat->slots;
   grant->last_heartbeat_at = now;
-  grant->held_count = heartbeat->held_count;
-  memcpy (grant->held_ranges, heartbeat->held_ranges,
-          heartbeat->held_count * sizeof *grant->held_ranges);
-  for (i = 0; i < heartbeat->released_count; i++)
-    keep_token (grant, &heartbeat->released_ranges[i]);
+  if (grant->method == GRANT_BY_ANSWER)
+    answer_grants_on_heartbeat (&grant->u.answers, heartbeat);
   if (heartbeat->draining)
     grant_on_leaving (grant, now);
   return change;
@@ -148,13 +156,20 @@
   return TRUE;
 }
 
-/* Record that the server rejected a request at NOW because it does not hold a
-   key that it was granted.  The server may not have read the grant yet, so it
-   gets no keyed requests for DENIED_USEC.  */
+/* Record that the server rejected a request at NOW because it does not hold
+   KEY, which it was granted.  */
 void
-grant_on_key_denied (struct grant *grant, gint64 now)
+grant_on_key_denied (struct grant *grant, guint32 key, gint64 now)
 {
-  grant->denied_until = now + DENIED_USEC;
+  switch (grant->method)
+    {
+    case GRANT_BY_ANSWER:
+      answer_grants_on_denied (&grant->u.answers, now);
+      break;
+    case GRANT_BY_CALL:
+      lease_book_on_denied (&grant->u.calls, key, now);
+      break;
+    }
 }
 
 /* Record that another server answered at the address: the known instance has
@@ -170,25 +185,18 @@
 grant_on_answered (struct grant *grant, const struct heartbeat_answer *answer,
                    gint64 now)
 {
-  if (!answer->renews_grant)
+  if (!answer->renews_grant || grant->method != GRANT_BY_ANSWER)
     return;
-  grant->granted_count = answer->range_count;
-  memcpy (grant->granted_ranges, answer->ranges,
-          answer->range_count * sizeof *grant->granted_ranges);
+  answer_grants_on_answered (&grant->u.answers, answer);
   grant->granted_until = MAX (grant->granted_until, now + answer->grant_usec);
 }
 
-/* Return whether one of COUNT RANGES contains a key from FIRST to LAST.  */
-static gboolean
-overlaps (const struct key_range *ranges, guint32 count, guint32 first,
-          guint32 last)
+/* Record that a grant was sent that the server counts as over at
+   GRANTED_UNTIL at the latest, unless it arrives late.  */
+void
+grant_on_order_sent (struct grant *grant, gint64 granted_until)
 {
-  guint i;
-
-  for (i = 0; i < count; i++)
-    if (ranges[i].first <= last && ranges[i].last >= first)
-      return TRUE;
-  return FALSE;
+  grant->granted_until = MAX (grant->granted_until, granted_until);
 }
 
 /* Return whether the server holds KEY at NOW to the knowledge of this
@@ -196,9 +204,16 @@
 gboolean
 grant_covers_key (const struct grant *grant, guint32 key, gint64 now)
 {
-  return now < grant->granted_until && !grant->presumed_dead
-         && now >= grant->denied_until
-         && overlaps (grant->granted_ranges, grant->granted_count, key, key);
+  if (now >= grant->granted_until || grant->presumed_dead)
+    return FALSE;
+  switch (grant->method)
+    {
+    case GRANT_BY_ANSWER:
+      return answer_grants_cover_key (&grant->u.answers, key, now);
+    case GRANT_BY_CALL:
+      return lease_book_covers_key (&grant->u.calls, key, now);
+    }
+  return FALSE;
 }
 
 /* Return whether the server has announced that it stops.  */
@@ -232,24 +247,54 @@
 grant_is_released (const struct grant *grant, const struct shard *shard,
                    gint64 now, const char **token)
 {
-  guint i;
+  gboolean released = FALSE;
+
+  switch (grant->method)
+    {
+    case GRANT_BY_ANSWER:
+      *token = answer_grants_token (&grant->u.answers, shard);
+      released = grant->heartbeat_received
+                 && !answer_grants_hold (&grant->u.answers, shard);
+      break;
+    case GRANT_BY_CALL:
+      released = lease_book_is_released (&grant->u.calls, shard, token);
+      break;
+    }
+  return released || grant_is_expired (grant, now);
+}
+
+/* Return whether SHARD cannot be granted under its fence any more.  */
+gboolean
+grant_is_surrendered (const struct grant *grant, const struct shard *shard)
+{
+  switch (grant->method)
+    {
+    case GRANT_BY_ANSWER:
+      return FALSE;
+    case GRANT_BY_CALL:
+      return lease_book_is_surrendered (&grant->u.calls, shard);
+    }
+  return FALSE;
+}
+
+/* Return whether the server said that it holds all of SHARD.  */
+gboolean
+grant_includes (const struct grant *grant, const struct shard *shard)
+{
+  return grant->method == GRANT_BY_ANSWER
+         && answer_grants_include (&grant->u.answers, shard);
+}
 
-  *token = "";
-  for (i = grant->released_ranges->len; i > 0; i--)
+/* Return the number of ranges that are granted at NOW.  */
+guint
+grant_range_count (const struct grant *grant, gint64 now)
+{
+  switch (grant->method)
     {
-      const struct key_range *range
-          = &g_array_index (grant->released_ranges, struct key_range, i - 1);
-      if (range->first <= shard->first && range->last >= shard->last)
-        {
-          *token = range->handover_token;
-          break;
-        }
+    case GRANT_BY_ANSWER:
+      return grant->u.answers.granted_count;
+    case GRANT_BY_CALL:
+      return lease_book_held_count (&grant->u.calls, now);
     }
-  if (grant_is_expired (grant, now))
-    return TRUE;
-  return grant->heartbeat_received
-         && !overlaps (grant->held_ranges, grant->held_count, shard->first,
-                       shard->last)
-         && !overlaps (grant->granted_ranges, grant->granted_count,
-                       shard->first, shard->last);
+  return 0;
 }
--- a/src/shard/grant.h
+++ b/src/shard/grant.h
@@ -1,18 +1,20 @@
 #ifndef BAMBOOTALLY_GRANT_H
 #define BAMBOOTALLY_GRANT_H
 
+#include "shard/answer_grants.h"
+#include "shard/lease_book.h"
+#include "types/grant_method.h"
 #include "types/heartbeat.h"
 #include "types/shard_map.h"
 
-/* The key ranges that the local backend server may hold, according to its
-   heartbeats and the answers to them.  Only this node grants keys to that
-   server.  So a key that was never granted is not held, and a granted key is
-   held until the server releases it, the grant expires or that server instance
-   has ended.  */
+/* The key ranges that the local backend server may hold, according to what
+   the server and this node told each other.  Only this node grants keys to
+   that server.  So a key that was never granted is not held, and a granted key
+   is held until the server releases it, the grant expires or that server
+   instance has ended.  */
 
-/* Percent by which a grant is shortened.  A grant counts from the sending of
-   the heartbeat, by a clock that may be 2 % slow; 1 % more covers
-   rounding.  */
+/* Percent by which a grant is shortened, since the server's clock may be 2 %
+   slow; 1 % more covers rounding.  */
 #define GRANT_DRIFT_PERCENT 3
 #define GRANT_MIN_USEC ((gint64)300000) /* shorter grants are not given */
 
@@ -32,15 +34,13 @@
   gint64 last_heartbeat_at; /* when the last heartbeat came, 0: never */
   gint64 refused_since; /* first refused connection since the last heartbeat,
                            0: none */
-  gint64 denied_until;  /* the server gets no keyed requests until then, since
-                           it denied holding a key */
   gint64 granted_until; /* end of the latest grant */
-  struct key_range *held_ranges;    /* held ranges, by the last heartbeat */
-  guint32 held_count;               /* used entries of `held_ranges' */
-  struct key_range *granted_ranges; /* granted ranges, by the last answer */
-  guint32 granted_count;            /* used entries of `granted_ranges' */
-  GArray *released_ranges; /* struct key_range: released ranges with unused
-                              handover tokens */
+  enum grant_method method; /* how the server is told its keys */
+  union
+  {
+    struct answer_grants answers; /* GRANT_BY_ANSWER */
+    struct lease_book calls;      /* GRANT_BY_CALL */
+  } u;
 };
 
 /* The instance that a heartbeat came from.  */
@@ -51,14 +51,15 @@
   GRANT_OUTDATED       /* an ended instance, or heartbeats out of order */
 };
 
-void grant_init (struct grant *grant, gint64 granted_until);
+void grant_init (struct grant *grant, enum grant_method method,
+                 gint64 granted_until);
 void grant_clear (struct grant *grant);
 enum grant_change grant_on_heartbeat (struct grant *grant,
                                       const struct heartbeat *heartbeat,
                                       gint64 now);
 gboolean grant_on_deregister (struct grant *grant, const char *id, gint64 now);
 void grant_on_leaving (struct grant *grant, gint64 now);
-void grant_on_key_denied (struct grant *grant, gint64 now);
+void grant_on_key_denied (struct grant *grant, guint32 key, gint64 now);
 void grant_on_misdirected (struct grant *grant);
 gboolean grant_on_connection_refused (struct grant *grant, gint64 now);
 void grant_restore_instance (struct grant *grant,
@@ -66,6 +67,7 @@
                              guint32 slots);
 void grant_on_answered (struct grant *grant,
                         const struct heartbeat_answer *answer, gint64 now);
+void grant_on_order_sent (struct grant *grant, gint64 granted_until);
 gboolean grant_covers_key (const struct grant *grant, guint32 key, gint64 now);
 gboolean grant_is_leaving (const struct grant *grant);
 gboolean grant_is_expired (const struct grant *grant, gint64 now);
@@ -73,5 +75,9 @@
 gboolean grant_is_released (const struct grant *grant,
                             const struct shard *shard, gint64 now,
                             const char **token);
+gboolean grant_is_surrendered (const struct grant *grant,
+                               const struct shard *shard);
+gboolean grant_includes (const struct grant *grant, const struct shard *shard);
+guint grant_range_count (const struct grant *grant, gint64 now);
 
 #endif
--- a/src/shard/shard_reconcile.c
+++ b/src/shard/shard_reconcile.c
@@ -13,8 +13,8 @@
 /* Return whether the server is to release SHARD, which this node owns.  A
    server that stops releases all shards as soon as another node can take
    them.  */
-static gboolean
-must_release (const struct shard *shard, const struct shard_owner *owner)
+gboolean
+shard_must_release (const struct shard *shard, const struct shard_owner *owner)
 {
   if (grant_is_leaving (owner->grant))
     return has_other_candidate (owner) || owner->grant->is_deregistered;
@@ -38,7 +38,7 @@
   return next;
 }
 
-/* Assign SHARD, which no server holds any more, to its next owner, or marks it
+/* Assign SHARD, which no server holds any more, to its next owner, or mark it
    as free.  */
 static void
 pass_on (struct shard_map *map, struct shard *shard,
@@ -56,6 +56,46 @@
   shard->next_owner[0] = '\0';
 }
 
+/* Assign SHARD, which was given up though this node is to keep it, to this
+   node under a new fence, once its server has released it.  Return whether
+   SHARD changed.  */
+static gboolean
+renew_fence (struct shard_map *map, struct shard *shard,
+             const struct shard_owner *owner)
+{
+  const struct candidate *self
+      = shard_find_candidate (owner->candidates, owner->node_name);
+  const char *token;
+
+  if (!grant_is_released (owner->grant, shard, owner->now, &token))
+    return FALSE;
+  if (self != NULL)
+    shard_assign (map, shard, self, token);
+  else
+    pass_on (map, shard, owner, token);
+  return TRUE;
+}
+
+/* Split the shards of MAP where a release of part of them begins or ends.  */
+static void
+split_surrendered (struct shard_map *map, const struct grant *grant)
+{
+  guint i;
+
+  if (grant->method != GRANT_BY_CALL)
+    return;
+  for (i = 0; i < grant->u.calls.leases->len; i++)
+    {
+      const struct key_lease *lease
+          = &g_array_index (grant->u.calls.leases, struct key_lease, i);
+      if (lease->state < KEY_LEASE_RELEASING)
+        continue;
+      shard_map_split (map, lease->first);
+      if (lease->last + 1 < SHARD_KEY_COUNT)
+        shard_map_split (map, lease->last + 1);
+    }
+}
+
 /* Update SHARD, which belongs to the known instance of this node's server.
    Return whether it changed.  */
 static gboolean
@@ -78,13 +118,15 @@
       pass_on (map, shard, owner, "");
       return TRUE;
     }
-  if (must_release (shard, owner))
+  if (shard_must_release (shard, owner))
     {
       if (!grant_is_released (grant, shard, owner->now, &token))
         return FALSE;
       pass_on (map, shard, owner, token);
       return TRUE;
     }
+  if (grant_is_surrendered (grant, shard))
+    return renew_fence (map, shard, owner);
   if (shard->next_owner[0] == '\0')
     return FALSE;
   shard->next_owner[0] = '\0';
@@ -103,6 +145,7 @@
   gboolean changed = FALSE;
   guint i;
 
+  split_surrendered (map, grant);
   for (i = 0; i < map->shards->len; i++)
     {
       struct shard *shard = shard_map_at (map, i);
@@ -128,19 +171,6 @@
   return changed;
 }
 
-/* Return whether the server already holds all of SHARD.  */
-static gboolean
-is_held (const struct grant *grant, const struct shard *shard)
-{
-  guint i;
-
-  for (i = 0; i < grant->held_count; i++)
-    if (grant->held_ranges[i].first <= shard->first
-        && grant->held_ranges[i].last >= shard->last)
-      return TRUE;
-  return FALSE;
-}
-
 /* Add SHARD to the ranges of ANSWER.  Extend the previous range if fence and
    handover token allow it.  */
 static void
@@ -183,9 +213,34 @@
       if (shard->state != SHARD_HELD
           || strcmp (shard->owner, owner->node_name) != 0
           || !server_instance_equal (&shard->instance, &owner->grant->instance)
-          || must_release (shard, owner))
+          || shard_must_release (shard, owner))
         continue;
       add_range (answer, shard,
-                 is_held (owner->grant, shard) ? "" : shard->handover_token);
+                 grant_includes (owner->grant, shard) ? ""
+                                                      : shard->handover_token);
+    }
+}
+
+/* Append to PIECES, an array of struct lease_piece whose tokens point into
+   MAP, what is to be done with each shard of MAP that the server is granted by
+   calls.  */
+void
+shard_lease_pieces (const struct shard_map *map,
+                    const struct shard_owner *owner, GArray *pieces)
+{
+  guint i;
+
+  for (i = 0; i < map->shards->len; i++)
+    {
+      const struct shard *shard = shard_map_at (map, i);
+      struct lease_piece piece = { shard->first, shard->last, shard->fence,
+                                   shard->handover_token, FALSE };
+      if (shard->state != SHARD_HELD
+          || strcmp (shard->owner, owner->node_name) != 0
+          || !server_instance_equal (&shard->instance,
+                                     &owner->grant->instance))
+        continue;
+      piece.release = shard_must_release (shard, owner);
+      g_array_append_val (pieces, piece);
     }
 }
--- a/src/types/action.c
+++ b/src/types/action.c
@@ -30,6 +30,7 @@
     case ACTION_APPEND_FOR_PEER:
       g_free (action->u.append_for_peer.append.bytes);
       break;
+    case ACTION_KEY_ORDER:
     case ACTION_READ_TOPIC_ENDS:
     case ACTION_MESH_CALL:
     case ACTION_MESH_REPLY:
--- a/src/types/action.h
+++ b/src/types/action.h
@@ -2,6 +2,7 @@
 #define BAMBOOTALLY_ACTION_H
 
 #include "types/heartbeat.h"
+#include "types/key_order.h"
 #include "types/mesh_msg.h"
 #include "types/peer_msg.h"
 #include "types/record.h"
@@ -33,7 +34,8 @@
   ACTION_MESH_CALL,        /* mesh: call another node */
   ACTION_MESH_REPLY,       /* mesh: reply to a call from another node */
   ACTION_MESH_FETCH_REPLY, /* mesh: reply with records and the configuration */
-  ACTION_APPEND_FOR_PEER   /* mesh: append for another node, then reply */
+  ACTION_APPEND_FOR_PEER,  /* mesh: append for another node, then reply */
+  ACTION_KEY_ORDER         /* mesh: grant the server keys or take them back */
 };
 
 /* Append a record.  The action owns the record.  */
@@ -198,6 +200,14 @@
   struct mesh_append append; /* record to append; the action owns its bytes */
 };
 
+/* Make a call that grants the backend server keys or takes them back.  */
+struct action_key_order
+{
+  guint64 serial;         /* id of the call, repeated in its result */
+  gint64 deadline;        /* when the call times out, monotonic microseconds */
+  struct key_order order; /* the call */
+};
+
 /* An action with its arguments.  */
 struct action
 {
@@ -224,6 +234,7 @@
     struct action_mesh_reply mesh_reply;
     struct action_mesh_fetch_reply mesh_fetch_reply;
     struct action_append_for_peer append_for_peer;
+    struct action_key_order key_order;
   } u;
 };
 
--- a/src/types/log_event.c
+++ b/src/types/log_event.c
@@ -70,6 +70,7 @@
   { LOG_EVENT_MESH_SETTINGS, "mesh-settings" },
   { LOG_EVENT_MESH_BAD_INPUT, "mesh-bad-input" },
   { LOG_EVENT_MESH_BALANCE, "mesh-balance" },
+  { LOG_EVENT_MESH_ORDER, "mesh-order" },
 };
 
 /* Return the name of event ID, as listed in docs/EVENTS.md.  */
--- a/src/types/log_event.h
+++ b/src/types/log_event.h
@@ -78,7 +78,8 @@
   LOG_EVENT_MESH_STOP = 631,      /* the process was asked to stop, or stops */
   LOG_EVENT_MESH_SETTINGS = 632,  /* the settings were reloaded */
   LOG_EVENT_MESH_BAD_INPUT = 633, /* input was skipped as malformed */
-  LOG_EVENT_MESH_BALANCE = 634    /* keys are moved to balance the load */
+  LOG_EVENT_MESH_BALANCE = 634,   /* keys are moved to balance the load */
+  LOG_EVENT_MESH_ORDER = 635      /* a call for keys of the server ended */
 };
 
 #define LOG_EVENT_DETAIL_SIZE 384u /* bytes of details */
--- a/src/types/reason.h
+++ b/src/types/reason.h
@@ -30,8 +30,9 @@
   REASON_BAD_RESPONSE = 22,     /* not an answer of the server */
   REASON_NO_CONFIG = 23,        /* this node has no configuration yet */
   REASON_MISDIRECTED = 24,      /* another server listens on the address */
-  REASON_SHED = 25, /* the server shed the request without running it */
-  REASON_COUNT = 26 /* number of reasons */
+  REASON_SHED = 25,       /* the server shed the request without running it */
+  REASON_KEY_DENIED = 26, /* the server does not hold the key */
+  REASON_COUNT = 27       /* number of reasons */
 };
 
 const char *reason_name (enum reason reason);
--- a/tests/mesh_sim.h
+++ b/tests/mesh_sim.h
@@ -3,6 +3,7 @@
 
 #include "tests/mesh_sim_check.h"
 #include "tests/mesh_sim_messages.h"
+#include "tests/mesh_sim_orders.h"
 #include "tests/mesh_sim_send.h"
 #include "tests/suite.h"
 
@@ -17,6 +18,7 @@
 {
   struct sim_node *node = &sim->nodes[i];
   struct mesh_settings settings = { .heartbeat_usec = HEARTBEAT_USEC,
+                                    .grant_method = sim->method,
                                     .max_grant_usec = 10 * USEC_PER_SEC,
                                     .drain_limit_usec = 2 * USEC_PER_SEC,
                                     .stop_grace_usec = 6 * USEC_PER_SEC };
@@ -53,7 +55,14 @@
   struct sim_server *server = &sim->nodes[i].server;
   gint64 started_at_msec = server->instance.started_at_msec + 1;
 
+  g_free (server->holds);
+  g_free (server->seen_fence);
   memset (server, 0, sizeof *server);
+  if (sim->method == GRANT_BY_CALL)
+    {
+      server->holds = g_new0 (struct sim_hold, SHARD_KEY_COUNT);
+      server->seen_fence = g_new0 (guint64, SHARD_KEY_COUNT);
+    }
   g_snprintf (server->instance.id, sizeof server->instance.id, "s%u", i);
   server->instance.started_at_msec = started_at_msec;
   server->is_up = TRUE;
@@ -168,6 +177,12 @@
     case SIM_TIMEOUT:
       on_timeout (sim, message);
       break;
+    case SIM_ORDER:
+      on_order (sim, message);
+      break;
+    case SIM_ORDER_ENDED:
+      on_order_ended (sim, message);
+      break;
     case SIM_HEARTBEAT_ANSWER:
       on_heartbeat_answer (sim, message);
       g_free (message->answer);
@@ -225,12 +240,16 @@
         send_message (sim, &read, draw_msec (sim, 3, 30));
       feed_node (sim, i, &tick);
     }
-  check_holders (sim);
+  if (sim->method == GRANT_BY_CALL)
+    check_gates (sim);
+  else
+    check_holders (sim);
 }
 
-/* Set up a simulation from SEED.  */
+/* Set up a simulation from SEED, with servers that are told their keys by
+   METHOD.  */
 static inline struct sim *
-sim_new (guint32 seed)
+sim_new (guint32 seed, enum grant_method method)
 {
   struct sim *sim = g_new0 (struct sim, 1);
   guint i;
@@ -239,6 +258,7 @@
   sim->messages = g_array_new (FALSE, TRUE, sizeof (struct sim_message));
   sim->random = g_rand_new_with_seed (seed);
   sim->now = 100 * USEC_PER_SEC;
+  sim->method = method;
   for (i = 0; i < SIM_NODES; i++)
     {
       start_server (sim, i);
@@ -254,7 +274,11 @@
   guint i;
 
   for (i = 0; i < SIM_NODES; i++)
-    kill_node (sim, i);
+    {
+      kill_node (sim, i);
+      g_free (sim->nodes[i].server.holds);
+      g_free (sim->nodes[i].server.seen_fence);
+    }
   for (i = 0; i < sim->messages->len; i++)
     {
       struct sim_message *message
--- a/tests/mesh_sim_check.h
+++ b/tests/mesh_sim_check.h
@@ -45,6 +45,24 @@
     }
 }
 
+/* Return how many keys are held now by servers that are granted them by
+   calls.  */
+static inline guint
+keys_held_by_call (const struct sim *sim)
+{
+  guint keys = 0;
+  guint32 key;
+  guint i;
+
+  for (key = 0; key < SHARD_KEY_COUNT; key++)
+    for (i = 0; i < SIM_NODES; i++)
+      if (sim->nodes[i].server.is_up
+          && sim->nodes[i].server.holds[key].until > sim->now
+          && grant_covers_key (&sim->nodes[i].mesh.grant, key, sim->now))
+        keys++;
+  return keys;
+}
+
 /* Return how many keys are held by some server now.  */
 static inline guint
 held_keys (const struct sim *sim)
@@ -53,6 +71,8 @@
   guint i;
   guint k;
 
+  if (sim->method == GRANT_BY_CALL)
+    return keys_held_by_call (sim);
   for (i = 0; i < SIM_NODES; i++)
     {
       const struct sim_server *server = &sim->nodes[i].server;
--- a/tests/mesh_sim_send.h
+++ b/tests/mesh_sim_send.h
@@ -96,6 +96,24 @@
                                       sizeof (struct heartbeat_answer));
           send_message (sim, &message, draw_msec (sim, 1, 3));
           break;
+        case ACTION_KEY_ORDER:
+          message.kind = SIM_ORDER;
+          message.serial = action->u.key_order.serial;
+          message.order = action->u.key_order.order;
+          message.started_at = sim->now;
+          message.born_msec
+              = sim->nodes[i].mesh.grant.instance.started_at_msec;
+          message.is_late
+              = sim->now < sim->calm_at
+                && g_rand_int_range (sim->random, 0, LATE_ONE_IN) == 0;
+          send_message (sim, &message,
+                        message.is_late ? draw_msec (sim, 2000, 12000)
+                                        : draw_msec (sim, 1, 3));
+          message.kind = SIM_ORDER_ENDED;
+          message.code = ERR_INDETERMINATE;
+          send_message (sim, &message,
+                        action->u.key_order.deadline - sim->now);
+          break;
         default:
           break;
         }
--- a/tests/mesh_sim_types.h
+++ b/tests/mesh_sim_types.h
@@ -10,18 +10,22 @@
 #define HEARTBEAT_USEC ((gint64)900000)
 #define ANSWER_TIMEOUT_USEC ((gint64)1000000) /* later answers are ignored */
 #define SERVICE "keys"
+#define LATE_ONE_IN 5 /* one call for keys in this many is carried out late   \
+                       */
 
 /* Type of a message on its way.  */
 enum sim_message_kind
 {
-  SIM_APPEND,          /* a record to the store */
-  SIM_APPENDED,        /* the end of an append */
-  SIM_READ,            /* a read of the store */
-  SIM_RECORDS,         /* the result of a read */
-  SIM_CALL,            /* a call to a node */
-  SIM_REPLY,           /* the reply to a call */
-  SIM_TIMEOUT,         /* no reply came in time */
-  SIM_HEARTBEAT_ANSWER /* an answer to a server's heartbeat */
+  SIM_APPEND,           /* a record to the store */
+  SIM_APPENDED,         /* the end of an append */
+  SIM_READ,             /* a read of the store */
+  SIM_RECORDS,          /* the result of a read */
+  SIM_CALL,             /* a call to a node */
+  SIM_REPLY,            /* the reply to a call */
+  SIM_TIMEOUT,          /* no reply came in time */
+  SIM_HEARTBEAT_ANSWER, /* an answer to a server's heartbeat */
+  SIM_ORDER,            /* a call for keys to the server of the sender */
+  SIM_ORDER_ENDED       /* the end of such a call */
 };
 
 struct sim_message
@@ -40,6 +44,17 @@
   struct mesh_call call;           /* a call */
   struct mesh_reply reply;         /* a reply */
   struct heartbeat_answer *answer; /* the answer to a heartbeat */
+  struct key_order order;          /* a call for keys of the server */
+  gint64 born_msec;                /* start of the server that is called */
+  gboolean is_late; /* the call has no answer and is carried out late */
+};
+
+/* What a simulated server that is granted keys by calls knows of a key.  */
+struct sim_hold
+{
+  gint64 until;     /* end of the hold */
+  guint64 fence;    /* fence of the hold */
+  gboolean is_late; /* the hold rests on a call that was carried out late */
 };
 
 /* A simulated backend server.  */
@@ -56,6 +71,10 @@
   /* Released ranges that the next heartbeat reports.  */
   struct key_range released_ranges[HEARTBEAT_RANGES_MAX];
   guint32 released_count; /* used entries of `released_ranges' */
+
+  /* Servers that are granted keys by calls, by key.  */
+  struct sim_hold *holds; /* what the server holds */
+  guint64 *seen_fence;    /* highest fence seen */
 };
 
 /* A simulated node with its backend server.  */
@@ -76,11 +95,13 @@
 struct sim
 {
   struct sim_node nodes[SIM_NODES]; /* the nodes and their servers */
-  GArray *log;          /* struct fleet_record, contents of the store */
-  GArray *messages;     /* struct sim_message, messages on their way */
-  GRand *random;        /* random generator of the seed */
-  gint64 now;           /* current time */
-  gint64 store_back_at; /* time from which the store answers */
+  GArray *log;              /* struct fleet_record, contents of the store */
+  GArray *messages;         /* struct sim_message, messages on their way */
+  GRand *random;            /* random generator of the seed */
+  gint64 now;               /* current time */
+  enum grant_method method; /* how the servers are told their keys */
+  gint64 calm_at;           /* no orders are carried out late from then on */
+  gint64 store_back_at;     /* time from which the store answers */
   guint64 max_fence[SHARD_KEY_COUNT]; /* highest fence under which a key was
                                          held */
   guint8 owner[SHARD_KEY_COUNT]; /* node that last held a key, counted from 1;
--- a/tests/test_grant.c
+++ b/tests/test_grant.c
@@ -61,7 +61,7 @@
   struct grant grant;
   const char *token;
 
-  grant_init (&grant, 10 * SECOND);
+  grant_init (&grant, GRANT_BY_ANSWER, 10 * SECOND);
   CU_ASSERT_EQUAL (receive (&grant, make_heartbeat ("s", 5, 8, 0, 9), SECOND),
                    GRANT_NEW_INSTANCE);
   CU_ASSERT_FALSE (grant_is_expired (&grant, 2 * SECOND));
@@ -79,7 +79,7 @@
   struct grant grant;
   const char *token;
 
-  grant_init (&grant, 0);
+  grant_init (&grant, GRANT_BY_ANSWER, 0);
   receive (&grant, make_heartbeat ("s", 5, 1, 1, 0), SECOND);
   grant_range (&grant, 0, 9, 3 * SECOND, SECOND);
   CU_ASSERT_TRUE (grant_covers_key (&grant, 3, SECOND));
@@ -98,13 +98,13 @@
 {
   struct grant grant;
 
-  grant_init (&grant, 0);
+  grant_init (&grant, GRANT_BY_ANSWER, 0);
   receive (&grant, make_heartbeat ("s", 6, 4, 1, 0), SECOND);
   CU_ASSERT_EQUAL (receive (&grant, make_heartbeat ("r", 5, 9, 0, 9), SECOND),
                    GRANT_OUTDATED);
   CU_ASSERT_EQUAL (receive (&grant, make_heartbeat ("s", 6, 3, 0, 9), SECOND),
                    GRANT_OUTDATED);
-  CU_ASSERT_EQUAL (grant.held_count, 0);
+  CU_ASSERT_EQUAL (grant.u.answers.held_count, 0);
   CU_ASSERT_EQUAL (grant.heartbeat_sequence, 4);
   grant_clear (&grant);
 }
@@ -118,7 +118,7 @@
   struct grant grant;
   const char *token;
 
-  grant_init (&grant, 0);
+  grant_init (&grant, GRANT_BY_ANSWER, 0);
   receive (&grant, make_heartbeat ("s", 6, 1, 1, 0), SECOND);
   grant_range (&grant, 0, 9, 3 * SECOND, SECOND);
   CU_ASSERT_FALSE (grant_on_connection_refused (&grant, 2 * SECOND));
@@ -139,7 +139,7 @@
   struct grant grant;
   const char *token;
 
-  grant_init (&grant, 0);
+  grant_init (&grant, GRANT_BY_ANSWER, 0);
   receive (&grant, make_heartbeat ("s", 6, 1, 0, 20), SECOND);
   grant_range (&grant, 10, 20, 3 * SECOND, SECOND);
   CU_ASSERT_FALSE (grant_is_released (&grant, &shard, SECOND, &token));
--- a/tests/test_mesh_random.c
+++ b/tests/test_mesh_random.c
@@ -65,15 +65,18 @@
     }
 }
 
-/* Run the simulation of SEED, with failures for FAILURES_USEC and then
+/* Run the simulation of SEED, with servers that are told their keys by METHOD
+   and with failures for FAILURES_USEC and then
    without.  No key ever has two holders, fences rise, and in the end all keys
    are held.  */
 static void
-run_seed (guint32 seed)
+run_seed (guint32 seed, enum grant_method method)
 {
-  struct sim *sim = sim_new (seed);
+  struct sim *sim = sim_new (seed, method);
   gint64 start = sim->now;
 
+  sim->calm_at = start + FAILURES_USEC;
+
   while (sim->now < start + FAILURES_USEC + CALM_USEC)
     {
       sim_step (sim);
@@ -86,7 +89,8 @@
     }
   if (sim->two_holder_count + sim->fence_error_count > 0
       || held_keys (sim) != SHARD_KEY_COUNT)
-    g_printerr ("seed %u: two holders %u, fences %u, held %u\n", seed,
+    g_printerr ("%s seed %u: two holders %u, fences %u, held %u\n",
+                method == GRANT_BY_CALL ? "call" : "answer", seed,
                 sim->two_holder_count, sim->fence_error_count,
                 held_keys (sim));
   CU_ASSERT_EQUAL (sim->two_holder_count, 0);
@@ -95,27 +99,43 @@
   sim_free (sim);
 }
 
-/* Run one simulation for each seed, or only that of MESH_SEED.  */
+/* Run one simulation by METHOD for each seed, or only that of MESH_SEED.  */
 static void
-test_seeds (void)
+run_seeds (enum grant_method method)
 {
   const char *only_seed = g_getenv ("MESH_SEED");
   guint32 seed;
 
   if (only_seed != NULL)
     {
-      run_seed ((guint32)g_ascii_strtoull (only_seed, NULL, 10));
+      run_seed ((guint32)g_ascii_strtoull (only_seed, NULL, 10), method);
       return;
     }
   for (seed = 1; seed <= SEEDS; seed++)
-    run_seed (seed);
+    run_seed (seed, method);
+}
+
+/* Keys are granted by the answers to heartbeats.  */
+static void
+test_by_answer (void)
+{
+  run_seeds (GRANT_BY_ANSWER);
+}
+
+/* Keys are granted by calls, some of which are carried out late.  */
+static void
+test_by_call (void)
+{
+  run_seeds (GRANT_BY_CALL);
 }
 
 int
 main (void)
 {
   CU_TestInfo tests[]
-      = { { "random failures", test_seeds }, CU_TEST_INFO_NULL };
+      = { { "random failures, keys by answer", test_by_answer },
+          { "random failures, keys by call", test_by_call },
+          CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_random", tests);
 }
--- a/tests/test_shard_map.c
+++ b/tests/test_shard_map.c
@@ -125,7 +125,7 @@
   struct shard *shard;
   struct grant grant;
 
-  grant_init (&grant, 0);
+  grant_init (&grant, GRANT_BY_ANSWER, 0);
   g_strlcpy (heartbeat->instance.id, "a", sizeof heartbeat->instance.id);
   heartbeat->instance.started_at_msec = 1;
   heartbeat->sequence = 1;
