--- a/tests/mesh_sim_orders.h
+++ b/tests/mesh_sim_orders.h
@@ -16,8 +16,7 @@
 {
   const struct sim_server *server = &sim->nodes[i].server;
 
-  return server->is_up && server->holds[key].until > sim->now
-         && !server->holds[key].is_late;
+  return server->is_up && server->holds[key].timely_until > sim->now;
 }
 
 /* Record that the server of node I takes KEY under FENCE; count it if another
@@ -59,10 +58,12 @@
       gint64 until = sim->now + hold_usec + hold_usec / 50;
       server->seen_fence[key] = order->fence;
       take_key (sim, message->from, key, order->fence, message->is_late);
-      hold->is_late = message->is_late
-                      && (!renews || hold->is_late || until > hold->until);
+      if (!renews)
+        hold->until = hold->timely_until = 0;
       hold->fence = order->fence;
-      hold->until = MAX (renews ? hold->until : 0, until);
+      hold->until = MAX (hold->until, until);
+      if (!message->is_late)
+        hold->timely_until = MAX (hold->timely_until, until);
     }
   return ERR_NONE;
 }
@@ -79,7 +80,7 @@
     {
       server->seen_fence[key] = MAX (server->seen_fence[key], order->fence);
       if (server->holds[key].fence <= order->fence)
-        server->holds[key].until = 0;
+        server->holds[key].until = server->holds[key].timely_until = 0;
     }
 }
 
@@ -108,7 +109,8 @@
                       : draw_msec (sim, 1, 3));
 }
 
-/* Pass the end of the order in MESSAGE to its node.  */
+/* Pass the end of the order in MESSAGE to its node; a node that is paused gets
+   it later.  */
 static inline void
 on_order_ended (struct sim *sim, const struct sim_message *message)
 {
@@ -116,6 +118,13 @@
 
   if (sim->nodes[message->from].process_number != message->process_number)
     return;
+  if (sim->now < sim->nodes[message->from].paused_until)
+    {
+      struct sim_message again = *message;
+      send_message (sim, &again,
+                    sim->nodes[message->from].paused_until - sim->now);
+      return;
+    }
   event.u.key_order_ended.serial = message->serial;
   event.u.key_order_ended.order = message->order;
   event.u.key_order_ended.code = message->code;
--- a/tests/mesh_sim_types.h
+++ b/tests/mesh_sim_types.h
@@ -10,8 +10,9 @@
 #define HEARTBEAT_USEC ((gint64)900000)
 #define ANSWER_TIMEOUT_USEC ((gint64)1000000) /* later answers are ignored */
 #define SERVICE "keys"
-#define LATE_ONE_IN 5 /* one call for keys in this many is carried out late   \
-                       */
+#define LATE_ONE_IN                                                           \
+  5 /* one call for keys in this many is carried out late                     \
+     */
 
 /* Type of a message on its way.  */
 enum sim_message_kind
@@ -52,9 +53,10 @@
 /* What a simulated server that is granted keys by calls knows of a key.  */
 struct sim_hold
 {
-  gint64 until;     /* end of the hold */
-  guint64 fence;    /* fence of the hold */
-  gboolean is_late; /* the hold rests on a call that was carried out late */
+  gint64 until;        /* end of the hold */
+  guint64 fence;       /* fence of the hold */
+  gint64 timely_until; /* end of the hold without calls that were carried out
+                          late */
 };
 
 /* A simulated backend server.  */
