A node that stops takes only what can end, and answers all that it has

Cause: callers' requests were taken until 2.9 s after the request to stop however long their work lasts, and what other nodes sent until 2 s ahead of the kill; requests in hand kept deadlines behind the kill. What was left at the end was cut without an answer.

Change: mesh_stop.c holds all times of a stop. A request that by the mean time of its route would not be answered in time is refused at once; shortly before the kill the rest is answered, as not run or as unknown.

--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -4,9 +4,6 @@
    deadline.  A request that is refused then can still be retried in time.  */
 #define MAX_WAIT_PERCENT 40u
 
-/* The process ends by itself this long before it would be killed.  */
-#define EXIT_MARGIN_USEC ((gint64)500000)
-
 /* Set up a node that starts at NOW and has read nothing yet.  */
 void
 mesh_init (struct mesh *mesh, const struct mesh_settings *settings, gint64 now)
@@ -128,38 +125,6 @@
             session_remaining_usec (&mesh->session, now) / USEC_PER_MSEC);
 }
 
-/* Begin to stop the process.  */
-static void
-begin_stop (struct mesh *mesh, gint64 now, struct actions *out)
-{
-  if (mesh->stop_requested_at != 0)
-    return;
-  mesh->stop_requested_at = now;
-  mesh_log (out, LOG_EVENT_MESH_STOP, mesh->settings.name,
-            "outcome=asked requests=%u", mesh->requests.count);
-}
-
-/* End the process once nothing is left to do, or shortly before it would be
-   killed.  */
-static void
-stop_step (struct mesh *mesh, guint32 exchange_count, gint64 now,
-           struct actions *out)
-{
-  gboolean idle = exchange_count == 0 && mesh->requests.count == 0
-                  && mesh_is_quiesced (mesh, now);
-  gboolean must_exit = now >= mesh->stop_requested_at
-                                  + mesh->settings.stop_grace_usec
-                                  - EXIT_MARGIN_USEC;
-
-  if (mesh->stop_requested_at == 0 || mesh->exit_requested
-      || (!idle && !must_exit))
-    return;
-  mesh->exit_requested = TRUE;
-  mesh_log (out, LOG_EVENT_MESH_STOP, mesh->settings.name,
-            "outcome=ended requests=%u", mesh->requests.count);
-  actions_add (out, ACTION_EXIT);
-}
-
 /* Run the periodic work of a tick at NOW.  */
 static void
 step_timers (struct mesh *mesh, guint32 exchange_count, gint64 now,
@@ -174,7 +139,7 @@
   mesh_expire_requests (mesh, now, out);
   mesh_route_waiting (mesh, FALSE, now, out);
   mesh_admit_queued (mesh, now, out);
-  stop_step (mesh, exchange_count, now, out);
+  mesh_stop_step (mesh, exchange_count, now, out);
 }
 
 /* Process EVENT, which occurred at NOW in microseconds, and add the resulting
@@ -234,7 +199,7 @@
       mesh_order_ended (mesh, &event->u.key_order_ended, now, out);
       break;
     case EVENT_DRAIN:
-      begin_stop (mesh, now, out);
+      mesh_stop_begin (mesh, now, out);
       break;
     case EVENT_RECORDS:
     case EVENT_LOG_FAILED:
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -36,13 +36,15 @@
   struct grant grant;         /* keys granted to the local backend server */
   struct admission admission; /* slots and queue of the local backend server */
   struct run_times run_times; /* run times at the local backend server */
-  struct key_rate key_rate;   /* requests per second for each key owned here */
-  struct ring ring;           /* neighbours that this node calls */
-  struct table peers;         /* struct peer_state, by members' handles */
-  struct handle next_report;  /* peer after which reports continue */
-  struct table requests;      /* struct mesh_request, by exchanges' handles */
-  GArray *retry_budgets;      /* struct mesh_retry_budget */
-  struct suspects suspects;   /* digests of lost requests */
+  struct run_times answer_times; /* time until callers' requests were answered,
+                                    by route */
+  struct key_rate key_rate;  /* requests per second for each key owned here */
+  struct ring ring;          /* neighbours that this node calls */
+  struct table peers;        /* struct peer_state, by members' handles */
+  struct handle next_report; /* peer after which reports continue */
+  struct table requests;     /* struct mesh_request, by exchanges' handles */
+  GArray *retry_budgets;     /* struct mesh_retry_budget */
+  struct suspects suspects;  /* digests of lost requests */
   GArray *crash_reports; /* guint64, digests that have yet to be proposed as
                             suspects */
   GArray *unconfirmed;   /* struct mesh_unconfirmed */
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -6,9 +6,6 @@
 
 #define GRANT_RECHECK_USEC ((gint64)20000) /* between checks for a grant */
 
-/* Running requests have this long to end before the process is killed.  */
-#define RUN_END_MARGIN_USEC ((gint64)2000000)
-
 /* A server that leaves gets its last request this long before the drain limit
    has passed, since the request needs time to reach the server.  */
 #define LEAVE_MARGIN_USEC ((gint64)400000)
@@ -42,36 +39,17 @@
          && strcmp (shard->owner, mesh->settings.name) == 0;
 }
 
-/* Return whether this process was asked to stop and sends no more requests to
-   its server.  This is so once none of its own callers' requests is left, or
-   too little time before the process is killed.  */
-gboolean
-mesh_is_quiesced (const struct mesh *mesh, gint64 now)
-{
-  struct handle h = table_next (&mesh->requests, HANDLE_NONE);
-
-  if (mesh->stop_requested_at == 0
-      || now < mesh->stop_requested_at + MESH_STOP_SERVE_USEC)
-    return FALSE;
-  if (now >= mesh->stop_requested_at + mesh->settings.stop_grace_usec
-                 - RUN_END_MARGIN_USEC)
-    return TRUE;
-  for (; handle_is_set (h); h = table_next (&mesh->requests, h))
-    if (!((const struct mesh_request *)table_get (&mesh->requests, h))
-             ->request.forwarded)
-      return FALSE;
-  return TRUE;
-}
-
-/* Return why the local server gets no request now, or REASON_NONE.  */
+/* Return why the local server does not get REQUEST now, or REASON_NONE.  */
 static enum reason
-refusal_reason (const struct mesh *mesh, gint64 now)
+refusal_reason (const struct mesh *mesh, const struct mesh_request *request,
+                gint64 now)
 {
   const struct grant *grant = &mesh->grant;
 
   if (!server_instance_is_set (&grant->instance) || grant->presumed_dead)
     return REASON_SERVER_DOWN;
-  if (mesh_is_quiesced (mesh, now))
+  if (mesh_is_quiesced (mesh, now)
+      || !mesh_stop_takes_run (mesh, request->request.route_number, now))
     return REASON_DRAINING;
   if (grant_is_leaving (grant)
       && now >= grant->leave_acked_at + mesh->settings.drain_limit_usec
@@ -206,7 +184,7 @@
             struct actions *out)
 {
   struct mesh_request *request = table_get (&mesh->requests, exchange);
-  enum reason reason = refusal_reason (mesh, now);
+  enum reason reason = refusal_reason (mesh, request, now);
 
   count_key (mesh, request, now);
   if (reason == REASON_NONE && mesh_is_sharded (mesh, request->request.service)
@@ -233,7 +211,7 @@
 queued_refusal_reason (const struct mesh *mesh,
                        const struct mesh_request *request, gint64 now)
 {
-  enum reason reason = refusal_reason (mesh, now);
+  enum reason reason = refusal_reason (mesh, request, now);
 
   if (reason == REASON_NONE && mesh_is_sharded (mesh, request->request.service)
       && !grant_covers_key (&mesh->grant, request->request.slice, now))
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -7,18 +7,7 @@
 
 /* Functions that the source files of this module share.  */
 
-/* A node that was asked to stop goes on serving for this long, since callers
-   notice only gradually that it is not ready.  Its server gets no more
-   requests from it after that.  */
-#define MESH_STOP_SERVE_USEC ((gint64)2600000)
-
-/* After this time callers are refused and told to retry after
-   MESH_RESTART_USEC, the time in which a process restarts.  */
-#define MESH_STOP_REFUSE_USEC ((gint64)2900000)
-
-/* A request that arrives after the stop was asked for ends at least this long
-   before the process is killed.  */
-#define MESH_KILL_MARGIN_USEC ((gint64)800000)
+/* Time in which a process restarts.  */
 #define MESH_RESTART_USEC ((gint64)800000)
 
 /* Log events, mesh_log.c.  */
@@ -52,7 +41,6 @@
 
 /* Admission to the local backend server, mesh_admit.c.  */
 gboolean mesh_is_sharded (const struct mesh *mesh, const char *service);
-gboolean mesh_is_quiesced (const struct mesh *mesh, gint64 now);
 void mesh_admit (struct mesh *mesh, struct handle exchange, gint64 now,
                  struct actions *out);
 void mesh_admit_queued (struct mesh *mesh, gint64 now, struct actions *out);
@@ -112,6 +100,17 @@
                        const struct event_key_order_ended *event, gint64 now,
                        struct actions *out);
 
+/* The planned stop of the process, mesh_stop.c.  */
+gint64 mesh_stop_deadline (const struct mesh *mesh, gint64 deadline);
+gboolean mesh_stop_takes_request (const struct mesh *mesh,
+                                  guint32 route_number, gint64 now);
+gboolean mesh_stop_takes_run (const struct mesh *mesh, guint32 route_number,
+                              gint64 now);
+gboolean mesh_is_quiesced (const struct mesh *mesh, gint64 now);
+void mesh_stop_begin (struct mesh *mesh, gint64 now, struct actions *out);
+void mesh_stop_step (struct mesh *mesh, guint32 exchange_count, gint64 now,
+                     struct actions *out);
+
 /* The store, mesh_store.c.  */
 void mesh_apply_records (struct mesh *mesh,
                          const struct event_fleet_records *event, gint64 now,
--- a/src/mesh/mesh_retry.c
+++ b/src/mesh/mesh_retry.c
@@ -167,6 +167,9 @@
       || request->reached_count + 1 >= request->max_attempts
       || !may_send_again (mesh, request, event, now))
     {
+      if (!request->request.forwarded)
+        run_times_add (&mesh->answer_times, request->request.route_number,
+                       now - request->arrived_at);
       mesh_remove_request (mesh, exchange, OUTCOME_DONE, REASON_NONE, now,
                            out);
       return;
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -48,11 +48,7 @@
   if (route->timeout_usec > 0)
     message->deadline
         = MIN (message->deadline, request->arrived_at + route->timeout_usec);
-  if (mesh->stop_requested_at != 0)
-    message->deadline
-        = MIN (message->deadline, mesh->stop_requested_at
-                                      + mesh->settings.stop_grace_usec
-                                      - MESH_KILL_MARGIN_USEC);
+  message->deadline = mesh_stop_deadline (mesh, message->deadline);
 }
 
 /* Return why no route matched.  The configuration of this node may be missing
@@ -201,8 +197,7 @@
             ? routing_match (mesh->routing, event->host, event->target)
             : NULL;
 
-  if (mesh->stop_requested_at != 0
-      && now >= mesh->stop_requested_at + MESH_STOP_REFUSE_USEC)
+  if (!mesh_stop_takes_request (mesh, route != NULL ? route->number : 0, now))
     {
       mesh_refuse (mesh, event->exchange, REASON_DRAINING, MESH_RESTART_USEC,
                    now, out);
