What a node computes per tick and message grows less with the fleet

Cause: each record was announced to all neighbours every 50 ms until their next message said that they had it; each report in a gossip message searched all members; each tick counted the rank by name four times and walked all members twice; each record, also of a map, sorted the ring anew.

Change: a record is announced once to each node that is called anyway, the regular message is the repeat, and a fetch that comes too soon is made when it is due. Peers are found by an index, the rank is kept for 20 ms, walks over all members are 0.5 ms a member apart.

--- a/src/fleet/fleet_state.c
+++ b/src/fleet/fleet_state.c
@@ -106,6 +106,7 @@
   if (known == NULL)
     {
       h = table_add (&fleet->members);
+      fleet->member_change_count++;
       known = table_get (&fleet->members, h);
       g_hash_table_insert (fleet->handles_by_name, g_strdup (member->name),
                            GUINT_TO_POINTER (h.bits));
@@ -183,6 +184,7 @@
   if (!handle_is_set (h))
     return;
   table_remove (&fleet->members, h);
+  fleet->member_change_count++;
   g_hash_table_remove (fleet->handles_by_name, key + strlen ("member/"));
 }
 
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -19,6 +19,7 @@
   GHashTable *offset_by_key;   /* key to the offset of its newest record */
   guint64 applied_offset;      /* all records below this are applied */
   guint64 change_count;        /* grows with each applied record */
+  guint64 member_change_count; /* grows when a member is added or removed */
 };
 
 void fleet_state_init (struct fleet_state *fleet);
--- a/src/fleet/ring.c
+++ b/src/fleet/ring.c
@@ -57,8 +57,8 @@
   ring->neighbour_count++;
 }
 
-/* Recompute the neighbours of SELF if FLEET has changed.  Return whether
-   that was done.  */
+/* Recompute the neighbours of SELF if the members of FLEET have changed.
+   Return whether that was done.  */
 gboolean
 ring_update (struct ring *ring, const struct fleet_state *fleet,
              const char *self)
@@ -67,9 +67,9 @@
   guint index;
   guint distance = 1;
 
-  if (ring->fleet_changes == fleet->change_count)
+  if (ring->fleet_changes == fleet->member_change_count)
     return FALSE;
-  ring->fleet_changes = fleet->change_count;
+  ring->fleet_changes = fleet->member_change_count;
   ring->neighbour_count = 0;
   names = names_in_order (fleet, self);
   index = index_of (names, self);
--- a/src/fleet/ring.h
+++ b/src/fleet/ring.h
@@ -23,8 +23,8 @@
 {
   struct ring_neighbour neighbours[RING_NEIGHBOURS_MAX]; /* neighbour list */
   guint32 neighbour_count; /* used entries of `neighbours' */
-  guint64 fleet_changes;   /* change count of the fleet state that the ring was
-                              computed from */
+  guint64 fleet_changes;   /* count of changed members of the fleet state that
+                              the ring was computed from */
 };
 
 gboolean ring_update (struct ring *ring, const struct fleet_state *fleet,
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -4,6 +4,11 @@
    deadline.  A request that is refused then can still be retried in time.  */
 #define MAX_WAIT_PERCENT 40u
 
+/* Time between walks over all members, for each of them, so that the work of a
+   tick does not grow with the fleet; and the longest time.  */
+#define SURVEY_USEC_PER_MEMBER ((gint64)500)
+#define SURVEY_MAX_USEC ((gint64)400000)
+
 /* Set up a node that starts at NOW and has read nothing yet.  */
 void
 mesh_init (struct mesh *mesh, const struct mesh_settings *settings, gint64 now)
@@ -22,6 +27,8 @@
   mesh->admission.awaits_answer = TRUE;
   key_rate_init (&mesh->key_rate);
   table_init (&mesh->peers, sizeof (struct peer_state));
+  mesh->peers_by_incarnation
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   table_init (&mesh->requests, sizeof (struct mesh_request));
   mesh->retry_budgets
       = g_array_new (FALSE, TRUE, sizeof (struct mesh_retry_budget));
@@ -42,6 +49,7 @@
   admission_clear (&mesh->admission);
   key_rate_clear (&mesh->key_rate);
   table_clear (&mesh->peers);
+  g_hash_table_destroy (mesh->peers_by_incarnation);
   table_clear (&mesh->requests);
   g_array_free (mesh->retry_budgets, TRUE);
   g_array_free (mesh->unconfirmed, TRUE);
@@ -125,17 +133,31 @@
             session_remaining_usec (&mesh->session, now) / USEC_PER_MSEC);
 }
 
+/* Walk over all members, for what depends on the time: who responds, and what
+   is to be proposed.  */
+static void
+survey (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  if (now < mesh->next_survey_at)
+    return;
+  mesh->next_survey_at
+      = now
+        + MIN ((gint64)mesh->fleet.members.count * SURVEY_USEC_PER_MEMBER,
+               SURVEY_MAX_USEC);
+  mesh_liveness_step (mesh, now, out);
+  mesh_plan_step (mesh, now, out);
+}
+
 /* Run the periodic work of a tick at NOW.  */
 static void
 step_timers (struct mesh *mesh, guint32 exchange_count, gint64 now,
              struct actions *out)
 {
   key_rate_decay (&mesh->key_rate, now);
-  mesh_liveness_step (mesh, now, out);
+  survey (mesh, now, out);
   mesh_gossip_step (mesh, now, out);
   mesh_session_step (mesh, now, out);
   mesh_orders_step (mesh, now, out);
-  mesh_plan_step (mesh, now, out);
   mesh_expire_requests (mesh, now, out);
   mesh_route_waiting (mesh, FALSE, now, out);
   mesh_admit_queued (mesh, now, out);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -38,17 +38,19 @@
   struct run_times run_times; /* run times at the local backend server */
   struct run_times answer_times; /* time until callers' requests were answered,
                                     by route */
-  struct key_rate key_rate;  /* requests per second for each key owned here */
-  struct ring ring;          /* neighbours that this node calls */
-  struct table peers;        /* struct peer_state, by members' handles */
-  struct handle next_report; /* peer after which reports continue */
-  struct table requests;     /* struct mesh_request, by exchanges' handles */
-  GArray *retry_budgets;     /* struct mesh_retry_budget */
-  struct suspects suspects;  /* digests of lost requests */
-  GArray *crash_reports; /* guint64, digests that have yet to be proposed as
-                            suspects */
-  GArray *unconfirmed;   /* struct mesh_unconfirmed */
-  GArray *handoffs;      /* struct mesh_handoff */
+  struct key_rate key_rate; /* requests per second for each key owned here */
+  struct ring ring;         /* neighbours that this node calls */
+  struct table peers;       /* struct peer_state, by members' handles */
+  GHashTable *peers_by_incarnation; /* incarnation to the bits of a handle in
+                                       `peers'; may be out of date */
+  struct handle next_report;        /* peer after which reports continue */
+  struct table requests;    /* struct mesh_request, by exchanges' handles */
+  GArray *retry_budgets;    /* struct mesh_retry_budget */
+  struct suspects suspects; /* digests of lost requests */
+  GArray *crash_reports;    /* guint64, digests that have yet to be proposed as
+                               suspects */
+  GArray *unconfirmed;      /* struct mesh_unconfirmed */
+  GArray *handoffs;         /* struct mesh_handoff */
   struct mesh_proposal proposal; /* record that is being appended */
   gint64 propose_paused_until;   /* nothing is proposed before this time */
   guint64 propose_after_offset;  /* no map is proposed until all records below
@@ -64,10 +66,15 @@
   gint64 map_received_at[MESH_MAP_TIMES]; /* ring of the times at which the
                                              last maps arrived */
   guint32 maps_received;                  /* number of maps that arrived */
-  gint64 next_balance_at;    /* shards are not balanced between members before
-                                this time */
-  gint64 last_fetch_at;      /* last fetch of records from a peer */
-  gint64 server_answered_at; /* last answer of the backend server */
+  gint64 next_balance_at;  /* shards are not balanced between members before
+                              this time */
+  gint64 last_fetch_at;    /* last fetch of records from a peer */
+  gboolean fetch_deferred; /* a fetch follows soon after the last one */
+  struct handle deferred_fetch_member; /* member to fetch from then */
+  guint32 rank;                        /* rank by name at `rank_at' */
+  gint64 rank_at; /* when the rank was counted, 0: it has to be counted */
+  gint64 next_survey_at; /* no walk over all members on a tick before this */
+  gint64 server_answered_at;          /* last answer of the backend server */
   struct server_notice server_notice; /* what that answer said of the server */
   gboolean store_lost;                /* the store does not answer this node */
   gboolean initial_read_done; /* the fleet's topic was read to its end once */
--- a/src/mesh/mesh_gossip.c
+++ b/src/mesh/mesh_gossip.c
@@ -63,14 +63,28 @@
   return action;
 }
 
-/* Return whether the neighbour PEER lacks records or a configuration that this
-   node has.  */
+/* Return whether PEER is told at once of what this node has read.  In a fleet
+   in which not all nodes are neighbours only those are that this node calls
+   anyway: the others hear of it from the nodes that call them.  */
+static gboolean
+is_told_at_once (const struct mesh *mesh, const struct peer_state *peer)
+{
+  return peer->is_gossip_target
+         || (peer->is_neighbour
+             && mesh->ring.neighbour_count <= 2 * RING_ADJACENT);
+}
+
+/* Return whether PEER lacks records or a configuration that this node has, and
+   was not told of them yet.  A message that is lost is made up for by the next
+   regular one.  */
 static gboolean
 is_lagging (const struct mesh *mesh, const struct peer_state *peer)
 {
-  return peer->is_neighbour && peer->last_message_at != 0
-         && (peer->applied_offset < mesh->fleet.applied_offset
-             || peer->config_version < config_version (mesh));
+  return is_told_at_once (mesh, peer) && peer->last_message_at != 0
+         && ((peer->applied_offset < mesh->fleet.applied_offset
+              && peer->announced_offset < mesh->fleet.applied_offset)
+             || (peer->config_version < config_version (mesh)
+                 && peer->announced_version < config_version (mesh)));
 }
 
 /* Return whether PEER is to be called now.  */
@@ -91,35 +105,6 @@
          && now - peer_state_last_message_at (peer) >= QUIET_PROBE_USEC;
 }
 
-/* Send gossip to the peers for which it is due.  */
-void
-mesh_gossip_step (struct mesh *mesh, gint64 now, struct actions *out)
-{
-  struct handle h = table_next (&mesh->peers, HANDLE_NONE);
-
-  for (; handle_is_set (h); h = table_next (&mesh->peers, h))
-    {
-      struct peer_state *peer = table_get (&mesh->peers, h);
-      struct action_mesh_call *action;
-      const struct fleet_member *member;
-      if (peer->gossip_pending
-          && now - peer->gossip_sent_at >= 2 * GOSSIP_TIMEOUT_USEC)
-        peer->gossip_pending = FALSE;
-      if (!is_due (mesh, peer, now))
-        continue;
-      member = fleet_state_member_at (&mesh->fleet, h);
-      if (member == NULL)
-        continue;
-      peer->gossip_pending = TRUE;
-      peer->gossip_sent_at = now;
-      action = add_call (mesh, h, member->peer_address,
-                         now + GOSSIP_TIMEOUT_USEC, out);
-      peer->gossip_serial = action->serial;
-      action->call.kind = MESH_GOSSIP;
-      describe_self (mesh, now, &action->call.u.gossip);
-    }
-}
-
 /* Receiving */
 
 /* Fetch the records and the configuration that this node lacks from the node
@@ -130,8 +115,12 @@
 {
   struct action_mesh_call *action;
 
-  if (now - mesh->last_fetch_at < FETCH_INTERVAL_USEC)
-    return;
+  mesh->fetch_deferred = now - mesh->last_fetch_at < FETCH_INTERVAL_USEC;
+  if (mesh->fetch_deferred)
+    {
+      mesh->deferred_fetch_member = h;
+      return;
+    }
   mesh->last_fetch_at = now;
   action = add_call (mesh, h, from, now + FETCH_TIMEOUT_USEC, out);
   action->call.kind = MESH_FETCH;
@@ -161,6 +150,52 @@
     fetch (mesh, h, from, now, out);
 }
 
+/* Make the fetch that was deferred, if it is due and still needed.  */
+static void
+fetch_deferred (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  struct handle h = mesh->deferred_fetch_member;
+  const struct fleet_member *member = fleet_state_member_at (&mesh->fleet, h);
+
+  if (!mesh->fetch_deferred || now - mesh->last_fetch_at < FETCH_INTERVAL_USEC)
+    return;
+  mesh->fetch_deferred = FALSE;
+  if (member != NULL && table_get (&mesh->peers, h) != NULL)
+    fetch_if_behind (mesh, h, member->peer_address, now, out);
+}
+
+/* Send gossip to the peers for which it is due, and make a deferred fetch.  */
+void
+mesh_gossip_step (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  struct handle h = table_next (&mesh->peers, HANDLE_NONE);
+
+  fetch_deferred (mesh, now, out);
+  for (; handle_is_set (h); h = table_next (&mesh->peers, h))
+    {
+      struct peer_state *peer = table_get (&mesh->peers, h);
+      struct action_mesh_call *action;
+      const struct fleet_member *member;
+      if (peer->gossip_pending
+          && now - peer->gossip_sent_at >= 2 * GOSSIP_TIMEOUT_USEC)
+        peer->gossip_pending = FALSE;
+      if (!is_due (mesh, peer, now))
+        continue;
+      member = fleet_state_member_at (&mesh->fleet, h);
+      if (member == NULL)
+        continue;
+      peer->gossip_pending = TRUE;
+      peer->gossip_sent_at = now;
+      peer->announced_offset = mesh->fleet.applied_offset;
+      peer->announced_version = config_version (mesh);
+      action = add_call (mesh, h, member->peer_address,
+                         now + GOSSIP_TIMEOUT_USEC, out);
+      peer->gossip_serial = action->serial;
+      action->call.kind = MESH_GOSSIP;
+      describe_self (mesh, now, &action->call.u.gossip);
+    }
+}
+
 /* Process GOSSIP from the node H.  A node without any records, such as one
    that starts while the store does not answer, knows no members; such a node
    fetches from the first one that calls.  */
@@ -178,7 +213,10 @@
     }
   if (gossip->leaving != peer->is_leaving
       || gossip->store_lost != peer->store_lost)
-    mesh_report_mark (peer, now);
+    {
+      mesh_report_mark (peer, now);
+      mesh->rank_at = 0;
+    }
   peer_state_on_gossip (peer, gossip, now);
   mesh_report_apply (mesh, gossip, now);
   fetch_if_behind (mesh, h, gossip->address, now, out);
--- a/src/mesh/mesh_liveness.c
+++ b/src/mesh/mesh_liveness.c
@@ -13,6 +13,9 @@
    this long.  */
 #define PRESUMED_ALIVE_USEC ((gint64)8000000)
 
+/* A rank by name is counted anew after this time.  */
+#define RANK_USEC ((gint64)20000)
+
 /* Return whether PEER is unresponsive: this node watches it and got no message
    recently, or others report so.  */
 static gboolean
@@ -63,8 +66,8 @@
 }
 
 /* Return how many of the responsive nodes come before this one by name.  */
-guint32
-mesh_rank_by_name (struct mesh *mesh, gint64 now)
+static guint32
+count_rank (struct mesh *mesh, gint64 now)
 {
   struct handle h = table_next (&mesh->peers, HANDLE_NONE);
   guint32 rank = 0;
@@ -82,6 +85,19 @@
   return rank;
 }
 
+/* Return how many of the responsive nodes come before this one by name, as of
+   RANK_USEC ago at most.  */
+guint32
+mesh_rank_by_name (struct mesh *mesh, gint64 now)
+{
+  if (mesh->rank_at == 0 || now - mesh->rank_at >= RANK_USEC)
+    {
+      mesh->rank = count_rank (mesh, now);
+      mesh->rank_at = now;
+    }
+  return mesh->rank;
+}
+
 /* Update whether PEER, the member H, is unresponsive; log and report a
    change.  */
 static void
@@ -93,6 +109,7 @@
   if (unresponsive == peer->is_unresponsive)
     return;
   peer->is_unresponsive = unresponsive;
+  mesh->rank_at = 0;
   mesh_report_mark (peer, now);
   mesh_log (out, LOG_EVENT_MESH_SILENT,
             fleet_state_member_at (&mesh->fleet, h)->name,
--- a/src/mesh/mesh_report.c
+++ b/src/mesh/mesh_report.c
@@ -115,13 +115,25 @@
 static struct peer_state *
 find_peer (struct mesh *mesh, guint64 incarnation)
 {
-  struct handle h = table_next (&mesh->peers, HANDLE_NONE);
+  gint64 key = (gint64)incarnation;
+  struct handle h = { GPOINTER_TO_UINT (
+      g_hash_table_lookup (mesh->peers_by_incarnation, &key)) };
+  struct peer_state *indexed = table_get (&mesh->peers, h);
 
+  if (indexed != NULL && indexed->incarnation == incarnation)
+    return indexed;
+  if (handle_is_set (h))
+    g_hash_table_remove (mesh->peers_by_incarnation, &key);
+  h = table_next (&mesh->peers, HANDLE_NONE);
   for (; handle_is_set (h); h = table_next (&mesh->peers, h))
     {
       struct peer_state *peer = table_get (&mesh->peers, h);
-      if (peer->incarnation == incarnation)
-        return peer;
+      if (peer->incarnation != incarnation)
+        continue;
+      g_hash_table_insert (mesh->peers_by_incarnation,
+                           g_memdup2 (&key, sizeof key),
+                           GUINT_TO_POINTER (h.bits));
+      return peer;
     }
   return NULL;
 }
--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -114,6 +114,8 @@
       mesh->initial_read_done = TRUE;
       restore_grant (mesh, now);
     }
+  if (mesh->fleet.change_count != changes)
+    mesh->rank_at = 0;
   if (mesh->fleet.change_count != changes)
     mesh_route_waiting (mesh, TRUE, now, out);
 }
