Nodes fetch the changed part of a map instead of the whole

Cause: each move rewrote the map of a service, and each node fetched all of it: some 200 shards of 150 bytes at 69 owners, to 193 nodes, most of them in other data centres.

Change: a shard notes the record that brought it; a fetch gets those that are newer than what the fetching node has read (fleet/map_patch). A patch that does not fit is not applied and the next fetch asks for whole records. Nodes of earlier versions get whole maps.

--- a/src/edge/mesh_node_perform.c
+++ b/src/edge/mesh_node_perform.c
@@ -121,7 +121,8 @@
   struct mesh_reply reply = { .kind = MESH_FETCH };
   struct mesh_fetch_reply *fetch = &reply.u.fetch;
   GArray *entries
-      = fleet_state_since (&node->mesh.fleet, action->fetch.applied_offset);
+      = fleet_state_since (&node->mesh.fleet, action->fetch.applied_offset,
+                           action->fetch.accepts_patches);
   GByteArray *bytes = wire_fleet_encode_entries (entries);
   guint i;
 
--- a/src/fleet/fleet_state.c
+++ b/src/fleet/fleet_state.c
@@ -1,5 +1,7 @@
 #include "fleet/fleet_state.h"
 
+#include "fleet/map_patch.h"
+
 /* Setup */
 
 /* Free a map; for GPtrArray.  */
@@ -115,11 +117,12 @@
   known->store_offset = offset;
 }
 
-/* Copy from PREVIOUS the time at which each shard of MAP entered its state;
-   for a shard whose state is new that time is NOW.  A shard that was lost,
-   recovered and lost again has another loss id.  */
+/* Copy from PREVIOUS, for each shard of MAP, when it entered its state and
+   which record brought it; for a shard whose state is new that is NOW, for one
+   that differs the record of MAP.  A shard that was lost, recovered and lost
+   again has another loss id.  */
 static void
-copy_state_times (struct shard_map *map, const struct shard_map *previous,
+copy_shard_times (struct shard_map *map, const struct shard_map *previous,
                   gint64 now)
 {
   guint i;
@@ -134,6 +137,9 @@
                       && old->loss_id == shard->loss_id
                       && old->last >= shard->last;
       shard->state_seen_at = same ? old->state_seen_at : now;
+      shard->changed_at = old != NULL && shard_equal (old, shard)
+                              ? old->changed_at
+                              : map->store_offset;
     }
 }
 
@@ -147,12 +153,28 @@
 
   shard_map_copy (map, record);
   map->store_offset = offset;
-  copy_state_times (map, known, now);
+  copy_shard_times (map, known, now);
   if (known != NULL)
     g_ptr_array_remove (fleet->shard_maps, known);
   g_ptr_array_add (fleet->shard_maps, map);
 }
 
+/* Apply PATCH, the changed part of a map.  Return FALSE if it does not fit the
+   known map.  */
+static gboolean
+apply_patch (struct fleet_state *fleet, const struct shard_map *patch,
+             guint64 offset, gint64 now)
+{
+  const struct shard_map *known = fleet_state_map (fleet, patch->service);
+  struct shard_map map;
+
+  if (known == NULL || !map_patch_apply (known, patch, &map))
+    return FALSE;
+  apply_map (fleet, &map, offset, now);
+  shard_map_clear (&map);
+  return TRUE;
+}
+
 /* Apply the record of a request that crashes servers.  */
 static void
 apply_suspect (struct fleet_state *fleet, const struct fleet_suspect *record)
@@ -188,8 +210,8 @@
   g_hash_table_remove (fleet->handles_by_name, key + strlen ("member/"));
 }
 
-/* Apply ENTRY at NOW.  Return FALSE if a later record with its key is
-   known.  */
+/* Apply ENTRY at NOW.  Return FALSE if a later record with its key is known,
+   or if ENTRY is a patch that does not fit.  */
 gboolean
 fleet_state_apply (struct fleet_state *fleet, const struct fleet_entry *entry,
                    gint64 now)
@@ -199,6 +221,9 @@
 
   if (offset != NULL && *offset >= entry->offset)
     return FALSE;
+  if (record->kind == FLEET_MAP_PATCH
+      && !apply_patch (fleet, &record->u.map, entry->offset, now))
+    return FALSE;
   g_hash_table_insert (fleet->offset_by_key, g_strdup (record->key),
                        g_memdup2 (&entry->offset, sizeof entry->offset));
   fleet->change_count++;
@@ -210,6 +235,8 @@
     case FLEET_MAP:
       apply_map (fleet, &record->u.map, entry->offset, now);
       break;
+    case FLEET_MAP_PATCH:
+      break;
     case FLEET_SUSPECT:
       apply_suspect (fleet, &record->u.suspect);
       break;
@@ -229,9 +256,11 @@
 
 /* Rebuild records */
 
-/* Rebuild the record of KEY from the state.  */
+/* Rebuild the record of KEY from the state.  If WITH_PATCHES is set, of a map
+   only the shards are taken that have changed at OFFSET or later.  */
 static void
 rebuild_record (const struct fleet_state *fleet, const char *key,
+                guint64 offset, gboolean with_patches,
                 struct fleet_record *record)
 {
   const char *name = strchr (key, '/') + 1;
@@ -258,15 +287,20 @@
     }
   else if (g_str_has_prefix (key, "map/") && map != NULL)
     {
+      record->kind = FLEET_MAP_PATCH;
+      if (with_patches && map_patch_make (map, offset, &record->u.map))
+        return;
       record->kind = FLEET_MAP;
       shard_map_copy (&record->u.map, map);
     }
 }
 
 /* Return the newest record of each key that changed at OFFSET or later, as
-   struct fleet_entry.  The caller clears each record and frees the array.  */
+   struct fleet_entry; if WITH_PATCHES is set, of maps only what has changed.
+   The caller clears each record and frees the array.  */
 GArray *
-fleet_state_since (const struct fleet_state *fleet, guint64 offset)
+fleet_state_since (const struct fleet_state *fleet, guint64 offset,
+                   gboolean with_patches)
 {
   GArray *entries = g_array_new (FALSE, TRUE, sizeof (struct fleet_entry));
   GHashTableIter iter;
@@ -279,7 +313,7 @@
       struct fleet_entry entry = { .offset = *(guint64 *)value };
       if (entry.offset < offset)
         continue;
-      rebuild_record (fleet, key, &entry.record);
+      rebuild_record (fleet, key, offset, with_patches, &entry.record);
       g_array_append_val (entries, entry);
     }
   return entries;
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -36,6 +36,7 @@
 struct shard_map *fleet_state_map (const struct fleet_state *fleet,
                                    const char *service);
 guint32 fleet_state_crashes (const struct fleet_state *fleet, guint64 digest);
-GArray *fleet_state_since (const struct fleet_state *fleet, guint64 offset);
+GArray *fleet_state_since (const struct fleet_state *fleet, guint64 offset,
+                           gboolean with_patches);
 
 #endif
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -71,7 +71,9 @@
   gint64 last_fetch_at;    /* last fetch of records from a peer */
   gboolean fetch_deferred; /* a fetch follows soon after the last one */
   struct handle deferred_fetch_member; /* member to fetch from then */
-  guint32 rank;                        /* rank by name at `rank_at' */
+  gboolean refuses_patches; /* the last patch of a map did not fit; the next
+                               fetch asks for whole records */
+  guint32 rank;             /* rank by name at `rank_at' */
   gint64 rank_at; /* when the rank was counted, 0: it has to be counted */
   gint64 next_survey_at; /* no walk over all members on a tick before this */
   gint64 server_answered_at;          /* last answer of the backend server */
--- a/src/mesh/mesh_gossip.c
+++ b/src/mesh/mesh_gossip.c
@@ -126,6 +126,7 @@
   action->call.kind = MESH_FETCH;
   action->call.u.fetch.applied_offset = mesh->fleet.applied_offset;
   action->call.u.fetch.config_version = config_version (mesh);
+  action->call.u.fetch.accepts_patches = !mesh->refuses_patches;
 }
 
 /* Fetch from the member H if that member has been ahead of this node for
--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -12,13 +12,14 @@
 
 /* Records that were read */
 
-/* Log the record in ENTRY.  */
+/* Log the record in ENTRY, which was applied.  */
 static void
 log_entry (struct mesh *mesh, const struct fleet_entry *entry,
            struct actions *out)
 {
   const struct fleet_record *record = &entry->record;
   const struct fleet_member *member = &record->u.member;
+  const struct shard_map *map;
 
   switch (record->kind)
     {
@@ -31,12 +32,13 @@
                 member->zone, member->state);
       break;
     case FLEET_MAP:
-      mesh_log (out, LOG_EVENT_MESH_KEYS, record->u.map.service,
+    case FLEET_MAP_PATCH:
+      map = fleet_state_map (&mesh->fleet, record->u.map.service);
+      mesh_log (out, LOG_EVENT_MESH_KEYS, map->service,
                 "offset=%" G_GUINT64_FORMAT
-                " shards=%u own=%u fence=%" G_GUINT64_FORMAT,
-                entry->offset, record->u.map.shards->len,
-                shard_owned_keys (&record->u.map, mesh->settings.name),
-                record->u.map.next_fence);
+                " shards=%u changed=%u own=%u fence=%" G_GUINT64_FORMAT,
+                entry->offset, map->shards->len, record->u.map.shards->len,
+                shard_owned_keys (map, mesh->settings.name), map->next_fence);
       break;
     case FLEET_SUSPECT:
       mesh_log (out, LOG_EVENT_MESH_POISON, "",
@@ -84,27 +86,65 @@
   g_free (presumed_answer);
 }
 
-/* Apply records that were read, confirm the session if they reach the end of
-   the topic, and route waiting requests again if anything changed.  */
-void
-mesh_apply_records (struct mesh *mesh, const struct event_fleet_records *event,
-                    gint64 now, struct actions *out)
+/* Return whether RECORD is a map or part of one.  */
+static gboolean
+is_map (const struct fleet_record *record)
 {
-  guint64 changes = mesh->fleet.change_count;
+  return record->kind == FLEET_MAP || record->kind == FLEET_MAP_PATCH;
+}
+
+/* Return whether ENTRY, which was not applied, is a patch that does not fit
+   the known map, and not just an old one.  */
+static gboolean
+is_misfit (const struct mesh *mesh, const struct fleet_entry *entry)
+{
+  const struct shard_map *known;
+
+  if (entry->record.kind != FLEET_MAP_PATCH)
+    return FALSE;
+  known = fleet_state_map (&mesh->fleet, entry->record.u.map.service);
+  return known == NULL || known->store_offset < entry->offset;
+}
+
+/* Apply the entries of EVENT.  Return FALSE if a patch does not fit: the whole
+   map has to be fetched then.  */
+static gboolean
+apply_entries (struct mesh *mesh, const struct event_fleet_records *event,
+               gint64 now, struct actions *out)
+{
+  gboolean fits = TRUE;
   guint32 i;
 
   for (i = 0; i < event->count; i++)
     {
-      if (event->items[i].record.kind == FLEET_MAP)
-        mesh_presume_alive (mesh, &event->items[i].record.u.map, now);
-      if (!fleet_state_apply (&mesh->fleet, &event->items[i], now))
-        continue;
-      log_entry (mesh, &event->items[i], out);
-      if (event->items[i].record.kind == FLEET_MEMBER)
+      const struct fleet_entry *entry = &event->items[i];
+      if (is_map (&entry->record))
+        mesh_presume_alive (mesh, &entry->record.u.map, now);
+      if (!fleet_state_apply (&mesh->fleet, entry, now))
+        {
+          fits = fits && !is_misfit (mesh, entry);
+          continue;
+        }
+      log_entry (mesh, entry, out);
+      if (entry->record.kind == FLEET_MEMBER)
         mesh->members_changed_at = now;
-      if (event->items[i].record.kind == FLEET_MAP)
+      if (is_map (&entry->record))
         mesh->map_received_at[mesh->maps_received++ % MESH_MAP_TIMES] = now;
     }
+  return fits;
+}
+
+/* Apply records that were read, confirm the session if they reach the end of
+   the topic, and route waiting requests again if anything changed.  */
+void
+mesh_apply_records (struct mesh *mesh, const struct event_fleet_records *event,
+                    gint64 now, struct actions *out)
+{
+  guint64 changes = mesh->fleet.change_count;
+
+  mesh->refuses_patches = !apply_entries (mesh, event, now, out);
+  if (mesh->refuses_patches)
+    return;
   fleet_state_advance (&mesh->fleet, event->next_offset);
   mesh_unconfirmed_resolve (mesh);
   if (event->at_end && event->next_offset >= mesh->fleet.applied_offset)
@@ -114,10 +154,10 @@
       mesh->initial_read_done = TRUE;
       restore_grant (mesh, now);
     }
-  if (mesh->fleet.change_count != changes)
-    mesh->rank_at = 0;
-  if (mesh->fleet.change_count != changes)
-    mesh_route_waiting (mesh, TRUE, now, out);
+  if (mesh->fleet.change_count == changes)
+    return;
+  mesh->rank_at = 0;
+  mesh_route_waiting (mesh, TRUE, now, out);
 }
 
 /* Proposals */
--- a/src/types/fleet_record.c
+++ b/src/types/fleet_record.c
@@ -12,6 +12,7 @@
                   record->u.member.name);
       break;
     case FLEET_MAP:
+    case FLEET_MAP_PATCH:
       g_snprintf (record->key, sizeof record->key, "map/%s",
                   record->u.map.service);
       break;
@@ -29,6 +30,6 @@
 void
 fleet_record_clear (struct fleet_record *record)
 {
-  if (record->kind == FLEET_MAP)
+  if (record->kind == FLEET_MAP || record->kind == FLEET_MAP_PATCH)
     shard_map_clear (&record->u.map);
 }
--- a/src/types/fleet_record.h
+++ b/src/types/fleet_record.h
@@ -14,10 +14,12 @@
 
 enum fleet_record_kind
 {
-  FLEET_MEMBER = 1,   /* a node and its backend server */
-  FLEET_MAP = 2,      /* the owners of a service's keys */
-  FLEET_SUSPECT = 3,  /* a request digest that crashed servers */
-  FLEET_TOMBSTONE = 4 /* the key was deleted */
+  FLEET_MEMBER = 1,    /* a node and its backend server */
+  FLEET_MAP = 2,       /* the owners of a service's keys */
+  FLEET_SUSPECT = 3,   /* a request digest that crashed servers */
+  FLEET_TOMBSTONE = 4, /* the key was deleted */
+  FLEET_MAP_PATCH = 5  /* changed part of a map; sent between nodes, never
+                          stored */
 };
 
 struct fleet_record
--- a/src/types/mesh_msg.h
+++ b/src/types/mesh_msg.h
@@ -52,8 +52,9 @@
 /* Fetch records and the configuration.  */
 struct mesh_fetch
 {
-  guint64 applied_offset; /* the caller has the records below this offset */
-  guint64 config_version; /* version that the caller has */
+  guint64 applied_offset;   /* the caller has the records below this offset */
+  guint64 config_version;   /* version that the caller has */
+  gboolean accepts_patches; /* the caller understands FLEET_MAP_PATCH */
 };
 
 /* Append a record.  */
--- a/src/types/shard.h
+++ b/src/types/shard.h
@@ -28,6 +28,8 @@
   char next_owner[NAME_SIZE]; /* node that receives the range next, or empty */
   guint64 loss_id; /* set from next_fence each time that the shard is lost, so
                       that two losses can be told apart */
+  guint64 changed_at;   /* offset of the record that brought the shard, as far
+                           as this process has seen */
   gint64 state_seen_at; /* when this process first saw the current state,
                            monotonic microseconds */
 };
--- a/src/types/shard_map.c
+++ b/src/types/shard_map.c
@@ -94,6 +94,14 @@
          && strcmp (a->next_owner, b->next_owner) == 0;
 }
 
+/* Tell whether A and B are the same but for what this process notes of
+   them.  */
+gboolean
+shard_equal (const struct shard *a, const struct shard *b)
+{
+  return a->first == b->first && a->last == b->last && can_merge (a, b);
+}
+
 /* Merge neighbours that differ only in their keys.  */
 void
 shard_map_merge (struct shard_map *map)
--- a/src/wire/wire_fleet.c
+++ b/src/wire/wire_fleet.c
@@ -49,9 +49,28 @@
   return state >= SHARD_FREE && state <= SHARD_LOST;
 }
 
-/* XDR filter for the shards of a map, which must cover all keys.  */
+/* Return whether the shards of MAP are in order and do not overlap.  */
+static gboolean
+is_ordered (const struct shard_map *map)
+{
+  guint32 next = 0;
+  guint i;
+
+  for (i = 0; i < map->shards->len; i++)
+    {
+      const struct shard *shard = shard_map_at (map, i);
+      if (shard->first < next || shard->last < shard->first
+          || shard->last >= SHARD_KEY_COUNT)
+        return FALSE;
+      next = shard->last + 1;
+    }
+  return TRUE;
+}
+
+/* XDR filter for the shards of a map, which must cover all keys unless the map
+   IS_PATCH.  */
 static bool_t
-wire_shards (XDR *xdr, struct shard_map *map)
+wire_shards (XDR *xdr, struct shard_map *map, gboolean is_patch)
 {
   guint32 count = map->shards != NULL ? map->shards->len : 0;
   guint i;
@@ -71,15 +90,17 @@
   for (i = 0; i < count; i++)
     if (!wire_shard (xdr, shard_map_at (map, i)))
       return FALSE;
-  return count > 0 && shard_map_is_complete (map);
+  return is_patch ? is_ordered (map)
+                  : count > 0 && shard_map_is_complete (map);
 }
 
-/* XDR filter for a shard map.  */
+/* XDR filter for a shard map, or for part of one if it IS_PATCH.  */
 static bool_t
-wire_map (XDR *xdr, struct shard_map *map)
+wire_map (XDR *xdr, struct shard_map *map, gboolean is_patch)
 {
   return wire_fixed_string (xdr, map->service, sizeof map->service)
-         && wire_u64 (xdr, &map->next_fence) && wire_shards (xdr, map);
+         && wire_u64 (xdr, &map->next_fence)
+         && wire_shards (xdr, map, is_patch);
 }
 
 /* XDR filter for a suspect.  */
@@ -107,7 +128,9 @@
     case FLEET_MEMBER:
       return wire_member (xdr, &record->u.member);
     case FLEET_MAP:
-      return wire_map (xdr, &record->u.map);
+      return wire_map (xdr, &record->u.map, FALSE);
+    case FLEET_MAP_PATCH:
+      return wire_map (xdr, &record->u.map, TRUE);
     case FLEET_SUSPECT:
       return wire_suspect (xdr, &record->u.suspect);
     case FLEET_TOMBSTONE:
@@ -140,6 +163,11 @@
     code = wire_decode (wire_record_body, record, bytes, length);
   if (code != ERR_NONE)
     return code;
+  if (record->kind == FLEET_MAP_PATCH)
+    {
+      fleet_record_clear (record);
+      return ERR_MALFORMED;
+    }
   if (record->kind == FLEET_TOMBSTONE)
     g_strlcpy (record->key, key, sizeof record->key);
   else
--- a/src/wire/wire_mesh.c
+++ b/src/wire/wire_mesh.c
@@ -67,12 +67,17 @@
   return wire_sequences (xdr, gossip);
 }
 
-/* XDR filter for a fetch.  */
+/* XDR filter for a fetch.  Calls of versions that do not know patches end
+   before the last field.  */
 static bool_t
 wire_fetch (XDR *xdr, struct mesh_fetch *fetch)
 {
-  return wire_u64 (xdr, &fetch->applied_offset)
-         && wire_u64 (xdr, &fetch->config_version);
+  if (!wire_u64 (xdr, &fetch->applied_offset)
+      || !wire_u64 (xdr, &fetch->config_version))
+    return FALSE;
+  if (!xdr_bool (xdr, &fetch->accepts_patches))
+    fetch->accepts_patches = FALSE;
+  return TRUE;
 }
 
 /* XDR filter for a record to append.  */
