A node that lags does not answer that a route does not exist

Cause: a node whose processor is spent reads the messages that tell of a new configuration late, but its session, which concerns the fleet topic, can be fresh; it answered 404 for routes that had been added.

Change: without a match a node answers 503 if a tick was over 250 ms late within 3 s, or if it has heard of a newer configuration than its own.

Checked: test_mesh_config, two of whose three cases failed before.

--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -174,6 +174,8 @@
   switch (event->kind)
     {
     case EVENT_TICK:
+      if (now - mesh->last_tick_at >= MESH_LAG_USEC)
+        mesh->lagged_at = now;
       mesh->last_tick_at = now;
       step_timers (mesh, event->u.tick.pending_exchanges, now, out);
       break;
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -58,6 +58,7 @@
                                     has passed */
   gint64 started_at;             /* start of the process */
   gint64 last_event_at;          /* time of the last event */
+  gint64 lagged_at;              /* last tick that was late, 0: none was */
   gint64 last_tick_at; /* last tick; a node that lags gets its ticks late */
   gint64 members_changed_at; /* time of the last change of a member */
   gint64 store_read_at; /* last time at which the ends of the topics were read
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -7,6 +7,9 @@
 
 /* Functions that the source files of this module share.  */
 
+/* A tick that is later than this shows that the node lags.  */
+#define MESH_LAG_USEC ((gint64)250000)
+
 /* Time in which a process restarts.  */
 #define MESH_RESTART_USEC ((gint64)800000)
 
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -51,14 +51,33 @@
   message->deadline = mesh_stop_deadline (mesh, message->deadline);
 }
 
+/* Return whether another node is known to have a newer configuration than
+   this one.  */
+static gboolean
+is_config_outdated (const struct mesh *mesh)
+{
+  struct handle h = table_next (&mesh->peers, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&mesh->peers, h))
+    if (((const struct peer_state *)table_get (&mesh->peers, h))
+            ->config_version
+        > mesh->routing->version)
+      return TRUE;
+  return FALSE;
+}
+
 /* Return why no route matched.  The configuration of this node may be missing
-   or out of date.  */
+   or out of date.  A node that was behind its timer was also behind the
+   messages that tell it of a new one.  */
 static enum reason
 no_route_reason (const struct mesh *mesh, gint64 now)
 {
   gint64 age_usec = session_age_usec (&mesh->session, now);
 
-  if (mesh->routing == NULL || age_usec < 0 || age_usec > CONFIG_STALE_USEC)
+  if (mesh->routing == NULL || age_usec < 0 || age_usec > CONFIG_STALE_USEC
+      || (mesh->lagged_at != 0 && now - mesh->lagged_at < CONFIG_STALE_USEC)
+      || now - mesh->last_tick_at >= MESH_LAG_USEC
+      || is_config_outdated (mesh))
     return REASON_NO_CONFIG;
   return REASON_NO_RULE;
 }
