--- a/soak/bin/soak.c
+++ b/soak/bin/soak.c
@@ -41,6 +41,7 @@
   guint seconds;
   const char *program;
   guint16 port;
+  enum grant_method method;
 };
 
 static const struct argp_option options[]
@@ -49,6 +50,8 @@
         { "seconds", 't', "N", 0, "Inject faults for N seconds (20)", 0 },
         { "program", 'p', "FILE", 0, "The node's program", 0 },
         { "port", 'b', "N", 0, "Use the ports from N on (21000)", 0 },
+        { "grants", 'g', "METHOD", 0,
+          "Tell servers their keys by heartbeat or by call (heartbeat)", 0 },
         { 0 } };
 
 /* Parse one option.  */
@@ -76,6 +79,12 @@
     case 'b':
       arguments->port = (guint16)strtoul (arg, NULL, 10);
       return 0;
+    case 'g':
+      if (strcmp (arg, "call") != 0 && strcmp (arg, "heartbeat") != 0)
+        argp_error (state, "unknown way of granting keys: %s", arg);
+      arguments->method
+          = strcmp (arg, "call") == 0 ? GRANT_BY_CALL : GRANT_BY_ANSWER;
+      return 0;
     default:
       return ARGP_ERR_UNKNOWN;
     }
@@ -161,7 +170,7 @@
           NULL,    NULL,
           NULL };
   struct arguments arguments
-      = { 1, 6, 20, "build/release/bambootally_mesh", 21000 };
+      = { 1, 6, 20, "build/release/bambootally_mesh", 21000, GRANT_BY_ANSWER };
   struct run *run = g_new0 (struct run, 1);
   int status = EXIT_FAILURE;
 
@@ -169,7 +178,7 @@
   run->loop = g_main_loop_new (NULL, FALSE);
   set_times (run, arguments.seconds);
   if (soak_cluster_init (&run->cluster, arguments.seed, arguments.nodes,
-                         arguments.program, arguments.port))
+                         arguments.program, arguments.port, arguments.method))
     {
       g_timeout_add (STEP_INTERVAL_MSEC, on_step, run);
       g_main_loop_run (run->loop);
--- a/soak/soak_cluster.c
+++ b/soak/soak_cluster.c
@@ -46,9 +46,10 @@
       "callers = 127.0.0.1:%u\ncontrol = 127.0.0.1:%u\n"
       "ready = 127.0.0.1:%u\nmetrics = 127.0.0.1:%u\n"
       "peers = 127.0.0.1:%u\n[server]\naddress = 127.0.0.1:%u\n"
-      "beat-ms = 900\n[store]\naddress = 127.0.0.1:%u\n",
+      "beat-ms = 900\ngrants = %s\n[store]\naddress = 127.0.0.1:%u\n",
       i, i % 3, host->server.service, port, port + 1, port + 2, port + 3,
-      port + 4, port + 6, port + 7);
+      port + 4, port + 6,
+      cluster->method == GRANT_BY_CALL ? "call" : "heartbeat", port + 7);
 
   host->node.settings_path
       = g_strdup_printf ("%s/node-%u.ini", OUTPUT_FOLDER, i);
@@ -68,6 +69,7 @@
   struct soak_server *server = &host->server;
 
   server->sharded = i % 2 == 0;
+  server->method = cluster->method;
   g_strlcpy (server->service, server->sharded ? "own" : "other", NAME_SIZE);
   g_snprintf (server->instance.id, sizeof server->instance.id, "s-%u", i);
   server->instance.started_at_msec = 1000;
@@ -88,14 +90,16 @@
 }
 
 /* Start NODES processes of PROGRAM with the store, servers and relays, on
-   ports from PORT on.  Return FALSE if a port cannot be listened on.  */
+   ports from PORT on.  The servers are told their keys by METHOD.  Return
+   FALSE if a port cannot be listened on.  */
 gboolean
 soak_cluster_init (struct soak_cluster *cluster, guint32 seed, guint nodes,
-                   const char *program, guint16 port)
+                   const char *program, guint16 port, enum grant_method method)
 {
   guint i;
 
   memset (cluster, 0, sizeof *cluster);
+  cluster->method = method;
   mkdir ("out", 0755);
   mkdir (OUTPUT_FOLDER, 0755);
   http_init (&cluster->http_client);
@@ -151,6 +155,15 @@
   guint32 i;
   guint32 k;
 
+  if (a->method == GRANT_BY_CALL && a->sharded && b->sharded
+      && soak_orders_overlap (&a->orders, &b->orders, now, &i))
+    {
+      char *detail = g_strdup_printf ("%s and %s, %u", a->instance.id,
+                                      b->instance.id, i);
+      soak_checker_violation (&cluster->checker, "one owner per key", detail);
+      g_free (detail);
+      return;
+    }
   if (now >= a->held_until || now >= b->held_until)
     return;
   for (i = 0; i < a->held_range_count; i++)
--- a/soak/soak_cluster.h
+++ b/soak/soak_cluster.h
@@ -26,9 +26,10 @@
 
 struct soak_cluster
 {
-  struct soak_store store; /* simulated store of the platform */
-  gint64 store_heal_at;    /* the store is normal from then, monotonic usec */
-  struct http http_client; /* HTTP client for requests and heartbeats */
+  enum grant_method method; /* how the servers are told their keys */
+  struct soak_store store;  /* simulated store of the platform */
+  gint64 store_heal_at;     /* the store is normal from then, monotonic usec */
+  struct http http_client;  /* HTTP client for requests and heartbeats */
   struct soak_checker checker; /* checks of the guarantees */
   GRand *random;               /* generator for faults and requests */
   guint host_count;            /* length of hosts */
@@ -38,7 +39,8 @@
 };
 
 gboolean soak_cluster_init (struct soak_cluster *cluster, guint32 seed,
-                            guint nodes, const char *program, guint16 port);
+                            guint nodes, const char *program, guint16 port,
+                            enum grant_method method);
 void soak_cluster_clear (struct soak_cluster *cluster);
 void soak_cluster_step (struct soak_cluster *cluster, gint64 now);
 void soak_cluster_inject_fault (struct soak_cluster *cluster, gint64 now);
--- a/soak/soak_server.c
+++ b/soak/soak_server.c
@@ -23,6 +23,8 @@
 {
   guint32 i;
 
+  if (server->method == GRANT_BY_CALL)
+    return now < server->orders.held_until[key % SHARD_KEY_COUNT];
   for (i = 0; now < server->held_until && i < server->held_range_count; i++)
     if (server->held_ranges[i].first <= key
         && key <= server->held_ranges[i].last)
@@ -87,8 +89,10 @@
   struct soak_run *run;
 
   (void)http_server;
-  (void)path;
   (void)query;
+  if (server->method == GRANT_BY_CALL
+      && soak_orders_handle (&server->orders, message, path))
+    return;
   soak_limit_on_arrival (&server->limit, server->checker, clock_usec ());
   if (id == NULL
       || (expected_instance != NULL
@@ -123,6 +127,7 @@
   server->held_range_count = 0;
   server->released_range_count = 0;
   server->held_until = 0;
+  soak_orders_reset (&server->orders);
   soak_limit_set (&server->limit, 0, 0);
   if (!server->heartbeat_pending)
     soak_server_schedule_heartbeat (server, FIRST_HEARTBEAT_MSEC);
@@ -142,6 +147,7 @@
   server->checker = checker;
   server->heartbeat_answer = g_byte_array_new ();
   soak_limit_init (&server->limit);
+  soak_orders_init (&server->orders);
   server->http_server = soup_server_new (NULL, NULL);
   soup_server_add_handler (server->http_server, NULL, on_request, server,
                            NULL);
@@ -162,4 +168,5 @@
   g_object_unref (server->http_server);
   g_byte_array_unref (server->heartbeat_answer);
   soak_limit_clear (&server->limit);
+  soak_orders_clear (&server->orders);
 }
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -4,6 +4,8 @@
 #include "edge/http.h"
 #include "soak/soak_checker.h"
 #include "soak/soak_limit.h"
+#include "soak/soak_orders.h"
+#include "types/grant_method.h"
 #include "types/heartbeat.h"
 
 /* A simulated backend server.  It sends heartbeats to its node, holds the key
@@ -17,8 +19,10 @@
   struct address announced_address; /* relay's address, sent in heartbeats */
   struct address control_address;   /* node's address for heartbeats */
   char service[NAME_SIZE];          /* name of the service */
-  gboolean sharded;        /* a request runs only while its key is held */
-  struct soak_limit limit; /* limit that the server names */
+  gboolean sharded;          /* a request runs only while its key is held */
+  enum grant_method method;  /* how the server is told its keys */
+  struct soak_orders orders; /* its keys if that is by calls */
+  struct soak_limit limit;   /* limit that the server names */
   struct server_instance instance; /* current run of the simulated process */
   guint64 heartbeat_seq;    /* number of the instance's last heartbeat */
   guint32 held_range_count; /* length of held_ranges */
