--- a/bench/bench_mesh.c
+++ b/bench/bench_mesh.c
@@ -56,12 +56,13 @@
 
   shard_map_init (&map, "service-0");
   for (i = 1; i < shards; i++)
-    shard_map_split (&map, i * SHARD_KEY_COUNT / MAX (1, shards));
+    shard_map_split (&map, i * SHARD_KEY_COUNT / shards);
   for (i = 0; i < map.shards->len; i++)
     {
       struct shard *shard = shard_map_at (&map, i);
       struct fleet_member member = { 0 };
-      fill_member (&member, i * SERVICES % members / SERVICES * SERVICES);
+      fill_member (&member,
+                   i * SERVICES % MAX (1, members) / SERVICES * SERVICES);
       shard->state = SHARD_HELD;
       shard->instance = member.instance;
       shard->fence = map.next_fence++;
