--- a/src/bin/bambootally_mesh.c
+++ b/src/bin/bambootally_mesh.c
@@ -94,9 +94,8 @@
   mesh_node_log (node, &log_event);
 }
 
-/* Runs a node until it has stopped.  Returns the exit status.  The node's
-   memory and connections are left to the kernel: freeing them takes longer than
-   the time that is left before the kill on a host with a slow processor.  */
+/* Runs a node until it has stopped.  Returns the exit status.  The kernel
+   releases the memory and the connections of the node.  */
 static int
 run (const struct mesh_config *config, const char *file)
 {
