--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -6,8 +6,8 @@
 
 /* Time between walks over all members, for each of them, so that the work of a
    tick does not grow with the fleet; and the longest time.  */
-#define SURVEY_USEC_PER_MEMBER ((gint64)500)
-#define SURVEY_MAX_USEC ((gint64)400000)
+#define WALK_USEC_PER_MEMBER ((gint64)500)
+#define WALK_MAX_USEC ((gint64)400000)
 
 /* Set up a node that starts at NOW and has read nothing yet.  */
 void
@@ -136,14 +136,14 @@
 /* Walk over all members, for what depends on the time: who responds, and what
    is to be proposed.  */
 static void
-survey (struct mesh *mesh, gint64 now, struct actions *out)
+walk_members (struct mesh *mesh, gint64 now, struct actions *out)
 {
-  if (now < mesh->next_survey_at)
+  if (now < mesh->next_walk_at)
     return;
-  mesh->next_survey_at
+  mesh->next_walk_at
       = now
-        + MIN ((gint64)mesh->fleet.members.count * SURVEY_USEC_PER_MEMBER,
-               SURVEY_MAX_USEC);
+        + MIN ((gint64)mesh->fleet.members.count * WALK_USEC_PER_MEMBER,
+               WALK_MAX_USEC);
   mesh_liveness_step (mesh, now, out);
   mesh_plan_step (mesh, now, out);
 }
@@ -154,7 +154,7 @@
              struct actions *out)
 {
   key_rate_decay (&mesh->key_rate, now);
-  survey (mesh, now, out);
+  walk_members (mesh, now, out);
   mesh_gossip_step (mesh, now, out);
   mesh_session_step (mesh, now, out);
   mesh_orders_step (mesh, now, out);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -75,8 +75,8 @@
   gboolean refuses_patches; /* the last patch of a map did not fit; the next
                                fetch asks for whole records */
   guint32 rank;             /* rank by name at `rank_at' */
-  gint64 rank_at; /* when the rank was counted, 0: it has to be counted */
-  gint64 next_survey_at; /* no walk over all members on a tick before this */
+  gint64 rank_at;      /* when the rank was counted, 0: it has to be counted */
+  gint64 next_walk_at; /* no walk over all members on a tick before this */
   gint64 server_answered_at;          /* last answer of the backend server */
   struct server_notice server_notice; /* what that answer said of the server */
   gboolean store_lost;                /* the store does not answer this node */
--- a/src/mesh/mesh_pick.c
+++ b/src/mesh/mesh_pick.c
@@ -120,22 +120,22 @@
 }
 
 /* The servers of a service that may run a request.  */
-struct survey
+struct server_draw
 {
   struct placement placement; /* those that are compared */
   gint64 run_usec_sum;        /* sum of their reported mean run times */
   gint64 report_count;        /* servers that reported one */
 };
 
-/* Survey the members that may run REQUEST at NOW.  */
+/* Draw among the members that may run REQUEST at NOW.  */
 static void
-survey_members (struct mesh *mesh, const struct mesh_request *request,
-                gint64 now, struct survey *survey)
+draw_servers (struct mesh *mesh, const struct mesh_request *request,
+              gint64 now, struct server_draw *draw)
 {
   struct handle h = table_next (&mesh->fleet.members, HANDLE_NONE);
 
-  memset (survey, 0, sizeof *survey);
-  placement_init (&survey->placement, ++mesh->random_count);
+  memset (draw, 0, sizeof *draw);
+  placement_init (&draw->placement, ++mesh->random_count);
   for (; handle_is_set (h); h = table_next (&mesh->fleet.members, h))
     {
       const struct fleet_member *member
@@ -145,11 +145,11 @@
         continue;
       if (peer != NULL && peer->load.mean_run_usec > 0)
         {
-          survey->run_usec_sum += peer->load.mean_run_usec;
-          survey->report_count++;
+          draw->run_usec_sum += peer->load.mean_run_usec;
+          draw->report_count++;
         }
       if (is_reachable (mesh, member, h, now) && !was_tried (request, h))
-        placement_offer (&survey->placement, h,
+        placement_offer (&draw->placement, h,
                          strcmp (member->zone, mesh->settings.zone) == 0);
     }
 }
@@ -162,16 +162,15 @@
   struct mesh_pick best = no_member (REASON_NO_SERVER, 0);
   gint64 least_cost = G_MAXINT64;
   gint64 default_run_usec;
-  struct survey survey;
+  struct server_draw draw;
   guint i;
 
-  survey_members (mesh, request, now, &survey);
-  default_run_usec = survey.report_count > 0
-                         ? survey.run_usec_sum / survey.report_count
-                         : 0;
-  for (i = 0; i < placement_count (&survey.placement); i++)
+  draw_servers (mesh, request, now, &draw);
+  default_run_usec
+      = draw.report_count > 0 ? draw.run_usec_sum / draw.report_count : 0;
+  for (i = 0; i < placement_count (&draw.placement); i++)
     {
-      struct handle h = placement_at (&survey.placement, i);
+      struct handle h = placement_at (&draw.placement, i);
       const struct fleet_member *member
           = fleet_state_member_at (&mesh->fleet, h);
       gint64 cost = cost_at (mesh, request, member, h, default_run_usec, now);
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -139,13 +139,15 @@
     }
 }
 
-/* Return a node "a" that has read and heard nothing yet.  */
+/* Return a node "a" that has read and heard nothing yet, and whose server is
+   told its keys by METHOD.  */
 static inline struct fixture *
-fixture_start (void)
+fixture_start_by (enum grant_method method)
 {
   struct mesh_settings settings = { .name = "a",
                                     .service = OWN_SERVICE,
                                     .incarnation = 5,
+                                    .grant_method = method,
                                     .heartbeat_usec = 900 * MSEC,
                                     .max_grant_usec = 10000 * MSEC,
                                     .drain_limit_usec = 2000 * MSEC,
@@ -158,12 +160,21 @@
   return fixture;
 }
 
+/* Return a node "a" that has read and heard nothing yet, and whose server is
+   told its keys by the answers to its heartbeats.  */
+static inline struct fixture *
+fixture_start (void)
+{
+  return fixture_start_by (GRANT_BY_ANSWER);
+}
+
 /* Set up a node with the other member, the configuration, a gossip message and
-   a heartbeat, and with its own records confirmed.  */
+   a heartbeat, and with its own records confirmed.  Its server is told its
+   keys by METHOD.  */
 static inline struct fixture *
-fixture_new (void)
+fixture_new_by (enum grant_method method)
 {
-  struct fixture *fixture = fixture_start ();
+  struct fixture *fixture = fixture_start_by (method);
 
   add_other_member (fixture);
   add_services (fixture);
@@ -173,6 +184,14 @@
   return fixture;
 }
 
+/* Set up such a node, whose server is told its keys by the answers to its
+   heartbeats.  */
+static inline struct fixture *
+fixture_new (void)
+{
+  return fixture_new_by (GRANT_BY_ANSWER);
+}
+
 /* Free FIXTURE.  */
 static inline void
 fixture_free (struct fixture *fixture)
