--- /dev/null
+++ b/src/mesh/mesh_fetch.c
@@ -0,0 +1,89 @@
+#include "mesh/mesh_parts.h"
+
+/* A node that lags behind a peer for this long fetches the records from that
+   peer.  A read of the store by the node itself, if there is one, should have
+   brought the records by then.  */
+#define FETCH_AFTER_USEC ((gint64)150000)
+#define FETCH_INTERVAL_USEC ((gint64)100000) /* between fetches */
+#define FETCH_TIMEOUT_USEC ((gint64)900000)  /* until a fetch fails */
+
+/* Return the version of the configuration in force, 0 for none.  */
+guint64
+mesh_config_version (const struct mesh *mesh)
+{
+  return mesh->routing != NULL ? mesh->routing->version : 0;
+}
+
+/* Add a call to the member H at the address TO.  The kind and the body of the
+   call are left to be filled in.  */
+struct action_mesh_call *
+mesh_add_call (struct mesh *mesh, struct handle h, struct address to,
+               gint64 deadline, struct actions *out)
+{
+  struct action_mesh_call *action
+      = &actions_add (out, ACTION_MESH_CALL)->u.mesh_call;
+
+  action->serial = ++mesh->last_serial;
+  action->member = h;
+  action->address = to;
+  action->deadline = deadline;
+  return action;
+}
+
+/* Fetch the records and the configuration that this node lacks from the node
+   at FROM.  H is the handle of that node, if it is a known member.  */
+void
+mesh_fetch (struct mesh *mesh, struct handle h, struct address from,
+            gint64 now, struct actions *out)
+{
+  struct action_mesh_call *action;
+
+  mesh->fetch_deferred = now - mesh->last_fetch_at < FETCH_INTERVAL_USEC;
+  if (mesh->fetch_deferred)
+    {
+      mesh->deferred_fetch_member = h;
+      return;
+    }
+  mesh->last_fetch_at = now;
+  action = mesh_add_call (mesh, h, from, now + FETCH_TIMEOUT_USEC, out);
+  action->call.kind = MESH_FETCH;
+  action->call.u.fetch.applied_offset = mesh->fleet.applied_offset;
+  action->call.u.fetch.config_version = mesh_config_version (mesh);
+  action->call.u.fetch.accepts_patches = !mesh->refuses_patches;
+}
+
+/* Fetch from the member H if that member has been ahead of this node for
+   FETCH_AFTER_USEC.  The wait is skipped if this node cannot or does not read
+   the store itself.  */
+void
+mesh_fetch_if_behind (struct mesh *mesh, struct handle h, struct address from,
+                      gint64 now, struct actions *out)
+{
+  struct peer_state *peer = table_get (&mesh->peers, h);
+
+  if (peer->applied_offset <= mesh->fleet.applied_offset
+      && peer->config_version <= mesh_config_version (mesh))
+    {
+      peer->ahead_since = 0;
+      return;
+    }
+  if (peer->ahead_since == 0)
+    peer->ahead_since = now;
+  if (now - peer->ahead_since >= FETCH_AFTER_USEC || mesh->store_lost
+      || !mesh_reads_fleet (mesh, now))
+    mesh_fetch (mesh, h, from, now, out);
+}
+
+/* Make the fetch that was deferred, if it is due and still needed.  */
+void
+mesh_fetch_step (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  struct handle h = mesh->deferred_fetch_member;
+  const struct fleet_member *member = fleet_state_member_at (&mesh->fleet, h);
+
+  if (!mesh->fetch_deferred || now - mesh->last_fetch_at < FETCH_INTERVAL_USEC)
+    return;
+  mesh->fetch_deferred = FALSE;
+  if (member != NULL && table_get (&mesh->peers, h) != NULL)
+    mesh_fetch_if_behind (mesh, h, member->peer_address, now, out);
+}
--- a/src/mesh/mesh_gossip.c
+++ b/src/mesh/mesh_gossip.c
@@ -13,20 +13,6 @@
    long without a message from it.  */
 #define QUIET_PROBE_USEC ((gint64)450000)
 
-/* A node that lags behind a peer for this long fetches the records from that
-   peer.  A read of the store by the node itself, if there is one, should have
-   brought the records by then.  */
-#define FETCH_AFTER_USEC ((gint64)150000)
-#define FETCH_INTERVAL_USEC ((gint64)100000) /* between fetches */
-#define FETCH_TIMEOUT_USEC ((gint64)900000)  /* until a fetch fails */
-
-/* Return the version of the configuration in force, 0 for none.  */
-static guint64
-config_version (const struct mesh *mesh)
-{
-  return mesh->routing != NULL ? mesh->routing->version : 0;
-}
-
 /* Sending */
 
 /* Fill GOSSIP with the state of this node.  */
@@ -40,29 +26,13 @@
   gossip->sequence = ++mesh->last_gossip_sequence;
   gossip->applied_offset = mesh->fleet.applied_offset;
   gossip->confirmed_age_usec = session_age_usec (&mesh->session, now);
-  gossip->config_version = config_version (mesh);
+  gossip->config_version = mesh_config_version (mesh);
   gossip->leaving = mesh->stop_requested_at != 0;
   gossip->store_lost = mesh->store_lost;
   gossip->load = mesh_load_report (mesh, now);
   mesh_report_fill (mesh, gossip, now);
 }
 
-/* Add a call to the member H at the address TO.  The kind and the body of the
-   call are left to be filled in.  */
-static struct action_mesh_call *
-add_call (struct mesh *mesh, struct handle h, struct address to,
-          gint64 deadline, struct actions *out)
-{
-  struct action_mesh_call *action
-      = &actions_add (out, ACTION_MESH_CALL)->u.mesh_call;
-
-  action->serial = ++mesh->last_serial;
-  action->member = h;
-  action->address = to;
-  action->deadline = deadline;
-  return action;
-}
-
 /* Return whether PEER is told at once of what this node has read.  In a fleet
    in which not all nodes are neighbours only those are that this node calls
    anyway: the others hear of it from the nodes that call them.  */
@@ -83,8 +53,8 @@
   return is_told_at_once (mesh, peer) && peer->last_message_at != 0
          && ((peer->applied_offset < mesh->fleet.applied_offset
               && peer->announced_offset < mesh->fleet.applied_offset)
-             || (peer->config_version < config_version (mesh)
-                 && peer->announced_version < config_version (mesh)));
+             || (peer->config_version < mesh_config_version (mesh)
+                 && peer->announced_version < mesh_config_version (mesh)));
 }
 
 /* Return whether PEER is to be called now.  */
@@ -107,71 +77,13 @@
 
 /* Receiving */
 
-/* Fetch the records and the configuration that this node lacks from the node
-   at FROM.  H is the handle of that node, if it is a known member.  */
-static void
-fetch (struct mesh *mesh, struct handle h, struct address from, gint64 now,
-       struct actions *out)
-{
-  struct action_mesh_call *action;
-
-  mesh->fetch_deferred = now - mesh->last_fetch_at < FETCH_INTERVAL_USEC;
-  if (mesh->fetch_deferred)
-    {
-      mesh->deferred_fetch_member = h;
-      return;
-    }
-  mesh->last_fetch_at = now;
-  action = add_call (mesh, h, from, now + FETCH_TIMEOUT_USEC, out);
-  action->call.kind = MESH_FETCH;
-  action->call.u.fetch.applied_offset = mesh->fleet.applied_offset;
-  action->call.u.fetch.config_version = config_version (mesh);
-  action->call.u.fetch.accepts_patches = !mesh->refuses_patches;
-}
-
-/* Fetch from the member H if that member has been ahead of this node for
-   FETCH_AFTER_USEC.  The wait is skipped if this node cannot or does not read
-   the store itself.  */
-static void
-fetch_if_behind (struct mesh *mesh, struct handle h, struct address from,
-                 gint64 now, struct actions *out)
-{
-  struct peer_state *peer = table_get (&mesh->peers, h);
-
-  if (peer->applied_offset <= mesh->fleet.applied_offset
-      && peer->config_version <= config_version (mesh))
-    {
-      peer->ahead_since = 0;
-      return;
-    }
-  if (peer->ahead_since == 0)
-    peer->ahead_since = now;
-  if (now - peer->ahead_since >= FETCH_AFTER_USEC || mesh->store_lost
-      || !mesh_reads_fleet (mesh, now))
-    fetch (mesh, h, from, now, out);
-}
-
-/* Make the fetch that was deferred, if it is due and still needed.  */
-static void
-fetch_deferred (struct mesh *mesh, gint64 now, struct actions *out)
-{
-  struct handle h = mesh->deferred_fetch_member;
-  const struct fleet_member *member = fleet_state_member_at (&mesh->fleet, h);
-
-  if (!mesh->fetch_deferred || now - mesh->last_fetch_at < FETCH_INTERVAL_USEC)
-    return;
-  mesh->fetch_deferred = FALSE;
-  if (member != NULL && table_get (&mesh->peers, h) != NULL)
-    fetch_if_behind (mesh, h, member->peer_address, now, out);
-}
-
 /* Send gossip to the peers for which it is due, and make a deferred fetch.  */
 void
 mesh_gossip_step (struct mesh *mesh, gint64 now, struct actions *out)
 {
   struct handle h = table_next (&mesh->peers, HANDLE_NONE);
 
-  fetch_deferred (mesh, now, out);
+  mesh_fetch_step (mesh, now, out);
   for (; handle_is_set (h); h = table_next (&mesh->peers, h))
     {
       struct peer_state *peer = table_get (&mesh->peers, h);
@@ -188,9 +100,9 @@
       peer->gossip_pending = TRUE;
       peer->gossip_sent_at = now;
       peer->announced_offset = mesh->fleet.applied_offset;
-      peer->announced_version = config_version (mesh);
-      action = add_call (mesh, h, member->peer_address,
-                         now + GOSSIP_TIMEOUT_USEC, out);
+      peer->announced_version = mesh_config_version (mesh);
+      action = mesh_add_call (mesh, h, member->peer_address,
+                              now + GOSSIP_TIMEOUT_USEC, out);
       peer->gossip_serial = action->serial;
       action->call.kind = MESH_GOSSIP;
       describe_self (mesh, now, &action->call.u.gossip);
@@ -209,7 +121,7 @@
   if (peer == NULL)
     {
       if (gossip->applied_offset > mesh->fleet.applied_offset)
-        fetch (mesh, h, gossip->address, now, out);
+        mesh_fetch (mesh, h, gossip->address, now, out);
       return;
     }
   if (gossip->leaving != peer->is_leaving
@@ -220,7 +132,7 @@
     }
   peer_state_on_gossip (peer, gossip, now);
   mesh_report_apply (mesh, gossip, now);
-  fetch_if_behind (mesh, h, gossip->address, now, out);
+  mesh_fetch_if_behind (mesh, h, gossip->address, now, out);
 }
 
 /* Process a call of another node and answer it.  */
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -114,10 +114,12 @@
 void mesh_stop_step (struct mesh *mesh, guint32 exchange_count, gint64 now,
                      struct actions *out);
 
-/* The store, mesh_store.c.  */
+/* Records that were read, mesh_records.c.  */
 void mesh_apply_records (struct mesh *mesh,
                          const struct event_fleet_records *event, gint64 now,
                          struct actions *out);
+
+/* The store, mesh_store.c.  */
 void mesh_append_ended (struct mesh *mesh,
                         const struct event_store_appended *event, gint64 now,
                         struct actions *out);
@@ -169,6 +171,18 @@
 void mesh_report_apply (struct mesh *mesh, const struct gossip *gossip,
                         gint64 now);
 
+/* Calls to other nodes, and the fetch of what they have read, mesh_fetch.c. */
+guint64 mesh_config_version (const struct mesh *mesh);
+struct action_mesh_call *mesh_add_call (struct mesh *mesh, struct handle h,
+                                        struct address to, gint64 deadline,
+                                        struct actions *out);
+void mesh_fetch (struct mesh *mesh, struct handle h, struct address from,
+                 gint64 now, struct actions *out);
+void mesh_fetch_if_behind (struct mesh *mesh, struct handle h,
+                           struct address from, gint64 now,
+                           struct actions *out);
+void mesh_fetch_step (struct mesh *mesh, gint64 now, struct actions *out);
+
 /* Gossip and detection of failed nodes, mesh_gossip.c and mesh_liveness.c.  */
 void mesh_gossip_step (struct mesh *mesh, gint64 now, struct actions *out);
 void mesh_on_call (struct mesh *mesh, const struct event_mesh_call *event,
