A server that a call for keys finds gone is handled as one that a request does

Cause: the end of a call marked the server as presumed dead by its own copy of the rule, without what follows from it: requests lost with the server were not collected as suspects, and the next heartbeat took the crash for handled.

Change: both ends use mesh_check_server_gone.

Checked: test_mesh_orders, "the server is gone", failed before.

--- a/src/mesh/mesh_orders.c
+++ b/src/mesh/mesh_orders.c
@@ -118,6 +118,21 @@
             MAX (0, order->granted_until - now) / USEC_PER_MSEC);
 }
 
+/* Return what CODE, with which an order ended, says of the server.  */
+static enum reason
+reason_of (enum err code)
+{
+  switch (code)
+    {
+    case ERR_NOT_FOUND:
+      return REASON_MISDIRECTED;
+    case ERR_REFUSED:
+      return REASON_SERVER_DOWN;
+    default:
+      return REASON_NONE;
+    }
+}
+
 /* Process the end of an order.  */
 void
 mesh_order_ended (struct mesh *mesh, const struct event_key_order_ended *event,
@@ -129,12 +144,7 @@
     return;
   log_order (mesh, event, now, out);
   if (strcmp (event->order.server, mesh->grant.instance.id) == 0)
-    {
-      if (event->code == ERR_NOT_FOUND)
-        grant_on_misdirected (&mesh->grant);
-      else if (event->code == ERR_REFUSED)
-        grant_on_connection_refused (&mesh->grant, now);
-    }
+    mesh_check_server_gone (mesh, reason_of (event->code), now, out);
   released = lease_book_on_ended (&mesh->grant.u.calls, event->serial,
                                   &event->order, event->code,
                                   event->handover_token, now);
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -53,6 +53,8 @@
                      const struct event_attempt_ended *event, gint64 now,
                      struct actions *out);
 void mesh_server_crashed (struct mesh *mesh, gint64 now, struct actions *out);
+void mesh_check_server_gone (struct mesh *mesh, enum reason reason, gint64 now,
+                             struct actions *out);
 
 /* What the local backend server says of itself, mesh_notice.c.  */
 void mesh_on_notice (struct mesh *mesh, const struct server_notice *notice,
--- a/src/mesh/mesh_run_end.c
+++ b/src/mesh/mesh_run_end.c
@@ -22,11 +22,11 @@
     g_array_append_val (mesh->crash_reports, digest);
 }
 
-/* Presume the server dead if REASON, for which an attempt did not run, shows
-   so.  */
-static void
-check_server_gone (struct mesh *mesh, enum reason reason, gint64 now,
-                   struct actions *out)
+/* Presume the server dead if REASON, for which an attempt or a call did not
+   reach it, shows so.  */
+void
+mesh_check_server_gone (struct mesh *mesh, enum reason reason, gint64 now,
+                        struct actions *out)
 {
   gboolean was_dead = mesh->grant.presumed_dead;
 
@@ -82,7 +82,7 @@
     case OUTCOME_NOT_RUN:
       if (event->reason == REASON_KEY_DENIED)
         grant_on_key_denied (&mesh->grant, request->request.slice, now);
-      check_server_gone (mesh, event->reason, now, out);
+      mesh_check_server_gone (mesh, event->reason, now, out);
       break;
     case OUTCOME_UNKNOWN:
       if (event->reason == REASON_DEADLINE
--- a/tests/test_mesh_orders.c
+++ b/tests/test_mesh_orders.c
@@ -179,12 +179,46 @@
   fixture_free (fixture);
 }
 
+/* A call that finds another server at the address shows that the known one has
+   ended, as a request does: what ran on it counts as lost with it.  */
+static void
+test_server_gone (void)
+{
+  struct fixture *fixture = fixture_new_by (GRANT_BY_CALL);
+  struct event event = { .kind = EVENT_REQUEST };
+  struct action_key_order order;
+
+  own_all_keys (fixture);
+  order = last_order (fixture, KEY_ORDER_GRANT);
+  end_order (fixture, &order, ERR_NONE);
+  g_strlcpy (event.u.request.request.key, "17", KEY_SIZE);
+  event.u.request.request.digest = 99;
+  event.u.request.request.deadline = fixture->now + 9000 * MSEC;
+  event.u.request.exchange = handle_make (++fixture->last_exchange, 1);
+  event.u.request.host = "h";
+  event.u.request.target = "/own/x";
+  feed_event (fixture, &event);
+  CU_ASSERT_PTR_NOT_NULL (find_action (fixture, ACTION_RUN));
+  while (find_action (fixture, ACTION_KEY_ORDER) == NULL)
+    {
+      session_confirm (&fixture->mesh.session, fixture->now);
+      advance (fixture, 25 * MSEC);
+    }
+  order = last_order (fixture, KEY_ORDER_GRANT);
+  end_order (fixture, &order, ERR_NOT_FOUND);
+  CU_ASSERT_TRUE (fixture->mesh.grant.presumed_dead);
+  CU_ASSERT_EQUAL (fixture->mesh.admission.slots, 0);
+  CU_ASSERT_EQUAL (fixture->mesh.crash_reports->len, 1);
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = { { "first grant", test_first_grant },
                           { "the server denies a key", test_denied },
                           { "handoff", test_handoff },
+                          { "the server is gone", test_server_gone },
                           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_orders", tests);
