Reading of the change: one piece of code where it stood twice

- the end of a call for keys is one struct for the client, the event and the lease book (types/key_order_result);
- the map that a server may be granted is made in one place, once a heartbeat in place of twice (mesh_grantable_map);
- a complete map is an ordered one without gaps (shard_map_is_ordered), also for patches; which shards the server holds is asked in one place;
- a restarted node makes no presumed answer where keys are granted by calls;
- the index of peers is bounded; the topic reader goes on where the fleet state is, not behind a patch that did not fit;

--- a/src/edge/mesh_node.c
+++ b/src/edge/mesh_node.c
@@ -209,11 +209,7 @@
 {
   struct event event = { .kind = EVENT_KEY_ORDER_ENDED };
 
-  event.u.key_order_ended.serial = result->serial;
-  event.u.key_order_ended.order = result->order;
-  event.u.key_order_ended.code = result->code;
-  g_strlcpy (event.u.key_order_ended.handover_token, result->handover_token,
-             sizeof event.u.key_order_ended.handover_token);
+  event.u.key_order_ended = *result;
   mesh_node_handle_event (data, &event);
 }
 
--- a/src/edge/mesh_node_link.c
+++ b/src/edge/mesh_node_link.c
@@ -71,7 +71,8 @@
       event.u.fleet_records.next_offset = fetch->next_offset;
       event.u.fleet_records.complete = fetch->next_offset > 0;
       mesh_node_handle_event (node, &event);
-      topic_reader_advance (&node->fleet_reader, fetch->next_offset);
+      topic_reader_advance (&node->fleet_reader,
+                            node->mesh.fleet.applied_offset);
       for (i = 0; i < entries->len; i++)
         fleet_record_clear (
             &g_array_index (entries, struct fleet_entry, i).record);
--- a/src/mesh/mesh_gossip.c
+++ b/src/mesh/mesh_gossip.c
@@ -75,8 +75,6 @@
          && now - peer_state_last_message_at (peer) >= QUIET_PROBE_USEC;
 }
 
-/* Receiving */
-
 /* Send gossip to the peers for which it is due, and make a deferred fetch.  */
 void
 mesh_gossip_step (struct mesh *mesh, gint64 now, struct actions *out)
@@ -109,6 +107,8 @@
     }
 }
 
+/* Receiving */
+
 /* Process GOSSIP from the node H.  A node without any records, such as one
    that starts while the store does not answer, knows no members; such a node
    fetches from the first one that calls.  */
--- a/src/mesh/mesh_handoff.c
+++ b/src/mesh/mesh_handoff.c
@@ -82,3 +82,16 @@
         g_array_remove_index (mesh->handoffs, i);
     }
 }
+
+/* Return a copy of MAP as the local server may be granted it: without the
+   shards that an unconfirmed map gives away, and with the next owners of the
+   planned handoffs to CANDIDATES.  The caller clears the copy.  */
+struct shard_map
+mesh_grantable_map (struct mesh *mesh, const struct shard_map *map,
+                    const GArray *candidates, gint64 now)
+{
+  struct shard_map copy = mesh_unconfirmed_exclude (mesh, map);
+
+  mesh_handoffs_apply (mesh, &copy, candidates, now);
+  return copy;
+}
--- a/src/mesh/mesh_heartbeat.c
+++ b/src/mesh/mesh_heartbeat.c
@@ -39,8 +39,8 @@
       = map != NULL && mesh->initial_read_done && answer->grant_usec > 0;
   if (answer->renews_grant)
     {
-      struct shard_map grantable = mesh_unconfirmed_exclude (mesh, map);
-      mesh_handoffs_apply (mesh, &grantable, candidates, now);
+      struct shard_map grantable
+          = mesh_grantable_map (mesh, map, candidates, now);
       mesh_balance (mesh, &grantable, candidates, now, out);
       mesh_handoffs_apply (mesh, &grantable, candidates, now);
       shard_ranges_to_hold (&grantable, &owner, answer);
@@ -50,26 +50,6 @@
   g_array_free (candidates, TRUE);
 }
 
-/* Plan handoffs of the keys of a server that is granted them by calls, and
-   send the calls that are due.  */
-static void
-order_keys (struct mesh *mesh, gint64 now, struct actions *out)
-{
-  const struct shard_map *map
-      = fleet_state_map (&mesh->fleet, mesh->settings.service);
-  GArray *candidates = mesh_candidates (mesh, mesh->settings.service, now);
-
-  if (map != NULL && mesh->initial_read_done)
-    {
-      struct shard_map grantable = mesh_unconfirmed_exclude (mesh, map);
-      mesh_handoffs_apply (mesh, &grantable, candidates, now);
-      mesh_balance (mesh, &grantable, candidates, now, out);
-      shard_map_clear (&grantable);
-    }
-  g_array_free (candidates, TRUE);
-  mesh_orders_update (mesh, now, out);
-}
-
 /* Log HEARTBEAT if it is from a new or an ended instance or out of order, if
    the server drains, or if the held keys change.  */
 static void
@@ -147,10 +127,15 @@
                  sizeof mesh->settings.service);
       admission_set_slots (&mesh->admission, heartbeat->slots,
                            QUEUE_PER_SLOT * heartbeat->slots);
-      if (mesh->grant.method == GRANT_BY_ANSWER)
-        fill_answer (mesh, now, answer, out);
-      else
-        order_keys (mesh, now, out);
+      switch (mesh->grant.method)
+        {
+        case GRANT_BY_ANSWER:
+          fill_answer (mesh, now, answer, out);
+          break;
+        case GRANT_BY_CALL:
+          mesh_orders_on_heartbeat (mesh, now, out);
+          break;
+        }
     }
   log_heartbeat (mesh, heartbeat, change, answer, out);
   actions_add (out, ACTION_HEARTBEAT_ANSWER)->u.heartbeat_answer.call_id
--- a/src/mesh/mesh_orders.c
+++ b/src/mesh/mesh_orders.c
@@ -71,9 +71,11 @@
 }
 
 /* Compare what the server was granted by calls with the shard map, and send
-   the orders that are due.  */
-void
-mesh_orders_update (struct mesh *mesh, gint64 now, struct actions *out)
+   the orders that are due.  If MAY_BALANCE is set, handoffs are planned before
+   that.  */
+static void
+update (struct mesh *mesh, gboolean may_balance, gint64 now,
+        struct actions *out)
 {
   const struct shard_map *map
       = fleet_state_map (&mesh->fleet, mesh->settings.service);
@@ -87,8 +89,12 @@
   candidates = mesh_candidates (mesh, mesh->settings.service, now);
   pieces = g_array_new (FALSE, TRUE, sizeof (struct lease_piece));
   owner.candidates = candidates;
-  grantable = mesh_unconfirmed_exclude (mesh, map);
-  mesh_handoffs_apply (mesh, &grantable, candidates, now);
+  grantable = mesh_grantable_map (mesh, map, candidates, now);
+  if (may_balance)
+    {
+      mesh_balance (mesh, &grantable, candidates, now, out);
+      mesh_handoffs_apply (mesh, &grantable, candidates, now);
+    }
   shard_lease_pieces (&grantable, &owner, pieces);
   lease_book_update (&mesh->grant.u.calls,
                      (const struct lease_piece *)pieces->data, pieces->len,
@@ -99,22 +105,37 @@
   mesh_orders_step (mesh, now, out);
 }
 
-/* Log the end of the order in EVENT unless it is a renewal that was
+/* Send the orders that are due after a change of what the server may be
+   granted.  */
+void
+mesh_orders_update (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  update (mesh, FALSE, now, out);
+}
+
+/* Plan handoffs of the server's keys and send the orders that are due.  */
+void
+mesh_orders_on_heartbeat (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  update (mesh, TRUE, now, out);
+}
+
+/* Log the end of the order in RESULT unless it is a renewal that was
    granted.  */
 static void
-log_order (struct mesh *mesh, const struct event_key_order_ended *event,
+log_order (struct mesh *mesh, const struct key_order_result *result,
            gint64 now, struct actions *out)
 {
-  const struct key_order *order = &event->order;
+  const struct key_order *order = &result->order;
 
-  if (event->code == ERR_NONE && order->kind == KEY_ORDER_GRANT
+  if (result->code == ERR_NONE && order->kind == KEY_ORDER_GRANT
       && grant_covers_key (&mesh->grant, order->first, now))
     return;
   mesh_log (out, LOG_EVENT_MESH_ORDER, order->server,
             "kind=%s first=%u last=%u fence=%" G_GUINT64_FORMAT
             " outcome=%s hold_ms=%" G_GINT64_FORMAT,
             order->kind == KEY_ORDER_GRANT ? "grant" : "release", order->first,
-            order->last, order->fence, err_name (event->code),
+            order->last, order->fence, err_name (result->code),
             MAX (0, order->granted_until - now) / USEC_PER_MSEC);
 }
 
@@ -133,24 +154,22 @@
     }
 }
 
-/* Process the end of an order.  */
+/* Process RESULT, the end of an order.  */
 void
-mesh_order_ended (struct mesh *mesh, const struct event_key_order_ended *event,
+mesh_order_ended (struct mesh *mesh, const struct key_order_result *result,
                   gint64 now, struct actions *out)
 {
   gboolean released;
 
   if (mesh->grant.method != GRANT_BY_CALL)
     return;
-  log_order (mesh, event, now, out);
-  if (strcmp (event->order.server, mesh->grant.instance.id) == 0)
-    mesh_check_server_gone (mesh, reason_of (event->code), now, out);
-  released = lease_book_on_ended (&mesh->grant.u.calls, event->serial,
-                                  &event->order, event->code,
-                                  event->handover_token, now);
+  log_order (mesh, result, now, out);
+  if (strcmp (result->order.server, mesh->grant.instance.id) == 0)
+    mesh_check_server_gone (mesh, reason_of (result->code), now, out);
+  released = lease_book_on_ended (&mesh->grant.u.calls, result, now);
   if (released)
     mesh_plan_step (mesh, now, out);
-  else if (event->code == ERR_NONE)
+  else if (result->code == ERR_NONE)
     mesh_route_waiting (mesh, TRUE, now, out);
   mesh_orders_step (mesh, now, out);
 }
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -100,10 +100,11 @@
 
 /* Calls that grant the server keys, mesh_orders.c.  */
 void mesh_orders_update (struct mesh *mesh, gint64 now, struct actions *out);
+void mesh_orders_on_heartbeat (struct mesh *mesh, gint64 now,
+                               struct actions *out);
 void mesh_orders_step (struct mesh *mesh, gint64 now, struct actions *out);
-void mesh_order_ended (struct mesh *mesh,
-                       const struct event_key_order_ended *event, gint64 now,
-                       struct actions *out);
+void mesh_order_ended (struct mesh *mesh, const struct key_order_result *event,
+                       gint64 now, struct actions *out);
 
 /* The planned stop of the process, mesh_stop.c.  */
 gint64 mesh_stop_deadline (const struct mesh *mesh, gint64 deadline);
@@ -144,6 +145,10 @@
 void mesh_handoffs_apply (struct mesh *mesh, struct shard_map *map,
                           const GArray *candidates, gint64 now);
 
+struct shard_map mesh_grantable_map (struct mesh *mesh,
+                                     const struct shard_map *map,
+                                     const GArray *candidates, gint64 now);
+
 /* The nodes whose servers may be given keys, mesh_candidates.c.  */
 GArray *mesh_candidates (struct mesh *mesh, const char *service, gint64 now);
 
--- a/src/mesh/mesh_receiver.c
+++ b/src/mesh/mesh_receiver.c
@@ -72,7 +72,7 @@
                    + (gint64)peer->load.next_heartbeat_msec * USEC_PER_MSEC;
   gint64 earliest_at = now + RELEASE_USEC;
 
-  if (mesh->settings.grant_method == GRANT_BY_CALL)
+  if (mesh->grant.method == GRANT_BY_CALL)
     return 0;
   if (next_at < earliest_at)
     next_at += (earliest_at - next_at + interval_usec - 1) / interval_usec
--- a/src/mesh/mesh_records.c
+++ b/src/mesh/mesh_records.c
@@ -63,7 +63,7 @@
     grant_on_leaving (&mesh->grant,
                       MAX (1, now - mesh->settings.drain_limit_usec));
   admission_set_slots (&mesh->admission, self->slots, self->slots);
-  if (map == NULL)
+  if (map == NULL || mesh->grant.method != GRANT_BY_ANSWER)
     return;
   presumed_answer = g_new0 (struct heartbeat_answer, 1);
   owner.candidates = g_array_new (FALSE, FALSE, sizeof (struct candidate));
--- a/src/mesh/mesh_report.c
+++ b/src/mesh/mesh_report.c
@@ -17,6 +17,10 @@
    unresponsive.  */
 #define UNRESPONSIVE_AGE_USEC ((gint64)900000)
 
+/* The index of peers is emptied when it has so many entries for each peer:
+   most are of processes that have ended.  */
+#define INDEX_ENTRIES_PER_PEER 2u
+
 /* Include a report on PEER in gossip messages for REPORT_USEC from NOW on.  */
 void
 mesh_report_mark (struct peer_state *peer, gint64 now)
@@ -130,6 +134,9 @@
       struct peer_state *peer = table_get (&mesh->peers, h);
       if (peer->incarnation != incarnation)
         continue;
+      if (g_hash_table_size (mesh->peers_by_incarnation)
+          >= INDEX_ENTRIES_PER_PEER * mesh->peers.count)
+        g_hash_table_remove_all (mesh->peers_by_incarnation);
       g_hash_table_insert (mesh->peers_by_incarnation,
                            g_memdup2 (&key, sizeof key),
                            GUINT_TO_POINTER (h.bits));
--- a/src/shard/lease_book.h
+++ b/src/shard/lease_book.h
@@ -3,7 +3,7 @@
 
 #include "shard/key_lease.h"
 #include "shard/lease_piece.h"
-#include "types/err.h"
+#include "types/key_order_result.h"
 #include "types/shard.h"
 
 /* Keys that a backend server is granted by calls.
@@ -29,9 +29,9 @@
 gboolean lease_book_next_order (struct lease_book *book, guint64 serial,
                                 gint64 granted_until, gint64 now,
                                 struct key_order *order);
-gboolean lease_book_on_ended (struct lease_book *book, guint64 serial,
-                              const struct key_order *order, enum err code,
-                              const char *handover_token, gint64 now);
+gboolean lease_book_on_ended (struct lease_book *book,
+                              const struct key_order_result *result,
+                              gint64 now);
 void lease_book_on_denied (struct lease_book *book, guint32 key, gint64 now);
 gboolean lease_book_covers_key (const struct lease_book *book, guint32 key,
                                 gint64 now);
--- a/src/shard/lease_book_orders.c
+++ b/src/shard/lease_book_orders.c
@@ -104,36 +104,34 @@
     lease->next_order_at = now;
 }
 
-/* Process the end of ORDER, number SERIAL, with CODE: ERR_NONE if it was
-   carried out, ERR_CONFLICT if the server has seen a higher fence, ERR_REFUSED
-   if it was not sent, another code if it has no answer.  The answer to a
-   release has a HANDOVER_TOKEN.  Return whether a release ended.  */
+/* Process RESULT, the end of an order.  Return whether a release was
+   answered.  */
 gboolean
-lease_book_on_ended (struct lease_book *book, guint64 serial,
-                     const struct key_order *order, enum err code,
-                     const char *handover_token, gint64 now)
+lease_book_on_ended (struct lease_book *book,
+                     const struct key_order_result *result, gint64 now)
 {
+  gboolean is_release = result->order.kind == KEY_ORDER_RELEASE;
   gboolean released = FALSE;
   guint i;
 
   for (i = 0; i < book->leases->len; i++)
     {
       struct key_lease *lease = lease_at (book, i);
-      if (lease->order_serial != serial)
+      if (lease->order_serial != result->serial)
         continue;
       lease->order_serial = 0;
       lease->next_order_at = now + UNANSWERED_DELAY_USEC;
-      switch (code)
+      switch (result->code)
         {
         case ERR_NONE:
-          if (order->kind == KEY_ORDER_RELEASE)
-            on_released (lease, handover_token);
+          if (is_release)
+            on_released (lease, result->handover_token);
           else
             on_granted (lease, now);
-          released = released || order->kind == KEY_ORDER_RELEASE;
+          released = is_release;
           break;
         case ERR_CONFLICT:
-          on_fence_refused (lease, order, now);
+          on_fence_refused (lease, &result->order, now);
           break;
         case ERR_REFUSED:
           lease->next_order_at = now + UNSENT_DELAY_USEC;
--- a/src/shard/shard_reconcile.c
+++ b/src/shard/shard_reconcile.c
@@ -13,8 +13,8 @@
 /* Return whether the server is to release SHARD, which this node owns.  A
    server that stops releases all shards as soon as another node can take
    them.  */
-gboolean
-shard_must_release (const struct shard *shard, const struct shard_owner *owner)
+static gboolean
+must_release (const struct shard *shard, const struct shard_owner *owner)
 {
   if (grant_is_leaving (owner->grant))
     return has_other_candidate (owner) || owner->grant->is_deregistered;
@@ -118,7 +118,7 @@
       pass_on (map, shard, owner, "");
       return TRUE;
     }
-  if (shard_must_release (shard, owner))
+  if (must_release (shard, owner))
     {
       if (!grant_is_released (grant, shard, owner->now, &token))
         return FALSE;
@@ -171,6 +171,15 @@
   return changed;
 }
 
+/* Return whether the map lets the known instance of the server hold SHARD.  */
+static gboolean
+is_held_here (const struct shard *shard, const struct shard_owner *owner)
+{
+  return shard->state == SHARD_HELD
+         && strcmp (shard->owner, owner->node_name) == 0
+         && server_instance_equal (&shard->instance, &owner->grant->instance);
+}
+
 /* Add SHARD to the ranges of ANSWER.  Extend the previous range if fence and
    handover token allow it.  */
 static void
@@ -210,10 +219,7 @@
   for (i = 0; i < map->shards->len; i++)
     {
       const struct shard *shard = shard_map_at (map, i);
-      if (shard->state != SHARD_HELD
-          || strcmp (shard->owner, owner->node_name) != 0
-          || !server_instance_equal (&shard->instance, &owner->grant->instance)
-          || shard_must_release (shard, owner))
+      if (!is_held_here (shard, owner) || must_release (shard, owner))
         continue;
       add_range (answer, shard,
                  grant_includes (owner->grant, shard) ? ""
@@ -235,12 +241,9 @@
       const struct shard *shard = shard_map_at (map, i);
       struct lease_piece piece = { shard->first, shard->last, shard->fence,
                                    shard->handover_token, FALSE };
-      if (shard->state != SHARD_HELD
-          || strcmp (shard->owner, owner->node_name) != 0
-          || !server_instance_equal (&shard->instance,
-                                     &owner->grant->instance))
+      if (!is_held_here (shard, owner))
         continue;
-      piece.release = shard_must_release (shard, owner);
+      piece.release = must_release (shard, owner);
       g_array_append_val (pieces, piece);
     }
 }
--- a/src/shard/shard_reconcile.h
+++ b/src/shard/shard_reconcile.h
@@ -16,8 +16,6 @@
   gint64 now;                /* current time in microseconds */
 };
 
-gboolean shard_must_release (const struct shard *shard,
-                             const struct shard_owner *owner);
 gboolean shard_reconcile (struct shard_map *map,
                           const struct shard_owner *owner);
 void shard_ranges_to_hold (const struct shard_map *map,
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -2,7 +2,7 @@
 #define BAMBOOTALLY_EVENT_H
 
 #include "types/heartbeat.h"
-#include "types/key_order.h"
+#include "types/key_order_result.h"
 #include "types/mesh_msg.h"
 #include "types/peer_msg.h"
 #include "types/record.h"
@@ -234,17 +234,6 @@
   const struct mesh_reply *reply; /* result, an error if no reply came */
 };
 
-/* A call that grants the backend server keys or takes them back ended.  */
-struct event_key_order_ended
-{
-  guint64 serial;         /* id of the call */
-  struct key_order order; /* the call */
-  enum err code;          /* ERR_NONE; ERR_CONFLICT: the server has seen a
-                             higher fence; ERR_NOT_FOUND: it is another server;
-                             ERR_REFUSED: not sent; others: no answer */
-  char handover_token[NAME_SIZE]; /* release: token for the next holder */
-};
-
 /* An event with its data.  */
 struct event
 {
@@ -273,7 +262,7 @@
     struct event_deregister deregister;
     struct event_mesh_call mesh_call;
     struct event_mesh_reply mesh_reply;
-    struct event_key_order_ended key_order_ended;
+    struct key_order_result key_order_ended;
   } u;
 };
 
--- a/src/types/shard_map.c
+++ b/src/types/shard_map.c
@@ -124,9 +124,10 @@
     }
 }
 
-/* Tell whether the shards cover all keys, each exactly once.  */
+/* Tell whether the shards are in the order of their keys and do not
+   overlap.  */
 gboolean
-shard_map_is_complete (const struct shard_map *map)
+shard_map_is_ordered (const struct shard_map *map)
 {
   guint32 next = 0;
   guint i;
@@ -134,10 +135,24 @@
   for (i = 0; i < map->shards->len; i++)
     {
       const struct shard *shard = shard_map_at (map, i);
-      if (shard->first != next || shard->last < shard->first
+      if (shard->first < next || shard->last < shard->first
           || shard->last >= SHARD_KEY_COUNT)
         return FALSE;
       next = shard->last + 1;
     }
-  return next == SHARD_KEY_COUNT;
+  return TRUE;
+}
+
+/* Tell whether the shards cover all keys, each exactly once.  */
+gboolean
+shard_map_is_complete (const struct shard_map *map)
+{
+  guint32 keys = 0;
+  guint i;
+
+  if (!shard_map_is_ordered (map))
+    return FALSE;
+  for (i = 0; i < map->shards->len; i++)
+    keys += shard_key_count (shard_map_at (map, i));
+  return keys == SHARD_KEY_COUNT;
 }
--- a/src/types/shard_map.h
+++ b/src/types/shard_map.h
@@ -22,6 +22,7 @@
 struct shard *shard_map_find (const struct shard_map *map, guint32 key);
 void shard_map_split (struct shard_map *map, guint32 first);
 void shard_map_merge (struct shard_map *map);
+gboolean shard_map_is_ordered (const struct shard_map *map);
 gboolean shard_map_is_complete (const struct shard_map *map);
 guint32 shard_key_count (const struct shard *shard);
 gboolean shard_equal (const struct shard *a, const struct shard *b);
--- a/src/wire/wire_fleet.c
+++ b/src/wire/wire_fleet.c
@@ -49,24 +49,6 @@
   return state >= SHARD_FREE && state <= SHARD_LOST;
 }
 
-/* Return whether the shards of MAP are in order and do not overlap.  */
-static gboolean
-is_ordered (const struct shard_map *map)
-{
-  guint32 next = 0;
-  guint i;
-
-  for (i = 0; i < map->shards->len; i++)
-    {
-      const struct shard *shard = shard_map_at (map, i);
-      if (shard->first < next || shard->last < shard->first
-          || shard->last >= SHARD_KEY_COUNT)
-        return FALSE;
-      next = shard->last + 1;
-    }
-  return TRUE;
-}
-
 /* XDR filter for the shards of a map, which must cover all keys unless the map
    IS_PATCH.  */
 static bool_t
@@ -90,7 +72,7 @@
   for (i = 0; i < count; i++)
     if (!wire_shard (xdr, shard_map_at (map, i)))
       return FALSE;
-  return is_patch ? is_ordered (map)
+  return is_patch ? shard_map_is_ordered (map)
                   : count > 0 && shard_map_is_complete (map);
 }
 
--- a/tests/test_lease_book.c
+++ b/tests/test_lease_book.c
@@ -35,13 +35,24 @@
                                 &fixture->order);
 }
 
+/* End ORDER, number SERIAL, with CODE.  */
+static void
+end_order (struct fixture *fixture, guint64 serial,
+           const struct key_order *order, enum err code)
+{
+  struct key_order_result result = {
+    .serial = serial, .order = *order, .code = code, .handover_token = "token"
+  };
+
+  lease_book_on_ended (&fixture->book, &result, fixture->now);
+}
+
 /* End the last order with CODE after 2 ms.  */
 static void
 end (struct fixture *fixture, enum err code)
 {
   fixture->now += 2 * MSEC;
-  lease_book_on_ended (&fixture->book, fixture->serial, &fixture->order, code,
-                       "token", fixture->now);
+  end_order (fixture, fixture->serial, &fixture->order, code);
 }
 
 /* Return whether requests for KEY may be sent.  */
@@ -174,8 +185,7 @@
   lease_book_update (&fixture.book, pieces, 2, fixture.now);
   next (&fixture);
   CU_ASSERT_EQUAL (fixture.order.kind, KEY_ORDER_RELEASE);
-  lease_book_on_ended (&fixture.book, whole_serial, &whole, ERR_CONFLICT, "",
-                       fixture.now);
+  end_order (&fixture, whole_serial, &whole, ERR_CONFLICT);
   CU_ASSERT_FALSE (lease_book_is_surrendered (&fixture.book, &low));
   CU_ASSERT_TRUE (next (&fixture));
   CU_ASSERT_EQUAL (fixture.order.kind, KEY_ORDER_GRANT);
@@ -202,8 +212,7 @@
   renewal_serial = fixture.serial;
   lease_book_on_denied (&fixture.book, 50, fixture.now);
   CU_ASSERT_FALSE (is_open (&fixture, 50));
-  lease_book_on_ended (&fixture.book, renewal_serial, &renewal, ERR_NONE, "",
-                       fixture.now);
+  end_order (&fixture, renewal_serial, &renewal, ERR_NONE);
   CU_ASSERT_FALSE (is_open (&fixture, 50));
   CU_ASSERT_TRUE (next (&fixture));
   end (&fixture, ERR_NONE);
