--- a/src/mesh/mesh_balance.c
+++ b/src/mesh/mesh_balance.c
@@ -1,35 +1,15 @@
 #include "mesh/mesh_parts.h"
 
-/* Keys are moved only if a request costs here at least this percentage of its
-   cost at the other server.  The bound is higher if this server is merely
-   slow: mean run times differ by chance, and a move takes its keys out of
-   service for about a heartbeat interval.  */
-#define BUSY_COST_PERCENT 130
-#define SLOW_COST_PERCENT 170
-
-/* The same bound for the move of a single hot key, since all requests for it
-   wait during the move.  */
+/* A single hot key is moved only if a request costs here at least this
+   percentage of its cost at the other server: all requests for it wait during
+   the move.  */
 #define HOT_KEY_COST_PERCENT 250
 
 /* A server with a lower demand, in thousandths of its capacity, moves no
    keys.  */
 #define MIN_DEMAND_PERMILLE 150
 
-/* One move takes away at most half of the requests of this server.  If that is
-   too much for the receiver, the part is halved repeatedly, down to one part
-   in this many.  */
-#define MAX_DIVISOR 16u
-
-/* Load pattern: many neighbouring keys of one owner become hot at once and ask
-   for the capacity of several servers.  An owner that halves its load with
-   each move would need as many rounds of heartbeats as the event lasts.  So a
-   server whose demand exceeds its capacity moves several ranges at once, each
-   to another server and as much as that one has room for.  */
-#define OVERLOAD_PERMILLE                                                     \
-  1000u                      /* demand from which several moves are planned */
-#define ROOM_PERMILLE 800u   /* demand up to which a receiver is filled */
-#define HANDOFFS_MAX 8u      /* moves planned at a time */
-#define ROOM_DIVISOR_MAX 64u /* least part of the rate that is moved then */
+#define HANDOFFS_MAX 8u /* moves planned at a time by an overloaded server */
 
 /* Time from a handoff until the next one of a busy server, and of one that is
    merely slow.  */
@@ -41,7 +21,6 @@
 #define MIN_MAPS_USEC ((gint64)1000000)
 
 #define MAX_SHARDS 300u /* maps with more shards are not balanced */
-#define MIN_RATE 3u     /* least rate worth a move, requests per second */
 
 /* A key with at least one part in this many of the requests of this server is
    moved alone, to the server where its requests cost least: moving a range
@@ -96,60 +75,6 @@
   return best;
 }
 
-/* Return the largest part of the RATE requests per second of this overloaded
-   node for which RECEIVER has room, where one request per second is a demand
-   of DEMAND_PER_RATE millionths; 0 if it has no room.  */
-static guint32
-rate_with_room (const struct mesh_receiver *receiver, gint64 demand_per_rate,
-                guint32 rate)
-{
-  guint32 divisor;
-
-  for (divisor = 2; divisor <= ROOM_DIVISOR_MAX && rate / divisor >= MIN_RATE;
-       divisor *= 2)
-    if (receiver->reported_load.demand_permille
-            + (gint64)(rate / divisor) * demand_per_rate / USEC_PER_MSEC
-        <= ROOM_PERMILLE)
-      return rate / divisor;
-  return 0;
-}
-
-/* Return how many of the RATE requests per second of this node, whose load is
-   LOAD, are to move to RECEIVER; 0 if no move is worthwhile.  */
-static guint32
-rate_to_move (const struct mesh_receiver *receiver,
-              const struct load_report *load, guint32 rate)
-{
-  gint64 run_usec = load->mean_run_usec;
-  gint64 demand_per_rate = mesh_demand_per_rate (load, run_usec);
-  gint64 demand = load->demand_permille;
-  gint64 min_percent
-      = demand >= MESH_BUSY_PERMILLE ? BUSY_COST_PERCENT : SLOW_COST_PERCENT;
-  guint32 divisor;
-
-  if (mesh_request_cost (run_usec, demand, load->failed_permille) * 100
-      < mesh_receiver_cost (receiver, run_usec, 0) * min_percent)
-    return 0;
-  if (demand > OVERLOAD_PERMILLE)
-    {
-      guint32 moved = rate_with_room (
-          receiver, mesh_demand_per_rate (&receiver->reported_load, run_usec),
-          rate);
-      if (moved > 0)
-        return moved;
-    }
-  for (divisor = 2; divisor <= MAX_DIVISOR && rate / divisor >= MIN_RATE;
-       divisor *= 2)
-    {
-      guint32 moved = rate / divisor;
-      if (mesh_receiver_cost (receiver, run_usec, moved) <= mesh_request_cost (
-              run_usec, demand - moved * demand_per_rate / USEC_PER_MSEC,
-              load->failed_permille))
-        return moved;
-    }
-  return 0;
-}
-
 /* Return the key of this node in MAP with the most requests; SHARD_KEY_COUNT
    if it owns no key.  */
 static guint32
@@ -208,7 +133,7 @@
       = key < SHARD_KEY_COUNT ? key_rate_of (&mesh->key_rate, key) : 0;
   struct mesh_receiver receiver;
 
-  if (rate < MIN_RATE
+  if (rate < MESH_MIN_MOVE_RATE
       || rate < key_rate_total (&mesh->key_rate) / HOT_KEY_DIVISOR)
     return FALSE;
   receiver = mesh_receiver_choose (mesh, candidates, map, TRUE,
@@ -240,7 +165,7 @@
 
   if (receiver.member == NULL)
     return FALSE;
-  rate = rate_to_move (&receiver, load, total_rate);
+  rate = mesh_rate_to_move (&receiver, load, total_rate);
   if (rate == 0)
     return FALSE;
   range = find_range (mesh, map, rate);
@@ -299,7 +224,7 @@
       || !can_write_map (mesh) || map->shards->len > MAX_SHARDS)
     return;
   while (planned < HANDOFFS_MAX
-         && (planned == 0 || mesh_demand (mesh) > OVERLOAD_PERMILLE)
+         && (planned == 0 || mesh_demand (mesh) > MESH_OVERLOAD_PERMILLE)
          && plan_one (mesh, map, candidates, now, out))
     planned++;
   if (planned > 0)
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -28,6 +28,8 @@
 void mesh_route_waiting (struct mesh *mesh, gboolean all, gint64 now,
                          struct actions *out);
 
+/* Budgets of retries, mesh_retry_budget.c.  */
+void mesh_add_retry (struct mesh *mesh, const char *service);
 gboolean mesh_spend_retry (struct mesh *mesh,
                            const struct mesh_request *request);
 
@@ -152,16 +154,24 @@
 /* The nodes whose servers may be given keys, mesh_candidates.c.  */
 GArray *mesh_candidates (struct mesh *mesh, const char *service, gint64 now);
 
-/* The records that this node proposes, mesh_plan.c.  */
+/* The records that this node proposes, mesh_plan.c and mesh_plan_self.c.  */
+gboolean mesh_propose_self (struct mesh *mesh, gboolean always, gint64 now,
+                            struct actions *out);
 void mesh_plan_step (struct mesh *mesh, gint64 now, struct actions *out);
 
-/* Balance of the load, mesh_balance.c and mesh_receiver.c.  Requests start to
-   queue at a server whose demand is above MESH_BUSY_PERMILLE of its
-   capacity.  */
+/* Balance of the load, mesh_balance.c, mesh_move_rate.c and mesh_receiver.c.
+   Requests start to queue at a server whose demand is above MESH_BUSY_PERMILLE
+   of its capacity.  */
 #define MESH_BUSY_PERMILLE 500
+/* A server whose demand is above this moves several ranges at once.  */
+#define MESH_OVERLOAD_PERMILLE 1000u
+#define MESH_MIN_MOVE_RATE 3u /* least rate worth a move, requests a second   \
+                               */
 guint32 mesh_demand (const struct mesh *mesh);
 void mesh_balance (struct mesh *mesh, const struct shard_map *map,
                    const GArray *candidates, gint64 now, struct actions *out);
+guint32 mesh_rate_to_move (const struct mesh_receiver *receiver,
+                           const struct load_report *load, guint32 rate);
 gint64 mesh_request_cost (gint64 run_usec, gint64 demand, guint32 failing);
 gint64 mesh_demand_per_rate (const struct load_report *load,
                              gint64 default_run_usec);
--- a/src/mesh/mesh_plan.c
+++ b/src/mesh/mesh_plan.c
@@ -6,10 +6,6 @@
 #define SETTLE_USEC ((gint64)700000)
 #define SETTLE_MAX_USEC ((gint64)4000000)
 
-/* A node that has had no heartbeat from its server writes no record of itself
-   until this long after its start, by when the first heartbeat is due.  */
-#define FIRST_HEARTBEAT_USEC ((gint64)2500000)
-
 #define BALANCE_INTERVAL_USEC ((gint64)1500000) /* between balance checks */
 
 /* A proposal whose append has not ended after this time is abandoned.  */
@@ -23,65 +19,6 @@
    this long.  */
 #define DROP_MEMBER_USEC ((gint64)30000000)
 
-/* The member record */
-
-/* Fill in the record of this node.  */
-static void
-describe_self (struct mesh *mesh, gint64 now, struct fleet_member *member)
-{
-  const struct mesh_settings *settings = &mesh->settings;
-  const struct grant *grant = &mesh->grant;
-
-  memset (member, 0, sizeof *member);
-  g_strlcpy (member->name, settings->name, sizeof member->name);
-  g_strlcpy (member->zone, settings->zone, sizeof member->zone);
-  g_strlcpy (member->service, settings->service, sizeof member->service);
-  member->peer_address = settings->peer_address;
-  member->incarnation = settings->incarnation;
-  member->instance = grant->instance;
-  member->slots = grant->slots;
-  member->state = MEMBER_READY;
-  if (!server_instance_is_set (&grant->instance) || grant->is_deregistered
-      || grant_is_abandoned (grant, now))
-    member->state = MEMBER_DOWN;
-  else if (grant->is_draining)
-    member->state = MEMBER_DRAINING;
-}
-
-/* Return whether the store's record of this node says the same as MEMBER.  */
-static gboolean
-is_recorded (struct mesh *mesh, const struct fleet_member *member)
-{
-  const struct fleet_member *recorded
-      = fleet_state_member_named (&mesh->fleet, member->name);
-
-  return recorded != NULL && strcmp (recorded->zone, member->zone) == 0
-         && strcmp (recorded->service, member->service) == 0
-         && address_equal (recorded->peer_address, member->peer_address)
-         && recorded->incarnation == member->incarnation
-         && server_instance_equal (&recorded->instance, &member->instance)
-         && recorded->slots == member->slots
-         && recorded->state == member->state;
-}
-
-/* Propose the record of this node if the store's is different, or in any case
-   if ALWAYS is set.  Return whether it was proposed.  */
-static gboolean
-propose_self (struct mesh *mesh, gboolean always, gint64 now,
-              struct actions *out)
-{
-  struct fleet_record record = { .kind = FLEET_MEMBER };
-
-  if (!server_instance_is_set (&mesh->grant.instance)
-      && now - mesh->started_at < FIRST_HEARTBEAT_USEC)
-    return FALSE;
-  describe_self (mesh, now, &record.u.member);
-  if (!always && is_recorded (mesh, &record.u.member))
-    return FALSE;
-  mesh_propose (mesh, &record, APPEND_UNCONDITIONAL, now, out);
-  return TRUE;
-}
-
 /* Suspects */
 
 /* Propose the next request that was lost with the server as a suspect.  Return
@@ -314,11 +251,12 @@
   if (!mesh->initial_read_done || mesh->proposal.is_pending
       || now < mesh->propose_paused_until)
     return;
-  if (propose_self (mesh, FALSE, now, out) || propose_crash (mesh, now, out)
-      || is_catching_up (mesh, now) || propose_own_shards (mesh, now, out))
+  if (mesh_propose_self (mesh, FALSE, now, out)
+      || propose_crash (mesh, now, out) || is_catching_up (mesh, now)
+      || propose_own_shards (mesh, now, out))
     return;
   if (mesh->unconfirmed->len > 0)
-    propose_self (mesh, TRUE, now, out);
+    mesh_propose_self (mesh, TRUE, now, out);
   else
     propose_common (mesh, now, out);
 }
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -7,16 +7,6 @@
    refused early.  */
 #define WAIT_DIVISOR 2
 
-/* Greatest and initial retry budget of a node for one service, in thousandths
-   of a retry.  All nodes may spend their budgets at the same time.  */
-#define BUDGET_MAX_MILLI 3000u
-
-/* Increase of the budget for each request of a caller, in thousandths of a
-   retry.  The increase is well below the fifth of the requests that the
-   platform allows, since a request that is run again makes its own calls
-   again.  */
-#define BUDGET_PER_REQUEST_MILLI 70u
-
 /* A configuration may lack new routes if the session is older than this.  */
 #define CONFIG_STALE_USEC ((gint64)3000000)
 
@@ -82,37 +72,6 @@
   return REASON_NO_RULE;
 }
 
-/* Return the retry budget of SERVICE.  */
-static struct retry_budget *
-find_budget (struct mesh *mesh, const char *service)
-{
-  struct mesh_retry_budget fresh = { .budget.milli_left = BUDGET_MAX_MILLI };
-  guint i;
-
-  for (i = 0; i < mesh->retry_budgets->len; i++)
-    {
-      struct mesh_retry_budget *budget
-          = &g_array_index (mesh->retry_budgets, struct mesh_retry_budget, i);
-      if (strcmp (budget->service, service) == 0)
-        return &budget->budget;
-    }
-  g_strlcpy (fresh.service, service, sizeof fresh.service);
-  g_array_append_val (mesh->retry_budgets, fresh);
-  return &g_array_index (mesh->retry_budgets, struct mesh_retry_budget,
-                         mesh->retry_budgets->len - 1)
-              .budget;
-}
-
-/* Add to the retry budget of SERVICE for a caller's request.  */
-static void
-add_to_budget (struct mesh *mesh, const char *service)
-{
-  struct retry_budget *budget = find_budget (mesh, service);
-
-  budget->milli_left
-      = MIN (budget->milli_left + BUDGET_PER_REQUEST_MILLI, BUDGET_MAX_MILLI);
-}
-
 /* Send REQUEST to the member in PICK.  */
 static void
 send_to_member (struct mesh *mesh, struct handle exchange,
@@ -229,7 +188,7 @@
       return;
     }
   apply_route (mesh, request, route);
-  add_to_budget (mesh, request->request.service);
+  mesh_add_retry (mesh, request->request.service);
   mesh_route_request (mesh, event->exchange, now, out);
 }
 
@@ -294,11 +253,3 @@
         mesh_route_request (mesh, h, now, out);
     }
 }
-
-/* Take one retry of REQUEST, which may have reached a server, from the budget.
-   Return FALSE if the budget is used up.  */
-gboolean
-mesh_spend_retry (struct mesh *mesh, const struct mesh_request *request)
-{
-  return retry_budget_spend (find_budget (mesh, request->request.service));
-}
