--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -165,8 +165,8 @@
 #define MESH_BUSY_PERMILLE 500
 /* A server whose demand is above this moves several ranges at once.  */
 #define MESH_OVERLOAD_PERMILLE 1000u
-#define MESH_MIN_MOVE_RATE 3u /* least rate worth a move, requests a second   \
-                               */
+/* Least rate that is worth a move, requests per second.  */
+#define MESH_MIN_MOVE_RATE 3u
 guint32 mesh_demand (const struct mesh *mesh);
 void mesh_balance (struct mesh *mesh, const struct shard_map *map,
                    const GArray *candidates, gint64 now, struct actions *out);
