--- a/tests/test_mesh_config.c
+++ b/tests/test_mesh_config.c
@@ -1,85 +1,75 @@
-#include "tests/mesh_fixture.h"
+#include "edge/mesh_config.h"
+#include "tests/suite.h"
 
-/* What a node answers to a request that no route matches.  */
+#include <glib/gstdio.h>
+#include <unistd.h>
 
-/* Send a request without a route.  Return the reason of the answer.  */
-static enum reason
-refusal_of_unknown (struct fixture *fixture)
-{
-  const struct action *action;
-
-  send_request (fixture, "/unknown/x");
-  action = find_action (fixture, ACTION_ANSWER);
-  CU_ASSERT_PTR_NOT_NULL (action);
-  return action != NULL ? action->u.answer.reason : REASON_NONE;
-}
+#define SETTINGS                                                              \
+  "[node]\nhost = h\nzone = z\nservice = s\n"                                 \
+  "[listen]\ncallers = 127.0.0.1:1\ncontrol = 127.0.0.1:2\n"                  \
+  "ready = 127.0.0.1:3\nmetrics = 127.0.0.1:4\npeers = 127.0.0.1:5\n"         \
+  "[server]\naddress = 127.0.0.1:6\nbeat-ms = 900\n%s"                        \
+  "[store]\naddress = 127.0.0.1:7\n"
 
-/* Advance the time by USEC in ticks of 25 ms, with a fresh session.  */
-static void
-run_ticks (struct fixture *fixture, gint64 usec)
-{
-  gint64 until = fixture->now + usec;
-
-  while (fixture->now < until)
-    {
-      session_confirm (&fixture->mesh.session, fixture->now);
-      advance (fixture, 25 * MSEC);
-    }
-}
-
-/* A node whose ticks come in time knows that a route does not exist.  */
-static void
-test_in_time (void)
+/* Read settings with the line GRANTS in the section server into CONFIG.
+   Return the error and set ERROR_COUNT.  */
+static enum err
+read_settings (struct mesh_config *config, const char *grants,
+               guint *error_count)
 {
-  struct fixture *fixture = fixture_new ();
+  GArray *errors = g_array_new (FALSE, TRUE, sizeof (struct config_error));
+  char *text = g_strdup_printf (SETTINGS, grants);
+  char *file = NULL;
+  int fd = g_file_open_tmp ("mesh-config-XXXXXX", &file, NULL);
+  enum err code;
 
-  run_ticks (fixture, 1000 * MSEC);
-  CU_ASSERT_EQUAL (refusal_of_unknown (fixture), REASON_NO_RULE);
-  fixture_free (fixture);
+  CU_ASSERT_TRUE (fd >= 0);
+  CU_ASSERT_TRUE (g_file_set_contents (file, text, -1, NULL));
+  code = mesh_config_read (config, file, errors);
+  *error_count = errors->len;
+  close (fd);
+  g_unlink (file);
+  g_free (file);
+  g_free (text);
+  g_array_free (errors, TRUE);
+  return code;
 }
 
-/* A node that lags, or did so seconds ago, may not have read the newest
-   configuration.  */
+/* Keys are granted by the answers to heartbeats unless the settings say
+   otherwise.  */
 static void
-test_lagging (void)
+test_known (void)
 {
-  struct fixture *fixture = fixture_new ();
+  struct mesh_config config;
+  guint errors;
 
-  run_ticks (fixture, 500 * MSEC);
-  fixture->now += 400 * MSEC;
-  CU_ASSERT_EQUAL (refusal_of_unknown (fixture), REASON_NO_CONFIG);
-  run_ticks (fixture, 1000 * MSEC);
-  CU_ASSERT_EQUAL (refusal_of_unknown (fixture), REASON_NO_CONFIG);
-  run_ticks (fixture, 3000 * MSEC);
-  CU_ASSERT_EQUAL (refusal_of_unknown (fixture), REASON_NO_RULE);
-  fixture_free (fixture);
+  CU_ASSERT_EQUAL (read_settings (&config, "", &errors), ERR_NONE);
+  CU_ASSERT_EQUAL (config.mesh.grant_method, GRANT_BY_ANSWER);
+  CU_ASSERT_EQUAL (read_settings (&config, "grants = heartbeat\n", &errors),
+                   ERR_NONE);
+  CU_ASSERT_EQUAL (config.mesh.grant_method, GRANT_BY_ANSWER);
+  CU_ASSERT_EQUAL (read_settings (&config, "grants = call\n", &errors),
+                   ERR_NONE);
+  CU_ASSERT_EQUAL (config.mesh.grant_method, GRANT_BY_CALL);
 }
 
-/* A node that has heard of a newer configuration than its own does not know
-   the routes.  */
+/* An unknown way of granting keys is an error.  */
 static void
-test_newer_elsewhere (void)
+test_unknown (void)
 {
-  struct fixture *fixture = fixture_new ();
-  struct event event = { .kind = EVENT_MESH_CALL };
-  struct mesh_call call = { .kind = MESH_GOSSIP };
+  struct mesh_config config;
+  guint errors;
 
-  g_strlcpy (call.u.gossip.name, "b", NAME_SIZE);
-  call.u.gossip.incarnation = 77;
-  call.u.gossip.config_version = 2;
-  event.u.mesh_call.call = &call;
-  run_ticks (fixture, 500 * MSEC);
-  feed_event (fixture, &event);
-  CU_ASSERT_EQUAL (refusal_of_unknown (fixture), REASON_NO_CONFIG);
-  fixture_free (fixture);
+  CU_ASSERT_EQUAL (read_settings (&config, "grants = letter\n", &errors),
+                   ERR_INVALID);
+  CU_ASSERT_EQUAL (errors, 1);
 }
 
 int
 main (void)
 {
-  CU_TestInfo tests[] = { { "in time", test_in_time },
-                          { "a node that lags", test_lagging },
-                          { "newer elsewhere", test_newer_elsewhere },
+  CU_TestInfo tests[] = { { "known ways of granting keys", test_known },
+                          { "an unknown one", test_unknown },
                           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_config", tests);
