--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -19,6 +19,8 @@
 #include <unistd.h>
 
 #define NODES_MAX 16
+#define PORT_MIN 12000
+#define PORT_COUNT 18000
 
 bool rig_trouble = true;
 int (*store_late_ms) (const struct store_append_info *info);
@@ -164,18 +166,28 @@
   return address;
 }
 
+/* Returns a port on which nothing listens, below those that the system gives
+   to outgoing connections.  */
 int
 rig_free_port (void)
 {
-  struct sockaddr_in address = loopback (0);
-  socklen_t length = sizeof address;
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
+  static int next;
+  int tries;
 
-  if (fd < 0 || bind (fd, (struct sockaddr *)&address, length) != 0
-      || getsockname (fd, (struct sockaddr *)&address, &length) != 0)
-    rig_fail ("no free port");
-  close (fd);
-  return ntohs (address.sin_port);
+  if (next == 0)
+    next = getpid () * 37;
+  for (tries = 0; tries < 1000; tries++)
+    {
+      int port = PORT_MIN + next++ % PORT_COUNT;
+      struct sockaddr_in address = loopback (port);
+      int fd = socket (AF_INET, SOCK_STREAM, 0);
+      bool is_free
+          = bind (fd, (struct sockaddr *)&address, sizeof address) == 0;
+      close (fd);
+      if (is_free)
+        return port;
+    }
+  rig_fail ("no free port");
 }
 
 int
@@ -781,12 +793,6 @@
   return NULL;
 }
 
-struct acceptor
-{
-  int fd;
-  void *(*run) (void *);
-};
-
 static void *
 run_store_acceptor (void *data)
 {
@@ -1167,9 +1173,8 @@
       int64_t next = rig_ms () + HEARTBEAT_MS;
       backend_heartbeat (backend);
       while (backend->beats && !backend->beat_soon
-             && rig_ms () < (backend->beat_at != 0 ? backend->beat_at : next))
+             && rig_ms () < next)
         rig_sleep (2);
-      backend->beat_at = 0;
       if (backend->beat_soon)
         rig_sleep (50);
     }
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -136,7 +136,6 @@
   int64_t hold_until;  /* end of the hold */
   char freed[2048];    /* rows that no answered heartbeat has told yet */
   bool beat_soon;
-  int64_t beat_at; /* time of the next heartbeat, 0: as usual */
   int64_t last_beat_at;
   pthread_mutex_t lock;
   void (*on_holds) (struct backend *backend);
