Review, case 1: the heartbeats come as they fall due

The store's stand-in chooses how late a map is carried out, within 1.0 to 1.9 s, in place of the times of heartbeats.

--- a/review/1/case.c
+++ b/review/1/case.c
@@ -9,8 +9,11 @@
 #include <string.h>
 
 #define ROUNDS 5
-#define LATE_MAP_MS 1000    /* platform_lost, late: 1 to 6 s */
-#define LATE_MEMBER_MS 4000 /* the same */
+#define LATE_MIN_MS 1000    /* platform_lost, late: 1 to 6 s */
+#define LATE_MAX_MS 1900
+#define LATE_MEMBER_MS 4000
+#define BEFORE_BEAT_MS 60 /* the map is there so long before a heartbeat */
+#define BEAT_MARGIN_MS 120
 #define OVERLAP_MS 500
 #define CLIENTS 8
 #define ROUTE                                                                 \
@@ -37,20 +40,49 @@
 static int late_writes;
 static int served;
 
-/* Makes the next map late, and then the record of the node that wrote it.  */
+/* Returns for how long the map that is being appended is to be late, so that
+   it is carried out between a heartbeat of i-b, whose next one is due over half
+   a second later, and one of i-a.  0: there is no such time.  */
+static int
+choose_late_ms (int64_t now)
+{
+  int64_t beat_a = backends[0].last_beat_at;
+  int64_t beat_b;
+
+  for (beat_a += HEARTBEAT_MS; beat_a < now + LATE_MAX_MS + BEFORE_BEAT_MS;
+       beat_a += HEARTBEAT_MS)
+    {
+      int64_t at = beat_a - BEFORE_BEAT_MS;
+      if (at < now + LATE_MIN_MS)
+        continue;
+      for (beat_b = backends[1].last_beat_at + HEARTBEAT_MS; beat_b < beat_a;
+           beat_b += HEARTBEAT_MS)
+        if (beat_a - beat_b >= BEAT_MARGIN_MS + BEFORE_BEAT_MS
+            && beat_b + HEARTBEAT_MS - beat_a >= OVERLAP_MS + BEAT_MARGIN_MS)
+          return (int)(at - now);
+    }
+  return 0;
+}
+
+/* Makes a map late, and then the record of the node that wrote it.  */
 static int
 late_ms (const struct store_append_info *info)
 {
   __atomic_add_fetch (&writes, 1, __ATOMIC_SEQ_CST);
   if (phase == ARMED && strncmp (info->key, "map/", 4) == 0 && info->at >= 0)
     {
-      late_at = rig_ms ();
-      phase = LATE;
-      late_writes++;
-      return LATE_MAP_MS;
+      int64_t now = rig_ms ();
+      int late = choose_late_ms (now);
+      if (late > 0)
+        {
+          late_at = now;
+          phase = LATE;
+          late_writes++;
+        }
+      return late;
     }
   if (phase == LATE && strcmp (info->key, "member/host-2") == 0
-      && rig_ms () < late_at + 1500)
+      && rig_ms () < late_at + 1200)
     {
       late_writes++;
       return LATE_MEMBER_MS;
@@ -156,11 +188,8 @@
         continue;
       rig_sleep_until (late_at + 50);
       node_kill (&hosts[1], SIGKILL);
-      backends[0].beat_at = late_at + 350;
-      rig_sleep_until (late_at + 150);
+      rig_sleep_until (late_at + 450);
       node_start (&hosts[1]);
-      rig_sleep_until (late_at + 400);
-      backends[0].beat_at = late_at + LATE_MAP_MS + 100;
       rig_sleep_until (late_at + 9000);
       phase = QUIET;
       /* The next round's keys.  */
