Review, case 3: a request is lost at the end of a planned stop

A node that stops reads and passes on one more request in the turn of its loop in which it ends; its client gets no answer, though a backend ran it.

--- a/review/3/case.c
+++ b/review/3/case.c
@@ -1,129 +1,160 @@
-/* A node that starts while the store is down answers the deregistration of its
-   backend with 200, and later sends requests to that backend.  */
+/* A node that stops ends its process in the same turn of its loop in which it
+   reads one more request and passes it on.  The request gets no answer.  */
 
 #include "rig.h"
 
 #include <signal.h>
 #include <string.h>
 
-#define OUTAGE_MS 4500 /* the site's platform_down */
-#define STAY_MS 15000  /* the site's scale_in that stays */
+#define ENTRIES 6
+#define PLAY_MS 75000
+#define GRACE_MS 6000
+/* Requests sent so long after a SIGTERM are recorded one by one.  */
+#define RECORD_FROM_MS 2590
+#define RECORD_TO_MS 2800
+#define RUNS_MAX 4194304
 #define ROUTE                                                                 \
-  "[\"r-read\",\"desk.example\",\"/desk/\",\"idempotent\",2000,500,2,null,2,"  \
-  "\"desk\"]"
-#define SERVICE "[\"desk\",\"/health\",110,\"h1\",false,null,null,null]"
+  "[\"r-post\",\"desk.example\",\"/pay/\",\"non_idempotent\",1200,600,1,null," \
+  "2,\"records\"]"
+#define SERVICES                                                              \
+  "[\"records\",\"/health\",110,\"h1\",false,null,null,null],"                 \
+  "[\"ledger\",\"/health\",110,\"h1\",false,null,null,null]"
 
-static struct node a;
-static struct node b;
-static struct backend backend_a;
-static struct backend backend_b;
-static int64_t acknowledged_at;
-static int64_t in_touch_at;
-static int late_runs;
-static int runs_in_time;
+static struct node hosts[ENTRIES + 1];
+static struct backend backends[ENTRIES + 1];
+static bool ran[RUNS_MAX];   /* by the number in the request's id */
+static bool shown[RUNS_MAX]; /* its lines are recorded */
+static int64_t stopped_at[ENTRIES + 1];
+static volatile bool stops;
+static int stop_count;
+static int lost;
 static int served;
+static int done;
+
+static unsigned
+number_of (const char *id)
+{
+  unsigned number = 0;
+
+  sscanf (id, "q%u", &number);
+  return number % RUNS_MAX;
+}
 
 static void
 on_run (const struct backend_request *request)
 {
-  int64_t now = rig_ms ();
+  unsigned number = number_of (request->id);
 
-  if (acknowledged_at == 0)
-    return;
-  if (now <= acknowledged_at + DRAIN_MS)
-    {
-      runs_in_time++;
-      return;
-    }
-  rig_record ("LATE %s reaches %s %lld ms after the acknowledgement%s",
-              request->id, request->backend->id,
-              (long long)(now - acknowledged_at),
-              now > in_touch_at ? ", machines in touch" : "");
-  if (now > in_touch_at)
-    late_runs++;
+  ran[number] = true;
+  if (shown[number])
+    rig_record ("backend %s runs %s", request->backend->id, request->id);
 }
 
-static void
-send_read (const struct node *node)
+/* Sends one request after the other on a kept connection.  */
+static void *
+run_client (void *data)
 {
-  struct client_request request;
+  int index = (int)(intptr_t)data;
+  int kept = -1;
 
-  client_request_init (&request, node->callers, "GET", "/desk/menu");
-  if (client_send (&request).status == 200)
-    served++;
+  while (!stops)
+    {
+      struct client_request request;
+      struct answer answer;
+      int64_t since;
+      client_request_init (&request, hosts[index].callers, "POST", "/pay/x");
+      request.kept = &kept;
+      request.body_bytes = 300;
+      since = rig_ms () - stopped_at[index];
+      request.quiet = since < RECORD_FROM_MS || since > RECORD_TO_MS;
+      shown[number_of (request.id)] = !request.quiet;
+      answer = client_send (&request);
+      if (answer.status == 200)
+        __atomic_add_fetch (&served, 1, __ATOMIC_SEQ_CST);
+      else if (answer.status == 0 && ran[number_of (request.id)])
+        {
+          rig_record ("LOST %s: passed on and run, no answer, %lld ms after"
+                      " the SIGTERM of %s",
+                      request.id,
+                      (long long)(rig_ms () - stopped_at[index]),
+                      hosts[index].name);
+          __atomic_add_fetch (&lost, 1, __ATOMIC_SEQ_CST);
+        }
+      if (answer.status != 200)
+        rig_sleep (answer.status == 503 ? 250 : 20);
+    }
+  return NULL;
 }
 
-static void
-traffic_until (int64_t until)
+/* Stops and starts a node again and again, as the platform does.  */
+static void *
+run_stops (void *data)
 {
-  while (rig_ms () < until)
+  int index = (int)(intptr_t)data;
+  struct node *node = &hosts[index];
+
+  rig_sleep (index * 500);
+  while (!stops)
     {
-      send_read (&a);
-      send_read (&b);
-      rig_sleep (40);
+      int status;
+      rig_sleep (2000);
+      stopped_at[index] = rig_ms ();
+      node_kill (node, rig_trouble ? SIGTERM : 0);
+      while (rig_trouble && !node_has_ended (node, &status))
+        {
+          if (rig_ms () > stopped_at[index] + GRACE_MS)
+            node_kill (node, SIGKILL);
+          rig_sleep (5);
+        }
+      __atomic_add_fetch (&stop_count, 1, __ATOMIC_SEQ_CST);
+      if (rig_trouble)
+        node_start (node);
     }
+  __atomic_add_fetch (&done, 1, __ATOMIC_SEQ_CST);
+  return NULL;
 }
 
 int
 main (int argc, char **argv)
 {
   int store_port;
-  int64_t outage_at;
-  int64_t ends_at;
-  int status = 0;
+  int i;
 
   rig_init (argc, argv);
   store_port = rig_free_port ();
   store_start (store_port);
-  operator_put (1, ROUTE, SERVICE);
-  node_init (&a, "host-1", "desk", store_port);
-  node_init (&b, "host-2", "desk", store_port);
-  node_start (&a);
-  node_start (&b);
-  backend_init (&backend_a, "i-a", "desk", &a, 6, 20);
-  backend_init (&backend_b, "i-b", "desk", &b, 6, 20);
-  backend_a.on_run = on_run;
-  backend_start (&backend_a);
-  backend_start (&backend_b);
-  node_wait_ready (&a, 10000);
-  node_wait_ready (&b, 10000);
+  operator_put (1, ROUTE, SERVICES);
+  for (i = 0; i <= ENTRIES; i++)
+    {
+      static char names[ENTRIES + 1][16];
+      static char ids[ENTRIES + 1][16];
+      const char *service = i == 0 ? "records" : "ledger";
+      snprintf (names[i], sizeof names[i], "host-%d", i);
+      snprintf (ids[i], sizeof ids[i], "i-%d", i);
+      node_init (&hosts[i], names[i], service, store_port);
+      node_start (&hosts[i]);
+      backend_init (&backends[i], ids[i], service, &hosts[i], 18, 2);
+      backends[i].on_run = on_run;
+      backends[i].quiet = true;
+      backend_start (&backends[i]);
+    }
+  for (i = 0; i <= ENTRIES; i++)
+    node_wait_ready (&hosts[i], 10000);
   rig_sleep (3000);
-  traffic_until (rig_ms () + 2000);
-  if (served < 20)
-    rig_fail ("the calm deployment does not serve");
-
-  /* The platform restarts the node alone, with SIGTERM.  The store goes down
-     while the node is away.  */
-  node_kill (&a, SIGTERM);
-  while (!node_has_ended (&a, &status))
-    rig_sleep (20);
-  rig_record ("node host-1 has ended, wait status %d", status);
-  status = 0;
-  outage_at = rig_ms ();
-  if (rig_trouble)
-    store_set_mode (STORE_BUSY);
-  rig_sleep (200);
-  node_start (&a);
-  backend_a.beats = false;
-  /* The backend leaves; its call is repeated until a node takes it.  */
-  while (status == 0 && rig_ms () < outage_at + 3000)
+  for (i = 1; i <= ENTRIES; i++)
     {
-      rig_sleep (100);
-      status = backend_deregister (&backend_a);
+      rig_thread (run_client, (void *)(intptr_t)i);
+      rig_thread (run_stops, (void *)(intptr_t)i);
     }
-  rig_record ("backend i-a deregisters at host-1: %d", status);
-  if (status != 200)
-    rig_fail ("no acknowledgement");
-  acknowledged_at = rig_ms ();
-  in_touch_at = outage_at + OUTAGE_MS + CONTACT_MS;
-  ends_at = acknowledged_at + STAY_MS;
-  rig_sleep_until (outage_at + OUTAGE_MS);
-  if (rig_trouble)
-    store_set_mode (STORE_SERVES);
-  served = 0;
-  traffic_until (ends_at);
-  rig_record ("served after the outage: %d, late runs: %d, runs in time: %d",
-              served, late_runs, runs_in_time);
-  printf ("requests that reached the backend late: %d\n", late_runs);
-  rig_end (late_runs > 0 ? 1 : 0);
+  rig_sleep (PLAY_MS);
+  stops = true;
+  while (done < ENTRIES)
+    rig_sleep (20);
+  rig_sleep (2500);
+  if (served < 1000)
+    rig_fail ("too little was served");
+  rig_record ("stops %d, served %d, lost %d", stop_count, served, lost);
+  printf ("stops %d, requests passed on and left without an answer: %d\n",
+          stop_count, lost);
+  rig_end (lost > 0 ? 1 : 0);
 }
--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -1275,7 +1275,8 @@
       return false;
     }
   backend->busy++;
-  rig_record ("backend %s runs %s %s %s caller=%s", backend->id, request->id,
+  if (!backend->quiet)
+    rig_record ("backend %s runs %s %s %s caller=%s", backend->id, request->id,
               head->method, head->target, request->caller);
   if (backend->on_run != NULL)
     backend->on_run (request);
@@ -1294,7 +1295,8 @@
     {
       rig_sleep (backend->run_ms);
       more = answer_request (backend, in->fd, 200, request->id, stamp, "ok");
-      rig_record ("backend %s answers %s with 200 sent=%d body=%zu",
+      if (!backend->quiet)
+        rig_record ("backend %s answers %s with 200 sent=%d body=%zu",
                   backend->id, request->id, more, length);
     }
   else
@@ -1444,7 +1446,8 @@
 
   if (fd < 0)
     {
-      rig_record ("client %s cannot connect", request->id);
+      if (!request->quiet)
+        rig_record ("client %s cannot connect", request->id);
       return answer;
     }
   answer.reused = reused;
@@ -1456,7 +1459,8 @@
             request->deadline_ms, request->key != NULL ? "Shard-Key: " : "",
             request->key != NULL ? request->key : "",
             request->key != NULL ? "\r\n" : "", request->body_bytes);
-  rig_record ("client %s sends %s %s body=%zu%s", request->id, request->method,
+  if (!request->quiet)
+    rig_record ("client %s sends %s %s body=%zu%s", request->id, request->method,
               request->path, request->body_bytes,
               reused ? " on a kept connection" : "");
   head = malloc (sizeof *head);
@@ -1478,7 +1482,8 @@
   else if (errno == EAGAIN || errno == EWOULDBLOCK)
     answer.status = -1;
   answer.took_ms = rig_ms () - begun;
-  rig_record ("client %s gets %d%s after %lld ms", request->id, answer.status,
+  if (!request->quiet)
+    rig_record ("client %s gets %d%s after %lld ms", request->id, answer.status,
               answer.status == -1  ? " (no answer)"
               : answer.status == 0 ? " (connection ended)"
                                    : "",
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -137,6 +137,7 @@
   char freed[2048];    /* rows that no answered heartbeat has told yet */
   bool beat_soon;
   int64_t last_beat_at;
+  bool quiet; /* its runs and answers are not recorded */
   pthread_mutex_t lock;
   void (*on_holds) (struct backend *backend);
   /* Return whether another copy of this answer is to come late.  */
@@ -175,6 +176,7 @@
   int body_gap_ms;   /* pause before each further part */
   size_t body_part;  /* bytes of each further part */
   int *kept; /* kept connection, -1 in it: none yet; NULL: a new one */
+  bool quiet; /* its lines are not recorded */
 };
 void client_request_init (struct client_request *request, int port,
                           const char *method, const char *path);
