Review, cases 1 and 3: stops a second apart, appends recorded

Case 3 stopped a node every 0.8 s in the mean, faster than the gap_s of 1.0 that the site's roll_term has; the stops are 1.0 s apart now. Case 1 records each append, so that the share of late ones can be counted.

--- a/review/1/case.c
+++ b/review/1/case.c
@@ -69,6 +69,7 @@
 late_ms (const struct store_append_info *info)
 {
   __atomic_add_fetch (&writes, 1, __ATOMIC_SEQ_CST);
+  rig_record ("store gets an append key=%s at=%ld", info->key, info->at);
   if (phase == ARMED && strncmp (info->key, "map/", 4) == 0 && info->at >= 0)
     {
       int64_t now = rig_ms ();
--- a/review/3/case.c
+++ b/review/3/case.c
@@ -7,7 +7,8 @@
 #include <string.h>
 
 #define ENTRIES 6
-#define PLAY_MS 75000
+#define PLAY_MS 90000
+#define STOP_GAP_MS 1000 /* between two stops: the site's roll_term, gap_s */
 #define GRACE_MS 6000
 /* Requests sent so long after a SIGTERM are recorded one by one.  */
 #define RECORD_FROM_MS 2590
@@ -25,6 +26,8 @@
 static bool ran[RUNS_MAX];   /* by the number in the request's id */
 static bool shown[RUNS_MAX]; /* its lines are recorded */
 static int64_t stopped_at[ENTRIES + 1];
+static pthread_mutex_t stop_lock = PTHREAD_MUTEX_INITIALIZER;
+static int64_t next_stop_at;
 static volatile bool stops;
 static int stop_count;
 static int lost;
@@ -86,6 +89,16 @@
   return NULL;
 }
 
+/* Waits until the next node may be stopped, STOP_GAP_MS after the last.  */
+static void
+wait_for_turn (void)
+{
+  pthread_mutex_lock (&stop_lock);
+  rig_sleep_until (next_stop_at);
+  next_stop_at = rig_ms () + STOP_GAP_MS;
+  pthread_mutex_unlock (&stop_lock);
+}
+
 /* Stops and starts a node again and again, as the platform does.  */
 static void *
 run_stops (void *data)
@@ -98,6 +111,7 @@
     {
       int status;
       rig_sleep (2000);
+      wait_for_turn ();
       stopped_at[index] = rig_ms ();
       node_kill (node, rig_trouble ? SIGTERM : 0);
       while (rig_trouble && !node_has_ended (node, &status))
