--- a/review/rig/rig.c
+++ b/review/rig/rig.c
@@ -21,6 +21,7 @@
 #define NODES_MAX 16
 #define PORT_MIN 12000
 #define PORT_COUNT 18000
+#define PORTS_EACH 60 /* scripts that run at once start so far apart */
 
 bool rig_trouble = true;
 int (*store_late_ms) (const struct store_append_info *info);
@@ -175,7 +176,7 @@
   int tries;
 
   if (next == 0)
-    next = getpid () * 37;
+    next = getpid () * PORTS_EACH % PORT_COUNT;
   for (tries = 0; tries < 1000; tries++)
     {
       int port = PORT_MIN + next++ % PORT_COUNT;
