A request body is rewound when its attempt ends, not when the next begins

Cause: the end of an attempt says whether the body can be sent again, but the consumed bytes stayed marked as consumed. While the request waited for its next attempt, more of the body arrived and body_append dropped them; the next attempt asserted that they were there.

Change: exchange_attempt_ended rewinds the body, so that nothing is dropped between two attempts. An attempt whose body cannot be rewound ends as not run, body-lost, and the decisions answer the request. A slot released too often is reported and ignored in place of an assertion.

--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -253,11 +253,13 @@
   return ADMISSION_QUEUE;
 }
 
-/* Free the slot of a request that has ended or does not run.  */
+/* Free the slot of a request that has ended or does not run.  A release too
+   many is reported as an error of this program and changes nothing, since the
+   other requests of the process can still be served.  */
 void
 admission_release (struct admission *admission)
 {
-  g_assert (admission->busy_slots > 0);
+  g_return_if_fail (admission->busy_slots > 0);
   admission->busy_slots--;
 }
 
--- a/src/edge/body.c
+++ b/src/edge/body.c
@@ -76,10 +76,12 @@
   return body->is_complete && body_remaining (body) == 0;
 }
 
-/* Start again at the first byte, which must not have been discarded.  */
-void
+/* Start again at the first byte.  Return FALSE if it was discarded.  */
+gboolean
 body_rewind (struct body *body)
 {
-  g_assert (body->replayable);
+  if (!body->replayable)
+    return FALSE;
   body->read_offset = 0;
+  return TRUE;
 }
--- a/src/edge/body.h
+++ b/src/edge/body.h
@@ -24,6 +24,6 @@
 void body_consume (struct body *body, gsize count);
 gboolean body_is_full (const struct body *body);
 gboolean body_is_consumed (const struct body *body);
-void body_rewind (struct body *body);
+gboolean body_rewind (struct body *body);
 
 #endif
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -148,16 +148,23 @@
 }
 
 /* Prepare another attempt: replay the request body from its start and discard
-   what was received of the last response.  */
-void
-exchange_reset_attempt (struct exchange *exchange)
+   what was received of the last response.  Return FALSE if the start of the
+   body was discarded; the attempt has then been reported as ended, and
+   EXCHANGE may have been removed.  */
+gboolean
+exchange_begin_attempt (struct exchange *exchange)
 {
-  body_rewind (&exchange->request_body);
+  if (!body_rewind (&exchange->request_body))
+    {
+      exchange_attempt_ended (exchange, OUTCOME_NOT_RUN, REASON_BODY_LOST);
+      return FALSE;
+    }
   body_clear (&exchange->response_body);
   body_init (&exchange->response_body);
   g_clear_pointer (&exchange->response.headers, soup_message_headers_unref);
   exchange->has_response = FALSE;
   exchange->response.has_notice = FALSE;
+  return TRUE;
 }
 
 /* Abort the attempt of exchange H for the core.  */
@@ -210,6 +217,9 @@
   struct event event = { .kind = EVENT_ATTEMPT_ENDED };
 
   memset (&exchange->target, 0, sizeof exchange->target);
+  /* Consumed bytes are discarded when more arrive, and the next attempt may
+     begin much later.  */
+  body_rewind (&exchange->request_body);
   event.u.attempt_ended.exchange = self;
   event.u.attempt_ended.outcome = outcome;
   event.u.attempt_ended.reason = reason;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -140,7 +140,7 @@
 void exchange_forward (struct proxy *proxy,
                        const struct action_forward *action);
 void exchange_cancel (struct proxy *proxy, struct handle h);
-void exchange_reset_attempt (struct exchange *exchange);
+gboolean exchange_begin_attempt (struct exchange *exchange);
 void exchange_pump_request (struct exchange *exchange);
 void exchange_attempt_ended (struct exchange *exchange, enum outcome outcome,
                              enum reason reason);
--- a/src/edge/target_peer.c
+++ b/src/edge/target_peer.c
@@ -38,9 +38,8 @@
   struct forward_request forward = { 0 };
   struct link_tag tag;
 
-  if (exchange == NULL)
+  if (exchange == NULL || !exchange_begin_attempt (exchange))
     return;
-  exchange_reset_attempt (exchange);
   exchange->response.retry_after_msec = 0;
   exchange->response.has_load = FALSE;
   memset (&exchange->response.stamp, 0, sizeof exchange->response.stamp);
--- a/src/edge/target_server.c
+++ b/src/edge/target_server.c
@@ -158,9 +158,8 @@
   struct exchange *exchange = exchange_get (proxy, action->exchange);
   struct http_request request = { 0 };
 
-  if (exchange == NULL)
+  if (exchange == NULL || !exchange_begin_attempt (exchange))
     return;
-  exchange_reset_attempt (exchange);
   request.address = proxy->server_address;
   request.method = exchange->method;
   request.target = exchange->request_target;
--- a/src/types/reason.c
+++ b/src/types/reason.c
@@ -10,7 +10,7 @@
         "old-stamp",     "duplicate",   "quarantined", "truncated",
         "refused-grant", "caller-gone", "no-server",   "crossed",
         "bad-request",   "hops",        "garbled",     "no-config",
-        "misdirected",   "shed",        "key-denied" };
+        "misdirected",   "shed",        "key-denied",  "body-lost" };
 
 /* Return the name of REASON, as sent to callers in Bambootally-Reason.  */
 const char *
--- a/src/types/reason.h
+++ b/src/types/reason.h
@@ -32,7 +32,8 @@
   REASON_MISDIRECTED = 24,      /* another server listens on the address */
   REASON_SHED = 25,       /* the server shed the request without running it */
   REASON_KEY_DENIED = 26, /* the server does not hold the key */
-  REASON_COUNT = 27       /* number of reasons */
+  REASON_BODY_LOST = 27,  /* the start of the request body was discarded */
+  REASON_COUNT = 28       /* number of reasons */
 };
 
 const char *reason_name (enum reason reason);
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -218,18 +218,51 @@
   CU_ASSERT_EQUAL (load.trust_percent, 35);
 }
 
+/* Count a message that is logged.  */
+static void
+count_message (const char *domain, GLogLevelFlags level, const char *text,
+               gpointer data)
+{
+  guint *count = data;
+
+  (void)domain;
+  (void)text;
+  *count += (level & G_LOG_LEVEL_CRITICAL) != 0;
+}
+
+/* Guards against the end of a node where a slot is released once too often:
+   that is reported, and no slot comes of it.  */
+static void
+test_release_without_slot (void)
+{
+  struct admission admission;
+  guint messages = 0;
+  guint handler;
+
+  admission_init (&admission);
+  handler = g_log_set_handler (NULL, G_LOG_LEVEL_CRITICAL, count_message,
+                               &messages);
+  admission_release (&admission);
+  g_log_remove_handler (NULL, handler);
+  CU_ASSERT_EQUAL (messages, 1);
+  CU_ASSERT_EQUAL (admission.busy_slots, 0);
+  admission_clear (&admission);
+}
+
 int
 main (void)
 {
-  static CU_TestInfo tests[] = { { "order", test_order },
-                                 { "due first", test_due_first },
-                                 { "early refusal", test_early_refusal },
-                                 { "bounds", test_bounds },
-                                 { "slow start", test_slow_start },
-                                 { "shed", test_shed },
-                                 { "report ages", test_report_ages },
-                                 { "distrust", test_distrust },
-                                 CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[]
+      = { { "order", test_order },
+          { "due first", test_due_first },
+          { "early refusal", test_early_refusal },
+          { "bounds", test_bounds },
+          { "slow start", test_slow_start },
+          { "shed", test_shed },
+          { "report ages", test_report_ages },
+          { "distrust", test_distrust },
+          { "release without a slot", test_release_without_slot },
+          CU_TEST_INFO_NULL };
 
   return suite_run ("admission", tests);
 }
--- a/tests/test_mesh_retry.c
+++ b/tests/test_mesh_retry.c
@@ -146,6 +146,55 @@
   fixture_free (fixture);
 }
 
+/* Let the attempt of EXCHANGE end because the start of the request body is
+   lost.  */
+static void
+lose_body (struct fixture *fixture, struct handle exchange)
+{
+  struct event event = { .kind = EVENT_ATTEMPT_ENDED };
+
+  event.u.attempt_ended.exchange = exchange;
+  event.u.attempt_ended.outcome = OUTCOME_NOT_RUN;
+  event.u.attempt_ended.reason = REASON_BODY_LOST;
+  feed_event (fixture, &event);
+}
+
+/* Check that the last step answered a request with OUTCOME for want of its
+   body.  */
+static void
+check_body_lost (const struct fixture *fixture, enum outcome outcome)
+{
+  const struct action *action = find_action (fixture, ACTION_ANSWER);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (action);
+  CU_ASSERT_EQUAL (action->u.answer.outcome, outcome);
+  CU_ASSERT_EQUAL (action->u.answer.reason, REASON_BODY_LOST);
+}
+
+/* Guards against the end of a node where the body of a request cannot be sent
+   again: the request ends, as not run only if no earlier attempt may have run
+   it, and its slot is free.  */
+static void
+test_body_lost (void)
+{
+  struct fixture *fixture = fixture_new ();
+  struct handle exchange;
+
+  add_third_member (fixture);
+  lose_body (fixture, send_request (fixture, "/own/x"));
+  check_body_lost (fixture, OUTCOME_NOT_RUN);
+  CU_ASSERT_EQUAL (fixture->mesh.admission.busy_slots, 0);
+  lose_body (fixture, send_request (fixture, "/other/x"));
+  check_body_lost (fixture, OUTCOME_NOT_RUN);
+  exchange = send_request (fixture, "/other/x");
+  end_attempt (fixture, exchange, OUTCOME_UNKNOWN, REASON_PEER_LOST);
+  CU_ASSERT_NOT_EQUAL (request_target (fixture), 0);
+  lose_body (fixture, exchange);
+  check_body_lost (fixture, OUTCOME_UNKNOWN);
+  CU_ASSERT_EQUAL (fixture->mesh.requests.count, 0);
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
@@ -155,6 +204,7 @@
           { "shedding uses the budget", test_shed_uses_budget },
           { "server error retried", test_server_error_retried },
           { "own server is full", test_own_server_is_full },
+          { "body lost", test_body_lost },
           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_retry", tests);
