A process ends only in a turn of its loop in which no input was ready

Cause: the tick that finds nothing under way asks for the end, and the loop still handles all that is ready in the same turn. What is begun then, a request of a caller above all, cannot be finished.

Change: the edge sends a tick from a source of low priority, which the loop dispatches only when nothing else is ready; only at such a tick does a process end before its time is up. It waits for appends under way too. After the end was requested no event has any action. The same for bambootallyd.

--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -109,7 +109,7 @@
     {
     case EVENT_TICK:
       run_periodic (core, now, out);
-      drain_step (core, event->u.tick.pending_exchanges, now, out);
+      drain_step (core, &event->u.tick, now, out);
       outbox_send (&core->outbox, now, out);
       break;
     case EVENT_RECORDS:
@@ -129,7 +129,8 @@
       core_on_server_down (core, &event->u.server_down, now, out);
       break;
     case EVENT_REQUEST:
-      route_request (core, &event->u.request, now, out);
+      if (!core->exit_requested && !core->drain.exit_requested)
+        route_request (core, &event->u.request, now, out);
       break;
     case EVENT_ATTEMPT_ENDED:
       route_on_ended (core, &event->u.attempt_ended, now, out);
--- a/src/decide/drain.c
+++ b/src/decide/drain.c
@@ -86,14 +86,15 @@
          && (core->has_joined || !outbox_has (&core->outbox, RECORD_JOIN));
 }
 
-/* Run one step of the graceful stop.  EXCHANGES is the number of requests that
-   the edge still handles.  */
+/* Run one step of the graceful stop at the tick EVENT.  The process ends only
+   at a tick that no input follows in the same turn of the loop, since a
+   request that is read after that is lost.  */
 void
-drain_step (struct core *core, guint32 exchanges, gint64 now,
+drain_step (struct core *core, const struct event_tick *event, gint64 now,
             struct actions *out)
 {
   const struct view_node *node = view_node_at (&core->view, core->self);
-  gboolean idle = exchanges == 0 && core->requests.count == 0;
+  gboolean idle = event->pending_exchanges == 0 && core->requests.count == 0;
 
   if (!core->drain.is_requested || core->drain.exit_requested)
     return;
@@ -104,7 +105,7 @@
   else if (node != NULL && node->owned_slice_count == 0 && idle
            && now >= core->drain.linger_until)
     propose_removal (core, out);
-  else if (idle && is_removed (core))
+  else if (idle && !event->input_may_follow && is_removed (core))
     {
       core->drain.exit_requested = TRUE;
       actions_add (out, ACTION_EXIT);
--- a/src/decide/drain.h
+++ b/src/decide/drain.h
@@ -2,6 +2,7 @@
 #define BAMBOOTALLY_DRAIN_H
 
 #include "types/action.h"
+#include "types/event.h"
 
 struct core;
 
@@ -25,7 +26,7 @@
 };
 
 void drain_begin (struct core *core);
-void drain_step (struct core *core, guint32 exchanges, gint64 now,
+void drain_step (struct core *core, const struct event_tick *event, gint64 now,
                  struct actions *out);
 gboolean drain_has_proposed_removal (const struct core *core);
 gboolean drain_accepts_new (const struct core *core);
--- a/src/edge/mesh_node.c
+++ b/src/edge/mesh_node.c
@@ -6,8 +6,6 @@
 #include <string.h>
 #include <sys/random.h>
 
-#define TICK_MSEC 25u /* period of the timer */
-
 /* Events */
 
 /* Count LOG_EVENT for the metrics, and write it to the log.  */
@@ -142,49 +140,6 @@
   return mesh_is_ready (&node->mesh);
 }
 
-/* Timer */
-
-/* Return whether this node reads the fleet topic itself, not through another
-   node.  */
-static gboolean
-reads_fleet (gpointer data)
-{
-  struct mesh_node *node = data;
-
-  return mesh_reads_fleet (&node->mesh, clock_usec ());
-}
-
-/* Return whether this node reads the configuration topic itself, not through
-   another node.  */
-static gboolean
-reads_config (gpointer data)
-{
-  struct mesh_node *node = data;
-
-  return mesh_reads_config (&node->mesh, clock_usec ());
-}
-
-/* Run the periodic work: request deadlines, topic reads, a check of the
-   settings file, and EVENT_TICK.  */
-static gboolean
-on_tick (gpointer data)
-{
-  struct mesh_node *node = data;
-  struct event event = { .kind = EVENT_TICK };
-  gint64 now = clock_usec ();
-
-  latency_add (&node->tick_latency, now - node->mesh.last_tick_at);
-  proxy_expire (&node->proxy, now);
-  if (reads_fleet (node))
-    topic_reader_step (&node->fleet_reader, now);
-  if (reads_config (node))
-    topic_reader_step (&node->config_reader, now);
-  mesh_node_check_file (node, now);
-  event.u.tick.pending_exchanges = proxy_pending_count (&node->proxy);
-  mesh_node_handle_event (node, &event);
-  return G_SOURCE_CONTINUE;
-}
-
 /* Setup and teardown */
 
 /* Initialize the data path.  Return the error of listening for peers.  */
@@ -219,9 +174,9 @@
 {
   store_init (&node->store, &node->proxy.http, node->config.store_address);
   topic_reader_init (&node->fleet_reader, &node->store, STORE_TOPIC_FLEET,
-                     mesh_node_on_fleet, reads_fleet, node);
+                     mesh_node_on_fleet, mesh_node_reads_fleet, node);
   topic_reader_init (&node->config_reader, &node->store, STORE_TOPIC_CONFIG,
-                     mesh_node_on_config, reads_config, node);
+                     mesh_node_on_config, mesh_node_reads_config, node);
 }
 
 /* Start a node with the settings in CONFIG, which were read from FILE.  FILE
@@ -262,7 +217,7 @@
                              config->ready_address, config->metrics_address,
                              &handlers);
   if (code == ERR_NONE)
-    node->tick_timer = g_timeout_add (TICK_MSEC, on_tick, node);
+    mesh_node_tick_start (node);
   topic_reader_step (&node->fleet_reader, clock_usec ());
   topic_reader_step (&node->config_reader, clock_usec ());
   return code;
@@ -273,8 +228,7 @@
 mesh_node_clear (struct mesh_node *node)
 {
   node->is_processing = TRUE;
-  if (node->tick_timer != 0)
-    g_source_remove (node->tick_timer);
+  mesh_node_tick_stop (node);
   topic_reader_clear (&node->fleet_reader);
   topic_reader_clear (&node->config_reader);
   store_clear (&node->store);
--- a/src/edge/mesh_node.h
+++ b/src/edge/mesh_node.h
@@ -45,6 +45,8 @@
                                     handled */
   gboolean is_processing;        /* an event is being handled */
   guint tick_timer;              /* source id of the timer, 0: none */
+  guint quiet_source;            /* source id of the tick that waits for a turn
+                                    without input, 0: none */
 };
 
 enum err mesh_node_init (struct mesh_node *node,
@@ -56,6 +58,10 @@
 gint64 mesh_node_file_mtime (const char *file);
 void mesh_node_check_file (struct mesh_node *node, gint64 now);
 void mesh_node_reload (struct mesh_node *node);
+gboolean mesh_node_reads_fleet (gpointer data);
+gboolean mesh_node_reads_config (gpointer data);
+void mesh_node_tick_start (struct mesh_node *node);
+void mesh_node_tick_stop (struct mesh_node *node);
 enum err mesh_front_init (struct mesh_node *node);
 void mesh_node_on_link (const struct link_event *event, gpointer data);
 void mesh_node_on_fleet (const struct topic_reader_event *event,
--- a/src/edge/node.c
+++ b/src/edge/node.c
@@ -66,21 +66,45 @@
   log_client_step (&node->log, clock_usec ());
 }
 
+/* Pass EVENT_TICK to the decision logic.  */
+static void
+send_tick (struct node *node, gboolean input_may_follow)
+{
+  struct event event = { .kind = EVENT_TICK };
+
+  event.u.tick.pending_exchanges = proxy_pending_count (&node->proxy);
+  event.u.tick.input_may_follow = input_may_follow;
+  node_handle_event (node, &event);
+}
+
+/* Send a tick in a turn of the loop in which no input was ready: the loop
+   dispatches a source of low priority only then.  */
+static gboolean
+on_quiet_turn (gpointer data)
+{
+  struct node *node = data;
+
+  node->quiet_source = 0;
+  send_tick (node, FALSE);
+  return G_SOURCE_REMOVE;
+}
+
 /* Run the periodic work: request deadlines, reads of the log, the load poll of
    the server, and EVENT_TICK.  */
 static gboolean
 on_tick (gpointer data)
 {
   struct node *node = data;
-  struct event event = { .kind = EVENT_TICK };
   gint64 now = clock_usec ();
 
   proxy_expire (&node->proxy, now);
   log_client_step (&node->log, now);
   server_poll_step (node, now);
   peer_reader_step (node, now);
-  event.u.tick.pending_exchanges = proxy_pending_count (&node->proxy);
-  node_handle_event (node, &event);
+  send_tick (node, TRUE);
+  if (node->proxy.leaving && node->quiet_source == 0)
+    node->quiet_source
+        = g_idle_add_full (G_PRIORITY_LOW, on_quiet_turn, node, NULL);
   return G_SOURCE_CONTINUE;
 }
 
@@ -210,6 +234,8 @@
   node->is_processing = TRUE;
   if (node->tick_timer != 0)
     g_source_remove (node->tick_timer);
+  if (node->quiet_source != 0)
+    g_source_remove (node->quiet_source);
   front_clear (node);
   log_client_clear (&node->log);
   proxy_clear (&node->proxy);
--- a/src/edge/node.h
+++ b/src/edge/node.h
@@ -34,6 +34,8 @@
                                        handled */
   gboolean is_processing;           /* an event is being handled */
   guint tick_timer;                 /* source id of the timer, 0: none */
+  guint quiet_source;               /* source id of the tick that waits for a
+                                       turn without input, 0: none */
   gboolean should_restart;          /* restart as a new incarnation on exit */
 };
 
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -150,7 +150,7 @@
 
 /* Run the periodic work of a tick at NOW.  */
 static void
-step_timers (struct mesh *mesh, guint32 exchange_count, gint64 now,
+step_timers (struct mesh *mesh, const struct event_tick *event, gint64 now,
              struct actions *out)
 {
   key_rate_decay (&mesh->key_rate, now);
@@ -161,23 +161,30 @@
   mesh_expire_requests (mesh, now, out);
   mesh_route_waiting (mesh, FALSE, now, out);
   mesh_admit_queued (mesh, now, out);
-  mesh_stop_step (mesh, exchange_count, now, out);
+  mesh_stop_step (mesh, event, now, out);
 }
 
 /* Process EVENT, which occurred at NOW in microseconds, and add the resulting
-   actions to OUT.  */
+   actions to OUT.  Once the end of the process was requested an event has no
+   actions: what it began could not be finished.  */
 void
 mesh_step (struct mesh *mesh, const struct event *event, gint64 now,
            struct actions *out)
 {
   mesh->last_event_at = now;
+  if (mesh->exit_requested)
+    {
+      if (event->kind == EVENT_ROUTING)
+        routing_free (event->u.routing.routing);
+      return;
+    }
   switch (event->kind)
     {
     case EVENT_TICK:
       if (now - mesh->last_tick_at >= MESH_LAG_USEC)
         mesh->lagged_at = now;
       mesh->last_tick_at = now;
-      step_timers (mesh, event->u.tick.pending_exchanges, now, out);
+      step_timers (mesh, &event->u.tick, now, out);
       break;
     case EVENT_ROUTING:
       on_routing (mesh, event->u.routing.routing, now, out);
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -116,8 +116,8 @@
                               gint64 now);
 gboolean mesh_is_quiesced (const struct mesh *mesh, gint64 now);
 void mesh_stop_begin (struct mesh *mesh, gint64 now, struct actions *out);
-void mesh_stop_step (struct mesh *mesh, guint32 exchange_count, gint64 now,
-                     struct actions *out);
+void mesh_stop_step (struct mesh *mesh, const struct event_tick *event,
+                     gint64 now, struct actions *out);
 
 /* Records that were read, mesh_records.c.  */
 void mesh_apply_records (struct mesh *mesh,
--- a/src/mesh/mesh_stop.c
+++ b/src/mesh/mesh_stop.c
@@ -165,18 +165,28 @@
     answer_at_end (mesh, h, now, out);
 }
 
-/* Take the steps of a stop that are due, with EXCHANGE_COUNT exchanges not
-   done yet: end the process once nothing is left to do, or shortly before it
-   would be killed.  */
+/* Return whether nothing is left to do at the tick EVENT.  Input that may
+   still be handled in the same turn of the loop is something to do: a request
+   that is read after the end was requested is lost.  An append whose result is
+   not known would be a record that the next process has to wait for.  */
+static gboolean
+is_done (const struct mesh *mesh, const struct event_tick *event, gint64 now)
+{
+  return !event->input_may_follow && event->pending_exchanges == 0
+         && mesh->requests.count == 0 && !mesh->proposal.is_pending
+         && mesh_is_quiesced (mesh, now);
+}
+
+/* Take the steps of a stop that are due at the tick EVENT: end the process
+   once nothing is left to do, or shortly before it would be killed.  */
 void
-mesh_stop_step (struct mesh *mesh, guint32 exchange_count, gint64 now,
+mesh_stop_step (struct mesh *mesh, const struct event_tick *event, gint64 now,
                 struct actions *out)
 {
-  if (!is_stopping (mesh) || mesh->exit_requested)
+  if (!is_stopping (mesh))
     return;
   answer_rest (mesh, now, out);
-  if ((exchange_count > 0 || mesh->requests.count > 0
-       || !mesh_is_quiesced (mesh, now))
+  if (!is_done (mesh, event, now)
       && now < before_kill (mesh, EXIT_MARGIN_USEC))
     return;
   mesh->exit_requested = TRUE;
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -45,8 +45,11 @@
 /* The timer fired.  */
 struct event_tick
 {
-  /* requests and replies not finished by the edge */
-  guint32 pending_exchanges;
+  guint32 pending_exchanges; /* requests, replies and appends that the edge has
+                                not finished */
+  gboolean input_may_follow; /* input that is ready already may be handled
+                                after this event in the same turn of the
+                                loop */
 };
 
 /* A record of the log with its offset.  */
--- /dev/null
+++ b/tests/mesh_node_stage.h
@@ -0,0 +1,262 @@
+#ifndef TESTS_MESH_NODE_STAGE_H
+#define TESTS_MESH_NODE_STAGE_H
+
+#include "edge/mesh_node.h"
+#include "platform/header_names.h"
+#include "tests/suite.h"
+#include "types/clock.h"
+#include "wire/wire_forward.h"
+
+#include <string.h>
+
+/* A node of a mesh on its main loop, between real connections.  */
+
+#define LOCAL 0x7f000001u
+#define CASE_USEC ((gint64)3000000) /* time limit of a test */
+#define CASE_MSEC 3000u
+#define GRACE_USEC ((gint64)6000000)     /* time from SIGTERM to the kill */
+#define QUIET_USEC ((gint64)2700000)     /* after SIGTERM: nothing is due */
+#define KILL_NEAR_USEC ((gint64)5600000) /* after SIGTERM: the end is due */
+#define OTHER_INCARNATION 77u
+#define CALLER_REQUEST                                                        \
+  "GET /other/x HTTP/1.1\r\nHost: h\r\n" NAME_ID ": 1\r\n" NAME_DEADLINE      \
+  ": 2000\r\n\r\n"
+/* A node, and another one that runs the requests sent to it.  */
+struct stage
+{
+  struct mesh_node node;              /* the node */
+  struct links other;                 /* connections of the other node */
+  guint runs;                         /* requests that the other node ran */
+  guint replies;                      /* replies to the other node */
+  struct forward_response_head reply; /* head of the last one */
+};
+
+/* Answer a request that the node forwarded.  */
+static inline void
+answer_forward (struct stage *stage, const struct link_event *event)
+{
+  struct forward_response_head head = { .outcome = OUTCOME_DONE,
+                                        .load.slots = 4,
+                                        .http_status = 200,
+                                        .headers = (char *)"",
+                                        .body_length = 2,
+                                        .chunk_length = 2,
+                                        .chunk = (guint8 *)"ok",
+                                        .is_last_chunk = TRUE };
+
+  stage->runs++;
+  links_reply (&stage->other, event->link, event->xid, ERR_NONE,
+               wire_forward_response_head, &head);
+}
+
+/* Handle an event of the other node's connections.  */
+static inline void
+on_other (const struct link_event *event, gpointer data)
+{
+  struct stage *stage = data;
+
+  if (event->kind == LINK_CALL && event->procedure == RPC_FORWARD_REQUEST)
+    answer_forward (stage, event);
+  if (event->kind != LINK_REPLY || event->code != ERR_NONE)
+    return;
+  stage->replies++;
+  if (event->procedure == RPC_FORWARD_REQUEST)
+    wire_decode (wire_forward_response_head, &stage->reply, event->bytes,
+                 event->length);
+}
+
+/* Return the address that SOCKET listens on.  */
+static inline struct address
+listening_address (GSocket *socket)
+{
+  GSocketAddress *local = g_socket_get_local_address (socket, NULL);
+  struct address at = { LOCAL, 0 };
+
+  at.port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (local));
+  g_object_unref (local);
+  return at;
+}
+
+/* Return the port that SERVER listens on.  */
+static inline guint16
+server_port (SoupServer *server)
+{
+  GSList *uris = soup_server_get_uris (server);
+  guint16 port = (guint16)g_uri_get_port (uris->data);
+
+  g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
+  return port;
+}
+
+/* Give the node a configuration with a route to the other node.  */
+static inline void
+add_route (struct mesh_node *node)
+{
+  struct event event = { .kind = EVENT_ROUTING };
+  struct route route = { .host = "h",
+                         .path_prefix = "/other/",
+                         .run_class = RUN_ONCE,
+                         .timeout_usec = CASE_USEC,
+                         .max_attempts = 1,
+                         .share_count = 1 };
+
+  event.u.routing.routing = routing_new (1);
+  g_strlcpy (route.shares[0].service, "other", NAME_SIZE);
+  routing_add_route (event.u.routing.routing, &route);
+  mesh_node_handle_event (node, &event);
+}
+
+/* Give the node the record of the other node, and a message from it.  */
+static inline void
+add_other (struct stage *stage)
+{
+  struct event records = { .kind = EVENT_FLEET_RECORDS };
+  struct event message = { .kind = EVENT_MESH_CALL };
+  struct mesh_call call = { .kind = MESH_GOSSIP };
+  struct fleet_entry entry = { .record.kind = FLEET_MEMBER };
+  struct fleet_member *member = &entry.record.u.member;
+
+  g_strlcpy (member->name, "b", sizeof member->name);
+  g_strlcpy (member->service, "other", sizeof member->service);
+  g_strlcpy (member->instance.id, "sb", sizeof member->instance.id);
+  member->incarnation = OTHER_INCARNATION;
+  member->slots = 4;
+  member->peer_address = listening_address (stage->other.listener);
+  fleet_record_set_key (&entry.record);
+  records.u.fleet_records.items = &entry;
+  records.u.fleet_records.count = 1;
+  records.u.fleet_records.next_offset = 1;
+  records.u.fleet_records.complete = TRUE;
+  records.u.fleet_records.at_end = TRUE;
+  records.u.fleet_records.started_at = clock_usec ();
+  mesh_node_handle_event (&stage->node, &records);
+  g_strlcpy (call.u.gossip.name, "b", NAME_SIZE);
+  call.u.gossip.incarnation = OTHER_INCARNATION;
+  call.u.gossip.applied_offset = 1;
+  call.u.gossip.config_version = 1;
+  call.u.gossip.load.slots = 4;
+  message.u.mesh_call.call = &call;
+  mesh_node_handle_event (&stage->node, &message);
+}
+
+/* Start both nodes.  */
+static inline void
+stage_init (struct stage *stage)
+{
+  struct mesh_config config = { 0 };
+  struct address any = { LOCAL, 0 };
+
+  memset (stage, 0, sizeof *stage);
+  CU_ASSERT_EQUAL_FATAL (links_init (&stage->other, any, on_other, stage),
+                         ERR_NONE);
+  config.caller_address = config.control_address = any;
+  config.ready_address = config.metrics_address = any;
+  config.store_address = (struct address){ LOCAL, 1 };
+  config.mesh.peer_address = any;
+  config.mesh.server_address = (struct address){ LOCAL, 1 };
+  config.mesh.heartbeat_usec = CASE_USEC;
+  config.mesh.max_grant_usec = CASE_USEC;
+  config.mesh.drain_limit_usec = CASE_USEC;
+  config.mesh.stop_grace_usec = GRACE_USEC;
+  g_strlcpy (config.mesh.name, "a", sizeof config.mesh.name);
+  g_strlcpy (config.mesh.service, "own", sizeof config.mesh.service);
+  CU_ASSERT_EQUAL_FATAL (mesh_node_init (&stage->node, &config, "/dev/null"),
+                         ERR_NONE);
+  add_route (&stage->node);
+  add_other (stage);
+}
+
+/* Stop both nodes.  */
+static inline void
+stage_clear (struct stage *stage)
+{
+  mesh_node_clear (&stage->node);
+  links_clear (&stage->other);
+  while (g_main_context_iteration (NULL, FALSE))
+    continue;
+}
+
+/* Callers */
+
+/* Connect to PORT.  */
+static inline GSocket *
+connect_to (guint16 port)
+{
+  GSocket *socket = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
+                                  G_SOCKET_PROTOCOL_TCP, NULL);
+  GSocketAddress *at
+      = g_inet_socket_address_new_from_string ("127.0.0.1", port);
+
+  CU_ASSERT_TRUE_FATAL (g_socket_connect (socket, at, NULL, NULL));
+  g_socket_set_blocking (socket, FALSE);
+  g_object_unref (at);
+  return socket;
+}
+
+/* Send TEXT on SOCKET.  */
+static inline void
+send_text (GSocket *socket, const char *text)
+{
+  CU_ASSERT_EQUAL (g_socket_send (socket, text, strlen (text), NULL, NULL),
+                   (gssize)strlen (text));
+}
+
+/* Return the status of the answer that has arrived on SOCKET, 0 for none.  */
+static inline int
+received_status (GSocket *socket)
+{
+  char text[1024] = "";
+  int status = 0;
+  gssize count = g_socket_receive (socket, text, sizeof text - 1, NULL, NULL);
+
+  if (count > 0 && sscanf (text, "HTTP/1.1 %d ", &status) != 1)
+    status = 0;
+  return status;
+}
+
+/* Run the loop until an answer has arrived on SOCKET.  Return its status.  */
+static inline int
+wait_for_status (GSocket *socket)
+{
+  gint64 deadline = clock_usec () + CASE_USEC;
+  int status = 0;
+
+  while (status == 0 && clock_usec () < deadline)
+    {
+      g_main_context_iteration (NULL, FALSE);
+      status = received_status (socket);
+    }
+  return status;
+}
+
+/* The stop */
+
+/* End the loop of NODE, which did not end by itself.  */
+static inline gboolean
+on_overdue (gpointer data)
+{
+  struct mesh_node *node = data;
+
+  CU_FAIL ("the node did not end");
+  g_main_loop_quit (node->loop);
+  return G_SOURCE_REMOVE;
+}
+
+/* Let the node have been asked to stop AGO_USEC before now, make its next tick
+   due, and run it to its end.  What was sent to it before is ready in the same
+   turn of the loop as that tick.  */
+static inline void
+run_to_end (struct mesh_node *node, gint64 ago_usec)
+{
+  GSource *tick = g_main_context_find_source_by_id (NULL, node->tick_timer);
+  guint overdue = g_timeout_add (CASE_MSEC, on_overdue, node);
+
+  node->proxy.leaving = TRUE;
+  node->mesh.stop_requested_at = clock_usec () - ago_usec;
+  g_source_set_ready_time (tick, 0);
+  g_main_loop_run (node->loop);
+  if (g_main_context_find_source_by_id (NULL, overdue) != NULL)
+    g_source_remove (overdue);
+}
+
+#endif
--- a/tests/test_drain.c
+++ b/tests/test_drain.c
@@ -104,6 +104,30 @@
   fixture_end (&f);
 }
 
+/* Guards against requests that are lost in the turn of the loop in which a
+   process ends: it does not end while input may follow, and passes nothing on
+   after its end was requested.  */
+static void
+test_nothing_after_the_end (void)
+{
+  struct fixture f;
+  struct request request = idempotent ("pay", "");
+  struct event event = { .kind = EVENT_TICK };
+
+  fixture_begin (&f, "pay");
+  request_drain (&f);
+  CU_ASSERT_TRUE (tick_and_log (&f, 0, RECORD_LEAVING, FIXTURE_START));
+  CU_ASSERT_TRUE (tick_and_log (&f, 0, RECORD_REMOVED, AFTER_LINGER));
+  event.u.tick.input_may_follow = TRUE;
+  fixture_step (&f, &event, FIXTURE_START);
+  CU_ASSERT_PTR_NULL (fixture_find (&f, ACTION_EXIT));
+  fixture_tick (&f, 0, FIXTURE_START);
+  CU_ASSERT_PTR_NOT_NULL (fixture_find (&f, ACTION_EXIT));
+  fixture_arrive (&f, &request, FIXTURE_START);
+  CU_ASSERT_PTR_NULL (fixture_find (&f, ACTION_FORWARD));
+  fixture_end (&f);
+}
+
 /* A node accepts work until it reads on the log that it leaves.  Then requests
    of callers go to other nodes, and those of other nodes are refused.  */
 static void
@@ -240,6 +264,7 @@
   static CU_TestInfo tests[]
       = { { "waits for requests", test_waits_for_requests },
           { "exits when removed", test_exits_when_removed },
+          { "nothing after the end", test_nothing_after_the_end },
           { "no new work", test_no_new_work },
           { "serves owned slices", test_serves_owned_slices },
           { "late assignment", test_late_assignment },
--- /dev/null
+++ b/tests/test_mesh_node.c
@@ -0,0 +1,115 @@
+#include "tests/mesh_node_stage.h"
+
+/* A node of a mesh on its main loop: the turn of the loop in which it
+   ends.  */
+
+/* Guards against requests that are lost in a planned stop: one that is ready
+   to be read in the turn of the loop in which nothing is left to do is
+   answered before the process ends.  */
+static void
+test_request_at_the_end (void)
+{
+  struct stage stage;
+  GSocket *caller;
+
+  stage_init (&stage);
+  caller = connect_to (server_port (stage.node.front));
+  send_text (caller, CALLER_REQUEST);
+  CU_ASSERT_EQUAL_FATAL (wait_for_status (caller), 200);
+  send_text (caller, CALLER_REQUEST);
+  run_to_end (&stage.node, QUIET_USEC);
+  CU_ASSERT_EQUAL (received_status (caller), 200);
+  CU_ASSERT_EQUAL (stage.runs, 2);
+  CU_ASSERT_EQUAL (stage.node.mesh.requests.count, 0);
+  g_object_unref (caller);
+  stage_clear (&stage);
+}
+
+/* The same at the time at which the process has to end: the request is not
+   passed on any more.  */
+static void
+test_request_at_the_kill (void)
+{
+  struct stage stage;
+  GSocket *caller;
+
+  stage_init (&stage);
+  caller = connect_to (server_port (stage.node.front));
+  send_text (caller, CALLER_REQUEST);
+  CU_ASSERT_EQUAL_FATAL (wait_for_status (caller), 200);
+  send_text (caller, CALLER_REQUEST);
+  run_to_end (&stage.node, KILL_NEAR_USEC);
+  CU_ASSERT_EQUAL (stage.node.proxy.counters.forwarded_attempts, 1);
+  g_object_unref (caller);
+  stage_clear (&stage);
+}
+
+/* A request of another node that is ready in that turn is refused before the
+   process ends.  */
+static void
+test_forward_at_the_end (void)
+{
+  struct stage stage;
+  struct address at;
+  struct link_tag tag = { 0 };
+  guint64 stream = 1;
+  gint64 deadline = clock_usec () + CASE_USEC;
+  struct forward_request forward = { .stream = 1,
+                                     .method = (char *)"GET",
+                                     .target = (char *)"/own/x",
+                                     .headers = (char *)"",
+                                     .is_last_chunk = TRUE };
+
+  stage_init (&stage);
+  at = listening_address (stage.node.proxy.links.listener);
+  links_call (&stage.other, at, RPC_NULL, wire_forward_stream, &stream, &tag,
+              deadline);
+  while (stage.replies == 0 && clock_usec () < deadline)
+    g_main_context_iteration (NULL, FALSE);
+  forward.target_incarnation = stage.node.proxy.self_incarnation;
+  forward.request.deadline = CASE_USEC;
+  links_call (&stage.other, at, RPC_FORWARD_REQUEST, wire_forward_request,
+              &forward, &tag, deadline);
+  run_to_end (&stage.node, QUIET_USEC);
+  while (stage.replies < 2 && clock_usec () < deadline)
+    g_main_context_iteration (NULL, FALSE);
+  CU_ASSERT_EQUAL (stage.replies, 2);
+  CU_ASSERT_EQUAL (stage.reply.outcome, OUTCOME_NOT_RUN);
+  CU_ASSERT_EQUAL (stage.runs, 0);
+  xdr_free ((xdrproc_t)wire_forward_response_head, (char *)&stage.reply);
+  stage_clear (&stage);
+}
+
+/* A deregistration that is ready in that turn is answered before the process
+   ends: the server need not wait for the next process.  */
+static void
+test_deregistration_at_the_end (void)
+{
+  struct stage stage;
+  GSocket *server;
+
+  stage_init (&stage);
+  server = connect_to (server_port (stage.node.control_api.http_server));
+  send_text (server, "GET /api/ready HTTP/1.1\r\nHost: a\r\n\r\n");
+  CU_ASSERT_NOT_EQUAL_FATAL (wait_for_status (server), 0);
+  send_text (server, "DELETE /api/instances/sa HTTP/1.1\r\nHost: a\r\n\r\n");
+  run_to_end (&stage.node, QUIET_USEC);
+  CU_ASSERT_EQUAL (received_status (server), 200);
+  g_object_unref (server);
+  stage_clear (&stage);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[]
+      = { { "request in the turn of the end", test_request_at_the_end },
+          { "request in the turn of the kill", test_request_at_the_kill },
+          { "forwarded request in the turn of the end",
+            test_forward_at_the_end },
+          { "deregistration in the turn of the end",
+            test_deregistration_at_the_end },
+          CU_TEST_INFO_NULL };
+
+  return suite_run ("mesh_node", tests);
+}
--- a/tests/test_mesh_stop.c
+++ b/tests/test_mesh_stop.c
@@ -134,6 +134,59 @@
   fixture_free (fixture);
 }
 
+/* Pass a tick to the node that says what the edge has left to do.  */
+static void
+tick (struct fixture *fixture, guint32 pending, gboolean input_may_follow)
+{
+  struct event event = { .kind = EVENT_TICK };
+
+  event.u.tick.pending_exchanges = pending;
+  event.u.tick.input_may_follow = input_may_follow;
+  feed_event (fixture, &event);
+}
+
+/* Guards against requests that are lost in the turn of the loop in which a
+   process ends: it does not end while input may follow or an append is under
+   way, and decides nothing after its end was requested.  */
+static void
+test_nothing_after_the_end (void)
+{
+  struct fixture *fixture = fixture_new ();
+
+  request_stop (fixture);
+  fixture->now += 2700 * MSEC;
+  tick (fixture, 0, TRUE);
+  CU_ASSERT_PTR_NULL (find_action (fixture, ACTION_EXIT));
+  tick (fixture, 1, FALSE);
+  CU_ASSERT_PTR_NULL (find_action (fixture, ACTION_EXIT));
+  fixture->mesh.proposal.is_pending = TRUE;
+  tick (fixture, 0, FALSE);
+  CU_ASSERT_PTR_NULL (find_action (fixture, ACTION_EXIT));
+  fixture->mesh.proposal.is_pending = FALSE;
+  tick (fixture, 0, FALSE);
+  CU_ASSERT_PTR_NOT_NULL (find_action (fixture, ACTION_EXIT));
+  send_long_request (fixture, "/own/1", 25, FALSE);
+  CU_ASSERT_EQUAL (fixture->actions.items->len, 0);
+  send_heartbeat (fixture, 2);
+  CU_ASSERT_EQUAL (fixture->actions.items->len, 0);
+  add_services (fixture);
+  CU_ASSERT_EQUAL (fixture->actions.items->len, 0);
+  fixture_free (fixture);
+}
+
+/* At the time at which the process has to end it does so in any case.  */
+static void
+test_ends_before_the_kill (void)
+{
+  struct fixture *fixture = fixture_new ();
+
+  request_stop (fixture);
+  fixture->now += 5600 * MSEC;
+  tick (fixture, 1, TRUE);
+  CU_ASSERT_PTR_NOT_NULL (find_action (fixture, ACTION_EXIT));
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
@@ -142,6 +195,8 @@
           { "a running request is answered", test_running_is_answered },
           { "what takes too long is not taken", test_too_long_is_not_taken },
           { "nor what other nodes send", test_forwarded_too_long },
+          { "nothing is decided after the end", test_nothing_after_the_end },
+          { "the end before the kill", test_ends_before_the_kill },
           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_stop", tests);
