A crash count that is appended late does not lower a later one

Records of suspects are appended without a condition, so one of an earlier process may be carried out after a newer one with the same key.

Cause: the count of the last record was taken as it is. A request that had crashed three servers would be sent on again.

Change: the higher count is kept. test_fleet_state failed before. A process that reads the topic only after that still sees the lower count: the store keeps the newest record of a key.

--- a/src/fleet/fleet_state.c
+++ b/src/fleet/fleet_state.c
@@ -175,7 +175,8 @@
   return TRUE;
 }
 
-/* Apply the record of a request that crashes servers.  */
+/* Apply the record of a request that crashes servers.  A record that was
+   appended late does not lower the count.  */
 static void
 apply_suspect (struct fleet_state *fleet, const struct fleet_suspect *record)
 {
@@ -187,7 +188,8 @@
           = &g_array_index (fleet->suspects, struct fleet_suspect, i);
       if (suspect->digest == record->digest)
         {
-          suspect->crash_count = record->crash_count;
+          suspect->crash_count
+              = MAX (suspect->crash_count, record->crash_count);
           return;
         }
     }
