A process gives its server no request before the server's own heartbeat

Cause: a process that starts took the state that an earlier one had recorded for the server's word. What was acknowledged may not be recorded: here the server was not known yet and the deregistration forgotten; the same way a restart forgets what was acknowledged while the store was down.

Change: requests go to the server only after a heartbeat that this process received itself; keyed ones wait for it. A deregistration is remembered by the server's name and holds when a record or a late heartbeat makes it known. A server that deregistered is recorded as draining, so that a late heartbeat does not undo it in the next process.

--- a/src/edge/mesh_node.c
+++ b/src/edge/mesh_node.c
@@ -118,6 +118,7 @@
     case CONTROL_API_DEREGISTER:
       event.kind = EVENT_DEREGISTER;
       event.u.deregister.call_id = control->call;
+      event.u.deregister.at_msec = g_get_real_time () / USEC_PER_MSEC;
       g_strlcpy (event.u.deregister.server_id, control->instance_id,
                  sizeof event.u.deregister.server_id);
       mesh_node_handle_event (node, &event);
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -84,7 +84,7 @@
         = (guint32)(MAX (0, mesh->grant.last_heartbeat_at
                                 + mesh->settings.heartbeat_usec - now)
                     / USEC_PER_MSEC);
-  if (!grant_is_leaving (&mesh->grant) && !mesh->grant.presumed_dead)
+  if (!grant_is_leaving (&mesh->grant) && grant_may_run (&mesh->grant))
     load.slots = server_limit_slots (
         &mesh->admission.limit,
         limiter_slots (&mesh->admission.limiter, mesh->admission.slots, now),
--- a/src/mesh/mesh_heartbeat.c
+++ b/src/mesh/mesh_heartbeat.c
@@ -146,13 +146,14 @@
   mesh_admit_queued (mesh, now, out);
 }
 
-/* Process the deregistration of a server.  The deregistration of an unknown
-   server is answered and changes nothing.  */
+/* Process the deregistration of a server, also of one that is not known yet:
+   its answer is binding from now on.  */
 void
 mesh_deregister (struct mesh *mesh, const struct event_deregister *event,
                  gint64 now, struct actions *out)
 {
-  gboolean known = grant_on_deregister (&mesh->grant, event->server_id, now);
+  gboolean known = grant_on_deregister (&mesh->grant, event->server_id,
+                                        event->at_msec, now);
 
   mesh_log (out, LOG_EVENT_MESH_SERVER, event->server_id, "outcome=%s",
             known ? "leaves" : "unknown");
--- a/src/mesh/mesh_pick.c
+++ b/src/mesh/mesh_pick.c
@@ -114,7 +114,7 @@
   if (strcmp (member->service, service) != 0 || member->state != MEMBER_READY)
     return FALSE;
   if (is_here (mesh, member))
-    return !grant_is_leaving (&mesh->grant) && !mesh->grant.presumed_dead
+    return !grant_is_leaving (&mesh->grant) && grant_may_run (&mesh->grant)
            && mesh->stop_requested_at == 0;
   return peer != NULL && !peer->is_leaving && peer->load.slots > 0;
 }
--- a/src/mesh/mesh_plan_self.c
+++ b/src/mesh/mesh_plan_self.c
@@ -20,8 +20,10 @@
   member->instance = grant->instance;
   member->slots = grant->slots;
   member->state = MEMBER_READY;
-  if (!server_instance_is_set (&grant->instance) || grant->is_deregistered
-      || grant_is_abandoned (grant, now))
+  if (server_instance_is_set (&grant->instance) && grant->is_deregistered)
+    member->state = MEMBER_DRAINING;
+  else if (!server_instance_is_set (&grant->instance)
+           || grant_is_abandoned (grant, now))
     member->state = MEMBER_DOWN;
   else if (grant->is_draining)
     member->state = MEMBER_DRAINING;
--- a/src/shard/grant.c
+++ b/src/shard/grant.c
@@ -59,6 +59,18 @@
     }
 }
 
+/* Note whether the known instance has deregistered before it was known.  */
+static void
+recall_departure (struct grant *grant)
+{
+  gint64 acked_at = departures_acked_at (&grant->departures, &grant->instance);
+
+  if (acked_at == 0)
+    return;
+  grant->is_deregistered = TRUE;
+  grant->leave_acked_at = acked_at;
+}
+
 /* Start over with INSTANCE, a new process of the server.  INSTANCE holds no
    keys yet, unless this process never received a heartbeat: then an earlier
    process of this node may have granted keys to INSTANCE.  */
@@ -74,6 +86,7 @@
   grant->presumed_dead = FALSE;
   grant->leave_acked_at = 0;
   grant->refused_since = 0;
+  recall_departure (grant);
   if (grant->heartbeat_received)
     grant->granted_until = 0;
   reset_keys (grant);
@@ -89,6 +102,7 @@
     return;
   grant->instance = *instance;
   grant->slots = slots;
+  recall_departure (grant);
 }
 
 /* Record that the server announced at NOW that it stops.  */
@@ -129,11 +143,14 @@
   return change;
 }
 
-/* Process the deregistration of the server ID.  Return FALSE if ID is not the
-   known instance.  */
+/* Process the deregistration of the server ID at NOW, which is AT_MSEC in
+   milliseconds since 1970.  Return FALSE if ID is not the known instance; it
+   is remembered in case it becomes known later.  */
 gboolean
-grant_on_deregister (struct grant *grant, const char *id, gint64 now)
+grant_on_deregister (struct grant *grant, const char *id, gint64 at_msec,
+                     gint64 now)
 {
+  departures_add (&grant->departures, id, at_msec, now);
   if (strcmp (grant->instance.id, id) != 0)
     return FALSE;
   grant->is_deregistered = TRUE;
@@ -199,12 +216,22 @@
   grant->granted_until = MAX (grant->granted_until, granted_until);
 }
 
+/* Return whether the server may be given requests.  What an earlier process
+   recorded of it does not suffice: the server may have announced to that
+   process that it leaves, and its record may not have been written.  So this
+   process waits for the server's first heartbeat.  */
+gboolean
+grant_may_run (const struct grant *grant)
+{
+  return grant->heartbeat_received && !grant->presumed_dead;
+}
+
 /* Return whether the server holds KEY at NOW to the knowledge of this
    node.  */
 gboolean
 grant_covers_key (const struct grant *grant, guint32 key, gint64 now)
 {
-  if (now >= grant->granted_until || grant->presumed_dead)
+  if (now >= grant->granted_until || !grant_may_run (grant))
     return FALSE;
   switch (grant->method)
     {
--- a/src/shard/grant.h
+++ b/src/shard/grant.h
@@ -2,6 +2,7 @@
 #define BAMBOOTALLY_GRANT_H
 
 #include "shard/answer_grants.h"
+#include "shard/departure.h"
 #include "shard/lease_book.h"
 #include "types/grant_method.h"
 #include "types/heartbeat.h"
@@ -24,10 +25,11 @@
   gint64 instance_since;      /* since when this process knows that instance */
   guint64 heartbeat_sequence; /* sequence number of the last heartbeat */
   guint32 slots;              /* requests that the server runs at once */
-  gboolean heartbeat_received; /* this process has received a heartbeat */
-  gboolean is_draining;        /* the server has announced that it stops,
-                                  in a heartbeat or an answer */
-  gboolean is_deregistered;    /* the server has deregistered */
+  gboolean heartbeat_received;  /* this process has received a heartbeat */
+  gboolean is_draining;         /* the server has announced that it stops,
+                                   in a heartbeat or an answer */
+  gboolean is_deregistered;     /* the server has deregistered */
+  struct departures departures; /* servers that have deregistered */
   gboolean presumed_dead;   /* the server refuses connections, or another one
                                answers in its place */
   gint64 leave_acked_at;    /* when the stop was acknowledged, 0: never */
@@ -57,7 +59,8 @@
 enum grant_change grant_on_heartbeat (struct grant *grant,
                                       const struct heartbeat *heartbeat,
                                       gint64 now);
-gboolean grant_on_deregister (struct grant *grant, const char *id, gint64 now);
+gboolean grant_on_deregister (struct grant *grant, const char *id,
+                              gint64 at_msec, gint64 now);
 void grant_on_leaving (struct grant *grant, gint64 now);
 void grant_on_key_denied (struct grant *grant, guint32 key, gint64 now);
 void grant_on_misdirected (struct grant *grant);
@@ -69,6 +72,7 @@
                         const struct heartbeat_answer *answer, gint64 now);
 void grant_on_order_sent (struct grant *grant, gint64 granted_until);
 gboolean grant_covers_key (const struct grant *grant, guint32 key, gint64 now);
+gboolean grant_may_run (const struct grant *grant);
 gboolean grant_is_leaving (const struct grant *grant);
 gboolean grant_is_expired (const struct grant *grant, gint64 now);
 gboolean grant_is_abandoned (const struct grant *grant, gint64 now);
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -219,6 +219,7 @@
 {
   guint32 call_id;           /* id of the HTTP call, repeated in the answer */
   char server_id[NAME_SIZE]; /* name of the server */
+  gint64 at_msec;            /* when it did so, milliseconds since 1970 */
 };
 
 /* Another node of the mesh called.  */
--- a/tests/test_mesh_restart.c
+++ b/tests/test_mesh_restart.c
@@ -175,6 +175,26 @@
   fixture_free (fixture);
 }
 
+/* Guards against requests that reach a server which has announced to the
+   earlier process that it leaves: a request for a key that the server held
+   waits for the server's first heartbeat.  */
+static void
+test_key_waits (void)
+{
+  struct fixture *fixture = start_again (GRANT_BY_ANSWER);
+
+  end_append (fixture, ERR_NONE, FIRST_END);
+  send_keyed_request (fixture, "/own/x", "17");
+  CU_ASSERT_PTR_NULL (find_action (fixture, ACTION_RUN));
+  CU_ASSERT_PTR_NULL (find_action (fixture, ACTION_ANSWER));
+  advance (fixture, 25 * MSEC);
+  CU_ASSERT_PTR_NULL (find_action (fixture, ACTION_RUN));
+  send_heartbeat (fixture, 1);
+  advance (fixture, 25 * MSEC);
+  CU_ASSERT_PTR_NOT_NULL (find_action (fixture, ACTION_RUN));
+  fixture_free (fixture);
+}
+
 /* A process plans for all nodes only then, too: it is the first by name here,
    and the keys are free.  */
 static void
@@ -207,6 +227,7 @@
   CU_TestInfo tests[] = { { "late map of the earlier process", test_late_map },
                           { "no more than one write", test_one_write },
                           { "keys by call", test_by_call },
+                          { "key waits for a heartbeat", test_key_waits },
                           { "plans later", test_plans_later },
                           { "first start", test_first_start },
                           CU_TEST_INFO_NULL };
