A heartbeat that names an unknown service is refused

Cause: a heartbeat was believed about what the settings and the configuration decide. It overwrote the service of this host.

Change: a heartbeat whose service is neither the host's nor one of the configuration is refused, like one with a foreign address, before it changes anything; the server's own one with the same number is still taken.

Evidence: test_mesh_heartbeat failed before.

--- a/src/mesh/mesh_heartbeat.c
+++ b/src/mesh/mesh_heartbeat.c
@@ -90,6 +90,20 @@
   action->code = code;
 }
 
+/* Return what shows that HEARTBEAT is not from the server of this host, or
+   NULL. Which services there are the settings and the configuration decide. */
+static const char *
+foreign_field (const struct mesh *mesh, const struct heartbeat *heartbeat)
+{
+  if (!address_equal (heartbeat->address, mesh->settings.server_address))
+    return "address";
+  if (strcmp (heartbeat->service, mesh->settings.service) != 0
+      && (mesh->routing == NULL
+          || routing_find_service (mesh->routing, heartbeat->service) == NULL))
+    return "service";
+  return NULL;
+}
+
 /* Process a heartbeat of the local backend server and answer it with the keys
    that the server may hold.  */
 void
@@ -97,13 +111,14 @@
                 gint64 now, struct actions *out)
 {
   const struct heartbeat *heartbeat = event->heartbeat;
+  const char *foreign = foreign_field (mesh, heartbeat);
   struct heartbeat_answer *answer;
   enum grant_change change;
 
-  if (!address_equal (heartbeat->address, mesh->settings.server_address))
+  if (foreign != NULL)
     {
       mesh_log (out, LOG_EVENT_MESH_BAD_INPUT, heartbeat->instance.id,
-                "what=beat reason=address");
+                "what=beat reason=%s", foreign);
       answer_code (event->call_id, ERR_INVALID, out);
       return;
     }
