What a server sends without end and is dropped ends the call

Report of another operator: a backend sent bytes that were no answer, without end. Here interim responses and trailers without end were dropped without a limit, and a node spent a whole core on them until the requests' deadlines; skipped responses, by their number and by their length, were dropped without a limit as well.

Cause: only what is kept was limited. And each dropped or tiny part moved all the bytes behind it in the receive buffer.

Change: limits on interim responses, the trailer and skipped responses of one call, which ends with ERR_TOO_LARGE. The buffer is shortened once for each read.

--- a/src/edge/http.h
+++ b/src/edge/http.h
@@ -74,6 +74,11 @@
   gboolean in_chunk;         /* reading the data of a chunk */
   gboolean in_trailer;       /* reading the trailer after the last chunk */
   gboolean skip_response;    /* the response belongs to another request */
+  gsize parsed_bytes;        /* bytes of the receive buffer that were parsed */
+  guint interim_count;       /* interim responses so far */
+  gsize trailer_bytes;       /* bytes in the trailer so far */
+  guint skipped_count;       /* responses that were skipped so far */
+  gsize skipped_bytes;       /* bytes in their bodies */
   gboolean keep_alive;       /* the connection can be reused after this call */
   gint64 deadline;           /* time limit, monotonic, in microseconds */
   http_event_fn *on_event;   /* receives the events */
--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -5,16 +5,38 @@
 #define HEAD_BYTES_MAX 65536u /* bytes in the head of a response */
 #define CHUNK_LINE_MAX 1024u  /* bytes in the size line of a chunk */
 
-/* Return the position of NEEDLE in the bytes received, or -1.  */
+/* What is dropped without being passed on, in one call: a server may send it
+   without end.  */
+#define INTERIM_MAX 16u            /* interim responses */
+#define TRAILER_BYTES_MAX 65536u   /* bytes in a trailer */
+#define SKIPPED_MAX 16u            /* responses to other requests */
+#define SKIPPED_BYTES_MAX 4194304u /* bytes in their bodies */
+
+/* Return the first byte that was received and not parsed.  */
+static const guint8 *
+unparsed (const struct http_call *call)
+{
+  return call->conn->receive_buffer->data + call->parsed_bytes;
+}
+
+/* Return the number of bytes that were received and not parsed.  */
+static gsize
+unparsed_count (const struct http_call *call)
+{
+  return call->conn->receive_buffer->len - call->parsed_bytes;
+}
+
+/* Return the position of NEEDLE in the bytes that were received and not
+   parsed, or -1.  */
 static gssize
 find_received (const struct http_call *call, const char *needle)
 {
-  const GByteArray *bytes = call->conn->receive_buffer;
-  const guint8 *at = bytes->len > 0 ? memmem (bytes->data, bytes->len, needle,
-                                              strlen (needle))
-                                    : NULL;
+  gsize count = unparsed_count (call);
+  const guint8 *at
+      = count > 0 ? memmem (unparsed (call), count, needle, strlen (needle))
+                  : NULL;
 
-  return at != NULL ? at - bytes->data : -1;
+  return at != NULL ? at - unparsed (call) : -1;
 }
 
 /* Set the framing of the response body from STATUS and HEADERS.  */
@@ -58,21 +80,21 @@
   struct http_event event = { .kind = HTTP_HEAD, .call = call->self };
 
   if (end < 0)
-    return call->conn->receive_buffer->len > HEAD_BYTES_MAX ? ERR_TOO_LARGE
-                                                            : ERR_UNAVAILABLE;
+    return unparsed_count (call) > HEAD_BYTES_MAX ? ERR_TOO_LARGE
+                                                  : ERR_UNAVAILABLE;
   headers = soup_message_headers_new (SOUP_MESSAGE_HEADERS_RESPONSE);
-  if (!soup_headers_parse_response (
-          (const char *)call->conn->receive_buffer->data, (int)end + 2,
-          headers, &version, &event.status, NULL))
+  if (!soup_headers_parse_response ((const char *)unparsed (call),
+                                    (int)end + 2, headers, &version,
+                                    &event.status, NULL))
     {
       soup_message_headers_unref (headers);
       return ERR_MALFORMED;
     }
-  conn_consume (call->conn, (gsize)end + 4);
+  call->parsed_bytes += (gsize)end + 4;
   if (event.status < SOUP_STATUS_OK)
     {
       soup_message_headers_unref (headers);
-      return ERR_NONE;
+      return ++call->interim_count > INTERIM_MAX ? ERR_TOO_LARGE : ERR_NONE;
     }
   choose_framing (call, event.status, headers);
   if (call->framing == HTTP_BY_LENGTH && call->remaining_bytes < 0)
@@ -101,18 +123,19 @@
   struct http *http = call->http;
   struct handle self = call->self;
   struct http_event event = { .kind = HTTP_DATA, .call = self };
-  struct conn *conn = call->conn;
 
-  *count = MIN (max, (gint64)conn->receive_buffer->len);
+  *count = MIN (max, (gint64)unparsed_count (call));
   if (*count == 0)
     return TRUE;
-  event.bytes = conn->receive_buffer->data;
+  event.bytes = unparsed (call);
   event.byte_count = (gsize)*count;
-  if (!call->skip_response)
+  if (call->skip_response)
+    call->skipped_bytes += event.byte_count;
+  else
     call->on_event (&event, call->data);
   if (table_get (&http->calls, self) == NULL)
     return FALSE;
-  conn_consume (conn, (gsize)*count);
+  call->parsed_bytes += (gsize)*count;
   return TRUE;
 }
 
@@ -127,15 +150,17 @@
   char *rest = NULL;
 
   if (end < 0)
-    return call->conn->receive_buffer->len > CHUNK_LINE_MAX ? ERR_MALFORMED
-                                                            : ERR_UNAVAILABLE;
-  line
-      = g_strndup ((const char *)call->conn->receive_buffer->data, (gsize)end);
-  conn_consume (call->conn, (gsize)end + 2);
+    return unparsed_count (call) > CHUNK_LINE_MAX ? ERR_MALFORMED
+                                                  : ERR_UNAVAILABLE;
+  line = g_strndup ((const char *)unparsed (call), (gsize)end);
+  call->parsed_bytes += (gsize)end + 2;
   if (call->in_trailer)
     {
       gboolean done = line[0] == '\0';
       g_free (line);
+      call->trailer_bytes += (gsize)end + 2;
+      if (call->trailer_bytes > TRAILER_BYTES_MAX)
+        return ERR_TOO_LARGE;
       return done ? ERR_NONE : ERR_CONFLICT;
     }
   call->remaining_bytes = (gint64)g_ascii_strtoull (line, &rest, 16);
@@ -165,9 +190,9 @@
       call->remaining_bytes -= count;
       return call->remaining_bytes > 0 ? ERR_UNAVAILABLE : ERR_CONFLICT;
     }
-  if (call->conn->receive_buffer->len < 2)
+  if (unparsed_count (call) < 2)
     return ERR_UNAVAILABLE;
-  conn_consume (call->conn, 2);
+  call->parsed_bytes += 2;
   call->in_chunk = FALSE;
   return ERR_CONFLICT;
 }
@@ -208,12 +233,10 @@
   call->in_trailer = FALSE;
 }
 
-/* Parse the bytes received on the connection of CALL and report the response.
-   Return ERR_NONE once the response is complete, ERR_UNAVAILABLE while more is
-   expected, and another code if it is invalid.  The callback may have aborted
-   the call on return.  */
-enum err
-http_answer_read (struct http_call *call)
+/* Parse the bytes that were received on the connection of CALL and report the
+   response.  Return what http_answer_read does.  */
+static enum err
+parse (struct http_call *call)
 {
   struct http *http = call->http;
   struct handle self = call->self;
@@ -232,9 +255,34 @@
       do
         code = read_body (call);
       while (code == ERR_CONFLICT);
-      if (code != ERR_NONE || !call->skip_response)
+      if (code == ERR_CLOSED || !call->skip_response)
         return code;
+      if (call->skipped_bytes > SKIPPED_BYTES_MAX)
+        return ERR_TOO_LARGE;
+      if (code != ERR_NONE)
+        return code;
+      if (++call->skipped_count > SKIPPED_MAX)
+        return ERR_TOO_LARGE;
       reset_response (call);
     }
   while (TRUE);
 }
+
+/* Parse the bytes received on the connection of CALL and report the response.
+   Return ERR_NONE once the response is complete, ERR_UNAVAILABLE while more is
+   expected, and another code if it is invalid or if too much of it had to be
+   dropped.  The callback may have aborted the call on return.  */
+enum err
+http_answer_read (struct http_call *call)
+{
+  struct http *http = call->http;
+  struct handle self = call->self;
+  enum err code = parse (call);
+
+  call = table_get (&http->calls, self);
+  if (call == NULL)
+    return ERR_CLOSED;
+  conn_consume (call->conn, call->parsed_bytes);
+  call->parsed_bytes = 0;
+  return code;
+}
--- a/tests/http_run.h
+++ b/tests/http_run.h
@@ -38,6 +38,8 @@
   enum err code;       /* how the call ended */
   gboolean sent;       /* the client sent bytes */
   guint heads;         /* number of heads reported */
+  gboolean skips;      /* the client skips each response */
+  struct http *http;   /* the client */
 };
 
 /* Send the endless text again unless UNSENT_MAX bytes are queued.  */
@@ -120,6 +122,8 @@
     case HTTP_HEAD:
       run->status = event->status;
       run->heads++;
+      if (run->skips)
+        http_skip_response (run->http, event->call);
       break;
     case HTTP_DATA:
       g_string_append_len (run->body, (const char *)event->bytes,
@@ -145,11 +149,11 @@
 }
 
 /* Call a server that sends PARTS, then ENDLESS repeatedly unless it is NULL,
-   and ends the connection as END says.  The call ends after USEC at the
-   latest.  */
+   and ends the connection as END says.  SKIPS: the client skips all responses.
+   The call ends after USEC at the latest.  */
 static inline void
-run_endless (struct run *run, const char *const *parts, const char *endless,
-             enum run_end end, gint64 usec)
+run_call (struct run *run, const char *const *parts, const char *endless,
+          enum run_end end, gboolean skips, gint64 usec)
 {
   struct address at = { 0x7f000001, 0 };
   struct http_request request = { .method = "GET", .target = "/" };
@@ -165,6 +169,8 @@
   run->parts = parts;
   run->end = end;
   run->endless = endless;
+  run->skips = skips;
+  run->http = &http;
   run->listener = conn_listen (at, &code);
   local = g_socket_get_local_address (run->listener, NULL);
   at.port = g_inet_socket_address_get_port (G_INET_SOCKET_ADDRESS (local));
@@ -189,6 +195,14 @@
   g_main_loop_unref (run->loop);
 }
 
+/* Call a server that sends PARTS and then ENDLESS repeatedly.  */
+static inline void
+run_endless (struct run *run, const char *const *parts, const char *endless,
+             enum run_end end, gint64 usec)
+{
+  run_call (run, parts, endless, end, FALSE, usec);
+}
+
 /* Call a server that sends PARTS and then ends the connection as END
    says.  */
 static inline void
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -86,8 +86,8 @@
   g_string_free (run.body, TRUE);
 }
 
-/* Endless bytes: a head fails once it is too long, interim responses and a
-   body end at the deadline of the call.  */
+/* Endless bytes: a head or interim responses fail once there are too many of
+   them, a body ends at the deadline of the call.  */
 static void
 test_endless (void)
 {
@@ -101,8 +101,9 @@
                RUN_KEEP, 60 * CALL_USEC);
   CU_ASSERT_EQUAL (run.code, ERR_TOO_LARGE);
   g_string_free (run.body, TRUE);
-  run_endless (&run, none, "HTTP/1.1 102 Processing\r\n\r\n", RUN_KEEP, 50000);
-  CU_ASSERT_EQUAL (run.code, ERR_TIMEOUT);
+  run_endless (&run, none, "HTTP/1.1 102 Processing\r\n\r\n", RUN_KEEP,
+               60 * CALL_USEC);
+  CU_ASSERT_EQUAL (run.code, ERR_TOO_LARGE);
   CU_ASSERT_EQUAL (run.heads, 0);
   g_string_free (run.body, TRUE);
   run_endless (&run, body, "more of the same ", RUN_KEEP, 50000);
--- a/tests/test_http_answer.c
+++ b/tests/test_http_answer.c
@@ -1,6 +1,8 @@
 #include "tests/http_run.h"
 
-/* Answers that are not whole, or not valid.  */
+/* Answers that are not whole, not valid, or without end.  */
+
+#define LARGE_BYTES 65536u /* bytes that a server sends at a time */
 
 /* A response that stops in the middle of its head, or whose head ends in the
    middle of a line, is none.  */
@@ -64,6 +66,53 @@
     }
 }
 
+/* Guards against a loop that is held by bytes without end which are dropped:
+   the call ends long before its deadline.  ENDLESS follows HEAD.  */
+static void
+check_dropped (const char *head, const char *endless, gboolean skips)
+{
+  const char *const parts[] = { head, NULL };
+  struct run run;
+
+  run_call (&run, parts, endless, RUN_KEEP, skips, 60 * CALL_USEC);
+  CU_ASSERT_EQUAL (run.code, ERR_TOO_LARGE);
+  g_string_free (run.body, TRUE);
+}
+
+/* Interim responses, a trailer, and responses to other requests, many or one
+   without an end.  */
+static void
+test_dropped (void)
+{
+  char *large = g_strnfill (LARGE_BYTES, 'x');
+
+  check_dropped ("", "HTTP/1.1 100 Continue\r\n\r\n", FALSE);
+  check_dropped ("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                 "0\r\n",
+                 EIGHT (EIGHT (EIGHT ("X-Noise: again and again\r\n"))),
+                 FALSE);
+  check_dropped ("", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", TRUE);
+  check_dropped ("HTTP/1.1 200 OK\r\n\r\n", large, TRUE);
+  g_free (large);
+}
+
+/* A few interim responses and a short trailer are dropped, and the answer is
+   complete.  */
+static void
+test_few_dropped (void)
+{
+  static const char *const parts[]
+      = { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "1\r\nh\r\n1\r\ne\r\n3\r\nllo\r\n0\r\nX-A: b\r\n\r\n", NULL };
+  struct run run;
+
+  run_case (&run, parts, RUN_KEEP, CALL_USEC);
+  CU_ASSERT_EQUAL (run.code, ERR_NONE);
+  CU_ASSERT_STRING_EQUAL (run.body->str, "hello");
+  g_string_free (run.body, TRUE);
+}
+
 int
 main (void)
 {
@@ -71,6 +120,8 @@
       = { { "head cut short is an answer", test_cut_head },
           { "reset body is complete", test_reset_body },
           { "length below zero", test_odd_length },
+          { "bytes without end are dropped", test_dropped },
+          { "a few bytes are dropped", test_few_dropped },
           CU_TEST_INFO_NULL };
 
   return suite_run ("http answer", tests);
