--- a/src/edge/http.c
+++ b/src/edge/http.c
@@ -125,6 +125,7 @@
   call->on_event = fn;
   call->data = data;
   call->deadline = request->deadline;
+  call->response_bytes_max = request->response_bytes_max;
   call->request_chunked = request->body_length < 0;
   call->is_head_method = strcmp (request->method, "HEAD") == 0;
   call->keep_alive = TRUE;
--- a/src/edge/http.h
+++ b/src/edge/http.h
@@ -44,6 +44,8 @@
   SoupMessageHeaders *headers; /* additional headers, or NULL */
   gint64 body_length;          /* body size in bytes, -1: chunked encoding */
   gint64 deadline;             /* time limit, monotonic, in microseconds */
+  gsize response_bytes_max;    /* limit of the response body in bytes, 0: none;
+                                  for calls that keep all of it */
 };
 
 /* How the end of a response body is found.  */
@@ -74,15 +76,17 @@
   gboolean in_chunk;         /* reading the data of a chunk */
   gboolean in_trailer;       /* reading the trailer after the last chunk */
   gboolean skip_response;    /* the response belongs to another request */
-  gsize parsed_bytes;        /* bytes of the receive buffer that were parsed */
-  guint interim_count;       /* interim responses so far */
-  gsize trailer_bytes;       /* bytes in the trailer so far */
-  guint skipped_count;       /* responses that were skipped so far */
-  gsize skipped_bytes;       /* bytes in their bodies */
-  gboolean keep_alive;       /* the connection can be reused after this call */
-  gint64 deadline;           /* time limit, monotonic, in microseconds */
-  http_event_fn *on_event;   /* receives the events */
-  gpointer data;             /* passed to the callback */
+  gsize response_bytes_max;  /* limit of the response body, 0: none */
+  gsize response_bytes;    /* bytes of the response body that were reported */
+  gsize parsed_bytes;      /* bytes of the receive buffer that were parsed */
+  guint interim_count;     /* interim responses so far */
+  gsize trailer_bytes;     /* bytes in the trailer so far */
+  guint skipped_count;     /* responses that were skipped so far */
+  gsize skipped_bytes;     /* bytes in their bodies */
+  gboolean keep_alive;     /* the connection can be reused after this call */
+  gint64 deadline;         /* time limit, monotonic, in microseconds */
+  http_event_fn *on_event; /* receives the events */
+  gpointer data;           /* passed to the callback */
 };
 
 /* A connection that waits for reuse.  */
--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -135,6 +135,8 @@
     call->on_event (&event, call->data);
   if (table_get (&http->calls, self) == NULL)
     return FALSE;
+  if (!call->skip_response)
+    call->response_bytes += event.byte_count;
   call->parsed_bytes += (gsize)*count;
   return TRUE;
 }
@@ -233,6 +235,16 @@
   call->in_trailer = FALSE;
 }
 
+/* Return whether the bodies of the responses to CALL are longer than its
+   limits.  */
+static gboolean
+is_too_long (const struct http_call *call)
+{
+  return call->skipped_bytes > SKIPPED_BYTES_MAX
+         || (call->response_bytes_max > 0
+             && call->response_bytes > call->response_bytes_max);
+}
+
 /* Parse the bytes that were received on the connection of CALL and report the
    response.  Return what http_answer_read does.  */
 static enum err
@@ -255,10 +267,12 @@
       do
         code = read_body (call);
       while (code == ERR_CONFLICT);
-      if (code == ERR_CLOSED || !call->skip_response)
+      if (code == ERR_CLOSED)
         return code;
-      if (call->skipped_bytes > SKIPPED_BYTES_MAX)
+      if (is_too_long (call))
         return ERR_TOO_LARGE;
+      if (!call->skip_response)
+        return code;
       if (code != ERR_NONE)
         return code;
       if (++call->skipped_count > SKIPPED_MAX)
--- a/src/edge/log_client.c
+++ b/src/edge/log_client.c
@@ -9,6 +9,9 @@
 #define READ_TIMEOUT_USEC ((gint64)2000000)    /* timeout of a read */
 #define READ_RETRY_DELAY_USEC ((gint64)250000) /* wait after a failed read */
 #define READ_MAX_RECORDS 500 /* most records in one response */
+/* Limit of the answer to a read, and to an append, in bytes.  */
+#define READ_BYTES_MAX ((gsize)READ_MAX_RECORDS * RECORD_BYTES_MAX)
+#define APPEND_ANSWER_BYTES_MAX 4096u
 #define APPEND_TIMEOUT_USEC ((gint64)2000000) /* timeout of an append */
 
 /* An append that has not been answered yet.  */
@@ -135,6 +138,7 @@
   request.method = "GET";
   request.target = target;
   request.deadline = now + READ_TIMEOUT_USEC;
+  request.response_bytes_max = READ_BYTES_MAX;
   client->read_started_at = now;
   client->read_status = 0;
   g_byte_array_set_size (client->read_body, 0);
@@ -247,6 +251,7 @@
   request.target = target;
   request.body_length = bytes->len;
   request.deadline = now + APPEND_TIMEOUT_USEC;
+  request.response_bytes_max = APPEND_ANSWER_BYTES_MAX;
   append->call = http_start (client->http, &request, on_append_event, append);
   http_write (client->http, append->call, bytes->data, bytes->len);
   http_finish (client->http, append->call);
