A peer that does not read its replies is not read from

The replies to calls without end on a link between nodes were queued without a limit.

Cause: each reply is small, but a caller that reads none may make more calls.

Connections for a node's own calls are not affected, so two nodes cannot wait for each other.

--- a/src/edge/link.c
+++ b/src/edge/link.c
@@ -87,7 +87,8 @@
 
 /* Dispatch all messages that have been received completely, and report
    LINK_BATCH_END after the last one.  A handler may close the connection
-   meanwhile, hence the reference to it.  */
+   meanwhile, hence the reference to it, or suspend it, since the peer does not
+   read its replies.  */
 static void
 handle_received (struct link *link)
 {
@@ -98,7 +99,8 @@
   gsize at = 0;
 
   conn->ref_count++;
-  while (conn->receive_buffer->len - at >= RPC_RECORD_MARK_BYTES)
+  while (!conn->read_paused
+         && conn->receive_buffer->len - at >= RPC_RECORD_MARK_BYTES)
     {
       guint32 mark;
       gsize length;
@@ -136,11 +138,15 @@
 {
   struct link *link = data;
 
-  (void)conn;
   switch (event->kind)
     {
     case CONN_CONNECTED:
+      break;
     case CONN_DRAINED:
+      if (!conn->read_paused)
+        break;
+      conn_pause (conn, FALSE);
+      handle_received (link);
       break;
     case CONN_RECEIVED:
       handle_received (link);
--- a/src/edge/link_call.c
+++ b/src/edge/link_call.c
@@ -5,6 +5,10 @@
    retired.  */
 #define RETIRED_LINK_TIMEOUT_USEC ((gint64)1500000)
 
+/* No more calls are read from a peer that leaves this many bytes of replies
+   unread.  */
+#define UNREAD_REPLIES_MAX ((gsize)4 * RPC_MESSAGE_BYTES_MAX)
+
 /* Take CALL out of the bytes that LINK has yet to send, together with its
    place among the calls behind it.  Return FALSE if any of it has been sent.
  */
@@ -109,6 +113,8 @@
   bytes = g_byte_array_new ();
   rpc_write_reply (bytes, xid, code, filter, item);
   conn_send (link->conn, bytes->data, bytes->len);
+  if (conn_unsent (link->conn) > UNREAD_REPLIES_MAX)
+    conn_pause (link->conn, TRUE);
   g_byte_array_unref (bytes);
 }
 
