Once there is a response the rest of an upload is read on

Cause: the node stops reading from the caller while its buffer is full, and libsoup sends a response only behind the whole request. Nothing read on when the response was there.

Change: a response that is there lets the node read on. Bytes of no more use are dropped, and a body with dropped bytes never counts as sent to its end: before, the server's connection was kept for other requests while the server still waited for the rest of the upload.

Not changed: the answer waits for the end of the upload.

--- a/src/edge/body.c
+++ b/src/edge/body.c
@@ -8,6 +8,7 @@
   body->read_offset = 0;
   body->is_complete = FALSE;
   body->replayable = TRUE;
+  body->is_cut = FALSE;
 }
 
 /* Free the buffer of BODY.  */
@@ -39,6 +40,15 @@
   g_byte_array_append (body->bytes, bytes, (guint)count);
 }
 
+/* Record that bytes were dropped which were to be appended.  The body can be
+   neither replayed nor sent to its end.  */
+void
+body_drop (struct body *body)
+{
+  body->is_cut = TRUE;
+  body->replayable = FALSE;
+}
+
 /* Return the number of buffered bytes not consumed yet.  */
 gsize
 body_remaining (const struct body *body)
@@ -73,7 +83,7 @@
 gboolean
 body_is_consumed (const struct body *body)
 {
-  return body->is_complete && body_remaining (body) == 0;
+  return body->is_complete && !body->is_cut && body_remaining (body) == 0;
 }
 
 /* Start again at the first byte.  Return FALSE if it was discarded.  */
--- a/src/edge/source_caller.c
+++ b/src/edge/source_caller.c
@@ -19,8 +19,20 @@
 
 /* The request's body */
 
+/* Return whether bytes of the request body are of no use any more: the
+   response is there, and the target has ended or does not read on.  libsoup
+   sends the response only when it has read the whole request.  */
+static gboolean
+drops_body (const struct exchange *exchange)
+{
+  return exchange->has_response
+         && (exchange->target.kind == TARGET_NONE
+             || body_is_full (&exchange->request_body));
+}
+
 /* Handle a part of the request body.  Reading is suspended if the buffer is
-   full; the caller's connection is watched meanwhile.  */
+   full and there is no response; the caller's connection is watched
+   meanwhile.  */
 static void
 on_got_chunk (SoupServerMessage *message, GBytes *chunk, gpointer data)
 {
@@ -29,8 +41,13 @@
   gsize count;
   const guint8 *bytes = g_bytes_get_data (chunk, &count);
 
-  if (exchange == NULL || exchange->has_response)
+  if (exchange == NULL)
     return;
+  if (drops_body (exchange))
+    {
+      body_drop (&exchange->request_body);
+      return;
+    }
   proxy->counters.request_bytes += count;
   body_append (&exchange->request_body, bytes, count);
   if (exchange->source.u.caller.submitted)
@@ -149,6 +166,8 @@
 {
   struct source_caller *caller = &exchange->source.u.caller;
 
+  if (exchange->has_response && !caller->body_received)
+    source_caller_resume (exchange);
   if (!exchange->has_response || !caller->body_received
       || caller->write_pending || caller->response_complete)
     return;
--- a/src/edge/target_peer.c
+++ b/src/edge/target_peer.c
@@ -16,7 +16,7 @@
       = MIN (body_remaining (&exchange->request_body), BODY_CHUNK_BYTES);
 
   *bytes = (guint8 *)body_data (&exchange->request_body);
-  *end = exchange->request_body.is_complete
+  *end = exchange->request_body.is_complete && !exchange->request_body.is_cut
          && count == body_remaining (&exchange->request_body);
   return (guint32)count;
 }
@@ -78,7 +78,8 @@
 
   if (peer->chunk_pending || peer->end_sent
       || (body_remaining (&exchange->request_body) == 0
-          && !exchange->request_body.is_complete))
+          && (!exchange->request_body.is_complete
+              || exchange->request_body.is_cut)))
     return;
   chunk.chunk_length
       = next_chunk (exchange, &chunk.chunk, &chunk.is_last_chunk);
--- a/tests/exchange_bench.h
+++ b/tests/exchange_bench.h
@@ -36,6 +36,7 @@
   gboolean wrong_attempt;   /* the server echoes another attempt's id */
   gboolean close;           /* close the connection after the response */
   gboolean keeps_serving;   /* respond to all requests, not only the first */
+  gboolean stops_reading;   /* read nothing after the first bytes */
   guint requests;           /* requests received by the server */
   guint closed_connections; /* connections that the node closed */
   struct http caller;       /* HTTP client of the caller */
@@ -90,6 +91,7 @@
         send_response (bench, conn);
       else
         bench->requests++;
+      conn_pause (conn, bench->stops_reading);
     }
   if (event->kind == CONN_DRAINED && bench->close && bench->requests > 0)
     {
--- a/tests/test_body.c
+++ b/tests/test_body.c
@@ -23,6 +23,23 @@
   body_clear (&body);
 }
 
+/* A body of which bytes were dropped never counts as sent to its end, so that
+   its connection is not used for another request.  */
+static void
+test_drop (void)
+{
+  struct body body;
+
+  body_init (&body);
+  body_append (&body, (const guint8 *)"abc", 3);
+  body_consume (&body, 3);
+  body_drop (&body);
+  body.is_complete = TRUE;
+  CU_ASSERT_FALSE (body_is_consumed (&body));
+  CU_ASSERT_FALSE (body_rewind (&body));
+  body_clear (&body);
+}
+
 /* A long body stays within its limit, and cannot be replayed after that.  */
 static void
 test_bound (void)
@@ -50,6 +67,7 @@
 main (void)
 {
   static CU_TestInfo tests[] = { { "replay", test_replay },
+                                 { "drop", test_drop },
                                  { "bound", test_bound },
                                  CU_TEST_INFO_NULL };
 
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -1,6 +1,9 @@
 #include "tests/exchange_bench.h"
 #include "types/clock.h"
 
+#define BODY_BYTES 8388608u       /* upload that no buffers hold */
+#define LONG_ANSWER_BYTES 300000u /* answer that the node does not hold */
+
 /* Tests */
 
 /* A complete response reaches the caller complete.  */
@@ -129,6 +132,82 @@
   bench_stop (&bench);
 }
 
+/* Send a request from the caller whose body has BODY_BYTES.  */
+static void
+send_upload (struct bench *bench)
+{
+  struct http_request request = { .address = { LOCAL, FRONT_PORT },
+                                  .method = "POST",
+                                  .target = "/pay/x",
+                                  .body_length = BODY_BYTES };
+  struct handle call;
+  guint8 *body = g_malloc0 (BODY_BYTES);
+
+  request.deadline = clock_usec () + CASE_USEC;
+  call = http_start (&bench->caller, &request, on_caller, bench);
+  http_write (&bench->caller, call, body, BODY_BYTES);
+  http_finish (&bench->caller, call);
+  g_free (body);
+}
+
+/* Run the loop until the server has got the request and the node reads no more
+   of the upload.  */
+static void
+wait_until_paused (const struct bench *bench)
+{
+  const struct table *exchanges = &bench->node.proxy.exchanges;
+  gint64 deadline = clock_usec () + CASE_USEC;
+  const struct exchange *exchange = NULL;
+
+  while (clock_usec () < deadline
+         && (bench->requests == 0 || exchange == NULL
+             || !exchange->source.u.caller.body_paused))
+    {
+      g_main_context_iteration (NULL, TRUE);
+      exchange = table_get (exchanges, table_next (exchanges, HANDLE_NONE));
+    }
+  CU_ASSERT_PTR_NOT_NULL_FATAL (exchange);
+  CU_ASSERT_EQUAL_FATAL (bench->requests, 1);
+}
+
+/* Guards against callers without an answer: a server answers a long upload
+   before it has read it, and reads nothing more.  The answer is passed on, and
+   the server's connection is not used again.  ANSWER is what the server
+   sends, with LENGTH bytes in its body.  */
+static void
+check_early_answer (const char *answer, gsize length)
+{
+  struct bench bench;
+
+  bench_start (&bench, NULL);
+  bench.stops_reading = TRUE;
+  send_upload (&bench);
+  wait_until_paused (&bench);
+  bench.response = answer;
+  send_response (&bench, g_ptr_array_index (bench.connections, 0));
+  run_until ((const guint *)&bench.ended);
+  CU_ASSERT_TRUE (bench.ended);
+  CU_ASSERT_EQUAL (bench.code, ERR_NONE);
+  CU_ASSERT_EQUAL (bench.status, 200);
+  CU_ASSERT_EQUAL (bench.body->len, length);
+  CU_ASSERT_EQUAL (bench.node.proxy.http.idle->len, 0);
+  bench_stop (&bench);
+}
+
+/* A short answer, and one that does not fit into the node's buffer.  */
+static void
+test_early_answer (void)
+{
+  char *body = g_strnfill (LONG_ANSWER_BYTES, 'x');
+  char *answer = g_strdup_printf ("Content-Length: %u\r\n\r\n%s",
+                                  LONG_ANSWER_BYTES, body);
+
+  check_early_answer ("Content-Length: 5\r\n\r\nhello", 5);
+  check_early_answer (answer, LONG_ANSWER_BYTES);
+  g_free (answer);
+  g_free (body);
+}
+
 int
 main (void)
 {
@@ -138,6 +217,7 @@
           { "mismatched attempt", test_mismatched_attempt },
           { "caller disconnects", test_caller_disconnects },
           { "second answer on a kept connection", test_second_answer },
+          { "answer before the upload is read", test_early_answer },
           CU_TEST_INFO_NULL };
 
   return suite_run ("exchange", tests);
--- a/tests/test_mesh_heartbeat.c
+++ b/tests/test_mesh_heartbeat.c
@@ -17,8 +17,8 @@
   event.u.heartbeat.heartbeat = &heartbeat;
   feed_event (fixture, &event);
   action = find_action (fixture, ACTION_HEARTBEAT_ANSWER);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (action);
-  return action->u.heartbeat_answer.code;
+  CU_ASSERT_PTR_NOT_NULL (action);
+  return action != NULL ? action->u.heartbeat_answer.code : ERR_UNAVAILABLE;
 }
 
 /* Guards against a wrong service of the caller: a heartbeat that names a
--- a/tests/test_mesh_leaving.c
+++ b/tests/test_mesh_leaving.c
@@ -154,8 +154,9 @@
   g_strlcpy (event.u.deregister.server_id, "sa", NAME_SIZE);
   feed_event (fixture, &event);
   action = find_action (fixture, ACTION_HEARTBEAT_ANSWER);
-  CU_ASSERT_PTR_NOT_NULL_FATAL (action);
-  CU_ASSERT_EQUAL (action->u.heartbeat_answer.code, ERR_NONE);
+  CU_ASSERT_PTR_NOT_NULL (action);
+  if (action != NULL)
+    CU_ASSERT_EQUAL (action->u.heartbeat_answer.code, ERR_NONE);
 }
 
 /* A node that restarts gives its server requests only after a heartbeat says
--- a/tests/test_mesh_restart.c
+++ b/tests/test_mesh_restart.c
@@ -111,8 +111,8 @@
 {
   const struct action *action = find_action (fixture, ACTION_HEARTBEAT_ANSWER);
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (action);
-  return action->u.heartbeat_answer.answer->renews_grant
+  CU_ASSERT_PTR_NOT_NULL (action);
+  return action != NULL && action->u.heartbeat_answer.answer->renews_grant
          && action->u.heartbeat_answer.answer->range_count > 0;
 }
 
--- a/tests/test_mesh_retry.c
+++ b/tests/test_mesh_retry.c
@@ -166,7 +166,9 @@
 {
   const struct action *action = find_action (fixture, ACTION_ANSWER);
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (action);
+  CU_ASSERT_PTR_NOT_NULL (action);
+  if (action == NULL)
+    return;
   CU_ASSERT_EQUAL (action->u.answer.outcome, outcome);
   CU_ASSERT_EQUAL (action->u.answer.reason, REASON_BODY_LOST);
 }
