--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -162,6 +162,8 @@
 void source_caller_resume (struct exchange *exchange);
 void source_caller_abort (struct exchange *exchange);
 void source_caller_detach (struct exchange *exchange);
+void caller_body_got_chunk (SoupServerMessage *message, GBytes *chunk,
+                            gpointer data);
 gboolean caller_watch_has_left (const struct exchange *exchange);
 void caller_watch_cancel (struct exchange *exchange);
 void caller_watch_start (struct exchange *exchange);
--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -1,4 +1,5 @@
 #include "edge/http_answer.h"
+#include "edge/http_unparsed.h"
 
 #include <string.h>
 
@@ -12,33 +13,6 @@
 #define SKIPPED_MAX 16u            /* responses to other requests */
 #define SKIPPED_BYTES_MAX 4194304u /* bytes in their bodies */
 
-/* Return the first byte that was received and not parsed.  */
-static const guint8 *
-unparsed (const struct http_call *call)
-{
-  return call->conn->receive_buffer->data + call->parsed_bytes;
-}
-
-/* Return the number of bytes that were received and not parsed.  */
-static gsize
-unparsed_count (const struct http_call *call)
-{
-  return call->conn->receive_buffer->len - call->parsed_bytes;
-}
-
-/* Return the position of NEEDLE in the bytes that were received and not
-   parsed, or -1.  */
-static gssize
-find_received (const struct http_call *call, const char *needle)
-{
-  gsize count = unparsed_count (call);
-  const guint8 *at
-      = count > 0 ? memmem (unparsed (call), count, needle, strlen (needle))
-                  : NULL;
-
-  return at != NULL ? at - unparsed (call) : -1;
-}
-
 /* Set the framing of the response body from STATUS and HEADERS.  */
 static void
 choose_framing (struct http_call *call, guint status,
@@ -74,16 +48,16 @@
 static enum err
 read_head (struct http_call *call)
 {
-  gssize end = find_received (call, "\r\n\r\n");
+  gssize end = http_find_unparsed (call, "\r\n\r\n");
   SoupMessageHeaders *headers;
   SoupHTTPVersion version;
   struct http_event event = { .kind = HTTP_HEAD, .call = call->self };
 
   if (end < 0)
-    return unparsed_count (call) > HEAD_BYTES_MAX ? ERR_TOO_LARGE
-                                                  : ERR_UNAVAILABLE;
+    return http_unparsed_count (call) > HEAD_BYTES_MAX ? ERR_TOO_LARGE
+                                                       : ERR_UNAVAILABLE;
   headers = soup_message_headers_new (SOUP_MESSAGE_HEADERS_RESPONSE);
-  if (!soup_headers_parse_response ((const char *)unparsed (call),
+  if (!soup_headers_parse_response ((const char *)http_unparsed (call),
                                     (int)end + 2, headers, &version,
                                     &event.status, NULL))
     {
@@ -124,10 +98,10 @@
   struct handle self = call->self;
   struct http_event event = { .kind = HTTP_DATA, .call = self };
 
-  *count = MIN (max, (gint64)unparsed_count (call));
+  *count = MIN (max, (gint64)http_unparsed_count (call));
   if (*count == 0)
     return TRUE;
-  event.bytes = unparsed (call);
+  event.bytes = http_unparsed (call);
   event.byte_count = (gsize)*count;
   if (call->skip_response)
     call->skipped_bytes += event.byte_count;
@@ -147,14 +121,14 @@
 static enum err
 read_chunk_line (struct http_call *call)
 {
-  gssize end = find_received (call, "\r\n");
+  gssize end = http_find_unparsed (call, "\r\n");
   char *line;
   char *rest = NULL;
 
   if (end < 0)
-    return unparsed_count (call) > CHUNK_LINE_MAX ? ERR_MALFORMED
-                                                  : ERR_UNAVAILABLE;
-  line = g_strndup ((const char *)unparsed (call), (gsize)end);
+    return http_unparsed_count (call) > CHUNK_LINE_MAX ? ERR_MALFORMED
+                                                       : ERR_UNAVAILABLE;
+  line = g_strndup ((const char *)http_unparsed (call), (gsize)end);
   call->parsed_bytes += (gsize)end + 2;
   if (call->in_trailer)
     {
@@ -192,7 +166,7 @@
       call->remaining_bytes -= count;
       return call->remaining_bytes > 0 ? ERR_UNAVAILABLE : ERR_CONFLICT;
     }
-  if (unparsed_count (call) < 2)
+  if (http_unparsed_count (call) < 2)
     return ERR_UNAVAILABLE;
   call->parsed_bytes += 2;
   call->in_chunk = FALSE;
--- a/src/edge/mesh_node.h
+++ b/src/edge/mesh_node.h
@@ -4,6 +4,7 @@
 #include "edge/latency.h"
 #include "edge/mesh_config.h"
 #include "edge/proxy.h"
+#include "edge/quiet_turn.h"
 #include "mesh/mesh.h"
 #include "platform/control_api.h"
 #include "platform/key_orders.h"
@@ -45,8 +46,7 @@
                                     handled */
   gboolean is_processing;        /* an event is being handled */
   guint tick_timer;              /* source id of the timer, 0: none */
-  guint quiet_source;            /* source id of the tick that waits for a turn
-                                    without input, 0: none */
+  struct quiet_turn quiet_turn;  /* tick that no input follows */
 };
 
 enum err mesh_node_init (struct mesh_node *node,
--- a/src/edge/node.c
+++ b/src/edge/node.c
@@ -77,16 +77,11 @@
   node_handle_event (node, &event);
 }
 
-/* Send a tick in a turn of the loop in which no input was ready: the loop
-   dispatches a source of low priority only then.  */
-static gboolean
+/* Send a tick that no input follows.  */
+static void
 on_quiet_turn (gpointer data)
 {
-  struct node *node = data;
-
-  node->quiet_source = 0;
-  send_tick (node, FALSE);
-  return G_SOURCE_REMOVE;
+  send_tick (data, FALSE);
 }
 
 /* Run the periodic work: request deadlines, reads of the log, the load poll of
@@ -102,9 +97,8 @@
   server_poll_step (node, now);
   peer_reader_step (node, now);
   send_tick (node, TRUE);
-  if (node->proxy.leaving && node->quiet_source == 0)
-    node->quiet_source
-        = g_idle_add_full (G_PRIORITY_LOW, on_quiet_turn, node, NULL);
+  if (node->proxy.leaving)
+    quiet_turn_request (&node->quiet_turn, on_quiet_turn, node);
   return G_SOURCE_CONTINUE;
 }
 
@@ -234,8 +228,7 @@
   node->is_processing = TRUE;
   if (node->tick_timer != 0)
     g_source_remove (node->tick_timer);
-  if (node->quiet_source != 0)
-    g_source_remove (node->quiet_source);
+  quiet_turn_cancel (&node->quiet_turn);
   front_clear (node);
   log_client_clear (&node->log);
   proxy_clear (&node->proxy);
--- a/src/edge/node.h
+++ b/src/edge/node.h
@@ -5,6 +5,7 @@
 #include "edge/log_client.h"
 #include "edge/peer_reader.h"
 #include "edge/proxy.h"
+#include "edge/quiet_turn.h"
 #include "edge/server_poll.h"
 #include "edge/settings.h"
 #include "edge/tail_store.h"
@@ -34,8 +35,7 @@
                                        handled */
   gboolean is_processing;           /* an event is being handled */
   guint tick_timer;                 /* source id of the timer, 0: none */
-  guint quiet_source;               /* source id of the tick that waits for a
-                                       turn without input, 0: none */
+  struct quiet_turn quiet_turn;     /* tick that no input follows */
   gboolean should_restart;          /* restart as a new incarnation on exit */
 };
 
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -46,9 +46,11 @@
 {
   const struct grant *grant = &mesh->grant;
 
-  if (!server_instance_is_set (&grant->instance) || grant->presumed_dead
-      || (!grant_may_run (grant)
-          && !mesh_is_sharded (mesh, request->request.service)))
+  if (!server_instance_is_set (&grant->instance) || grant->presumed_dead)
+    return REASON_SERVER_DOWN;
+  /* A request with a key waits here for the server's first heartbeat.  */
+  if (!grant_may_run (grant)
+      && !mesh_is_sharded (mesh, request->request.service))
     return REASON_SERVER_DOWN;
   if (mesh_is_quiesced (mesh, now)
       || !mesh_stop_takes_run (mesh, request->request.route_number, now))
--- a/src/mesh/mesh_plan_self.c
+++ b/src/mesh/mesh_plan_self.c
@@ -20,6 +20,8 @@
   member->instance = grant->instance;
   member->slots = grant->slots;
   member->state = MEMBER_READY;
+  /* A server that deregistered is not recorded as down: the next process would
+     take a late heartbeat for its return.  */
   if (server_instance_is_set (&grant->instance) && grant->is_deregistered)
     member->state = MEMBER_DRAINING;
   else if (!server_instance_is_set (&grant->instance)
--- a/tests/test_mesh_node.c
+++ b/tests/test_mesh_node.c
@@ -3,6 +3,21 @@
 /* A node of a mesh on its main loop: the turn of the loop in which it
    ends.  */
 
+/* Start STAGE with a caller whose first request was answered and whose second
+   one is ready to be read.  Return the caller's connection.  */
+static GSocket *
+stage_with_request (struct stage *stage)
+{
+  GSocket *caller;
+
+  stage_init (stage);
+  caller = connect_to (server_port (stage->node.front));
+  send_text (caller, CALLER_REQUEST);
+  CU_ASSERT_EQUAL_FATAL (wait_for_status (caller), 200);
+  send_text (caller, CALLER_REQUEST);
+  return caller;
+}
+
 /* Guards against requests that are lost in a planned stop: one that is ready
    to be read in the turn of the loop in which nothing is left to do is
    answered before the process ends.  */
@@ -10,13 +25,8 @@
 test_request_at_the_end (void)
 {
   struct stage stage;
-  GSocket *caller;
+  GSocket *caller = stage_with_request (&stage);
 
-  stage_init (&stage);
-  caller = connect_to (server_port (stage.node.front));
-  send_text (caller, CALLER_REQUEST);
-  CU_ASSERT_EQUAL_FATAL (wait_for_status (caller), 200);
-  send_text (caller, CALLER_REQUEST);
   run_to_end (&stage.node, QUIET_USEC);
   CU_ASSERT_EQUAL (received_status (caller), 200);
   CU_ASSERT_EQUAL (stage.runs, 2);
@@ -31,13 +41,8 @@
 test_request_at_the_kill (void)
 {
   struct stage stage;
-  GSocket *caller;
+  GSocket *caller = stage_with_request (&stage);
 
-  stage_init (&stage);
-  caller = connect_to (server_port (stage.node.front));
-  send_text (caller, CALLER_REQUEST);
-  CU_ASSERT_EQUAL_FATAL (wait_for_status (caller), 200);
-  send_text (caller, CALLER_REQUEST);
   run_to_end (&stage.node, KILL_NEAR_USEC);
   CU_ASSERT_EQUAL (stage.node.proxy.counters.forwarded_attempts, 1);
   g_object_unref (caller);
