--- a/tests/mesh_sim_types.h
+++ b/tests/mesh_sim_types.h
@@ -14,10 +14,12 @@
   5 /* one call for keys in this many is carried out late                     \
      */
 
-#define LATE_APPEND_ONE_IN 6u /* one append in this many is carried out late  \
-                               */
-#define APPEND_TIMEOUT_USEC ((gint64)1200000) /* of an append without answer  \
-                                               */
+#define LATE_APPEND_ONE_IN                                                    \
+  6u /* one append in this many is carried out late                           \
+      */
+#define APPEND_TIMEOUT_USEC                                                   \
+  ((gint64)1200000) /* of an append without answer                            \
+                     */
 
 /* Type of a message on its way.  */
 enum sim_message_kind
