Log: mesh-body says how a request body ended and how much came

Cause: of a request whose caller left, the log says so (mesh-end, caller-gone), but not whether its body had ended, by whose word, and with how many bytes.

Change: each node that has a request before the end of its body reports that end: whole or broken off, bytes received, stated and dropped. A body counts what was appended and dropped.

Checked: test_mesh (new case), test_body, test_log_event.

--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -159,6 +159,7 @@
                                 event->u.server_load.busy_slots,
                                 event->u.server_load.measured_at);
       break;
+    case EVENT_BODY_ENDED:
     case EVENT_ROUTING:
     case EVENT_FLEET_RECORDS:
     case EVENT_STORE_STATE:
--- a/src/edge/body.c
+++ b/src/edge/body.c
@@ -8,7 +8,8 @@
   body->read_offset = 0;
   body->is_complete = FALSE;
   body->replayable = TRUE;
-  body->is_cut = FALSE;
+  body->appended_bytes = 0;
+  body->dropped_bytes = 0;
 }
 
 /* Free the buffer of BODY.  */
@@ -38,17 +39,25 @@
   if (body->bytes->len + count > BODY_QUEUE_BYTES)
     discard_consumed (body);
   g_byte_array_append (body->bytes, bytes, (guint)count);
+  body->appended_bytes += count;
 }
 
-/* Record that bytes were dropped which were to be appended.  The body can be
-   neither replayed nor sent to its end.  */
+/* Record that COUNT bytes were dropped which were to be appended.  The body
+   can be neither replayed nor sent to its end.  */
 void
-body_drop (struct body *body)
+body_drop (struct body *body, gsize count)
 {
-  body->is_cut = TRUE;
+  body->dropped_bytes += count;
   body->replayable = FALSE;
 }
 
+/* Return whether bytes of the body were dropped.  */
+gboolean
+body_is_cut (const struct body *body)
+{
+  return body->dropped_bytes > 0;
+}
+
 /* Return the number of buffered bytes not consumed yet.  */
 gsize
 body_remaining (const struct body *body)
@@ -83,7 +92,8 @@
 gboolean
 body_is_consumed (const struct body *body)
 {
-  return body->is_complete && !body->is_cut && body_remaining (body) == 0;
+  return body->is_complete && !body_is_cut (body)
+         && body_remaining (body) == 0;
 }
 
 /* Start again at the first byte.  Return FALSE if it was discarded.  */
--- a/src/edge/body.h
+++ b/src/edge/body.h
@@ -14,13 +14,15 @@
   gsize read_offset;    /* position in bytes of the first byte not consumed */
   gboolean is_complete; /* the last byte of the body was appended */
   gboolean replayable;  /* the first byte of the body is still in the buffer */
-  gboolean is_cut;      /* bytes of the body were dropped */
+  guint64 appended_bytes; /* bytes appended so far */
+  guint64 dropped_bytes;  /* bytes dropped so far */
 };
 
 void body_init (struct body *body);
 void body_clear (struct body *body);
 void body_append (struct body *body, const guint8 *bytes, gsize count);
-void body_drop (struct body *body);
+void body_drop (struct body *body, gsize count);
+gboolean body_is_cut (const struct body *body);
 gsize body_remaining (const struct body *body);
 const guint8 *body_data (const struct body *body);
 void body_consume (struct body *body, gsize count);
--- a/src/edge/caller_body.c
+++ b/src/edge/caller_body.c
@@ -31,7 +31,7 @@
     return;
   if (drops_body (exchange))
     {
-      body_drop (&exchange->request_body);
+      body_drop (&exchange->request_body, count);
       return;
     }
   proxy->counters.request_bytes += count;
@@ -84,7 +84,10 @@
       exchange_submit (exchange);
     }
   else
-    exchange_pump_request (exchange);
+    {
+      exchange_body_ended (exchange, BODY_END_WHOLE);
+      exchange_pump_request (exchange);
+    }
   exchange = exchange_get (proxy, self);
   if (exchange != NULL)
     source_caller_pump (exchange);
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -97,6 +97,23 @@
   proxy_notify (exchange->proxy, &event);
 }
 
+/* Report to the core how the body of a request that was submitted has
+   ended.  */
+void
+exchange_body_ended (struct exchange *exchange, enum body_end end)
+{
+  struct event event = { .kind = EVENT_BODY_ENDED };
+  const struct body *body = &exchange->request_body;
+
+  event.u.body_ended.exchange = exchange->self;
+  event.u.body_ended.end = end;
+  event.u.body_ended.stated_bytes = exchange->request_length;
+  event.u.body_ended.received_bytes
+      = body->appended_bytes + body->dropped_bytes;
+  event.u.body_ended.dropped_bytes = body->dropped_bytes;
+  proxy_notify (exchange->proxy, &event);
+}
+
 /* Report to the core that the source has disconnected, so that the request is
    cancelled, and remove the exchange.  */
 void
@@ -105,6 +122,8 @@
   struct proxy *proxy = exchange->proxy;
   struct event event = { .kind = EVENT_DISCONNECTED };
 
+  if (!exchange->request_body.is_complete)
+    exchange_body_ended (exchange, BODY_END_BROKEN_OFF);
   event.u.disconnected.exchange = exchange->self;
   exchange_remove (exchange);
   proxy_notify (proxy, &event);
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -5,6 +5,7 @@
 #include "edge/http.h"
 #include "edge/link.h"
 #include "types/action.h"
+#include "types/body_end.h"
 #include "types/forward_msg.h"
 #include "types/server_notice.h"
 
@@ -133,6 +134,7 @@
 struct exchange *exchange_get (const struct proxy *proxy, struct handle h);
 void exchange_remove (struct exchange *exchange);
 void exchange_submit (struct exchange *exchange);
+void exchange_body_ended (struct exchange *exchange, enum body_end end);
 void exchange_disconnected (struct exchange *exchange);
 
 /* Request path, towards the target.  */
--- a/src/edge/source_peer.c
+++ b/src/edge/source_peer.c
@@ -239,6 +239,8 @@
       proxy->counters.request_bytes += chunk.chunk_length;
       body_append (&exchange->request_body, chunk.chunk, chunk.chunk_length);
       exchange->request_body.is_complete = chunk.is_last_chunk;
+      if (chunk.is_last_chunk)
+        exchange_body_ended (exchange, BODY_END_WHOLE);
       exchange->source.u.peer.chunk_pending = TRUE;
       exchange->source.u.peer.chunk_xid = event->xid;
       exchange_pump_request (exchange);
--- a/src/edge/target_peer.c
+++ b/src/edge/target_peer.c
@@ -16,7 +16,8 @@
       = MIN (body_remaining (&exchange->request_body), BODY_CHUNK_BYTES);
 
   *bytes = (guint8 *)body_data (&exchange->request_body);
-  *end = exchange->request_body.is_complete && !exchange->request_body.is_cut
+  *end = exchange->request_body.is_complete
+         && !body_is_cut (&exchange->request_body)
          && count == body_remaining (&exchange->request_body);
   return (guint32)count;
 }
@@ -79,7 +80,7 @@
   if (peer->chunk_pending || peer->end_sent
       || (body_remaining (&exchange->request_body) == 0
           && (!exchange->request_body.is_complete
-              || exchange->request_body.is_cut)))
+              || body_is_cut (&exchange->request_body))))
     return;
   chunk.chunk_length
       = next_chunk (exchange, &chunk.chunk, &chunk.is_last_chunk);
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -217,6 +217,9 @@
     case EVENT_ATTEMPT_ENDED:
       mesh_attempt_ended (mesh, &event->u.attempt_ended, now, out);
       break;
+    case EVENT_BODY_ENDED:
+      mesh_body_ended (mesh, &event->u.body_ended, out);
+      break;
     case EVENT_DISCONNECTED:
       mesh_disconnected (mesh, event->u.disconnected.exchange, now, out);
       break;
--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -174,6 +174,39 @@
   mesh_admit_queued (mesh, now, out);
 }
 
+/* Return the name of END for the log.  */
+static const char *
+body_end_name (enum body_end end)
+{
+  switch (end)
+    {
+    case BODY_END_WHOLE:
+      return "whole";
+    case BODY_END_BROKEN_OFF:
+      return "broken-off";
+    }
+  return "";
+}
+
+/* Log the end of a request body.  */
+void
+mesh_body_ended (struct mesh *mesh, const struct event_body_ended *event,
+                 struct actions *out)
+{
+  const struct mesh_request *request
+      = table_get (&mesh->requests, event->exchange);
+
+  if (request == NULL)
+    return;
+  mesh_log (out, LOG_EVENT_MESH_BODY, request->request.id,
+            "outcome=%s bytes=%" G_GUINT64_FORMAT " of=%" G_GINT64_FORMAT
+            " dropped=%" G_GUINT64_FORMAT " phase=%s from=%s",
+            body_end_name (event->end), event->received_bytes,
+            event->stated_bytes, event->dropped_bytes,
+            phase_name (request->phase),
+            request->request.forwarded ? "node" : "caller");
+}
+
 /* Cancel the work for EXCHANGE, whose caller or sending node has
    disconnected.  */
 void
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -73,6 +73,8 @@
 void mesh_attempt_ended (struct mesh *mesh,
                          const struct event_attempt_ended *event, gint64 now,
                          struct actions *out);
+void mesh_body_ended (struct mesh *mesh, const struct event_body_ended *event,
+                      struct actions *out);
 void mesh_disconnected (struct mesh *mesh, struct handle exchange, gint64 now,
                         struct actions *out);
 void mesh_refuse (struct mesh *mesh, struct handle exchange,
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -1,6 +1,7 @@
 #ifndef BAMBOOTALLY_EVENT_H
 #define BAMBOOTALLY_EVENT_H
 
+#include "types/body_end.h"
 #include "types/heartbeat.h"
 #include "types/key_order_result.h"
 #include "types/mesh_msg.h"
@@ -25,6 +26,7 @@
   EVENT_SERVER_DOWN,      /* the backend server cannot be reached */
   EVENT_REQUEST,          /* a request arrived */
   EVENT_ATTEMPT_ENDED,    /* an attempt to run a request ended */
+  EVENT_BODY_ENDED,       /* the body of a request that was submitted ended */
   EVENT_DISCONNECTED,     /* a caller or peer closed its connection */
   EVENT_PEER_CALL,        /* another node called */
   EVENT_PEER_REPLY,       /* another node replied, or no reply came */
@@ -144,6 +146,16 @@
   struct handle exchange;
 };
 
+/* The body of a request ended after the request was submitted.  */
+struct event_body_ended
+{
+  struct handle exchange; /* HTTP exchange of the request */
+  enum body_end end;      /* how it ended */
+  gint64 stated_bytes;    /* bytes that the sender stated, -1: none stated */
+  guint64 received_bytes; /* bytes that were received */
+  guint64 dropped_bytes;  /* of these, bytes that were dropped */
+};
+
 /* Another node called.  */
 struct event_peer_call
 {
@@ -253,6 +265,7 @@
     struct event_server_down server_down;
     struct event_request request;
     struct event_attempt_ended attempt_ended;
+    struct event_body_ended body_ended;
     struct event_disconnected disconnected;
     struct event_peer_call peer_call;
     struct event_peer_reply peer_reply;
--- a/src/types/log_event.c
+++ b/src/types/log_event.c
@@ -55,6 +55,7 @@
   { LOG_EVENT_MESH_POISON, "mesh-poison" },
   { LOG_EVENT_MESH_REFUSE, "mesh-refuse" },
   { LOG_EVENT_MESH_LIMIT, "mesh-limit" },
+  { LOG_EVENT_MESH_BODY, "mesh-body" },
   { LOG_EVENT_MESH_ROUTING, "mesh-routing" },
   { LOG_EVENT_MESH_MEMBER, "mesh-member" },
   { LOG_EVENT_MESH_SILENT, "mesh-silent" },
--- a/src/types/log_event.h
+++ b/src/types/log_event.h
@@ -63,6 +63,7 @@
   LOG_EVENT_MESH_POISON = 605, /* a request crashed a server, or is refused */
   LOG_EVENT_MESH_REFUSE = 606, /* no slot becomes free in time for a request */
   LOG_EVENT_MESH_LIMIT = 607,  /* the server named another limit, or none */
+  LOG_EVENT_MESH_BODY = 608,   /* the body of a request has ended */
   /* 620: the state of a node of a mesh */
   LOG_EVENT_MESH_ROUTING = 620,  /* a configuration is in force */
   LOG_EVENT_MESH_MEMBER = 621,   /* a member joined, changed or was removed */
--- a/tests/test_body.c
+++ b/tests/test_body.c
@@ -33,7 +33,7 @@
   body_init (&body);
   body_append (&body, (const guint8 *)"abc", 3);
   body_consume (&body, 3);
-  body_drop (&body);
+  body_drop (&body, 1);
   body.is_complete = TRUE;
   CU_ASSERT_FALSE (body_is_consumed (&body));
   CU_ASSERT_FALSE (body_rewind (&body));
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -243,6 +243,29 @@
   fixture_free (fixture);
 }
 
+/* The log tells a request body that was broken off from a whole one, and how
+   much of it was received.  */
+static void
+test_log_has_body_end (void)
+{
+  struct fixture *fixture = fixture_new ();
+  struct event event = { .kind = EVENT_BODY_ENDED };
+
+  event.u.body_ended.exchange = send_request (fixture, "/own/x");
+  event.u.body_ended.end = BODY_END_BROKEN_OFF;
+  event.u.body_ended.stated_bytes = -1;
+  event.u.body_ended.received_bytes = 5;
+  feed_event (fixture, &event);
+  CU_ASSERT_STRING_EQUAL (logged_detail (fixture, LOG_EVENT_MESH_BODY),
+                          "outcome=broken-off bytes=5 of=-1 dropped=0"
+                          " phase=running from=caller");
+  event.u.body_ended.end = BODY_END_WHOLE;
+  feed_event (fixture, &event);
+  CU_ASSERT_PTR_NOT_NULL (
+      strstr (logged_detail (fixture, LOG_EVENT_MESH_BODY), "outcome=whole "));
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
@@ -257,6 +280,7 @@
           { "busy connection is dropped", test_busy_connection_is_dropped },
           { "dead connection to the server", test_dead_server_connection },
           { "log has the forecast", test_log_has_forecast },
+          { "log has the end of a body", test_log_has_body_end },
           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh", tests);
