--- a/tests/exchange_bench.h
+++ b/tests/exchange_bench.h
@@ -38,6 +38,7 @@
   gboolean keeps_serving;   /* respond to all requests, not only the first */
   gboolean stops_reading;   /* read nothing after the first bytes */
   guint requests;           /* requests received by the server */
+  guint last_chunks;        /* uploads whose last chunk the server received */
   guint closed_connections; /* connections that the node closed */
   struct http caller;       /* HTTP client of the caller */
   gboolean ended;           /* the caller's call has ended */
@@ -71,6 +72,19 @@
   g_free (text);
 }
 
+/* Return whether the bytes that CONN has received end with the last chunk of a
+   body.  */
+static inline gboolean
+ends_with_last_chunk (const struct conn *conn)
+{
+  static const char last[] = "\r\n0\r\n\r\n";
+  const GByteArray *received = conn->receive_buffer;
+  gsize count = strlen (last);
+
+  return received->len >= count
+         && memcmp (received->data + received->len - count, last, count) == 0;
+}
+
 /* Handle an event of a connection of the server.  */
 static inline void
 on_server (struct conn *conn, const struct conn_event *event, gpointer data)
@@ -84,6 +98,8 @@
       conn_close (conn);
       return;
     }
+  if (event->kind == CONN_RECEIVED && ends_with_last_chunk (conn))
+    bench->last_chunks++;
   if (event->kind == CONN_RECEIVED
       && (bench->requests == 0 || bench->keeps_serving))
     {
--- a/tests/mesh_node_stage.h
+++ b/tests/mesh_node_stage.h
@@ -27,6 +27,9 @@
   struct mesh_node node;              /* the node */
   struct links other;                 /* connections of the other node */
   guint runs;                         /* requests that the other node ran */
+  gboolean holds_requests;            /* the other node answers none */
+  guint whole_bodies;                 /* request bodies that it got whole */
+  guint cancels;                      /* requests that were cancelled there */
   guint replies;                      /* replies to the other node */
   struct forward_response_head reply; /* head of the last one */
 };
@@ -45,18 +48,59 @@
                                         .is_last_chunk = TRUE };
 
   stage->runs++;
+  if (stage->holds_requests)
+    return;
   links_reply (&stage->other, event->link, event->xid, ERR_NONE,
                wire_forward_response_head, &head);
 }
 
+/* Return whether EVENT brings the end of a request body.  */
+static inline gboolean
+ends_body (const struct link_event *event)
+{
+  struct forward_request forward = { 0 };
+  struct forward_request_chunk chunk = { 0 };
+  gboolean ends = FALSE;
+
+  if (event->procedure == RPC_FORWARD_REQUEST)
+    {
+      ends = wire_decode (wire_forward_request, &forward, event->bytes,
+                          event->length)
+                 == ERR_NONE
+             && forward.is_last_chunk;
+      xdr_free ((xdrproc_t)wire_forward_request, (char *)&forward);
+    }
+  else if (event->procedure == RPC_FORWARD_CHUNK)
+    {
+      ends = wire_decode (wire_forward_request_chunk, &chunk, event->bytes,
+                          event->length)
+                 == ERR_NONE
+             && chunk.is_last_chunk;
+      xdr_free ((xdrproc_t)wire_forward_request_chunk, (char *)&chunk);
+    }
+  return ends;
+}
+
+/* Handle a call to the other node.  */
+static inline void
+on_other_call (struct stage *stage, const struct link_event *event)
+{
+  stage->whole_bodies += ends_body (event);
+  stage->cancels += event->procedure == RPC_CANCEL;
+  if (event->procedure == RPC_FORWARD_REQUEST)
+    answer_forward (stage, event);
+  else if (event->procedure == RPC_FORWARD_CHUNK)
+    links_reply (&stage->other, event->link, event->xid, ERR_NONE, NULL, NULL);
+}
+
 /* Handle an event of the other node's connections.  */
 static inline void
 on_other (const struct link_event *event, gpointer data)
 {
   struct stage *stage = data;
 
-  if (event->kind == LINK_CALL && event->procedure == RPC_FORWARD_REQUEST)
-    answer_forward (stage, event);
+  if (event->kind == LINK_CALL)
+    on_other_call (stage, event);
   if (event->kind != LINK_REPLY || event->code != ERR_NONE)
     return;
   stage->replies++;
--- /dev/null
+++ b/tests/test_broken_upload.c
@@ -0,0 +1,112 @@
+#include "tests/exchange_bench.h"
+#include "tests/raw_caller.h"
+
+/* Uploads in chunks that end before their last chunk.  */
+
+#define UPLOAD_HEAD                                                           \
+  "POST /pay/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+#define PAUSE_BYTES (2 * BODY_QUEUE_BYTES) /* more than a node buffers */
+
+/* Send UPLOAD to the node, and end the connection as END says: when the server
+   has got the head if AFTER_HEAD, else at once.  The server must see a request
+   that is broken off, or none.  */
+static void
+check_broken_off (const char *upload, enum raw_end end, gboolean after_head)
+{
+  struct bench bench;
+  const struct table *exchanges = &bench.node.proxy.exchanges;
+  gint64 deadline = clock_usec () + CANCEL_USEC;
+  int caller;
+
+  bench_start (&bench, NULL);
+  caller = raw_connect (FRONT_PORT);
+  raw_send (caller, upload);
+  if (after_head)
+    run_until (&bench.requests);
+  raw_end (caller, end);
+  while (clock_usec () < deadline
+         && (bench.node.proxy.counters.caller_requests == 0
+             || exchanges->count > 0
+             || bench.closed_connections < bench.requests))
+    g_main_context_iteration (NULL, FALSE);
+  CU_ASSERT_EQUAL (exchanges->count, 0);
+  CU_ASSERT_EQUAL (bench.last_chunks, 0);
+  CU_ASSERT_EQUAL (bench.closed_connections, bench.requests);
+  if (end == RAW_HALF_CLOSE)
+    close (caller);
+  bench_stop (&bench);
+}
+
+/* The same for each kind of end, before and after the head is passed on.  */
+static void
+check_all_ends (const char *upload)
+{
+  int end;
+
+  for (end = 0; end < RAW_END_COUNT; end++)
+    {
+      check_broken_off (upload, end, FALSE);
+      check_broken_off (upload, end, TRUE);
+    }
+}
+
+/* Guards against a server that gets a part of an upload as the whole: the
+   caller leaves between two chunks, or behind the data of one.  */
+static void
+test_between_chunks (void)
+{
+  check_all_ends (UPLOAD_HEAD "5\r\nhello\r\n");
+  check_all_ends (UPLOAD_HEAD "5\r\nhello\r\n6\r\nworld!\r\n");
+  check_all_ends (UPLOAD_HEAD "5\r\nhello");
+  check_all_ends (UPLOAD_HEAD "5\r\nhello\r");
+}
+
+/* The same inside a chunk, a size line, the last chunk or a trailer, and
+   before the first chunk.  */
+static void
+test_inside_chunk (void)
+{
+  check_all_ends (UPLOAD_HEAD);
+  check_all_ends (UPLOAD_HEAD "5\r\nhel");
+  check_all_ends (UPLOAD_HEAD "5\r\nhello\r\n6");
+  check_all_ends (UPLOAD_HEAD "5\r\nhello\r\n0");
+  check_all_ends (UPLOAD_HEAD "5\r\nhello\r\n0\r\n");
+  check_all_ends (UPLOAD_HEAD "5\r\nhello\r\n0\r\nX-A: b\r\n");
+}
+
+/* A body of known length.  */
+static void
+test_inside_length (void)
+{
+  check_all_ends ("POST /pay/x HTTP/1.1\r\nHost: h\r\n"
+                  "Content-Length: 100000\r\n\r\nhello");
+}
+
+/* An upload that the node has stopped reading, since the server does not
+   read.  */
+static void
+test_paused (void)
+{
+  GString *upload = g_string_new (UPLOAD_HEAD);
+  char *data = g_strnfill (0x1000, 'x');
+  guint i;
+
+  for (i = 0; i < PAUSE_BYTES / 0x1000; i++)
+    g_string_append_printf (upload, "1000\r\n%s\r\n", data);
+  check_all_ends (upload->str);
+  g_string_free (upload, TRUE);
+  g_free (data);
+}
+
+int
+main (void)
+{
+  static CU_TestInfo tests[]
+      = { { "upload broken off between chunks", test_between_chunks },
+          { "upload broken off inside a chunk", test_inside_chunk },
+          { "upload of known length broken off", test_inside_length },
+          { "paused upload broken off", test_paused },
+          CU_TEST_INFO_NULL };
+
+  return suite_run ("broken upload", tests);
+}
--- a/tests/test_mesh_node.c
+++ b/tests/test_mesh_node.c
@@ -1,4 +1,5 @@
 #include "tests/mesh_node_stage.h"
+#include "tests/raw_caller.h"
 
 /* A node of a mesh on its main loop: the turn of the loop in which it
    ends.  */
@@ -104,17 +105,58 @@
   stage_clear (&stage);
 }
 
+/* Guards against an owner that gets a part of an upload as the whole: the
+   caller leaves between two chunks, in the way END, while the upload is passed
+   on to another node.  */
+static void
+check_broken_forward (enum raw_end end)
+{
+  struct stage stage;
+  gint64 deadline = clock_usec () + CASE_USEC;
+  int caller;
+
+  stage_init (&stage);
+  stage.holds_requests = TRUE;
+  caller = raw_connect (server_port (stage.node.front));
+  raw_send (caller, "POST /other/x HTTP/1.1\r\nHost: h\r\n" NAME_ID
+                    ": 1\r\n" NAME_DEADLINE
+                    ": 2000\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "5\r\nhello\r\n");
+  while (stage.runs == 0 && clock_usec () < deadline)
+    g_main_context_iteration (NULL, FALSE);
+  raw_end (caller, end);
+  while (stage.cancels == 0 && clock_usec () < deadline)
+    g_main_context_iteration (NULL, FALSE);
+  CU_ASSERT_EQUAL (stage.runs, 1);
+  CU_ASSERT_EQUAL (stage.cancels, 1);
+  CU_ASSERT_EQUAL (stage.whole_bodies, 0);
+  if (end == RAW_HALF_CLOSE)
+    close (caller);
+  stage_clear (&stage);
+}
+
+/* The same for each kind of end.  */
+static void
+test_broken_forward (void)
+{
+  int end;
+
+  for (end = 0; end < RAW_END_COUNT; end++)
+    check_broken_forward (end);
+}
+
 int
 main (void)
 {
-  static CU_TestInfo tests[]
-      = { { "request in the turn of the end", test_request_at_the_end },
-          { "request in the turn of the kill", test_request_at_the_kill },
-          { "forwarded request in the turn of the end",
-            test_forward_at_the_end },
-          { "deregistration in the turn of the end",
-            test_deregistration_at_the_end },
-          CU_TEST_INFO_NULL };
+  static CU_TestInfo tests[] = {
+    { "request in the turn of the end", test_request_at_the_end },
+    { "request in the turn of the kill", test_request_at_the_kill },
+    { "forwarded request in the turn of the end", test_forward_at_the_end },
+    { "deregistration in the turn of the end",
+      test_deregistration_at_the_end },
+    { "upload broken off on its way to another node", test_broken_forward },
+    CU_TEST_INFO_NULL
+  };
 
   return suite_run ("mesh_node", tests);
 }
