An answer is whole only if its framing said so, by a strict reader

Seen: nothing by the users.

Cause: the reader of answers (of servers, the store and the log) took sizes with a sign, spaces or a prefix, did not look at the line end behind a chunk, and let libsoup find the framing, which takes the last of two lengths, reads a length that is no number or a transfer coding that it does not know as a body up to the close, and skips lines that are no fields.

Change: modules of their own for lines, heads, framing and chunks (http_line, http_head, http_framing, chunked), which hold to RFC 9112 and know nothing of calls, so that the reader of requests can use them. An answer that is not valid ends its attempt as garbled, or as truncated behind its head.

--- a/src/edge/http.c
+++ b/src/edge/http.c
@@ -68,7 +68,7 @@
     case CONN_CLOSED:
       code = event->code;
       if (call->has_head && !call->skip_response)
-        code = call->framing == HTTP_BY_CLOSE && event->code == ERR_CLOSED
+        code = call->framing.kind == HTTP_BY_CLOSE && event->code == ERR_CLOSED
                    ? ERR_NONE
                    : ERR_TRUNCATED;
       call->keep_alive = FALSE;
--- a/src/edge/http.h
+++ b/src/edge/http.h
@@ -2,6 +2,7 @@
 #define BAMBOOTALLY_HTTP_H
 
 #include "edge/conn.h"
+#include "edge/http_framing.h"
 #include "types/table.h"
 
 #include <libsoup/soup.h>
@@ -48,39 +49,26 @@
                                   for calls that keep all of it */
 };
 
-/* How the end of a response body is found.  */
-enum http_framing
-{
-  HTTP_NO_BODY,   /* the response has no body */
-  HTTP_BY_LENGTH, /* after as many bytes as Content-Length says */
-  HTTP_BY_CHUNKS, /* after the last chunk */
-  HTTP_BY_CLOSE   /* when the server closes the connection */
-};
-
 struct http;
 
 /* An outgoing request and its response.  */
 struct http_call
 {
-  struct http *http;         /* client that made the call */
-  struct handle self;        /* handle of this call */
-  struct address address;    /* address of the server */
-  struct conn *conn;         /* connection that the call uses */
-  gboolean reused;           /* the connection has served earlier calls */
-  gboolean is_head_method;   /* the method is HEAD */
-  gboolean request_chunked;  /* the request body uses chunked encoding */
-  gboolean request_complete; /* the request body was written completely */
-  gboolean has_head;         /* the response head was received */
-  enum http_framing framing; /* framing of the response body */
-  gint64 remaining_bytes;    /* bytes not read yet of the body or the chunk */
-  gboolean in_chunk;         /* reading the data of a chunk */
-  gboolean in_trailer;       /* reading the trailer after the last chunk */
-  gboolean skip_response;    /* the response belongs to another request */
-  gsize response_bytes_max;  /* limit of the response body, 0: none */
+  struct http *http;           /* client that made the call */
+  struct handle self;          /* handle of this call */
+  struct address address;      /* address of the server */
+  struct conn *conn;           /* connection that the call uses */
+  gboolean reused;             /* the connection has served earlier calls */
+  gboolean is_head_method;     /* the method is HEAD */
+  gboolean request_chunked;    /* the request body uses chunked encoding */
+  gboolean request_complete;   /* the request body was written completely */
+  gboolean has_head;           /* the response head was received */
+  struct http_framing framing; /* framing of the response body */
+  gboolean skip_response;      /* the response belongs to another request */
+  gsize response_bytes_max;    /* limit of the response body, 0: none */
   gsize response_bytes;    /* bytes of the response body that were reported */
   gsize parsed_bytes;      /* bytes of the receive buffer that were parsed */
   guint interim_count;     /* interim responses so far */
-  gsize trailer_bytes;     /* bytes in the trailer so far */
   guint skipped_count;     /* responses that were skipped so far */
   gsize skipped_bytes;     /* bytes in their bodies */
   gboolean keep_alive;     /* the connection can be reused after this call */
--- a/src/edge/http_answer.c
+++ b/src/edge/http_answer.c
@@ -1,46 +1,50 @@
 #include "edge/http_answer.h"
+
+#include "edge/http_head.h"
 #include "edge/http_unparsed.h"
 
 #include <string.h>
 
-#define HEAD_BYTES_MAX 65536u /* bytes in the head of a response */
-#define CHUNK_LINE_MAX 1024u  /* bytes in the size line of a chunk */
-
 /* What is dropped without being passed on, in one call: a server may send it
    without end.  */
 #define INTERIM_MAX 16u            /* interim responses */
-#define TRAILER_BYTES_MAX 65536u   /* bytes in a trailer */
 #define SKIPPED_MAX 16u            /* responses to other requests */
 #define SKIPPED_BYTES_MAX 4194304u /* bytes in their bodies */
 
-/* Set the framing of the response body from STATUS and HEADERS.  */
-static void
+/* Set the framing of the response body from STATUS and HEADERS.
+   ERR_MALFORMED: it is not valid.  */
+static enum err
 choose_framing (struct http_call *call, guint status,
                 SoupMessageHeaders *headers)
 {
   if (call->is_head_method || status == SOUP_STATUS_NO_CONTENT
       || status == SOUP_STATUS_NOT_MODIFIED)
     {
-      call->framing = HTTP_NO_BODY;
-      return;
-    }
-  switch (soup_message_headers_get_encoding (headers))
-    {
-    case SOUP_ENCODING_CHUNKED:
-      call->framing = HTTP_BY_CHUNKS;
-      break;
-    case SOUP_ENCODING_CONTENT_LENGTH:
-      call->framing = HTTP_BY_LENGTH;
-      call->remaining_bytes
-          = soup_message_headers_get_content_length (headers);
-      break;
-    case SOUP_ENCODING_NONE:
-      call->framing = HTTP_NO_BODY;
-      break;
-    default:
-      call->framing = HTTP_BY_CLOSE;
-      break;
+      call->framing.kind = HTTP_NO_BODY;
+      return ERR_NONE;
     }
+  return http_framing_of_response (headers, &call->framing);
+}
+
+/* Report the head of the final response, with STATUS and HEADERS.  */
+static enum err
+report_head (struct http_call *call, guint status, SoupMessageHeaders *headers,
+             SoupHTTPVersion version)
+{
+  struct http_event event = {
+    .kind = HTTP_HEAD, .call = call->self, .status = status, .headers = headers
+  };
+  enum err code = choose_framing (call, status, headers);
+
+  if (code != ERR_NONE)
+    return code;
+  if (version == SOUP_HTTP_1_0
+      || soup_message_headers_header_contains (headers, "Connection", "close"))
+    call->keep_alive = FALSE;
+  call->has_head = TRUE;
+  event.body_length = http_framing_length (&call->framing);
+  call->on_event (&event, call->data);
+  return ERR_NONE;
 }
 
 /* Read the head of a response and report it; an interim response (1xx) is
@@ -48,155 +52,69 @@
 static enum err
 read_head (struct http_call *call)
 {
-  gssize end = http_find_unparsed (call, "\r\n\r\n");
+  gsize length;
+  enum err code = http_head_find_end (http_unparsed (call),
+                                      http_unparsed_count (call), &length);
   SoupMessageHeaders *headers;
   SoupHTTPVersion version;
-  struct http_event event = { .kind = HTTP_HEAD, .call = call->self };
+  guint status;
 
-  if (end < 0)
-    return http_unparsed_count (call) > HEAD_BYTES_MAX ? ERR_TOO_LARGE
-                                                       : ERR_UNAVAILABLE;
+  if (code != ERR_NONE)
+    return code;
   headers = soup_message_headers_new (SOUP_MESSAGE_HEADERS_RESPONSE);
-  if (!soup_headers_parse_response ((const char *)http_unparsed (call),
-                                    (int)end + 2, headers, &version,
-                                    &event.status, NULL))
-    {
-      soup_message_headers_unref (headers);
-      return ERR_MALFORMED;
-    }
-  call->parsed_bytes += (gsize)end + 4;
-  if (event.status < SOUP_STATUS_OK)
-    {
-      soup_message_headers_unref (headers);
-      return ++call->interim_count > INTERIM_MAX ? ERR_TOO_LARGE : ERR_NONE;
-    }
-  choose_framing (call, event.status, headers);
-  if (call->framing == HTTP_BY_LENGTH && call->remaining_bytes < 0)
-    {
-      soup_message_headers_unref (headers);
-      return ERR_MALFORMED;
-    }
-  if (version == SOUP_HTTP_1_0
-      || soup_message_headers_header_contains (headers, "Connection", "close"))
-    call->keep_alive = FALSE;
-  call->has_head = TRUE;
-  event.headers = headers;
-  event.body_length = call->framing == HTTP_BY_LENGTH ? call->remaining_bytes
-                      : call->framing == HTTP_NO_BODY ? 0
-                                                      : -1;
-  call->on_event (&event, call->data);
+  code = http_head_parse_response (http_unparsed (call), length, headers,
+                                   &version, &status);
+  call->parsed_bytes += length;
+  if (code == ERR_NONE && status >= SOUP_STATUS_OK)
+    code = report_head (call, status, headers, version);
+  else if (code == ERR_NONE && ++call->interim_count > INTERIM_MAX)
+    code = ERR_TOO_LARGE;
   soup_message_headers_unref (headers);
-  return ERR_NONE;
+  return code;
 }
 
-/* Report at most MAX bytes of the body and set COUNT to their number.  FALSE:
-   the callback aborted the call, and CALL is no longer valid.  */
+/* Report PART of the body.  FALSE: the callback aborted the call, and CALL is
+   no longer valid.  */
 static gboolean
-report_data (struct http_call *call, gint64 max, gint64 *count)
+report_data (struct http_call *call, const struct chunked_part *part)
 {
   struct http *http = call->http;
   struct handle self = call->self;
-  struct http_event event = { .kind = HTTP_DATA, .call = self };
+  struct http_event event = { .kind = HTTP_DATA,
+                              .call = self,
+                              .bytes = part->data,
+                              .byte_count = part->data_count };
 
-  *count = MIN (max, (gint64)http_unparsed_count (call));
-  if (*count == 0)
+  if (part->data_count == 0)
     return TRUE;
-  event.bytes = http_unparsed (call);
-  event.byte_count = (gsize)*count;
   if (call->skip_response)
-    call->skipped_bytes += event.byte_count;
-  else
-    call->on_event (&event, call->data);
-  if (table_get (&http->calls, self) == NULL)
-    return FALSE;
-  if (!call->skip_response)
-    call->response_bytes += event.byte_count;
-  call->parsed_bytes += (gsize)*count;
-  return TRUE;
-}
-
-/* Read the size line of a chunk, or a trailer line after the last chunk.
-   ERR_NONE: the body is complete; ERR_CONFLICT: read on; ERR_UNAVAILABLE: more
-   bytes are needed.  */
-static enum err
-read_chunk_line (struct http_call *call)
-{
-  gssize end = http_find_unparsed (call, "\r\n");
-  char *line;
-  char *rest = NULL;
-
-  if (end < 0)
-    return http_unparsed_count (call) > CHUNK_LINE_MAX ? ERR_MALFORMED
-                                                       : ERR_UNAVAILABLE;
-  line = g_strndup ((const char *)http_unparsed (call), (gsize)end);
-  call->parsed_bytes += (gsize)end + 2;
-  if (call->in_trailer)
-    {
-      gboolean done = line[0] == '\0';
-      g_free (line);
-      call->trailer_bytes += (gsize)end + 2;
-      if (call->trailer_bytes > TRAILER_BYTES_MAX)
-        return ERR_TOO_LARGE;
-      return done ? ERR_NONE : ERR_CONFLICT;
-    }
-  call->remaining_bytes = (gint64)g_ascii_strtoull (line, &rest, 16);
-  if (rest == line || call->remaining_bytes < 0)
     {
-      g_free (line);
-      return ERR_MALFORMED;
+      call->skipped_bytes += part->data_count;
+      return TRUE;
     }
-  g_free (line);
-  call->in_trailer = call->remaining_bytes == 0;
-  call->in_chunk = !call->in_trailer;
-  return ERR_CONFLICT;
-}
-
-/* Read a body in chunked encoding.  ERR_CONFLICT: read on.  */
-static enum err
-read_chunks (struct http_call *call)
-{
-  gint64 count;
-
-  if (!call->in_chunk)
-    return read_chunk_line (call);
-  if (call->remaining_bytes > 0)
-    {
-      if (!report_data (call, call->remaining_bytes, &count))
-        return ERR_CLOSED;
-      call->remaining_bytes -= count;
-      return call->remaining_bytes > 0 ? ERR_UNAVAILABLE : ERR_CONFLICT;
-    }
-  if (http_unparsed_count (call) < 2)
-    return ERR_UNAVAILABLE;
-  call->parsed_bytes += 2;
-  call->in_chunk = FALSE;
-  return ERR_CONFLICT;
+  call->response_bytes += part->data_count;
+  call->on_event (&event, call->data);
+  return table_get (&http->calls, self) != NULL;
 }
 
-/* Read a part of the body.  ERR_NONE: the body is complete; ERR_CONFLICT: read
-   on; ERR_UNAVAILABLE: more bytes are needed; ERR_CLOSED: the call was
-   aborted.  */
+/* Read the body as far as it has arrived.  ERR_NONE: the body is complete;
+   ERR_UNAVAILABLE: more bytes are needed; ERR_CLOSED: the call was aborted. */
 static enum err
 read_body (struct http_call *call)
 {
-  gint64 count;
+  struct chunked_part part;
+  enum err code;
 
-  switch (call->framing)
+  do
     {
-    case HTTP_NO_BODY:
-      return ERR_NONE;
-    case HTTP_BY_LENGTH:
-      if (!report_data (call, call->remaining_bytes, &count))
+      code = http_framing_read (&call->framing, http_unparsed (call),
+                                http_unparsed_count (call), &part);
+      call->parsed_bytes += part.used;
+      if (!report_data (call, &part))
         return ERR_CLOSED;
-      call->remaining_bytes -= count;
-      return call->remaining_bytes == 0 ? ERR_NONE : ERR_UNAVAILABLE;
-    case HTTP_BY_CHUNKS:
-      return read_chunks (call);
-    case HTTP_BY_CLOSE:
-      return report_data (call, G_MAXINT64, &count) ? ERR_UNAVAILABLE
-                                                    : ERR_CLOSED;
     }
-  return ERR_MALFORMED;
+  while (code == ERR_UNAVAILABLE && part.data_count > 0);
+  return code;
 }
 
 /* Reset CALL at the end of a skipped response, to read the next one.  */
@@ -205,8 +123,6 @@
 {
   call->skip_response = FALSE;
   call->has_head = FALSE;
-  call->in_chunk = FALSE;
-  call->in_trailer = FALSE;
 }
 
 /* Return whether the bodies of the responses to CALL are longer than its
@@ -238,9 +154,7 @@
         }
       if (code != ERR_NONE)
         return code;
-      do
-        code = read_body (call);
-      while (code == ERR_CONFLICT);
+      code = read_body (call);
       if (code == ERR_CLOSED)
         return code;
       if (is_too_long (call))
--- a/src/edge/http_unparsed.h
+++ b/src/edge/http_unparsed.h
@@ -9,6 +9,5 @@
 
 const guint8 *http_unparsed (const struct http_call *call);
 gsize http_unparsed_count (const struct http_call *call);
-gssize http_find_unparsed (const struct http_call *call, const char *needle);
 
 #endif
--- a/tests/test_http_answer.c
+++ b/tests/test_http_answer.c
@@ -113,6 +113,80 @@
   g_string_free (run.body, TRUE);
 }
 
+/* Guards against an answer that is taken for whole though its chunks are not
+   valid.  */
+static void
+test_odd_chunks (void)
+{
+  static const char *const bodies[]
+      = { "-5\r\nhello\r\n0\r\n\r\n",  "+5\r\nhello\r\n0\r\n\r\n",
+          "5\r\nhello??0\r\n\r\n",     "0x5\r\nhello\r\n0\r\n\r\n",
+          "5 5\r\nhello\r\n0\r\n\r\n", "5\r\nhello\r\n0\r\nno field\r\n\r\n" };
+  const char *parts[] = { "HTTP/1.1 200 OK\r\n"
+                          "Transfer-Encoding: chunked\r\n\r\n",
+                          NULL, NULL };
+  struct run run;
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      parts[1] = bodies[i];
+      run_case (&run, parts, RUN_KEEP, 50000);
+      CU_ASSERT_NOT_EQUAL (run.code, ERR_NONE);
+      g_string_free (run.body, TRUE);
+    }
+}
+
+/* Guards against an answer whose end is found by a guess: lengths that differ,
+   a transfer coding that is not known, fields that are not valid.  */
+static void
+test_odd_framing (void)
+{
+  static const char *const heads[]
+      = { "Content-Length: 5\r\nContent-Length: 2\r\n",
+          "Content-Length: 5, 2\r\n",
+          "Content-Length: five\r\n",
+          "Content-Length: +5\r\n",
+          "Transfer-Encoding: gzip, chunked\r\n",
+          "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+          "Transfer-Encoding : chunked\r\n",
+          "Content-Length: 5\r\n 5\r\n",
+          "X-A: b\nContent-Length: 5\r\n" };
+  struct run run;
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (heads); i++)
+    {
+      const char *parts[]
+          = { "HTTP/1.1 200 OK\r\n", heads[i], "\r\nhello", NULL };
+      run_case (&run, parts, RUN_CLOSE, CALL_USEC);
+      CU_ASSERT_NOT_EQUAL (run.code, ERR_NONE);
+      CU_ASSERT_EQUAL (run.body->len, 0);
+      g_string_free (run.body, TRUE);
+    }
+}
+
+/* Proper framing: equal lengths, sizes in upper case, extensions.  */
+static void
+test_proper_framing (void)
+{
+  static const char *const answers[]
+      = { "Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello",
+          "content-length:5\r\n\r\nhello",
+          "Transfer-Encoding: Chunked\r\n\r\n005;x\r\nhello\r\n0\r\n\r\n" };
+  struct run run;
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (answers); i++)
+    {
+      const char *parts[] = { "HTTP/1.1 200 OK\r\n", answers[i], NULL };
+      run_case (&run, parts, RUN_KEEP, CALL_USEC);
+      CU_ASSERT_EQUAL (run.code, ERR_NONE);
+      CU_ASSERT_STRING_EQUAL (run.body->str, "hello");
+      g_string_free (run.body, TRUE);
+    }
+}
+
 int
 main (void)
 {
@@ -122,6 +196,9 @@
           { "length below zero", test_odd_length },
           { "bytes without end are dropped", test_dropped },
           { "a few bytes are dropped", test_few_dropped },
+          { "answer in chunks that are not valid", test_odd_chunks },
+          { "answer without a valid framing", test_odd_framing },
+          { "answer of a proper framing", test_proper_framing },
           CU_TEST_INFO_NULL };
 
   return suite_run ("http answer", tests);
