A node reads its callers' requests itself, and by their framing only

Cause: requests were read by libsoup, which takes the end of the connection between two chunks, and a size line without a number, for the last chunk. The node cannot learn it from libsoup afterwards, and the state of the socket does not tell it: a caller may close only its sending half, or leave later.

Change: http_server reads and writes the callers' connections on the one loop, with the modules that read answers: http_head, http_framing, chunked. A body is whole at its last chunk or its stated length. A caller that leaves before, and a request that is not valid, end the request: the server or the other node sees it broken off. What is not valid is answered with 400 and Connection: close, if no answer was begun, and nothing behind it is read. The watch of callers beside libsoup (caller_watch) is gone: the connection itself reports a close, also while reading is suspended. An answer need not wait for the end of the upload; the rest is dropped. Operators' calls to bambootallyd take the same way.

One thing is as before: a caller that closes its sending half behind a whole request is taken to have left. It got 503 then, though its request may have run; now it gets no answer.

--- a/src/edge/admin.c
+++ b/src/edge/admin.c
@@ -13,20 +13,21 @@
 
 /* Answers */
 
-/* Answer MESSAGE with STATUS and TEXT of content type TYPE; takes ownership of
+/* Answer REQUEST with STATUS and TEXT of content type TYPE; takes ownership of
    TEXT.  */
 static void
-answer (SoupServerMessage *message, guint status, const char *type, char *text)
+answer (struct node *node, struct handle request, guint status,
+        const char *type, char *text)
 {
-  soup_server_message_set_status (message, status, NULL);
-  soup_server_message_set_response (message, type, SOUP_MEMORY_TAKE, text,
-                                    strlen (text));
+  http_server_answer_text (&node->proxy.callers, request, status, type, text);
+  g_free (text);
 }
 
-/* Answer MESSAGE with STATUS and a JSON object that holds the name and the
+/* Answer REQUEST with STATUS and a JSON object that holds the name and the
    number of CODE.  */
 static void
-answer_error (SoupServerMessage *message, guint status, enum err code)
+answer_error (struct node *node, struct handle request, guint status,
+              enum err code)
 {
   JsonBuilder *builder = json_builder_new ();
 
@@ -34,7 +35,7 @@
   json_add_string (builder, "error", err_name (code));
   json_add_number (builder, "code", code);
   json_builder_end_object (builder);
-  answer (message, status, "application/json", json_finish (builder));
+  answer (node, request, status, "application/json", json_finish (builder));
 }
 
 /* Status */
@@ -63,7 +64,7 @@
 
 /* Answer with the state of this node and the nodes that its view lists.  */
 static void
-answer_status (struct node *node, SoupServerMessage *message)
+answer_status (struct node *node, struct handle request)
 {
   const struct core *core = &node->core;
   const struct view *view = &core->view;
@@ -95,7 +96,8 @@
     add_node (builder, view_node_at (view, h));
   json_builder_end_array (builder);
   json_builder_end_object (builder);
-  answer (message, SOUP_STATUS_OK, "application/json", json_finish (builder));
+  answer (node, request, SOUP_STATUS_OK, "application/json",
+          json_finish (builder));
 }
 
 /* Explain */
@@ -137,8 +139,7 @@
 
 /* Answer which server owns the key in QUERY, and why.  */
 static void
-answer_explain (struct node *node, SoupServerMessage *message,
-                GHashTable *query)
+answer_explain (struct node *node, struct handle request, GHashTable *query)
 {
   const char *service
       = query != NULL ? g_hash_table_lookup (query, "service") : NULL;
@@ -148,13 +149,13 @@
 
   if (service == NULL || key == NULL || key[0] == '\0')
     {
-      answer_error (message, SOUP_STATUS_BAD_REQUEST, ERR_INVALID);
+      answer_error (node, request, SOUP_STATUS_BAD_REQUEST, ERR_INVALID);
       return;
     }
   if (explain_key (&node->core, service, key, clock_usec (), &explanation)
       != ERR_NONE)
     {
-      answer_error (message, SOUP_STATUS_NOT_FOUND, ERR_NOT_FOUND);
+      answer_error (node, request, SOUP_STATUS_NOT_FOUND, ERR_NOT_FOUND);
       return;
     }
   builder = json_builder_new ();
@@ -171,7 +172,8 @@
       || explanation.cause == EXPLAIN_MOVING)
     add_owner (builder, &explanation);
   json_builder_end_object (builder);
-  answer (message, SOUP_STATUS_OK, "application/json", json_finish (builder));
+  answer (node, request, SOUP_STATUS_OK, "application/json",
+          json_finish (builder));
 }
 
 /* Requests that change the node's state */
@@ -179,8 +181,7 @@
 /* Register the local backend server, which announces its name, address and
    number of slots in QUERY.  */
 static void
-handle_announce (struct node *node, SoupServerMessage *message,
-                 GHashTable *query)
+handle_announce (struct node *node, struct handle request, GHashTable *query)
 {
   struct event event = { .kind = EVENT_SERVER_UP };
   const char *server
@@ -195,7 +196,7 @@
   if (server == NULL || address == NULL || slots == NULL
       || address_parse (address, &node->proxy.server_address) != ERR_NONE)
     {
-      answer_error (message, SOUP_STATUS_BAD_REQUEST, ERR_INVALID);
+      answer_error (node, request, SOUP_STATUS_BAD_REQUEST, ERR_INVALID);
       return;
     }
   g_strlcpy (event.u.server_up.server, server,
@@ -204,44 +205,44 @@
   event.u.server_up.checks_fences
       = checks_fences != NULL && strcmp (checks_fences, "yes") == 0;
   node_handle_event (node, &event);
-  answer (message, SOUP_STATUS_OK, "text/plain", g_strdup ("ok\n"));
+  answer (node, request, SOUP_STATUS_OK, "text/plain", g_strdup ("ok\n"));
 }
 
 /* Begin a graceful stop.  */
 static void
-handle_drain (struct node *node, SoupServerMessage *message)
+handle_drain (struct node *node, struct handle request)
 {
   struct event event = { .kind = EVENT_DRAIN };
 
   node_handle_event (node, &event);
-  answer (message, SOUP_STATUS_ACCEPTED, "text/plain",
+  answer (node, request, SOUP_STATUS_ACCEPTED, "text/plain",
           g_strdup ("draining\n"));
 }
 
 /* Dispatch a request of an operator or of the local backend server.  PATH is
    given without the prefix /bambootally/.  */
 void
-admin_handle (struct node *node, SoupServerMessage *message, const char *path,
-              GHashTable *query)
+admin_handle (struct node *node, const struct http_server_event *event,
+              const char *path, GHashTable *query)
 {
-  gboolean post
-      = strcmp (soup_server_message_get_method (message), "POST") == 0;
+  struct handle request = event->request;
+  gboolean post = strcmp (event->head->method, "POST") == 0;
 
   if (strcmp (path, "status") == 0)
-    answer_status (node, message);
+    answer_status (node, request);
   else if (strcmp (path, "counters") == 0)
-    answer (message, SOUP_STATUS_OK, "text/plain",
+    answer (node, request, SOUP_STATUS_OK, "text/plain",
             counters_format (&node->proxy.counters));
   else if (strcmp (path, "explain") == 0)
-    answer_explain (node, message, query);
+    answer_explain (node, request, query);
   else if (strcmp (path, "config") == 0)
-    admin_answer_config (node, message);
+    admin_answer_config (node, request);
   else if (strcmp (path, "digest") == 0)
-    admin_answer_digest (node, message);
+    admin_answer_digest (node, request);
   else if (strcmp (path, "announce") == 0 && post)
-    handle_announce (node, message, query);
+    handle_announce (node, request, query);
   else if (strcmp (path, "drain") == 0 && post)
-    handle_drain (node, message);
+    handle_drain (node, request);
   else
-    answer_error (message, SOUP_STATUS_NOT_FOUND, ERR_NOT_FOUND);
+    answer_error (node, request, SOUP_STATUS_NOT_FOUND, ERR_NOT_FOUND);
 }
--- a/src/edge/admin_state.c
+++ b/src/edge/admin_state.c
@@ -44,27 +44,27 @@
    in the log, the offset up to which the log is applied, and the records of
    this and earlier configurations.  */
 void
-admin_answer_config (struct node *node, SoupServerMessage *message)
+admin_answer_config (struct node *node, struct handle request)
 {
   const struct view *view = &node->core.view;
   SoupMessageHeaders *headers
-      = soup_server_message_get_response_headers (message);
-  char *text = g_strdup (view->config_text != NULL ? view->config_text : "");
+      = soup_message_headers_new (SOUP_MESSAGE_HEADERS_RESPONSE);
   char *history = format_history (view);
 
   add_number_header (headers, "Config-Offset", view->config_offset);
   add_number_header (headers, "Log-Next", view->applied_offset);
   soup_message_headers_replace (headers, "Config-Past", history);
-  soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
-  soup_server_message_set_response (message, "text/plain", SOUP_MEMORY_TAKE,
-                                    text, strlen (text));
+  soup_message_headers_append (headers, "Content-Type", "text/plain");
+  http_server_answer (&node->proxy.callers, request, SOUP_STATUS_OK, headers,
+                      view->config_text != NULL ? view->config_text : "");
+  soup_message_headers_unref (headers);
   g_free (history);
 }
 
 /* Answer with the digest of this node's view and the offset up to which the
    view has applied the log.  */
 void
-admin_answer_digest (struct node *node, SoupServerMessage *message)
+admin_answer_digest (struct node *node, struct handle request)
 {
   const struct core *core = &node->core;
   JsonBuilder *builder = json_builder_new ();
@@ -78,7 +78,7 @@
   json_add_number (builder, "unread", (gint64)core->view.unsupported_offset);
   json_builder_end_object (builder);
   text = json_finish (builder);
-  soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
-  soup_server_message_set_response (message, "application/json",
-                                    SOUP_MEMORY_TAKE, text, strlen (text));
+  http_server_answer_text (&node->proxy.callers, request, SOUP_STATUS_OK,
+                           "application/json", text);
+  g_free (text);
 }
--- a/src/edge/admin_state.h
+++ b/src/edge/admin_state.h
@@ -5,7 +5,7 @@
 
 /* HTTP queries of operators about the state built from the log.  */
 
-void admin_answer_config (struct node *node, SoupServerMessage *message);
-void admin_answer_digest (struct node *node, SoupServerMessage *message);
+void admin_answer_config (struct node *node, struct handle request);
+void admin_answer_digest (struct node *node, struct handle request);
 
 #endif
--- a/src/edge/conn.c
+++ b/src/edge/conn.c
@@ -58,15 +58,14 @@
          && count > 0;
 }
 
-/* Close CONN like conn_close.  Bytes that were sent and not delivered yet are
-   dropped: the connection is reset then.  Without such bytes it ends in order,
-   since a reset that is lost is not repeated.  */
+/* Close CONN like conn_close, and reset the connection: what was not delivered
+   is dropped, and the other end does not take what it has got for whole.  */
 void
-conn_abort (struct conn *conn)
+conn_reset (struct conn *conn)
 {
   struct linger drop = { .l_onoff = 1, .l_linger = 0 };
 
-  if (has_undelivered (conn)
+  if (conn->socket != NULL
       && setsockopt (g_socket_get_fd (conn->socket), SOL_SOCKET, SO_LINGER,
                      &drop, sizeof drop)
              != 0)
@@ -74,6 +73,18 @@
   conn_close (conn);
 }
 
+/* Close CONN like conn_close.  Bytes that were sent and not delivered yet are
+   dropped: the connection is reset then.  Without such bytes it ends in order,
+   since a reset that is lost is not repeated.  */
+void
+conn_abort (struct conn *conn)
+{
+  if (has_undelivered (conn))
+    conn_reset (conn);
+  else
+    conn_close (conn);
+}
+
 /* Report an event of CONN to its owner.  */
 void
 conn_notify (struct conn *conn, enum conn_event_kind kind, enum err code)
@@ -213,9 +224,12 @@
 void
 conn_pause (struct conn *conn, gboolean paused)
 {
+  guint32 other = conn->poll_events & ~(POLLER_IN | POLLER_HANGUP);
+
   conn->read_paused = paused;
-  if (paused)
-    conn_set_poll_events (conn, conn->poll_events & ~POLLER_IN);
-  else if (conn->connected)
-    conn_set_poll_events (conn, conn->poll_events | POLLER_IN);
+  if (!paused && conn->connected)
+    conn_set_poll_events (conn, other | POLLER_IN);
+  else
+    conn_set_poll_events (conn,
+                          other | (conn->watches_hangup ? POLLER_HANGUP : 0));
 }
--- a/src/edge/conn.h
+++ b/src/edge/conn.h
@@ -44,6 +44,8 @@
   guint64 queued_bytes;       /* bytes passed to conn_send and not withdrawn */
   gboolean connected;         /* the connection is established */
   gboolean read_paused;       /* reading is suspended */
+  gboolean watches_hangup;    /* a close by the other end is reported while
+                                 reading is suspended */
   gboolean reads_all;         /* all that has arrived is read before it is
                                  reported, up to a limit */
   gboolean any_sent;          /* at least one byte was sent */
@@ -59,7 +61,12 @@
 gboolean conn_withdraw (struct conn *conn, guint64 position, gsize length);
 void conn_consume (struct conn *conn, gsize length);
 void conn_pause (struct conn *conn, gboolean paused);
+void conn_watch_hangup (struct conn *conn);
+gboolean conn_has_hung_up (const struct conn *conn);
+void conn_report_first (struct conn *conn, gboolean is_first);
+void conn_end_sending (struct conn *conn);
 void conn_close (struct conn *conn);
+void conn_reset (struct conn *conn);
 void conn_abort (struct conn *conn);
 void conn_unref (struct conn *conn);
 GSocket *conn_listen (struct address at, enum err *code);
--- a/src/edge/conn_io.c
+++ b/src/edge/conn_io.c
@@ -123,6 +123,8 @@
   conn->ref_count++;
   if (ready & POLLER_OUT)
     on_writable (conn);
+  if ((ready & POLLER_HANGUP) && (conn->poll_events & POLLER_HANGUP))
+    conn_fail (conn, ERR_CLOSED);
   if ((ready & POLLER_IN) && (conn->poll_events & POLLER_IN))
     read_socket (conn);
   conn_unref (conn);
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -115,15 +115,16 @@
 }
 
 /* Report to the core that the source has disconnected, so that the request is
-   cancelled, and remove the exchange.  */
+   cancelled, and remove the exchange.  END says how the body ended if it was
+   not received to its end.  */
 void
-exchange_disconnected (struct exchange *exchange)
+exchange_disconnected (struct exchange *exchange, enum body_end end)
 {
   struct proxy *proxy = exchange->proxy;
   struct event event = { .kind = EVENT_DISCONNECTED };
 
   if (!exchange->request_body.is_complete)
-    exchange_body_ended (exchange, BODY_END_BROKEN_OFF);
+    exchange_body_ended (exchange, end);
   event.u.disconnected.exchange = exchange->self;
   exchange_remove (exchange);
   proxy_notify (proxy, &event);
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -3,6 +3,7 @@
 
 #include "edge/body.h"
 #include "edge/http.h"
+#include "edge/http_server.h"
 #include "edge/link.h"
 #include "types/action.h"
 #include "types/body_end.h"
@@ -24,15 +25,11 @@
 /* Request from a caller.  */
 struct source_caller
 {
-  SoupServerMessage *message; /* the HTTP message; owns a reference */
-  struct handle close_watch;  /* watch for a disconnect of the caller */
-  GSocket *watched_socket;    /* socket of that watch; owns a reference */
-  gboolean submitted;         /* the request was submitted to the core */
-  gboolean body_received;     /* the whole request body was received */
-  gboolean body_paused;       /* reading of the request body is suspended */
-  gboolean head_sent;         /* the response head was sent */
-  gboolean write_pending;     /* libsoup is writing part of the response */
-  gboolean response_complete; /* the response was given to libsoup */
+  struct handle request;  /* request of the HTTP server */
+  gboolean submitted;     /* the request was submitted to the core */
+  gboolean body_received; /* the whole request body was received */
+  gboolean body_paused;   /* reading of the request body is suspended */
+  gboolean head_sent;     /* the response head was sent */
 };
 
 /* Request forwarded by another node.  */
@@ -135,7 +132,7 @@
 void exchange_remove (struct exchange *exchange);
 void exchange_submit (struct exchange *exchange);
 void exchange_body_ended (struct exchange *exchange, enum body_end end);
-void exchange_disconnected (struct exchange *exchange);
+void exchange_disconnected (struct exchange *exchange, enum body_end end);
 
 /* Request path, towards the target.  */
 void exchange_run (struct proxy *proxy, const struct action_run *action);
@@ -155,21 +152,14 @@
 /* Response path, towards the source.  */
 void exchange_answer (struct proxy *proxy, const struct action_answer *action);
 void exchange_pump_response (struct exchange *exchange);
-struct exchange *source_caller_find (SoupServerMessage *message,
-                                     struct proxy *proxy);
-void source_caller_attach (struct proxy *proxy, SoupServerMessage *message);
-void source_caller_handle (struct proxy *proxy, SoupServerMessage *message);
+void source_caller_on_event (struct proxy *proxy,
+                             const struct http_server_event *event);
 void source_caller_received (struct exchange *exchange);
 void source_caller_pump (struct exchange *exchange);
 void source_caller_resume (struct exchange *exchange);
-void source_caller_abort (struct exchange *exchange);
 void source_caller_detach (struct exchange *exchange);
-void caller_body_got_chunk (SoupServerMessage *message, GBytes *chunk,
-                            gpointer data);
-gboolean caller_watch_has_left (const struct exchange *exchange);
-void caller_watch_cancel (struct exchange *exchange);
-void caller_watch_start (struct exchange *exchange);
-void caller_watch_stop (struct exchange *exchange);
+void caller_body_got_bytes (struct exchange *exchange, const guint8 *bytes,
+                            gsize count);
 void source_peer_on_forward (struct proxy *proxy,
                              const struct link_event *event);
 void source_peer_submit_arrivals (struct proxy *proxy);
--- a/src/edge/exchange_answer.c
+++ b/src/edge/exchange_answer.c
@@ -32,7 +32,7 @@
     {
     case SOURCE_CALLER:
       if (exchange->has_response)
-        source_caller_abort (exchange);
+        exchange_remove (exchange);
       else
         {
           fill_error (exchange, action);
--- a/src/edge/front.c
+++ b/src/edge/front.c
@@ -1,71 +1,44 @@
 #include "edge/node.h"
 
-#include "edge/conn.h"
-
 #include <string.h>
 
 #define ADMIN_PREFIX "/bambootally/" /* paths of the node's own interface */
 
-/* Return TRUE if PATH is for operators or the backend server.  */
-static gboolean
-is_admin (const char *path)
-{
-  return g_str_has_prefix (path, ADMIN_PREFIX);
-}
-
-/* Handle the headers of a request, before its body is received.  */
+/* Handle the end of a request of an operator or of the backend server.  */
 static void
-on_headers (SoupServer *server, SoupServerMessage *message, const char *path,
-            GHashTable *query, gpointer data)
+handle_admin (struct node *node, const struct http_server_event *event)
 {
-  struct node *node = data;
-
-  (void)server;
-  (void)query;
-  if (!is_admin (path))
-    source_caller_attach (&node->proxy, message);
+  const char *query = strchr (event->head->target, '?');
+  GHashTable *fields = query != NULL ? soup_form_decode (query + 1) : NULL;
+  char *path
+      = g_strndup (event->head->target + strlen (ADMIN_PREFIX),
+                   strcspn (event->head->target, "?") - strlen (ADMIN_PREFIX));
+
+  admin_handle (node, event, path, fields);
+  g_free (path);
+  if (fields != NULL)
+    g_hash_table_destroy (fields);
 }
 
-/* Handle a request that was received completely.  */
+/* Handle an event of a request of a caller, an operator or the backend
+   server.  */
 static void
-on_request (SoupServer *server, SoupServerMessage *message, const char *path,
-            GHashTable *query, gpointer data)
+on_request (const struct http_server_event *event, gpointer data)
 {
   struct node *node = data;
 
-  (void)server;
-  if (is_admin (path))
-    admin_handle (node, message, path + strlen (ADMIN_PREFIX), query);
-  else
-    source_caller_handle (&node->proxy, message);
+  if (!g_str_has_prefix (event->head->target, ADMIN_PREFIX))
+    source_caller_on_event (&node->proxy, event);
+  else if (event->kind == HTTP_SERVER_BODY_END)
+    handle_admin (node, event);
 }
 
-/* Listen for callers, operators and the backend server.  The listening socket
-   is created here and not by libsoup, so that its backlog holds the
-   connections of many callers that connect at the same time.  */
+/* Listen for callers, operators and the backend server.  Return the error of
+   listening.  */
 enum err
 front_init (struct node *node)
 {
-  enum err code;
-  GSocket *socket = conn_listen (node->settings.core.front_address, &code);
-
-  if (socket == NULL)
-    return code;
-  node->front = soup_server_new ("server-header", "bambootally", NULL);
-  soup_server_add_early_handler (node->front, NULL, on_headers, node, NULL);
-  soup_server_add_handler (node->front, NULL, on_request, node, NULL);
-  if (!soup_server_listen_socket (node->front, socket, 0, NULL))
-    code = ERR_IO;
-  g_object_unref (socket);
-  return code;
-}
-
-/* Stop listening and close all connections.  */
-void
-front_clear (struct node *node)
-{
-  if (node->front == NULL)
-    return;
-  soup_server_disconnect (node->front);
-  g_clear_object (&node->front);
+  http_server_init (&node->proxy.callers, on_request, node);
+  return http_server_listen (&node->proxy.callers,
+                             node->settings.core.front_address);
 }
--- a/src/edge/link.c
+++ b/src/edge/link.c
@@ -174,7 +174,7 @@
   link->conn = socket != NULL ? conn_adopt (socket, on_link_event, link)
                               : conn_open (to, on_link_event, link);
   link->conn->reads_all = TRUE;
-  poller_report_first (link->conn->poll_handle);
+  conn_report_first (link->conn, TRUE);
   return link;
 }
 
--- a/src/edge/mesh_node.c
+++ b/src/edge/mesh_node.c
@@ -235,9 +235,6 @@
   store_clear (&node->store);
   key_orders_clear (&node->key_orders);
   proxy_clear (&node->proxy);
-  if (node->front != NULL)
-    soup_server_disconnect (node->front);
-  g_clear_object (&node->front);
   control_api_clear (&node->control_api);
   mesh_clear (&node->mesh);
   latency_clear (&node->request_latency);
--- a/src/edge/mesh_node.h
+++ b/src/edge/mesh_node.h
@@ -25,7 +25,6 @@
   struct mesh mesh;                  /* decision logic */
   GMainLoop *loop;                   /* main loop of the process */
   struct proxy proxy;                /* data path */
-  SoupServer *front;                 /* HTTP server for callers */
   struct control_api control_api;    /* heartbeats, readiness and metrics */
   struct key_orders key_orders;      /* grants and releases of keys */
   struct store store;                /* client of the platform's store */
--- a/src/edge/node.c
+++ b/src/edge/node.c
@@ -229,7 +229,6 @@
   if (node->tick_timer != 0)
     g_source_remove (node->tick_timer);
   quiet_turn_cancel (&node->quiet_turn);
-  front_clear (node);
   log_client_clear (&node->log);
   proxy_clear (&node->proxy);
   core_clear (&node->core);
--- a/src/edge/node.h
+++ b/src/edge/node.h
@@ -22,8 +22,6 @@
   struct log_client log;            /* client of the log service */
   struct tail_store recent_records; /* last records read, for other nodes */
   struct peer_reader peer_log;      /* reads records from a peer */
-  SoupServer *front;                /* HTTP server for callers, operators and
-                                       the local server */
   struct server_poll server_poll;   /* polls the local server's load */
   GByteArray *snapshot;             /* view as last encoded for the log, or
                                        NULL */
@@ -49,8 +47,7 @@
 void node_decode_snapshot (struct node *node, const guint8 *bytes,
                            guint32 length);
 enum err front_init (struct node *node);
-void front_clear (struct node *node);
-void admin_handle (struct node *node, SoupServerMessage *message,
+void admin_handle (struct node *node, const struct http_server_event *event,
                    const char *path, GHashTable *query);
 
 #endif
--- a/src/edge/poller.c
+++ b/src/edge/poller.c
@@ -125,16 +125,16 @@
   return h;
 }
 
-/* Report the descriptor H before the others that are ready with it.  This is
-   for descriptors that tell which work is no longer wanted: the events of the
-   others may start such work.  */
+/* Report the descriptor H before the others that are ready with it if
+   IS_FIRST, else with them.  This is for descriptors that tell which work is
+   no longer wanted: the events of the others may start such work.  */
 void
-poller_report_first (struct handle h)
+poller_report_first (struct handle h, gboolean is_first)
 {
   struct poller_entry *entry = table_get (&poller.entries, h);
 
   if (entry != NULL)
-    entry->is_first = TRUE;
+    entry->is_first = is_first;
 }
 
 /* Watch the descriptor H for EVENTS instead.  A descriptor without events is
--- a/src/edge/poller.h
+++ b/src/edge/poller.h
@@ -17,7 +17,7 @@
 
 struct handle poller_add (int fd, guint32 events, poller_fn *fn,
                           gpointer data);
-void poller_report_first (struct handle h);
+void poller_report_first (struct handle h, gboolean is_first);
 void poller_set_events (struct handle h, guint32 events);
 void poller_remove (struct handle h);
 void poller_forget (struct handle h);
--- a/src/edge/proxy.c
+++ b/src/edge/proxy.c
@@ -137,6 +137,7 @@
 
   for (; handle_is_set (h); h = table_next (&proxy->exchanges, h))
     exchange_remove (exchange_get (proxy, h));
+  http_server_clear (&proxy->callers);
   links_clear (&proxy->links);
   http_clear (&proxy->http);
   table_clear (&proxy->exchanges);
@@ -145,11 +146,13 @@
   g_hash_table_destroy (proxy->server_calls);
 }
 
-/* End the HTTP calls and RPCs whose deadline is at or before NOW.  */
+/* End the HTTP calls and RPCs whose deadline is at or before NOW, and close
+   the connections of callers that are due to be closed.  */
 void
 proxy_expire (struct proxy *proxy, gint64 now)
 {
   http_expire (&proxy->http, now);
+  http_server_expire (&proxy->callers, now);
   links_expire (&proxy->links, now);
 }
 
--- a/src/edge/proxy.h
+++ b/src/edge/proxy.h
@@ -24,10 +24,11 @@
 
 struct proxy
 {
-  struct http http;       /* HTTP calls to the backend server and the log */
-  struct links links;     /* connections to other nodes */
-  struct table exchanges; /* struct exchange */
-  GHashTable *streams;    /* struct stream_key to exchange handle */
+  struct http http; /* HTTP calls to the backend server and the log */
+  struct http_server callers; /* connections of callers */
+  struct links links;         /* connections to other nodes */
+  struct table exchanges;     /* struct exchange */
+  GHashTable *streams;        /* struct stream_key to exchange handle */
   GArray *arrivals; /* struct handle: exchanges of forwarded requests that are
                        to be submitted at the end of the batch */
   GHashTable *server_calls;      /* HTTP call handle to exchange handle */
--- a/src/edge/source_peer.c
+++ b/src/edge/source_peer.c
@@ -282,7 +282,7 @@
       == ERR_NONE)
     exchange = find_stream (proxy, event->link, stream);
   if (exchange != NULL)
-    exchange_disconnected (exchange);
+    exchange_disconnected (exchange, BODY_END_BROKEN_OFF);
   links_reply (&proxy->links, event->link, event->xid, ERR_NONE, NULL, NULL);
 }
 
@@ -297,6 +297,6 @@
       struct exchange *exchange = exchange_get (proxy, h);
       if (exchange->source.kind == SOURCE_PEER
           && handle_equal (exchange->source.u.peer.link, link))
-        exchange_disconnected (exchange);
+        exchange_disconnected (exchange, BODY_END_BROKEN_OFF);
     }
 }
--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -184,6 +184,8 @@
       return "whole";
     case BODY_END_BROKEN_OFF:
       return "broken-off";
+    case BODY_END_MALFORMED:
+      return "bad-framing";
     }
   return "";
 }
--- a/tests/test_mesh_node.c
+++ b/tests/test_mesh_node.c
@@ -12,7 +12,7 @@
   GSocket *caller;
 
   stage_init (stage);
-  caller = connect_to (server_port (stage->node.front));
+  caller = connect_to (http_server_port (&stage->node.proxy.callers));
   send_text (caller, CALLER_REQUEST);
   CU_ASSERT_EQUAL_FATAL (wait_for_status (caller), 200);
   send_text (caller, CALLER_REQUEST);
@@ -117,7 +117,7 @@
 
   stage_init (&stage);
   stage.holds_requests = TRUE;
-  caller = raw_connect (server_port (stage.node.front));
+  caller = raw_connect (http_server_port (&stage.node.proxy.callers));
   raw_send (caller, "POST /other/x HTTP/1.1\r\nHost: h\r\n" NAME_ID
                     ": 1\r\n" NAME_DEADLINE
                     ": 2000\r\nTransfer-Encoding: chunked\r\n\r\n"
