The control API reads its calls by their framing only

Seen: nothing by the users.

Cause: heartbeats and deregistrations were read by libsoup's server, so a deregistration that its sender broke off between two chunks was carried out, and one that was smuggled behind a call with two framings too.

Change: the control API uses http_server. Its open calls are rows of a table; a call whose sender has left is dropped.

--- a/src/edge/mesh_node.c
+++ b/src/edge/mesh_node.c
@@ -111,13 +111,13 @@
   switch (control->kind)
     {
     case CONTROL_API_HEARTBEAT:
-      event.u.heartbeat.call_id = control->call;
+      event.u.heartbeat.call_id = control->call.bits;
       event.u.heartbeat.heartbeat = control->heartbeat;
       mesh_node_handle_event (node, &event);
       break;
     case CONTROL_API_DEREGISTER:
       event.kind = EVENT_DEREGISTER;
-      event.u.deregister.call_id = control->call;
+      event.u.deregister.call_id = control->call.bits;
       event.u.deregister.at_msec = g_get_real_time () / USEC_PER_MSEC;
       g_strlcpy (event.u.deregister.server_id, control->instance_id,
                  sizeof event.u.deregister.server_id);
--- a/src/edge/mesh_node_perform.c
+++ b/src/edge/mesh_node_perform.c
@@ -198,7 +198,8 @@
       break;
     case ACTION_HEARTBEAT_ANSWER:
       control_api_answer (
-          &node->control_api, action->u.heartbeat_answer.call_id,
+          &node->control_api,
+          (struct handle){ action->u.heartbeat_answer.call_id },
           action->u.heartbeat_answer.code, action->u.heartbeat_answer.answer);
       break;
     case ACTION_REMOTE_APPEND:
--- a/src/edge/mesh_node_tick.c
+++ b/src/edge/mesh_node_tick.c
@@ -53,6 +53,7 @@
 
   latency_add (&node->tick_latency, now - node->mesh.last_tick_at);
   proxy_expire (&node->proxy, now);
+  control_api_expire (&node->control_api, now);
   if (mesh_node_reads_fleet (node))
     topic_reader_step (&node->fleet_reader, now);
   if (mesh_node_reads_config (node))
--- a/tests/mesh_node_stage.h
+++ b/tests/mesh_node_stage.h
@@ -121,17 +121,6 @@
   return at;
 }
 
-/* Return the port that SERVER listens on.  */
-static inline guint16
-server_port (SoupServer *server)
-{
-  GSList *uris = soup_server_get_uris (server);
-  guint16 port = (guint16)g_uri_get_port (uris->data);
-
-  g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
-  return port;
-}
-
 /* Give the node a configuration with a route to the other node.  */
 static inline void
 add_route (struct mesh_node *node)
--- a/tests/test_control_api.c
+++ b/tests/test_control_api.c
@@ -1,15 +1,17 @@
 #include "platform/control_api.h"
 
 #include "edge/conn.h"
+#include "tests/raw_caller.h"
 #include "tests/suite.h"
 #include "types/clock.h"
 
 #include <string.h>
 
-/* Calls to a node without end: heartbeats whose head or body does not stop. */
+/* Calls to a node that do not end, break off, or are not valid.  */
 
 #define LOCAL 0x7f000001u
 #define CASE_USEC ((gint64)5000000) /* time limit of a test */
+#define QUIET_USEC ((gint64)100000) /* in which an event would be reported */
 #define PART_BYTES 65536u           /* bytes sent at a time */
 #define UNSENT_MAX 1048576u         /* bytes queued for the node */
 #define SENT_MAX 33554432u          /* bytes that the node may take */
@@ -91,15 +93,12 @@
   const struct control_api_handlers handlers
       = { on_event, is_ready, metrics, stage };
   struct address any = { LOCAL, 0 };
-  GSList *uris;
 
   memset (stage, 0, sizeof *stage);
   CU_ASSERT_EQUAL_FATAL (
       control_api_init (&stage->api, any, any, any, &handlers), ERR_NONE);
-  uris = soup_server_get_uris (stage->api.http_server);
   stage->at = any;
-  stage->at.port = (guint16)g_uri_get_port (uris->data);
-  g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
+  stage->at.port = http_server_port (&stage->api.http_server);
 }
 
 /* Send HEAD and then bytes without end.  The API has to end the connection
@@ -138,11 +137,78 @@
   check_endless ("PUT /api/instances/s HTTP/1.1\r\nHost: a\r\nX-Noise: ", 0);
 }
 
+/* Send TEXT, end the connection as END says unless it is RAW_END_COUNT, and
+   run the loop for a while.  Return the number of events.  */
+static guint
+count_events (const char *text, enum raw_end end)
+{
+  struct stage stage;
+  gint64 deadline = clock_usec () + QUIET_USEC;
+  int fd;
+
+  stage_init (&stage);
+  fd = raw_connect (stage.at.port);
+  raw_send (fd, text);
+  if (end != RAW_END_COUNT)
+    raw_end (fd, end);
+  while (clock_usec () < deadline)
+    g_main_context_iteration (NULL, FALSE);
+  if (end == RAW_HALF_CLOSE || end == RAW_END_COUNT)
+    close (fd);
+  control_api_clear (&stage.api);
+  while (g_main_context_iteration (NULL, FALSE))
+    continue;
+  return stage.events;
+}
+
+/* Guards against a deregistration that is carried out though its sender broke
+   it off between two chunks.  */
+static void
+test_broken_off (void)
+{
+  static const char text[] = "DELETE /api/instances/s HTTP/1.1\r\nHost: a\r\n"
+                             "Transfer-Encoding: chunked\r\n\r\n"
+                             "2\r\n{}\r\n";
+  char *whole = g_strconcat (text, "0\r\n\r\n", NULL);
+
+  CU_ASSERT_EQUAL (count_events (text, RAW_CLOSE), 0);
+  CU_ASSERT_EQUAL (count_events (text, RAW_HALF_CLOSE), 0);
+  CU_ASSERT_EQUAL (count_events (text, RAW_RESET), 0);
+  CU_ASSERT_EQUAL (count_events (whole, RAW_END_COUNT), 1);
+  g_free (whole);
+}
+
+/* Guards against a deregistration that is smuggled inside a heartbeat.  */
+static void
+test_smuggled (void)
+{
+  static const char *const heads[]
+      = { "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n",
+          "Content-Length: 0\r\nContent-Length: 5\r\n",
+          "Content-Length: 0\r\nContent-Length : 5\r\n" };
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (heads); i++)
+    {
+      char *text
+          = g_strconcat ("GET /api/ready HTTP/1.1\r\nHost: a\r\n", heads[i],
+                         "\r\n0\r\n\r\n"
+                         "DELETE /api/instances/s HTTP/1.1\r\n"
+                         "Host: a\r\n\r\n",
+                         NULL);
+      CU_ASSERT_EQUAL (count_events (text, RAW_END_COUNT), 0);
+      g_free (text);
+    }
+}
+
 int
 main (void)
 {
   static CU_TestInfo tests[]
-      = { { "heartbeat without end", test_endless }, CU_TEST_INFO_NULL };
+      = { { "heartbeat without end", test_endless },
+          { "deregistration broken off", test_broken_off },
+          { "deregistration smuggled", test_smuggled },
+          CU_TEST_INFO_NULL };
 
   return suite_run ("control_api", tests);
 }
--- a/tests/test_mesh_node.c
+++ b/tests/test_mesh_node.c
@@ -95,7 +95,7 @@
   GSocket *server;
 
   stage_init (&stage);
-  server = connect_to (server_port (stage.node.control_api.http_server));
+  server = connect_to (http_server_port (&stage.node.control_api.http_server));
   send_text (server, "GET /api/ready HTTP/1.1\r\nHost: a\r\n\r\n");
   CU_ASSERT_NOT_EQUAL_FATAL (wait_for_status (server), 0);
   send_text (server, "DELETE /api/instances/sa HTTP/1.1\r\nHost: a\r\n\r\n");
