--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -1,4 +1,5 @@
 #include "tests/exchange_bench.h"
+#include "tests/raw_caller.h"
 #include "types/clock.h"
 
 #define BODY_BYTES 8388608u       /* upload that no buffers hold */
@@ -208,6 +209,64 @@
   g_free (body);
 }
 
+/* Run the loop until COUNT responses have arrived on FD.  Return their number;
+   RECEIVED gets their text.  */
+static guint
+receive_responses (int fd, guint count, GString *received)
+{
+  gint64 deadline = clock_usec () + CANCEL_USEC;
+  guint arrived = 0;
+
+  while (arrived < count && clock_usec () < deadline)
+    {
+      const char *at;
+      g_main_context_iteration (NULL, FALSE);
+      raw_receive (fd, received);
+      at = received->str;
+      for (arrived = 0; (at = strstr (at, "HTTP/1.1 ")) != NULL; at++)
+        arrived++;
+    }
+  return arrived;
+}
+
+/* Guards against an answer, or a refusal of the node, that waits for the end
+   of an upload: PATH is answered while the upload goes on.  What follows of
+   the upload is dropped, and the next request on the connection is served.  */
+static void
+check_answer_during_upload (const char *path, const char *status)
+{
+  struct bench bench;
+  GString *received = g_string_new (NULL);
+  char *upload = g_strdup_printf ("POST %s HTTP/1.1\r\nHost: h\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n"
+                                  "5\r\nhello\r\n",
+                                  path);
+  int caller;
+
+  bench_start (&bench, "Content-Length: 5\r\n\r\nhello");
+  bench.keeps_serving = TRUE;
+  caller = raw_connect (FRONT_PORT);
+  raw_send (caller, upload);
+  CU_ASSERT_EQUAL (receive_responses (caller, 1, received), 1);
+  CU_ASSERT_TRUE (g_str_has_prefix (received->str, status));
+  raw_send (caller, "5\r\nhello\r\n0\r\n\r\n"
+                    "GET /pay/y HTTP/1.1\r\nHost: h\r\n\r\n");
+  CU_ASSERT_EQUAL (receive_responses (caller, 2, received), 2);
+  CU_ASSERT_PTR_NOT_NULL (strstr (received->str + 1, "HTTP/1.1 200 "));
+  close (caller);
+  g_string_free (received, TRUE);
+  g_free (upload);
+  bench_stop (&bench);
+}
+
+/* An answer of the server, and a refusal of the node.  */
+static void
+test_answer_during_upload (void)
+{
+  check_answer_during_upload ("/pay/x", "HTTP/1.1 200 ");
+  check_answer_during_upload ("/unknown/x", "HTTP/1.1 404 ");
+}
+
 int
 main (void)
 {
@@ -218,6 +277,7 @@
           { "caller disconnects", test_caller_disconnects },
           { "second answer on a kept connection", test_second_answer },
           { "answer before the upload is read", test_early_answer },
+          { "answer while the upload goes on", test_answer_during_upload },
           CU_TEST_INFO_NULL };
 
   return suite_run ("exchange", tests);
