Uploads broken off in the queue and behind the start of an answer; metrics

Tests: two more places in the life of an upload at which its caller leaves.

Metrics requests_not_valid and calls_not_valid count what was refused.

--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -46,6 +46,10 @@
             session_remaining_usec (&mesh->session, now) / USEC_PER_MSEC);
   add_line (text, "store_lost", mesh->store_lost);
   add_line (text, "members", mesh->fleet.members.count);
+  add_line (text, "requests_not_valid",
+            (gint64)node->proxy.callers.refused_count);
+  add_line (text, "calls_not_valid",
+            (gint64)node->control_api.http_server.refused_count);
   add_line (text, "requests_in_hand", mesh->requests.count);
   add_line (text, "gate_running", mesh->admission.busy_slots);
   add_line (text, "gate_waiting", mesh->admission.queue->len);
--- a/tests/exchange_bench.h
+++ b/tests/exchange_bench.h
@@ -185,6 +185,24 @@
     g_main_context_iteration (NULL, TRUE);
 }
 
+/* Occupy all slots of a server that does not respond.  */
+static inline void
+fill_slots (struct bench *bench)
+{
+  const struct admission *admission = &bench->node.core.admission;
+  gint64 deadline = clock_usec () + CASE_USEC;
+  guint32 busy;
+
+  while (admission_has_free_slot (&bench->node.core.admission, clock_usec ())
+         && clock_usec () < deadline)
+    {
+      busy = admission->busy_slots;
+      send_request (bench);
+      while (admission->busy_slots == busy && clock_usec () < deadline)
+        g_main_context_iteration (NULL, TRUE);
+    }
+}
+
 /* Lifetime */
 
 /* Give NODE a configuration, and report its server as up.  */
--- a/tests/test_broken_upload.c
+++ b/tests/test_broken_upload.c
@@ -7,6 +7,26 @@
   "POST /pay/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
 #define PAUSE_BYTES (2 * BODY_QUEUE_BYTES) /* more than a node buffers */
 
+/* End the connection CALLER as END says.  The server must see its request
+   broken off, or none, and OTHERS, the other exchanges, remain.  */
+static void
+check_end (struct bench *bench, int caller, enum raw_end end, guint32 others)
+{
+  const struct table *exchanges = &bench->node.proxy.exchanges;
+  gint64 deadline = clock_usec () + CANCEL_USEC;
+
+  raw_end (caller, end);
+  while (clock_usec () < deadline
+         && (bench->node.proxy.counters.caller_requests <= others
+             || exchanges->count > others
+             || (others == 0 && bench->closed_connections < bench->requests)))
+    g_main_context_iteration (NULL, FALSE);
+  CU_ASSERT_EQUAL (exchanges->count, others);
+  CU_ASSERT_EQUAL (bench->last_chunks, 0);
+  if (end == RAW_HALF_CLOSE)
+    close (caller);
+}
+
 /* Send UPLOAD to the node, and end the connection as END says: when the server
    has got the head if AFTER_HEAD, else at once.  The server must see a request
    that is broken off, or none.  */
@@ -14,8 +34,6 @@
 check_broken_off (const char *upload, enum raw_end end, gboolean after_head)
 {
   struct bench bench;
-  const struct table *exchanges = &bench.node.proxy.exchanges;
-  gint64 deadline = clock_usec () + CANCEL_USEC;
   int caller;
 
   bench_start (&bench, NULL);
@@ -23,17 +41,8 @@
   raw_send (caller, upload);
   if (after_head)
     run_until (&bench.requests);
-  raw_end (caller, end);
-  while (clock_usec () < deadline
-         && (bench.node.proxy.counters.caller_requests == 0
-             || exchanges->count > 0
-             || bench.closed_connections < bench.requests))
-    g_main_context_iteration (NULL, FALSE);
-  CU_ASSERT_EQUAL (exchanges->count, 0);
-  CU_ASSERT_EQUAL (bench.last_chunks, 0);
+  check_end (&bench, caller, end, 0);
   CU_ASSERT_EQUAL (bench.closed_connections, bench.requests);
-  if (end == RAW_HALF_CLOSE)
-    close (caller);
   bench_stop (&bench);
 }
 
@@ -98,6 +107,60 @@
   g_free (data);
 }
 
+/* An upload whose answer has begun.  */
+static void
+test_answer_begun (void)
+{
+  int end;
+
+  for (end = 0; end < RAW_END_COUNT; end++)
+    {
+      GString *received = g_string_new (NULL);
+      gint64 deadline = clock_usec () + CANCEL_USEC;
+      struct bench bench;
+      int caller;
+      bench_start (&bench, "Content-Length: 50\r\n\r\nhello");
+      caller = raw_connect (FRONT_PORT);
+      raw_send (caller, UPLOAD_HEAD "5\r\nhello\r\n");
+      while (strstr (received->str, "hello") == NULL
+             && clock_usec () < deadline)
+        {
+          g_main_context_iteration (NULL, FALSE);
+          raw_receive (caller, received);
+        }
+      CU_ASSERT_PTR_NOT_NULL (strstr (received->str, "hello"));
+      check_end (&bench, caller, end, 0);
+      g_string_free (received, TRUE);
+      bench_stop (&bench);
+    }
+}
+
+/* An upload that waits while the server is full.  */
+static void
+test_queued (void)
+{
+  int end;
+
+  for (end = 0; end < RAW_END_COUNT; end++)
+    {
+      gint64 deadline = clock_usec () + CANCEL_USEC;
+      struct bench bench;
+      guint32 others;
+      int caller;
+      bench_start (&bench, NULL);
+      fill_slots (&bench);
+      others = bench.node.proxy.exchanges.count;
+      caller = raw_connect (FRONT_PORT);
+      raw_send (caller, UPLOAD_HEAD "5\r\nhello\r\n");
+      while (bench.node.proxy.counters.request_bytes == 0
+             && clock_usec () < deadline)
+        g_main_context_iteration (NULL, FALSE);
+      CU_ASSERT_EQUAL (bench.node.proxy.exchanges.count, others + 1);
+      check_end (&bench, caller, end, others);
+      bench_stop (&bench);
+    }
+}
+
 int
 main (void)
 {
@@ -106,6 +169,9 @@
           { "upload broken off inside a chunk", test_inside_chunk },
           { "upload of known length broken off", test_inside_length },
           { "paused upload broken off", test_paused },
+          { "upload broken off behind the start of its answer",
+            test_answer_begun },
+          { "upload broken off in the queue", test_queued },
           CU_TEST_INFO_NULL };
 
   return suite_run ("broken upload", tests);
--- a/tests/test_caller_watch.c
+++ b/tests/test_caller_watch.c
@@ -115,24 +115,6 @@
   bench_stop (&bench);
 }
 
-/* Occupy all slots of a server that does not respond.  */
-static void
-fill_slots (struct bench *bench)
-{
-  const struct admission *admission = &bench->node.core.admission;
-  gint64 deadline = clock_usec () + CASE_USEC;
-  guint32 busy;
-
-  while (admission_has_free_slot (&bench->node.core.admission, clock_usec ())
-         && clock_usec () < deadline)
-    {
-      busy = admission->busy_slots;
-      send_request (bench);
-      while (admission->busy_slots == busy && clock_usec () < deadline)
-        g_main_context_iteration (NULL, TRUE);
-    }
-}
-
 /* Send the head of an upload, and as much of its body as the node takes.  */
 static void
 send_upload (int fd, const struct bench *bench)
--- a/tests/test_bad_framing.c
+++ b/tests/test_http_server.c
@@ -240,5 +240,5 @@
           { "100 Continue", test_continue },
           CU_TEST_INFO_NULL };
 
-  return suite_run ("bad framing", tests);
+  return suite_run ("http server", tests);
 }
