Soak: uploads that their callers break off

Its callers sent whole bodies of known length only, and its servers were read by libsoup's server, which takes a body that breaks off between two chunks for whole itself, so that they could not have told.

Change: one in four requests that run at most once is sent in chunks and broken off up to 400 ms later; the servers read by http_server, and check each body.

--- a/soak/bin/soak.c
+++ b/soak/bin/soak.c
@@ -154,10 +154,11 @@
     soak_checker_violation (checker, "requests are served after the faults",
                             "");
   g_print ("soak: seed %u: %u faults, %u requests: %u served, %u refused, "
-           "%u failed; at the end %u of %u; violations: %u\n",
+           "%u failed; %u broken off; at the end %u of %u; violations: %u\n",
            seed, run->cluster.injected_fault_count, checker->sent_count,
            checker->served_count, checker->refused_count,
-           checker->failed_count, served, sent, checker->violation_count);
+           checker->failed_count, checker->broken_count, served, sent,
+           checker->violation_count);
   return checker->violation_count > 0 ? EXIT_FAILURE : EXIT_SUCCESS;
 }
 
--- a/soak/soak_caller.c
+++ b/soak/soak_caller.c
@@ -5,8 +5,9 @@
 #include <string.h>
 
 #define DEADLINE_MSEC "1500" /* deadline in the request's header */
-#define CALL_TIMEOUT_USEC ((gint64)3000000)      /* of the whole call */
-#define ONCE_BODY "a body that must arrive once" /* body of POST requests */
+#define CALL_TIMEOUT_USEC ((gint64)3000000) /* of the whole call */
+#define BREAK_BYTES 6u      /* bytes of a body sent before it breaks off */
+#define BREAK_MSEC_MAX 400u /* longest time until then */
 
 /* Report the end of the request to the checker and release CALLER.  */
 static void
@@ -16,6 +17,8 @@
                           caller->answer_body->len);
   char *expected = g_strdup_printf ("answer to %s", caller->request_id);
 
+  if (caller->break_timer != 0)
+    g_source_remove (caller->break_timer);
   soak_checker_answered (caller->checker, caller->request_id,
                          event->code == ERR_NONE ? caller->answer_status : 0,
                          caller->has_stamp && strcmp (body, expected) == 0);
@@ -52,6 +55,39 @@
     }
 }
 
+/* Leave before the end of the request body.  Timer callback.  */
+static gboolean
+on_break (gpointer data)
+{
+  struct soak_caller *caller = data;
+  struct http_event ended = { .kind = HTTP_ENDED, .code = ERR_CLOSED };
+
+  caller->break_timer = 0;
+  http_abort (caller->http, caller->call);
+  finish (caller, &ended);
+  return G_SOURCE_REMOVE;
+}
+
+/* Send the body of the request of CALLER, or a part of it in chunks.  */
+static void
+send_body (struct soak_caller *caller,
+           const struct soak_caller_request *parameters)
+{
+  const guint8 *body = (const guint8 *)SOAK_ONCE_BODY;
+
+  if (parameters->breaks_off)
+    {
+      soak_checker_breaks_off (caller->checker, caller->request_id);
+      http_write (caller->http, caller->call, body, BREAK_BYTES);
+      caller->break_timer = g_timeout_add (
+          g_str_hash (caller->request_id) % BREAK_MSEC_MAX, on_break, caller);
+      return;
+    }
+  if (parameters->at_most_once)
+    http_write (caller->http, caller->call, body, strlen (SOAK_ONCE_BODY));
+  http_finish (caller->http, caller->call);
+}
+
 /* Send the request that PARAMETERS describe with the client HTTP.  CHECKER
    records the request and its end.  */
 void
@@ -61,15 +97,17 @@
   struct soak_caller *caller = g_new0 (struct soak_caller, 1);
   SoupMessageHeaders *headers
       = soup_message_headers_new (SOUP_MESSAGE_HEADERS_REQUEST);
+  const char *body = parameters->at_most_once ? SOAK_ONCE_BODY : "";
   struct http_request request
       = { .address = parameters->node_address,
           .method = parameters->at_most_once ? "POST" : "GET",
           .target = parameters->at_most_once ? "/once/x" : "/own/x",
           .headers = headers,
-          .body_length = parameters->at_most_once ? strlen (ONCE_BODY) : 0 };
+          .body_length = (gint64)strlen (body) };
   char key[KEY_SIZE];
-  struct handle call;
 
+  if (parameters->breaks_off)
+    request.body_length = -1;
   caller->checker = checker;
   caller->answer_body = g_byte_array_new ();
   g_strlcpy (caller->request_id, parameters->request_id,
@@ -83,9 +121,8 @@
   request.deadline = clock_usec () + CALL_TIMEOUT_USEC;
   soak_checker_sent (checker, parameters->request_id, parameters->at_most_once,
                      clock_usec ());
-  call = http_start (http, &request, on_event, caller);
-  if (parameters->at_most_once)
-    http_write (http, call, (const guint8 *)ONCE_BODY, strlen (ONCE_BODY));
-  http_finish (http, call);
+  caller->http = http;
+  caller->call = http_start (http, &request, on_event, caller);
+  send_body (caller, parameters);
   soup_message_headers_unref (headers);
 }
--- a/soak/soak_checker.c
+++ b/soak/soak_checker.c
@@ -43,9 +43,23 @@
   checker->sent_count++;
 }
 
-/* Record that a server begins to run the request ID.  */
+/* Record that the caller of the request ID, which was just recorded, will
+   break it off.  */
 void
-soak_checker_run_started (struct soak_checker *checker, const char *id)
+soak_checker_breaks_off (struct soak_checker *checker, const char *id)
+{
+  struct soak_request *request = g_hash_table_lookup (checker->requests, id);
+
+  request->breaks_off = TRUE;
+  checker->sent_count--;
+  checker->broken_count++;
+}
+
+/* Record that a server begins to run the request ID.  WHOLE tells whether it
+   got the body that the caller meant to send.  */
+void
+soak_checker_run_started (struct soak_checker *checker, const char *id,
+                          gboolean whole)
 {
   struct soak_request *request = g_hash_table_lookup (checker->requests, id);
 
@@ -55,6 +69,8 @@
       return;
     }
   request->run_count++;
+  if (!whole || request->breaks_off)
+    soak_checker_violation (checker, "requests run with their whole body", id);
   if (request->at_most_once && request->run_count > 1)
     soak_checker_violation (checker, "at most one run", id);
   if (request->at_most_once && request->answer_status == STATUS_REFUSED)
@@ -71,6 +87,8 @@
   struct soak_request *request = g_hash_table_lookup (checker->requests, id);
 
   request->answer_status = status;
+  if (request->breaks_off)
+    return;
   if (status == STATUS_SUCCESS)
     {
       checker->served_count++;
--- a/soak/soak_cluster.c
+++ b/soak/soak_cluster.c
@@ -11,9 +11,12 @@
 #include <sys/stat.h>
 
 #define OUTPUT_FOLDER "out/soak" /* settings and logs of the nodes */
-#define PORTS_PER_HOST 10u   /* ports of one node, its server and its relays */
-#define STORE_PORTS 1u       /* ports of the store, below the hosts' ports */
-#define KEYED_PERCENT 60     /* share of the requests that carry a key */
+#define PORTS_PER_HOST 10u /* ports of one node, its server and its relays */
+#define STORE_PORTS 1u     /* ports of the store, below the hosts' ports */
+#define BREAK_OFF_ONE_IN                                                      \
+  4                      /* requests; of these, those that run at most once   \
+                            are broken off */
+#define KEYED_PERCENT 60 /* share of the requests that carry a key */
 #define LOOPBACK 0x7f000001u /* 127.0.0.1 */
 
 /* The configuration: one service that is divided by key and one that is
@@ -249,6 +252,7 @@
     {
       struct soak_host *host = &cluster->hosts[i];
       soak_node_step (&host->node, now);
+      http_server_expire (&host->server.http_server, now);
       if (now >= host->store_heal_at)
         soak_relay_set_mode (&host->store_relay, SOAK_RELAY_NORMAL);
       if (now >= host->server_heal_at)
@@ -275,5 +279,8 @@
                                                   (gint32)SHARD_KEY_COUNT) };
 
   g_snprintf (id, sizeof id, "r%u", ++cluster->last_request_serial);
+  parameters.breaks_off
+      = parameters.at_most_once
+        && cluster->last_request_serial % BREAK_OFF_ONE_IN == 0;
   soak_caller_send (&cluster->checker, &cluster->http_client, &parameters);
 }
--- a/soak/soak_orders.c
+++ b/soak/soak_orders.c
@@ -51,15 +51,11 @@
   orders->process++;
 }
 
-/* Read the body of MESSAGE into ORDER.  Return FALSE if it is malformed.  */
+/* Read BODY into ORDER.  Return FALSE if it is malformed.  */
 static gboolean
-read_order (SoupServerMessage *message, struct soak_order *order)
+read_order (const GByteArray *body, struct soak_order *order)
 {
-  GBytes *bytes = soup_message_body_flatten (
-      soup_server_message_get_request_body (message));
-  gsize length;
-  const guint8 *data = g_bytes_get_data (bytes, &length);
-  JsonParser *parser = json_fields_parse (data, length);
+  JsonParser *parser = json_fields_parse (body->data, body->len);
   gboolean valid = FALSE;
 
   if (parser != NULL)
@@ -74,7 +70,6 @@
               && order->last < (gint64)SHARD_KEY_COUNT;
       g_object_unref (parser);
     }
-  g_bytes_unref (bytes);
   return valid;
 }
 
@@ -118,43 +113,46 @@
   return G_SOURCE_REMOVE;
 }
 
-/* Delay ORDER, and leave MESSAGE without an answer.  */
+/* Delay ORDER, which gets no answer.  */
 static void
-delay (const struct soak_order *order, SoupServerMessage *message)
+delay (const struct soak_order *order)
 {
   guint msec
       = LATE_MSEC_MIN + order->orders->call_count * 997u % LATE_MSEC_SPAN;
 
   g_timeout_add (msec, on_late, g_memdup2 (order, sizeof *order));
-  soup_server_message_pause (message);
 }
 
-/* Handle MESSAGE if PATH is that of a call for keys.  Return whether it
-   is.  */
+/* Handle the request in EVENT with BODY if it is a call for keys.  Return
+   whether it is.  */
 gboolean
-soak_orders_handle (struct soak_orders *orders, SoupServerMessage *message,
-                    const char *path)
+soak_orders_handle (struct soak_orders *orders,
+                    struct http_server *http_server,
+                    const struct http_server_event *event,
+                    const GByteArray *body)
 {
   struct soak_order order = { .orders = orders, .process = orders->process };
-  SoupMessageHeaders *headers
-      = soup_server_message_get_response_headers (message);
+  SoupMessageHeaders *headers;
 
-  order.is_grant = strcmp (path, "/api/grant") == 0;
-  if (!order.is_grant && strcmp (path, "/api/release") != 0)
+  order.is_grant = strcmp (event->head->target, "/api/grant") == 0;
+  if (!order.is_grant && strcmp (event->head->target, "/api/release") != 0)
     return FALSE;
   orders->call_count++;
-  if (!read_order (message, &order))
-    soup_server_message_set_status (message, SOUP_STATUS_BAD_REQUEST, NULL);
+  headers = soup_message_headers_new (SOUP_MESSAGE_HEADERS_RESPONSE);
+  if (!order.is_grant)
+    soup_message_headers_append (headers, "Handover", "t");
+  if (!read_order (body, &order))
+    http_server_answer (http_server, event->request, SOUP_STATUS_BAD_REQUEST,
+                        NULL, "");
   else if (orders->call_count % SOAK_LATE_ONE_IN == 0)
-    delay (&order, message);
+    delay (&order);
   else if (!carry_out (&order, FALSE))
-    soup_server_message_set_status (message, SOUP_STATUS_CONFLICT, NULL);
+    http_server_answer (http_server, event->request, SOUP_STATUS_CONFLICT,
+                        NULL, "");
   else
-    {
-      soup_server_message_set_status (message, SOUP_STATUS_OK, NULL);
-      if (!order.is_grant)
-        soup_message_headers_append (headers, "Handover", "t");
-    }
+    http_server_answer (http_server, event->request, SOUP_STATUS_OK, headers,
+                        "");
+  soup_message_headers_unref (headers);
   return TRUE;
 }
 
--- a/soak/soak_orders.h
+++ b/soak/soak_orders.h
@@ -1,8 +1,7 @@
 #ifndef SOAK_ORDERS_H
 #define SOAK_ORDERS_H
 
-#include <glib.h>
-#include <libsoup/soup.h>
+#include "edge/http_server.h"
 
 /* The keys of a simulated server that is granted them by calls.  One call in
    SOAK_LATE_ONE_IN has no answer and is carried out seconds later.  */
@@ -23,7 +22,9 @@
 void soak_orders_clear (struct soak_orders *orders);
 void soak_orders_reset (struct soak_orders *orders);
 gboolean soak_orders_handle (struct soak_orders *orders,
-                             SoupServerMessage *message, const char *path);
+                             struct http_server *http_server,
+                             const struct http_server_event *event,
+                             const GByteArray *body);
 gboolean soak_orders_overlap (const struct soak_orders *a,
                               const struct soak_orders *b, gint64 now,
                               guint32 *key);
--- a/soak/soak_server.c
+++ b/soak/soak_server.c
@@ -1,5 +1,6 @@
 #include "soak/soak_server.h"
 
+#include "soak/soak_caller.h"
 #include "types/clock.h"
 
 #include <string.h>
@@ -7,12 +8,14 @@
 #define FIRST_HEARTBEAT_MSEC 100u /* delay after an instance's start */
 #define RUN_MSEC_MAX 30           /* longest run time of a request, ms */
 
-/* A request that runs.  */
+/* A request, from its head to the end of its run.  */
 struct soak_run
 {
   struct soak_server *server; /* server that runs it */
-  SoupServerMessage *message; /* HTTP message of the request */
-  char *request_id;           /* request id */
+  struct handle self;         /* handle of this run */
+  struct handle request;      /* request of the HTTP server */
+  GByteArray *body;           /* its body so far */
+  char *request_id;           /* request id, once it runs */
 };
 
 /* Keys */
@@ -34,21 +37,44 @@
 
 /* Requests */
 
-/* Refuse MESSAGE, the request ID, with status 421 and the header that says
-   that it has not run.  */
+/* Remove RUN.  */
 static void
-refuse (struct soak_server *server, SoupServerMessage *message, const char *id)
+remove_run (struct soak_run *run)
+{
+  g_byte_array_unref (run->body);
+  g_free (run->request_id);
+  table_remove (&run->server->runs, run->self);
+}
+
+/* Answer the request of RUN with STATUS, HEADERS, to which those of a limit
+   are added, and TEXT.  Remove RUN, and release HEADERS.  */
+static void
+answer (struct soak_run *run, guint status, SoupMessageHeaders *headers,
+        const char *text)
+{
+  struct soak_server *server = run->server;
+
+  soak_limit_on_answer (&server->limit, headers, clock_usec ());
+  http_server_answer (&server->http_server, run->request, status, headers,
+                      text);
+  soup_message_headers_unref (headers);
+  remove_run (run);
+}
+
+/* Refuse the request of RUN, with the id ID, with status 421 and the header
+   that says that it has not run.  */
+static void
+refuse (struct soak_run *run, const char *id)
 {
   SoupMessageHeaders *headers
-      = soup_server_message_get_response_headers (message);
+      = soup_message_headers_new (SOUP_MESSAGE_HEADERS_RESPONSE);
 
-  soup_server_message_set_status (message, SOUP_STATUS_MISDIRECTED_REQUEST,
-                                  NULL);
   if (id != NULL)
     soup_message_headers_append (headers, "Request-Id", id);
   soup_message_headers_append (headers, "Not-Executed", "1");
-  soup_message_headers_append (headers, "Instance-Id", server->instance.id);
-  soak_limit_on_answer (&server->limit, headers, clock_usec ());
+  soup_message_headers_append (headers, "Instance-Id",
+                               run->server->instance.id);
+  answer (run, SOUP_STATUS_MISDIRECTED_REQUEST, headers, "");
 }
 
 /* Answer a request whose run has ended.  Timer callback.  */
@@ -57,64 +83,121 @@
 {
   struct soak_run *run = data;
   SoupMessageHeaders *headers
-      = soup_server_message_get_response_headers (run->message);
-  char *body = g_strdup_printf ("answer to %s", run->request_id);
+      = soup_message_headers_new (SOUP_MESSAGE_HEADERS_RESPONSE);
+  char *text = g_strdup_printf ("answer to %s", run->request_id);
 
-  soup_server_message_set_status (run->message, SOUP_STATUS_OK, NULL);
   soup_message_headers_append (headers, "Request-Id", run->request_id);
   soup_message_headers_append (headers, "Server-Stamp", "s");
-  soak_limit_on_answer (&run->server->limit, headers, clock_usec ());
-  soup_server_message_set_response (run->message, "text/plain",
-                                    SOUP_MEMORY_TAKE, body, strlen (body));
-  soup_server_message_unpause (run->message);
-  g_object_unref (run->message);
-  g_free (run->request_id);
-  g_free (run);
+  soup_message_headers_append (headers, "Content-Type", "text/plain");
+  answer (run, SOUP_STATUS_OK, headers, text);
+  g_free (text);
   return G_SOURCE_REMOVE;
 }
 
-/* Handle a request: run it, or refuse it if it is for another instance or its
-   key is not held.  */
-static void
-on_request (SoupServer *http_server, SoupServerMessage *message,
-            const char *path, GHashTable *query, gpointer data)
+/* Return whether BODY is that of a request of METHOD.  */
+static gboolean
+is_whole_body (const char *method, const GByteArray *body)
+{
+  const char *expected = strcmp (method, "POST") == 0 ? SOAK_ONCE_BODY : "";
+
+  return body->len == strlen (expected)
+         && memcmp (body->data, expected, body->len) == 0;
+}
+
+/* Return whether the server must refuse the request ID with HEADERS: it is for
+   another instance, or its key is not held.  */
+static gboolean
+must_refuse (const struct soak_server *server, SoupMessageHeaders *headers,
+             const char *id)
 {
-  struct soak_server *server = data;
-  SoupMessageHeaders *headers
-      = soup_server_message_get_request_headers (message);
-  const char *id = soup_message_headers_get_one (headers, "Request-Id");
   const char *expected_instance
       = soup_message_headers_get_one (headers, "Expect-Instance");
   const char *key = soup_message_headers_get_one (headers, "Shard-Key");
-  struct soak_run *run;
 
-  (void)http_server;
-  (void)query;
-  if (server->method == GRANT_BY_CALL
-      && soak_orders_handle (&server->orders, message, path))
-    return;
-  soak_limit_on_arrival (&server->limit, server->checker, clock_usec ());
   if (id == NULL
       || (expected_instance != NULL
-          && strcmp (expected_instance, server->instance.id) != 0)
-      || (server->sharded
-          && (key == NULL
-              || !soak_server_holds (server,
-                                     (guint32)g_ascii_strtoull (key, NULL, 10),
-                                     clock_usec ()))))
+          && strcmp (expected_instance, server->instance.id) != 0))
+    return TRUE;
+  return server->sharded
+         && (key == NULL
+             || !soak_server_holds (server,
+                                    (guint32)g_ascii_strtoull (key, NULL, 10),
+                                    clock_usec ()));
+}
+
+/* Handle the request of RUN, which was received to its end.  */
+static void
+handle_request (struct soak_run *run, const struct http_server_event *event)
+{
+  struct soak_server *server = run->server;
+  SoupMessageHeaders *headers = event->head->headers;
+  const char *id = soup_message_headers_get_one (headers, "Request-Id");
+
+  if (server->method == GRANT_BY_CALL
+      && soak_orders_handle (&server->orders, &server->http_server, event,
+                             run->body))
     {
-      refuse (server, message, id);
+      remove_run (run);
       return;
     }
-  soak_checker_run_started (server->checker, id);
-  run = g_new0 (struct soak_run, 1);
-  run->server = server;
-  run->message = g_object_ref (message);
+  soak_limit_on_arrival (&server->limit, server->checker, clock_usec ());
+  if (must_refuse (server, headers, id))
+    {
+      refuse (run, id);
+      return;
+    }
+  soak_checker_run_started (server->checker, id,
+                            is_whole_body (event->head->method, run->body));
   run->request_id = g_strdup (id);
-  soup_server_message_pause (message);
   g_timeout_add (1 + g_str_hash (id) % RUN_MSEC_MAX, on_run_end, run);
 }
 
+/* Add a run for the request in EVENT.  */
+static void
+add_run (struct soak_server *server, const struct http_server_event *event)
+{
+  struct handle h = table_add (&server->runs);
+  struct soak_run *run = table_get (&server->runs, h);
+
+  run->server = server;
+  run->self = h;
+  run->request = event->request;
+  run->body = g_byte_array_new ();
+  http_server_set_user (&server->http_server, event->request, h);
+}
+
+/* Handle an event of the HTTP server.  A request that runs goes on if its
+   connection ends.  */
+static void
+on_request (const struct http_server_event *event, gpointer data)
+{
+  struct soak_server *server = data;
+  struct soak_run *run = table_get (&server->runs, event->user);
+
+  if (event->kind == HTTP_SERVER_HEAD)
+    add_run (server, event);
+  if (run == NULL)
+    return;
+  switch (event->kind)
+    {
+    case HTTP_SERVER_DATA:
+      g_byte_array_append (run->body, event->bytes, (guint)event->byte_count);
+      break;
+    case HTTP_SERVER_BODY_END:
+      handle_request (run, event);
+      break;
+    case HTTP_SERVER_LEFT:
+      if (run->request_id == NULL)
+        remove_run (run);
+      break;
+    case HTTP_SERVER_HEAD:
+    case HTTP_SERVER_BATCH:
+    case HTTP_SERVER_DRAINED:
+    case HTTP_SERVER_SENT:
+      break;
+    }
+}
+
 /* Start and stop */
 
 /* Begin a new instance of the server, which holds no keys.  Has the effect of
@@ -140,19 +223,14 @@
 soak_server_init (struct soak_server *server, struct http *http_client,
                   struct soak_checker *checker, struct address listen_address)
 {
-  enum err code;
-  GSocket *socket = conn_listen (listen_address, &code);
-
   server->http_client = http_client;
   server->checker = checker;
   server->heartbeat_answer = g_byte_array_new ();
   soak_limit_init (&server->limit);
   soak_orders_init (&server->orders);
-  server->http_server = soup_server_new (NULL, NULL);
-  soup_server_add_handler (server->http_server, NULL, on_request, server,
-                           NULL);
-  if (socket == NULL
-      || !soup_server_listen_socket (server->http_server, socket, 0, NULL))
+  table_init (&server->runs, sizeof (struct soak_run));
+  http_server_init (&server->http_server, on_request, server);
+  if (http_server_listen (&server->http_server, listen_address) != ERR_NONE)
     return FALSE;
   soak_server_begin_instance (server);
   return TRUE;
@@ -164,8 +242,7 @@
 {
   if (server->heartbeat_timer != 0)
     g_source_remove (server->heartbeat_timer);
-  soup_server_disconnect (server->http_server);
-  g_object_unref (server->http_server);
+  http_server_clear (&server->http_server);
   g_byte_array_unref (server->heartbeat_answer);
   soak_limit_clear (&server->limit);
   soak_orders_clear (&server->orders);
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -2,6 +2,7 @@
 #define SOAK_SERVER_H
 
 #include "edge/http.h"
+#include "edge/http_server.h"
 #include "soak/soak_checker.h"
 #include "soak/soak_limit.h"
 #include "soak/soak_orders.h"
@@ -13,7 +14,8 @@
 
 struct soak_server
 {
-  SoupServer *http_server;          /* HTTP server for requests */
+  struct http_server http_server;   /* HTTP server for requests */
+  struct table runs;                /* struct soak_run */
   struct http *http_client;         /* HTTP client for heartbeats */
   struct soak_checker *checker;     /* checker that records each run */
   struct address announced_address; /* relay's address, sent in heartbeats */
