--- a/src/edge/exchange_answer.c
+++ b/src/edge/exchange_answer.c
@@ -2,7 +2,8 @@
 
 #include "edge/proxy.h"
 
-/* Fill in an error response of this node for ACTION.  */
+/* Fill in an error response of this node for ACTION, in place of what was
+   received of an answer.  */
 static void
 fill_error (struct exchange *exchange, const struct action_answer *action)
 {
@@ -10,6 +11,8 @@
 
   g_clear_pointer (&head->headers, soup_message_headers_unref);
   head->headers = soup_message_headers_new (SOUP_MESSAGE_HEADERS_MULTIPART);
+  body_clear (&exchange->response_body);
+  body_init (&exchange->response_body);
   dialect_fill_error (&exchange->proxy->dialect, exchange, action);
   exchange->response_body.is_complete = TRUE;
   exchange->has_response = TRUE;
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -209,6 +209,27 @@
   g_free (body);
 }
 
+/* Guards against a refusal of the node that carries bytes of an answer which
+   broke off before it was passed on: its body is its own, and ends where its
+   length says.  */
+static void
+test_refusal_after_part (void)
+{
+  static const char own_body[] = "{\"outcome\":\"unknown\",";
+  struct bench bench;
+
+  bench_start (&bench, "Content-Length: 50\r\n\r\nhello");
+  bench.node.proxy.buffer_responses = TRUE;
+  bench.close = TRUE;
+  send_request (&bench);
+  run_until ((const guint *)&bench.ended);
+  CU_ASSERT_EQUAL (bench.code, ERR_NONE);
+  CU_ASSERT_EQUAL (bench.status, 504);
+  CU_ASSERT_TRUE (g_str_has_prefix (bench.body->str, own_body));
+  CU_ASSERT_EQUAL (bench.caller.idle->len, 1);
+  bench_stop (&bench);
+}
+
 /* Run the loop until COUNT responses have arrived on FD.  Return their number;
    RECEIVED gets their text.  */
 static guint
@@ -277,6 +298,7 @@
           { "caller disconnects", test_caller_disconnects },
           { "second answer on a kept connection", test_second_answer },
           { "answer before the upload is read", test_early_answer },
+          { "refusal behind a part of an answer", test_refusal_after_part },
           { "answer while the upload goes on", test_answer_during_upload },
           CU_TEST_INFO_NULL };
 
