Test of a broken upload that the node has stopped reading

The case with that title sent a long upload to a server that reads, so the node never stopped reading. It now waits behind a full server until the node has stopped; the long upload keeps a case of its own. A close that cannot arrive, since more bytes lie before it than the socket holds, is seen only when the node reads on, as before.

--- a/tests/test_broken_upload.c
+++ b/tests/test_broken_upload.c
@@ -5,7 +5,9 @@
 
 #define UPLOAD_HEAD                                                           \
   "POST /pay/x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
-#define PAUSE_BYTES (2 * BODY_QUEUE_BYTES) /* more than a node buffers */
+/* More than a node buffers; the rest fits into the socket, so that the close
+   behind it arrives.  */
+#define LONG_BYTES (BODY_QUEUE_BYTES + BODY_CHUNK_BYTES)
 
 /* End the connection CALLER as END says.  The server must see its request
    broken off, or none, and OTHERS, the other exchanges, remain.  */
@@ -91,20 +93,28 @@
                   "Content-Length: 100000\r\n\r\nhello");
 }
 
-/* An upload that the node has stopped reading, since the server does not
-   read.  */
-static void
-test_paused (void)
+/* Return an upload without its last chunk, longer than a node buffers.  */
+static char *
+long_upload (void)
 {
   GString *upload = g_string_new (UPLOAD_HEAD);
   char *data = g_strnfill (0x1000, 'x');
   guint i;
 
-  for (i = 0; i < PAUSE_BYTES / 0x1000; i++)
+  for (i = 0; i < LONG_BYTES / 0x1000; i++)
     g_string_append_printf (upload, "1000\r\n%s\r\n", data);
-  check_all_ends (upload->str);
-  g_string_free (upload, TRUE);
   g_free (data);
+  return g_string_free (upload, FALSE);
+}
+
+/* A long upload.  */
+static void
+test_long (void)
+{
+  char *upload = long_upload ();
+
+  check_all_ends (upload);
+  g_free (upload);
 }
 
 /* An upload whose answer has begun.  */
@@ -135,30 +145,63 @@
     }
 }
 
-/* An upload that waits while the server is full.  */
+/* The same for UPLOAD while it waits, since the server is full.  IS_PAUSED:
+   the node stops reading it.  */
+static void
+check_queued (const char *upload, gboolean is_paused, enum raw_end end)
+{
+  gint64 deadline = clock_usec () + CANCEL_USEC;
+  struct bench bench;
+  const struct table *exchanges = &bench.node.proxy.exchanges;
+  const struct exchange *exchange = NULL;
+  guint32 others;
+  int caller;
+
+  bench_start (&bench, NULL);
+  fill_slots (&bench);
+  others = exchanges->count;
+  caller = raw_connect (FRONT_PORT);
+  raw_send (caller, upload);
+  while (clock_usec () < deadline
+         && (bench.node.proxy.counters.request_bytes == 0
+             || (is_paused
+                 && (exchange == NULL
+                     || !exchange->source.u.caller.body_paused))))
+    {
+      struct handle h = table_next (exchanges, HANDLE_NONE);
+      g_main_context_iteration (NULL, FALSE);
+      for (; handle_is_set (h); h = table_next (exchanges, h))
+        if (((struct exchange *)table_get (exchanges, h))->request_length < 0)
+          exchange = table_get (exchanges, h);
+    }
+  CU_ASSERT_PTR_NOT_NULL_FATAL (exchange);
+  CU_ASSERT_EQUAL (exchanges->count, others + 1);
+  CU_ASSERT_EQUAL (exchange->source.u.caller.body_paused, is_paused);
+  check_end (&bench, caller, end, others);
+  bench_stop (&bench);
+}
+
+/* An upload in the queue.  */
 static void
 test_queued (void)
 {
   int end;
 
   for (end = 0; end < RAW_END_COUNT; end++)
-    {
-      gint64 deadline = clock_usec () + CANCEL_USEC;
-      struct bench bench;
-      guint32 others;
-      int caller;
-      bench_start (&bench, NULL);
-      fill_slots (&bench);
-      others = bench.node.proxy.exchanges.count;
-      caller = raw_connect (FRONT_PORT);
-      raw_send (caller, UPLOAD_HEAD "5\r\nhello\r\n");
-      while (bench.node.proxy.counters.request_bytes == 0
-             && clock_usec () < deadline)
-        g_main_context_iteration (NULL, FALSE);
-      CU_ASSERT_EQUAL (bench.node.proxy.exchanges.count, others + 1);
-      check_end (&bench, caller, end, others);
-      bench_stop (&bench);
-    }
+    check_queued (UPLOAD_HEAD "5\r\nhello\r\n", FALSE, end);
+}
+
+/* An upload that the node has stopped reading: the end of the connection waits
+   behind bytes that were not read.  */
+static void
+test_paused (void)
+{
+  char *upload = long_upload ();
+  int end;
+
+  for (end = 0; end < RAW_END_COUNT; end++)
+    check_queued (upload, TRUE, end);
+  g_free (upload);
 }
 
 int
@@ -168,10 +211,11 @@
       = { { "upload broken off between chunks", test_between_chunks },
           { "upload broken off inside a chunk", test_inside_chunk },
           { "upload of known length broken off", test_inside_length },
-          { "paused upload broken off", test_paused },
+          { "long upload broken off", test_long },
           { "upload broken off behind the start of its answer",
             test_answer_begun },
           { "upload broken off in the queue", test_queued },
+          { "paused upload broken off", test_paused },
           CU_TEST_INFO_NULL };
 
   return suite_run ("broken upload", tests);
