Test: proper requests that arrive byte by byte

The cases of proper requests are also sent a byte at a time, so that each place at which a head, a size line, a line end or a trailer can be cut is read on.

--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -17,14 +17,15 @@
   GString *received; /* what the caller received */
 };
 
-/* Send TEXT from a caller and run the loop until COUNT responses have arrived
-   or the node has closed the connection.  */
+/* Send TEXT from a caller, STEP bytes at a time, and run the loop until COUNT
+   responses have arrived or the node has closed the connection.  */
 static void
-play (const char *text, guint count, struct seen *seen)
+play_in_steps (const char *text, gsize step, guint count, struct seen *seen)
 {
   struct bench bench;
   gint64 deadline = clock_usec () + CANCEL_USEC;
   guint responses = 0;
+  gsize sent = 0;
   int caller;
 
   memset (seen, 0, sizeof *seen);
@@ -32,10 +33,14 @@
   bench_start (&bench, "Content-Length: 5\r\n\r\nhello");
   bench.keeps_serving = TRUE;
   caller = raw_connect (FRONT_PORT);
-  raw_send (caller, text);
   while (!seen->closed && responses < count && clock_usec () < deadline)
     {
       const char *at;
+      char *part = g_strndup (text + sent, step);
+      if (part[0] != '\0')
+        raw_send (caller, part);
+      sent += strlen (part);
+      g_free (part);
       g_main_context_iteration (NULL, FALSE);
       seen->closed = raw_receive (caller, seen->received);
       at = seen->received->str;
@@ -48,6 +53,13 @@
   bench_stop (&bench);
 }
 
+/* The same in one write.  */
+static void
+play (const char *text, guint count, struct seen *seen)
+{
+  play_in_steps (text, strlen (text), count, seen);
+}
+
 /* The request HEAD is refused, and what follows is not read as a request.  */
 static void
 check_refused (const char *head, const char *body)
@@ -145,16 +157,16 @@
     }
 }
 
-/* The request TEXT, sent twice on one connection in one write, is served
-   twice.  */
+/* The request TEXT, sent twice on one connection, STEP bytes at a time, is
+   served twice.  */
 static void
-check_served (const char *text)
+check_served_in_steps (const char *text, gsize step)
 {
   char *twice = g_strconcat (text, text, NULL);
   struct seen seen;
   const char *second;
 
-  play (twice, 2, &seen);
+  play_in_steps (twice, step, 2, &seen);
   CU_ASSERT_TRUE (g_str_has_prefix (seen.received->str, SERVED));
   second = strstr (seen.received->str + 1, SERVED);
   CU_ASSERT_PTR_NOT_NULL (second);
@@ -164,6 +176,14 @@
   g_free (twice);
 }
 
+/* The same in one write, and byte by byte.  */
+static void
+check_served (const char *text)
+{
+  check_served_in_steps (text, 2 * strlen (text));
+  check_served_in_steps (text, 1);
+}
+
 /* Proper requests: bodies of both framings, extensions, trailers, sizes in
    both cases and with leading zeros, an empty line before a request, absolute
    targets, equal lengths, and an HTTP/1.0 client that keeps the
