A further request behind an answer that closes is not read

Cause: behind an answer with Connection: close the node went on reading for up to a second and dropped what came.

Change: once a request is whole and its answer with Connection: close is sent, nothing more is read. The sending half ends, and the connection is closed when the caller closes it or after a second; what lies unread then resets it. The rest of an upload that is answered early, and what follows a refused one, is still dropped.

--- a/src/edge/http_server_conn.h
+++ b/src/edge/http_server_conn.h
@@ -10,10 +10,14 @@
 /* What is read next.  */
 enum http_server_input
 {
-  HTTP_INPUT_HEAD,   /* the head of a request */
-  HTTP_INPUT_BODY,   /* its body */
-  HTTP_INPUT_NONE,   /* nothing until the response was sent */
-  HTTP_INPUT_DROPPED /* nothing more: the connection is to be closed */
+  HTTP_INPUT_HEAD,    /* the head of a request */
+  HTTP_INPUT_BODY,    /* its body */
+  HTTP_INPUT_NONE,    /* nothing until the response was sent */
+  HTTP_INPUT_DROPPED, /* the rest of a request, which is dropped: the
+                         connection is to be closed */
+  HTTP_INPUT_UNREAD /* nothing more, not even to be dropped: the connection is
+                       to be closed, and its caller may send a request that
+                       was not read again */
 };
 
 /* How far the response is.  */
--- a/src/edge/http_server_read.c
+++ b/src/edge/http_server_read.c
@@ -156,6 +156,7 @@
     case HTTP_INPUT_BODY:
       return read_body (c);
     case HTTP_INPUT_NONE:
+    case HTTP_INPUT_UNREAD:
       return FALSE;
     case HTTP_INPUT_DROPPED:
       c->parsed_bytes = c->conn->receive_buffer->len;
@@ -212,5 +213,5 @@
           && c->conn->receive_buffer->len > 0)
         c->read_on = g_idle_add_full (G_PRIORITY_DEFAULT, on_read_on, c, NULL);
     }
-  conn_pause (c->conn, FALSE);
+  conn_pause (c->conn, c->input == HTTP_INPUT_UNREAD);
 }
--- a/src/edge/http_server_write.c
+++ b/src/edge/http_server_write.c
@@ -177,12 +177,15 @@
 
 /* The end */
 
-/* Close C soon: end its sending half once all is sent, and drop what is
-   received until the caller closes it too or LINGER_USEC have passed.  */
+/* Close C soon: end its sending half once all is sent, and close it when the
+   caller closes it too or LINGER_USEC have passed.  The rest of a request is
+   dropped until then; of a further one nothing is read.  */
 static void
 close_soon (struct http_server_conn *c)
 {
-  c->input = HTTP_INPUT_DROPPED;
+  c->input = c->input == HTTP_INPUT_NONE || c->input == HTTP_INPUT_UNREAD
+                 ? HTTP_INPUT_UNREAD
+                 : HTTP_INPUT_DROPPED;
   if (c->close_at != 0 || conn_unsent (c->conn) > 0)
     return;
   conn_end_sending (c->conn);
@@ -228,7 +231,7 @@
                                      .user = c->user,
                                      .head = &c->head };
 
-  if (c->input == HTTP_INPUT_DROPPED)
+  if (c->input == HTTP_INPUT_DROPPED || c->input == HTTP_INPUT_UNREAD)
     close_soon (c);
   if (!handle_is_set (c->request))
     return;
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -215,6 +215,42 @@
                 "Connection: keep-alive\r\n\r\n");
 }
 
+/* Guards against a request that is read and dropped behind an answer with
+   Connection: close: its caller cannot know that it did not run.  Without
+   being read it ends with a reset.  */
+static void
+test_unread_behind_close (void)
+{
+  struct bench bench;
+  GString *received = g_string_new (NULL);
+  gint64 deadline = clock_usec () + CANCEL_USEC;
+  gint64 linger_end;
+  int error = 0;
+  int caller;
+
+  bench_start (&bench, "Content-Length: 5\r\n\r\nhello");
+  bench.keeps_serving = TRUE;
+  bench.node.proxy.leaving = TRUE;
+  caller = raw_connect (FRONT_PORT);
+  raw_send (caller, "GET /pay/x HTTP/1.1\r\nHost: h\r\n\r\n");
+  while (!raw_receive (caller, received) && clock_usec () < deadline)
+    g_main_context_iteration (NULL, FALSE);
+  CU_ASSERT_PTR_NOT_NULL (strstr (received->str, "Connection: close"));
+  raw_send (caller, SMUGGLED);
+  linger_end = clock_usec () + 2 * CANCEL_USEC;
+  while (error == 0 && clock_usec () < linger_end)
+    {
+      socklen_t length = sizeof error;
+      g_main_context_iteration (NULL, FALSE);
+      getsockopt (caller, SOL_SOCKET, SO_ERROR, &error, &length);
+    }
+  CU_ASSERT_EQUAL (error, EPIPE);
+  CU_ASSERT_EQUAL (bench.requests, 1);
+  close (caller);
+  g_string_free (received, TRUE);
+  bench_stop (&bench);
+}
+
 /* A caller that waits for 100 Continue gets it, and its upload is served.  */
 static void
 test_continue (void)
@@ -258,6 +294,7 @@
           { "upload with an invalid size line", test_odd_size_line },
           { "proper requests", test_proper },
           { "100 Continue", test_continue },
+          { "request behind an answer that closes", test_unread_behind_close },
           CU_TEST_INFO_NULL };
 
   return suite_run ("http server", tests);
