--- a/src/edge/http_server_conn.h
+++ b/src/edge/http_server_conn.h
@@ -65,6 +65,7 @@
 void http_server_conn_read (struct http_server_conn *c);
 void http_server_conn_end (struct http_server_conn *c);
 void http_server_conn_refuse (struct http_server_conn *c, enum err code);
+void http_server_conn_send_refusal (struct http_server_conn *c, guint status);
 void http_server_conn_drained (struct http_server_conn *c);
 
 #endif
--- a/tests/raw_caller.h
+++ b/tests/raw_caller.h
@@ -75,4 +75,16 @@
   return count == 0 || (count < 0 && errno != EAGAIN && errno != EINTR);
 }
 
+/* Return the number of responses, or their heads, in TEXT.  */
+static inline guint
+raw_count_responses (const GString *text)
+{
+  const char *at = text->str;
+  guint count = 0;
+
+  for (; (at = strstr (at, "HTTP/1.1 ")) != NULL; at++)
+    count++;
+  return count;
+}
+
 #endif
--- a/tests/test_exchange.c
+++ b/tests/test_exchange.c
@@ -240,12 +240,9 @@
 
   while (arrived < count && clock_usec () < deadline)
     {
-      const char *at;
       g_main_context_iteration (NULL, FALSE);
       raw_receive (fd, received);
-      at = received->str;
-      for (arrived = 0; (at = strstr (at, "HTTP/1.1 ")) != NULL; at++)
-        arrived++;
+      arrived = raw_count_responses (received);
     }
   return arrived;
 }
--- a/tests/test_http_server.c
+++ b/tests/test_http_server.c
@@ -35,7 +35,6 @@
   caller = raw_connect (FRONT_PORT);
   while (!seen->closed && responses < count && clock_usec () < deadline)
     {
-      const char *at;
       char *part = g_strndup (text + sent, step);
       if (part[0] != '\0')
         raw_send (caller, part);
@@ -43,9 +42,7 @@
       g_free (part);
       g_main_context_iteration (NULL, FALSE);
       seen->closed = raw_receive (caller, seen->received);
-      at = seen->received->str;
-      for (responses = 0; (at = strstr (at, "HTTP/1.1 ")) != NULL; at++)
-        responses++;
+      responses = raw_count_responses (seen->received);
     }
   seen->requests = bench.requests;
   seen->last_chunks = bench.last_chunks;
