Log lines and metrics: age of the configuration, its source, who reads

No line told whether a node's configuration had been compared with the store, when, and by whom, or which nodes read the operator's topic; the three hypotheses of docs/incidents/unread-configuration.md could not be told apart.

Reads of the operator's topic and replies to gossip now confirm the configuration (freshness), as they confirm the session. mesh-no-route has the inputs of a 404 or 503 without a route, mesh-reading the node's part in reading, mesh-route and mesh-store the age; metrics config_age_ms, config_source, reads_config, reads_fleet. No decision uses any of it yet.

Checked: make test, 91 programs pass.

--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -162,7 +162,7 @@
     case EVENT_BODY_ENDED:
     case EVENT_ROUTING:
     case EVENT_FLEET_RECORDS:
-    case EVENT_STORE_STATE:
+    case EVENT_TOPIC_READ:
     case EVENT_STORE_APPENDED:
     case EVENT_HEARTBEAT:
     case EVENT_DEREGISTER:
--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -1,6 +1,7 @@
 #include "edge/mesh_node.h"
 
 #include "edge/journal.h"
+#include "mesh/mesh_parts.h"
 #include "types/clock.h"
 
 /* Append a line with NAME and VALUE.  */
@@ -41,6 +42,12 @@
   g_free (counters);
   add_line (text, "config_version",
             mesh->routing != NULL ? (gint64)mesh->routing->version : 0);
+  add_line (text, "config_age_ms",
+            mesh_age_msec (mesh->config_freshness.confirmed_at, now));
+  g_string_append_printf (text, "config_source{node=\"%s\"} 1\n",
+                          mesh_config_source (mesh));
+  add_line (text, "reads_config", mesh_reads_config (mesh, now));
+  add_line (text, "reads_fleet", mesh_reads_fleet (mesh, now));
   add_line (text, "records_folded", (gint64)mesh->fleet.applied_offset);
   add_line (text, "session_left_ms",
             session_remaining_usec (&mesh->session, now) / USEC_PER_MSEC);
--- a/src/edge/mesh_node_topics.c
+++ b/src/edge/mesh_node_topics.c
@@ -20,13 +20,17 @@
   mesh_node_log (node, &log_event);
 }
 
-/* Report to the decision logic whether the store is unreachable.  */
+/* Report to the decision logic how the read of TOPIC in READ ended.  */
 static void
-report_store_state (struct mesh_node *node, gboolean unreachable)
+report_read (struct mesh_node *node, enum mesh_topic topic,
+             const struct topic_reader_event *read)
 {
-  struct event event = { .kind = EVENT_STORE_STATE };
+  struct event event = { .kind = EVENT_TOPIC_READ };
 
-  event.u.store_state.unreachable = unreachable;
+  event.u.topic_read.topic = topic;
+  event.u.topic_read.code = read->code;
+  event.u.topic_read.at_end = read->at_end;
+  event.u.topic_read.started_at = read->started_at;
   mesh_node_handle_event (node, &event);
 }
 
@@ -41,7 +45,7 @@
   guint32 count = 0;
   guint i;
 
-  report_store_state (node, topic->code != ERR_NONE);
+  report_read (node, MESH_TOPIC_FLEET, topic);
   if (topic->code != ERR_NONE)
     return;
   entries = g_new0 (struct fleet_entry, topic->item_count + 1);
@@ -93,6 +97,7 @@
                            (guint)item->value_length);
     }
   event.u.routing.routing = routing;
+  event.u.routing.from_store = TRUE;
   mesh_node_handle_event (node, &event);
 }
 
@@ -103,9 +108,9 @@
   struct mesh_node *node = data;
   guint i;
 
-  report_store_state (node, topic->code != ERR_NONE);
   for (i = 0; topic->code == ERR_NONE && i < topic->item_count; i++)
     if (strcmp (topic->items[i].key, PLATFORM_CONFIG_KEY) == 0
         && topic->items[i].value_length > 0)
       handle_config (node, &topic->items[i]);
+  report_read (node, MESH_TOPIC_CONFIG, topic);
 }
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -94,43 +94,27 @@
 
 /* Events */
 
-/* Put a configuration that was read into force, unless it is not newer than
-   the one in force.  */
+/* Record and log whether the store answers, by the read in EVENT.  */
 static void
-on_routing (struct mesh *mesh, struct routing *routing, gint64 now,
-            struct actions *out)
+on_topic_read (struct mesh *mesh, const struct event_topic_read *event,
+               gint64 now, struct actions *out)
 {
-  guint64 old_version = mesh->routing != NULL ? mesh->routing->version : 0;
+  gboolean failed = event->code != ERR_NONE;
 
-  mesh_log (out, LOG_EVENT_MESH_ROUTING, "",
-            "version=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
-            " routes=%u services=%u outcome=%s",
-            routing->version, old_version, routing->routes->len,
-            routing->services->len,
-            routing->version > old_version ? "in-force" : "passed-over");
-  if (routing->version <= old_version)
-    {
-      routing_free (routing);
-      return;
-    }
-  routing_free (mesh->routing);
-  mesh->routing = routing;
-  mesh_plan_step (mesh, now, out);
-}
-
-/* Record and log that the store stopped or started to answer.  */
-static void
-on_store (struct mesh *mesh, const struct event_store_state *event, gint64 now,
-          struct actions *out)
-{
-  if (event->unreachable == mesh->store_lost)
+  if (event->topic == MESH_TOPIC_CONFIG && event->at_end
+      && mesh->routing != NULL)
+    freshness_confirm (&mesh->config_freshness, event->started_at,
+                       mesh->settings.incarnation);
+  if (failed == mesh->store_lost)
     return;
-  mesh->store_lost = event->unreachable;
+  mesh->store_lost = failed;
   mesh_log (out, LOG_EVENT_MESH_STORE, mesh->settings.name,
-            "outcome=%s records=%" G_GUINT64_FORMAT
-            " session_ms=%" G_GINT64_FORMAT,
-            event->unreachable ? "lost" : "back", mesh->fleet.applied_offset,
-            mesh_session_usec (mesh, now) / USEC_PER_MSEC);
+            "outcome=%s topic=%s records=%" G_GUINT64_FORMAT
+            " session_ms=%" G_GINT64_FORMAT " config_ms=%" G_GINT64_FORMAT,
+            failed ? "lost" : "back", mesh_topic_name (event->topic),
+            mesh->fleet.applied_offset,
+            mesh_session_usec (mesh, now) / USEC_PER_MSEC,
+            mesh_age_msec (mesh->config_freshness.confirmed_at, now));
 }
 
 /* Walk over all members, for what depends on the time: who responds, and what
@@ -157,6 +141,7 @@
   walk_members (mesh, now, out);
   mesh_gossip_step (mesh, now, out);
   mesh_session_step (mesh, now, out);
+  mesh_read_log_part (mesh, now, out);
   mesh_orders_step (mesh, now, out);
   mesh_expire_requests (mesh, now, out);
   mesh_route_waiting (mesh, FALSE, now, out);
@@ -187,7 +172,7 @@
       step_timers (mesh, &event->u.tick, now, out);
       break;
     case EVENT_ROUTING:
-      on_routing (mesh, event->u.routing.routing, now, out);
+      mesh_config_apply (mesh, &event->u.routing, now, out);
       break;
     case EVENT_FLEET_RECORDS:
       mesh_apply_records (mesh, &event->u.fleet_records, now, out);
@@ -196,8 +181,8 @@
       mesh_plan_step (mesh, now, out);
       mesh_orders_update (mesh, now, out);
       break;
-    case EVENT_STORE_STATE:
-      on_store (mesh, &event->u.store_state, now, out);
+    case EVENT_TOPIC_READ:
+      on_topic_read (mesh, &event->u.topic_read, now, out);
       break;
     case EVENT_STORE_APPENDED:
       mesh_append_ended (mesh, &event->u.store_appended, now, out);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -4,6 +4,7 @@
 #include "decide/admission.h"
 #include "decide/suspect.h"
 #include "fleet/fleet_state.h"
+#include "fleet/freshness.h"
 #include "fleet/ring.h"
 #include "fleet/session.h"
 #include "mesh/mesh_handoff.h"
@@ -31,8 +32,9 @@
 {
   struct mesh_settings settings; /* name, addresses and limits of this node */
   struct routing *routing;       /* configuration in force, or NULL */
-  struct fleet_state fleet;   /* members and shard maps read from the store */
-  struct session session;     /* session with the store */
+  struct fleet_state fleet; /* members and shard maps read from the store */
+  struct session session;   /* session with the store */
+  struct freshness config_freshness; /* how recent `routing' is */
   struct grant grant;         /* keys granted to the local backend server */
   struct admission admission; /* slots and queue of the local backend server */
   struct run_times run_times; /* run times at the local backend server */
@@ -74,6 +76,9 @@
   struct handle deferred_fetch_member; /* member to fetch from then */
   gboolean refuses_patches; /* the last patch of a map did not fit; the next
                                fetch asks for whole records */
+  gboolean read_config;     /* this node read the operator's topic at the last
+                               check */
+  gboolean read_fleet;      /* the same for the fleet's topic */
   guint32 rank;             /* rank by name at `rank_at' */
   gint64 rank_at;      /* when the rank was counted, 0: it has to be counted */
   gint64 next_walk_at; /* no walk over all members on a tick before this */
--- /dev/null
+++ b/src/mesh/mesh_config.c
@@ -0,0 +1,75 @@
+#include "mesh/mesh_parts.h"
+
+/* The operator's configuration at this node: which version is in force, and
+   how recently a read of the store showed that there is no newer one.  */
+
+/* Return the version of the configuration in force, 0 for none.  */
+guint64
+mesh_config_version (const struct mesh *mesh)
+{
+  return mesh->routing != NULL ? mesh->routing->version : 0;
+}
+
+/* Return the age in microseconds of the latest read known here that showed no
+   configuration newer than the one in force; -1 if there was none.  */
+gint64
+mesh_config_age_usec (const struct mesh *mesh, gint64 now)
+{
+  return freshness_age_usec (&mesh->config_freshness, now);
+}
+
+/* Return the name of the node that made this read, or an empty text.  */
+const char *
+mesh_config_source (struct mesh *mesh)
+{
+  guint64 source = mesh->config_freshness.source;
+  struct handle h = table_next (&mesh->peers, HANDLE_NONE);
+
+  if (source == mesh->settings.incarnation)
+    return mesh->settings.name;
+  for (; source != 0 && handle_is_set (h); h = table_next (&mesh->peers, h))
+    if (((const struct peer_state *)table_get (&mesh->peers, h))->incarnation
+        == source)
+      return mesh_member_name (mesh, h);
+  return "";
+}
+
+/* Put the configuration in EVENT into force, unless it is not newer than the
+   one in force.  */
+void
+mesh_config_apply (struct mesh *mesh, const struct event_routing *event,
+                   gint64 now, struct actions *out)
+{
+  struct routing *routing = event->routing;
+  guint64 old_version = mesh_config_version (mesh);
+
+  mesh_log (out, LOG_EVENT_MESH_ROUTING, "",
+            "version=%" G_GUINT64_FORMAT " before=%" G_GUINT64_FORMAT
+            " routes=%u services=%u outcome=%s from=%s",
+            routing->version, old_version, routing->routes->len,
+            routing->services->len,
+            routing->version > old_version ? "in-force" : "passed-over",
+            event->from_store ? "store" : "node");
+  if (routing->version <= old_version)
+    {
+      routing_free (routing);
+      return;
+    }
+  routing_free (mesh->routing);
+  mesh->routing = routing;
+  mesh_plan_step (mesh, now, out);
+}
+
+/* Process GOSSIP, the reply of another node to a message that was sent at
+   SENT_AT: if no newer configuration is in force there, what that node knows
+   about the store holds for the configuration here.  */
+void
+mesh_config_on_gossip (struct mesh *mesh, const struct gossip *gossip,
+                       gint64 sent_at)
+{
+  if (gossip->config_confirmed_age_usec >= 0 && gossip->config_version > 0
+      && gossip->config_version <= mesh_config_version (mesh))
+    freshness_confirm (&mesh->config_freshness,
+                       sent_at - gossip->config_confirmed_age_usec,
+                       gossip->config_source);
+}
--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -40,23 +40,22 @@
 {
   struct mesh_request *request = table_get (&mesh->requests, exchange);
 
-  mesh_log (out, LOG_EVENT_MESH_END, request->request.id,
-            "outcome=%s reason=%s phase=%s status=%u service=%s route=%s"
-            " rank=%d"
-            " key=%s from=%s tries=%u took_ms=%" G_GINT64_FORMAT
-            " left_ms=%" G_GINT64_FORMAT " retry_ms=%" G_GINT64_FORMAT
-            " tick_ms=%" G_GINT64_FORMAT " config=%" G_GUINT64_FORMAT,
-            outcome_name (outcome), reason_name (reason),
-            phase_name (request->phase), request->last_status,
-            request->request.service, request->route_name,
-            (int)request->request.priority, request->request.key,
-            request->request.forwarded ? "node" : "caller",
-            request->request.attempts,
-            (now - request->arrived_at) / USEC_PER_MSEC,
-            (request->request.deadline - now) / USEC_PER_MSEC,
-            MAX (0, request->caller_retry_at - now) / USEC_PER_MSEC,
-            (now - mesh->last_tick_at) / USEC_PER_MSEC,
-            mesh->routing != NULL ? mesh->routing->version : 0);
+  mesh_log (
+      out, LOG_EVENT_MESH_END, request->request.id,
+      "outcome=%s reason=%s phase=%s status=%u service=%s route=%s"
+      " rank=%d"
+      " key=%s from=%s tries=%u took_ms=%" G_GINT64_FORMAT
+      " left_ms=%" G_GINT64_FORMAT " retry_ms=%" G_GINT64_FORMAT
+      " tick_ms=%" G_GINT64_FORMAT " config=%" G_GUINT64_FORMAT,
+      outcome_name (outcome), reason_name (reason),
+      phase_name (request->phase), request->last_status,
+      request->request.service, request->route_name,
+      (int)request->request.priority, request->request.key,
+      request->request.forwarded ? "node" : "caller",
+      request->request.attempts, (now - request->arrived_at) / USEC_PER_MSEC,
+      (request->request.deadline - now) / USEC_PER_MSEC,
+      MAX (0, request->caller_retry_at - now) / USEC_PER_MSEC,
+      (now - mesh->last_tick_at) / USEC_PER_MSEC, mesh_config_version (mesh));
   table_remove (&mesh->requests, exchange);
 }
 
--- a/src/mesh/mesh_fetch.c
+++ b/src/mesh/mesh_fetch.c
@@ -7,13 +7,6 @@
 #define FETCH_INTERVAL_USEC ((gint64)100000) /* between fetches */
 #define FETCH_TIMEOUT_USEC ((gint64)900000)  /* until a fetch fails */
 
-/* Return the version of the configuration in force, 0 for none.  */
-guint64
-mesh_config_version (const struct mesh *mesh)
-{
-  return mesh->routing != NULL ? mesh->routing->version : 0;
-}
-
 /* Add a call to the member H at the address TO.  The kind and the body of the
    call are left to be filled in.  */
 struct action_mesh_call *
--- a/src/mesh/mesh_gossip.c
+++ b/src/mesh/mesh_gossip.c
@@ -27,6 +27,8 @@
   gossip->applied_offset = mesh->fleet.applied_offset;
   gossip->confirmed_age_usec = session_age_usec (&mesh->session, now);
   gossip->config_version = mesh_config_version (mesh);
+  gossip->config_confirmed_age_usec = mesh_config_age_usec (mesh, now);
+  gossip->config_source = mesh->config_freshness.source;
   gossip->leaving = mesh->stop_requested_at != 0;
   gossip->store_lost = mesh->store_lost;
   gossip->load = mesh_load_report (mesh, now);
@@ -211,6 +213,7 @@
     return;
   peer->missed_gossip_count = 0;
   on_gossip (mesh, h, gossip, now, out);
+  mesh_config_on_gossip (mesh, gossip, peer->gossip_sent_at);
   if (gossip->confirmed_age_usec >= 0 && mesh->initial_read_done
       && mesh->fleet.applied_offset >= gossip->applied_offset)
     session_confirm (&mesh->session,
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -191,8 +191,19 @@
 void mesh_report_apply (struct mesh *mesh, const struct gossip *gossip,
                         gint64 now);
 
-/* Calls to other nodes, and the fetch of what they have read, mesh_fetch.c. */
+/* The configuration in force, mesh_config.c.  */
 guint64 mesh_config_version (const struct mesh *mesh);
+gint64 mesh_config_age_usec (const struct mesh *mesh, gint64 now);
+const char *mesh_config_source (struct mesh *mesh);
+void mesh_config_apply (struct mesh *mesh, const struct event_routing *event,
+                        gint64 now, struct actions *out);
+void mesh_config_on_gossip (struct mesh *mesh, const struct gossip *gossip,
+                            gint64 sent_at);
+
+/* Which topics this node reads itself, mesh_read.c.  */
+void mesh_read_log_part (struct mesh *mesh, gint64 now, struct actions *out);
+
+/* Calls to other nodes, and the fetch of what they have read, mesh_fetch.c. */
 struct action_mesh_call *mesh_add_call (struct mesh *mesh, struct handle h,
                                         struct address to, gint64 deadline,
                                         struct actions *out);
--- a/src/mesh/mesh_read.c
+++ b/src/mesh/mesh_read.c
@@ -58,6 +58,25 @@
   return is_reader (mesh, FLEET_READERS, now);
 }
 
+/* Log whether this node reads each topic itself, if that has changed.  */
+void
+mesh_read_log_part (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  gboolean reads_fleet = mesh_reads_fleet (mesh, now);
+  gboolean reads_config = mesh_reads_config (mesh, now);
+
+  if (reads_fleet == mesh->read_fleet && reads_config == mesh->read_config)
+    return;
+  mesh->read_fleet = reads_fleet;
+  mesh->read_config = reads_config;
+  mesh_log (out, LOG_EVENT_MESH_READING, mesh->settings.name,
+            "fleet=%d config=%d rank=%u session_age_ms=%" G_GINT64_FORMAT
+            " config_ms=%" G_GINT64_FORMAT,
+            reads_fleet, reads_config, mesh_rank_by_name (mesh, now),
+            mesh_age_msec (mesh->session.confirmed_at, now),
+            mesh_age_msec (mesh->config_freshness.confirmed_at, now));
+}
+
 /* Return whether this node reads the operator's topic itself.  */
 gboolean
 mesh_reads_config (struct mesh *mesh, gint64 now)
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -72,6 +72,27 @@
   return REASON_NO_RULE;
 }
 
+/* Refuse the request EXCHANGE, which no route matched, and log what that was
+   decided by.  */
+static void
+refuse_no_route (struct mesh *mesh, struct handle exchange,
+                 const struct event_request *event, gint64 now,
+                 struct actions *out)
+{
+  enum reason reason = no_route_reason (mesh, now);
+
+  mesh_log (out, LOG_EVENT_MESH_NO_ROUTE, event->request.id,
+            "reason=%s config=%" G_GUINT64_FORMAT
+            " config_ms=%" G_GINT64_FORMAT " source=%s reads=%d"
+            " session_age_ms=%" G_GINT64_FORMAT " tick_ms=%" G_GINT64_FORMAT,
+            reason_name (reason), mesh_config_version (mesh),
+            mesh_age_msec (mesh->config_freshness.confirmed_at, now),
+            mesh_config_source (mesh), mesh_reads_config (mesh, now),
+            mesh_age_msec (mesh->session.confirmed_at, now),
+            (now - mesh->last_tick_at) / USEC_PER_MSEC);
+  mesh_refuse (mesh, exchange, reason, 0, now, out);
+}
+
 /* Send REQUEST to the member in PICK.  */
 static void
 send_to_member (struct mesh *mesh, struct handle exchange,
@@ -89,18 +110,19 @@
   request->sent_to = pick->member;
   request->sent_at = now;
   request->request.attempts++;
-  mesh_log (
-      out, LOG_EVENT_MESH_ROUTE, request->request.id,
-      "service=%s route=%s rank=%d key=%s to=%s try=%u"
-      " config=%" G_GUINT64_FORMAT " records=%" G_GUINT64_FORMAT
-      " heard_ms=%" G_GINT64_FORMAT " load_ms=%" G_GINT64_FORMAT " busy=%u/%u",
-      request->request.service, request->route_name,
-      (int)request->request.priority, request->request.key, member->name,
-      request->request.attempts,
-      mesh->routing != NULL ? mesh->routing->version : 0,
-      mesh->fleet.applied_offset, mesh_age_msec (peer->last_message_at, now),
-      mesh_age_msec (peer->load_reported_at, now),
-      peer->load.running + peer->load.waiting, peer->load.slots);
+  mesh_log (out, LOG_EVENT_MESH_ROUTE, request->request.id,
+            "service=%s route=%s rank=%d key=%s to=%s try=%u"
+            " config=%" G_GUINT64_FORMAT " config_ms=%" G_GINT64_FORMAT
+            " records=%" G_GUINT64_FORMAT " heard_ms=%" G_GINT64_FORMAT
+            " load_ms=%" G_GINT64_FORMAT " busy=%u/%u",
+            request->request.service, request->route_name,
+            (int)request->request.priority, request->request.key, member->name,
+            request->request.attempts, mesh_config_version (mesh),
+            mesh_age_msec (mesh->config_freshness.confirmed_at, now),
+            mesh->fleet.applied_offset,
+            mesh_age_msec (peer->last_message_at, now),
+            mesh_age_msec (peer->load_reported_at, now),
+            peer->load.running + peer->load.waiting, peer->load.slots);
   action = &actions_add (out, ACTION_FORWARD)->u.forward;
   action->exchange = exchange;
   action->peer_incarnation = peer->incarnation;
@@ -183,8 +205,7 @@
     }
   if (route == NULL)
     {
-      mesh_refuse (mesh, event->exchange, no_route_reason (mesh, now), 0, now,
-                   out);
+      refuse_no_route (mesh, event->exchange, event, now, out);
       return;
     }
   apply_route (mesh, request, route);
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -5,6 +5,7 @@
 #include "types/heartbeat.h"
 #include "types/key_order_result.h"
 #include "types/mesh_msg.h"
+#include "types/mesh_topic.h"
 #include "types/peer_msg.h"
 #include "types/record.h"
 #include "types/request.h"
@@ -35,7 +36,7 @@
   EVENT_SNAPSHOT_ENCODED, /* the view was encoded */
   EVENT_ROUTING,          /* mesh: a configuration was read */
   EVENT_FLEET_RECORDS,    /* mesh: records of the fleet were read */
-  EVENT_STORE_STATE,      /* mesh: the store became reachable or unreachable */
+  EVENT_TOPIC_READ,       /* mesh: a read of a topic ended */
   EVENT_STORE_APPENDED,   /* mesh: an append to the store ended */
   EVENT_HEARTBEAT,        /* mesh: the backend server sent a heartbeat */
   EVENT_DEREGISTER,       /* mesh: the backend server deregistered */
@@ -190,6 +191,7 @@
 struct event_routing
 {
   struct routing *routing;
+  gboolean from_store; /* this node read it from the store itself */
 };
 
 /* Records of the fleet were read.  */
@@ -203,10 +205,13 @@
   gint64 started_at; /* when the read began, monotonic microseconds */
 };
 
-/* The store became unreachable or reachable again.  */
-struct event_store_state
+/* A read of a topic ended; what it brought was passed on before.  */
+struct event_topic_read
 {
-  gboolean unreachable; /* the store does not answer */
+  enum mesh_topic topic; /* topic that was read */
+  enum err code;         /* ERR_NONE, or why the read failed */
+  gboolean at_end;       /* the store had nothing after what was read */
+  gint64 started_at;     /* when the read began, monotonic microseconds */
 };
 
 /* An append to the store ended.  */
@@ -273,7 +278,7 @@
     struct event_snapshot_encoded snapshot_encoded;
     struct event_routing routing;
     struct event_fleet_records fleet_records;
-    struct event_store_state store_state;
+    struct event_topic_read topic_read;
     struct event_store_appended store_appended;
     struct event_heartbeat heartbeat;
     struct event_deregister deregister;
--- a/src/types/log_event.c
+++ b/src/types/log_event.c
@@ -56,6 +56,7 @@
   { LOG_EVENT_MESH_REFUSE, "mesh-refuse" },
   { LOG_EVENT_MESH_LIMIT, "mesh-limit" },
   { LOG_EVENT_MESH_BODY, "mesh-body" },
+  { LOG_EVENT_MESH_NO_ROUTE, "mesh-no-route" },
   { LOG_EVENT_MESH_ROUTING, "mesh-routing" },
   { LOG_EVENT_MESH_MEMBER, "mesh-member" },
   { LOG_EVENT_MESH_SILENT, "mesh-silent" },
@@ -72,6 +73,7 @@
   { LOG_EVENT_MESH_BAD_INPUT, "mesh-bad-input" },
   { LOG_EVENT_MESH_BALANCE, "mesh-balance" },
   { LOG_EVENT_MESH_ORDER, "mesh-order" },
+  { LOG_EVENT_MESH_READING, "mesh-reading" },
 };
 
 /* Return the name of event ID, as listed in docs/EVENTS.md.  */
--- a/src/types/log_event.h
+++ b/src/types/log_event.h
@@ -64,6 +64,7 @@
   LOG_EVENT_MESH_REFUSE = 606, /* no slot becomes free in time for a request */
   LOG_EVENT_MESH_LIMIT = 607,  /* the server named another limit, or none */
   LOG_EVENT_MESH_BODY = 608,   /* the body of a request has ended */
+  LOG_EVENT_MESH_NO_ROUTE = 609, /* no route matched a request */
   /* 620: the state of a node of a mesh */
   LOG_EVENT_MESH_ROUTING = 620,  /* a configuration is in force */
   LOG_EVENT_MESH_MEMBER = 621,   /* a member joined, changed or was removed */
@@ -80,7 +81,8 @@
   LOG_EVENT_MESH_SETTINGS = 632,  /* the settings were reloaded */
   LOG_EVENT_MESH_BAD_INPUT = 633, /* input was skipped as malformed */
   LOG_EVENT_MESH_BALANCE = 634,   /* keys are moved to balance the load */
-  LOG_EVENT_MESH_ORDER = 635      /* a call for keys of the server ended */
+  LOG_EVENT_MESH_ORDER = 635,     /* a call for keys of the server ended */
+  LOG_EVENT_MESH_READING = 636    /* this node reads other topics now */
 };
 
 #define LOG_EVENT_DETAIL_SIZE 384u /* bytes of details */
--- a/src/types/mesh_msg.h
+++ b/src/types/mesh_msg.h
@@ -47,6 +47,10 @@
   guint32 report_count;    /* entries in reports */
   /* reports on nodes that are in an unusual state, or recently were */
   struct peer_report reports[PEER_REPORTS_MAX];
+  /* microseconds since the start of the latest read that showed no
+     configuration newer than config_version; -1: none */
+  gint64 config_confirmed_age_usec;
+  guint64 config_source; /* process that made this read */
 };
 
 /* Fetch records and the configuration.  */
--- a/src/wire/wire_mesh.c
+++ b/src/wire/wire_mesh.c
@@ -23,10 +23,25 @@
          && wire_bool (xdr, &report->store_lost);
 }
 
-/* XDR filter for the sequences of GOSSIP and of its reports.  They are encoded
-   last, because older versions do not know them: such nodes ignore trailing
-   bytes, and messages from them end before the sequences, which then are
-   0.  */
+/* XDR filter for how recent the configuration is.  Versions that do not know
+   it end the message before it, or ignore it.  */
+static bool_t
+wire_config_freshness (XDR *xdr, struct gossip *gossip)
+{
+  if (wire_i64 (xdr, &gossip->config_confirmed_age_usec)
+      && wire_u64 (xdr, &gossip->config_source))
+    return TRUE;
+  if (xdr->x_op != XDR_DECODE)
+    return FALSE;
+  gossip->config_confirmed_age_usec = -1;
+  gossip->config_source = 0;
+  return TRUE;
+}
+
+/* XDR filter for the sequences of GOSSIP and of its reports, and for what was
+   added after them.  They are encoded last, because older versions do not know
+   them: such nodes ignore trailing bytes, and messages from them end before
+   the sequences, which then are 0.  */
 static bool_t
 wire_sequences (XDR *xdr, struct gossip *gossip)
 {
@@ -35,8 +50,12 @@
 
   for (i = 0; complete && i < gossip->report_count; i++)
     complete = wire_u64 (xdr, &gossip->reports[i].sequence);
-  if (complete || xdr->x_op != XDR_DECODE)
-    return complete;
+  if (complete)
+    return wire_config_freshness (xdr, gossip);
+  if (xdr->x_op != XDR_DECODE)
+    return FALSE;
+  gossip->config_confirmed_age_usec = -1;
+  gossip->config_source = 0;
   gossip->sequence = 0;
   for (i = 0; i < gossip->report_count; i++)
     gossip->reports[i].sequence = 0;
--- a/tests/test_wire_mesh.c
+++ b/tests/test_wire_mesh.c
@@ -5,7 +5,9 @@
 
 #include <string.h>
 
-/* Bytes of the sequences in a message with one report: two numbers.  */
+/* Bytes of what a message ends with: the age and the source of the
+   configuration; before it, the sequences in a message with one report.  */
+#define CONFIG_BYTES 16u
 #define SEQUENCES_BYTES 16u
 
 /* Encode a gossip message with one report.  */
@@ -20,6 +22,8 @@
   gossip->applied_offset = 31;
   gossip->confirmed_age_usec = 1000;
   gossip->sequence = 12;
+  gossip->config_confirmed_age_usec = 2000;
+  gossip->config_source = 9;
   gossip->report_count = 1;
   gossip->reports[0].incarnation = 8;
   gossip->reports[0].age_msec = 300;
@@ -41,28 +45,35 @@
   CU_ASSERT_EQUAL (decoded.u.gossip.applied_offset, 31);
   CU_ASSERT_EQUAL (decoded.u.gossip.reports[0].age_msec, 300);
   CU_ASSERT_EQUAL (decoded.u.gossip.reports[0].sequence, 13);
+  CU_ASSERT_EQUAL (decoded.u.gossip.config_confirmed_age_usec, 2000);
+  CU_ASSERT_EQUAL (decoded.u.gossip.config_source, 9);
   g_byte_array_unref (bytes);
 }
 
-/* A message of an older version, which ends before the sequences, is decoded
-   with sequences of 0, and no other field is read wrongly.  */
+/* A message of an older version, which ends before the age of the
+   configuration or before the sequences, is decoded without an age or with
+   sequences of 0, and no other field is read wrongly.  */
 static void
 test_gossip_of_older_version (void)
 {
   GByteArray *bytes = encode_gossip ();
   guint cut;
 
-  for (cut = 1; cut <= SEQUENCES_BYTES; cut++)
+  for (cut = 1; cut <= CONFIG_BYTES + SEQUENCES_BYTES; cut++)
     {
+      gboolean has_sequences = cut <= CONFIG_BYTES;
       struct mesh_call decoded = { 0 };
       CU_ASSERT_EQUAL (wire_decode (wire_mesh_call, &decoded, bytes->data,
                                     bytes->len - cut),
                        ERR_NONE);
-      CU_ASSERT_EQUAL (decoded.u.gossip.sequence, 0);
+      CU_ASSERT_EQUAL (decoded.u.gossip.sequence, has_sequences ? 12 : 0);
+      CU_ASSERT_EQUAL (decoded.u.gossip.config_confirmed_age_usec, -1);
+      CU_ASSERT_EQUAL (decoded.u.gossip.config_source, 0);
       CU_ASSERT_EQUAL (decoded.u.gossip.applied_offset, 31);
       CU_ASSERT_EQUAL (decoded.u.gossip.confirmed_age_usec, 1000);
       CU_ASSERT_EQUAL (decoded.u.gossip.reports[0].incarnation, 8);
-      CU_ASSERT_EQUAL (decoded.u.gossip.reports[0].sequence, 0);
+      CU_ASSERT_EQUAL (decoded.u.gossip.reports[0].sequence,
+                       has_sequences ? 13 : 0);
     }
   for (; cut < bytes->len; cut++)
     {
