--- a/scenarios/world_perform.c
+++ b/scenarios/world_perform.c
@@ -276,7 +276,7 @@
     case ACTION_DROP_CONNECTIONS:
       break;
     case ACTION_STORE_APPEND:
-    case ACTION_READ_TOPIC_ENDS:
+    case ACTION_READ_TOPIC:
     case ACTION_HEARTBEAT_ANSWER:
     case ACTION_REMOTE_APPEND:
     case ACTION_MESH_CALL:
--- a/src/edge/mesh_node_perform.c
+++ b/src/edge/mesh_node_perform.c
@@ -192,9 +192,10 @@
     case ACTION_STORE_APPEND:
       append_own (node, &action->u.store_append);
       break;
-    case ACTION_READ_TOPIC_ENDS:
-      topic_reader_confirm (&node->fleet_reader);
-      topic_reader_confirm (&node->config_reader);
+    case ACTION_READ_TOPIC:
+      topic_reader_confirm (action->u.read_topic.topic == MESH_TOPIC_FLEET
+                                ? &node->fleet_reader
+                                : &node->config_reader);
       break;
     case ACTION_HEARTBEAT_ANSWER:
       control_api_answer (
--- a/src/edge/node_perform.c
+++ b/src/edge/node_perform.c
@@ -85,7 +85,7 @@
       drop_connections (node, action->u.drop_connections.peer_incarnation);
       break;
     case ACTION_STORE_APPEND:
-    case ACTION_READ_TOPIC_ENDS:
+    case ACTION_READ_TOPIC:
     case ACTION_HEARTBEAT_ANSWER:
     case ACTION_REMOTE_APPEND:
     case ACTION_MESH_CALL:
--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -115,7 +115,14 @@
   mesh_apply_records (mesh, &event, now, out);
 }
 
-/* Read the topic if the record of this process that was appended is not
+/* Read TOPIC to its end.  */
+static void
+read_topic (enum mesh_topic topic, struct actions *out)
+{
+  actions_add (out, ACTION_READ_TOPIC)->u.read_topic.topic = topic;
+}
+
+/* Read the topics if the record of this process that was appended is not
    enough to settle the appends of an earlier one, because records before it
    are not applied yet.  */
 static void
@@ -124,7 +131,8 @@
   if (mesh->earlier_settled || mesh->proposal.record.kind != FLEET_MEMBER)
     return;
   mesh->store_read_at = now;
-  actions_add (out, ACTION_READ_TOPIC_ENDS);
+  read_topic (MESH_TOPIC_FLEET, out);
+  read_topic (MESH_TOPIC_CONFIG, out);
 }
 
 /* Process the end of the append of the proposed record.  If the append failed
@@ -195,5 +203,6 @@
       || now - mesh->store_read_at < CONFIRM_INTERVAL_USEC)
     return;
   mesh->store_read_at = now;
-  actions_add (out, ACTION_READ_TOPIC_ENDS);
+  read_topic (MESH_TOPIC_FLEET, out);
+  read_topic (MESH_TOPIC_CONFIG, out);
 }
--- a/src/types/action.c
+++ b/src/types/action.c
@@ -31,7 +31,7 @@
       g_free (action->u.append_for_peer.append.bytes);
       break;
     case ACTION_KEY_ORDER:
-    case ACTION_READ_TOPIC_ENDS:
+    case ACTION_READ_TOPIC:
     case ACTION_MESH_CALL:
     case ACTION_MESH_REPLY:
     case ACTION_MESH_FETCH_REPLY:
--- a/src/types/action.h
+++ b/src/types/action.h
@@ -4,6 +4,7 @@
 #include "types/heartbeat.h"
 #include "types/key_order.h"
 #include "types/mesh_msg.h"
+#include "types/mesh_topic.h"
 #include "types/peer_msg.h"
 #include "types/record.h"
 #include "types/request.h"
@@ -28,7 +29,7 @@
   ACTION_DROP_CONNECTIONS, /* drop the connections to a peer or the server */
   ACTION_EXIT,             /* end the process: the node has left the fleet */
   ACTION_STORE_APPEND,     /* mesh: append a record to the store */
-  ACTION_READ_TOPIC_ENDS,  /* mesh: read the end offsets of the topics */
+  ACTION_READ_TOPIC,       /* mesh: read a topic of the store to its end */
   ACTION_HEARTBEAT_ANSWER, /* mesh: answer a heartbeat or a deregistration */
   ACTION_REMOTE_APPEND,    /* mesh: ask another node to append a record */
   ACTION_MESH_CALL,        /* mesh: call another node */
@@ -147,6 +148,12 @@
   struct fleet_record record; /* record to append */
 };
 
+/* Read a topic of the store to its end, without a wait for records.  */
+struct action_read_topic
+{
+  enum mesh_topic topic; /* topic to read */
+};
+
 /* Ask another node to append a record.  The action owns the record.  */
 struct action_remote_append
 {
@@ -228,6 +235,7 @@
     struct action_exit exit;
     struct log_event log_event;
     struct action_store_append store_append;
+    struct action_read_topic read_topic;
     struct action_remote_append remote_append;
     struct action_heartbeat_answer heartbeat_answer;
     struct action_mesh_call mesh_call;
--- a/tests/mesh_sim_send.h
+++ b/tests/mesh_sim_send.h
@@ -82,7 +82,9 @@
           message.record = copy_record (&action->u.remote_append.record);
           send_append (sim, &message, draw_msec (sim, 10, 60));
           break;
-        case ACTION_READ_TOPIC_ENDS:
+        case ACTION_READ_TOPIC:
+          if (action->u.read_topic.topic != MESH_TOPIC_FLEET)
+            break;
           message.kind = SIM_READ;
           message.started_at = sim->now;
           send_message (sim, &message, draw_msec (sim, 3, 200));
--- a/tests/test_mesh_restart.c
+++ b/tests/test_mesh_restart.c
@@ -135,7 +135,7 @@
   CU_ASSERT_TRUE (fixture->mesh.proposal.is_pending);
 
   end_append (fixture, ERR_NONE, FIRST_END + 1);
-  CU_ASSERT_PTR_NOT_NULL (find_action (fixture, ACTION_READ_TOPIC_ENDS));
+  CU_ASSERT_PTR_NOT_NULL (find_action (fixture, ACTION_READ_TOPIC));
   send_heartbeat (fixture, 3);
   CU_ASSERT_FALSE (was_granted (fixture));
   add_map (&reading, FIRST_END, "b");
@@ -153,7 +153,7 @@
   struct fixture *fixture = start_again (GRANT_BY_ANSWER);
 
   end_append (fixture, ERR_NONE, FIRST_END);
-  CU_ASSERT_PTR_NULL (find_action (fixture, ACTION_READ_TOPIC_ENDS));
+  CU_ASSERT_PTR_NULL (find_action (fixture, ACTION_READ_TOPIC));
   send_heartbeat (fixture, 1);
   CU_ASSERT_TRUE (was_granted (fixture));
   fixture_free (fixture);
