The duty of reading a topic is held by reads that the store answers

Callers were answered by an old configuration, or with 404 for a route that was there, while the store served most nodes.

Cause: who follows the operator's topic was decided by name, with no proof that the store answers that node. A long poll may stay silent for 20 s, and the other nodes had no reason to read: they took the session, which any append or read of the fleet's topic confirms, for the age of the configuration.

Change: the duty of reading (fleet/reading_duty), one for the fleet's topic and two for the operator's, is held by reading. A read to the end of the topic that is answered renews it; one that is not within 350 ms gives it up, and gossip passes that on at once. A vacant duty is taken by the first node whose read is answered; the nodes try in an order in which the number of those that have tried doubles each 60 ms. A node whose own copy of a topic is not shown to be recent reads for itself. 404 rests on the age of the configuration alone, which must be below the deployment's bound (config-apply-ms) less 250 ms. A fetch brings the offset to read on from, so that a new reader does not read what others have read; of several versions in one read only the last is decoded; a configuration from another node must have the version that its reply names, and one that does not is logged.

Evidence: test_mesh_reading 'readers unserved' failed before (6.2 s late, 8,087 false 404) and passes (340 ms).

--- a/src/edge/mesh_config.c
+++ b/src/edge/mesh_config.c
@@ -7,6 +7,8 @@
 #define MAX_GRANT_USEC_DEFAULT ((gint64)10000000) /* longest grant of keys */
 /* Time in which a leaving server still gets requests.  */
 #define DRAIN_LIMIT_USEC_DEFAULT ((gint64)2000000)
+/* Time in which a configuration comes into force everywhere.  */
+#define CONFIG_APPLY_USEC_DEFAULT ((gint64)2000000)
 /* Time between the request to stop and the kill.  */
 #define STOP_GRACE_USEC_DEFAULT ((gint64)6000000)
 
@@ -25,6 +27,7 @@
   { "store", "address", INI_ADDRESS, TRUE, 0, 0, NULL },
   { "bounds", "hold-max-ms", INI_DECIMAL, FALSE, 0, 0, NULL },
   { "bounds", "drain-ms", INI_DECIMAL, FALSE, 0, 0, NULL },
+  { "bounds", "config-apply-ms", INI_DECIMAL, FALSE, 0, 0, NULL },
   { "bounds", "grace-seconds", INI_DECIMAL, FALSE, 0, 0, NULL },
   { "journal", "level", INI_CHOICE, FALSE, 0, 0, "error|info|debug" },
 };
@@ -85,6 +88,9 @@
           ini, section, "hold-max-ms", USEC_PER_MSEC, MAX_GRANT_USEC_DEFAULT);
       mesh->drain_limit_usec = ini_duration_usec (
           ini, section, "drain-ms", USEC_PER_MSEC, DRAIN_LIMIT_USEC_DEFAULT);
+      mesh->config_apply_usec
+          = ini_duration_usec (ini, section, "config-apply-ms", USEC_PER_MSEC,
+                               CONFIG_APPLY_USEC_DEFAULT);
       mesh->stop_grace_usec
           = ini_duration_usec (ini, section, "grace-seconds", USEC_PER_SEC,
                                STOP_GRACE_USEC_DEFAULT);
@@ -102,6 +108,7 @@
   g_strlcpy (config->log_level, "info", sizeof config->log_level);
   config->mesh.max_grant_usec = MAX_GRANT_USEC_DEFAULT;
   config->mesh.drain_limit_usec = DRAIN_LIMIT_USEC_DEFAULT;
+  config->mesh.config_apply_usec = CONFIG_APPLY_USEC_DEFAULT;
   config->mesh.stop_grace_usec = STOP_GRACE_USEC_DEFAULT;
 }
 
--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -28,6 +28,25 @@
         GPOINTER_TO_UINT (value));
 }
 
+/* Append which duties of reading the node holds, and the age of the last read
+   for each that it knows of.  */
+static void
+add_duties (GString *text, const struct mesh *mesh, gint64 now)
+{
+  guint slot;
+
+  for (slot = 0; slot < READING_SLOTS; slot++)
+    {
+      const struct reading_duty *duty = &mesh->duties[slot];
+      g_string_append_printf (
+          text,
+          "reading_held{duty=\"%s\"} %d\n"
+          "reading_age_ms{duty=\"%s\"} %" G_GINT64_FORMAT "\n",
+          reading_slot_name (slot), mesh_read_holds (mesh, slot, now),
+          reading_slot_name (slot), mesh_age_msec (duty->renewed_at, now));
+    }
+}
+
 /* Format the counters, gauges and latency histograms of the node DATA as
    metrics text.  Free the text with g_free.  */
 char *
@@ -46,8 +65,7 @@
             mesh_age_msec (mesh->config_freshness.confirmed_at, now));
   g_string_append_printf (text, "config_source{node=\"%s\"} 1\n",
                           mesh_config_source (mesh));
-  add_line (text, "reads_config", mesh_reads_config (mesh, now));
-  add_line (text, "reads_fleet", mesh_reads_fleet (mesh, now));
+  add_duties (text, mesh, now);
   add_line (text, "records_folded", (gint64)mesh->fleet.applied_offset);
   add_line (text, "session_left_ms",
             session_remaining_usec (&mesh->session, now) / USEC_PER_MSEC);
--- a/src/edge/mesh_node.h
+++ b/src/edge/mesh_node.h
@@ -65,6 +65,8 @@
 void mesh_node_on_link (const struct link_event *event, gpointer data);
 void mesh_node_on_fleet (const struct topic_reader_event *event,
                          gpointer data);
+gboolean mesh_node_apply_config (struct mesh_node *node, const guint8 *bytes,
+                                 gsize length, guint64 version);
 void mesh_node_on_config (const struct topic_reader_event *event,
                           gpointer data);
 char *mesh_node_metrics (gpointer data);
--- a/src/edge/mesh_node_file.c
+++ b/src/edge/mesh_node_file.c
@@ -37,6 +37,7 @@
       mesh->heartbeat_usec = config.mesh.heartbeat_usec;
       mesh->max_grant_usec = config.mesh.max_grant_usec;
       mesh->drain_limit_usec = config.mesh.drain_limit_usec;
+      mesh->config_apply_usec = config.mesh.config_apply_usec;
       mesh->stop_grace_usec = config.mesh.stop_grace_usec;
     }
   g_strlcpy (log_event.text, mesh->name, sizeof log_event.text);
--- a/src/edge/mesh_node_link.c
+++ b/src/edge/mesh_node_link.c
@@ -1,6 +1,5 @@
 #include "edge/mesh_node.h"
 
-#include "platform/config.h"
 #include "types/clock.h"
 #include "wire/wire_fleet.h"
 #include "wire/wire_mesh.h"
@@ -33,26 +32,22 @@
 
 /* Replies */
 
-/* Apply a configuration received from another node, and keep its bytes if it
-   is newer than the current one.  A malformed one is ignored.  */
+/* Apply the configuration in FETCH, a reply of another node.  One that is
+   malformed, or of another version than the reply says, is skipped and
+   logged.  */
 static void
 handle_config (struct mesh_node *node, const struct mesh_fetch_reply *fetch)
 {
-  struct event event = { .kind = EVENT_ROUTING };
-  struct routing *routing
-      = platform_config_read (fetch->config_bytes, fetch->config_length);
+  struct log_event log_event = { .id = LOG_EVENT_MESH_BAD_INPUT };
 
-  if (routing == NULL)
+  if (mesh_node_apply_config (node, fetch->config_bytes, fetch->config_length,
+                              fetch->config_version))
     return;
-  if (node->mesh.routing == NULL
-      || routing->version > node->mesh.routing->version)
-    {
-      g_byte_array_set_size (node->config_bytes, 0);
-      g_byte_array_append (node->config_bytes, fetch->config_bytes,
-                           fetch->config_length);
-    }
-  event.u.routing.routing = routing;
-  mesh_node_handle_event (node, &event);
+  g_snprintf (log_event.detail, sizeof log_event.detail,
+              "what=fetched-configuration version=%" G_GUINT64_FORMAT
+              " outcome=skipped",
+              fetch->config_version);
+  mesh_node_log (node, &log_event);
 }
 
 /* Apply the fleet records and the configuration of a fetch reply.  */
@@ -80,6 +75,7 @@
     }
   if (fetch->config_version > 0)
     handle_config (node, fetch);
+  topic_reader_advance (&node->config_reader, fetch->config_next_offset);
 }
 
 /* Return the kind of the call that EVENT replies to, from its tag: a failed
--- a/src/edge/mesh_node_topics.c
+++ b/src/edge/mesh_node_topics.c
@@ -45,9 +45,11 @@
   guint32 count = 0;
   guint i;
 
-  report_read (node, MESH_TOPIC_FLEET, topic);
   if (topic->code != ERR_NONE)
-    return;
+    {
+      report_read (node, MESH_TOPIC_FLEET, topic);
+      return;
+    }
   entries = g_new0 (struct fleet_entry, topic->item_count + 1);
   for (i = 0; i < topic->item_count; i++)
     {
@@ -70,47 +72,36 @@
   event.u.fleet_records.complete = topic->at_end;
   event.u.fleet_records.started_at = topic->started_at;
   mesh_node_handle_event (node, &event);
+  report_read (node, MESH_TOPIC_FLEET, topic);
   for (i = 0; i < count; i++)
     fleet_record_clear (&entries[i].record);
   g_free (entries);
 }
 
-/* Apply a configuration read from the store, and keep its bytes if it is newer
-   than the current one.  A malformed one is skipped and logged.  */
-static void
+/* Apply the configuration in ITEM, which was read from the store.  Return
+   FALSE if it is malformed; that is logged.  */
+static gboolean
 handle_config (struct mesh_node *node, const struct store_item *item)
 {
-  struct event event = { .kind = EVENT_ROUTING };
-  struct routing *routing
-      = platform_config_read (item->value, item->value_length);
-
-  if (routing == NULL)
-    {
-      log_skipped (node, "configuration", item->key, item->offset);
-      return;
-    }
-  if (node->mesh.routing == NULL
-      || routing->version > node->mesh.routing->version)
-    {
-      g_byte_array_set_size (node->config_bytes, 0);
-      g_byte_array_append (node->config_bytes, item->value,
-                           (guint)item->value_length);
-    }
-  event.u.routing.routing = routing;
-  event.u.routing.from_store = TRUE;
-  mesh_node_handle_event (node, &event);
+  if (mesh_node_apply_config (node, item->value, item->value_length, 0))
+    return TRUE;
+  log_skipped (node, "configuration", item->key, item->offset);
+  return FALSE;
 }
 
-/* Handle records of the configuration topic, or a failure to read it.  */
+/* Handle records of the configuration topic, or a failure to read it.  Of
+   several configurations only the last one that is not malformed is
+   applied.  */
 void
 mesh_node_on_config (const struct topic_reader_event *topic, gpointer data)
 {
   struct mesh_node *node = data;
-  guint i;
+  guint i = topic->code == ERR_NONE ? topic->item_count : 0;
 
-  for (i = 0; topic->code == ERR_NONE && i < topic->item_count; i++)
+  while (i-- > 0)
     if (strcmp (topic->items[i].key, PLATFORM_CONFIG_KEY) == 0
-        && topic->items[i].value_length > 0)
-      handle_config (node, &topic->items[i]);
+        && topic->items[i].value_length > 0
+        && handle_config (node, &topic->items[i]))
+      break;
   report_read (node, MESH_TOPIC_CONFIG, topic);
 }
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -94,29 +94,6 @@
 
 /* Events */
 
-/* Record and log whether the store answers, by the read in EVENT.  */
-static void
-on_topic_read (struct mesh *mesh, const struct event_topic_read *event,
-               gint64 now, struct actions *out)
-{
-  gboolean failed = event->code != ERR_NONE;
-
-  if (event->topic == MESH_TOPIC_CONFIG && event->at_end
-      && mesh->routing != NULL)
-    freshness_confirm (&mesh->config_freshness, event->started_at,
-                       mesh->settings.incarnation);
-  if (failed == mesh->store_lost)
-    return;
-  mesh->store_lost = failed;
-  mesh_log (out, LOG_EVENT_MESH_STORE, mesh->settings.name,
-            "outcome=%s topic=%s records=%" G_GUINT64_FORMAT
-            " session_ms=%" G_GINT64_FORMAT " config_ms=%" G_GINT64_FORMAT,
-            failed ? "lost" : "back", mesh_topic_name (event->topic),
-            mesh->fleet.applied_offset,
-            mesh_session_usec (mesh, now) / USEC_PER_MSEC,
-            mesh_age_msec (mesh->config_freshness.confirmed_at, now));
-}
-
 /* Walk over all members, for what depends on the time: who responds, and what
    is to be proposed.  */
 static void
@@ -141,7 +118,7 @@
   walk_members (mesh, now, out);
   mesh_gossip_step (mesh, now, out);
   mesh_session_step (mesh, now, out);
-  mesh_read_log_part (mesh, now, out);
+  mesh_read_step (mesh, now, out);
   mesh_orders_step (mesh, now, out);
   mesh_expire_requests (mesh, now, out);
   mesh_route_waiting (mesh, FALSE, now, out);
@@ -182,7 +159,7 @@
       mesh_orders_update (mesh, now, out);
       break;
     case EVENT_TOPIC_READ:
-      on_topic_read (mesh, &event->u.topic_read, now, out);
+      mesh_read_ended (mesh, &event->u.topic_read, now, out);
       break;
     case EVENT_STORE_APPENDED:
       mesh_append_ended (mesh, &event->u.store_appended, now, out);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -5,6 +5,8 @@
 #include "decide/suspect.h"
 #include "fleet/fleet_state.h"
 #include "fleet/freshness.h"
+#include "fleet/read_attempt.h"
+#include "fleet/reading_duty.h"
 #include "fleet/ring.h"
 #include "fleet/session.h"
 #include "mesh/mesh_handoff.h"
@@ -19,6 +21,7 @@
 #include "shard/key_rate.h"
 #include "types/action.h"
 #include "types/event.h"
+#include "types/reading_slot.h"
 #include "types/routing.h"
 
 /* The decisions of one node of a mesh.  The members and the owners of the keys
@@ -62,9 +65,7 @@
   gint64 last_event_at;          /* time of the last event */
   gint64 lagged_at;              /* last tick that was late, 0: none was */
   gint64 last_tick_at; /* last tick; a node that lags gets its ticks late */
-  gint64 members_changed_at; /* time of the last change of a member */
-  gint64 store_read_at; /* last time at which the ends of the topics were read
-                           to confirm the session */
+  gint64 members_changed_at;   /* time of the last change of a member */
   gint64 balance_paused_until; /* no handoff is planned before this time */
   gint64 map_received_at[MESH_MAP_TIMES]; /* ring of the times at which the
                                              last maps arrived */
@@ -76,9 +77,14 @@
   struct handle deferred_fetch_member; /* member to fetch from then */
   gboolean refuses_patches; /* the last patch of a map did not fit; the next
                                fetch asks for whole records */
-  gboolean read_config;     /* this node read the operator's topic at the last
-                               check */
-  gboolean read_fleet;      /* the same for the fleet's topic */
+  struct reading_duty duties[READING_SLOTS];      /* who reads the topics */
+  struct read_attempt read_attempts[MESH_TOPICS]; /* own reads, by topic */
+  gboolean held_duties[READING_SLOTS]; /* duties of this node at the last
+                                          check */
+  gint64 duties_known_from; /* since when other nodes can tell of the duties,
+                               0: the members are not read yet */
+  guint32 reads_answered;   /* own reads that the store answered */
+  guint64 duties_given_up;  /* duties that are known to have been given up */
   guint32 rank;             /* rank by name at `rank_at' */
   gint64 rank_at;      /* when the rank was counted, 0: it has to be counted */
   gint64 next_walk_at; /* no walk over all members on a tick before this */
--- a/src/mesh/mesh_config.c
+++ b/src/mesh/mesh_config.c
@@ -3,6 +3,10 @@
 /* The operator's configuration at this node: which version is in force, and
    how recently a read of the store showed that there is no newer one.  */
 
+/* A version has to be in force within the time that the settings name, less
+   this for the request to reach the decision.  */
+#define APPLY_MARGIN_USEC ((gint64)250000)
+
 /* Return the version of the configuration in force, 0 for none.  */
 guint64
 mesh_config_version (const struct mesh *mesh)
@@ -18,20 +22,26 @@
   return freshness_age_usec (&mesh->config_freshness, now);
 }
 
+/* Return whether the configuration in force is recent enough to say that a
+   route does not exist.  */
+gboolean
+mesh_config_is_recent (const struct mesh *mesh, gint64 now)
+{
+  gint64 age_usec = mesh_config_age_usec (mesh, now);
+
+  return mesh->routing != NULL && age_usec >= 0
+         && age_usec <= mesh->settings.config_apply_usec - APPLY_MARGIN_USEC;
+}
+
 /* Return the name of the node that made this read, or an empty text.  */
 const char *
 mesh_config_source (struct mesh *mesh)
 {
   guint64 source = mesh->config_freshness.source;
-  struct handle h = table_next (&mesh->peers, HANDLE_NONE);
 
   if (source == mesh->settings.incarnation)
     return mesh->settings.name;
-  for (; source != 0 && handle_is_set (h); h = table_next (&mesh->peers, h))
-    if (((const struct peer_state *)table_get (&mesh->peers, h))->incarnation
-        == source)
-      return mesh_member_name (mesh, h);
-  return "";
+  return mesh_member_name (mesh, mesh_peer_of (mesh, source));
 }
 
 /* Put the configuration in EVENT into force, unless it is not newer than the
--- a/src/mesh/mesh_gossip.c
+++ b/src/mesh/mesh_gossip.c
@@ -29,6 +29,7 @@
   gossip->config_version = mesh_config_version (mesh);
   gossip->config_confirmed_age_usec = mesh_config_age_usec (mesh, now);
   gossip->config_source = mesh->config_freshness.source;
+  mesh_read_fill_gossip (mesh, gossip, now);
   gossip->leaving = mesh->stop_requested_at != 0;
   gossip->store_lost = mesh->store_lost;
   gossip->load = mesh_load_report (mesh, now);
@@ -46,9 +47,9 @@
              && mesh->ring.neighbour_count <= 2 * RING_ADJACENT);
 }
 
-/* Return whether PEER lacks records or a configuration that this node has, and
-   was not told of them yet.  A message that is lost is made up for by the next
-   regular one.  */
+/* Return whether PEER lacks records or a configuration that this node has, or
+   may not know that a duty of reading was given up, and was not told yet.  A
+   message that is lost is made up for by the next regular one.  */
 static gboolean
 is_lagging (const struct mesh *mesh, const struct peer_state *peer)
 {
@@ -56,7 +57,8 @@
          && ((peer->applied_offset < mesh->fleet.applied_offset
               && peer->announced_offset < mesh->fleet.applied_offset)
              || (peer->config_version < mesh_config_version (mesh)
-                 && peer->announced_version < mesh_config_version (mesh)));
+                 && peer->announced_version < mesh_config_version (mesh))
+             || peer->announced_given_up < mesh->duties_given_up);
 }
 
 /* Return whether PEER is to be called now.  */
@@ -101,6 +103,7 @@
       peer->gossip_sent_at = now;
       peer->announced_offset = mesh->fleet.applied_offset;
       peer->announced_version = mesh_config_version (mesh);
+      peer->announced_given_up = mesh->duties_given_up;
       action = mesh_add_call (mesh, h, member->peer_address,
                               now + GOSSIP_TIMEOUT_USEC, out);
       peer->gossip_serial = action->serial;
@@ -133,6 +136,7 @@
       mesh->rank_at = 0;
     }
   peer_state_on_gossip (peer, gossip, now);
+  mesh_read_on_gossip (mesh, gossip, now);
   mesh_report_apply (mesh, gossip, now);
   mesh_fetch_if_behind (mesh, h, gossip->address, now, out);
 }
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -134,6 +134,8 @@
                    guint64 expected_end, gint64 now, struct actions *out);
 gint64 mesh_session_usec (const struct mesh *mesh, gint64 now);
 void mesh_session_step (struct mesh *mesh, gint64 now, struct actions *out);
+void mesh_store_answers (struct mesh *mesh, gboolean answers, gint64 now,
+                         struct actions *out);
 
 /* Proposed maps whose append has no known outcome, mesh_unconfirmed.c.  */
 void mesh_unconfirmed_clear (gpointer data);
@@ -188,20 +190,33 @@
 /* Reports on other nodes within gossip messages, mesh_report.c.  */
 void mesh_report_mark (struct peer_state *peer, gint64 now);
 void mesh_report_fill (struct mesh *mesh, struct gossip *gossip, gint64 now);
+struct handle mesh_peer_of (struct mesh *mesh, guint64 incarnation);
 void mesh_report_apply (struct mesh *mesh, const struct gossip *gossip,
                         gint64 now);
 
 /* The configuration in force, mesh_config.c.  */
 guint64 mesh_config_version (const struct mesh *mesh);
 gint64 mesh_config_age_usec (const struct mesh *mesh, gint64 now);
+gboolean mesh_config_is_recent (const struct mesh *mesh, gint64 now);
 const char *mesh_config_source (struct mesh *mesh);
 void mesh_config_apply (struct mesh *mesh, const struct event_routing *event,
                         gint64 now, struct actions *out);
 void mesh_config_on_gossip (struct mesh *mesh, const struct gossip *gossip,
                             gint64 sent_at);
 
-/* Which topics this node reads itself, mesh_read.c.  */
-void mesh_read_log_part (struct mesh *mesh, gint64 now, struct actions *out);
+/* Reads of the topics, and the duties of reading them, mesh_read.c.  */
+gboolean mesh_read_holds (const struct mesh *mesh, enum reading_slot slot,
+                          gint64 now);
+void mesh_read_start (struct mesh *mesh, enum mesh_topic topic, gint64 now,
+                      struct actions *out);
+void mesh_read_ended (struct mesh *mesh, const struct event_topic_read *event,
+                      gint64 now, struct actions *out);
+void mesh_read_leave (struct mesh *mesh);
+void mesh_read_fill_gossip (const struct mesh *mesh, struct gossip *gossip,
+                            gint64 now);
+void mesh_read_on_gossip (struct mesh *mesh, const struct gossip *gossip,
+                          gint64 now);
+void mesh_read_step (struct mesh *mesh, gint64 now, struct actions *out);
 
 /* Calls to other nodes, and the fetch of what they have read, mesh_fetch.c. */
 struct action_mesh_call *mesh_add_call (struct mesh *mesh, struct handle h,
--- a/src/mesh/mesh_read.c
+++ b/src/mesh/mesh_read.c
@@ -1,25 +1,42 @@
 #include "mesh/mesh_parts.h"
 
-/* Decides which nodes read the store.  The first few nodes by name do; the
-   others learn from gossip that there are new records, and fetch them from the
-   node that sent it.  */
-
-/* Number of nodes that follow the fleet's topic and the operator's topic.  Two
-   follow the latter, since a configuration has to be in force within
-   seconds.  */
-#define FLEET_READERS 1u
-#define CONFIG_READERS 2u
-
-/* A node whose session is older than this gets no records from others and
-   reads for itself.  The time grows with the rank of the node, so that not all
-   nodes read at once when the store is unavailable.  */
-#define STALE_SESSION_USEC ((gint64)2200000)
-#define STALE_SESSION_RANK_USEC ((gint64)50000)
-
-/* A node without a configuration this long after its start reads the
-   operator's topic, though others read it too.  */
+/* Decides when this node reads the topics of the store, and which it follows.
+   The nodes that hold the duty of reading a topic follow it and read it to its
+   end at short intervals; the others learn from gossip that there is something
+   new, and fetch it from the node that sent it.  If a duty is vacant, or if
+   gossip does not show that this node's own copy is recent, the node reads for
+   itself.  */
+
+/* Time between reads to the end of a topic, by slot.  */
+#define FLEET_INTERVAL_USEC ((gint64)1000000)
+#define CONFIG_INTERVAL_USEC ((gint64)800000)
+#define CONFIG_SPARE_INTERVAL_USEC ((gint64)1600000)
+
+/* A read that is not answered by then counts as failed.  Its answer is still
+   used if it comes.  */
+#define ANSWER_DUE_USEC ((gint64)350000)
+#define RETRY_USEC ((gint64)900000)        /* from a failed read to the next */
+#define MIN_INTERVAL_USEC ((gint64)600000) /* between reads of a topic */
+
+/* A node whose own copy of a topic is older than this reads for itself.  */
+#define FLEET_STALE_USEC ((gint64)2200000)
+#define CONFIG_STALE_USEC ((gint64)1800000)
+
+/* The nodes try to take a vacant duty, or to read for themselves, in an order,
+   so that few have read by the time the others hear of the first answer.  The
+   number of those that have tried doubles with each of these steps.  */
+#define TRY_STEP_USEC ((gint64)60000)
+
+/* Time in which a process that has read the members hears from them who holds
+   the duties.  */
+#define HEAR_USEC ((gint64)450000)
+
+/* A node without a configuration this long after its start follows the
+   operator's topic, though others do too.  */
 #define NO_CONFIG_USEC ((gint64)3500000)
 
+#define FIRST_MEMBERS 2u /* nodes that read while a fleet starts */
+
 /* Return whether this node, having just started, leaves reading to others.  A
    fleet that starts finds the topic empty.  If each node took itself for the
    first by name until it knows other members, each would read each record.  So
@@ -34,53 +51,313 @@
   if (!mesh->initial_read_done || now - mesh->started_at >= NO_CONFIG_USEC
       || mesh->fleet.members.count > 1)
     return FALSE;
-  return self == NULL || self->store_offset >= CONFIG_READERS;
+  return self == NULL || self->store_offset >= FIRST_MEMBERS;
+}
+
+/* Duties */
+
+/* Return whether this node holds the duty of SLOT.  */
+gboolean
+mesh_read_holds (const struct mesh *mesh, enum reading_slot slot, gint64 now)
+{
+  return reading_duty_is_held_by (&mesh->duties[slot],
+                                  mesh->settings.incarnation, now);
 }
 
-/* Return whether this node is among the first READERS by name, or gets no
-   records from others.  */
+/* Return whether this node holds a duty of reading TOPIC.  */
 static gboolean
-is_reader (struct mesh *mesh, guint32 readers, gint64 now)
+holds_topic (const struct mesh *mesh, enum mesh_topic topic, gint64 now)
+{
+  guint slot;
+
+  for (slot = 0; slot < READING_SLOTS; slot++)
+    if (reading_slot_topic (slot) == topic
+        && mesh_read_holds (mesh, slot, now))
+      return TRUE;
+  return FALSE;
+}
+
+/* Return whether the holder of SLOT is known to be in this node's data
+   centre.  */
+static gboolean
+is_holder_near (struct mesh *mesh, enum reading_slot slot)
+{
+  const struct fleet_member *holder = fleet_state_member_at (
+      &mesh->fleet, mesh_peer_of (mesh, mesh->duties[slot].reader));
+
+  return holder != NULL && strcmp (holder->zone, mesh->settings.zone) == 0;
+}
+
+/* Return how long this node leaves it to others to try first.  The spare duty
+   is better held in another data centre than the first one, since a failure
+   often concerns one as a whole.  */
+static gint64
+try_delay (struct mesh *mesh, enum reading_slot slot, gint64 now)
 {
-  gint64 age = session_age_usec (&mesh->session, now);
   guint32 rank = mesh_rank_by_name (mesh, now);
 
-  if (leaves_reading (mesh, now))
+  if (slot == READING_CONFIG_SPARE && is_holder_near (mesh, READING_CONFIG))
+    rank += mesh->fleet.members.count;
+  return TRY_STEP_USEC * (gint64)(g_bit_storage (rank + 1) - 1);
+}
+
+/* Return whether this node may take the duty of SLOT: it is vacant, and the
+   nodes that try first have had their time.  A process that has just started
+   first hears who holds it.  */
+static gboolean
+may_take (struct mesh *mesh, enum reading_slot slot, gint64 now)
+{
+  const struct reading_duty *duty = &mesh->duties[slot];
+
+  if (mesh->stop_requested_at != 0 || !mesh->initial_read_done
+      || leaves_reading (mesh, now) || duty->vacant_since == 0
+      || reading_duty_is_held (duty, now)
+      || now - mesh->duties_known_from < HEAR_USEC
+      || (slot == READING_CONFIG_SPARE
+          && mesh_read_holds (mesh, READING_CONFIG, now)))
     return FALSE;
-  return !mesh->initial_read_done || rank < readers || age < 0
-         || age > STALE_SESSION_USEC + STALE_SESSION_RANK_USEC * (gint64)rank;
+  return now - duty->vacant_since >= try_delay (mesh, slot, now);
 }
 
-/* Return whether this node reads the fleet's topic itself.  */
-gboolean
-mesh_reads_fleet (struct mesh *mesh, gint64 now)
+/* Process a read of TOPIC that failed or was not answered in time.  */
+static void
+on_failure (struct mesh *mesh, enum mesh_topic topic, gint64 now)
+{
+  struct read_attempt *attempt = &mesh->read_attempts[topic];
+  guint slot;
+
+  attempt->is_pending = FALSE;
+  attempt->no_read_until = now + RETRY_USEC;
+  for (slot = 0; slot < READING_SLOTS; slot++)
+    if (reading_slot_topic (slot) == topic
+        && reading_duty_give_up (&mesh->duties[slot],
+                                 mesh->settings.incarnation))
+      mesh->duties_given_up++;
+}
+
+/* Process a read of TOPIC that the store answered.  It renews the duties that
+   this node holds, or takes one that is vacant.  */
+static void
+on_success (struct mesh *mesh, enum mesh_topic topic, gint64 now)
+{
+  struct read_attempt *attempt = &mesh->read_attempts[topic];
+  guint slot;
+
+  attempt->is_pending = FALSE;
+  attempt->no_read_until = 0;
+  mesh->reads_answered++;
+  for (slot = 0; slot < READING_SLOTS; slot++)
+    if (reading_slot_topic (slot) == topic
+        && (mesh_read_holds (mesh, slot, now) || may_take (mesh, slot, now)))
+      reading_duty_renew (&mesh->duties[slot], mesh->settings.incarnation,
+                          mesh->reads_answered, now);
+}
+
+/* Process EVENT, the end of a read by this node.  */
+void
+mesh_read_ended (struct mesh *mesh, const struct event_topic_read *event,
+                 gint64 now, struct actions *out)
+{
+  gboolean failed = event->code != ERR_NONE;
+
+  if (failed)
+    on_failure (mesh, event->topic, now);
+  else
+    on_success (mesh, event->topic, now);
+  if (event->topic == MESH_TOPIC_CONFIG && event->at_end
+      && mesh->routing != NULL)
+    freshness_confirm (&mesh->config_freshness, event->started_at,
+                       mesh->settings.incarnation);
+  if (event->topic == MESH_TOPIC_FLEET)
+    mesh_store_answers (mesh, !failed, now, out);
+}
+
+/* Give up all duties, since this process is about to stop.  */
+void
+mesh_read_leave (struct mesh *mesh)
+{
+  guint slot;
+
+  for (slot = 0; slot < READING_SLOTS; slot++)
+    if (reading_duty_give_up (&mesh->duties[slot], mesh->settings.incarnation))
+      mesh->duties_given_up++;
+}
+
+/* Fill in what GOSSIP tells of the duties.  */
+void
+mesh_read_fill_gossip (const struct mesh *mesh, struct gossip *gossip,
+                       gint64 now)
 {
-  return is_reader (mesh, FLEET_READERS, now);
+  guint slot;
+
+  for (slot = 0; slot < READING_SLOTS; slot++)
+    gossip->claims[slot] = reading_duty_claim (&mesh->duties[slot], now);
 }
 
-/* Log whether this node reads each topic itself, if that has changed.  */
+/* Process what GOSSIP tells of the duties.  */
 void
-mesh_read_log_part (struct mesh *mesh, gint64 now, struct actions *out)
+mesh_read_on_gossip (struct mesh *mesh, const struct gossip *gossip,
+                     gint64 now)
+{
+  guint slot;
+
+  for (slot = 0; slot < READING_SLOTS; slot++)
+    if (reading_duty_hear (&mesh->duties[slot], &gossip->claims[slot],
+                           mesh->settings.incarnation, now))
+      mesh->duties_given_up++;
+}
+
+/* When to read */
+
+/* Return the age in microseconds of this node's copy of TOPIC, -1 if that is
+   not known.  */
+static gint64
+copy_age_usec (const struct mesh *mesh, enum mesh_topic topic, gint64 now)
+{
+  switch (topic)
+    {
+    case MESH_TOPIC_FLEET:
+      return session_age_usec (&mesh->session, now);
+    case MESH_TOPIC_CONFIG:
+      return mesh_config_age_usec (mesh, now);
+    }
+  return -1;
+}
+
+/* Return the time between reads by the holder of SLOT.  */
+static gint64
+interval_usec (enum reading_slot slot)
 {
-  gboolean reads_fleet = mesh_reads_fleet (mesh, now);
-  gboolean reads_config = mesh_reads_config (mesh, now);
+  switch (slot)
+    {
+    case READING_FLEET:
+      return FLEET_INTERVAL_USEC;
+    case READING_CONFIG:
+      return CONFIG_INTERVAL_USEC;
+    case READING_CONFIG_SPARE:
+      return CONFIG_SPARE_INTERVAL_USEC;
+    }
+  return FLEET_INTERVAL_USEC;
+}
 
-  if (reads_fleet == mesh->read_fleet && reads_config == mesh->read_config)
-    return;
-  mesh->read_fleet = reads_fleet;
-  mesh->read_config = reads_config;
-  mesh_log (out, LOG_EVENT_MESH_READING, mesh->settings.name,
-            "fleet=%d config=%d rank=%u session_age_ms=%" G_GINT64_FORMAT
-            " config_ms=%" G_GINT64_FORMAT,
-            reads_fleet, reads_config, mesh_rank_by_name (mesh, now),
-            mesh_age_msec (mesh->session.confirmed_at, now),
-            mesh_age_msec (mesh->config_freshness.confirmed_at, now));
+/* Return whether this node is to read for the duty of SLOT: to renew it, or to
+   take it.  */
+static gboolean
+is_due_by_duty (struct mesh *mesh, enum reading_slot slot, gint64 now)
+{
+  const struct reading_duty *duty = &mesh->duties[slot];
+  gint64 age = copy_age_usec (mesh, reading_slot_topic (slot), now);
+
+  if (mesh_read_holds (mesh, slot, now))
+    return MAX (age, now - duty->renewed_at) >= interval_usec (slot);
+  return may_take (mesh, slot, now);
+}
+
+/* Return whether this node is to read TOPIC for its own copy, which may be
+   old.  */
+static gboolean
+is_due_by_age (struct mesh *mesh, enum mesh_topic topic, gint64 now)
+{
+  gint64 age = copy_age_usec (mesh, topic, now);
+  gint64 stale_usec
+      = topic == MESH_TOPIC_FLEET ? FLEET_STALE_USEC : CONFIG_STALE_USEC;
+
+  return age < 0 || age >= stale_usec + try_delay (mesh, READING_FLEET, now);
+}
+
+/* Return whether this node is to read TOPIC now.  */
+static gboolean
+is_due (struct mesh *mesh, enum mesh_topic topic, gint64 now)
+{
+  const struct read_attempt *attempt = &mesh->read_attempts[topic];
+  guint slot;
+
+  if (!mesh->initial_read_done || leaves_reading (mesh, now)
+      || attempt->is_pending || now < attempt->no_read_until
+      || now - attempt->started_at < MIN_INTERVAL_USEC)
+    return FALSE;
+  for (slot = 0; slot < READING_SLOTS; slot++)
+    if (reading_slot_topic (slot) == topic && is_due_by_duty (mesh, slot, now))
+      return TRUE;
+  return is_due_by_age (mesh, topic, now);
+}
+
+/* Read TOPIC to its end.  */
+void
+mesh_read_start (struct mesh *mesh, enum mesh_topic topic, gint64 now,
+                 struct actions *out)
+{
+  struct read_attempt *attempt = &mesh->read_attempts[topic];
+
+  attempt->started_at = now;
+  attempt->is_pending = TRUE;
+  actions_add (out, ACTION_READ_TOPIC)->u.read_topic.topic = topic;
+}
+
+/* Log which duties this node holds, if that has changed.  */
+static void
+log_part (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  guint slot;
+
+  for (slot = 0; slot < READING_SLOTS; slot++)
+    {
+      gboolean holds = mesh_read_holds (mesh, slot, now);
+      if (holds == mesh->held_duties[slot])
+        continue;
+      mesh->held_duties[slot] = holds;
+      mesh_log (out, LOG_EVENT_MESH_READING, mesh->settings.name,
+                "duty=%s outcome=%s given_up=%d session_age_ms"
+                "=%" G_GINT64_FORMAT " config=%" G_GUINT64_FORMAT
+                " config_ms=%" G_GINT64_FORMAT,
+                reading_slot_name (slot), holds ? "taken" : "left",
+                mesh->duties[slot].given_up,
+                mesh_age_msec (mesh->session.confirmed_at, now),
+                mesh_config_version (mesh),
+                mesh_age_msec (mesh->config_freshness.confirmed_at, now));
+    }
+}
+
+/* Start the reads that are due, and give up duties whose reads were not
+   answered in time.  */
+void
+mesh_read_step (struct mesh *mesh, gint64 now, struct actions *out)
+{
+  static const enum mesh_topic topics[]
+      = { MESH_TOPIC_FLEET, MESH_TOPIC_CONFIG };
+  guint i;
+
+  if (mesh->initial_read_done && mesh->duties_known_from == 0)
+    mesh->duties_known_from = now;
+  for (i = 0; i < READING_SLOTS; i++)
+    reading_duty_check (&mesh->duties[i], now);
+  for (i = 0; i < G_N_ELEMENTS (topics); i++)
+    {
+      const struct read_attempt *attempt = &mesh->read_attempts[topics[i]];
+      if (attempt->is_pending && now - attempt->started_at >= ANSWER_DUE_USEC)
+        on_failure (mesh, topics[i], now);
+      if (is_due (mesh, topics[i], now))
+        mesh_read_start (mesh, topics[i], now, out);
+    }
+  log_part (mesh, now, out);
+}
+
+/* Return whether this node follows the fleet's topic.  */
+gboolean
+mesh_reads_fleet (struct mesh *mesh, gint64 now)
+{
+  return !leaves_reading (mesh, now)
+         && (!mesh->initial_read_done
+             || holds_topic (mesh, MESH_TOPIC_FLEET, now));
 }
 
-/* Return whether this node reads the operator's topic itself.  */
+/* Return whether this node follows the operator's topic.  */
 gboolean
 mesh_reads_config (struct mesh *mesh, gint64 now)
 {
-  return (mesh->routing == NULL && now - mesh->started_at >= NO_CONFIG_USEC)
-         || is_reader (mesh, CONFIG_READERS, now);
+  if (mesh->routing == NULL && now - mesh->started_at >= NO_CONFIG_USEC)
+    return TRUE;
+  return !leaves_reading (mesh, now)
+         && (!mesh->initial_read_done
+             || holds_topic (mesh, MESH_TOPIC_CONFIG, now));
 }
--- a/src/mesh/mesh_report.c
+++ b/src/mesh/mesh_report.c
@@ -115,9 +115,9 @@
   peer->store_lost = report->store_lost;
 }
 
-/* Return the state of the peer whose process has INCARNATION, or NULL.  */
-static struct peer_state *
-find_peer (struct mesh *mesh, guint64 incarnation)
+/* Return the member whose process has INCARNATION, or HANDLE_NONE.  */
+struct handle
+mesh_peer_of (struct mesh *mesh, guint64 incarnation)
 {
   gint64 key = (gint64)incarnation;
   struct handle h = { GPOINTER_TO_UINT (
@@ -125,13 +125,13 @@
   struct peer_state *indexed = table_get (&mesh->peers, h);
 
   if (indexed != NULL && indexed->incarnation == incarnation)
-    return indexed;
+    return h;
   if (handle_is_set (h))
     g_hash_table_remove (mesh->peers_by_incarnation, &key);
   h = table_next (&mesh->peers, HANDLE_NONE);
   for (; handle_is_set (h); h = table_next (&mesh->peers, h))
     {
-      struct peer_state *peer = table_get (&mesh->peers, h);
+      const struct peer_state *peer = table_get (&mesh->peers, h);
       if (peer->incarnation != incarnation)
         continue;
       if (g_hash_table_size (mesh->peers_by_incarnation)
@@ -140,9 +140,9 @@
       g_hash_table_insert (mesh->peers_by_incarnation,
                            g_memdup2 (&key, sizeof key),
                            GUINT_TO_POINTER (h.bits));
-      return peer;
+      return h;
     }
-  return NULL;
+  return HANDLE_NONE;
 }
 
 /* Apply the reports in GOSSIP.  */
@@ -153,8 +153,8 @@
 
   for (i = 0; i < gossip->report_count; i++)
     {
-      struct peer_state *peer
-          = find_peer (mesh, gossip->reports[i].incarnation);
+      struct peer_state *peer = table_get (
+          &mesh->peers, mesh_peer_of (mesh, gossip->reports[i].incarnation));
       if (peer != NULL)
         apply_report (peer, &gossip->reports[i], gossip->sequence == 0, now);
     }
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -7,8 +7,9 @@
    refused early.  */
 #define WAIT_DIVISOR 2
 
-/* A configuration may lack new routes if the session is older than this.  */
-#define CONFIG_STALE_USEC ((gint64)3000000)
+/* A node that lagged this recently may have messages to read that tell of a
+   newer configuration.  */
+#define LAG_USEC ((gint64)3000000)
 
 /* Return when the answer to a request by ROUTE that arrived at ARRIVED_AT is
    due by the target latency of the route; 0 if the route has none.  */
@@ -62,10 +63,8 @@
 static enum reason
 no_route_reason (const struct mesh *mesh, gint64 now)
 {
-  gint64 age_usec = session_age_usec (&mesh->session, now);
-
-  if (mesh->routing == NULL || age_usec < 0 || age_usec > CONFIG_STALE_USEC
-      || (mesh->lagged_at != 0 && now - mesh->lagged_at < CONFIG_STALE_USEC)
+  if (!mesh_config_is_recent (mesh, now)
+      || (mesh->lagged_at != 0 && now - mesh->lagged_at < LAG_USEC)
       || now - mesh->last_tick_at >= MESH_LAG_USEC
       || is_config_outdated (mesh))
     return REASON_NO_CONFIG;
--- a/src/mesh/mesh_settings.h
+++ b/src/mesh/mesh_settings.h
@@ -18,13 +18,15 @@
   guint64 incarnation;            /* random number of this process */
   guint64 random_seed;            /* seed of the random choices */
   enum grant_method grant_method; /* how the server is told its keys */
-  gint64 heartbeat_usec;   /* interval between the heartbeats of the backend
-                              server */
-  gint64 max_grant_usec;   /* longest time for which keys are granted */
-  gint64 drain_limit_usec; /* a server that leaves gets no request later than
-                              this after its leaving was acknowledged */
-  gint64 stop_grace_usec;  /* a process is killed this long after it was asked
-                              to stop */
+  gint64 heartbeat_usec;    /* interval between the heartbeats of the backend
+                               server */
+  gint64 max_grant_usec;    /* longest time for which keys are granted */
+  gint64 drain_limit_usec;  /* a server that leaves gets no request later than
+                               this after its leaving was acknowledged */
+  gint64 config_apply_usec; /* a configuration is in force everywhere this long
+                               after the store acknowledged it */
+  gint64 stop_grace_usec;   /* a process is killed this long after it was asked
+                               to stop */
 };
 
 #endif
--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -1,12 +1,5 @@
 #include "mesh/mesh_parts.h"
 
-/* The session is confirmed by a read of the store when it is this old.  The
-   age grows with the rank of the node, so that one node reads and the others
-   learn the result by gossip.  */
-#define CONFIRM_AFTER_USEC ((gint64)1000000)
-#define CONFIRM_RANK_USEC ((gint64)300000)
-#define CONFIRM_INTERVAL_USEC ((gint64)600000) /* between reads of a node */
-
 #define PROPOSE_RETRY_USEC ((gint64)150000)  /* after a failed proposal */
 #define RELAY_TIMEOUT_USEC ((gint64)1200000) /* of an append by a peer */
 
@@ -115,14 +108,7 @@
   mesh_apply_records (mesh, &event, now, out);
 }
 
-/* Read TOPIC to its end.  */
-static void
-read_topic (enum mesh_topic topic, struct actions *out)
-{
-  actions_add (out, ACTION_READ_TOPIC)->u.read_topic.topic = topic;
-}
-
-/* Read the topics if the record of this process that was appended is not
+/* Read the topic if the record of this process that was appended is not
    enough to settle the appends of an earlier one, because records before it
    are not applied yet.  */
 static void
@@ -130,9 +116,7 @@
 {
   if (mesh->earlier_settled || mesh->proposal.record.kind != FLEET_MEMBER)
     return;
-  mesh->store_read_at = now;
-  read_topic (MESH_TOPIC_FLEET, out);
-  read_topic (MESH_TOPIC_CONFIG, out);
+  mesh_read_start (mesh, MESH_TOPIC_FLEET, now, out);
 }
 
 /* Process the end of the append of the proposed record.  If the append failed
@@ -179,30 +163,36 @@
                                : 0;
 }
 
-/* Start a read of the store if the session is due to be confirmed, and log
-   whether the session has expired or is live again.  */
+/* Log whether the session has expired or is live again.  */
 void
 mesh_session_step (struct mesh *mesh, gint64 now, struct actions *out)
 {
-  gint64 age_usec = session_age_usec (&mesh->session, now);
-  gint64 due_age_usec
-      = CONFIRM_AFTER_USEC
-        + CONFIRM_RANK_USEC * (gint64)mesh_rank_by_name (mesh, now);
   gboolean is_live = mesh_session_usec (mesh, now) > 0;
 
-  if (is_live != mesh->session_was_live)
-    {
-      mesh->session_was_live = is_live;
-      mesh_log (out, LOG_EVENT_MESH_SESSION, mesh->settings.name,
-                "outcome=%s age_ms=%" G_GINT64_FORMAT
-                " records=%" G_GUINT64_FORMAT,
-                is_live ? "live" : "lapsed", age_usec / USEC_PER_MSEC,
-                mesh->fleet.applied_offset);
-    }
-  if (!mesh->initial_read_done || (age_usec >= 0 && age_usec < due_age_usec)
-      || now - mesh->store_read_at < CONFIRM_INTERVAL_USEC)
+  if (is_live == mesh->session_was_live)
+    return;
+  mesh->session_was_live = is_live;
+  mesh_log (out, LOG_EVENT_MESH_SESSION, mesh->settings.name,
+            "outcome=%s age_ms=%" G_GINT64_FORMAT
+            " records=%" G_GUINT64_FORMAT,
+            is_live ? "live" : "lapsed",
+            session_age_usec (&mesh->session, now) / USEC_PER_MSEC,
+            mesh->fleet.applied_offset);
+}
+
+/* Record and log whether the store ANSWERS this node about the fleet's
+   topic.  */
+void
+mesh_store_answers (struct mesh *mesh, gboolean answers, gint64 now,
+                    struct actions *out)
+{
+  if (answers != mesh->store_lost)
     return;
-  mesh->store_read_at = now;
-  read_topic (MESH_TOPIC_FLEET, out);
-  read_topic (MESH_TOPIC_CONFIG, out);
+  mesh->store_lost = !answers;
+  mesh_log (out, LOG_EVENT_MESH_STORE, mesh->settings.name,
+            "outcome=%s records=%" G_GUINT64_FORMAT
+            " session_ms=%" G_GINT64_FORMAT " config_ms=%" G_GINT64_FORMAT,
+            answers ? "back" : "lost", mesh->fleet.applied_offset,
+            mesh_session_usec (mesh, now) / USEC_PER_MSEC,
+            mesh_age_msec (mesh->config_freshness.confirmed_at, now));
 }
--- a/src/serve/peer_state.h
+++ b/src/serve/peer_state.h
@@ -35,6 +35,8 @@
   guint64 config_version;   /* configuration in force at the peer */
   guint64 announced_offset; /* applied offset that was last sent to the peer */
   guint64 announced_version; /* configuration that was last sent to the peer */
+  guint64 announced_given_up;  /* given-up duties that were last sent to the
+                                  peer */
   gint64 presumed_alive_until; /* the peer counts as alive until then, because
                                   the store shows it alive */
   gint64 ahead_since; /* since when the peer has had records or a configuration
--- a/src/types/mesh_msg.h
+++ b/src/types/mesh_msg.h
@@ -4,6 +4,8 @@
 #include "types/err.h"
 #include "types/fleet_record.h"
 #include "types/load_report.h"
+#include "types/reading_claim.h"
+#include "types/reading_slot.h"
 
 /* Messages between the nodes of a mesh, other than requests.  A call and its
    reply have the same kind.  */
@@ -50,7 +52,8 @@
   /* microseconds since the start of the latest read that showed no
      configuration newer than config_version; -1: none */
   gint64 config_confirmed_age_usec;
-  guint64 config_source; /* process that made this read */
+  guint64 config_source;                      /* process that made this read */
+  struct reading_claim claims[READING_SLOTS]; /* who reads the topics */
 };
 
 /* Fetch records and the configuration.  */
@@ -93,6 +96,9 @@
   guint64 config_version; /* version in config_bytes; 0: none */
   guint32 config_length;  /* length of config_bytes */
   guint8 *config_bytes;   /* configuration as the store returned it */
+  guint64 config_next_offset; /* the sender knows all records of the
+                                 operator's topic below this offset; 0: not
+                                 known */
 };
 
 /* The result of an append.  */
--- a/src/types/mesh_topic.h
+++ b/src/types/mesh_topic.h
@@ -9,6 +9,8 @@
   MESH_TOPIC_CONFIG /* configurations of the operator */
 };
 
+#define MESH_TOPICS 2u
+
 const char *mesh_topic_name (enum mesh_topic topic);
 
 #endif
--- a/src/wire/wire_mesh.c
+++ b/src/wire/wire_mesh.c
@@ -1,5 +1,7 @@
 #include "wire/wire_mesh.h"
 
+#include <string.h>
+
 /* XDR filter for a load report.  */
 bool_t
 wire_load_report (XDR *xdr, struct load_report *load)
@@ -23,18 +25,39 @@
          && wire_bool (xdr, &report->store_lost);
 }
 
-/* XDR filter for how recent the configuration is.  Versions that do not know
-   it end the message before it, or ignore it.  */
+/* XDR filter for what a node knows of the one that reads a topic.  */
 static bool_t
-wire_config_freshness (XDR *xdr, struct gossip *gossip)
+wire_reading_claim (XDR *xdr, struct reading_claim *claim)
+{
+  return wire_u64 (xdr, &claim->reader) && xdr_uint32_t (xdr, &claim->round)
+         && xdr_uint32_t (xdr, &claim->age_msec)
+         && wire_bool (xdr, &claim->given_up);
+}
+
+/* Set what GOSSIP of an older version does not tell: how recent the
+   configuration is, and who reads the topics.  */
+static void
+clear_reading (struct gossip *gossip)
 {
-  if (wire_i64 (xdr, &gossip->config_confirmed_age_usec)
-      && wire_u64 (xdr, &gossip->config_source))
-    return TRUE;
-  if (xdr->x_op != XDR_DECODE)
-    return FALSE;
   gossip->config_confirmed_age_usec = -1;
   gossip->config_source = 0;
+  memset (gossip->claims, 0, sizeof gossip->claims);
+}
+
+/* XDR filter for how recent the configuration is, and who reads the topics.
+   Versions that do not know it end the message before it, or ignore it.  */
+static bool_t
+wire_reading (XDR *xdr, struct gossip *gossip)
+{
+  gboolean complete = wire_i64 (xdr, &gossip->config_confirmed_age_usec)
+                      && wire_u64 (xdr, &gossip->config_source);
+  guint i;
+
+  for (i = 0; complete && i < READING_SLOTS; i++)
+    complete = wire_reading_claim (xdr, &gossip->claims[i]);
+  if (complete || xdr->x_op != XDR_DECODE)
+    return complete;
+  clear_reading (gossip);
   return TRUE;
 }
 
@@ -51,11 +74,10 @@
   for (i = 0; complete && i < gossip->report_count; i++)
     complete = wire_u64 (xdr, &gossip->reports[i].sequence);
   if (complete)
-    return wire_config_freshness (xdr, gossip);
+    return wire_reading (xdr, gossip);
   if (xdr->x_op != XDR_DECODE)
     return FALSE;
-  gossip->config_confirmed_age_usec = -1;
-  gossip->config_source = 0;
+  clear_reading (gossip);
   gossip->sequence = 0;
   for (i = 0; i < gossip->report_count; i++)
     gossip->reports[i].sequence = 0;
@@ -109,16 +131,22 @@
                         FLEET_RECORD_BYTES_MAX);
 }
 
-/* XDR filter for records and a configuration.  */
+/* XDR filter for records and a configuration.  Replies of versions that do not
+   know the last field end before it.  */
 static bool_t
 wire_fetch_reply (XDR *xdr, struct mesh_fetch_reply *reply)
 {
-  return wire_u64 (xdr, &reply->next_offset)
-         && wire_bytes (xdr, &reply->records, &reply->records_length,
-                        MESH_BLOB_BYTES_MAX)
-         && wire_u64 (xdr, &reply->config_version)
-         && wire_bytes (xdr, &reply->config_bytes, &reply->config_length,
-                        MESH_BLOB_BYTES_MAX);
+  if (!(wire_u64 (xdr, &reply->next_offset)
+        && wire_bytes (xdr, &reply->records, &reply->records_length,
+                       MESH_BLOB_BYTES_MAX)
+        && wire_u64 (xdr, &reply->config_version)
+        && wire_bytes (xdr, &reply->config_bytes, &reply->config_length,
+                       MESH_BLOB_BYTES_MAX)))
+    return FALSE;
+  if (wire_u64 (xdr, &reply->config_next_offset))
+    return TRUE;
+  reply->config_next_offset = 0;
+  return xdr->x_op == XDR_DECODE;
 }
 
 /* XDR filter for struct mesh_call.  */
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -68,6 +68,18 @@
   feed_event (fixture, &event);
 }
 
+/* Report a read of the operator's topic that showed nothing newer.  */
+static inline void
+read_config_end (struct fixture *fixture)
+{
+  struct event event = { .kind = EVENT_TOPIC_READ };
+
+  event.u.topic_read.topic = MESH_TOPIC_CONFIG;
+  event.u.topic_read.at_end = TRUE;
+  event.u.topic_read.started_at = fixture->now;
+  feed_event (fixture, &event);
+}
+
 /* Give the node the record of the other member.  */
 static inline void
 add_other_member (struct fixture *fixture)
@@ -151,6 +163,7 @@
                                     .heartbeat_usec = 900 * MSEC,
                                     .max_grant_usec = 10000 * MSEC,
                                     .drain_limit_usec = 2000 * MSEC,
+                                    .config_apply_usec = 2500 * MSEC,
                                     .stop_grace_usec = 6000 * MSEC };
   struct fixture *fixture = g_new0 (struct fixture, 1);
 
--- a/tests/reading_sim.h
+++ b/tests/reading_sim.h
@@ -484,6 +484,7 @@
   struct mesh_settings settings = { .heartbeat_usec = 900 * MSEC,
                                     .max_grant_usec = 10000 * MSEC,
                                     .drain_limit_usec = 2000 * MSEC,
+                                    .config_apply_usec = APPLY_BOUND_USEC,
                                     .stop_grace_usec = 6000 * MSEC };
 
   node->process++;
--- a/tests/test_mesh_route.c
+++ b/tests/test_mesh_route.c
@@ -16,7 +16,7 @@
 
 /* Advance the time by USEC in ticks of 25 ms, with a fresh session.  */
 static void
-run_ticks (struct fixture *fixture, gint64 usec)
+run_ticks_unread (struct fixture *fixture, gint64 usec)
 {
   gint64 until = fixture->now + usec;
 
@@ -27,6 +27,30 @@
     }
 }
 
+/* The same, and at the end a read that shows no newer configuration.  */
+static void
+run_ticks (struct fixture *fixture, gint64 usec)
+{
+  run_ticks_unread (fixture, usec);
+  read_config_end (fixture);
+}
+
+/* A fresh session does not show that the configuration is recent.  */
+static void
+test_config_unread (void)
+{
+  struct fixture *fixture = fixture_new ();
+
+  run_ticks (fixture, 1000 * MSEC);
+  run_ticks_unread (fixture, 2000 * MSEC);
+  CU_ASSERT_EQUAL (refusal_of_unknown (fixture), REASON_NO_RULE);
+  run_ticks_unread (fixture, 500 * MSEC);
+  CU_ASSERT_EQUAL (refusal_of_unknown (fixture), REASON_NO_CONFIG);
+  read_config_end (fixture);
+  CU_ASSERT_EQUAL (refusal_of_unknown (fixture), REASON_NO_RULE);
+  fixture_free (fixture);
+}
+
 /* A node whose ticks come in time knows that a route does not exist.  */
 static void
 test_in_time (void)
@@ -77,10 +101,12 @@
 int
 main (void)
 {
-  CU_TestInfo tests[] = { { "in time", test_in_time },
-                          { "a node that lags", test_lagging },
-                          { "newer elsewhere", test_newer_elsewhere },
-                          CU_TEST_INFO_NULL };
+  CU_TestInfo tests[]
+      = { { "in time", test_in_time },
+          { "a node that lags", test_lagging },
+          { "newer elsewhere", test_newer_elsewhere },
+          { "fresh session, configuration not read", test_config_unread },
+          CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_route", tests);
 }
--- a/tests/test_wire_mesh.c
+++ b/tests/test_wire_mesh.c
@@ -6,8 +6,9 @@
 #include <string.h>
 
 /* Bytes of what a message ends with: the age and the source of the
-   configuration; before it, the sequences in a message with one report.  */
-#define CONFIG_BYTES 16u
+   configuration and the claims of three duties; before it, the sequences in a
+   message with one report.  */
+#define CONFIG_BYTES 76u
 #define SEQUENCES_BYTES 16u
 
 /* Encode a gossip message with one report.  */
