Tests: any set of nodes unserved, readers frozen, killed, leaving, cut

What a fix has to stand: the store refuses any set of nodes or gives them no answer, for long or by turns, down to one that it serves; both readers of the operator's topic frozen, killed, stopped, cut from the other nodes but not from the store, or hearing nobody; a slow store; an outage; random changes.

The readers of the operator's topic read each 0.6 and 1.2 s, not 0.8 and 1.6 s.

--- a/src/mesh/mesh_read.c
+++ b/src/mesh/mesh_read.c
@@ -9,14 +9,14 @@
 
 /* Time between reads to the end of a topic, by slot.  */
 #define FLEET_INTERVAL_USEC ((gint64)1000000)
-#define CONFIG_INTERVAL_USEC ((gint64)800000)
-#define CONFIG_SPARE_INTERVAL_USEC ((gint64)1600000)
+#define CONFIG_INTERVAL_USEC ((gint64)600000)
+#define CONFIG_SPARE_INTERVAL_USEC ((gint64)1200000)
 
 /* A read that is not answered by then counts as failed.  Its answer is still
    used if it comes.  */
 #define ANSWER_DUE_USEC ((gint64)350000)
 #define RETRY_USEC ((gint64)900000)        /* from a failed read to the next */
-#define MIN_INTERVAL_USEC ((gint64)600000) /* between reads of a topic */
+#define MIN_INTERVAL_USEC ((gint64)500000) /* between reads of a topic */
 
 /* A node whose own copy of a topic is older than this reads for itself.  */
 #define FLEET_STALE_USEC ((gint64)2200000)
--- a/tests/reading_sim.h
+++ b/tests/reading_sim.h
@@ -20,6 +20,7 @@
                                            */
 #define CALL_FAILS_USEC ((gint64)1500000) /* any other call without one */
 #define STORE_DELAY_USEC ((gint64)8000)   /* an answer of the store */
+#define SLOW_STORE_USEC ((gint64)300000)  /* the same of a slow store */
 #define NODE_DELAY_USEC ((gint64)4000)    /* a message between nodes */
 #define CONTACT_USEC ((gint64)3000000)    /* a node is in touch after this */
 #define APPLY_BOUND_USEC                                                      \
@@ -85,12 +86,21 @@
   struct reading_poll polls[2]; /* by topic */
 };
 
+/* A record of the fleet's topic: of a member, or one that changes nothing.  */
+struct reading_record
+{
+  gboolean is_member;
+  guint member;        /* node whose record it is */
+  guint64 incarnation; /* process that it names */
+};
+
 struct reading_sim
 {
   struct reading_node nodes[READING_NODES];
-  GArray *messages;  /* struct reading_message */
-  GArray *acked;     /* gint64, when version 1 and so on was acked */
-  guint64 fleet_end; /* end of the fleet's topic */
+  GArray *messages;        /* struct reading_message */
+  GArray *acked;           /* gint64, when version 1 and so on was acked */
+  gint64 store_delay_usec; /* an answer of the store */
+  GArray *fleet;           /* struct reading_record, the fleet's topic */
   gint64 now;
   gint64 next_record_at; /* next record of the fleet */
   gint64 worst_usec;     /* longest time until a version was in force at a
@@ -137,8 +147,22 @@
   g_array_append_vals (sim->messages, message, 1);
 }
 
-/* Give node I the records of the fleet below END.  The first READING_NODES are
-   the members.  */
+/* Add a record to the fleet's topic: that of *MEMBER as it runs now, or one
+   that changes nothing.  */
+static inline void
+reading_add_record (struct reading_sim *sim, const guint *member)
+{
+  struct reading_record record = { .is_member = member != NULL };
+
+  if (member != NULL)
+    {
+      record.member = *member;
+      record.incarnation = reading_incarnation (sim, *member);
+    }
+  g_array_append_val (sim->fleet, record);
+}
+
+/* Give node I the records of the fleet below END.  */
 static inline void
 reading_give_fleet (struct reading_sim *sim, guint i, guint64 end,
                     gboolean at_end, gint64 started_at)
@@ -151,8 +175,10 @@
     {
       struct fleet_entry entry = { .offset = offset };
       struct fleet_member *member = &entry.record.u.member;
-      guint k = (guint)offset;
-      if (offset < READING_NODES)
+      const struct reading_record *record
+          = &g_array_index (sim->fleet, struct reading_record, offset);
+      guint k = record->member;
+      if (record->is_member)
         {
           entry.record.kind = FLEET_MEMBER;
           g_strlcpy (member->name, reading_name (k), sizeof member->name);
@@ -160,7 +186,7 @@
                       k * READING_ZONES / READING_NODES);
           g_strlcpy (member->service, "s", sizeof member->service);
           g_snprintf (member->instance.id, NAME_SIZE, "i%u", k);
-          member->incarnation = reading_incarnation (sim, k);
+          member->incarnation = record->incarnation;
           member->peer_address.port = (guint16)k;
           member->slots = 4;
         }
@@ -206,7 +232,7 @@
                                      .process = node->process,
                                      .topic = topic,
                                      .started_at = sim->now,
-                                     .end = sim->fleet_end,
+                                     .end = sim->fleet->len,
                                      .version = reading_newest (sim) };
 
   sim->reads++;
@@ -214,7 +240,7 @@
     message.code = ERR_UNAVAILABLE;
   reading_send (sim, &message,
                 node->service == READING_SILENT ? CALL_FAILS_USEC
-                                                : STORE_DELAY_USEC);
+                                                : sim->store_delay_usec);
 }
 
 /* Carry out ACTIONS of node I.  */
@@ -313,15 +339,15 @@
   struct reading_message back = { .kind = READING_FETCHED,
                                   .from = message->from,
                                   .to = message->to,
-                                  .process = message->process,
-                                  .end = to->mesh.fleet.applied_offset,
-                                  .version = mesh_config_version (&to->mesh) };
+                                  .process = message->process };
 
   if (reading_is_cut (sim, message->from, message->to) || !to->is_up
       || sim->now < to->frozen_until)
     return;
   if (message->call.kind == MESH_FETCH)
     {
+      back.end = to->mesh.fleet.applied_offset;
+      back.version = mesh_config_version (&to->mesh);
       reading_send (sim, &back, NODE_DELAY_USEC);
       return;
     }
@@ -390,7 +416,8 @@
       reading_send (sim, message, node->frozen_until - sim->now);
       return;
     }
-  if (receiver == message->from && message->process != node->process)
+  if (!node->is_up
+      || (receiver == message->from && message->process != node->process))
     return;
   switch (message->kind)
     {
@@ -446,11 +473,11 @@
                                      .process = node->process,
                                      .topic = topic,
                                      .is_poll = TRUE,
-                                     .end = sim->fleet_end,
+                                     .end = sim->fleet->len,
                                      .version = reading_newest (sim) };
   gboolean has_more
       = topic == MESH_TOPIC_FLEET
-            ? node->mesh.fleet.applied_offset < sim->fleet_end
+            ? node->mesh.fleet.applied_offset < sim->fleet->len
             : mesh_config_version (&node->mesh) < reading_newest (sim);
   gboolean reads = topic == MESH_TOPIC_FLEET
                        ? mesh_reads_fleet (&node->mesh, sim->now)
@@ -472,7 +499,7 @@
     return;
   poll->paused_until = sim->now + 120 * MSEC;
   reading_send (sim, &message,
-                message.code != ERR_NONE ? 0 : STORE_DELAY_USEC);
+                message.code != ERR_NONE ? 0 : sim->store_delay_usec);
   poll->pending = FALSE;
 }
 
@@ -499,6 +526,7 @@
   node->is_up = TRUE;
   node->frozen_until = 0;
   node->disturbed_at = sim->now;
+  reading_add_record (sim, &i);
 }
 
 /* Kill the process of node I.  */
@@ -546,7 +574,7 @@
 reading_check (struct reading_sim *sim, guint i)
 {
   struct reading_node *node = &sim->nodes[i];
-  guint64 version = mesh_config_version (&node->mesh);
+  guint64 version = node->is_up ? mesh_config_version (&node->mesh) : 0;
   gint64 lacks_usec;
 
   if (node->is_cut || node->is_deaf || !node->is_up
@@ -577,8 +605,8 @@
     if (sim->nodes[i].is_up && sim->nodes[i].service == READING_SERVED
         && sim->now >= sim->nodes[i].frozen_until)
       {
-        sim->fleet_end++;
-        reading_give_fleet (sim, i, sim->fleet_end, TRUE, sim->now);
+        reading_add_record (sim, NULL);
+        reading_give_fleet (sim, i, sim->fleet->len, TRUE, sim->now);
         return;
       }
 }
@@ -599,6 +627,8 @@
   reading_deliver_due (sim);
   for (i = 0; i < READING_NODES; i++)
     {
+      if (sim->nodes[i].is_up && sim->nodes[i].mesh.exit_requested)
+        reading_kill (sim, i);
       if (!sim->nodes[i].is_up)
         continue;
       reading_feed (sim, i, &tick);
@@ -650,6 +680,32 @@
     sim->nodes[i].service = service;
 }
 
+/* Return the node that holds the duty of SLOT, READING_NODES if none does.  */
+static inline guint
+reading_holder (struct reading_sim *sim, enum reading_slot slot)
+{
+  guint i;
+
+  for (i = 0; i < READING_NODES; i++)
+    if (sim->nodes[i].is_up
+        && mesh_read_holds (&sim->nodes[i].mesh, slot, sim->now))
+      return i;
+  return READING_NODES;
+}
+
+/* Return how many nodes hold the duty of SLOT.  */
+static inline guint
+reading_holder_count (struct reading_sim *sim, enum reading_slot slot)
+{
+  guint count = 0;
+  guint i;
+
+  for (i = 0; i < READING_NODES; i++)
+    count += sim->nodes[i].is_up
+             && mesh_read_holds (&sim->nodes[i].mesh, slot, sim->now);
+  return count;
+}
+
 /* Return a fleet that has read the first configuration and is calm.  */
 static inline struct reading_sim *
 reading_sim_new (void)
@@ -659,11 +715,11 @@
 
   sim->messages = g_array_new (FALSE, TRUE, sizeof (struct reading_message));
   sim->acked = g_array_new (FALSE, TRUE, sizeof (gint64));
+  sim->fleet = g_array_new (FALSE, TRUE, sizeof (struct reading_record));
   sim->now = 100000 * MSEC;
-  sim->fleet_end = READING_NODES;
+  sim->store_delay_usec = STORE_DELAY_USEC;
+
   sim->next_record_at = sim->now;
-  for (i = 0; i < READING_NODES; i++)
-    sim->nodes[i].process = 0;
   reading_write (sim);
   for (i = 0; i < READING_NODES; i++)
     reading_start (sim, i);
@@ -681,6 +737,7 @@
     reading_kill (sim, i);
   g_array_free (sim->messages, TRUE);
   g_array_free (sim->acked, TRUE);
+  g_array_free (sim->fleet, TRUE);
   g_free (sim);
 }
 
