A process that starts serves by no configuration that may be older than its last

A node that was started again while its readers were cut off took the first configuration that another node told it, which could be older than the one that it had served by before; nothing had compared it with the store.

It now routes requests, and says that it is ready, once a read by any node has shown that there is no newer version, or 3.5 s after its start, so that an outage of the store does not keep it from serving. Until then 503, not run. Afterwards it serves by what it has, whatever its age.

test_mesh_restart: 'older configuration after a start' and 'start in an outage' failed before.

--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -64,7 +64,7 @@
 gboolean
 mesh_is_ready (const struct mesh *mesh)
 {
-  return mesh->routing != NULL && mesh->initial_read_done
+  return mesh->config_usable && mesh->initial_read_done
          && mesh->stop_requested_at == 0;
 }
 
@@ -114,6 +114,7 @@
 step_timers (struct mesh *mesh, const struct event_tick *event, gint64 now,
              struct actions *out)
 {
+  mesh_config_check (mesh, now);
   key_rate_decay (&mesh->key_rate, now);
   walk_members (mesh, now, out);
   mesh_gossip_step (mesh, now, out);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -37,6 +37,7 @@
   struct routing *routing;       /* configuration in force, or NULL */
   struct fleet_state fleet; /* members and shard maps read from the store */
   struct session session;   /* session with the store */
+  gboolean config_usable;   /* requests are routed by `routing' */
   struct freshness config_freshness; /* how recent `routing' is */
   struct grant grant;         /* keys granted to the local backend server */
   struct admission admission; /* slots and queue of the local backend server */
--- a/src/mesh/mesh_config.c
+++ b/src/mesh/mesh_config.c
@@ -7,6 +7,10 @@
    this for the request to reach the decision.  */
 #define APPLY_MARGIN_USEC ((gint64)250000)
 
+/* A process that starts waits this long to learn whether its configuration is
+   the newest.  */
+#define UNCONFIRMED_USEC ((gint64)3500000)
+
 /* Return the version of the configuration in force, 0 for none.  */
 guint64
 mesh_config_version (const struct mesh *mesh)
@@ -33,6 +37,27 @@
          && age_usec <= mesh->settings.config_apply_usec - APPLY_MARGIN_USEC;
 }
 
+/* Note whether the configuration may be used.  A process that has just started
+   may have had a newer one in an earlier life, so it uses none until a read
+   has shown that there is no newer one, or UNCONFIRMED_USEC have passed, as in
+   an outage of the store.  From then on every version is used until a newer
+   one is in force, whatever its age.  */
+void
+mesh_config_check (struct mesh *mesh, gint64 now)
+{
+  mesh->config_usable = mesh->config_usable
+                        || mesh_config_is_recent (mesh, now)
+                        || (mesh->routing != NULL
+                            && now - mesh->started_at >= UNCONFIRMED_USEC);
+}
+
+/* Return the configuration that requests are routed by, or NULL.  */
+struct routing *
+mesh_config_routing (const struct mesh *mesh)
+{
+  return mesh->config_usable ? mesh->routing : NULL;
+}
+
 /* Return the name of the node that made this read, or an empty text.  */
 const char *
 mesh_config_source (struct mesh *mesh)
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -198,6 +198,8 @@
 guint64 mesh_config_version (const struct mesh *mesh);
 gint64 mesh_config_age_usec (const struct mesh *mesh, gint64 now);
 gboolean mesh_config_is_recent (const struct mesh *mesh, gint64 now);
+void mesh_config_check (struct mesh *mesh, gint64 now);
+struct routing *mesh_config_routing (const struct mesh *mesh);
 const char *mesh_config_source (struct mesh *mesh);
 void mesh_config_apply (struct mesh *mesh, const struct event_routing *event,
                         gint64 now, struct actions *out);
--- a/src/mesh/mesh_read.c
+++ b/src/mesh/mesh_read.c
@@ -166,8 +166,11 @@
     on_success (mesh, event->topic, now);
   if (event->topic == MESH_TOPIC_CONFIG && event->at_end
       && mesh->routing != NULL)
-    freshness_confirm (&mesh->config_freshness, event->started_at,
-                       mesh->settings.incarnation);
+    {
+      freshness_confirm (&mesh->config_freshness, event->started_at,
+                         mesh->settings.incarnation);
+      mesh_config_check (mesh, now);
+    }
   if (event->topic == MESH_TOPIC_FLEET)
     mesh_store_answers (mesh, !failed, now, out);
 }
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -63,7 +63,7 @@
 static enum reason
 no_route_reason (const struct mesh *mesh, gint64 now)
 {
-  if (!mesh_config_is_recent (mesh, now)
+  if (!mesh->config_usable || !mesh_config_is_recent (mesh, now)
       || (mesh->lagged_at != 0 && now - mesh->lagged_at < LAG_USEC)
       || now - mesh->last_tick_at >= MESH_LAG_USEC
       || is_config_outdated (mesh))
@@ -191,10 +191,10 @@
                    gint64 now, struct actions *out)
 {
   struct mesh_request *request = table_get (&mesh->requests, event->exchange);
+  struct routing *routing = mesh_config_routing (mesh);
   struct route *route
-      = mesh->routing != NULL
-            ? routing_match (mesh->routing, event->host, event->target)
-            : NULL;
+      = routing != NULL ? routing_match (routing, event->host, event->target)
+                        : NULL;
 
   if (!mesh_stop_takes_request (mesh, route != NULL ? route->number : 0, now))
     {
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -191,6 +191,7 @@
 
   add_other_member (fixture);
   add_services (fixture);
+  read_config_end (fixture);
   gossip_from_other (fixture);
   send_heartbeat (fixture, 1);
   confirm_proposals (fixture);
--- a/tests/mesh_sim.h
+++ b/tests/mesh_sim.h
@@ -21,6 +21,7 @@
                                     .grant_method = sim->method,
                                     .max_grant_usec = 10 * USEC_PER_SEC,
                                     .drain_limit_usec = 2 * USEC_PER_SEC,
+                                    .config_apply_usec = 2 * USEC_PER_SEC,
                                     .stop_grace_usec = 6 * USEC_PER_SEC };
   struct route_service service = { .name = SERVICE, .sharded = TRUE };
   struct event event = { .kind = EVENT_ROUTING };
