The maps are proposed by the node that reads the fleet's topic for all

Where the store does not answer the first by name, each of its maps waits 1.5 s for an append without an answer and goes through another node then, and the next by name, often in the same data centre, is no better off.

The holder of the duty of reading the fleet's topic proposes; the first by name only while no holder is known.

--- a/src/fleet/reading_duty.c
+++ b/src/fleet/reading_duty.c
@@ -18,11 +18,11 @@
   return duty->reader == process && reading_duty_is_held (duty, now);
 }
 
-/* Note since when DUTY is vacant.  */
+/* Note since when DUTY is vacant, if it is not held.  */
 void
-reading_duty_check (struct reading_duty *duty, gint64 now)
+reading_duty_check (struct reading_duty *duty, gboolean is_held, gint64 now)
 {
-  if (reading_duty_is_held (duty, now))
+  if (is_held)
     duty->vacant_since = 0;
   else if (duty->vacant_since == 0)
     duty->vacant_since = now;
--- a/src/fleet/reading_duty.h
+++ b/src/fleet/reading_duty.h
@@ -27,7 +27,8 @@
 gboolean reading_duty_is_held (const struct reading_duty *duty, gint64 now);
 gboolean reading_duty_is_held_by (const struct reading_duty *duty,
                                   guint64 process, gint64 now);
-void reading_duty_check (struct reading_duty *duty, gint64 now);
+void reading_duty_check (struct reading_duty *duty, gboolean is_held,
+                         gint64 now);
 void reading_duty_renew (struct reading_duty *duty, guint64 self,
                          guint32 round, gint64 now);
 gboolean reading_duty_give_up (struct reading_duty *duty, guint64 self);
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -207,6 +207,8 @@
                             gint64 sent_at);
 
 /* Reads of the topics, and the duties of reading them, mesh_read.c.  */
+gboolean mesh_read_is_held (struct mesh *mesh, enum reading_slot slot,
+                            gint64 now);
 gboolean mesh_read_holds (const struct mesh *mesh, enum reading_slot slot,
                           gint64 now);
 void mesh_read_start (struct mesh *mesh, enum mesh_topic topic, gint64 now,
--- a/src/mesh/mesh_plan.c
+++ b/src/mesh/mesh_plan.c
@@ -197,14 +197,24 @@
   return FALSE;
 }
 
-/* Propose the changes that are due in all maps.  Only the first by name of the
-   responsive nodes does this.  */
+/* Return whether this node proposes what is common to all nodes.  The one that
+   reads the fleet's topic for all does, since the store is known to answer it;
+   while none is known, the first by name of the responsive nodes.  */
+static gboolean
+is_planner (struct mesh *mesh, gint64 now)
+{
+  if (mesh_read_is_held (mesh, READING_FLEET, now))
+    return mesh_read_holds (mesh, READING_FLEET, now);
+  return mesh_rank_by_name (mesh, now) == 0;
+}
+
+/* Propose the changes that are due in all maps.  */
 static void
 propose_common (struct mesh *mesh, gint64 now, struct actions *out)
 {
   guint i;
 
-  if (mesh->routing == NULL || mesh_rank_by_name (mesh, now) != 0
+  if (mesh->routing == NULL || !is_planner (mesh, now)
       || mesh_session_usec (mesh, now) == 0)
     return;
   for (i = 0; i < mesh->routing->services->len; i++)
--- a/src/mesh/mesh_read.c
+++ b/src/mesh/mesh_read.c
@@ -56,6 +56,20 @@
 
 /* Duties */
 
+/* Return whether the duty of SLOT is held, as far as this node knows, by a
+   node that is heard.  */
+gboolean
+mesh_read_is_held (struct mesh *mesh, enum reading_slot slot, gint64 now)
+{
+  const struct reading_duty *duty = &mesh->duties[slot];
+  const struct peer_state *peer;
+
+  if (!reading_duty_is_held (duty, now))
+    return FALSE;
+  peer = table_get (&mesh->peers, mesh_peer_of (mesh, duty->reader));
+  return peer == NULL || peer_state_is_responsive (peer, now);
+}
+
 /* Return whether this node holds the duty of SLOT.  */
 gboolean
 mesh_read_holds (const struct mesh *mesh, enum reading_slot slot, gint64 now)
@@ -111,7 +125,7 @@
 
   if (mesh->stop_requested_at != 0 || !mesh->initial_read_done
       || leaves_reading (mesh, now) || duty->vacant_since == 0
-      || reading_duty_is_held (duty, now)
+      || mesh_read_is_held (mesh, slot, now)
       || now - mesh->duties_known_from < HEAR_USEC
       || (slot == READING_CONFIG_SPARE
           && mesh_read_holds (mesh, READING_CONFIG, now)))
@@ -333,7 +347,8 @@
   if (mesh->initial_read_done && mesh->duties_known_from == 0)
     mesh->duties_known_from = now;
   for (i = 0; i < READING_SLOTS; i++)
-    reading_duty_check (&mesh->duties[i], now);
+    reading_duty_check (&mesh->duties[i], mesh_read_is_held (mesh, i, now),
+                        now);
   for (i = 0; i < G_N_ELEMENTS (topics); i++)
     {
       const struct read_attempt *attempt = &mesh->read_attempts[topics[i]];
