A node that lost the store finds by itself that it is back

Since the session of a node that the store does not answer is kept fresh by other nodes, and reading no longer follows from its name, a node could take the store for lost until its own session grew old: it then offered no keys and relayed no appends. It reads the fleet's topic each 2 s until it is answered.

test_mesh_reading: 'store back' fails without it.

--- a/src/mesh/mesh_read.c
+++ b/src/mesh/mesh_read.c
@@ -22,6 +22,11 @@
 #define FLEET_STALE_USEC ((gint64)2200000)
 #define CONFIG_STALE_USEC ((gint64)1800000)
 
+/* A node that the store did not answer tries again after this, though others
+   read for it: what it takes part in depends on whether the store answers
+   it.  */
+#define LOST_INTERVAL_USEC ((gint64)2000000)
+
 /* The nodes try to take a vacant duty, or to read for themselves, in an order,
    so that few have read by the time the others hear of the first answer.  The
    number of those that have tried doubles with each of these steps.  */
@@ -296,7 +301,9 @@
   for (slot = 0; slot < READING_SLOTS; slot++)
     if (reading_slot_topic (slot) == topic && is_due_by_duty (mesh, slot, now))
       return TRUE;
-  return is_due_by_age (mesh, topic, now);
+  return is_due_by_age (mesh, topic, now)
+         || (topic == MESH_TOPIC_FLEET && mesh->store_lost
+             && now - attempt->started_at >= LOST_INTERVAL_USEC);
 }
 
 /* Read TOPIC to its end.  */
--- a/tests/test_mesh_reading.c
+++ b/tests/test_mesh_reading.c
@@ -45,6 +45,25 @@
   check_in_force (sim);
 }
 
+/* A node that has lost the store finds that it is back, though others read for
+   it.  */
+static void
+test_store_back (void)
+{
+  struct reading_sim *sim = reading_sim_new ();
+  guint i;
+
+  reading_serve (sim, 0, LAST_NODE, READING_SILENT);
+  reading_run (sim, 5000 * MSEC);
+  for (i = 0; i < READING_NODES; i++)
+    CU_ASSERT_TRUE (sim->nodes[i].mesh.store_lost);
+  reading_serve (sim, 0, LAST_NODE, READING_SERVED);
+  reading_run (sim, 3000 * MSEC);
+  for (i = 0; i < READING_NODES; i++)
+    CU_ASSERT_FALSE (sim->nodes[i].mesh.store_lost);
+  check_in_force (sim);
+}
+
 /* The store refuses the readers' calls.  */
 static void
 test_readers_refused (void)
@@ -327,6 +346,7 @@
           { "readers that hear nobody", test_readers_deaf },
           { "slow store", test_slow_store },
           { "outage", test_outage },
+          { "store back", test_store_back },
           { "random", test_random },
           CU_TEST_INFO_NULL };
 
