A node does not fetch the same configuration several times at once

Callers were answered by a configuration that was 20 s old at nodes that had processor time to spare, after a series of versions of 1,500 routes on links of 10 Mbit/s.

A node asked each neighbour that was ahead, each 100 ms, and each sent the whole configuration; its own reads brought all versions since the last one read, up to 1 MB. That this fills the link, so that no answer ends before its time limit, is an inference from the sizes.

For 400 ms after a fetch that asks for a configuration the others ask for records only; such a fetch may take 1.4 s. A read of a node that knows of a newer configuration brings the newest one only.

--- a/src/edge/mesh_node_perform.c
+++ b/src/edge/mesh_node_perform.c
@@ -196,7 +196,8 @@
     case ACTION_READ_TOPIC:
       topic_reader_confirm (action->u.read_topic.topic == MESH_TOPIC_FLEET
                                 ? &node->fleet_reader
-                                : &node->config_reader);
+                                : &node->config_reader,
+                            action->u.read_topic.newest_only);
       break;
     case ACTION_HEARTBEAT_ANSWER:
       control_api_answer (
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -71,9 +71,12 @@
   gint64 map_received_at[MESH_MAP_TIMES]; /* ring of the times at which the
                                              last maps arrived */
   guint32 maps_received;                  /* number of maps that arrived */
-  gint64 next_balance_at;  /* shards are not balanced between members before
-                              this time */
-  gint64 last_fetch_at;    /* last fetch of records from a peer */
+  gint64 next_balance_at; /* shards are not balanced between members before
+                             this time */
+  gint64 last_fetch_at;   /* last fetch of records from a peer */
+  guint64 config_fetch_serial; /* fetch that is to bring a configuration, 0:
+                                  none is on its way */
+  gint64 config_fetch_alone_until; /* no other fetch asks for one until then */
   gboolean fetch_deferred; /* a fetch follows soon after the last one */
   struct handle deferred_fetch_member; /* member to fetch from then */
   gboolean refuses_patches; /* the last patch of a map did not fit; the next
--- a/src/mesh/mesh_config.c
+++ b/src/mesh/mesh_config.c
@@ -26,6 +26,21 @@
   return freshness_age_usec (&mesh->config_freshness, now);
 }
 
+/* Return whether another node is known to have a newer configuration than
+   this one.  */
+gboolean
+mesh_config_is_outdated (const struct mesh *mesh)
+{
+  struct handle h = table_next (&mesh->peers, HANDLE_NONE);
+
+  for (; handle_is_set (h); h = table_next (&mesh->peers, h))
+    if (((const struct peer_state *)table_get (&mesh->peers, h))
+            ->config_version
+        > mesh_config_version (mesh))
+      return TRUE;
+  return FALSE;
+}
+
 /* Return whether the configuration in force is recent enough to say that a
    route does not exist.  */
 gboolean
--- a/src/mesh/mesh_fetch.c
+++ b/src/mesh/mesh_fetch.c
@@ -6,6 +6,11 @@
 #define FETCH_AFTER_USEC ((gint64)150000)
 #define FETCH_INTERVAL_USEC ((gint64)100000) /* between fetches */
 #define FETCH_TIMEOUT_USEC ((gint64)900000)  /* until a fetch fails */
+/* The same of a fetch that brings a configuration, which is long.  */
+#define CONFIG_FETCH_TIMEOUT_USEC ((gint64)1400000)
+/* Until another node is asked for the configuration too: the first one may
+   have stopped.  */
+#define CONFIG_FETCH_ALONE_USEC ((gint64)400000)
 
 /* Add a call to the member H at the address TO.  The kind and the body of the
    call are left to be filled in.  */
@@ -23,8 +28,19 @@
   return action;
 }
 
+/* Return whether a fetch is on its way that was sent not long ago and is to
+   bring a configuration.  */
+static gboolean
+is_fetching_config (const struct mesh *mesh, gint64 now)
+{
+  return mesh->config_fetch_serial != 0
+         && now < mesh->config_fetch_alone_until;
+}
+
 /* Fetch the records and the configuration that this node lacks from the node
-   at FROM.  H is the handle of that node, if it is a known member.  */
+   at FROM.  H is the handle of that node, if it is a known member.  For a
+   while only one fetch asks for a configuration: each node that has a newer
+   one would send it in full, and slow links would carry nothing else.  */
 void
 mesh_fetch (struct mesh *mesh, struct handle h, struct address from,
             gint64 now, struct actions *out)
@@ -38,10 +54,21 @@
       return;
     }
   mesh->last_fetch_at = now;
-  action = mesh_add_call (mesh, h, from, now + FETCH_TIMEOUT_USEC, out);
+  if (is_fetching_config (mesh, now))
+    {
+      action = mesh_add_call (mesh, h, from, now + FETCH_TIMEOUT_USEC, out);
+      action->call.u.fetch.config_version = FETCH_NO_CONFIG;
+    }
+  else
+    {
+      gint64 until = now + CONFIG_FETCH_TIMEOUT_USEC;
+      action = mesh_add_call (mesh, h, from, until, out);
+      action->call.u.fetch.config_version = mesh_config_version (mesh);
+      mesh->config_fetch_serial = action->serial;
+      mesh->config_fetch_alone_until = now + CONFIG_FETCH_ALONE_USEC;
+    }
   action->call.kind = MESH_FETCH;
   action->call.u.fetch.applied_offset = mesh->fleet.applied_offset;
-  action->call.u.fetch.config_version = mesh_config_version (mesh);
   action->call.u.fetch.accepts_patches = !mesh->refuses_patches;
 }
 
@@ -80,3 +107,11 @@
   if (member != NULL && table_get (&mesh->peers, h) != NULL)
     mesh_fetch_if_behind (mesh, h, member->peer_address, now, out);
 }
+
+/* Process the end of the fetch SERIAL, with or without a reply.  */
+void
+mesh_fetch_ended (struct mesh *mesh, guint64 serial)
+{
+  if (serial == mesh->config_fetch_serial)
+    mesh->config_fetch_serial = 0;
+}
--- a/src/mesh/mesh_gossip.c
+++ b/src/mesh/mesh_gossip.c
@@ -242,6 +242,7 @@
       mesh_append_ended (mesh, &stored, now, out);
       break;
     case MESH_FETCH:
+      mesh_fetch_ended (mesh, event->serial);
       break;
     }
 }
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -197,6 +197,7 @@
 /* The configuration in force, mesh_config.c.  */
 guint64 mesh_config_version (const struct mesh *mesh);
 gint64 mesh_config_age_usec (const struct mesh *mesh, gint64 now);
+gboolean mesh_config_is_outdated (const struct mesh *mesh);
 gboolean mesh_config_is_recent (const struct mesh *mesh, gint64 now);
 void mesh_config_check (struct mesh *mesh, gint64 now);
 struct routing *mesh_config_routing (const struct mesh *mesh);
@@ -231,6 +232,7 @@
 void mesh_fetch_if_behind (struct mesh *mesh, struct handle h,
                            struct address from, gint64 now,
                            struct actions *out);
+void mesh_fetch_ended (struct mesh *mesh, guint64 serial);
 void mesh_fetch_step (struct mesh *mesh, gint64 now, struct actions *out);
 
 /* Gossip and detection of failed nodes, mesh_gossip.c and mesh_liveness.c.  */
--- a/src/mesh/mesh_read.c
+++ b/src/mesh/mesh_read.c
@@ -306,16 +306,21 @@
              && now - attempt->started_at >= LOST_INTERVAL_USEC);
 }
 
-/* Read TOPIC to its end.  */
+/* Read TOPIC to its end.  Where another node is known to have a newer
+   configuration, the ones before the newest are left out.  */
 void
 mesh_read_start (struct mesh *mesh, enum mesh_topic topic, gint64 now,
                  struct actions *out)
 {
   struct read_attempt *attempt = &mesh->read_attempts[topic];
+  struct action_read_topic *action
+      = &actions_add (out, ACTION_READ_TOPIC)->u.read_topic;
 
   attempt->started_at = now;
   attempt->is_pending = TRUE;
-  actions_add (out, ACTION_READ_TOPIC)->u.read_topic.topic = topic;
+  action->topic = topic;
+  action->newest_only
+      = topic == MESH_TOPIC_CONFIG && mesh_config_is_outdated (mesh);
 }
 
 /* Log which duties this node holds, if that has changed.  */
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -42,21 +42,6 @@
   message->deadline = mesh_stop_deadline (mesh, message->deadline);
 }
 
-/* Return whether another node is known to have a newer configuration than
-   this one.  */
-static gboolean
-is_config_outdated (const struct mesh *mesh)
-{
-  struct handle h = table_next (&mesh->peers, HANDLE_NONE);
-
-  for (; handle_is_set (h); h = table_next (&mesh->peers, h))
-    if (((const struct peer_state *)table_get (&mesh->peers, h))
-            ->config_version
-        > mesh->routing->version)
-      return TRUE;
-  return FALSE;
-}
-
 /* Return why no route matched.  The configuration of this node may be missing
    or out of date.  A node that was behind its timer was also behind the
    messages that tell it of a new one.  */
@@ -66,7 +51,7 @@
   if (!mesh->config_usable || !mesh_config_is_recent (mesh, now)
       || (mesh->lagged_at != 0 && now - mesh->lagged_at < LAG_USEC)
       || now - mesh->last_tick_at >= MESH_LAG_USEC
-      || is_config_outdated (mesh))
+      || mesh_config_is_outdated (mesh))
     return REASON_NO_CONFIG;
   return REASON_NO_RULE;
 }
--- a/src/types/action.h
+++ b/src/types/action.h
@@ -152,6 +152,7 @@
 struct action_read_topic
 {
   enum mesh_topic topic; /* topic to read */
+  gboolean newest_only;  /* of each key only the newest record is of use */
 };
 
 /* Ask another node to append a record.  The action owns the record.  */
--- a/src/types/mesh_msg.h
+++ b/src/types/mesh_msg.h
@@ -56,6 +56,9 @@
   struct reading_claim claims[READING_SLOTS]; /* who reads the topics */
 };
 
+/* A node that has this version wants no configuration.  */
+#define FETCH_NO_CONFIG G_MAXUINT64
+
 /* Fetch records and the configuration.  */
 struct mesh_fetch
 {
--- a/tests/reading_sim.h
+++ b/tests/reading_sim.h
@@ -347,7 +347,10 @@
   if (message->call.kind == MESH_FETCH)
     {
       back.end = to->mesh.fleet.applied_offset;
-      back.version = mesh_config_version (&to->mesh);
+      back.serial = message->serial;
+      if (mesh_config_version (&to->mesh)
+          > message->call.u.fetch.config_version)
+        back.version = mesh_config_version (&to->mesh);
       reading_send (sim, &back, NODE_DELAY_USEC);
       return;
     }
@@ -400,6 +403,23 @@
   reading_feed (sim, caller, &event);
 }
 
+/* Deliver what another node has read, in MESSAGE, to the node that fetched
+   it.  */
+static inline void
+reading_on_fetched (struct reading_sim *sim,
+                    const struct reading_message *message)
+{
+  struct mesh_reply reply = { .kind = MESH_FETCH };
+  struct event event = { .kind = EVENT_MESH_REPLY };
+
+  reading_cancel_timeout (sim, message->from, message->serial);
+  reading_give_fleet (sim, message->from, message->end, FALSE, 0);
+  reading_give_config (sim, message->from, message->version, FALSE);
+  event.u.mesh_reply.serial = message->serial;
+  event.u.mesh_reply.reply = &reply;
+  reading_feed (sim, message->from, &event);
+}
+
 /* Deliver MESSAGE.  What a process asked for ends with it; a frozen one gets
    it when it goes on.  */
 static inline void
@@ -436,8 +456,7 @@
     case READING_FETCHED:
       if (reading_is_cut (sim, message->to, message->from))
         break;
-      reading_give_fleet (sim, message->from, message->end, FALSE, 0);
-      reading_give_config (sim, message->from, message->version, FALSE);
+      reading_on_fetched (sim, message);
       break;
     }
 }
--- /dev/null
+++ b/tests/test_mesh_fetch.c
@@ -0,0 +1,103 @@
+#include "mesh/mesh_parts.h"
+#include "tests/mesh_fixture.h"
+
+/* What a node fetches from others that have read more.  */
+
+#define NEWER_VERSION 5u
+
+/* Send gossip of the other node, which has a newer configuration.  Return the
+   fetch that the node makes then, or NULL.  */
+static const struct action_mesh_call *
+hear_newer (struct fixture *fixture)
+{
+  struct event event = { .kind = EVENT_MESH_CALL };
+  struct mesh_call call = { .kind = MESH_GOSSIP };
+  guint i;
+
+  g_strlcpy (call.u.gossip.name, "b", NAME_SIZE);
+  call.u.gossip.incarnation = 77;
+  call.u.gossip.applied_offset = fixture->mesh.fleet.applied_offset;
+  call.u.gossip.config_version = NEWER_VERSION;
+  event.u.mesh_call.call = &call;
+  feed_event (fixture, &event);
+  for (i = 0; i < fixture->actions.items->len; i++)
+    {
+      const struct action *action = actions_at (&fixture->actions, i);
+      if (action->kind == ACTION_MESH_CALL
+          && action->u.mesh_call.call.kind == MESH_FETCH)
+        return &action->u.mesh_call;
+    }
+  return NULL;
+}
+
+/* Return whether the node asks for a configuration when it hears of a newer
+   one.  Store the serial of its fetch at SERIAL.  */
+static gboolean
+asks_for_config (struct fixture *fixture, guint64 *serial)
+{
+  const struct action_mesh_call *fetch = hear_newer (fixture);
+
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fetch);
+  *serial = fetch->serial;
+  return fetch->call.u.fetch.config_version < NEWER_VERSION;
+}
+
+/* Return a node that is behind the other one for long enough to fetch.  */
+static struct fixture *
+start_behind (void)
+{
+  struct fixture *fixture = fixture_new ();
+
+  fixture->mesh.store_lost = TRUE;
+  fixture->now += 500 * MSEC;
+  return fixture;
+}
+
+/* Guards against the same configuration fetched several times at once: a long
+   one fills slow links for seconds, and none arrives in time.  */
+static void
+test_one_config_at_a_time (void)
+{
+  struct fixture *fixture = start_behind ();
+  guint64 first;
+  guint64 serial;
+
+  CU_ASSERT_TRUE (asks_for_config (fixture, &first));
+  fixture->now += 150 * MSEC;
+  CU_ASSERT_FALSE (asks_for_config (fixture, &serial));
+  fixture->now += 150 * MSEC;
+  CU_ASSERT_FALSE (asks_for_config (fixture, &serial));
+  fixture_free (fixture);
+}
+
+/* After a fetch that failed, or that was not answered in time, the next one
+   asks again.  */
+static void
+test_asks_again (void)
+{
+  struct fixture *fixture = start_behind ();
+  struct event event = { .kind = EVENT_MESH_REPLY };
+  struct mesh_reply failed = { .kind = MESH_FETCH, .code = ERR_INDETERMINATE };
+  guint64 serial;
+
+  CU_ASSERT_TRUE (asks_for_config (fixture, &serial));
+  event.u.mesh_reply.serial = serial;
+  event.u.mesh_reply.reply = &failed;
+  feed_event (fixture, &event);
+  fixture->now += 150 * MSEC;
+  CU_ASSERT_TRUE (asks_for_config (fixture, &serial));
+  fixture->now += 2000 * MSEC;
+  CU_ASSERT_TRUE (asks_for_config (fixture, &serial));
+  fixture_free (fixture);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[]
+      = { { "one configuration at a time", test_one_config_at_a_time },
+          { "asks again", test_asks_again },
+          CU_TEST_INFO_NULL };
+
+  return suite_run ("mesh_fetch", tests);
+}
