--- a/src/fleet/read_attempt.h
+++ b/src/fleet/read_attempt.h
@@ -9,6 +9,7 @@
 {
   gint64 started_at;    /* start of the last read, 0: there was none */
   gboolean is_pending;  /* it has not been answered yet, nor given up */
+  gboolean failed;      /* the last one failed */
   gint64 no_read_until; /* after a read that failed, no other starts before */
 };
 
--- a/src/mesh/mesh_read.c
+++ b/src/mesh/mesh_read.c
@@ -9,13 +9,15 @@
 
 /* Time between reads to the end of a topic, by slot.  */
 #define FLEET_INTERVAL_USEC ((gint64)1000000)
-#define CONFIG_INTERVAL_USEC ((gint64)600000)
-#define CONFIG_SPARE_INTERVAL_USEC ((gint64)1200000)
+#define CONFIG_INTERVAL_USEC ((gint64)800000)
+#define CONFIG_SPARE_INTERVAL_USEC ((gint64)1600000)
 
 /* A read that is not answered by then counts as failed.  Its answer is still
    used if it comes.  */
 #define ANSWER_DUE_USEC ((gint64)350000)
-#define RETRY_USEC ((gint64)900000)        /* from a failed read to the next */
+#define RETRY_USEC ((gint64)900000) /* from a failed read to the next */
+/* The same for the spare duty: the topic is read without it.  */
+#define SPARE_RETRY_USEC ((gint64)3000000)
 #define MIN_INTERVAL_USEC ((gint64)500000) /* between reads of a topic */
 
 /* A node whose own copy of a topic is older than this reads for itself.  */
@@ -120,20 +122,25 @@
   return TRY_STEP_USEC * (gint64)(g_bit_storage (rank + 1) - 1);
 }
 
-/* Return whether this node may take the duty of SLOT: it is vacant, and the
-   nodes that try first have had their time.  A process that has just started
+/* Return whether this node may take the duty of SLOT: it is vacant, this node
+   has no other duty for the same topic, and the nodes that try first have had
+   their time.  A process that has just started
    first hears who holds it.  */
 static gboolean
 may_take (struct mesh *mesh, enum reading_slot slot, gint64 now)
 {
   const struct reading_duty *duty = &mesh->duties[slot];
+  const struct read_attempt *attempt
+      = &mesh->read_attempts[reading_slot_topic (slot)];
 
   if (mesh->stop_requested_at != 0 || !mesh->initial_read_done
       || leaves_reading (mesh, now) || duty->vacant_since == 0
       || mesh_read_is_held (mesh, slot, now)
       || now - mesh->duties_known_from < HEAR_USEC
-      || (slot == READING_CONFIG_SPARE
-          && mesh_read_holds (mesh, READING_CONFIG, now)))
+      || holds_topic (mesh, reading_slot_topic (slot), now))
+    return FALSE;
+  if (slot == READING_CONFIG_SPARE && attempt->failed
+      && now - attempt->started_at < SPARE_RETRY_USEC)
     return FALSE;
   return now - duty->vacant_since >= try_delay (mesh, slot, now);
 }
@@ -146,6 +153,7 @@
   guint slot;
 
   attempt->is_pending = FALSE;
+  attempt->failed = TRUE;
   attempt->no_read_until = now + RETRY_USEC;
   for (slot = 0; slot < READING_SLOTS; slot++)
     if (reading_slot_topic (slot) == topic
@@ -163,6 +171,7 @@
   guint slot;
 
   attempt->is_pending = FALSE;
+  attempt->failed = FALSE;
   attempt->no_read_until = 0;
   mesh->reads_answered++;
   for (slot = 0; slot < READING_SLOTS; slot++)
--- a/tests/test_wire_mesh.c
+++ b/tests/test_wire_mesh.c
@@ -25,6 +25,10 @@
   gossip->sequence = 12;
   gossip->config_confirmed_age_usec = 2000;
   gossip->config_source = 9;
+  gossip->claims[READING_CONFIG_SPARE].reader = 14;
+  gossip->claims[READING_CONFIG_SPARE].round = 15;
+  gossip->claims[READING_CONFIG_SPARE].age_msec = 16;
+  gossip->claims[READING_CONFIG_SPARE].given_up = TRUE;
   gossip->report_count = 1;
   gossip->reports[0].incarnation = 8;
   gossip->reports[0].age_msec = 300;
@@ -48,6 +52,10 @@
   CU_ASSERT_EQUAL (decoded.u.gossip.reports[0].sequence, 13);
   CU_ASSERT_EQUAL (decoded.u.gossip.config_confirmed_age_usec, 2000);
   CU_ASSERT_EQUAL (decoded.u.gossip.config_source, 9);
+  CU_ASSERT_EQUAL (decoded.u.gossip.claims[READING_CONFIG_SPARE].reader, 14);
+  CU_ASSERT_EQUAL (decoded.u.gossip.claims[READING_CONFIG_SPARE].round, 15);
+  CU_ASSERT_EQUAL (decoded.u.gossip.claims[READING_CONFIG_SPARE].age_msec, 16);
+  CU_ASSERT_TRUE (decoded.u.gossip.claims[READING_CONFIG_SPARE].given_up);
   g_byte_array_unref (bytes);
 }
 
@@ -70,6 +78,9 @@
       CU_ASSERT_EQUAL (decoded.u.gossip.sequence, has_sequences ? 12 : 0);
       CU_ASSERT_EQUAL (decoded.u.gossip.config_confirmed_age_usec, -1);
       CU_ASSERT_EQUAL (decoded.u.gossip.config_source, 0);
+      CU_ASSERT_EQUAL (decoded.u.gossip.claims[READING_FLEET].reader, 0);
+      CU_ASSERT_EQUAL (decoded.u.gossip.claims[READING_CONFIG_SPARE].reader,
+                       0);
       CU_ASSERT_EQUAL (decoded.u.gossip.applied_offset, 31);
       CU_ASSERT_EQUAL (decoded.u.gossip.confirmed_age_usec, 1000);
       CU_ASSERT_EQUAL (decoded.u.gossip.reports[0].incarnation, 8);
@@ -86,12 +97,44 @@
   g_byte_array_unref (bytes);
 }
 
+/* The reply to a fetch is the same after encoding and decoding; one of an
+   older version ends before the offset of the operator's topic.  */
+static void
+test_fetch_reply (void)
+{
+  struct mesh_reply reply = { .kind = MESH_FETCH };
+  struct mesh_reply decoded = { 0 };
+  struct mesh_reply older = { 0 };
+  guint8 bytes_of_config[] = { 1, 2, 3, 4 };
+  GByteArray *bytes;
+
+  reply.u.fetch.next_offset = 7;
+  reply.u.fetch.config_version = 8;
+  reply.u.fetch.config_bytes = bytes_of_config;
+  reply.u.fetch.config_length = sizeof bytes_of_config;
+  reply.u.fetch.config_next_offset = 9;
+  bytes = wire_encode (wire_mesh_reply, &reply, 65536);
+  CU_ASSERT_EQUAL (
+      wire_decode (wire_mesh_reply, &decoded, bytes->data, bytes->len),
+      ERR_NONE);
+  CU_ASSERT_EQUAL (decoded.u.fetch.config_next_offset, 9);
+  CU_ASSERT_EQUAL (
+      wire_decode (wire_mesh_reply, &older, bytes->data, bytes->len - 8),
+      ERR_NONE);
+  CU_ASSERT_EQUAL (older.u.fetch.config_next_offset, 0);
+  CU_ASSERT_EQUAL (older.u.fetch.config_version, 8);
+  xdr_free ((xdrproc_t)wire_mesh_reply, (char *)&decoded);
+  xdr_free ((xdrproc_t)wire_mesh_reply, (char *)&older);
+  g_byte_array_unref (bytes);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[]
       = { { "gossip", test_gossip },
           { "gossip of an older version", test_gossip_of_older_version },
+          { "reply to a fetch", test_fetch_reply },
           CU_TEST_INFO_NULL };
 
   return suite_run ("wire_mesh", tests);
