--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -42,7 +42,7 @@
           text,
           "reading_held{duty=\"%s\"} %d\n"
           "reading_age_ms{duty=\"%s\"} %" G_GINT64_FORMAT "\n",
-          reading_slot_name (slot), mesh_read_holds (mesh, slot, now),
+          reading_slot_name (slot), mesh_duty_holds (mesh, slot, now),
           reading_slot_name (slot), mesh_age_msec (duty->renewed_at, now));
     }
 }
--- a/src/mesh/mesh_gossip.c
+++ b/src/mesh/mesh_gossip.c
@@ -29,7 +29,7 @@
   gossip->config_version = mesh_config_version (mesh);
   gossip->config_confirmed_age_usec = mesh_config_age_usec (mesh, now);
   gossip->config_source = mesh->config_freshness.source;
-  mesh_read_fill_gossip (mesh, gossip, now);
+  mesh_duty_fill_gossip (mesh, gossip, now);
   gossip->leaving = mesh->stop_requested_at != 0;
   gossip->store_lost = mesh->store_lost;
   gossip->load = mesh_load_report (mesh, now);
@@ -136,7 +136,7 @@
       mesh->rank_at = 0;
     }
   peer_state_on_gossip (peer, gossip, now);
-  mesh_read_on_gossip (mesh, gossip, now);
+  mesh_duty_on_gossip (mesh, gossip, now);
   mesh_report_apply (mesh, gossip, now);
   mesh_fetch_if_behind (mesh, h, gossip->address, now, out);
 }
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -207,21 +207,33 @@
 void mesh_config_on_gossip (struct mesh *mesh, const struct gossip *gossip,
                             gint64 sent_at);
 
-/* Reads of the topics, and the duties of reading them, mesh_read.c.  */
-gboolean mesh_read_is_held (struct mesh *mesh, enum reading_slot slot,
-                            gint64 now);
-gboolean mesh_read_holds (const struct mesh *mesh, enum reading_slot slot,
-                          gint64 now);
+/* Reads of the topics, mesh_read.c.  */
+gboolean mesh_read_leaves (const struct mesh *mesh, gint64 now);
 void mesh_read_start (struct mesh *mesh, enum mesh_topic topic, gint64 now,
                       struct actions *out);
 void mesh_read_ended (struct mesh *mesh, const struct event_topic_read *event,
                       gint64 now, struct actions *out);
-void mesh_read_leave (struct mesh *mesh);
-void mesh_read_fill_gossip (const struct mesh *mesh, struct gossip *gossip,
+void mesh_read_step (struct mesh *mesh, gint64 now, struct actions *out);
+
+/* The duties of reading a topic for all nodes, mesh_duty.c.  */
+gboolean mesh_duty_is_held (struct mesh *mesh, enum reading_slot slot,
                             gint64 now);
-void mesh_read_on_gossip (struct mesh *mesh, const struct gossip *gossip,
+gboolean mesh_duty_holds (const struct mesh *mesh, enum reading_slot slot,
                           gint64 now);
-void mesh_read_step (struct mesh *mesh, gint64 now, struct actions *out);
+gboolean mesh_duty_holds_topic (const struct mesh *mesh, enum mesh_topic topic,
+                                gint64 now);
+gint64 mesh_duty_try_delay (struct mesh *mesh, enum reading_slot slot,
+                            gint64 now);
+gboolean mesh_duty_may_take (struct mesh *mesh, enum reading_slot slot,
+                             gint64 now);
+void mesh_duty_renew (struct mesh *mesh, enum mesh_topic topic, gint64 now);
+void mesh_duty_give_up (struct mesh *mesh, enum mesh_topic topic);
+void mesh_duty_leave (struct mesh *mesh);
+void mesh_duty_fill_gossip (const struct mesh *mesh, struct gossip *gossip,
+                            gint64 now);
+void mesh_duty_on_gossip (struct mesh *mesh, const struct gossip *gossip,
+                          gint64 now);
+void mesh_duty_step (struct mesh *mesh, gint64 now, struct actions *out);
 
 /* Calls to other nodes, and the fetch of what they have read, mesh_fetch.c. */
 struct action_mesh_call *mesh_add_call (struct mesh *mesh, struct handle h,
--- a/src/mesh/mesh_plan.c
+++ b/src/mesh/mesh_plan.c
@@ -203,8 +203,8 @@
 static gboolean
 is_planner (struct mesh *mesh, gint64 now)
 {
-  if (mesh_read_is_held (mesh, READING_FLEET, now))
-    return mesh_read_holds (mesh, READING_FLEET, now);
+  if (mesh_duty_is_held (mesh, READING_FLEET, now))
+    return mesh_duty_holds (mesh, READING_FLEET, now);
   return mesh_rank_by_name (mesh, now) == 0;
 }
 
--- a/src/mesh/mesh_read.c
+++ b/src/mesh/mesh_read.c
@@ -15,9 +15,7 @@
 /* A read that is not answered by then counts as failed.  Its answer is still
    used if it comes.  */
 #define ANSWER_DUE_USEC ((gint64)350000)
-#define RETRY_USEC ((gint64)900000) /* from a failed read to the next */
-/* The same for the spare duty: the topic is read without it.  */
-#define SPARE_RETRY_USEC ((gint64)3000000)
+#define RETRY_USEC ((gint64)900000)        /* from a failed read to the next */
 #define MIN_INTERVAL_USEC ((gint64)500000) /* between reads of a topic */
 
 /* A node whose own copy of a topic is older than this reads for itself.  */
@@ -29,15 +27,6 @@
    it.  */
 #define LOST_INTERVAL_USEC ((gint64)2000000)
 
-/* The nodes try to take a vacant duty, or to read for themselves, in an order,
-   so that few have read by the time the others hear of the first answer.  The
-   number of those that have tried doubles with each of these steps.  */
-#define TRY_STEP_USEC ((gint64)60000)
-
-/* Time in which a process that has read the members hears from them who holds
-   the duties.  */
-#define HEAR_USEC ((gint64)450000)
-
 /* A node without a configuration this long after its start follows the
    operator's topic, though others do too.  */
 #define NO_CONFIG_USEC ((gint64)3500000)
@@ -49,8 +38,8 @@
    first by name until it knows other members, each would read each record.  So
    only the nodes whose own records are among the first go on reading; the
    others wait to be called by them.  */
-static gboolean
-leaves_reading (const struct mesh *mesh, gint64 now)
+gboolean
+mesh_read_leaves (const struct mesh *mesh, gint64 now)
 {
   const struct fleet_member *self
       = fleet_state_member_named (&mesh->fleet, mesh->settings.name);
@@ -61,124 +50,28 @@
   return self == NULL || self->store_offset >= FIRST_MEMBERS;
 }
 
-/* Duties */
-
-/* Return whether the duty of SLOT is held, as far as this node knows, by a
-   node that is heard.  */
-gboolean
-mesh_read_is_held (struct mesh *mesh, enum reading_slot slot, gint64 now)
-{
-  const struct reading_duty *duty = &mesh->duties[slot];
-  const struct peer_state *peer;
-
-  if (!reading_duty_is_held (duty, now))
-    return FALSE;
-  peer = table_get (&mesh->peers, mesh_peer_of (mesh, duty->reader));
-  return peer == NULL || peer_state_is_responsive (peer, now);
-}
-
-/* Return whether this node holds the duty of SLOT.  */
-gboolean
-mesh_read_holds (const struct mesh *mesh, enum reading_slot slot, gint64 now)
-{
-  return reading_duty_is_held_by (&mesh->duties[slot],
-                                  mesh->settings.incarnation, now);
-}
-
-/* Return whether this node holds a duty of reading TOPIC.  */
-static gboolean
-holds_topic (const struct mesh *mesh, enum mesh_topic topic, gint64 now)
-{
-  guint slot;
-
-  for (slot = 0; slot < READING_SLOTS; slot++)
-    if (reading_slot_topic (slot) == topic
-        && mesh_read_holds (mesh, slot, now))
-      return TRUE;
-  return FALSE;
-}
-
-/* Return whether the holder of SLOT is known to be in this node's data
-   centre.  */
-static gboolean
-is_holder_near (struct mesh *mesh, enum reading_slot slot)
-{
-  const struct fleet_member *holder = fleet_state_member_at (
-      &mesh->fleet, mesh_peer_of (mesh, mesh->duties[slot].reader));
-
-  return holder != NULL && strcmp (holder->zone, mesh->settings.zone) == 0;
-}
-
-/* Return how long this node leaves it to others to try first.  The spare duty
-   is better held in another data centre than the first one, since a failure
-   often concerns one as a whole.  */
-static gint64
-try_delay (struct mesh *mesh, enum reading_slot slot, gint64 now)
-{
-  guint32 rank = mesh_rank_by_name (mesh, now);
-
-  if (slot == READING_CONFIG_SPARE && is_holder_near (mesh, READING_CONFIG))
-    rank += mesh->fleet.members.count;
-  return TRY_STEP_USEC * (gint64)(g_bit_storage (rank + 1) - 1);
-}
-
-/* Return whether this node may take the duty of SLOT: it is vacant, this node
-   has no other duty for the same topic, and the nodes that try first have had
-   their time.  A process that has just started
-   first hears who holds it.  */
-static gboolean
-may_take (struct mesh *mesh, enum reading_slot slot, gint64 now)
-{
-  const struct reading_duty *duty = &mesh->duties[slot];
-  const struct read_attempt *attempt
-      = &mesh->read_attempts[reading_slot_topic (slot)];
-
-  if (mesh->stop_requested_at != 0 || !mesh->initial_read_done
-      || leaves_reading (mesh, now) || duty->vacant_since == 0
-      || mesh_read_is_held (mesh, slot, now)
-      || now - mesh->duties_known_from < HEAR_USEC
-      || holds_topic (mesh, reading_slot_topic (slot), now))
-    return FALSE;
-  if (slot == READING_CONFIG_SPARE && attempt->failed
-      && now - attempt->started_at < SPARE_RETRY_USEC)
-    return FALSE;
-  return now - duty->vacant_since >= try_delay (mesh, slot, now);
-}
-
 /* Process a read of TOPIC that failed or was not answered in time.  */
 static void
 on_failure (struct mesh *mesh, enum mesh_topic topic, gint64 now)
 {
   struct read_attempt *attempt = &mesh->read_attempts[topic];
-  guint slot;
 
   attempt->is_pending = FALSE;
   attempt->failed = TRUE;
   attempt->no_read_until = now + RETRY_USEC;
-  for (slot = 0; slot < READING_SLOTS; slot++)
-    if (reading_slot_topic (slot) == topic
-        && reading_duty_give_up (&mesh->duties[slot],
-                                 mesh->settings.incarnation))
-      mesh->duties_given_up++;
+  mesh_duty_give_up (mesh, topic);
 }
 
-/* Process a read of TOPIC that the store answered.  It renews the duties that
-   this node holds, or takes one that is vacant.  */
+/* Process a read of TOPIC that the store answered.  */
 static void
 on_success (struct mesh *mesh, enum mesh_topic topic, gint64 now)
 {
   struct read_attempt *attempt = &mesh->read_attempts[topic];
-  guint slot;
 
   attempt->is_pending = FALSE;
   attempt->failed = FALSE;
   attempt->no_read_until = 0;
-  mesh->reads_answered++;
-  for (slot = 0; slot < READING_SLOTS; slot++)
-    if (reading_slot_topic (slot) == topic
-        && (mesh_read_holds (mesh, slot, now) || may_take (mesh, slot, now)))
-      reading_duty_renew (&mesh->duties[slot], mesh->settings.incarnation,
-                          mesh->reads_answered, now);
+  mesh_duty_renew (mesh, topic, now);
 }
 
 /* Process EVENT, the end of a read by this node.  */
@@ -203,41 +96,6 @@
     mesh_store_answers (mesh, !failed, now, out);
 }
 
-/* Give up all duties, since this process is about to stop.  */
-void
-mesh_read_leave (struct mesh *mesh)
-{
-  guint slot;
-
-  for (slot = 0; slot < READING_SLOTS; slot++)
-    if (reading_duty_give_up (&mesh->duties[slot], mesh->settings.incarnation))
-      mesh->duties_given_up++;
-}
-
-/* Fill in what GOSSIP tells of the duties.  */
-void
-mesh_read_fill_gossip (const struct mesh *mesh, struct gossip *gossip,
-                       gint64 now)
-{
-  guint slot;
-
-  for (slot = 0; slot < READING_SLOTS; slot++)
-    gossip->claims[slot] = reading_duty_claim (&mesh->duties[slot], now);
-}
-
-/* Process what GOSSIP tells of the duties.  */
-void
-mesh_read_on_gossip (struct mesh *mesh, const struct gossip *gossip,
-                     gint64 now)
-{
-  guint slot;
-
-  for (slot = 0; slot < READING_SLOTS; slot++)
-    if (reading_duty_hear (&mesh->duties[slot], &gossip->claims[slot],
-                           mesh->settings.incarnation, now))
-      mesh->duties_given_up++;
-}
-
 /* When to read */
 
 /* Return the age in microseconds of this node's copy of TOPIC, -1 if that is
@@ -279,9 +137,9 @@
   const struct reading_duty *duty = &mesh->duties[slot];
   gint64 age = copy_age_usec (mesh, reading_slot_topic (slot), now);
 
-  if (mesh_read_holds (mesh, slot, now))
+  if (mesh_duty_holds (mesh, slot, now))
     return MAX (age, now - duty->renewed_at) >= interval_usec (slot);
-  return may_take (mesh, slot, now);
+  return mesh_duty_may_take (mesh, slot, now);
 }
 
 /* Return whether this node is to read TOPIC for its own copy, which may be
@@ -293,7 +151,8 @@
   gint64 stale_usec
       = topic == MESH_TOPIC_FLEET ? FLEET_STALE_USEC : CONFIG_STALE_USEC;
 
-  return age < 0 || age >= stale_usec + try_delay (mesh, READING_FLEET, now);
+  return age < 0
+         || age >= stale_usec + mesh_duty_try_delay (mesh, READING_FLEET, now);
 }
 
 /* Return whether this node is to read TOPIC now.  */
@@ -303,7 +162,7 @@
   const struct read_attempt *attempt = &mesh->read_attempts[topic];
   guint slot;
 
-  if (!mesh->initial_read_done || leaves_reading (mesh, now)
+  if (!mesh->initial_read_done || mesh_read_leaves (mesh, now)
       || attempt->is_pending || now < attempt->no_read_until
       || now - attempt->started_at < MIN_INTERVAL_USEC)
     return FALSE;
@@ -332,30 +191,6 @@
       = topic == MESH_TOPIC_CONFIG && mesh_config_is_outdated (mesh);
 }
 
-/* Log which duties this node holds, if that has changed.  */
-static void
-log_part (struct mesh *mesh, gint64 now, struct actions *out)
-{
-  guint slot;
-
-  for (slot = 0; slot < READING_SLOTS; slot++)
-    {
-      gboolean holds = mesh_read_holds (mesh, slot, now);
-      if (holds == mesh->held_duties[slot])
-        continue;
-      mesh->held_duties[slot] = holds;
-      mesh_log (out, LOG_EVENT_MESH_READING, mesh->settings.name,
-                "duty=%s outcome=%s given_up=%d session_age_ms"
-                "=%" G_GINT64_FORMAT " config=%" G_GUINT64_FORMAT
-                " config_ms=%" G_GINT64_FORMAT,
-                reading_slot_name (slot), holds ? "taken" : "left",
-                mesh->duties[slot].given_up,
-                mesh_age_msec (mesh->session.confirmed_at, now),
-                mesh_config_version (mesh),
-                mesh_age_msec (mesh->config_freshness.confirmed_at, now));
-    }
-}
-
 /* Start the reads that are due, and give up duties whose reads were not
    answered in time.  */
 void
@@ -365,11 +200,7 @@
       = { MESH_TOPIC_FLEET, MESH_TOPIC_CONFIG };
   guint i;
 
-  if (mesh->initial_read_done && mesh->duties_known_from == 0)
-    mesh->duties_known_from = now;
-  for (i = 0; i < READING_SLOTS; i++)
-    reading_duty_check (&mesh->duties[i], mesh_read_is_held (mesh, i, now),
-                        now);
+  mesh_duty_step (mesh, now, out);
   for (i = 0; i < G_N_ELEMENTS (topics); i++)
     {
       const struct read_attempt *attempt = &mesh->read_attempts[topics[i]];
@@ -378,16 +209,15 @@
       if (is_due (mesh, topics[i], now))
         mesh_read_start (mesh, topics[i], now, out);
     }
-  log_part (mesh, now, out);
 }
 
 /* Return whether this node follows the fleet's topic.  */
 gboolean
 mesh_reads_fleet (struct mesh *mesh, gint64 now)
 {
-  return !leaves_reading (mesh, now)
+  return !mesh_read_leaves (mesh, now)
          && (!mesh->initial_read_done
-             || holds_topic (mesh, MESH_TOPIC_FLEET, now));
+             || mesh_duty_holds_topic (mesh, MESH_TOPIC_FLEET, now));
 }
 
 /* Return whether this node follows the operator's topic.  */
@@ -396,7 +226,7 @@
 {
   if (mesh->routing == NULL && now - mesh->started_at >= NO_CONFIG_USEC)
     return TRUE;
-  return !leaves_reading (mesh, now)
+  return !mesh_read_leaves (mesh, now)
          && (!mesh->initial_read_done
-             || holds_topic (mesh, MESH_TOPIC_CONFIG, now));
+             || mesh_duty_holds_topic (mesh, MESH_TOPIC_CONFIG, now));
 }
--- a/src/mesh/mesh_stop.c
+++ b/src/mesh/mesh_stop.c
@@ -118,7 +118,7 @@
   if (is_stopping (mesh))
     return;
   mesh->stop_requested_at = now;
-  mesh_read_leave (mesh);
+  mesh_duty_leave (mesh);
   mesh_log (out, LOG_EVENT_MESH_STOP, mesh->settings.name,
             "outcome=asked requests=%u", mesh->requests.count);
 }
