A malformed configuration does not leave the older one confirmed

Callers could be answered 404 by the configuration before one that this node cannot read: reads from behind the malformed record showed nothing newer. They do not count until a later version is applied; meanwhile a route that is not there is answered 503.

test_mesh_node: 'malformed configuration' fails without the change.

--- a/src/edge/mesh_node_topics.c
+++ b/src/edge/mesh_node_topics.c
@@ -90,18 +90,29 @@
 }
 
 /* Handle records of the configuration topic, or a failure to read it.  Of
-   several configurations only the last one that is not malformed is
-   applied.  */
+   several configurations only the last one that is not malformed is applied.
+   After one that is malformed no read shows that the configuration in force is
+   the newest, until a later one is applied.  */
 void
 mesh_node_on_config (const struct topic_reader_event *topic, gpointer data)
 {
   struct mesh_node *node = data;
+  struct topic_reader_event read = *topic;
+  gboolean any_skipped = FALSE;
   guint i = topic->code == ERR_NONE ? topic->item_count : 0;
 
   while (i-- > 0)
-    if (strcmp (topic->items[i].key, PLATFORM_CONFIG_KEY) == 0
-        && topic->items[i].value_length > 0
-        && handle_config (node, &topic->items[i]))
-      break;
-  report_read (node, MESH_TOPIC_CONFIG, topic);
+    {
+      if (strcmp (topic->items[i].key, PLATFORM_CONFIG_KEY) != 0
+          || topic->items[i].value_length == 0)
+        continue;
+      if (handle_config (node, &topic->items[i]))
+        {
+          node->config_skipped = any_skipped;
+          break;
+        }
+      any_skipped = node->config_skipped = TRUE;
+    }
+  read.at_end = topic->at_end && !node->config_skipped;
+  report_read (node, MESH_TOPIC_CONFIG, &read);
 }
--- a/tests/test_mesh_node.c
+++ b/tests/test_mesh_node.c
@@ -1,3 +1,4 @@
+#include "platform/config.h"
 #include "tests/mesh_node_stage.h"
 #include "tests/raw_caller.h"
 
@@ -105,6 +106,40 @@
   stage_clear (&stage);
 }
 
+/* Have the node read a configuration of LENGTH BYTES at the end of the
+   operator's topic.  Return whether that shows that the one in force is the
+   newest.  */
+static gboolean
+read_confirms (struct stage *stage, const char *bytes, gsize length)
+{
+  struct store_item item = { .key = (char *)PLATFORM_CONFIG_KEY,
+                             .value = (const guint8 *)bytes,
+                             .value_length = length };
+  struct topic_reader_event read
+      = { .items = &item,
+          .item_count = length > 0 ? 1 : 0,
+          .at_end = TRUE,
+          .started_at = stage->node.mesh.config_freshness.confirmed_at + 1 };
+
+  mesh_node_on_config (&read, &stage->node);
+  return stage->node.mesh.config_freshness.confirmed_at == read.started_at;
+}
+
+/* Guards against a route that is denied by an old configuration, since the
+   newest one could not be read.  */
+static void
+test_malformed_config (void)
+{
+  static const char malformed[] = "{\"version\":";
+  struct stage stage;
+
+  stage_init (&stage);
+  CU_ASSERT_TRUE (read_confirms (&stage, NULL, 0));
+  CU_ASSERT_FALSE (read_confirms (&stage, malformed, strlen (malformed)));
+  CU_ASSERT_FALSE (read_confirms (&stage, NULL, 0));
+  stage_clear (&stage);
+}
+
 /* Guards against an owner that gets a part of an upload as the whole: the
    caller leaves between two chunks, in the way END, while the upload is passed
    on to another node.  */
@@ -155,6 +190,7 @@
     { "deregistration in the turn of the end",
       test_deregistration_at_the_end },
     { "upload broken off on its way to another node", test_broken_forward },
+    { "malformed configuration", test_malformed_config },
     CU_TEST_INFO_NULL
   };
 
