A fetch that brings no configuration does not move the offset to read on from

A node that fetched records only, since a configuration was on its way already, took over the offset in the operator's topic of the node that replied, passed over the versions below it, and a read from there would have confirmed its old configuration: a wrong 404.

The offset is taken over only with a configuration that was applied, and not sent by a node whose newest configuration is malformed. test_mesh_node: 'fetch without a configuration' fails without the change.

--- a/src/edge/mesh_node_link.c
+++ b/src/edge/mesh_node_link.c
@@ -32,9 +32,9 @@
 
 /* Replies */
 
-/* Apply the configuration in FETCH, a reply of another node.  One that is
-   malformed, or of another version than the reply says, is skipped and
-   logged.  */
+/* Apply the configuration in FETCH, a reply of another node, and read on from
+   where that node has read to.  A configuration that is malformed, or of
+   another version than the reply says, is skipped and logged.  */
 static void
 handle_config (struct mesh_node *node, const struct mesh_fetch_reply *fetch)
 {
@@ -42,7 +42,10 @@
 
   if (mesh_node_apply_config (node, fetch->config_bytes, fetch->config_length,
                               fetch->config_version))
-    return;
+    {
+      topic_reader_advance (&node->config_reader, fetch->config_next_offset);
+      return;
+    }
   g_snprintf (log_event.detail, sizeof log_event.detail,
               "what=fetched-configuration version=%" G_GUINT64_FORMAT
               " outcome=skipped",
@@ -75,7 +78,6 @@
     }
   if (fetch->config_version > 0)
     handle_config (node, fetch);
-  topic_reader_advance (&node->config_reader, fetch->config_next_offset);
 }
 
 /* Return the kind of the call that EVENT replies to, from its tag: a failed
--- a/src/edge/mesh_node_perform.c
+++ b/src/edge/mesh_node_perform.c
@@ -129,7 +129,8 @@
   fetch->next_offset = node->mesh.fleet.applied_offset;
   fetch->records = bytes->data;
   fetch->records_length = bytes->len;
-  fetch->config_next_offset = topic_reader_end (&node->config_reader);
+  if (!node->config_skipped)
+    fetch->config_next_offset = topic_reader_end (&node->config_reader);
   if (node->mesh.routing != NULL
       && node->mesh.routing->version > action->fetch.config_version)
     {
--- a/tests/test_mesh_node.c
+++ b/tests/test_mesh_node.c
@@ -1,6 +1,7 @@
 #include "platform/config.h"
 #include "tests/mesh_node_stage.h"
 #include "tests/raw_caller.h"
+#include "wire/wire_mesh.h"
 
 /* A node of a mesh on its main loop: the turn of the loop in which it
    ends.  */
@@ -140,6 +141,47 @@
   stage_clear (&stage);
 }
 
+/* Pass a reply to a fetch to the node: the other node knows the operator's
+   topic up to the offset END, and sends LENGTH BYTES as a configuration.
+   Return the offset from which the node reads on.  */
+static guint64
+offset_after_fetch (struct stage *stage, guint64 end, const char *bytes,
+                    guint32 length)
+{
+  struct mesh_reply reply = { .kind = MESH_FETCH };
+  struct link_event event
+      = { .kind = LINK_REPLY, .procedure = RPC_MESH, .code = ERR_NONE };
+  GByteArray *encoded;
+
+  reply.u.fetch.config_next_offset = end;
+  reply.u.fetch.config_version = length > 0 ? 2 : 0;
+  reply.u.fetch.config_bytes = (guint8 *)bytes;
+  reply.u.fetch.config_length = length;
+  encoded = wire_encode (wire_mesh_reply, &reply, 65536);
+  event.bytes = encoded->data;
+  event.length = encoded->len;
+  event.tag.user_value = MESH_FETCH;
+  mesh_node_on_link (&event, &stage->node);
+  g_byte_array_unref (encoded);
+  return stage->node.config_reader.next_offset;
+}
+
+/* Guards against a version that is passed over: a reply that brings no
+   configuration, or a malformed one, does not move the offset from which the
+   node reads the operator's topic.  */
+static void
+test_offset_without_config (void)
+{
+  struct stage stage;
+
+  stage_init (&stage);
+  stage.node.config_reader.phase = TOPIC_READER_TAIL;
+  stage.node.config_reader.next_offset = 3;
+  CU_ASSERT_EQUAL (offset_after_fetch (&stage, 9, NULL, 0), 3);
+  CU_ASSERT_EQUAL (offset_after_fetch (&stage, 9, "{", 1), 3);
+  stage_clear (&stage);
+}
+
 /* Guards against an owner that gets a part of an upload as the whole: the
    caller leaves between two chunks, in the way END, while the upload is passed
    on to another node.  */
@@ -191,6 +233,7 @@
       test_deregistration_at_the_end },
     { "upload broken off on its way to another node", test_broken_forward },
     { "malformed configuration", test_malformed_config },
+    { "fetch without a configuration", test_offset_without_config },
     CU_TEST_INFO_NULL
   };
 
