One type for how recent a copy is; state that follows from other state goes

struct session said of the fleet's topic what freshness says of the operator's, with the same two functions; a node now has one freshness a topic, the session is a term of the fleet's, and the switch between the two is an index. That a read failed follows from the pause after it. What follows the two topics had one expression twice. A node that holds a duty walked over all peers at each tick to find itself among them. Tests call the new names; their assertions are as they were.

--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -61,14 +61,16 @@
   g_free (counters);
   add_line (text, "config_version",
             mesh->routing != NULL ? (gint64)mesh->routing->version : 0);
-  add_line (text, "config_age_ms",
-            mesh_age_msec (mesh->config_freshness.confirmed_at, now));
+  add_line (
+      text, "config_age_ms",
+      mesh_age_msec (mesh->freshness[MESH_TOPIC_CONFIG].confirmed_at, now));
   g_string_append_printf (text, "config_source{node=\"%s\"} 1\n",
                           mesh_config_source (mesh));
   add_duties (text, mesh, now);
   add_line (text, "records_folded", (gint64)mesh->fleet.applied_offset);
   add_line (text, "session_left_ms",
-            session_remaining_usec (&mesh->session, now) / USEC_PER_MSEC);
+            session_remaining_usec (&mesh->freshness[MESH_TOPIC_FLEET], now)
+                / USEC_PER_MSEC);
   add_line (text, "store_lost", mesh->store_lost);
   add_line (text, "members", mesh->fleet.members.count);
   add_line (text, "requests_not_valid",
--- a/src/fleet/freshness.h
+++ b/src/fleet/freshness.h
@@ -9,7 +9,7 @@
 struct freshness
 {
   gint64 confirmed_at; /* when the confirming read began, 0: none */
-  guint64 source;      /* process that made that read */
+  guint64 source;      /* process that made that read, 0: not known */
 };
 
 void freshness_confirm (struct freshness *freshness, gint64 started_at,
--- a/src/fleet/read_attempt.h
+++ b/src/fleet/read_attempt.h
@@ -9,8 +9,8 @@
 {
   gint64 started_at;    /* start of the last read, 0: there was none */
   gboolean is_pending;  /* it has not been answered yet, nor given up */
-  gboolean failed;      /* the last one failed */
-  gint64 no_read_until; /* after a read that failed, no other starts before */
+  gint64 no_read_until; /* after a read that failed, no other starts before;
+                           0: the last one did not fail */
 };
 
 #endif
--- a/src/fleet/session.c
+++ b/src/fleet/session.c
@@ -1,28 +1,11 @@
 #include "fleet/session.h"
 
-/* Extend SESSION by a read of the store that began at STARTED_AT and showed
-   all records as applied.  */
-void
-session_confirm (struct session *session, gint64 started_at)
-{
-  session->confirmed_at = MAX (session->confirmed_at, started_at);
-}
-
-/* Return how long the session still lasts at NOW in microseconds; 0 if it is
-   over.  */
+/* Return how long the session by FLEET, which is how recent the copy of the
+   fleet's topic is, still lasts at NOW in microseconds; 0 if it is over.  */
 gint64
-session_remaining_usec (const struct session *session, gint64 now)
+session_remaining_usec (const struct freshness *fleet, gint64 now)
 {
-  if (session->confirmed_at == 0)
-    return 0;
-  return MAX (0, session->confirmed_at + SESSION_USEC - now);
-}
+  gint64 age_usec = freshness_age_usec (fleet, now);
 
-/* Return the microseconds since the confirming read began, or -1 if there was
-   none.  */
-gint64
-session_age_usec (const struct session *session, gint64 now)
-{
-  return session->confirmed_at == 0 ? -1
-                                    : MAX (0, now - session->confirmed_at);
+  return age_usec < 0 ? 0 : MAX (0, SESSION_USEC - age_usec);
 }
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -36,9 +36,8 @@
   struct mesh_settings settings; /* name, addresses and limits of this node */
   struct routing *routing;       /* configuration in force, or NULL */
   struct fleet_state fleet; /* members and shard maps read from the store */
-  struct session session;   /* session with the store */
   gboolean config_usable;   /* requests are routed by `routing' */
-  struct freshness config_freshness; /* how recent `routing' is */
+  struct freshness freshness[MESH_TOPICS]; /* how recent the copies are */
   struct grant grant;         /* keys granted to the local backend server */
   struct admission admission; /* slots and queue of the local backend server */
   struct run_times run_times; /* run times at the local backend server */
--- a/src/mesh/mesh_config.c
+++ b/src/mesh/mesh_config.c
@@ -23,7 +23,7 @@
 gint64
 mesh_config_age_usec (const struct mesh *mesh, gint64 now)
 {
-  return freshness_age_usec (&mesh->config_freshness, now);
+  return freshness_age_usec (&mesh->freshness[MESH_TOPIC_CONFIG], now);
 }
 
 /* Return whether another node is known to have a newer configuration than
@@ -77,7 +77,7 @@
 const char *
 mesh_config_source (struct mesh *mesh)
 {
-  guint64 source = mesh->config_freshness.source;
+  guint64 source = mesh->freshness[MESH_TOPIC_CONFIG].source;
 
   if (source == mesh->settings.incarnation)
     return mesh->settings.name;
@@ -119,7 +119,7 @@
 {
   if (gossip->config_confirmed_age_usec >= 0 && gossip->config_version > 0
       && gossip->config_version <= mesh_config_version (mesh))
-    freshness_confirm (&mesh->config_freshness,
+    freshness_confirm (&mesh->freshness[MESH_TOPIC_CONFIG],
                        sent_at - gossip->config_confirmed_age_usec,
                        gossip->config_source);
 }
--- a/src/mesh/mesh_duty.c
+++ b/src/mesh/mesh_duty.c
@@ -26,6 +26,8 @@
 
   if (!reading_duty_is_held (duty, now))
     return FALSE;
+  if (duty->reader == mesh->settings.incarnation)
+    return TRUE;
   peer = table_get (&mesh->peers, mesh_peer_of (mesh, duty->reader));
   return peer == NULL || peer_state_is_responsive (peer, now);
 }
@@ -92,7 +94,7 @@
       || now - mesh->duties_known_from < HEAR_USEC
       || mesh_duty_holds_topic (mesh, reading_slot_topic (slot), now))
     return FALSE;
-  if (slot == READING_CONFIG_SPARE && attempt->failed
+  if (slot == READING_CONFIG_SPARE && attempt->no_read_until != 0
       && now - attempt->started_at < SPARE_RETRY_USEC)
     return FALSE;
   return now - duty->vacant_since >= mesh_duty_try_delay (mesh, slot, now);
@@ -179,15 +181,17 @@
       if (holds == mesh->held_duties[slot])
         continue;
       mesh->held_duties[slot] = holds;
-      mesh_log (out, LOG_EVENT_MESH_READING, mesh->settings.name,
-                "duty=%s outcome=%s given_up=%d session_age_ms"
-                "=%" G_GINT64_FORMAT " config=%" G_GUINT64_FORMAT
-                " config_ms=%" G_GINT64_FORMAT,
-                reading_slot_name (slot), holds ? "taken" : "left",
-                mesh->duties[slot].given_up,
-                mesh_age_msec (mesh->session.confirmed_at, now),
-                mesh_config_version (mesh),
-                mesh_age_msec (mesh->config_freshness.confirmed_at, now));
+      mesh_log (
+          out, LOG_EVENT_MESH_READING, mesh->settings.name,
+          "duty=%s outcome=%s given_up=%d session_age_ms"
+          "=%" G_GINT64_FORMAT " config=%" G_GUINT64_FORMAT
+          " config_ms=%" G_GINT64_FORMAT,
+          reading_slot_name (slot), holds ? "taken" : "left",
+          mesh->duties[slot].given_up,
+          mesh_age_msec (mesh->freshness[MESH_TOPIC_FLEET].confirmed_at, now),
+          mesh_config_version (mesh),
+          mesh_age_msec (mesh->freshness[MESH_TOPIC_CONFIG].confirmed_at,
+                         now));
     }
 }
 
--- a/src/mesh/mesh_gossip.c
+++ b/src/mesh/mesh_gossip.c
@@ -25,10 +25,11 @@
   gossip->incarnation = mesh->settings.incarnation;
   gossip->sequence = ++mesh->last_gossip_sequence;
   gossip->applied_offset = mesh->fleet.applied_offset;
-  gossip->confirmed_age_usec = session_age_usec (&mesh->session, now);
+  gossip->confirmed_age_usec
+      = freshness_age_usec (&mesh->freshness[MESH_TOPIC_FLEET], now);
   gossip->config_version = mesh_config_version (mesh);
   gossip->config_confirmed_age_usec = mesh_config_age_usec (mesh, now);
-  gossip->config_source = mesh->config_freshness.source;
+  gossip->config_source = mesh->freshness[MESH_TOPIC_CONFIG].source;
   mesh_duty_fill_gossip (mesh, gossip, now);
   gossip->leaving = mesh->stop_requested_at != 0;
   gossip->store_lost = mesh->store_lost;
@@ -220,8 +221,8 @@
   mesh_config_on_gossip (mesh, gossip, peer->gossip_sent_at);
   if (gossip->confirmed_age_usec >= 0 && mesh->initial_read_done
       && mesh->fleet.applied_offset >= gossip->applied_offset)
-    session_confirm (&mesh->session,
-                     peer->gossip_sent_at - gossip->confirmed_age_usec);
+    freshness_confirm (&mesh->freshness[MESH_TOPIC_FLEET],
+                       peer->gossip_sent_at - gossip->confirmed_age_usec, 0);
 }
 
 /* Process a reply of another node, or the failure of the call.  */
--- a/src/mesh/mesh_read.c
+++ b/src/mesh/mesh_read.c
@@ -57,7 +57,6 @@
   struct read_attempt *attempt = &mesh->read_attempts[topic];
 
   attempt->is_pending = FALSE;
-  attempt->failed = TRUE;
   attempt->no_read_until = now + RETRY_USEC;
   mesh_duty_give_up (mesh, topic);
 }
@@ -69,7 +68,6 @@
   struct read_attempt *attempt = &mesh->read_attempts[topic];
 
   attempt->is_pending = FALSE;
-  attempt->failed = FALSE;
   attempt->no_read_until = 0;
   mesh_duty_renew (mesh, topic, now);
 }
@@ -88,8 +86,8 @@
   if (event->topic == MESH_TOPIC_CONFIG && event->at_end
       && mesh->routing != NULL)
     {
-      freshness_confirm (&mesh->config_freshness, event->started_at,
-                         mesh->settings.incarnation);
+      freshness_confirm (&mesh->freshness[MESH_TOPIC_CONFIG],
+                         event->started_at, mesh->settings.incarnation);
       mesh_config_check (mesh, now);
     }
   if (event->topic == MESH_TOPIC_FLEET)
@@ -98,21 +96,6 @@
 
 /* When to read */
 
-/* Return the age in microseconds of this node's copy of TOPIC, -1 if that is
-   not known.  */
-static gint64
-copy_age_usec (const struct mesh *mesh, enum mesh_topic topic, gint64 now)
-{
-  switch (topic)
-    {
-    case MESH_TOPIC_FLEET:
-      return session_age_usec (&mesh->session, now);
-    case MESH_TOPIC_CONFIG:
-      return mesh_config_age_usec (mesh, now);
-    }
-  return -1;
-}
-
 /* Return the time between reads by the holder of SLOT.  */
 static gint64
 interval_usec (enum reading_slot slot)
@@ -135,7 +118,8 @@
 is_due_by_duty (struct mesh *mesh, enum reading_slot slot, gint64 now)
 {
   const struct reading_duty *duty = &mesh->duties[slot];
-  gint64 age = copy_age_usec (mesh, reading_slot_topic (slot), now);
+  gint64 age
+      = freshness_age_usec (&mesh->freshness[reading_slot_topic (slot)], now);
 
   if (mesh_duty_holds (mesh, slot, now))
     return MAX (age, now - duty->renewed_at) >= interval_usec (slot);
@@ -147,7 +131,7 @@
 static gboolean
 is_due_by_age (struct mesh *mesh, enum mesh_topic topic, gint64 now)
 {
-  gint64 age = copy_age_usec (mesh, topic, now);
+  gint64 age = freshness_age_usec (&mesh->freshness[topic], now);
   gint64 stale_usec
       = topic == MESH_TOPIC_FLEET ? FLEET_STALE_USEC : CONFIG_STALE_USEC;
 
@@ -211,22 +195,26 @@
     }
 }
 
+/* Return whether this node follows TOPIC.  */
+static gboolean
+follows (const struct mesh *mesh, enum mesh_topic topic, gint64 now)
+{
+  return !mesh_read_leaves (mesh, now)
+         && (!mesh->initial_read_done
+             || mesh_duty_holds_topic (mesh, topic, now));
+}
+
 /* Return whether this node follows the fleet's topic.  */
 gboolean
 mesh_reads_fleet (struct mesh *mesh, gint64 now)
 {
-  return !mesh_read_leaves (mesh, now)
-         && (!mesh->initial_read_done
-             || mesh_duty_holds_topic (mesh, MESH_TOPIC_FLEET, now));
+  return follows (mesh, MESH_TOPIC_FLEET, now);
 }
 
 /* Return whether this node follows the operator's topic.  */
 gboolean
 mesh_reads_config (struct mesh *mesh, gint64 now)
 {
-  if (mesh->routing == NULL && now - mesh->started_at >= NO_CONFIG_USEC)
-    return TRUE;
-  return !mesh_read_leaves (mesh, now)
-         && (!mesh->initial_read_done
-             || mesh_duty_holds_topic (mesh, MESH_TOPIC_CONFIG, now));
+  return (mesh->routing == NULL && now - mesh->started_at >= NO_CONFIG_USEC)
+         || follows (mesh, MESH_TOPIC_CONFIG, now);
 }
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -65,15 +65,16 @@
 {
   enum reason reason = no_route_reason (mesh, now);
 
-  mesh_log (out, LOG_EVENT_MESH_NO_ROUTE, event->request.id,
-            "reason=%s config=%" G_GUINT64_FORMAT
-            " config_ms=%" G_GINT64_FORMAT " source=%s reads=%d"
-            " session_age_ms=%" G_GINT64_FORMAT " tick_ms=%" G_GINT64_FORMAT,
-            reason_name (reason), mesh_config_version (mesh),
-            mesh_age_msec (mesh->config_freshness.confirmed_at, now),
-            mesh_config_source (mesh), mesh_reads_config (mesh, now),
-            mesh_age_msec (mesh->session.confirmed_at, now),
-            (now - mesh->last_tick_at) / USEC_PER_MSEC);
+  mesh_log (
+      out, LOG_EVENT_MESH_NO_ROUTE, event->request.id,
+      "reason=%s config=%" G_GUINT64_FORMAT " config_ms=%" G_GINT64_FORMAT
+      " source=%s reads=%d"
+      " session_age_ms=%" G_GINT64_FORMAT " tick_ms=%" G_GINT64_FORMAT,
+      reason_name (reason), mesh_config_version (mesh),
+      mesh_age_msec (mesh->freshness[MESH_TOPIC_CONFIG].confirmed_at, now),
+      mesh_config_source (mesh), mesh_reads_config (mesh, now),
+      mesh_age_msec (mesh->freshness[MESH_TOPIC_FLEET].confirmed_at, now),
+      (now - mesh->last_tick_at) / USEC_PER_MSEC);
   mesh_refuse (mesh, exchange, reason, 0, now, out);
 }
 
@@ -94,19 +95,19 @@
   request->sent_to = pick->member;
   request->sent_at = now;
   request->request.attempts++;
-  mesh_log (out, LOG_EVENT_MESH_ROUTE, request->request.id,
-            "service=%s route=%s rank=%d key=%s to=%s try=%u"
-            " config=%" G_GUINT64_FORMAT " config_ms=%" G_GINT64_FORMAT
-            " records=%" G_GUINT64_FORMAT " heard_ms=%" G_GINT64_FORMAT
-            " load_ms=%" G_GINT64_FORMAT " busy=%u/%u",
-            request->request.service, request->route_name,
-            (int)request->request.priority, request->request.key, member->name,
-            request->request.attempts, mesh_config_version (mesh),
-            mesh_age_msec (mesh->config_freshness.confirmed_at, now),
-            mesh->fleet.applied_offset,
-            mesh_age_msec (peer->last_message_at, now),
-            mesh_age_msec (peer->load_reported_at, now),
-            peer->load.running + peer->load.waiting, peer->load.slots);
+  mesh_log (
+      out, LOG_EVENT_MESH_ROUTE, request->request.id,
+      "service=%s route=%s rank=%d key=%s to=%s try=%u"
+      " config=%" G_GUINT64_FORMAT " config_ms=%" G_GINT64_FORMAT
+      " records=%" G_GUINT64_FORMAT " heard_ms=%" G_GINT64_FORMAT
+      " load_ms=%" G_GINT64_FORMAT " busy=%u/%u",
+      request->request.service, request->route_name,
+      (int)request->request.priority, request->request.key, member->name,
+      request->request.attempts, mesh_config_version (mesh),
+      mesh_age_msec (mesh->freshness[MESH_TOPIC_CONFIG].confirmed_at, now),
+      mesh->fleet.applied_offset, mesh_age_msec (peer->last_message_at, now),
+      mesh_age_msec (peer->load_reported_at, now),
+      peer->load.running + peer->load.waiting, peer->load.slots);
   action = &actions_add (out, ACTION_FORWARD)->u.forward;
   action->exchange = exchange;
   action->peer_incarnation = peer->incarnation;
--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -104,7 +104,8 @@
   entry.record = mesh->proposal.record;
   event.next_offset = offset == mesh->fleet.applied_offset ? offset + 1 : 0;
   if (event.next_offset != 0 && !mesh->proposal.sent_to_peer)
-    session_confirm (&mesh->session, mesh->proposal.started_at);
+    freshness_confirm (&mesh->freshness[MESH_TOPIC_FLEET],
+                       mesh->proposal.started_at, mesh->settings.incarnation);
   mesh_apply_records (mesh, &event, now, out);
 }
 
@@ -159,8 +160,9 @@
 gint64
 mesh_session_usec (const struct mesh *mesh, gint64 now)
 {
-  return mesh->earlier_settled ? session_remaining_usec (&mesh->session, now)
-                               : 0;
+  return mesh->earlier_settled
+             ? session_remaining_usec (&mesh->freshness[MESH_TOPIC_FLEET], now)
+             : 0;
 }
 
 /* Log whether the session has expired or is live again.  */
@@ -176,7 +178,8 @@
             "outcome=%s age_ms=%" G_GINT64_FORMAT
             " records=%" G_GUINT64_FORMAT,
             is_live ? "live" : "lapsed",
-            session_age_usec (&mesh->session, now) / USEC_PER_MSEC,
+            freshness_age_usec (&mesh->freshness[MESH_TOPIC_FLEET], now)
+                / USEC_PER_MSEC,
             mesh->fleet.applied_offset);
 }
 
@@ -189,10 +192,11 @@
   if (answers != mesh->store_lost)
     return;
   mesh->store_lost = !answers;
-  mesh_log (out, LOG_EVENT_MESH_STORE, mesh->settings.name,
-            "outcome=%s records=%" G_GUINT64_FORMAT
-            " session_ms=%" G_GINT64_FORMAT " config_ms=%" G_GINT64_FORMAT,
-            answers ? "back" : "lost", mesh->fleet.applied_offset,
-            mesh_session_usec (mesh, now) / USEC_PER_MSEC,
-            mesh_age_msec (mesh->config_freshness.confirmed_at, now));
+  mesh_log (
+      out, LOG_EVENT_MESH_STORE, mesh->settings.name,
+      "outcome=%s records=%" G_GUINT64_FORMAT " session_ms=%" G_GINT64_FORMAT
+      " config_ms=%" G_GINT64_FORMAT,
+      answers ? "back" : "lost", mesh->fleet.applied_offset,
+      mesh_session_usec (mesh, now) / USEC_PER_MSEC,
+      mesh_age_msec (mesh->freshness[MESH_TOPIC_CONFIG].confirmed_at, now));
 }
--- a/tests/test_mesh_node.c
+++ b/tests/test_mesh_node.c
@@ -120,10 +120,12 @@
       = { .items = &item,
           .item_count = length > 0 ? 1 : 0,
           .at_end = TRUE,
-          .started_at = stage->node.mesh.config_freshness.confirmed_at + 1 };
+          .started_at
+          = stage->node.mesh.freshness[MESH_TOPIC_CONFIG].confirmed_at + 1 };
 
   mesh_node_on_config (&read, &stage->node);
-  return stage->node.mesh.config_freshness.confirmed_at == read.started_at;
+  return stage->node.mesh.freshness[MESH_TOPIC_CONFIG].confirmed_at
+         == read.started_at;
 }
 
 /* Guards against a route that is denied by an old configuration, since the
--- a/tests/test_mesh_orders.c
+++ b/tests/test_mesh_orders.c
@@ -201,7 +201,8 @@
   CU_ASSERT_PTR_NOT_NULL (find_action (fixture, ACTION_RUN));
   while (find_action (fixture, ACTION_KEY_ORDER) == NULL)
     {
-      session_confirm (&fixture->mesh.session, fixture->now);
+      freshness_confirm (&fixture->mesh.freshness[MESH_TOPIC_FLEET],
+                         fixture->now, 0);
       advance (fixture, 25 * MSEC);
     }
   order = last_order (fixture, KEY_ORDER_GRANT);
--- a/tests/test_mesh_plan.c
+++ b/tests/test_mesh_plan.c
@@ -44,7 +44,8 @@
 
   for (round = 1; round <= 40; round++)
     {
-      session_confirm (&fixture->mesh.session, fixture->now);
+      freshness_confirm (&fixture->mesh.freshness[MESH_TOPIC_FLEET],
+                         fixture->now, 0);
       hear_reader (fixture, reader, round);
       advance (fixture, 50 * MSEC);
       if (fixture->mesh.proposal.is_pending
--- a/tests/test_mesh_restart.c
+++ b/tests/test_mesh_restart.c
@@ -228,8 +228,8 @@
 fetch_config (struct fixture *fixture, gint64 age_usec)
 {
   add_services (fixture);
-  freshness_confirm (&fixture->mesh.config_freshness, fixture->now - age_usec,
-                     77);
+  freshness_confirm (&fixture->mesh.freshness[MESH_TOPIC_CONFIG],
+                     fixture->now - age_usec, 77);
   advance (fixture, 25 * MSEC);
 }
 
--- a/tests/test_mesh_route.c
+++ b/tests/test_mesh_route.c
@@ -22,7 +22,8 @@
 
   while (fixture->now < until)
     {
-      session_confirm (&fixture->mesh.session, fixture->now);
+      freshness_confirm (&fixture->mesh.freshness[MESH_TOPIC_FLEET],
+                         fixture->now, 0);
       advance (fixture, 25 * MSEC);
     }
 }
