Reasons and log events for evacuation, warm-up, eras of the store and memory

Reasons 28 to 30 and log events 637 to 640 are new; a request can say that a running request made it. Nothing uses them yet.

Checked: test_log_event.

--- a/src/types/log_event.c
+++ b/src/types/log_event.c
@@ -74,6 +74,10 @@
   { LOG_EVENT_MESH_BALANCE, "mesh-balance" },
   { LOG_EVENT_MESH_ORDER, "mesh-order" },
   { LOG_EVENT_MESH_READING, "mesh-reading" },
+  { LOG_EVENT_MESH_EVACUATION, "mesh-evacuation" },
+  { LOG_EVENT_MESH_WARMUP, "mesh-warmup" },
+  { LOG_EVENT_MESH_ERA, "mesh-era" },
+  { LOG_EVENT_MESH_MEMORY, "mesh-memory" },
 };
 
 /* Return the name of event ID, as listed in docs/EVENTS.md.  */
--- a/src/types/log_event.h
+++ b/src/types/log_event.h
@@ -82,7 +82,12 @@
   LOG_EVENT_MESH_BAD_INPUT = 633, /* input was skipped as malformed */
   LOG_EVENT_MESH_BALANCE = 634,   /* keys are moved to balance the load */
   LOG_EVENT_MESH_ORDER = 635,     /* a call for keys of the server ended */
-  LOG_EVENT_MESH_READING = 636    /* this node reads other topics now */
+  LOG_EVENT_MESH_READING = 636,   /* this node reads other topics now */
+  LOG_EVENT_MESH_EVACUATION = 637, /* the set of evacuated data centres
+                                      changed */
+  LOG_EVENT_MESH_WARMUP = 638, /* the server became cold, or is warm again */
+  LOG_EVENT_MESH_ERA = 639,    /* the store came back from an older copy */
+  LOG_EVENT_MESH_MEMORY = 640  /* a memory limit was reached, or left */
 };
 
 #define LOG_EVENT_DETAIL_SIZE 384u /* bytes of details */
--- a/src/types/reason.c
+++ b/src/types/reason.c
@@ -10,7 +10,8 @@
         "old-stamp",     "duplicate",   "quarantined", "truncated",
         "refused-grant", "caller-gone", "no-server",   "crossed",
         "bad-request",   "hops",        "garbled",     "no-config",
-        "misdirected",   "shed",        "key-denied",  "body-lost" };
+        "misdirected",   "shed",        "key-denied",  "body-lost",
+        "evacuated",     "warming-up",  "memory" };
 
 /* Return the name of REASON, as sent to callers in Bambootally-Reason.  */
 const char *
--- a/src/types/reason.h
+++ b/src/types/reason.h
@@ -33,7 +33,10 @@
   REASON_SHED = 25,       /* the server shed the request without running it */
   REASON_KEY_DENIED = 26, /* the server does not hold the key */
   REASON_BODY_LOST = 27,  /* the start of the request body was discarded */
-  REASON_COUNT = 28       /* number of reasons */
+  REASON_EVACUATED = 28,  /* the server's data centre is evacuated */
+  REASON_WARMING_UP = 29, /* the server is cold and at its rate limit */
+  REASON_MEMORY = 30,     /* the process has reached its memory limit */
+  REASON_COUNT = 31       /* number of reasons */
 };
 
 const char *reason_name (enum reason reason);
--- a/src/types/request.h
+++ b/src/types/request.h
@@ -42,7 +42,8 @@
   char key[KEY_SIZE];       /* key, empty if the service is not sharded */
   guint32 slice;            /* slice of the key */
   enum run_class run_class; /* how often the request may be run */
-  enum priority priority;   /* priority, set by the rule */
+  enum priority priority;   /* priority, set by the rule; a call of a backend
+                               server has that of the request that made it */
   guint32 route_number;     /* number of the route or rule; 0: not known */
   gint64 expected_run_usec; /* expected run time, microseconds; 0: not known;
                                never sent to other nodes */
@@ -54,6 +55,9 @@
   gint64 deadline;    /* when the request times out, monotonic microseconds */
   guint32 attempts;   /* times the request was sent so far */
   gboolean forwarded; /* another node forwarded the request */
+  gboolean is_call;   /* a request that is running at a backend server made
+                         this one and waits for its answer; never sent to
+                         other nodes */
 };
 
 #endif
