Warm-up: a cold server gets its rate and no more

Cause: cold-left-ms of a heartbeat was decoded and only logged, and cold-per-s of the configuration was not read.

Change: decide/warmup keeps the latest starts; while the server is cold a request starts only within its rate. What does not start in time is refused at once as warming-up, with the time at which its turn would come. Load reports carry the slots that the rate keeps busy and the time left, and the division of keys weighs a cold server by those slots. Services without a rate are served as before.

test_wire_mesh: messages now end with the warm-up of the server, so the cuts of older versions begin four bytes earlier; each cut is still checked, and four more.

--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -32,6 +32,7 @@
   memset (&admission->limiter, 0, sizeof admission->limiter);
   server_load_init (&admission->server_load);
   memset (&admission->limit, 0, sizeof admission->limit);
+  memset (&admission->warmup, 0, sizeof admission->warmup);
   admission->awaits_answer = FALSE;
   admission->queue
       = g_array_new (FALSE, TRUE, sizeof (struct admission_waiter));
@@ -86,13 +87,22 @@
                 slots - 1);
 }
 
+/* Return how long a request waits for its start behind AHEAD others under the
+   rates that the server takes, in microseconds.  */
+static gint64
+rate_wait_usec (const struct admission *admission, guint32 ahead, gint64 now)
+{
+  return MAX (server_limit_wait_usec (&admission->limit, ahead, now),
+              warmup_wait_usec (&admission->warmup, ahead, now));
+}
+
 /* Tell whether the server may be given one more request now: a slot is free
-   and the limit that the server names allows another start.  */
+   and the rates that the server takes allow another start.  */
 static gboolean
 may_start (struct admission *admission, gint64 now)
 {
   return admission->busy_slots < usable_slots (admission, now)
-         && server_limit_wait_usec (&admission->limit, 0, now) == 0;
+         && rate_wait_usec (admission, 0, now) == 0;
 }
 
 /* Tell whether a request would run at once.  */
@@ -112,6 +122,7 @@
                                         usable_slots (admission, now)),
                      server_limit_retry_usec (&admission->limit, queued, now));
 
+  wait = MAX (wait, warmup_retry_usec (&admission->warmup, queued, now));
   return MAX ((guint32)(wait / USEC_PER_MSEC), RETRY_MSEC_MIN);
 }
 
@@ -120,6 +131,7 @@
 take_slot (struct admission *admission, gint64 now)
 {
   server_limit_take (&admission->limit, now);
+  warmup_take (&admission->warmup, now);
   admission->busy_slots++;
   admission->peak_busy = MAX (admission->peak_busy, admission->busy_slots);
 }
@@ -139,19 +151,18 @@
   forecast.wait_usec
       = MAX (limiter_wait_usec (&admission->limiter, forecast.requests_ahead,
                                 usable_slots (admission, now)),
-             server_limit_wait_usec (&admission->limit,
-                                     forecast.requests_ahead, now));
+             rate_wait_usec (admission, forecast.requests_ahead, now));
   return forecast;
 }
 
 /* Return whether WAITER, behind AHEAD others, starts within its longest wait
-   under the limit that the server names.  */
+   under the rates that the server takes.  */
 gboolean
 admission_starts_in_time (const struct admission *admission,
                           const struct admission_waiter *waiter, guint32 ahead,
                           gint64 now)
 {
-  gint64 wait = server_limit_wait_usec (&admission->limit, ahead, now);
+  gint64 wait = rate_wait_usec (admission, ahead, now);
 
   return wait == 0 || now + wait + START_DELAY_USEC <= waiter->wait_until;
 }
@@ -173,7 +184,8 @@
     return REASON_DEADLINE;
   if (!admission_starts_in_time (admission, waiter, expected.requests_ahead,
                                  now))
-    return REASON_OVERLOAD;
+    return warmup_is_cold (&admission->warmup, now) ? REASON_WARMING_UP
+                                                    : REASON_OVERLOAD;
   if (expected.requests_ahead > 0 && waiter->due_at < waiter->deadline
       && expected.wait_usec > spare * WAIT_SPARE_PERCENT / 100)
     return REASON_OVERLOAD;
@@ -268,6 +280,7 @@
 admission_give_back (struct admission *admission)
 {
   server_limit_give_back (&admission->limit);
+  warmup_give_back (&admission->warmup);
   admission_release (admission);
 }
 
--- a/src/decide/admission.h
+++ b/src/decide/admission.h
@@ -4,6 +4,7 @@
 #include "decide/limiter.h"
 #include "decide/server_limit.h"
 #include "decide/server_load.h"
+#include "decide/warmup.h"
 #include "types/request.h"
 
 /* Admission control of the backend server beside this node: its slots, and a
@@ -47,6 +48,7 @@
   struct limiter limiter;
   struct server_load server_load; /* load that the server reports */
   struct server_limit limit;      /* limit that the server names */
+  struct warmup warmup;           /* rate limit while the server is cold */
   gboolean awaits_answer; /* no answer of the server has come yet that would
                              name its limit */
   GArray *queue;          /* struct admission_waiter, in run order */
--- a/src/decide/admission_remove.c
+++ b/src/decide/admission_remove.c
@@ -20,15 +20,15 @@
 }
 
 /* Remove the last request from the queue that would not start within its
-   longest wait under the server's limit, and put it into EXCHANGE.  Return
-   FALSE if there is none.  */
+   longest wait under the rates that the server takes, and put it into
+   EXCHANGE.  Return FALSE if there is none.  */
 gboolean
 admission_evict_late (struct admission *admission, gint64 now,
                       struct handle *exchange)
 {
   guint i;
 
-  if (!admission->limit.is_named)
+  if (!admission->limit.is_named && !warmup_is_cold (&admission->warmup, now))
     return FALSE;
   for (i = admission->queue->len; i > 0; i--)
     {
--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -81,6 +81,8 @@
   add_line (text, "gate_running", mesh->admission.busy_slots);
   add_line (text, "gate_waiting", mesh->admission.queue->len);
   add_line (text, "gate_slots", mesh->admission.slots);
+  add_line (text, "server_cold_left_ms",
+            warmup_left_usec (&mesh->admission.warmup, now) / USEC_PER_MSEC);
   add_line (text, "keys_granted_rows",
             grant_range_count (&mesh->grant, clock_usec ()));
   add_line (text, "store_newest_calls",
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -25,6 +25,7 @@
   admission_init (&mesh->admission);
   mesh->admission.max_wait_percent = MAX_WAIT_PERCENT;
   mesh->admission.awaits_answer = TRUE;
+  warmup_init (&mesh->admission.warmup, now);
   key_rate_init (&mesh->key_rate);
   table_init (&mesh->peers, sizeof (struct peer_state));
   mesh->peers_by_incarnation
@@ -77,7 +78,10 @@
           .waiting = mesh->admission.queue->len,
           .mean_run_usec = run_times_route_average (&mesh->run_times),
           .demand_permille = mesh_demand (mesh),
-          .failed_permille = mesh->run_times.failed_permille };
+          .failed_permille = mesh->run_times.failed_permille,
+          .warmup_msec
+          = (guint32)(warmup_left_usec (&mesh->admission.warmup, now)
+                      / USEC_PER_MSEC) };
 
   if (mesh->grant.method == GRANT_BY_ANSWER)
     load.next_heartbeat_msec
@@ -85,10 +89,13 @@
                                 + mesh->settings.heartbeat_usec - now)
                     / USEC_PER_MSEC);
   if (!grant_is_leaving (&mesh->grant) && grant_may_run (&mesh->grant))
-    load.slots = server_limit_slots (
-        &mesh->admission.limit,
-        limiter_slots (&mesh->admission.limiter, mesh->admission.slots, now),
-        run_times_mean (&mesh->run_times));
+    load.slots = warmup_slots (
+        &mesh->admission.warmup,
+        server_limit_slots (&mesh->admission.limit,
+                            limiter_slots (&mesh->admission.limiter,
+                                           mesh->admission.slots, now),
+                            run_times_mean (&mesh->run_times)),
+        run_times_mean (&mesh->run_times), now);
   return load;
 }
 
@@ -123,6 +130,7 @@
   mesh_orders_step (mesh, now, out);
   mesh_expire_requests (mesh, now, out);
   mesh_route_waiting (mesh, FALSE, now, out);
+  mesh_warmup_step (mesh, now, out);
   mesh_admit_queued (mesh, now, out);
   mesh_stop_step (mesh, event, now, out);
 }
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -93,6 +93,8 @@
   gint64 next_walk_at; /* no walk over all members on a tick before this */
   gint64 server_answered_at;          /* last answer of the backend server */
   struct server_notice server_notice; /* what that answer said of the server */
+  gboolean server_was_cold;           /* the server was cold when that was
+                                         logged last */
   gboolean store_lost;                /* the store does not answer this node */
   gboolean initial_read_done; /* the fleet's topic was read to its end once */
   gboolean earlier_settled;   /* no append by an earlier process of this node
--- a/src/mesh/mesh_balance.c
+++ b/src/mesh/mesh_balance.c
@@ -28,8 +28,8 @@
 #define HOT_KEY_DIVISOR 3u
 
 /* Return the demand on the local server in thousandths of its capacity, from
-   the rate of its requests and their mean run time, or from its limit if that
-   is less.  */
+   the rate of its requests and their mean run time, or from its limit or its
+   rate while it is cold if that is less.  */
 guint32
 mesh_demand (const struct mesh *mesh)
 {
@@ -41,7 +41,8 @@
   return MAX (
       (guint32)((guint64)rate * (guint64)run_times_mean (&mesh->run_times)
                 / ((guint64)admission->slots * USEC_PER_MSEC)),
-      server_limit_demand (&admission->limit, rate));
+      MAX (server_limit_demand (&admission->limit, rate),
+           warmup_demand (&admission->warmup, rate, mesh->last_event_at)));
 }
 
 /* Return whether SHARD is owned by this node and has no next owner yet.  */
--- a/src/mesh/mesh_candidates.c
+++ b/src/mesh/mesh_candidates.c
@@ -1,5 +1,21 @@
 #include "mesh/mesh_parts.h"
 
+/* Return the weight of MEMBER, whose node is PEER, in the division of keys:
+   its slots, or what of them its rate keeps busy while its server is cold.
+   PEER is NULL for this node.  */
+static guint32
+weight_of (struct mesh *mesh, const struct fleet_member *member,
+           const struct peer_state *peer, gint64 now)
+{
+  struct load_report load
+      = peer != NULL ? peer->load : mesh_load_report (mesh, now);
+  gint64 reported_at = peer != NULL ? peer->load_reported_at : now;
+  gboolean is_cold
+      = now < reported_at + (gint64)load.warmup_msec * USEC_PER_MSEC;
+
+  return MAX (1, is_cold ? MIN (member->slots, load.slots) : member->slots);
+}
+
 /* Return the members whose servers may be given keys of SERVICE, as an array
    of struct candidate that the caller frees.  A member is left out if its
    server is not ready or is leaving, or if the member is unresponsive.  */
@@ -15,7 +31,7 @@
           = fleet_state_member_at (&mesh->fleet, h);
       const struct peer_state *peer = table_get (&mesh->peers, h);
       gboolean self = strcmp (member->name, mesh->settings.name) == 0;
-      struct candidate candidate = { .weight = MAX (1, member->slots) };
+      struct candidate candidate = { 0 };
       if (strcmp (member->service, service) != 0
           || member->state != MEMBER_READY
           || !server_instance_is_set (&member->instance))
@@ -26,6 +42,7 @@
       g_strlcpy (candidate.node_name, member->name,
                  sizeof candidate.node_name);
       candidate.instance = member->instance;
+      candidate.weight = weight_of (mesh, member, self ? NULL : peer, now);
       g_array_append_val (candidates, candidate);
     }
   return candidates;
--- a/src/mesh/mesh_heartbeat.c
+++ b/src/mesh/mesh_heartbeat.c
@@ -141,6 +141,7 @@
                  sizeof mesh->settings.service);
       admission_set_slots (&mesh->admission, heartbeat->slots,
                            QUEUE_PER_SLOT * heartbeat->slots);
+      mesh_warmup_on_heartbeat (mesh, heartbeat->warmup_usec, now, out);
       switch (mesh->grant.method)
         {
         case GRANT_BY_ANSWER:
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -62,6 +62,13 @@
 void mesh_on_notice (struct mesh *mesh, const struct server_notice *notice,
                      gint64 now, struct actions *out);
 
+/* The warm-up of the local backend server, mesh_warmup.c.  */
+void mesh_warmup_step (struct mesh *mesh, gint64 now, struct actions *out);
+void mesh_warmup_on_heartbeat (struct mesh *mesh, gint64 warmup_usec,
+                               gint64 now, struct actions *out);
+void mesh_warmup_presume_cold (struct mesh *mesh, gint64 now,
+                               struct actions *out);
+
 /* The end of requests, mesh_end.c.  */
 const char *mesh_member_name (struct mesh *mesh, struct handle h);
 void mesh_remove_request (struct mesh *mesh, struct handle exchange,
--- a/src/types/load_report.h
+++ b/src/types/load_report.h
@@ -21,6 +21,8 @@
                                   thousandths of its capacity */
   guint32 next_heartbeat_msec; /* until the server's next heartbeat is due */
   guint32 failed_permille; /* thousandths of the latest attempts that failed */
+  guint32 warmup_msec;     /* until the server is warm, milliseconds; 0: it is
+                              warm */
 };
 
 #endif
--- a/src/types/route_service.h
+++ b/src/types/route_service.h
@@ -10,6 +10,10 @@
 {
   char name[NAME_SIZE]; /* name of the service */
   gboolean sharded;     /* each key has exactly one owner */
+  gint64 warmup_usec;   /* a server that starts is cold for so long, 0: it is
+                           not */
+  guint32 warmup_milli_per_s; /* requests that a cold server takes, thousandths
+                                 a second; 0: no limit */
 };
 
 #endif
--- a/src/wire/wire_forward.c
+++ b/src/wire/wire_forward.c
@@ -73,7 +73,8 @@
          && wire_i64 (xdr, &message->body_length)
          && wire_bytes (xdr, &message->chunk, &message->chunk_length,
                         BODY_QUEUE_BYTES)
-         && wire_bool (xdr, &message->is_last_chunk);
+         && wire_bool (xdr, &message->is_last_chunk)
+         && wire_load_warmup (xdr, &message->load);
 }
 
 /* XDR filter for struct forward_request_chunk.  */
--- a/src/wire/wire_mesh.c
+++ b/src/wire/wire_mesh.c
@@ -44,6 +44,17 @@
   memset (gossip->claims, 0, sizeof gossip->claims);
 }
 
+/* XDR filter for the warm-up in LOAD, which is encoded last in a message:
+   versions that do not know it end the message before it, or ignore it.  */
+bool_t
+wire_load_warmup (XDR *xdr, struct load_report *load)
+{
+  if (xdr_uint32_t (xdr, &load->warmup_msec))
+    return TRUE;
+  load->warmup_msec = 0;
+  return xdr->x_op == XDR_DECODE;
+}
+
 /* XDR filter for how recent the configuration is, and who reads the topics.
    Versions that do not know it end the message before it, or ignore it.  */
 static bool_t
@@ -55,9 +66,12 @@
 
   for (i = 0; complete && i < READING_SLOTS; i++)
     complete = wire_reading_claim (xdr, &gossip->claims[i]);
-  if (complete || xdr->x_op != XDR_DECODE)
-    return complete;
+  if (complete)
+    return wire_load_warmup (xdr, &gossip->load);
+  if (xdr->x_op != XDR_DECODE)
+    return FALSE;
   clear_reading (gossip);
+  gossip->load.warmup_msec = 0;
   return TRUE;
 }
 
@@ -78,6 +92,7 @@
   if (xdr->x_op != XDR_DECODE)
     return FALSE;
   clear_reading (gossip);
+  gossip->load.warmup_msec = 0;
   gossip->sequence = 0;
   for (i = 0; i < gossip->report_count; i++)
     gossip->reports[i].sequence = 0;
--- a/src/wire/wire_mesh.h
+++ b/src/wire/wire_mesh.h
@@ -9,5 +9,6 @@
 bool_t wire_mesh_call (XDR *xdr, void *item);
 bool_t wire_mesh_reply (XDR *xdr, void *item);
 bool_t wire_load_report (XDR *xdr, struct load_report *load);
+bool_t wire_load_warmup (XDR *xdr, struct load_report *load);
 
 #endif
