--- a/tests/mesh_node_stage.h
+++ b/tests/mesh_node_stage.h
@@ -21,19 +21,44 @@
 #define CALLER_REQUEST                                                        \
   "GET /other/x HTTP/1.1\r\nHost: h\r\n" NAME_ID ": 1\r\n" NAME_DEADLINE      \
   ": 2000\r\n\r\n"
+/* A request that the other node was sent and has not answered.  */
+struct held_forward
+{
+  struct handle link; /* connection that it came on */
+  guint32 xid;        /* xid of the RPC_FORWARD_REQUEST */
+  char target[32];    /* path and query */
+};
+
 /* A node, and another one that runs the requests sent to it.  */
 struct stage
 {
   struct mesh_node node;              /* the node */
   struct links other;                 /* connections of the other node */
   guint runs;                         /* requests that the other node ran */
-  gboolean holds_requests;            /* the other node answers none */
+  gboolean holds_requests;            /* the other node answers none by
+                                         itself */
+  GArray *held;                       /* struct held_forward: what it got and
+                                         did not answer */
   guint whole_bodies;                 /* request bodies that it got whole */
   guint cancels;                      /* requests that were cancelled there */
   guint replies;                      /* replies to the other node */
   struct forward_response_head reply; /* head of the last one */
 };
 
+/* Keep a request that the node forwarded, to be answered by the test.  */
+static inline void
+hold_forward (struct stage *stage, const struct link_event *event)
+{
+  struct forward_request forward = { 0 };
+  struct held_forward held = { .link = event->link, .xid = event->xid };
+
+  if (wire_decode (wire_forward_request, &forward, event->bytes, event->length)
+      == ERR_NONE)
+    g_strlcpy (held.target, forward.target, sizeof held.target);
+  xdr_free ((xdrproc_t)wire_forward_request, (char *)&forward);
+  g_array_append_val (stage->held, held);
+}
+
 /* Answer a request that the node forwarded.  */
 static inline void
 answer_forward (struct stage *stage, const struct link_event *event)
@@ -49,7 +74,10 @@
 
   stage->runs++;
   if (stage->holds_requests)
-    return;
+    {
+      hold_forward (stage, event);
+      return;
+    }
   links_reply (&stage->other, event->link, event->xid, ERR_NONE,
                wire_forward_response_head, &head);
 }
@@ -121,8 +149,8 @@
   return at;
 }
 
-/* Give the node a configuration with a route to the other node, as from a read
-   that showed nothing newer.  */
+/* Give the node a configuration with routes to the other node, one of them
+   idempotent, as from a read that showed nothing newer.  */
 static inline void
 add_route (struct mesh_node *node)
 {
@@ -141,6 +169,9 @@
   event.u.routing.routing = routing_new (1);
   g_strlcpy (route.shares[0].service, "other", NAME_SIZE);
   routing_add_route (event.u.routing.routing, &route);
+  g_strlcpy (route.path_prefix, "/read/", sizeof route.path_prefix);
+  route.run_class = RUN_IDEMPOTENT;
+  routing_add_route (event.u.routing.routing, &route);
   mesh_node_handle_event (node, &event);
   mesh_node_handle_event (node, &read);
 }
@@ -186,6 +217,7 @@
   struct address any = { LOCAL, 0 };
 
   memset (stage, 0, sizeof *stage);
+  stage->held = g_array_new (FALSE, FALSE, sizeof (struct held_forward));
   CU_ASSERT_EQUAL_FATAL (links_init (&stage->other, any, on_other, stage),
                          ERR_NONE);
   config.caller_address = config.control_address = any;
@@ -212,6 +244,7 @@
 {
   mesh_node_clear (&stage->node);
   links_clear (&stage->other);
+  g_array_free (stage->held, TRUE);
   while (g_main_context_iteration (NULL, FALSE))
     continue;
 }
