Idempotent requests of one connection run at the same time

Change: struct http_server_request is split off struct http_server_conn, which keeps up to eight of them in order. A request starts behind others if the user of the server says that its head may run ahead, and the one before it may too; for callers of a mesh node mesh_may_run_ahead answers by the route. A request with a body, of HTTP/1.0 or with 100-continue is alone. A response that is ready before its turn is held, 64 KiB a connection; beyond that the source is not read on. Where a response breaks off before its turn, nothing of it is sent, the connection ends behind the responses before it, and what is behind it is cancelled. A response that asks for a close leaves that to the last request that has started.

The metric requests_started_ahead counts requests that started behind others.

Checked: test_sent_ahead, which failed before, and test_http_server, test_exchange, test_caller_watch, test_broken_upload, test_mesh_node, test_control_api, test_source_peer, test_target_peer.

--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -183,6 +183,7 @@
   body_init (&exchange->response_body);
   g_clear_pointer (&exchange->response.headers, soup_message_headers_unref);
   exchange->has_response = FALSE;
+  exchange->response.has_caller_fields = FALSE;
   exchange->response.has_notice = FALSE;
   return TRUE;
 }
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -29,7 +29,8 @@
   gboolean submitted;     /* the request was submitted to the core */
   gboolean body_received; /* the whole request body was received */
   gboolean body_paused;   /* reading of the request body is suspended */
-  gboolean head_sent;     /* the response head was sent */
+  gboolean head_sent;     /* the response head was sent, or is held until its
+                             turn */
 };
 
 /* Request forwarded by another node.  */
@@ -99,6 +100,7 @@
   struct address owner_address; /* owner's caller address; port 0: this node */
   guint http_status;            /* HTTP status code */
   SoupMessageHeaders *headers;  /* headers to forward */
+  gboolean has_caller_fields;   /* they have the fields for callers */
   gint64 body_length;           /* size of the body in bytes, -1 if unknown */
   struct stamp stamp;           /* stamp for the caller */
   guint32 retry_after_msec;     /* delay before a retry, 0 for none */
--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -21,22 +21,14 @@
     case CONN_CONNECTED:
       break;
     case CONN_RECEIVED:
-      http_server_conn_read (c);
+      http_server_conn_work (c);
       break;
     case CONN_DRAINED:
       http_server_conn_drained (c);
       break;
     case CONN_CLOSED:
-      if (handle_is_set (c->request))
-        {
-          struct http_server_event left = { .kind = HTTP_SERVER_LEFT,
-                                            .user = c->user,
-                                            .head = &c->head,
-                                            .code = ERR_CLOSED };
-          left.request = http_server_conn_release (c);
-          c->server->on_event (&left, c->server->data);
-        }
-      http_server_conn_cut (c);
+      c->is_cut = TRUE;
+      http_server_conn_work (c);
       break;
     }
 }
@@ -51,6 +43,7 @@
 
   c->server = server;
   c->self = h;
+  c->keep_alive = TRUE;
   c->out = g_byte_array_new ();
   c->conn = conn_adopt (socket, on_conn_event, c);
   conn_watch_hangup (c->conn);
@@ -60,10 +53,11 @@
 void
 http_server_conn_free (struct http_server_conn *c)
 {
-  http_server_conn_release (c);
-  if (c->read_on != 0)
-    g_source_remove (c->read_on);
-  if (c->reply_by_close && c->reply == HTTP_REPLY_BEGUN)
+  while (c->request_count > 0)
+    http_server_request_remove (http_server_conn_last (c));
+  if (c->work_source != 0)
+    g_source_remove (c->work_source);
+  if (c->reply_by_close)
     conn_reset (c->conn);
   else
     conn_close (c->conn);
@@ -72,98 +66,36 @@
   table_remove (&c->server->conns, c->self);
 }
 
-/* Close C without an event, at once or when what was received is parsed.  A
-   response that was not sent to its end is not taken for whole.  */
+/* Close C, at once or after its requests were reported as left from the main
+   loop.  A response that was not sent to its end is not taken for whole.  */
 void
 http_server_conn_cut (struct http_server_conn *c)
 {
-  if (c->is_reading)
-    c->is_cut = TRUE;
-  else
+  c->is_cut = TRUE;
+  if (c->is_busy)
+    return;
+  if (c->request_count == 0)
     http_server_conn_free (c);
+  else
+    http_server_conn_work_later (c);
 }
 
-/* Return the connection of REQUEST, or NULL if the handle is stale.  */
-struct http_server_conn *
-http_server_conn_of (struct http_server *server, struct handle request)
-{
-  const struct handle *h = table_get (&server->requests, request);
-
-  return h != NULL ? table_get (&server->conns, *h) : NULL;
-}
-
-/* Make the handle of the request in progress on C stale.  Return it.  */
-struct handle
-http_server_conn_release (struct http_server_conn *c)
-{
-  struct handle request = c->request;
-
-  if (handle_is_set (request))
-    table_remove (&c->server->requests, request);
-  c->request = HANDLE_NONE;
-  c->user = HANDLE_NONE;
-  return request;
-}
-
-/* Report an event of KIND of the request in progress on C, if there is
-   one.  */
-void
-http_server_conn_notify (struct http_server_conn *c,
-                         enum http_server_event_kind kind)
-{
-  struct http_server_event event = {
-    .kind = kind, .request = c->request, .user = c->user, .head = &c->head
-  };
-
-  if (handle_is_set (c->request))
-    c->server->on_event (&event, c->server->data);
-}
-
-/* Requests */
-
-/* Set the handle that events of REQUEST carry for the user.  */
-void
-http_server_set_user (struct http_server *server, struct handle request,
-                      struct handle user)
-{
-  struct http_server_conn *c = http_server_conn_of (server, request);
-
-  if (c != NULL)
-    c->user = user;
-}
-
-/* Return whether the caller of REQUEST has closed its connection, perhaps
-   behind bytes that were not read.  */
-gboolean
-http_server_has_left (struct http_server *server, struct handle request)
+/* Return the oldest request on C, or NULL.  */
+struct http_server_request *
+http_server_conn_first (const struct http_server_conn *c)
 {
-  const struct http_server_conn *c = http_server_conn_of (server, request);
-
-  return c == NULL || conn_has_hung_up (c->conn);
+  return c->request_count > 0
+             ? table_get (&c->server->requests, c->requests[0])
+             : NULL;
 }
 
-/* Stop reading the body of REQUEST if PAUSED is true, else resume.  What was
-   read with the last bytes is still reported.  */
-void
-http_server_pause (struct http_server *server, struct handle request,
-                   gboolean paused)
+/* Return the newest request on C, or NULL.  */
+struct http_server_request *
+http_server_conn_last (const struct http_server_conn *c)
 {
-  struct http_server_conn *c = http_server_conn_of (server, request);
-
-  if (c != NULL)
-    conn_pause (c->conn, paused);
-}
-
-/* Close the connection of REQUEST without an event.  */
-void
-http_server_cut (struct http_server *server, struct handle request)
-{
-  struct http_server_conn *c = http_server_conn_of (server, request);
-
-  if (c == NULL)
-    return;
-  http_server_conn_release (c);
-  http_server_conn_cut (c);
+  return c->request_count > 0 ? table_get (&c->server->requests,
+                                           c->requests[c->request_count - 1])
+                              : NULL;
 }
 
 /* The server */
@@ -176,12 +108,21 @@
 {
   memset (server, 0, sizeof *server);
   table_init (&server->conns, sizeof (struct http_server_conn));
-  table_init (&server->requests, sizeof (struct handle));
+  table_init (&server->requests, sizeof (struct http_server_request));
   server->listeners = g_ptr_array_new_with_free_func (http_listener_free);
   server->on_event = fn;
   server->data = data;
 }
 
+/* Let idempotent requests of one connection run at the same time: FN is asked
+   for the head of each request without a body whether it may.  Without that a
+   connection serves one request at a time.  */
+void
+http_server_run_ahead (struct http_server *server, http_server_ahead_fn *fn)
+{
+  server->may_run_ahead = fn;
+}
+
 /* Listen at AT as well.  Return the error of listening.  */
 enum err
 http_server_listen (struct http_server *server, struct address at)
--- a/src/edge/http_server_write.c
+++ b/src/edge/http_server_write.c
@@ -1,41 +1,79 @@
 #include "edge/http_server_conn.h"
-#include "types/clock.h"
 
 #include <string.h>
 
-#define STATUS_FIELDS_TOO_LARGE 431u /* libsoup does not define it */
 #define CHUNK_LINE_SIZE 32 /* length of a chunk's size line, in bytes */
 
-/* Time for the caller to read the response before the connection is closed:
-   bytes that it sends meanwhile would reset the connection.  */
-#define LINGER_USEC ((gint64)1000000)
+/* Part of HTTP_HELD_BYTES_MAX that is kept for the framing of the bodies that
+   are held: a chunk's lines and, for each response, the last chunk.  */
+#define FRAMING_BYTES 96u
 
 /* Bodies */
 
-/* Append COUNT bytes to what is sent with the next flush.  */
+/* Append COUNT bytes to the response to R.  */
 static void
-queue (struct http_server_conn *c, const char *bytes, gsize count)
+queue (struct http_server_request *r, const char *bytes, gsize count)
 {
-  g_byte_array_append (c->out, (const guint8 *)bytes, (guint)count);
+  struct http_server_conn *c = http_server_request_conn (r);
+  GByteArray *to = c->out;
+
+  if (!r->has_turn)
+    {
+      if (r->held == NULL)
+        r->held = g_byte_array_new ();
+      to = r->held;
+      c->held_bytes += count;
+    }
+  g_byte_array_append (to, (const guint8 *)bytes, (guint)count);
 }
 
-/* Write COUNT bytes of the body of the response to REQUEST.  They are sent
-   with the next flush.  */
-void
+/* Return the number of bytes that can be added to the response to R now,
+   besides their framing.  */
+static gsize
+room (const struct http_server_request *r)
+{
+  gsize held = http_server_request_conn (r)->held_bytes + FRAMING_BYTES;
+
+  if (r->has_turn)
+    return G_MAXSIZE;
+  return held < HTTP_HELD_BYTES_MAX ? HTTP_HELD_BYTES_MAX - held : 0;
+}
+
+/* Append the head in COUNT BYTES to the response to R.  Return FALSE if it
+   cannot be added to what is held.  */
+gboolean
+http_server_request_write_head (struct http_server_request *r,
+                                const char *bytes, gsize count)
+{
+  if (count > room (r))
+    return FALSE;
+  queue (r, bytes, count);
+  r->reply = HTTP_REPLY_BEGUN;
+  return TRUE;
+}
+
+/* Write up to COUNT bytes of the body of the response to REQUEST, and return
+   how many were taken: fewer only if the response is held until its turn.
+   They are sent with the next flush.  */
+gsize
 http_server_write (struct http_server *server, struct handle request,
                    const guint8 *bytes, gsize count)
 {
-  struct http_server_conn *c = http_server_conn_of (server, request);
+  struct http_server_request *r = http_server_request_of (server, request);
   char line[CHUNK_LINE_SIZE];
-
-  if (c == NULL || count == 0 || c->reply != HTTP_REPLY_BEGUN
-      || c->reply_has_no_body)
-    return;
-  if (c->reply_by_chunks)
-    queue (c, line, (gsize)g_snprintf (line, sizeof line, "%zx\r\n", count));
-  queue (c, (const char *)bytes, count);
-  if (c->reply_by_chunks)
-    queue (c, "\r\n", 2);
+  gsize taken;
+
+  if (r == NULL || r->reply != HTTP_REPLY_BEGUN || r->reply_has_no_body)
+    return count;
+  taken = MIN (count, room (r));
+  if (taken == 0)
+    return 0;
+  if (r->reply_by_chunks)
+    queue (r, line, (gsize)g_snprintf (line, sizeof line, "%zx\r\n", taken));
+  queue (r, (const char *)bytes, taken);
+  if (r->reply_by_chunks)
+    queue (r, "\r\n", 2);
+  return taken;
 }
 
 /* Send what was written to C.  */
@@ -51,47 +89,27 @@
 void
 http_server_flush (struct http_server *server, struct handle request)
 {
-  struct http_server_conn *c = http_server_conn_of (server, request);
+  const struct http_server_request *r
+      = http_server_request_of (server, request);
 
-  if (c != NULL)
-    flush (c);
+  if (r != NULL && r->has_turn)
+    flush (http_server_request_conn (r));
 }
 
-/* Return the number of bytes that were written to REQUEST and not sent.  */
-gsize
-http_server_unsent (struct http_server *server, struct handle request)
-{
-  struct http_server_conn *c = http_server_conn_of (server, request);
-
-  return c != NULL ? c->out->len + conn_unsent (c->conn) : 0;
-}
-
-/* The end */
-
-/* Close C soon: end its sending half once all is sent, and close it when the
-   caller closes it too or LINGER_USEC have passed.  The rest of a request is
-   dropped until then; of a further one nothing is read.  */
-static void
-close_soon (struct http_server_conn *c)
+/* Return whether more of the response to REQUEST should be written only after
+   HTTP_SERVER_DRAINED: what was written is not sent yet, or cannot be added to
+   what is held.  */
+gboolean
+http_server_is_full (struct http_server *server, struct handle request)
 {
-  c->input = c->input == HTTP_INPUT_NONE || c->input == HTTP_INPUT_UNREAD
-                 ? HTTP_INPUT_UNREAD
-                 : HTTP_INPUT_DROPPED;
-  if (c->close_at != 0 || conn_unsent (c->conn) > 0)
-    return;
-  conn_end_sending (c->conn);
-  c->close_at = clock_usec () + LINGER_USEC;
-}
+  const struct http_server_request *r
+      = http_server_request_of (server, request);
+  const struct http_server_conn *c;
 
-/* End the response on C, all of which was sent.  */
-static void
-reply_sent (struct http_server_conn *c)
-{
-  conn_report_first (c->conn, FALSE);
-  http_server_conn_release (c);
-  if (!c->keep_alive)
-    close_soon (c);
-  http_server_conn_end (c);
+  if (r == NULL)
+    return FALSE;
+  c = http_server_request_conn (r);
+  return r->has_turn ? c->out->len + conn_unsent (c->conn) > 0 : room (r) == 0;
 }
 
 /* End the response to REQUEST.  Return whether all of it was sent; the handle
@@ -99,47 +117,26 @@
 gboolean
 http_server_finish (struct http_server *server, struct handle request)
 {
-  struct http_server_conn *c = http_server_conn_of (server, request);
+  struct http_server_request *r = http_server_request_of (server, request);
+  struct http_server_conn *c;
 
-  if (c == NULL || c->reply != HTTP_REPLY_BEGUN)
+  if (r == NULL || r->reply != HTTP_REPLY_BEGUN)
+    return FALSE;
+  c = http_server_request_conn (r);
+  if (r->reply_by_chunks)
+    queue (r, "0\r\n\r\n", 5);
+  r->reply = HTTP_REPLY_ENDED;
+  if (!r->has_turn)
     return FALSE;
-  if (c->reply_by_chunks)
-    queue (c, "0\r\n\r\n", 5);
   flush (c);
-  c->reply = HTTP_REPLY_ENDED;
+  c->reply_by_close = FALSE;
   if (conn_unsent (c->conn) > 0)
     return FALSE;
-  reply_sent (c);
+  http_server_request_remove (r);
+  http_server_conn_go_on (c);
   return TRUE;
 }
 
-/* Handle the end of sending on C.  */
-void
-http_server_conn_drained (struct http_server_conn *c)
-{
-  struct http_server_event event = { .kind = HTTP_SERVER_SENT,
-                                     .request = c->request,
-                                     .user = c->user,
-                                     .head = &c->head };
-
-  if (c->input == HTTP_INPUT_DROPPED || c->input == HTTP_INPUT_UNREAD)
-    close_soon (c);
-  if (!handle_is_set (c->request))
-    return;
-  switch (c->reply)
-    {
-    case HTTP_REPLY_NONE:
-      break;
-    case HTTP_REPLY_BEGUN:
-      http_server_conn_notify (c, HTTP_SERVER_DRAINED);
-      break;
-    case HTTP_REPLY_ENDED:
-      reply_sent (c);
-      c->server->on_event (&event, c->server->data);
-      break;
-    }
-}
-
 /* Answer REQUEST with STATUS, the fields HEADERS, which may be NULL, and the
    body TEXT.  */
 void
@@ -168,32 +165,3 @@
   http_server_answer (server, request, status, headers, text);
   soup_message_headers_unref (headers);
 }
-
-/* Refuse what was received on C, which is not valid for CODE, and read nothing
-   more.  A request that was begun is reported as left.  */
-void
-http_server_conn_refuse (struct http_server_conn *c, enum err code)
-{
-  struct http_server_event left = {
-    .kind = HTTP_SERVER_LEFT, .user = c->user, .head = &c->head, .code = code
-  };
-
-  c->server->refused_count++;
-  c->input = HTTP_INPUT_DROPPED;
-  c->keep_alive = FALSE;
-  if (handle_is_set (c->request))
-    {
-      left.request = http_server_conn_release (c);
-      c->server->on_event (&left, c->server->data);
-    }
-  if (c->reply == HTTP_REPLY_BEGUN)
-    {
-      http_server_conn_cut (c);
-      return;
-    }
-  if (c->reply == HTTP_REPLY_NONE)
-    http_server_conn_send_refusal (c, code == ERR_TOO_LARGE
-                                          ? STATUS_FIELDS_TOO_LARGE
-                                          : SOUP_STATUS_BAD_REQUEST);
-  close_soon (c);
-}
--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -75,6 +75,8 @@
   add_line (text, "members", mesh->fleet.members.count);
   add_line (text, "requests_not_valid",
             (gint64)node->proxy.callers.refused_count);
+  add_line (text, "requests_started_ahead",
+            (gint64)node->proxy.callers.ahead_count);
   add_line (text, "calls_not_valid",
             (gint64)node->control_api.http_server.refused_count);
   add_line (text, "requests_in_hand", mesh->requests.count);
--- a/src/edge/source_caller.c
+++ b/src/edge/source_caller.c
@@ -8,25 +8,29 @@
 /* The response */
 
 /* Write the head of the response.  A node that is leaving asks callers to
-   close the connection, so that they connect to another node.  */
-static void
+   close the connection, so that they connect to another node.  Return FALSE if
+   the head has to wait for the responses before it.  */
+static gboolean
 write_head (struct exchange *exchange)
 {
   struct source_caller *caller = &exchange->source.u.caller;
   struct proxy *proxy = exchange->proxy;
-  const struct response_head *head = &exchange->response;
+  struct response_head *head = &exchange->response;
   struct http_response response = { .status = head->http_status,
                                     .headers = head->headers,
                                     .body_length = head->body_length,
                                     .close = proxy->leaving };
 
-  dialect_add_response_headers (&proxy->dialect, exchange, head->headers);
-  http_server_respond (&proxy->callers, caller->request, &response);
-  caller->head_sent = TRUE;
+  if (!head->has_caller_fields)
+    dialect_add_response_headers (&proxy->dialect, exchange, head->headers);
+  head->has_caller_fields = TRUE;
+  caller->head_sent
+      = http_server_respond (&proxy->callers, caller->request, &response);
+  return caller->head_sent;
 }
 
-/* Write the buffered part of the response body.  Return whether the whole
-   response was sent.  */
+/* Write the buffered part of the response body, as far as it is taken.  Return
+   whether the whole response was sent.  */
 static gboolean
 write_body (struct exchange *exchange)
 {
@@ -34,9 +38,8 @@
   struct handle request = exchange->source.u.caller.request;
   struct body *body = &exchange->response_body;
 
-  http_server_write (callers, request, body_data (body),
-                     body_remaining (body));
-  body_consume (body, body_remaining (body));
+  body_consume (body, http_server_write (callers, request, body_data (body),
+                                         body_remaining (body)));
   if (body_is_consumed (body))
     return http_server_finish (callers, request);
   http_server_flush (callers, request);
@@ -44,7 +47,8 @@
 }
 
 /* Forward the buffered part of the response if what was written before is
-   sent.  EXCHANGE is removed once the whole response was sent.  */
+   sent, or held until its turn.  EXCHANGE is removed once the whole response
+   was sent.  */
 void
 source_caller_pump (struct exchange *exchange)
 {
@@ -54,15 +58,20 @@
   if (exchange->has_response && !caller->body_received)
     source_caller_resume (exchange);
   if (!exchange->has_response
-      || http_server_unsent (&proxy->callers, caller->request) > 0)
+      || http_server_is_full (&proxy->callers, caller->request))
     return;
   if (!caller->head_sent)
-    write_head (exchange);
+    {
+      if (!write_head (exchange))
+        return;
+    }
   else if (body_remaining (&exchange->response_body) == 0
            && !exchange->response_body.is_complete)
     return;
   if (write_body (exchange))
     exchange_remove (exchange);
+  else if (body_is_full (&exchange->response_body))
+    return;
   else if (exchange->target.kind == TARGET_SERVER)
     http_pause (&proxy->http, exchange->target.u.server.call, FALSE);
   else
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -117,6 +117,8 @@
                 struct actions *out);
 gboolean mesh_reads_fleet (struct mesh *mesh, gint64 now);
 gboolean mesh_reads_config (struct mesh *mesh, gint64 now);
+gboolean mesh_may_run_ahead (const struct mesh *mesh, const char *host,
+                             const char *target);
 gboolean mesh_is_ready (const struct mesh *mesh);
 struct load_report mesh_load_report (struct mesh *mesh, gint64 now);
 
