Soak: callers that send several requests at once

In one step of ten a caller sends 2 to 12 requests on one connection, an eighth of them at most once and with a body, and one caller in eight leaves early. Each response must be that of the request in its place, and what is behind a response that closes the connection counts as not run. The requests of callers move to soak/soak_requests.c.

--- a/soak/bin/soak.c
+++ b/soak/bin/soak.c
@@ -15,7 +15,8 @@
 #define FINAL_SERVED_PERCENT 95u            /* must be served in this phase */
 #define LAST_ANSWERS_USEC ((gint64)3500000) /* wait for the last answers */
 #define REQUESTS_PER_STEP 4u                /* requests sent in each step */
-#define FAULT_PERCENT 5                     /* share of steps with a fault */
+#define AHEAD_PERCENT 10 /* share of steps in which a caller sends ahead */
+#define FAULT_PERCENT 5  /* share of steps with a fault */
 
 /* One run of the soak.  */
 struct run
@@ -99,6 +100,18 @@
   run->served_before_final = run->cluster.checker.served_count;
 }
 
+/* Send the requests of one step.  */
+static void
+send_requests (struct soak_cluster *cluster)
+{
+  guint i;
+
+  for (i = 0; i < REQUESTS_PER_STEP; i++)
+    soak_cluster_send_request (cluster);
+  if (g_rand_int_range (cluster->random, 0, 100) < AHEAD_PERCENT)
+    soak_cluster_send_ahead (cluster);
+}
+
 /* Step the run: inject faults, send requests, check.  Timer callback.  */
 static gboolean
 on_step (gpointer data)
@@ -106,7 +119,6 @@
   struct run *run = data;
   struct soak_cluster *cluster = &run->cluster;
   gint64 now = clock_usec ();
-  guint i;
 
   if (now >= run->end_at)
     {
@@ -123,10 +135,8 @@
     }
   if (now >= run->final_phase_at && !run->in_final_phase)
     begin_final_phase (run);
-  for (i = 0; now >= run->faults_begin_at && now < run->requests_end_at
-              && i < REQUESTS_PER_STEP;
-       i++)
-    soak_cluster_send_request (cluster);
+  if (now >= run->faults_begin_at && now < run->requests_end_at)
+    send_requests (cluster);
   soak_cluster_step (cluster, now);
   return G_SOURCE_CONTINUE;
 }
--- a/soak/soak_checker.c
+++ b/soak/soak_checker.c
@@ -55,6 +55,15 @@
   checker->broken_count++;
 }
 
+/* Record that the caller of a request, which was recorded, has left before its
+   answer.  */
+void
+soak_checker_abandoned (struct soak_checker *checker)
+{
+  checker->sent_count--;
+  checker->broken_count++;
+}
+
 /* Record that a server begins to run the request ID.  WHOLE tells whether it
    got the body that the caller meant to send.  */
 void
--- a/soak/soak_checker.h
+++ b/soak/soak_checker.h
@@ -23,8 +23,8 @@
   guint served_count;    /* requests answered with success */
   guint refused_count;   /* requests answered as not run */
   guint failed_count;    /* requests that ended in another way */
-  guint broken_count;    /* requests whose callers broke them off; in none of
-                            the other counts */
+  guint broken_count;    /* requests whose callers broke them off or left; in
+                            none of the other counts */
   guint violation_count; /* violations of a guarantee */
 };
 
@@ -33,6 +33,7 @@
 void soak_checker_sent (struct soak_checker *checker, const char *id,
                         gboolean at_most_once, gint64 now);
 void soak_checker_breaks_off (struct soak_checker *checker, const char *id);
+void soak_checker_abandoned (struct soak_checker *checker);
 void soak_checker_run_started (struct soak_checker *checker, const char *id,
                                gboolean whole);
 void soak_checker_answered (struct soak_checker *checker, const char *id,
--- a/soak/soak_cluster.c
+++ b/soak/soak_cluster.c
@@ -3,7 +3,6 @@
 
 #include "platform/config.h"
 #include "platform/store.h"
-#include "soak/soak_caller.h"
 #include "types/clock.h"
 
 #include <signal.h>
@@ -11,12 +10,8 @@
 #include <sys/stat.h>
 
 #define OUTPUT_FOLDER "out/soak" /* settings and logs of the nodes */
-#define PORTS_PER_HOST 10u /* ports of one node, its server and its relays */
-#define STORE_PORTS 1u     /* ports of the store, below the hosts' ports */
-#define BREAK_OFF_ONE_IN                                                      \
-  4                      /* requests; of these, those that run at most once   \
-                            are broken off */
-#define KEYED_PERCENT 60 /* share of the requests that carry a key */
+#define PORTS_PER_HOST 10u   /* ports of one node, its server and its relays */
+#define STORE_PORTS 1u       /* ports of the store, below the hosts' ports */
 #define LOOPBACK 0x7f000001u /* 127.0.0.1 */
 
 /* The configuration: one service that is divided by key and one that is
@@ -260,27 +255,3 @@
     }
   soak_owners_check (cluster, now);
 }
-
-/* Send a random request to a random node.  */
-void
-soak_cluster_send_request (struct soak_cluster *cluster)
-{
-  char id[REQUEST_ID_SIZE];
-  struct soak_caller_request parameters
-      = { .node_address
-          = cluster
-                ->hosts[g_rand_int_range (cluster->random, 0,
-                                          (gint32)cluster->host_count)]
-                .callers_address,
-          .request_id = id,
-          .at_most_once
-          = g_rand_int_range (cluster->random, 0, 100) >= KEYED_PERCENT,
-          .shard_key = (guint32)g_rand_int_range (cluster->random, 0,
-                                                  (gint32)SHARD_KEY_COUNT) };
-
-  g_snprintf (id, sizeof id, "r%u", ++cluster->last_request_serial);
-  parameters.breaks_off
-      = parameters.at_most_once
-        && cluster->last_request_serial % BREAK_OFF_ONE_IN == 0;
-  soak_caller_send (&cluster->checker, &cluster->http_client, &parameters);
-}
--- a/soak/soak_cluster.h
+++ b/soak/soak_cluster.h
@@ -46,5 +46,6 @@
 void soak_cluster_inject_fault (struct soak_cluster *cluster, gint64 now);
 void soak_cluster_heal (struct soak_cluster *cluster, gint64 now);
 void soak_cluster_send_request (struct soak_cluster *cluster);
+void soak_cluster_send_ahead (struct soak_cluster *cluster);
 
 #endif
