The store may come back from an older copy

Cause: nothing read Store-Era. After a rollback offsets are given out again, so copies were compared by offsets that meant other records, a move or a takeover that was lost was taken back, fences could fall, and an append by an old condition could take effect.

Change: the client of the store puts the era into the upper bits of offsets, so that every comparison is by era and offset; reads and appends across eras fail. In an era above 0 maps are merged by fences (fleet/map_merge) and written again, fences of an era begin at its number times 2^28, nobody takes keys over for the wait of a session, and a node goes on granting only what it owned when it learned of the era. A store without the header is in era 0, and nothing changes there.

Not checked: the soak has no rollbacks yet; suspects that are lost with the copy are not written again.

--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -68,6 +68,7 @@
                           mesh_routing_source (mesh));
   add_duties (text, mesh, now);
   add_line (text, "records_folded", (gint64)mesh->fleet.applied_offset);
+  add_line (text, "store_era", (gint64)mesh->era);
   add_line (text, "session_left_ms",
             session_remaining_usec (&mesh->freshness[MESH_TOPIC_FLEET], now)
                 / USEC_PER_MSEC);
--- a/src/fleet/fleet_state.c
+++ b/src/fleet/fleet_state.c
@@ -1,6 +1,8 @@
 #include "fleet/fleet_state.h"
 
+#include "fleet/map_merge.h"
 #include "fleet/map_patch.h"
+#include "types/store_offset.h"
 
 /* Setup */
 
@@ -143,7 +145,38 @@
     }
 }
 
-/* Apply the shard map of a service.  */
+/* Return whether KNOWN may have states of keys that a record at OFFSET lacks.
+   In the first era of the store each map is made from the one before.  */
+static gboolean
+may_be_ahead (const struct shard_map *known, guint64 offset)
+{
+  return known != NULL && (known->is_ahead || store_offset_era (offset) > 0);
+}
+
+/* Return whether MAP, which was merged from KNOWN and a record, is not just
+   the next one after KNOWN.  */
+static gboolean
+is_joined (const struct shard_map *map, const struct shard_map *known)
+{
+  return known != NULL
+         && (map->is_ahead || known->is_ahead
+             || store_offset_era (known->store_offset)
+                    != store_offset_era (map->store_offset));
+}
+
+/* Note that all shards of MAP came with its record: nodes that know the record
+   before it may have merged it with other states than this node.  */
+static void
+mark_all_changed (struct shard_map *map)
+{
+  guint i;
+
+  for (i = 0; i < map->shards->len; i++)
+    shard_map_at (map, i)->changed_at = map->store_offset;
+}
+
+/* Apply the shard map of a service.  A record of another era of the store does
+   not take back what is known.  */
 static void
 apply_map (struct fleet_state *fleet, const struct shard_map *record,
            guint64 offset, gint64 now)
@@ -151,16 +184,24 @@
   struct shard_map *known = fleet_state_map (fleet, record->service);
   struct shard_map *map = g_new0 (struct shard_map, 1);
 
-  shard_map_copy (map, record);
+  if (may_be_ahead (known, offset))
+    map_merge (known, record, map);
+  else
+    {
+      shard_map_copy (map, record);
+      map->is_ahead = FALSE;
+    }
   map->store_offset = offset;
   copy_shard_times (map, known, now);
+  if (is_joined (map, known))
+    mark_all_changed (map);
   if (known != NULL)
     g_ptr_array_remove (fleet->shard_maps, known);
   g_ptr_array_add (fleet->shard_maps, map);
 }
 
 /* Apply PATCH, the changed part of a map.  Return FALSE if it does not fit the
-   known map.  */
+   known map: it is made for a node that knows just the record before.  */
 static gboolean
 apply_patch (struct fleet_state *fleet, const struct shard_map *patch,
              guint64 offset, gint64 now)
@@ -168,7 +209,9 @@
   const struct shard_map *known = fleet_state_map (fleet, patch->service);
   struct shard_map map;
 
-  if (known == NULL || !map_patch_apply (known, patch, &map))
+  if (known == NULL || known->is_ahead
+      || store_offset_era (known->store_offset) != store_offset_era (offset)
+      || !map_patch_apply (known, patch, &map))
     return FALSE;
   apply_map (fleet, &map, offset, now);
   shard_map_clear (&map);
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -45,6 +45,7 @@
 mesh_clear (struct mesh *mesh)
 {
   routing_free (mesh->routing);
+  shard_map_clear (&mesh->era_map);
   fleet_state_clear (&mesh->fleet);
   grant_clear (&mesh->grant);
   admission_clear (&mesh->admission);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -96,6 +96,13 @@
   gboolean server_was_cold;           /* the server was cold when that was
                                          logged last */
   gboolean store_lost;                /* the store does not answer this node */
+  guint64 era;              /* era of the store by the records read so far */
+  gint64 era_known_at;      /* when this node learned of it */
+  gint64 era_settles_at;    /* keys are given to other owners from then on */
+  struct shard_map era_map; /* map of the own service when this node learned of
+                               the era; no shards: none was known */
+  guint64 min_fence; /* own shards under a lower fence are not granted before
+                        they are assigned again */
   gboolean initial_read_done; /* the fleet's topic was read to its end once */
   gboolean earlier_settled;   /* no append by an earlier process of this node
                                  that has a condition can take effect any
--- a/src/mesh/mesh_handoff.c
+++ b/src/mesh/mesh_handoff.c
@@ -84,7 +84,8 @@
 }
 
 /* Return a copy of MAP as the local server may be granted it: without the
-   shards that an unconfirmed map gives away, and with the next owners of the
+   shards that an unconfirmed map gives away or whose fences may have been
+   passed, and with the next owners of the
    planned handoffs to CANDIDATES.  The caller clears the copy.  */
 struct shard_map
 mesh_grantable_map (struct mesh *mesh, const struct shard_map *map,
@@ -92,6 +93,7 @@
 {
   struct shard_map copy = mesh_unconfirmed_exclude (mesh, map);
 
+  mesh_era_exclude (mesh, &copy, now);
   mesh_handoffs_apply (mesh, &copy, candidates, now);
   return copy;
 }
--- a/src/mesh/mesh_heartbeat.c
+++ b/src/mesh/mesh_heartbeat.c
@@ -32,7 +32,7 @@
       = fleet_state_map (&mesh->fleet, mesh->settings.service);
   GArray *candidates = mesh_candidates (mesh, mesh->settings.service, now);
   struct shard_owner owner
-      = { mesh->settings.name, &mesh->grant, candidates, now };
+      = { mesh->settings.name, &mesh->grant, candidates, now, 0 };
 
   answer->grant_usec = grant_usec (mesh, now);
   answer->renews_grant
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -133,6 +133,19 @@
                          const struct event_fleet_records *event, gint64 now,
                          struct actions *out);
 
+/* Eras of the store, mesh_era.c.  */
+void mesh_era_check (struct mesh *mesh,
+                     const struct event_fleet_records *event, gint64 now,
+                     struct actions *out);
+void mesh_era_on_first_read (struct mesh *mesh, gint64 now);
+gboolean mesh_era_is_settled (const struct mesh *mesh, gint64 now);
+void mesh_era_copy_map (const struct mesh *mesh, struct shard_map *copy,
+                        const struct shard_map *map);
+gboolean mesh_era_propose (struct mesh *mesh, gboolean is_planner, gint64 now,
+                           struct actions *out);
+void mesh_era_exclude (const struct mesh *mesh, struct shard_map *map,
+                       gint64 now);
+
 /* The store, mesh_store.c.  */
 void mesh_append_ended (struct mesh *mesh,
                         const struct event_store_appended *event, gint64 now,
--- a/src/mesh/mesh_plan.c
+++ b/src/mesh/mesh_plan.c
@@ -1,4 +1,5 @@
 #include "mesh/mesh_parts.h"
+#include "types/store_offset.h"
 
 /* Keys are assigned for the first time once no member has changed for
    SETTLE_USEC, so that members that start together all get keys, but no later
@@ -85,16 +86,17 @@
 {
   const char *service = mesh->settings.service;
   const struct shard_map *known = fleet_state_map (&mesh->fleet, service);
-  struct shard_owner owner = { mesh->settings.name, &mesh->grant, NULL, now };
+  struct shard_owner owner
+      = { mesh->settings.name, &mesh->grant, NULL, now, mesh->min_fence };
   struct shard_map map;
   GArray *candidates;
   gboolean changed;
 
-  if (known == NULL)
+  if (known == NULL || !mesh_era_is_settled (mesh, now))
     return FALSE;
   candidates = mesh_candidates (mesh, service, now);
   owner.candidates = candidates;
-  shard_map_copy (&map, known);
+  mesh_era_copy_map (mesh, &map, known);
   mesh_handoffs_apply (mesh, &map, candidates, now);
   changed = shard_reconcile (&map, &owner);
   if (changed)
@@ -142,9 +144,12 @@
   gboolean changed = FALSE;
 
   if (known != NULL)
-    shard_map_copy (&map, known);
+    mesh_era_copy_map (mesh, &map, known);
   else
-    shard_map_init (&map, service);
+    {
+      shard_map_init (&map, service);
+      map.next_fence = MAX (map.next_fence, store_era_first_fence (mesh->era));
+    }
   if (known != NULL || (candidates->len > 0 && is_settled (mesh, now)))
     changed = plan_map (mesh, &map, candidates, now);
   if (changed)
@@ -215,7 +220,8 @@
   guint i;
 
   if (mesh->routing == NULL || !is_planner (mesh, now)
-      || mesh_session_usec (mesh, now) == 0)
+      || mesh_session_usec (mesh, now) == 0
+      || !mesh_era_is_settled (mesh, now))
     return;
   for (i = 0; i < mesh->routing->services->len; i++)
     {
@@ -263,6 +269,7 @@
     return;
   if (mesh_propose_self (mesh, FALSE, now, out)
       || propose_crash (mesh, now, out) || is_catching_up (mesh, now)
+      || mesh_era_propose (mesh, is_planner (mesh, now), now, out)
       || propose_own_shards (mesh, now, out))
     return;
   if (mesh->unconfirmed->len > 0)
--- a/src/mesh/mesh_plan_self.c
+++ b/src/mesh/mesh_plan_self.c
@@ -1,4 +1,5 @@
 #include "mesh/mesh_parts.h"
+#include "types/store_offset.h"
 
 /* A node that has had no heartbeat from its server writes no record of itself
    until this long after its start, by when the first heartbeat is due.  */
@@ -31,14 +32,17 @@
     member->state = MEMBER_DRAINING;
 }
 
-/* Return whether the store's record of this node says the same as MEMBER.  */
+/* Return whether the store's record of this node says the same as MEMBER.  A
+   record that was read in an earlier era of the store may be lost.  */
 static gboolean
 is_recorded (struct mesh *mesh, const struct fleet_member *member)
 {
   const struct fleet_member *recorded
       = fleet_state_member_named (&mesh->fleet, member->name);
 
-  return recorded != NULL && strcmp (recorded->zone, member->zone) == 0
+  return recorded != NULL
+         && store_offset_era (recorded->store_offset) >= mesh->era
+         && strcmp (recorded->zone, member->zone) == 0
          && strcmp (recorded->service, member->service) == 0
          && address_equal (recorded->peer_address, member->peer_address)
          && recorded->incarnation == member->incarnation
--- a/src/mesh/mesh_records.c
+++ b/src/mesh/mesh_records.c
@@ -24,9 +24,11 @@
       map = fleet_state_map (&mesh->fleet, record->u.map.service);
       mesh_log (out, LOG_EVENT_MESH_KEYS, map->service,
                 "offset=%" G_GUINT64_FORMAT
-                " shards=%u changed=%u own=%u fence=%" G_GUINT64_FORMAT,
+                " shards=%u changed=%u own=%u fence=%" G_GUINT64_FORMAT
+                " ahead=%d",
                 entry->offset, map->shards->len, record->u.map.shards->len,
-                shard_owned_keys (map, mesh->settings.name), map->next_fence);
+                shard_owned_keys (map, mesh->settings.name), map->next_fence,
+                map->is_ahead);
       break;
     case FLEET_SUSPECT:
       mesh_log (out, LOG_EVENT_MESH_POISON, "",
@@ -53,7 +55,8 @@
   const struct shard_map *map
       = fleet_state_map (&mesh->fleet, mesh->settings.service);
   struct heartbeat_answer *presumed_answer;
-  struct shard_owner owner = { mesh->settings.name, &mesh->grant, NULL, now };
+  struct shard_owner owner
+      = { mesh->settings.name, &mesh->grant, NULL, now, 0 };
 
   if (self == NULL || self->state == MEMBER_DOWN
       || mesh->grant.heartbeat_received)
@@ -149,6 +152,7 @@
 {
   guint64 changes = mesh->fleet.change_count;
 
+  mesh_era_check (mesh, event, now, out);
   mesh->refuses_patches = !apply_entries (mesh, event, now, out);
   if (mesh->refuses_patches)
     return;
@@ -160,6 +164,7 @@
   if (event->complete && !mesh->initial_read_done)
     {
       mesh->initial_read_done = TRUE;
+      mesh_era_on_first_read (mesh, now);
       restore_grant (mesh, now);
     }
   check_earlier (mesh, event);
--- a/src/shard/shard_reconcile.c
+++ b/src/shard/shard_reconcile.c
@@ -76,6 +76,28 @@
   return TRUE;
 }
 
+/* Assign SHARD, whose fence may have been passed by one that is lost, to this
+   node under a new one, or to another node if the server leaves.  Return
+   whether SHARD changed.  */
+static gboolean
+assign_again (struct shard_map *map, struct shard *shard,
+              const struct shard_owner *owner)
+{
+  const struct candidate *self
+      = shard_find_candidate (owner->candidates, owner->node_name);
+  const char *token = "";
+
+  if (!owner->grant->heartbeat_received)
+    return FALSE;
+  if (self != NULL)
+    shard_assign (map, shard, self, "");
+  else if (grant_is_released (owner->grant, shard, owner->now, &token))
+    pass_on (map, shard, owner, token);
+  else
+    return FALSE;
+  return TRUE;
+}
+
 /* Split the shards of MAP where a release of part of them begins or ends.  */
 static void
 split_surrendered (struct shard_map *map, const struct grant *grant)
@@ -118,6 +140,8 @@
       pass_on (map, shard, owner, "");
       return TRUE;
     }
+  if (shard->fence < owner->min_fence)
+    return assign_again (map, shard, owner);
   if (must_release (shard, owner))
     {
       if (!grant_is_released (grant, shard, owner->now, &token))
--- a/src/shard/shard_reconcile.h
+++ b/src/shard/shard_reconcile.h
@@ -14,6 +14,8 @@
   const struct grant *grant; /* grant of the node's backend server */
   const GArray *candidates;  /* struct candidate: nodes that may take keys */
   gint64 now;                /* current time in microseconds */
+  guint64 min_fence; /* shards under a lower fence are assigned to this node
+                        again */
 };
 
 gboolean shard_reconcile (struct shard_map *map,
--- a/src/types/shard_map.h
+++ b/src/types/shard_map.h
@@ -13,6 +13,8 @@
   guint64 next_fence;      /* higher than all fences issued so far */
   GArray *shards;          /* struct shard */
   guint64 store_offset;    /* offset of the map's record in the store */
+  gboolean is_ahead; /* it has states of keys that the store's record lacks,
+                        since the store came back from an older copy */
 };
 
 void shard_map_init (struct shard_map *map, const char *service);
--- a/tests/mesh_sim.h
+++ b/tests/mesh_sim.h
@@ -256,6 +256,7 @@
   guint i;
 
   sim->log = g_array_new (FALSE, TRUE, sizeof (struct fleet_record));
+  sim->log_times = g_array_new (FALSE, TRUE, sizeof (gint64));
   sim->messages = g_array_new (FALSE, TRUE, sizeof (struct sim_message));
   sim->random = g_rand_new_with_seed (seed);
   sim->now = 100 * USEC_PER_SEC;
@@ -292,6 +293,7 @@
   for (i = 0; i < sim->log->len; i++)
     fleet_record_clear (&g_array_index (sim->log, struct fleet_record, i));
   g_array_free (sim->log, TRUE);
+  g_array_free (sim->log_times, TRUE);
   g_array_free (sim->messages, TRUE);
   g_rand_free (sim->random);
   g_free (sim);
--- a/tests/mesh_sim_messages.h
+++ b/tests/mesh_sim_messages.h
@@ -21,14 +21,17 @@
   if (!message->is_late && !reaches_store (sim, via))
     back.code = ERR_UNAVAILABLE;
   else if (message->offset != APPEND_UNCONDITIONAL
-           && message->offset != sim->log->len)
+           && store_offset_raw (message->offset) != sim->log->len)
     back.code = ERR_CONFLICT;
   else
     {
       struct fleet_record record = copy_record (&message->record);
-      back.offset = sim->log->len;
+      back.offset = store_offset_make (sim->era, sim->log->len);
       g_array_append_val (sim->log, record);
-      if (g_rand_int_range (sim->random, 0, 20) == 0)
+      g_array_append_val (sim->log_times, sim->now);
+      if (g_rand_int_range (sim->random, 0, 20) == 0
+          || (message->offset != APPEND_UNCONDITIONAL
+              && store_offset_era (message->offset) != sim->era))
         back.code = ERR_INDETERMINATE;
     }
   if (!message->is_late)
@@ -44,12 +47,12 @@
   if (!reaches_store (sim, message->from))
     return;
   back.kind = SIM_RECORDS;
-  back.offset = sim->log->len;
+  back.offset = store_offset_make (sim->era, sim->log->len);
   send_message (sim, &back, draw_msec (sim, 3, 100));
 }
 
-/* Give the records below NEXT to node I, by a read that began at STARTED_AT,
-   or from a peer if that is 0.  */
+/* Give the records below NEXT to node I, by a read that began at STARTED_AT.
+   An answer of an earlier era of the store is not used.  */
 static inline void
 on_records (struct sim *sim, guint i, guint64 next, gint64 started_at)
 {
@@ -59,17 +62,21 @@
       = { .kind = EVENT_TOPIC_READ,
           .u.topic_read = { .topic = MESH_TOPIC_FLEET, .at_end = TRUE } };
   GArray *entries = g_array_new (FALSE, TRUE, sizeof (struct fleet_entry));
-  guint64 offset;
+  guint64 offset = node->read_offset;
 
-  if (!node->is_up || sim->now < node->paused_until)
+  if (!node->is_up || sim->now < node->paused_until
+      || store_offset_era (next) != sim->era)
     {
       g_array_free (entries, TRUE);
       return;
     }
-  for (offset = node->read_offset; offset < next; offset++)
+  if (store_offset_era (offset) != sim->era)
+    offset = store_offset_make (sim->era, 0);
+  for (; offset < next; offset++)
     {
       struct fleet_entry entry
-          = { offset, g_array_index (sim->log, struct fleet_record, offset) };
+          = { offset, g_array_index (sim->log, struct fleet_record,
+                                     store_offset_raw (offset)) };
       g_array_append_val (entries, entry);
     }
   node->read_offset = MAX (node->read_offset, next);
@@ -77,18 +84,37 @@
   event.u.fleet_records.count = entries->len;
   event.u.fleet_records.next_offset = next;
   event.u.fleet_records.complete = TRUE;
-  event.u.fleet_records.at_end = started_at != 0;
+  event.u.fleet_records.at_end = TRUE;
   event.u.fleet_records.started_at = started_at;
   feed_node (sim, i, &event);
   g_array_free (entries, TRUE);
-  if (started_at == 0)
-    return;
   read.u.topic_read.started_at = started_at;
   feed_node (sim, i, &read);
 }
 
 /* Calls between nodes */
 
+/* Give node I what node FROM knows beyond FETCH.  */
+static inline void
+on_fetch (struct sim *sim, guint i, const struct sim_node *from,
+          const struct mesh_fetch *fetch)
+{
+  struct event event = { .kind = EVENT_FLEET_RECORDS };
+  GArray *entries = fleet_state_since (
+      &from->mesh.fleet, fetch->applied_offset, fetch->accepts_patches);
+  guint k;
+
+  event.u.fleet_records.items = (const void *)entries->data;
+  event.u.fleet_records.count = entries->len;
+  event.u.fleet_records.next_offset = from->mesh.fleet.applied_offset;
+  event.u.fleet_records.complete = TRUE;
+  feed_node (sim, i, &event);
+  for (k = 0; k < entries->len; k++)
+    fleet_record_clear (
+        &g_array_index (entries, struct fleet_entry, k).record);
+  g_array_free (entries, TRUE);
+}
+
 /* Deliver the call in MESSAGE to its receiver.  */
 static inline void
 on_call (struct sim *sim, const struct sim_message *message)
@@ -100,7 +126,7 @@
     return;
   if (message->call.kind == MESH_FETCH)
     {
-      on_records (sim, message->from, to->mesh.fleet.applied_offset, 0);
+      on_fetch (sim, message->from, to, &message->call.u.fetch);
       return;
     }
   event.u.mesh_call.link.bits = message->from;
--- a/tests/mesh_sim_types.h
+++ b/tests/mesh_sim_types.h
@@ -2,6 +2,7 @@
 #define TESTS_MESH_SIM_TYPES_H
 
 #include "mesh/mesh.h"
+#include "types/store_offset.h"
 
 /* The types of a simulation of mesh nodes under scripted time.  */
 
@@ -106,6 +107,8 @@
 {
   struct sim_node nodes[SIM_NODES]; /* the nodes and their servers */
   GArray *log;              /* struct fleet_record, contents of the store */
+  GArray *log_times;        /* gint64, when they were appended */
+  guint64 era;              /* how often the store came back older */
   GArray *messages;         /* struct sim_message, messages on their way */
   GRand *random;            /* random generator of the seed */
   gint64 now;               /* current time */
