Evacuation of a data centre: the set, its spread, picks, keys

Cause: records `evacuate/ZONE` of the operator's topic were not read; servers of an evacuated data centre went on getting requests and keys.

Change: platform/evacuation decodes the records; fleet/evacuations keeps the set as of an offset of the topic; gossip carries it behind the warm-up field (12 bytes where nothing is evacuated). A confirmation of the configuration's age counts only if the set here is at least as new as the sender's. No server of an evacuated data centre is picked or a candidate for keys; the node beside it refuses new requests at once, and queued ones and those for held keys from 1 s before the bound on. The bound counts from the latest read that did not show the record, so it is never later than the store's. Owners release all keys, which are divided by the shares of the remaining servers. A process that stood still for 1 s with a copy older than that sends nothing until it has heard, for at most 1.5 s. A listing that is under way is not restarted by an older read that finds its offset deleted.

Tests: test_evacuations; test_wire_mesh cuts each byte of the new field.

--- a/src/decide/core.c
+++ b/src/decide/core.c
@@ -169,6 +169,7 @@
     case EVENT_MESH_CALL:
     case EVENT_MESH_REPLY:
     case EVENT_KEY_ORDER_ENDED:
+    case EVENT_EVACUATIONS:
       break;
     }
 }
--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -4,6 +4,8 @@
 #include "mesh/mesh_parts.h"
 #include "types/clock.h"
 
+#include <string.h>
+
 /* Append a line with NAME and VALUE.  */
 static void
 add_line (GString *text, const char *name, gint64 value)
@@ -47,6 +49,22 @@
     }
 }
 
+/* Append which data centres are evacuated, and whether the own one is.  */
+static void
+add_evacuations (GString *text, const struct mesh *mesh)
+{
+  const struct evacuated_zones *zones = &mesh->evacuations.zones;
+  guint32 i;
+
+  g_string_append_printf (text, "evacuated{zone=\"%s\"} %d\n",
+                          mesh->settings.zone,
+                          mesh_evacuation_is_local (mesh));
+  for (i = 0; i < zones->count; i++)
+    if (strcmp (zones->names[i], mesh->settings.zone) != 0)
+      g_string_append_printf (text, "evacuated{zone=\"%s\"} 1\n",
+                              zones->names[i]);
+}
+
 /* Format the counters, gauges and latency histograms of the node DATA as
    metrics text.  Free the text with g_free.  */
 char *
@@ -66,6 +84,7 @@
       mesh_age_msec (mesh->freshness[MESH_TOPIC_CONFIG].confirmed_at, now));
   g_string_append_printf (text, "config_source{node=\"%s\"} 1\n",
                           mesh_routing_source (mesh));
+  add_evacuations (text, mesh);
   add_duties (text, mesh, now);
   add_line (text, "records_folded", (gint64)mesh->fleet.applied_offset);
   add_line (text, "session_left_ms",
--- a/src/edge/mesh_node.c
+++ b/src/edge/mesh_node.c
@@ -201,6 +201,8 @@
   node->deferred_events = g_queue_new ();
   node->log_event_counts = g_hash_table_new (NULL, NULL);
   node->config_bytes = g_byte_array_new ();
+  node->listed_evacuations
+      = g_array_new (FALSE, TRUE, sizeof (struct evacuation));
   node->loop = g_main_loop_new (NULL, FALSE);
   latency_init (&node->request_latency);
   latency_init (&node->server_latency);
@@ -243,6 +245,7 @@
   latency_clear (&node->tick_latency);
   g_hash_table_destroy (node->log_event_counts);
   g_byte_array_unref (node->config_bytes);
+  g_array_free (node->listed_evacuations, TRUE);
   g_queue_free_full (node->deferred_events, g_free);
   g_main_loop_unref (node->loop);
 }
--- a/src/edge/mesh_node.h
+++ b/src/edge/mesh_node.h
@@ -30,9 +30,11 @@
   struct store store;                /* client of the platform's store */
   struct topic_reader fleet_reader;  /* reads the fleet topic */
   struct topic_reader config_reader; /* reads the configuration topic */
-  gboolean config_skipped;  /* the newest configuration in the store is
-                               malformed */
-  GByteArray *config_bytes; /* configuration as encoded in the store */
+  gboolean config_skipped;    /* the newest configuration in the store is
+                                 malformed */
+  GArray *listed_evacuations; /* struct evacuation, of the listing under
+                                 way */
+  GByteArray *config_bytes;   /* configuration as encoded in the store */
   /* latency of requests received from callers */
   struct latency request_latency;
   struct latency server_latency; /* duration of runs at the local server */
--- a/src/edge/mesh_node_file.c
+++ b/src/edge/mesh_node_file.c
@@ -38,6 +38,7 @@
       mesh->max_grant_usec = config.mesh.max_grant_usec;
       mesh->drain_limit_usec = config.mesh.drain_limit_usec;
       mesh->config_apply_usec = config.mesh.config_apply_usec;
+      mesh->evacuate_usec = config.mesh.evacuate_usec;
       mesh->stop_grace_usec = config.mesh.stop_grace_usec;
     }
   g_strlcpy (log_event.text, mesh->name, sizeof log_event.text);
--- a/src/edge/mesh_node_link.c
+++ b/src/edge/mesh_node_link.c
@@ -33,7 +33,8 @@
 /* Replies */
 
 /* Apply the configuration in FETCH, a reply of another node, and read on from
-   where that node has read to.  A configuration that is malformed, or of
+   where that node has read to, but not beyond what the evacuations known here
+   take into account.  A configuration that is malformed, or of
    another version than the reply says, is skipped and logged.  */
 static void
 handle_config (struct mesh_node *node, const struct mesh_fetch_reply *fetch)
@@ -43,7 +44,9 @@
   if (mesh_node_apply_config (node, fetch->config_bytes, fetch->config_length,
                               fetch->config_version))
     {
-      topic_reader_advance (&node->config_reader, fetch->config_next_offset);
+      topic_reader_advance (&node->config_reader,
+                            MIN (fetch->config_next_offset,
+                                 node->mesh.evacuations.zones.offset));
       return;
     }
   g_snprintf (log_event.detail, sizeof log_event.detail,
--- a/src/edge/mesh_node_topics.c
+++ b/src/edge/mesh_node_topics.c
@@ -1,6 +1,7 @@
 #include "edge/mesh_node.h"
 
 #include "platform/config.h"
+#include "platform/evacuation.h"
 #include "wire/wire_fleet.h"
 
 #include <string.h>
@@ -89,6 +90,53 @@
   return FALSE;
 }
 
+/* Append the evacuations among the records in READ to ITEMS.  */
+static void
+collect_evacuations (GArray *items, const struct topic_reader_event *read)
+{
+  struct evacuation item;
+  guint i;
+
+  for (i = 0; i < read->item_count; i++)
+    if (platform_evacuation_read (&read->items[i], &item))
+      g_array_append_val (items, item);
+}
+
+/* Pass ITEMS, the evacuations that were read up to the end of READ, to the
+   decision logic.  */
+static void
+send_evacuations (struct mesh_node *node, const GArray *items,
+                  const struct topic_reader_event *read)
+{
+  struct event event = { .kind = EVENT_EVACUATIONS };
+
+  event.u.evacuations.items = (const struct evacuation *)items->data;
+  event.u.evacuations.count = items->len;
+  event.u.evacuations.is_listing = read->is_listing;
+  event.u.evacuations.next_offset = read->next_offset;
+  mesh_node_handle_event (node, &event);
+}
+
+/* Handle the evacuations among the records in READ.  The parts of a listing
+   are collected first, since only the whole shows which data centres are not
+   evacuated; the end of another read may come in between.  */
+static void
+handle_evacuations (struct mesh_node *node,
+                    const struct topic_reader_event *read)
+{
+  GArray *items = node->listed_evacuations;
+
+  if (!read->is_listing)
+    items = g_array_new (FALSE, TRUE, sizeof (struct evacuation));
+  else if (read->is_first)
+    g_array_set_size (items, 0);
+  collect_evacuations (items, read);
+  if (read->next_offset != 0)
+    send_evacuations (node, items, read);
+  if (!read->is_listing)
+    g_array_free (items, TRUE);
+}
+
 /* Handle records of the configuration topic, or a failure to read it.  Of
    several configurations only the last one that is not malformed is applied.
    After one that is malformed no read shows that the configuration in force is
@@ -101,6 +149,8 @@
   gboolean any_skipped = FALSE;
   guint i = topic->code == ERR_NONE ? topic->item_count : 0;
 
+  if (topic->code == ERR_NONE)
+    handle_evacuations (node, topic);
   while (i-- > 0)
     {
       if (strcmp (topic->items[i].key, PLATFORM_CONFIG_KEY) != 0
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -131,6 +131,7 @@
   mesh_expire_requests (mesh, now, out);
   mesh_route_waiting (mesh, FALSE, now, out);
   mesh_warmup_step (mesh, now, out);
+  mesh_evacuation_step (mesh, now, out);
   mesh_admit_queued (mesh, now, out);
   mesh_stop_step (mesh, event, now, out);
 }
@@ -152,6 +153,7 @@
   switch (event->kind)
     {
     case EVENT_TICK:
+      mesh_evacuation_on_tick (mesh, now);
       if (now - mesh->last_tick_at >= MESH_LAG_USEC)
         mesh->lagged_at = now;
       mesh->last_tick_at = now;
@@ -160,6 +162,9 @@
     case EVENT_ROUTING:
       mesh_routing_apply (mesh, &event->u.routing, now, out);
       break;
+    case EVENT_EVACUATIONS:
+      mesh_evacuation_on_records (mesh, &event->u.evacuations, now, out);
+      break;
     case EVENT_FLEET_RECORDS:
       mesh_apply_records (mesh, &event->u.fleet_records, now, out);
       mesh_liveness_step (mesh, now, out);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -3,6 +3,7 @@
 
 #include "decide/admission.h"
 #include "decide/suspect.h"
+#include "fleet/evacuations.h"
 #include "fleet/fleet_state.h"
 #include "fleet/freshness.h"
 #include "fleet/read_attempt.h"
@@ -36,7 +37,8 @@
   struct mesh_settings settings; /* name, addresses and limits of this node */
   struct routing *routing;       /* configuration in force, or NULL */
   struct fleet_state fleet; /* members and shard maps read from the store */
-  gboolean config_usable;   /* requests are routed by `routing' */
+  struct evacuations evacuations; /* evacuated data centres */
+  gboolean config_usable;         /* requests are routed by `routing' */
   struct freshness freshness[MESH_TOPICS]; /* how recent the copies are */
   struct grant grant;         /* keys granted to the local backend server */
   struct admission admission; /* slots and queue of the local backend server */
@@ -64,7 +66,9 @@
   gint64 started_at;             /* start of the process */
   gint64 last_event_at;          /* time of the last event */
   gint64 lagged_at;              /* last tick that was late, 0: none was */
-  gint64 last_tick_at; /* last tick; a node that lags gets its ticks late */
+  gint64 stood_still_at; /* first tick after the process stood still, 0: it
+                            never did */
+  gint64 last_tick_at;   /* last tick; a node that lags gets its ticks late */
   gint64 members_changed_at;   /* time of the last change of a member */
   gint64 balance_paused_until; /* no handoff is planned before this time */
   gint64 map_received_at[MESH_MAP_TIMES]; /* ring of the times at which the
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -59,7 +59,7 @@
       && now >= grant->leave_acked_at + mesh->settings.drain_limit_usec
                     - LEAVE_MARGIN_USEC)
     return REASON_DRAINING;
-  return REASON_NONE;
+  return mesh_evacuation_refusal (mesh, request, now);
 }
 
 /* Send the request EXCHANGE, which has a slot, to the server.  */
@@ -204,7 +204,8 @@
       reason = REASON_NOT_OWNER;
     }
   if (reason != REASON_NONE)
-    mesh_reject_here (mesh, exchange, reason, 0, now, out);
+    mesh_reject_here (mesh, exchange, reason,
+                      mesh_evacuation_retry_msec (reason), now, out);
   else
     enter_queue (mesh, exchange, now, out);
 }
--- a/src/mesh/mesh_candidates.c
+++ b/src/mesh/mesh_candidates.c
@@ -18,7 +18,8 @@
 
 /* Return the members whose servers may be given keys of SERVICE, as an array
    of struct candidate that the caller frees.  A member is left out if its
-   server is not ready or is leaving, or if the member is unresponsive.  */
+   server is not ready or is leaving, if the member is unresponsive, or if its
+   data centre is evacuated.  */
 GArray *
 mesh_candidates (struct mesh *mesh, const char *service, gint64 now)
 {
@@ -34,7 +35,8 @@
       struct candidate candidate = { 0 };
       if (strcmp (member->service, service) != 0
           || member->state != MEMBER_READY
-          || !server_instance_is_set (&member->instance))
+          || !server_instance_is_set (&member->instance)
+          || mesh_is_evacuated (mesh, member))
         continue;
       if (self ? grant_is_leaving (&mesh->grant) || mesh->grant.presumed_dead
                : peer == NULL || !peer_state_is_responsive (peer, now))
--- a/src/mesh/mesh_gossip.c
+++ b/src/mesh/mesh_gossip.c
@@ -34,6 +34,7 @@
   gossip->leaving = mesh->stop_requested_at != 0;
   gossip->store_lost = mesh->store_lost;
   gossip->load = mesh_load_report (mesh, now);
+  gossip->evacuated = mesh->evacuations.zones;
   mesh_report_fill (mesh, gossip, now);
 }
 
@@ -48,9 +49,9 @@
              && mesh->ring.neighbour_count <= 2 * RING_ADJACENT);
 }
 
-/* Return whether PEER lacks records or a configuration that this node has, or
-   may not know that a duty of reading was given up, and was not told yet.  A
-   message that is lost is made up for by the next regular one.  */
+/* Return whether PEER lacks records, a configuration or evacuations that this
+   node has, or may not know that a duty of reading was given up, and was not
+   told yet.  A message that is lost is made up for by the next regular one. */
 static gboolean
 is_lagging (const struct mesh *mesh, const struct peer_state *peer)
 {
@@ -59,6 +60,9 @@
               && peer->announced_offset < mesh->fleet.applied_offset)
              || (peer->config_version < mesh_routing_version (mesh)
                  && peer->announced_version < mesh_routing_version (mesh))
+             || (peer->evacuations_offset < mesh->evacuations.changed_offset
+                 && peer->announced_evacuations
+                        < mesh->evacuations.changed_offset)
              || peer->announced_given_up < mesh->duties_given_up);
 }
 
@@ -105,6 +109,7 @@
       peer->announced_offset = mesh->fleet.applied_offset;
       peer->announced_version = mesh_routing_version (mesh);
       peer->announced_given_up = mesh->duties_given_up;
+      peer->announced_evacuations = mesh->evacuations.zones.offset;
       action = mesh_add_call (mesh, h, member->peer_address,
                               now + GOSSIP_TIMEOUT_USEC, out);
       peer->gossip_serial = action->serial;
@@ -124,6 +129,9 @@
 {
   struct peer_state *peer = table_get (&mesh->peers, h);
 
+  if (peer != NULL)
+    peer->evacuations_offset = gossip->evacuated.offset;
+  mesh_evacuation_on_gossip (mesh, gossip, now, out);
   if (peer == NULL)
     {
       if (gossip->applied_offset > mesh->fleet.applied_offset)
--- a/src/mesh/mesh_orders.c
+++ b/src/mesh/mesh_orders.c
@@ -79,7 +79,8 @@
 {
   const struct shard_map *map
       = fleet_state_map (&mesh->fleet, mesh->settings.service);
-  struct shard_owner owner = { mesh->settings.name, &mesh->grant, NULL, now };
+  struct shard_owner owner = { mesh->settings.name, &mesh->grant, NULL, now,
+                               mesh_evacuation_is_local (mesh) };
   struct shard_map grantable;
   GArray *candidates;
   GArray *pieces;
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -69,6 +69,30 @@
 void mesh_warmup_presume_cold (struct mesh *mesh, gint64 now,
                                struct actions *out);
 
+/* Evacuated data centres, mesh_evacuation.c.  */
+gboolean mesh_is_evacuated (const struct mesh *mesh,
+                            const struct fleet_member *member);
+gboolean mesh_evacuation_is_local (const struct mesh *mesh);
+gboolean mesh_evacuation_serves_keys (const struct mesh *mesh,
+                                      const struct fleet_member *member,
+                                      gint64 now);
+enum reason mesh_evacuation_refusal (const struct mesh *mesh,
+                                     const struct mesh_request *request,
+                                     gint64 now);
+guint32 mesh_evacuation_retry_msec (enum reason reason);
+struct mesh_pick mesh_evacuation_check_pick (const struct mesh *mesh,
+                                             const char *service,
+                                             struct mesh_pick pick);
+void mesh_evacuation_on_records (struct mesh *mesh,
+                                 const struct event_evacuations *event,
+                                 gint64 now, struct actions *out);
+void mesh_evacuation_on_gossip (struct mesh *mesh, const struct gossip *gossip,
+                                gint64 now, struct actions *out);
+gboolean mesh_evacuation_is_confirmed_by (const struct mesh *mesh,
+                                          const struct gossip *gossip);
+void mesh_evacuation_step (struct mesh *mesh, gint64 now, struct actions *out);
+void mesh_evacuation_on_tick (struct mesh *mesh, gint64 now);
+
 /* The end of requests, mesh_end.c.  */
 const char *mesh_member_name (struct mesh *mesh, struct handle h);
 void mesh_remove_request (struct mesh *mesh, struct handle exchange,
--- a/src/mesh/mesh_pick.c
+++ b/src/mesh/mesh_pick.c
@@ -76,6 +76,8 @@
   member = fleet_state_member_at (&mesh->fleet, pick.member);
   if (member == NULL)
     return no_member (REASON_NO_OWNER, 0);
+  if (!mesh_evacuation_serves_keys (mesh, member, now))
+    return no_member (REASON_NO_OWNER, HANDOVER_USEC);
   if (!is_reachable (mesh, member, pick.member, now))
     return no_member (REASON_PEER_LOST, mesh_is_lost (mesh, pick.member, now)
                                             ? SESSION_WAIT_USEC + HANDOVER_USEC
@@ -111,7 +113,8 @@
 {
   const struct peer_state *peer = table_get (&mesh->peers, h);
 
-  if (strcmp (member->service, service) != 0 || member->state != MEMBER_READY)
+  if (strcmp (member->service, service) != 0 || member->state != MEMBER_READY
+      || mesh_is_evacuated (mesh, member))
     return FALSE;
   if (is_here (mesh, member))
     return !grant_is_leaving (&mesh->grant) && grant_may_run (&mesh->grant)
@@ -198,7 +201,9 @@
     {
       if (request->request.key[0] == '\0')
         return no_member (REASON_NO_KEY, 0);
-      return pick_owner (mesh, request, now);
+      return mesh_evacuation_check_pick (mesh, service->name,
+                                         pick_owner (mesh, request, now));
     }
-  return pick_cheapest (mesh, request, now);
+  return mesh_evacuation_check_pick (mesh, request->request.service,
+                                     pick_cheapest (mesh, request, now));
 }
--- a/src/mesh/mesh_records.c
+++ b/src/mesh/mesh_records.c
@@ -53,7 +53,8 @@
   const struct shard_map *map
       = fleet_state_map (&mesh->fleet, mesh->settings.service);
   struct heartbeat_answer *presumed_answer;
-  struct shard_owner owner = { mesh->settings.name, &mesh->grant, NULL, now };
+  struct shard_owner owner
+      = { mesh->settings.name, &mesh->grant, NULL, now, FALSE };
 
   if (self == NULL || self->state == MEMBER_DOWN
       || mesh->grant.heartbeat_received)
--- a/src/mesh/mesh_retry.c
+++ b/src/mesh/mesh_retry.c
@@ -41,6 +41,7 @@
     case REASON_MISDIRECTED:
     case REASON_SHED:
     case REASON_KEY_DENIED:
+    case REASON_EVACUATED:
       return TRUE;
     default:
       return FALSE;
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -127,7 +127,8 @@
         + (request->request.deadline - request->arrived_at) / WAIT_DIVISOR;
 
   if (request->request.forwarded || now >= wait_until
-      || pick->wait_usec > left_usec / 2 || pick->reason == REASON_NO_KEY)
+      || pick->wait_usec > left_usec / 2 || pick->reason == REASON_NO_KEY
+      || pick->reason == REASON_EVACUATED)
     {
       mesh_refuse (mesh, exchange, pick->reason, pick->wait_usec, now, out);
       return;
--- a/src/mesh/mesh_routing.c
+++ b/src/mesh/mesh_routing.c
@@ -111,14 +111,16 @@
 }
 
 /* Process GOSSIP, the reply of another node to a message that was sent at
-   SENT_AT: if no newer configuration is in force there, what that node knows
+   SENT_AT: if no newer configuration is in force there, and no newer set of
+   evacuated data centres, what that node knows
    about the store holds for the configuration here.  */
 void
 mesh_routing_on_gossip (struct mesh *mesh, const struct gossip *gossip,
                         gint64 sent_at)
 {
   if (gossip->config_confirmed_age_usec >= 0 && gossip->config_version > 0
-      && gossip->config_version <= mesh_routing_version (mesh))
+      && gossip->config_version <= mesh_routing_version (mesh)
+      && mesh_evacuation_is_confirmed_by (mesh, gossip))
     freshness_confirm (&mesh->freshness[MESH_TOPIC_CONFIG],
                        sent_at - gossip->config_confirmed_age_usec,
                        gossip->config_source);
--- a/src/mesh/mesh_settings.h
+++ b/src/mesh/mesh_settings.h
@@ -25,6 +25,9 @@
                                this after its leaving was acknowledged */
   gint64 config_apply_usec; /* a configuration is in force everywhere this long
                                after the store acknowledged it */
+  gint64 evacuate_usec;     /* the evacuation of a data centre is in force
+                               everywhere this long after the store
+                               acknowledged it; 0: no bound is set */
   gint64 stop_grace_usec;   /* a process is killed this long after it was asked
                                to stop */
 };
--- a/src/serve/peer_state.h
+++ b/src/serve/peer_state.h
@@ -31,8 +31,12 @@
   guint64 incarnation; /* the peer's process, by its last message or record */
   guint64 recorded_incarnation; /* the peer's process, by its last record in
                                    the store */
-  guint64 applied_offset;   /* the peer has applied all records below this */
-  guint64 config_version;   /* configuration in force at the peer */
+  guint64 applied_offset;     /* the peer has applied all records below this */
+  guint64 config_version;     /* configuration in force at the peer */
+  guint64 evacuations_offset; /* offset of the peer's set of evacuated data
+                                 centres */
+  guint64 announced_evacuations; /* the same of the set that was last sent to
+                                    the peer */
   guint64 announced_offset; /* applied offset that was last sent to the peer */
   guint64 announced_version; /* configuration that was last sent to the peer */
   guint64 announced_given_up;  /* given-up duties that were last sent to the
--- a/src/shard/shard_reconcile.c
+++ b/src/shard/shard_reconcile.c
@@ -11,13 +11,15 @@
 }
 
 /* Return whether the server is to release SHARD, which this node owns.  A
-   server that stops releases all shards as soon as another node can take
-   them.  */
+   server that stops, or whose data centre is evacuated, releases all shards as
+   soon as another node can take them.  */
 static gboolean
 must_release (const struct shard *shard, const struct shard_owner *owner)
 {
   if (grant_is_leaving (owner->grant))
     return has_other_candidate (owner) || owner->grant->is_deregistered;
+  if (owner->is_evacuated)
+    return has_other_candidate (owner);
   return shard->next_owner[0] != '\0'
          && shard_find_candidate (owner->candidates, shard->next_owner)
                 != NULL;
@@ -38,6 +40,17 @@
   return next;
 }
 
+/* Return whether SHARD is divided among the candidates by their shares once it
+   is released.  An evacuated owner is one of many, so one candidate would get
+   several times its share of keys.  */
+static gboolean
+is_divided (const struct shard *shard, const struct shard_owner *owner)
+{
+  return owner->is_evacuated
+         && shard_find_candidate (owner->candidates, shard->next_owner)
+                == NULL;
+}
+
 /* Assign SHARD, which no server holds any more, to its next owner, or mark it
    as free.  */
 static void
@@ -46,7 +59,7 @@
 {
   const struct candidate *next = successor (map, shard, owner);
 
-  if (next != NULL)
+  if (next != NULL && !is_divided (shard, owner))
     {
       shard_assign (map, shard, next, token);
       return;
@@ -166,6 +179,8 @@
           changed = TRUE;
         }
     }
+  if (changed && owner->is_evacuated)
+    shard_place_unowned (map, owner->candidates, G_MININT64);
   if (changed)
     shard_map_merge (map);
   return changed;
--- a/src/shard/shard_reconcile.h
+++ b/src/shard/shard_reconcile.h
@@ -14,6 +14,7 @@
   const struct grant *grant; /* grant of the node's backend server */
   const GArray *candidates;  /* struct candidate: nodes that may take keys */
   gint64 now;                /* current time in microseconds */
+  gboolean is_evacuated;     /* the data centre of this node is evacuated */
 };
 
 gboolean shard_reconcile (struct shard_map *map,
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -2,6 +2,7 @@
 #define BAMBOOTALLY_EVENT_H
 
 #include "types/body_end.h"
+#include "types/evacuation.h"
 #include "types/heartbeat.h"
 #include "types/key_order_result.h"
 #include "types/mesh_msg.h"
@@ -42,7 +43,8 @@
   EVENT_DEREGISTER,       /* mesh: the backend server deregistered */
   EVENT_MESH_CALL,        /* mesh: another node called */
   EVENT_MESH_REPLY,       /* mesh: another node replied, or no reply came */
-  EVENT_KEY_ORDER_ENDED   /* mesh: a call for keys of the server ended */
+  EVENT_KEY_ORDER_ENDED,  /* mesh: a call for keys of the server ended */
+  EVENT_EVACUATIONS       /* mesh: records of the operator's topic were read */
 };
 
 /* The timer fired.  */
@@ -205,6 +207,17 @@
   gint64 started_at; /* when the read began, monotonic microseconds */
 };
 
+/* Records of the operator's topic were read.  */
+struct event_evacuations
+{
+  const struct evacuation *items; /* those that concern evacuations, in the
+                                     order of their offsets unless
+                                     `is_listing' */
+  guint32 count;                  /* number of items */
+  gboolean is_listing; /* the items are the newest records of all keys */
+  guint64 next_offset; /* all records below this offset are now known */
+};
+
 /* A read of a topic ended; what it brought was passed on before.  */
 struct event_topic_read
 {
@@ -285,6 +298,7 @@
     struct event_mesh_call mesh_call;
     struct event_mesh_reply mesh_reply;
     struct key_order_result key_order_ended;
+    struct event_evacuations evacuations;
   } u;
 };
 
--- a/src/types/mesh_msg.h
+++ b/src/types/mesh_msg.h
@@ -2,6 +2,7 @@
 #define BAMBOOTALLY_MESH_MSG_H
 
 #include "types/err.h"
+#include "types/evacuated_zones.h"
 #include "types/fleet_record.h"
 #include "types/load_report.h"
 #include "types/reading_claim.h"
@@ -54,6 +55,7 @@
   gint64 config_confirmed_age_usec;
   guint64 config_source;                      /* process that made this read */
   struct reading_claim claims[READING_SLOTS]; /* who reads the topics */
+  struct evacuated_zones evacuated; /* offset 0: the sender knows of none */
 };
 
 /* A node that has this version wants no configuration.  */
--- a/src/wire/wire_mesh.c
+++ b/src/wire/wire_mesh.c
@@ -55,6 +55,41 @@
   return xdr->x_op == XDR_DECODE;
 }
 
+/* XDR filter for the names of evacuated data centres.  */
+static bool_t
+wire_zone_names (XDR *xdr, struct evacuated_zones *zones)
+{
+  guint i;
+
+  if (!xdr_uint32_t (xdr, &zones->count) || zones->count > EVACUATED_ZONES_MAX)
+    return FALSE;
+  for (i = 0; i < zones->count; i++)
+    if (!wire_fixed_string (xdr, zones->names[i], NAME_SIZE))
+      return FALSE;
+  return TRUE;
+}
+
+/* XDR filter for the evacuated data centres.  Versions that do not know them
+   end the message before them, or ignore them.  A set that is not whole tells
+   nothing.  */
+static bool_t
+wire_evacuated (XDR *xdr, struct evacuated_zones *zones)
+{
+  if (wire_u64 (xdr, &zones->offset) && wire_zone_names (xdr, zones))
+    return TRUE;
+  memset (zones, 0, sizeof *zones);
+  return xdr->x_op == XDR_DECODE;
+}
+
+/* Set what GOSSIP of an older version does not tell: the warm-up of the server
+   and the evacuated data centres.  */
+static void
+clear_end (struct gossip *gossip)
+{
+  gossip->load.warmup_msec = 0;
+  memset (&gossip->evacuated, 0, sizeof gossip->evacuated);
+}
+
 /* XDR filter for how recent the configuration is, and who reads the topics.
    Versions that do not know it end the message before it, or ignore it.  */
 static bool_t
@@ -67,11 +102,12 @@
   for (i = 0; complete && i < READING_SLOTS; i++)
     complete = wire_reading_claim (xdr, &gossip->claims[i]);
   if (complete)
-    return wire_load_warmup (xdr, &gossip->load);
+    return wire_load_warmup (xdr, &gossip->load)
+           && wire_evacuated (xdr, &gossip->evacuated);
   if (xdr->x_op != XDR_DECODE)
     return FALSE;
   clear_reading (gossip);
-  gossip->load.warmup_msec = 0;
+  clear_end (gossip);
   return TRUE;
 }
 
@@ -92,7 +128,7 @@
   if (xdr->x_op != XDR_DECODE)
     return FALSE;
   clear_reading (gossip);
-  gossip->load.warmup_msec = 0;
+  clear_end (gossip);
   gossip->sequence = 0;
   for (i = 0; i < gossip->report_count; i++)
     gossip->reports[i].sequence = 0;
--- a/tests/test_shard_map.c
+++ b/tests/test_shard_map.c
@@ -120,7 +120,7 @@
   GArray *candidates = three_candidates ();
   struct heartbeat_answer *answer = g_new0 (struct heartbeat_answer, 1);
   struct heartbeat *heartbeat = g_new0 (struct heartbeat, 1);
-  struct shard_owner owner = { "a", NULL, candidates, SECOND };
+  struct shard_owner owner = { "a", NULL, candidates, SECOND, FALSE };
   struct shard_map map;
   struct shard *shard;
   struct grant grant;
--- a/tests/test_wire_mesh.c
+++ b/tests/test_wire_mesh.c
@@ -5,10 +5,11 @@
 
 #include <string.h>
 
-/* Bytes of what a message ends with: the warm-up of the server; before it, the
-   age and the source of the
-   configuration and the claims of three duties; before it, the sequences in a
-   message with one report.  */
+/* Bytes of what a message ends with: the evacuated data centres, one of them;
+   before them, the warm-up of the server; before it, the age and the source of
+   the configuration and the claims of three duties; before it, the sequences
+   in a message with one report.  */
+#define EVACUATED_BYTES 20u
 #define WARMUP_BYTES 4u
 #define CONFIG_BYTES 76u
 #define SEQUENCES_BYTES 16u
@@ -32,6 +33,9 @@
   gossip->claims[READING_CONFIG_SPARE].age_msec = 16;
   gossip->claims[READING_CONFIG_SPARE].given_up = TRUE;
   gossip->load.warmup_msec = 1700;
+  gossip->evacuated.offset = 21;
+  gossip->evacuated.count = 1;
+  g_strlcpy (gossip->evacuated.names[0], "z1", NAME_SIZE);
   gossip->report_count = 1;
   gossip->reports[0].incarnation = 8;
   gossip->reports[0].age_msec = 300;
@@ -60,38 +64,62 @@
   CU_ASSERT_EQUAL (decoded.u.gossip.claims[READING_CONFIG_SPARE].age_msec, 16);
   CU_ASSERT_TRUE (decoded.u.gossip.claims[READING_CONFIG_SPARE].given_up);
   CU_ASSERT_EQUAL (decoded.u.gossip.load.warmup_msec, 1700);
+  CU_ASSERT_EQUAL (decoded.u.gossip.evacuated.offset, 21);
+  CU_ASSERT_EQUAL (decoded.u.gossip.evacuated.count, 1);
+  CU_ASSERT_STRING_EQUAL (decoded.u.gossip.evacuated.names[0], "z1");
   g_byte_array_unref (bytes);
 }
 
-/* A message of an older version, which ends before the warm-up, before the age
-   of the configuration or before the sequences, is decoded without a warm-up,
-   without an age or with sequences of 0, and no other field is read
-   wrongly.  */
+/* A message of an older version, which ends before the evacuated data centres,
+   before the warm-up, before the age of the configuration or before the
+   sequences, is decoded without data centres, without a warm-up, without an
+   age or with sequences of 0, and no other field is read wrongly.  */
 static void
 test_gossip_of_older_version (void)
 {
   GByteArray *bytes = encode_gossip ();
   guint cut;
 
-  for (cut = 1; cut <= WARMUP_BYTES; cut++)
+  for (cut = 1; cut <= EVACUATED_BYTES; cut++)
     {
       struct mesh_call decoded = { 0 };
       CU_ASSERT_EQUAL (wire_decode (wire_mesh_call, &decoded, bytes->data,
                                     bytes->len - cut),
                        ERR_NONE);
+      CU_ASSERT_EQUAL (decoded.u.gossip.evacuated.offset, 0);
+      CU_ASSERT_EQUAL (decoded.u.gossip.evacuated.count, 0);
+      CU_ASSERT_EQUAL (decoded.u.gossip.load.warmup_msec, 1700);
+      CU_ASSERT_EQUAL (decoded.u.gossip.sequence, 12);
+      CU_ASSERT_EQUAL (decoded.u.gossip.config_confirmed_age_usec, 2000);
+      CU_ASSERT_EQUAL (decoded.u.gossip.claims[READING_CONFIG_SPARE].round,
+                       15);
+    }
+  for (; cut <= EVACUATED_BYTES + WARMUP_BYTES; cut++)
+    {
+      struct mesh_call decoded = { 0 };
+      CU_ASSERT_EQUAL (wire_decode (wire_mesh_call, &decoded, bytes->data,
+                                    bytes->len - cut),
+                       ERR_NONE);
+      CU_ASSERT_EQUAL (decoded.u.gossip.evacuated.offset, 0);
+      CU_ASSERT_EQUAL (decoded.u.gossip.evacuated.count, 0);
       CU_ASSERT_EQUAL (decoded.u.gossip.load.warmup_msec, 0);
       CU_ASSERT_EQUAL (decoded.u.gossip.sequence, 12);
       CU_ASSERT_EQUAL (decoded.u.gossip.config_confirmed_age_usec, 2000);
       CU_ASSERT_EQUAL (decoded.u.gossip.claims[READING_CONFIG_SPARE].round,
                        15);
     }
-  for (; cut <= WARMUP_BYTES + CONFIG_BYTES + SEQUENCES_BYTES; cut++)
+  for (;
+       cut <= EVACUATED_BYTES + WARMUP_BYTES + CONFIG_BYTES + SEQUENCES_BYTES;
+       cut++)
     {
-      gboolean has_sequences = cut <= WARMUP_BYTES + CONFIG_BYTES;
+      gboolean has_sequences
+          = cut <= EVACUATED_BYTES + WARMUP_BYTES + CONFIG_BYTES;
       struct mesh_call decoded = { 0 };
       CU_ASSERT_EQUAL (wire_decode (wire_mesh_call, &decoded, bytes->data,
                                     bytes->len - cut),
                        ERR_NONE);
+      CU_ASSERT_EQUAL (decoded.u.gossip.evacuated.offset, 0);
+      CU_ASSERT_EQUAL (decoded.u.gossip.evacuated.count, 0);
       CU_ASSERT_EQUAL (decoded.u.gossip.load.warmup_msec, 0);
       CU_ASSERT_EQUAL (decoded.u.gossip.sequence, has_sequences ? 12 : 0);
       CU_ASSERT_EQUAL (decoded.u.gossip.config_confirmed_age_usec, -1);
