Tests: evacuations in the random simulation of ownership

Change: the operator of tests/mesh_sim.h evacuates data centres and ends that; nodes read it from the store or hear it in gossip. After each step no server whose data centre was evacuated 5 s ago may be given requests by a node that had no failure for 3 s. What concerns evacuations is drawn from a generator of its own, so that the seeds without evacuations play as before.

--- a/tests/mesh_sim.h
+++ b/tests/mesh_sim.h
@@ -28,6 +28,12 @@
 
   g_snprintf (settings.name, sizeof settings.name, "node-%u", i);
   g_strlcpy (settings.service, SERVICE, sizeof settings.service);
+  if (sim->has_evacuations)
+    {
+      g_strlcpy (settings.zone, sim_zone_name (sim_zone_of (i)),
+                 sizeof settings.zone);
+      settings.evacuate_usec = EVACUATE_USEC;
+    }
   settings.peer_address.port = (guint16)i;
   settings.server_address.port = (guint16)(100 + i);
   settings.incarnation = ((guint64)i << 32) + ++node->process_number;
@@ -169,6 +175,13 @@
       if (same)
         on_records (sim, message->from, message->offset, message->started_at);
       break;
+    case SIM_READ_OPERATOR:
+      on_read_operator (sim, message);
+      break;
+    case SIM_EVACUATIONS:
+      if (same)
+        on_evacuations (sim, message);
+      break;
     case SIM_CALL:
       on_call (sim, message);
       break;
@@ -211,6 +224,39 @@
     }
 }
 
+/* Evacuations */
+
+/* Have the operator evacuate data centre ZONE, or end that if IS_CANCELLED.
+   The store acknowledges it at once.  */
+static inline void
+sim_evacuate (struct sim *sim, guint zone, gboolean is_cancelled)
+{
+  struct evacuation record
+      = { .offset = sim->evacuations->len + 1, .is_cancelled = is_cancelled };
+
+  g_strlcpy (record.zone, sim_zone_name (zone), sizeof record.zone);
+  g_array_append_val (sim->evacuations, record);
+  if (is_cancelled)
+    sim->evacuated_at[zone] = 0;
+  else if (sim->evacuated_at[zone] == 0)
+    sim->evacuated_at[zone] = sim->now;
+}
+
+/* Have node I, which follows the operator's topic, read it now and then.  */
+static inline void
+follow_operator (struct sim *sim, guint i)
+{
+  struct sim_node *node = &sim->nodes[i];
+  struct sim_message read = { .kind = SIM_READ_OPERATOR,
+                              .from = i,
+                              .process_number = node->process_number,
+                              .started_at = sim->now };
+
+  if (node->is_up && mesh_reads_config (&node->mesh, sim->now)
+      && g_rand_int_range (sim->operator_random, 0, 12) == 0)
+    send_message (sim, &read, draw_operator_msec (sim, 3, 30));
+}
+
 /* Time */
 
 /* Advance all nodes by one step.  */
@@ -239,18 +285,23 @@
         send_heartbeat (sim, i);
       if (node->is_up && g_rand_int_range (sim->random, 0, 12) == 0)
         send_message (sim, &read, draw_msec (sim, 3, 30));
+      if (sim->has_evacuations)
+        follow_operator (sim, i);
       feed_node (sim, i, &tick);
     }
   if (sim->method == GRANT_BY_CALL)
     check_gates (sim);
   else
     check_holders (sim);
+  if (sim->has_evacuations)
+    check_evacuated (sim);
 }
 
 /* Set up a simulation from SEED, with servers that are told their keys by
-   METHOD.  */
+   METHOD, and with an operator who evacuates data centres if
+   HAS_EVACUATIONS.  */
 static inline struct sim *
-sim_new (guint32 seed, enum grant_method method)
+sim_new_with (guint32 seed, enum grant_method method, gboolean has_evacuations)
 {
   struct sim *sim = g_new0 (struct sim, 1);
   guint i;
@@ -260,6 +311,9 @@
   sim->random = g_rand_new_with_seed (seed);
   sim->now = 100 * USEC_PER_SEC;
   sim->method = method;
+  sim->has_evacuations = has_evacuations;
+  sim->operator_random = g_rand_new_with_seed (seed);
+  sim->evacuations = g_array_new (FALSE, TRUE, sizeof (struct evacuation));
   for (i = 0; i < SIM_NODES; i++)
     {
       start_server (sim, i);
@@ -268,6 +322,13 @@
   return sim;
 }
 
+/* Set up a simulation without evacuations.  */
+static inline struct sim *
+sim_new (guint32 seed, enum grant_method method)
+{
+  return sim_new_with (seed, method, FALSE);
+}
+
 /* Free SIM.  */
 static inline void
 sim_free (struct sim *sim)
@@ -294,6 +355,8 @@
   g_array_free (sim->log, TRUE);
   g_array_free (sim->messages, TRUE);
   g_rand_free (sim->random);
+  g_rand_free (sim->operator_random);
+  g_array_free (sim->evacuations, TRUE);
   g_free (sim);
 }
 
--- a/tests/mesh_sim_send.h
+++ b/tests/mesh_sim_send.h
@@ -12,6 +12,30 @@
   return (gint64)g_rand_int_range (sim->random, low, high + 1) * USEC_PER_MSEC;
 }
 
+/* Return the same for what concerns evacuations.  */
+static inline gint64
+draw_operator_msec (struct sim *sim, gint low, gint high)
+{
+  return (gint64)g_rand_int_range (sim->operator_random, low, high + 1)
+         * USEC_PER_MSEC;
+}
+
+/* Return the name of data centre ZONE.  */
+static inline const char *
+sim_zone_name (guint zone)
+{
+  static const char *const names[SIM_ZONES] = { "zone-0", "zone-1" };
+
+  return names[zone];
+}
+
+/* Return the number of the data centre of node I.  */
+static inline guint
+sim_zone_of (guint i)
+{
+  return i % SIM_ZONES;
+}
+
 /* Send MESSAGE, to arrive after DELAY.  */
 static inline void
 send_message (struct sim *sim, struct sim_message *message, gint64 delay)
@@ -83,10 +107,15 @@
           send_append (sim, &message, draw_msec (sim, 10, 60));
           break;
         case ACTION_READ_TOPIC:
+          message.started_at = sim->now;
           if (action->u.read_topic.topic != MESH_TOPIC_FLEET)
-            break;
+            {
+              message.kind = SIM_READ_OPERATOR;
+              if (sim->has_evacuations)
+                send_message (sim, &message, draw_operator_msec (sim, 3, 30));
+              break;
+            }
           message.kind = SIM_READ;
-          message.started_at = sim->now;
           send_message (sim, &message, draw_msec (sim, 3, 200));
           break;
         case ACTION_MESH_CALL:
--- a/tests/mesh_sim_types.h
+++ b/tests/mesh_sim_types.h
@@ -10,6 +10,10 @@
 #define HEARTBEAT_USEC ((gint64)900000)
 #define ANSWER_TIMEOUT_USEC ((gint64)1000000) /* later answers are ignored */
 #define SERVICE "keys"
+#define SIM_ZONES 2u                    /* data centres; node i is in i % 2 */
+#define EVACUATE_USEC ((gint64)5000000) /* bound of an evacuation */
+#define EVACUATE_TOUCH_USEC                                                   \
+  ((gint64)3000000) /* a node without a failure for this long knows of it */
 #define LATE_ONE_IN                                                           \
   5 /* one call for keys in this many is carried out late                     \
      */
@@ -28,6 +32,8 @@
   SIM_APPENDED,         /* the end of an append */
   SIM_READ,             /* a read of the store */
   SIM_RECORDS,          /* the result of a read */
+  SIM_READ_OPERATOR,    /* a read of the operator's topic */
+  SIM_EVACUATIONS,      /* its result */
   SIM_CALL,             /* a call to a node */
   SIM_REPLY,            /* the reply to a call */
   SIM_TIMEOUT,          /* no reply came in time */
@@ -100,6 +106,8 @@
   gint64 restart_at;          /* time of the next start of the process */
   gint64 restored_at;         /* time at which the connections are restored */
   guint64 read_offset;        /* records below this offset were read */
+  gint64 disturbed_at;        /* last time at which the process or a connection
+                                 failed */
 };
 
 struct sim
@@ -112,6 +120,16 @@
   enum grant_method method; /* how the servers are told their keys */
   gint64 calm_at;           /* nothing is carried out late from then on */
   gint64 store_back_at;     /* time from which the store answers */
+  /* Whether data centres may be evacuated.  A simulation without evacuations
+     draws the same numbers as before there were any.  */
+  gboolean has_evacuations;
+  GRand *operator_random; /* draws all that concerns evacuations */
+  GArray *evacuations;    /* struct evacuation, in the operator's topic from
+                             offset 1 on */
+  gint64 evacuated_at[SIM_ZONES]; /* since when each data centre is evacuated,
+                                     0: it is not */
+  guint evacuated_run_count;      /* keys that an evacuated server was found to
+                                     serve beyond the bound */
   guint64 max_fence[SHARD_KEY_COUNT]; /* highest fence under which a key was
                                          held */
   guint8 owner[SHARD_KEY_COUNT]; /* node that last held a key, counted from 1;
