--- a/tests/reading_sim.h
+++ b/tests/reading_sim.h
@@ -22,11 +22,15 @@
                                      .topic = topic,
                                      .is_poll = TRUE,
                                      .end = sim->fleet->len,
-                                     .version = reading_newest (sim) };
+                                     .version = reading_newest (sim),
+                                     .evacuations = sim->evacuated->len };
   gboolean has_more
       = topic == MESH_TOPIC_FLEET
             ? node->mesh.fleet.applied_offset < sim->fleet->len
-            : mesh_routing_version (&node->mesh) < reading_newest (sim);
+            : mesh_routing_version (&node->mesh) < reading_newest (sim)
+                  || node->mesh.evacuations.zones.offset
+                         < reading_operator_end (reading_newest (sim),
+                                                 sim->evacuated->len);
   gboolean reads = topic == MESH_TOPIC_FLEET
                        ? mesh_reads_fleet (&node->mesh, sim->now)
                        : mesh_reads_config (&node->mesh, sim->now);
@@ -60,6 +64,7 @@
                                     .max_grant_usec = 10000 * MSEC,
                                     .drain_limit_usec = 2000 * MSEC,
                                     .config_apply_usec = APPLY_BOUND_USEC,
+                                    .evacuate_usec = 5000 * MSEC,
                                     .stop_grace_usec = 6000 * MSEC };
 
   node->process++;
@@ -158,6 +163,14 @@
   g_array_append_val (sim->acked, sim->now);
 }
 
+/* Have the operator evacuate a data centre, or end that if it is
+   evacuated.  */
+static inline void
+reading_evacuate (struct reading_sim *sim)
+{
+  g_array_append_val (sim->evacuated, sim->now);
+}
+
 /* Have the operator write COUNT versions, GAP_USEC apart.  */
 static inline void
 reading_write_series (struct reading_sim *sim, guint count, gint64 gap_usec)
@@ -217,6 +230,7 @@
 
   sim->messages = g_array_new (FALSE, TRUE, sizeof (struct reading_message));
   sim->acked = g_array_new (FALSE, TRUE, sizeof (gint64));
+  sim->evacuated = g_array_new (FALSE, TRUE, sizeof (gint64));
   sim->fleet = g_array_new (FALSE, TRUE, sizeof (struct reading_record));
   sim->now = 100000 * MSEC;
   sim->store_delay_usec = STORE_DELAY_USEC;
@@ -239,6 +253,7 @@
     reading_kill (sim, i);
   g_array_free (sim->messages, TRUE);
   g_array_free (sim->acked, TRUE);
+  g_array_free (sim->evacuated, TRUE);
   g_array_free (sim->fleet, TRUE);
   g_free (sim);
 }
@@ -251,7 +266,8 @@
   CU_ASSERT_EQUAL (sim->late_count, 0);
   CU_ASSERT_EQUAL (sim->false_count, 0);
   if (g_getenv ("READING_VERBOSE") != NULL)
-    g_printerr ("worst %d ms, late %u, false %u, reads %u\n",
+    g_printerr ("evacuation %d ms, worst %d ms, late %u, false %u, reads %u\n",
+                (int)(sim->worst_evacuation_usec / MSEC),
                 (int)(sim->worst_usec / MSEC), sim->late_count,
                 sim->false_count, sim->reads);
   reading_sim_free (sim);
--- a/tests/reading_sim_check.h
+++ b/tests/reading_sim_check.h
@@ -28,6 +28,23 @@
   return reason;
 }
 
+/* Check whether node I, which is in touch, knows the last evacuation or end of
+   one.  */
+static inline void
+reading_check_evacuation (struct reading_sim *sim, guint i)
+{
+  const struct reading_node *node = &sim->nodes[i];
+  guint count = sim->evacuated->len;
+
+  if (count == 0
+      || evacuations_include (&node->mesh.evacuations, EVACUATED_ZONE)
+             == (count % 2 == 1))
+    return;
+  sim->worst_evacuation_usec
+      = MAX (sim->worst_evacuation_usec,
+             sim->now - g_array_index (sim->evacuated, gint64, count - 1));
+}
+
 /* Check node I: which versions it lacks, and for how long.  */
 static inline void
 reading_check (struct reading_sim *sim, guint i)
@@ -39,6 +56,8 @@
   if (node->is_cut || node->is_deaf || !node->is_up
       || sim->now < node->frozen_until)
     node->disturbed_at = sim->now;
+  if (node->is_up && sim->now - node->disturbed_at >= CONTACT_USEC)
+    reading_check_evacuation (sim, i);
   if (!node->is_up || sim->now < node->frozen_until
       || version >= reading_newest (sim))
     return;
--- a/tests/reading_sim_messages.h
+++ b/tests/reading_sim_messages.h
@@ -76,7 +76,11 @@
   if (message->code == ERR_NONE && message->topic == MESH_TOPIC_FLEET)
     reading_give_fleet (sim, i, message->end, TRUE, message->started_at);
   if (message->code == ERR_NONE && message->topic == MESH_TOPIC_CONFIG)
-    reading_give_config (sim, i, message->version, TRUE);
+    {
+      reading_give_evacuations (sim, i, message->version,
+                                message->evacuations);
+      reading_give_config (sim, i, message->version, TRUE);
+    }
   event.u.topic_read.topic = message->topic;
   event.u.topic_read.code = message->code;
   event.u.topic_read.at_end = message->code == ERR_NONE;
--- a/tests/reading_sim_store.h
+++ b/tests/reading_sim_store.h
@@ -29,6 +29,14 @@
   return sim->acked->len;
 }
 
+/* Return the end of the operator's topic with VERSION configurations and COUNT
+   evacuations or ends of one.  */
+static inline guint64
+reading_operator_end (guint64 version, guint count)
+{
+  return version + count;
+}
+
 static inline void reading_feed (struct reading_sim *sim, guint i,
                                  const struct event *event);
 
@@ -116,6 +124,22 @@
   reading_feed (sim, i, &event);
 }
 
+/* Give node I the evacuations in the operator's topic with VERSION
+   configurations and COUNT evacuations or ends of one.  */
+static inline void
+reading_give_evacuations (struct reading_sim *sim, guint i, guint64 version,
+                          guint count)
+{
+  struct event event = { .kind = EVENT_EVACUATIONS };
+  struct evacuation item = { .zone = EVACUATED_ZONE };
+
+  event.u.evacuations.items = &item;
+  event.u.evacuations.count = count % 2;
+  event.u.evacuations.is_listing = TRUE;
+  event.u.evacuations.next_offset = reading_operator_end (version, count);
+  reading_feed (sim, i, &event);
+}
+
 /* Start a read of TOPIC by node I.  */
 static inline void
 reading_read (struct reading_sim *sim, guint i, enum mesh_topic topic)
@@ -127,7 +151,8 @@
                                      .topic = topic,
                                      .started_at = sim->now,
                                      .end = sim->fleet->len,
-                                     .version = reading_newest (sim) };
+                                     .version = reading_newest (sim),
+                                     .evacuations = sim->evacuated->len };
 
   sim->reads++;
   if (node->service != READING_SERVED)
--- a/tests/reading_sim_types.h
+++ b/tests/reading_sim_types.h
@@ -20,8 +20,9 @@
 #define NODE_DELAY_USEC ((gint64)4000)    /* a message between nodes */
 #define CONTACT_USEC ((gint64)3000000)    /* a node is in touch after this */
 #define APPLY_BOUND_USEC                                                      \
-  ((gint64)2500000)                        /* a version is in force by then   \
-                                            */
+  ((gint64)2500000)         /* a version is in force by then                  \
+                             */
+#define EVACUATED_ZONE "z3" /* data centre that the operator evacuates */
 #define RECORD_EVERY_USEC ((gint64)700000) /* between records of the fleet */
 
 /* How the store treats a node.  */
@@ -53,6 +54,7 @@
   enum err code;           /* result of a read */
   guint64 end;             /* end of the topic as read */
   guint64 version;         /* newest configuration as read or fetched */
+  guint evacuations;       /* evacuations as read */
   gint64 started_at;       /* start of the read */
   guint64 serial;          /* serial of the call */
   struct handle member;    /* handle of the called node at the caller */
@@ -93,10 +95,14 @@
 struct reading_sim
 {
   struct reading_node nodes[READING_NODES];
-  GArray *messages;        /* struct reading_message */
-  GArray *acked;           /* gint64, when version 1 and so on was acked */
-  gint64 store_delay_usec; /* an answer of the store */
-  GArray *fleet;           /* struct reading_record, the fleet's topic */
+  GArray *messages;  /* struct reading_message */
+  GArray *acked;     /* gint64, when version 1 and so on was acked */
+  GArray *evacuated; /* gint64, when an evacuation, its end, and so on in
+                        turns was acked */
+  gint64 worst_evacuation_usec; /* longest time until one was in force at a
+                                   node in touch */
+  gint64 store_delay_usec;      /* an answer of the store */
+  GArray *fleet;                /* struct reading_record, the fleet's topic */
   gint64 now;
   gint64 next_record_at; /* next record of the fleet */
   gint64 worst_usec;     /* longest time until a version was in force at a
