Evacuation: owners that are granted keys by calls release them in turns

Cause: all owners of an evacuated data centre released at once, and only one map can follow each map, so keys waited for theirs without a holder.

Change: such owners release 150 ms apart, in the order of their keys, for at most 2.25 s and at least 1.5 s before requests are refused.

--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -38,7 +38,10 @@
   struct routing *routing;       /* configuration in force, or NULL */
   struct fleet_state fleet; /* members and shard maps read from the store */
   struct evacuations evacuations; /* evacuated data centres */
-  gboolean config_usable;         /* requests are routed by `routing' */
+  gint64 release_keys_at; /* the keys of the local server are released from
+                             then on if its data centre is evacuated */
+  gboolean keys_released; /* their release has begun */
+  gboolean config_usable; /* requests are routed by `routing' */
   struct freshness freshness[MESH_TOPICS]; /* how recent the copies are */
   struct grant grant;         /* keys granted to the local backend server */
   struct admission admission; /* slots and queue of the local backend server */
--- a/src/mesh/mesh_heartbeat.c
+++ b/src/mesh/mesh_heartbeat.c
@@ -31,8 +31,9 @@
   const struct shard_map *map
       = fleet_state_map (&mesh->fleet, mesh->settings.service);
   GArray *candidates = mesh_candidates (mesh, mesh->settings.service, now);
-  struct shard_owner owner = { mesh->settings.name, &mesh->grant, candidates,
-                               now, mesh_evacuation_is_local (mesh) };
+  struct shard_owner owner
+      = { mesh->settings.name, &mesh->grant, candidates, now,
+          mesh_evacuation_releases_keys (mesh, now) };
 
   answer->grant_usec = grant_usec (mesh, now);
   answer->renews_grant
--- a/src/mesh/mesh_orders.c
+++ b/src/mesh/mesh_orders.c
@@ -80,7 +80,7 @@
   const struct shard_map *map
       = fleet_state_map (&mesh->fleet, mesh->settings.service);
   struct shard_owner owner = { mesh->settings.name, &mesh->grant, NULL, now,
-                               mesh_evacuation_is_local (mesh) };
+                               mesh_evacuation_releases_keys (mesh, now) };
   struct shard_map grantable;
   GArray *candidates;
   GArray *pieces;
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -83,6 +83,7 @@
 struct mesh_pick mesh_evacuation_check_pick (const struct mesh *mesh,
                                              const char *service,
                                              struct mesh_pick pick);
+gboolean mesh_evacuation_releases_keys (const struct mesh *mesh, gint64 now);
 void mesh_evacuation_on_records (struct mesh *mesh,
                                  const struct event_evacuations *event,
                                  gint64 now, struct actions *out);
--- a/src/mesh/mesh_plan.c
+++ b/src/mesh/mesh_plan.c
@@ -86,7 +86,7 @@
   const char *service = mesh->settings.service;
   const struct shard_map *known = fleet_state_map (&mesh->fleet, service);
   struct shard_owner owner = { mesh->settings.name, &mesh->grant, NULL, now,
-                               mesh_evacuation_is_local (mesh) };
+                               mesh_evacuation_releases_keys (mesh, now) };
   struct shard_map map;
   GArray *candidates;
   gboolean changed;
--- a/tests/mesh_sim_types.h
+++ b/tests/mesh_sim_types.h
@@ -5,7 +5,10 @@
 
 /* The types of a simulation of mesh nodes under scripted time.  */
 
+/* A test may define another number.  */
+#ifndef SIM_NODES
 #define SIM_NODES 4u
+#endif
 #define STEP_USEC ((gint64)10000)
 #define HEARTBEAT_USEC ((gint64)900000)
 #define ANSWER_TIMEOUT_USEC ((gint64)1000000) /* later answers are ignored */
