Tests: evacuation with three data centres, fetches and listings in parts

Change: test_mesh_evacuation_keys has three data centres, so that shares are not whole ranges; test_mesh_evacuation has the two other cases; test_mesh_node checks where a node reads on after a fetch, and listings in parts.

--- a/tests/mesh_sim_send.h
+++ b/tests/mesh_sim_send.h
@@ -24,7 +24,7 @@
 static inline const char *
 sim_zone_name (guint zone)
 {
-  static const char *const names[SIM_ZONES] = { "zone-0", "zone-1" };
+  static const char *const names[] = { "zone-0", "zone-1", "zone-2" };
 
   return names[zone];
 }
--- a/tests/mesh_sim_types.h
+++ b/tests/mesh_sim_types.h
@@ -9,11 +9,13 @@
 #ifndef SIM_NODES
 #define SIM_NODES 4u
 #endif
+#ifndef SIM_ZONES
+#define SIM_ZONES 2u /* data centres; node I is in I modulo this number */
+#endif
 #define STEP_USEC ((gint64)10000)
 #define HEARTBEAT_USEC ((gint64)900000)
 #define ANSWER_TIMEOUT_USEC ((gint64)1000000) /* later answers are ignored */
 #define SERVICE "keys"
-#define SIM_ZONES 2u                    /* data centres; node i is in i % 2 */
 #define EVACUATE_USEC ((gint64)5000000) /* bound of an evacuation */
 #define EVACUATE_TOUCH_USEC                                                   \
   ((gint64)3000000) /* a node without a failure for this long knows of it */
--- a/tests/test_mesh_evacuation.c
+++ b/tests/test_mesh_evacuation.c
@@ -10,10 +10,14 @@
 {
   struct fixture *fixture = evacuation_fixture ();
   const struct action *action;
+  guint i;
 
   send_request (fixture, "/other/x");
   CU_ASSERT_PTR_NOT_NULL (find_action (fixture, ACTION_FORWARD));
   read_evacuation (fixture, OTHER_ZONE, 4, FALSE);
+  for (i = 0; i < fixture->mesh.routing->routes->len; i++)
+    g_array_index (fixture->mesh.routing->routes, struct route, i).timeout_usec
+        = 0;
   send_request (fixture, "/other/x");
   CU_ASSERT_PTR_NULL (find_action (fixture, ACTION_FORWARD));
   CU_ASSERT_EQUAL (refusal (fixture), REASON_EVACUATED);
@@ -133,6 +137,25 @@
   fixture_free (fixture);
 }
 
+/* Guards against a caller that is refused since the owner of its key, which is
+   on its way to another one, was evacuated before this node heard of it.  */
+static void
+test_key_on_its_way (void)
+{
+  struct fixture *fixture = evacuation_fixture ();
+  struct handle exchange;
+
+  give_keys (fixture, OTHER_SERVICE, "b");
+  gossip_from_other (fixture);
+  exchange = send_keyed_request (fixture, "/other/x", "17");
+  CU_ASSERT_PTR_NOT_NULL (find_action (fixture, ACTION_FORWARD));
+  end_attempt (fixture, exchange, OUTCOME_NOT_RUN, REASON_EVACUATED);
+  CU_ASSERT_PTR_NULL (find_action (fixture, ACTION_ANSWER));
+  advance (fixture, 100 * MSEC);
+  CU_ASSERT_PTR_NOT_NULL (find_action (fixture, ACTION_FORWARD));
+  fixture_free (fixture);
+}
+
 /* Guards against a bound that counts from when the node learned of the
    evacuation, since the operator may have written it long before: the store
    was silent, or the process has just started.  */
@@ -291,6 +314,7 @@
           { "queue", test_queue },
           { "held key", test_held_key },
           { "owner", test_owner },
+          { "key on its way", test_key_on_its_way },
           { "learned late", test_learned_late },
           { "back in service", test_back },
           { "process stood still", test_stood_still },
--- a/tests/test_mesh_evacuation_keys.c
+++ b/tests/test_mesh_evacuation_keys.c
@@ -1,4 +1,5 @@
 #define SIM_NODES 12u
+#define SIM_ZONES 3u
 
 #include "mesh/mesh_parts.h"
 #include "tests/mesh_sim.h"
@@ -11,7 +12,8 @@
 #define START_USEC (2000 * MSEC)
 #define SETTLE_USEC (13000 * MSEC)
 #define MOVED_USEC (4500 * MSEC) /* keys are held elsewhere by then */
-#define LEAVING 0u               /* data centre that is evacuated */
+#define STAYING_NODES (SIM_NODES - SIM_NODES / SIM_ZONES)
+#define LEAVING 0u /* data centre that is evacuated */
 
 /* Keys that a server may get beyond its share, by rounding.  */
 #define ROUNDING_KEYS (SHARD_KEY_COUNT / 500)
@@ -140,8 +142,8 @@
                 (int)((seen.last_in - acked_at) / MSEC), seen.most_keys);
   CU_ASSERT_TRUE (seen.last_out - acked_at <= MOVED_USEC);
   CU_ASSERT_TRUE (seen.last_in - acked_at <= MOVED_USEC);
-  CU_ASSERT_TRUE (seen.most_keys <= SHARD_KEY_COUNT / (SIM_NODES / SIM_ZONES)
-                                        + ROUNDING_KEYS);
+  CU_ASSERT_TRUE (seen.most_keys
+                  <= SHARD_KEY_COUNT / STAYING_NODES + ROUNDING_KEYS);
   finish (sim);
 }
 
@@ -170,7 +172,7 @@
   CU_ASSERT_EQUAL (keys_in (sim, LEAVING), 0);
   sim_evacuate (sim, LEAVING, TRUE);
   run (sim, 25000 * MSEC, NULL);
-  CU_ASSERT_TRUE (keys_in (sim, LEAVING) > SHARD_KEY_COUNT / 4);
+  CU_ASSERT_TRUE (keys_in (sim, LEAVING) > SHARD_KEY_COUNT / 6);
   CU_ASSERT_EQUAL (held_keys (sim), SHARD_KEY_COUNT);
   finish (sim);
 }
@@ -216,8 +218,8 @@
       sim->nodes[i].server.is_up = FALSE;
       sim->nodes[i].server.next_heartbeat_at = G_MAXINT64;
     }
-  kill_node (sim, 2);
-  sim->nodes[2].restart_at = sim->now + 600 * MSEC;
+  kill_node (sim, SIM_ZONES);
+  sim->nodes[SIM_ZONES].restart_at = sim->now + 600 * MSEC;
   run (sim, 15000 * MSEC, NULL);
   CU_ASSERT_EQUAL (keys_in (sim, LEAVING), 0);
   CU_ASSERT_EQUAL (held_keys (sim), SHARD_KEY_COUNT);
--- a/tests/test_mesh_node.c
+++ b/tests/test_mesh_node.c
@@ -184,6 +184,69 @@
   stage_clear (&stage);
 }
 
+/* Guards against an evacuation that is passed over with a fetched
+   configuration: the node reads on from where its evacuations end.  */
+static void
+test_offset_with_evacuations (void)
+{
+  static const char config[]
+      = "{\"version\":\"r2\",\"services\":{\"columns\":[\"name\"],\"rows\":"
+        "[]},\"routes\":{\"columns\":[\"name\",\"host\",\"path-prefix\"],"
+        "\"rows\":[]}}";
+  struct stage stage;
+
+  stage_init (&stage);
+  stage.node.config_reader.phase = TOPIC_READER_TAIL;
+  stage.node.config_reader.next_offset = 3;
+  stage.node.mesh.evacuations.zones.offset = 5;
+  CU_ASSERT_EQUAL (
+      offset_after_fetch (&stage, 9, config, (guint32)strlen (config)), 5);
+  CU_ASSERT_EQUAL (stage.node.mesh.routing->version, 2);
+  stage_clear (&stage);
+}
+
+/* Have the node read a record with KEY of the operator's topic, as READ
+   says.  */
+static void
+read_record (struct stage *stage, const char *key,
+             const struct topic_reader_event *read)
+{
+  struct store_item item = { .key = (char *)key,
+                             .value = (const guint8 *)"{}",
+                             .value_length = 2 };
+  struct topic_reader_event event = *read;
+
+  event.items = &item;
+  event.item_count = 1;
+  mesh_node_on_config (&event, &stage->node);
+}
+
+/* Guards against an evacuation that is ended by a part of a listing that does
+   not name it, or by another read that ends between two parts.  */
+static void
+test_listing_in_parts (void)
+{
+  const struct topic_reader_event first
+      = { .is_listing = TRUE, .is_first = TRUE };
+  const struct topic_reader_event last
+      = { .is_listing = TRUE, .next_offset = 9, .at_end = TRUE };
+  const struct topic_reader_event tail = { .next_offset = 4 };
+  const struct evacuations *evacuations;
+  struct stage stage;
+
+  stage_init (&stage);
+  evacuations = &stage.node.mesh.evacuations;
+  read_record (&stage, "evacuate/z1", &first);
+  CU_ASSERT_EQUAL (evacuations->zones.count, 0);
+  read_record (&stage, "evacuate/z2", &tail);
+  CU_ASSERT_TRUE (evacuations_include (evacuations, "z2"));
+  read_record (&stage, "evacuate/z3", &last);
+  CU_ASSERT_TRUE (evacuations_include (evacuations, "z1"));
+  CU_ASSERT_FALSE (evacuations_include (evacuations, "z2"));
+  CU_ASSERT_TRUE (evacuations_include (evacuations, "z3"));
+  stage_clear (&stage);
+}
+
 /* Guards against an owner that gets a part of an upload as the whole: the
    caller leaves between two chunks, in the way END, while the upload is passed
    on to another node.  */
@@ -228,6 +291,8 @@
 main (void)
 {
   static CU_TestInfo tests[] = {
+    { "offset with evacuations", test_offset_with_evacuations },
+    { "listing in parts", test_listing_in_parts },
     { "request in the turn of the end", test_request_at_the_end },
     { "request in the turn of the kill", test_request_at_the_kill },
     { "forwarded request in the turn of the end", test_forward_at_the_end },
