Soak: an operator who evacuates data centres

Change: the store stand-in of the soak is written evacuate records, and their ends, now and then (soak/soak_evacuation). A request that arrives at a server whose data centre was evacuated 5 s ago violates a guarantee, unless the relay to that server held requests up, or the store answered nobody until 2.5 s ago. Evacuations are drawn by a generator of their own, so the faults of a seed are the same as before.

--- a/soak/bin/soak.c
+++ b/soak/bin/soak.c
@@ -116,6 +116,8 @@
   if (now >= run->faults_begin_at && now < run->faults_end_at
       && g_rand_int_range (cluster->random, 0, 100) < FAULT_PERCENT)
     soak_cluster_inject_fault (cluster, now);
+  soak_cluster_operate (
+      cluster, now >= run->faults_begin_at && now < run->faults_end_at, now);
   if (now >= run->faults_end_at && !run->healed)
     {
       run->healed = TRUE;
@@ -153,9 +155,11 @@
   if (served * 100 < sent * FINAL_SERVED_PERCENT)
     soak_checker_violation (checker, "requests are served after the faults",
                             "");
-  g_print ("soak: seed %u: %u faults, %u requests: %u served, %u refused, "
+  g_print ("soak: seed %u: %u faults, %u evacuations, %u requests: %u served, "
+           "%u refused, "
            "%u failed; %u broken off; at the end %u of %u; violations: %u\n",
-           seed, run->cluster.injected_fault_count, checker->sent_count,
+           seed, run->cluster.injected_fault_count,
+           run->cluster.evacuation.count, checker->sent_count,
            checker->served_count, checker->refused_count,
            checker->failed_count, checker->broken_count, served, sent,
            checker->violation_count);
--- a/soak/soak_cluster.c
+++ b/soak/soak_cluster.c
@@ -17,6 +17,8 @@
   4                      /* requests; of these, those that run at most once   \
                             are broken off */
 #define KEYED_PERCENT 60 /* share of the requests that carry a key */
+#define HELD_UP_USEC                                                          \
+  ((gint64)500000)           /* what a relay has held up has arrived by then */
 #define LOOPBACK 0x7f000001u /* 127.0.0.1 */
 
 /* The configuration: one service that is divided by key and one that is
@@ -51,8 +53,8 @@
       "ready = 127.0.0.1:%u\nmetrics = 127.0.0.1:%u\n"
       "peers = 127.0.0.1:%u\n[server]\naddress = 127.0.0.1:%u\n"
       "beat-ms = 900\ngrants = %s\n[store]\naddress = 127.0.0.1:%u\n",
-      i, i % 3, host->server.service, port, port + 1, port + 2, port + 3,
-      port + 4, port + 6,
+      i, host->server.zone, host->server.service, port, port + 1, port + 2,
+      port + 3, port + 4, port + 6,
       cluster->method == GRANT_BY_CALL ? "call" : "heartbeat", port + 7);
 
   host->node.settings_path
@@ -74,6 +76,8 @@
 
   server->sharded = i % 2 == 0;
   server->method = cluster->method;
+  server->evacuation = &cluster->evacuation;
+  server->zone = i % SOAK_ZONES;
   g_strlcpy (server->service, server->sharded ? "own" : "other", NAME_SIZE);
   g_snprintf (server->instance.id, sizeof server->instance.id, "s-%u", i);
   server->instance.started_at_msec = 1000;
@@ -109,6 +113,7 @@
   http_init (&cluster->http_client);
   soak_checker_init (&cluster->checker);
   cluster->random = g_rand_new_with_seed (seed);
+  soak_evacuation_init (&cluster->evacuation, seed);
   if (!soak_store_init (&cluster->store, loopback_address (port)))
     return FALSE;
   soak_store_put (&cluster->store, STORE_TOPIC_CONFIG, PLATFORM_CONFIG_KEY,
@@ -140,6 +145,7 @@
   soak_store_clear (&cluster->store);
   soak_checker_clear (&cluster->checker);
   g_rand_free (cluster->random);
+  soak_evacuation_clear (&cluster->evacuation);
 }
 
 /* Checks */
@@ -199,6 +205,7 @@
       soak_relay_set_mode (&host->server_relay, random_fault_mode (cluster));
       host->server_heal_at = random_time (cluster, now, 200, 3000);
       soak_limit_excuse (&host->server.limit, host->server_heal_at);
+      host->server.held_up_until = host->server_heal_at + HELD_UP_USEC;
       break;
     case 6:
       soak_server_begin_instance (&host->server);
@@ -217,6 +224,15 @@
     }
 }
 
+/* Let the operator evacuate a data centre now and then if MAY_BEGIN, and end
+   that when its time has come.  */
+void
+soak_cluster_operate (struct soak_cluster *cluster, gboolean may_begin,
+                      gint64 now)
+{
+  soak_evacuation_step (&cluster->evacuation, &cluster->store, may_begin, now);
+}
+
 /* End all active faults at the next step, which is at the time NOW or later.
  */
 void
@@ -225,6 +241,7 @@
   guint i;
 
   cluster->store_heal_at = now;
+  soak_evacuation_end (&cluster->evacuation, &cluster->store);
   for (i = 0; i < cluster->host_count; i++)
     {
       struct soak_host *host = &cluster->hosts[i];
--- a/soak/soak_cluster.h
+++ b/soak/soak_cluster.h
@@ -29,7 +29,8 @@
   enum grant_method method; /* how the servers are told their keys */
   struct soak_store store;  /* simulated store of the platform */
   gint64 store_heal_at;     /* the store is normal from then, monotonic usec */
-  struct http http_client;  /* HTTP client for requests and heartbeats */
+  struct soak_evacuation evacuation; /* evacuations by the operator */
+  struct http http_client;     /* HTTP client for requests and heartbeats */
   struct soak_checker checker; /* checks of the guarantees */
   GRand *random;               /* generator for faults and requests */
   guint host_count;            /* length of hosts */
@@ -44,6 +45,8 @@
 void soak_cluster_clear (struct soak_cluster *cluster);
 void soak_cluster_step (struct soak_cluster *cluster, gint64 now);
 void soak_cluster_inject_fault (struct soak_cluster *cluster, gint64 now);
+void soak_cluster_operate (struct soak_cluster *cluster, gboolean may_begin,
+                           gint64 now);
 void soak_cluster_heal (struct soak_cluster *cluster, gint64 now);
 void soak_cluster_send_request (struct soak_cluster *cluster);
 
--- a/soak/soak_server.c
+++ b/soak/soak_server.c
@@ -141,6 +141,9 @@
       return;
     }
   soak_limit_on_arrival (&server->limit, server->checker, clock_usec ());
+  soak_evacuation_on_arrival (server->evacuation, server->checker,
+                              server->zone, server->held_up_until,
+                              id != NULL ? id : "", clock_usec ());
   if (must_refuse (server, headers, id))
     {
       refuse (run, id);
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -4,6 +4,7 @@
 #include "edge/http.h"
 #include "edge/http_server.h"
 #include "soak/soak_checker.h"
+#include "soak/soak_evacuation.h"
 #include "soak/soak_limit.h"
 #include "soak/soak_orders.h"
 #include "types/grant_method.h"
@@ -25,6 +26,11 @@
   enum grant_method method;  /* how the server is told its keys */
   struct soak_orders orders; /* its keys if that is by calls */
   struct soak_limit limit;   /* limit that the server names */
+  const struct soak_evacuation *evacuation; /* the data centre that is
+                                               evacuated */
+  guint zone;           /* number of the server's data centre */
+  gint64 held_up_until; /* requests may be held up on their way until
+                           then, monotonic usec */
   struct server_instance instance; /* current run of the simulated process */
   guint64 heartbeat_seq;    /* number of the instance's last heartbeat */
   guint32 held_range_count; /* length of held_ranges */
