--- a/soak/soak_cluster.c
+++ b/soak/soak_cluster.c
@@ -148,10 +148,6 @@
   soak_evacuation_clear (&cluster->evacuation);
 }
 
-/* Checks */
-
-/* Faults */
-
 /* Return a random time from MIN_MSEC to MAX_MSEC milliseconds after NOW.  */
 static gint64
 random_time (struct soak_cluster *cluster, gint64 now, gint32 min_msec,
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -69,7 +69,7 @@
 void mesh_warmup_presume_cold (struct mesh *mesh, gint64 now,
                                struct actions *out);
 
-/* Evacuated data centres, mesh_evacuation.c.  */
+/* Evacuated data centres, mesh_evacuation.c and mesh_evacuation_keys.c.  */
 gboolean mesh_is_evacuated (const struct mesh *mesh,
                             const struct fleet_member *member);
 gboolean mesh_evacuation_is_local (const struct mesh *mesh);
@@ -83,6 +83,7 @@
 struct mesh_pick mesh_evacuation_check_pick (const struct mesh *mesh,
                                              const char *service,
                                              struct mesh_pick pick);
+gint64 mesh_evacuation_release_time (const struct mesh *mesh, gint64 now);
 gboolean mesh_evacuation_releases_keys (const struct mesh *mesh, gint64 now);
 void mesh_evacuation_on_records (struct mesh *mesh,
                                  const struct event_evacuations *event,
--- a/tests/mesh_sim.h
+++ b/tests/mesh_sim.h
@@ -2,9 +2,11 @@
 #define TESTS_MESH_SIM_H
 
 #include "tests/mesh_sim_check.h"
+#include "tests/mesh_sim_evacuation.h"
 #include "tests/mesh_sim_messages.h"
 #include "tests/mesh_sim_orders.h"
 #include "tests/mesh_sim_send.h"
+#include "tests/mesh_sim_server.h"
 #include "tests/suite.h"
 
 /* A simulation of a few mesh nodes with their servers, a store and the
@@ -76,75 +78,6 @@
   server->next_heartbeat_at = sim->now;
 }
 
-/* Servers */
-
-/* Send a heartbeat of the server of node I.  */
-static inline void
-send_heartbeat (struct sim *sim, guint i)
-{
-  struct sim_server *server = &sim->nodes[i].server;
-  struct heartbeat *heartbeat = g_new0 (struct heartbeat, 1);
-  struct event event = { .kind = EVENT_HEARTBEAT };
-
-  heartbeat->instance = server->instance;
-  g_strlcpy (heartbeat->service, SERVICE, sizeof heartbeat->service);
-  heartbeat->address.port = (guint16)(100 + i);
-  heartbeat->sequence = ++server->heartbeat_number;
-  heartbeat->slots = 4;
-  heartbeat->held_count = server->held_count;
-  memcpy (heartbeat->held_ranges, server->held_ranges,
-          sizeof heartbeat->held_ranges);
-  heartbeat->released_count = server->released_count;
-  memcpy (heartbeat->released_ranges, server->released_ranges,
-          sizeof heartbeat->released_ranges);
-  server->next_heartbeat_at = sim->now + HEARTBEAT_USEC;
-  event.u.heartbeat.heartbeat = heartbeat;
-  feed_node (sim, i, &event);
-  g_free (heartbeat);
-}
-
-/* Return whether ANSWER includes all of RANGE.  */
-static inline gboolean
-answer_covers (const struct heartbeat_answer *answer,
-               const struct key_range *range)
-{
-  guint i;
-
-  for (i = 0; i < answer->range_count; i++)
-    if (answer->ranges[i].first <= range->first
-        && answer->ranges[i].last >= range->last)
-      return TRUE;
-  return FALSE;
-}
-
-/* Deliver the answer to a heartbeat in MESSAGE to the server.  */
-static inline void
-on_heartbeat_answer (struct sim *sim, const struct sim_message *message)
-{
-  struct sim_server *server = &sim->nodes[message->from].server;
-  const struct heartbeat_answer *answer = message->answer;
-  guint i;
-
-  if (!server->is_up || answer == NULL
-      || sim->now - message->started_at > ANSWER_TIMEOUT_USEC)
-    return;
-  server->released_count = 0;
-  if (!answer->renews_grant)
-    return;
-  for (i = 0; i < server->held_count; i++)
-    if (!answer_covers (answer, &server->held_ranges[i]))
-      {
-        server->released_ranges[server->released_count]
-            = server->held_ranges[i];
-        server->released_count++;
-        server->next_heartbeat_at = sim->now + USEC_PER_SEC / 10;
-      }
-  memcpy (server->held_ranges, answer->ranges, sizeof server->held_ranges);
-  server->held_count = answer->range_count;
-  server->held_until
-      = message->started_at + answer->grant_usec + answer->grant_usec / 50;
-}
-
 /* Messages */
 
 /* Deliver MESSAGE to its receiver.  */
@@ -224,39 +157,6 @@
     }
 }
 
-/* Evacuations */
-
-/* Have the operator evacuate data centre ZONE, or end that if IS_CANCELLED.
-   The store acknowledges it at once.  */
-static inline void
-sim_evacuate (struct sim *sim, guint zone, gboolean is_cancelled)
-{
-  struct evacuation record
-      = { .offset = sim->evacuations->len + 1, .is_cancelled = is_cancelled };
-
-  g_strlcpy (record.zone, sim_zone_name (zone), sizeof record.zone);
-  g_array_append_val (sim->evacuations, record);
-  if (is_cancelled)
-    sim->evacuated_at[zone] = 0;
-  else if (sim->evacuated_at[zone] == 0)
-    sim->evacuated_at[zone] = sim->now;
-}
-
-/* Have node I, which follows the operator's topic, read it now and then.  */
-static inline void
-follow_operator (struct sim *sim, guint i)
-{
-  struct sim_node *node = &sim->nodes[i];
-  struct sim_message read = { .kind = SIM_READ_OPERATOR,
-                              .from = i,
-                              .process_number = node->process_number,
-                              .started_at = sim->now };
-
-  if (node->is_up && mesh_reads_config (&node->mesh, sim->now)
-      && g_rand_int_range (sim->operator_random, 0, 12) == 0)
-    send_message (sim, &read, draw_operator_msec (sim, 3, 30));
-}
-
 /* Time */
 
 /* Advance all nodes by one step.  */
--- a/tests/mesh_sim_check.h
+++ b/tests/mesh_sim_check.h
@@ -1,8 +1,7 @@
 #ifndef TESTS_MESH_SIM_CHECK_H
 #define TESTS_MESH_SIM_CHECK_H
 
-#include "mesh/mesh_parts.h"
-#include "tests/mesh_sim_send.h"
+#include "tests/mesh_sim_types.h"
 
 /* Invariants of a simulation of mesh nodes.  */
 
@@ -85,44 +84,4 @@
   return keys;
 }
 
-#define CHECKED_KEY_EVERY 97u /* keys from one that is checked to the next */
-
-/* Return whether node I would send its server a request for KEY now.  */
-static inline gboolean
-serves_key (const struct sim *sim, guint i, guint32 key)
-{
-  const struct sim_node *node = &sim->nodes[i];
-  struct mesh_request request = { .phase = MESH_REQUEST_WAITING };
-
-  g_strlcpy (request.request.service, SERVICE, sizeof request.request.service);
-  request.request.slice = key;
-  return node->is_up && sim->now >= node->paused_until && node->server.is_up
-         && grant_covers_key (&node->mesh.grant, key, sim->now)
-         && mesh_evacuation_refusal (&node->mesh, &request, sim->now)
-                == REASON_NONE;
-}
-
-/* Count the keys for which an evacuated server would get requests beyond the
-   bound.  A node that had a failure lately may not know of the evacuation.  */
-static inline void
-check_evacuated (struct sim *sim)
-{
-  guint32 key;
-  guint i;
-
-  for (i = 0; i < SIM_NODES; i++)
-    {
-      struct sim_node *node = &sim->nodes[i];
-      gint64 since = sim->evacuated_at[sim_zone_of (i)];
-      if (!node->is_up || sim->now < node->paused_until || node->isolated
-          || !reaches_store (sim, i))
-        node->disturbed_at = sim->now;
-      if (since == 0 || sim->now - since < EVACUATE_USEC
-          || sim->now - node->disturbed_at < EVACUATE_TOUCH_USEC)
-        continue;
-      for (key = 0; key < SHARD_KEY_COUNT; key += CHECKED_KEY_EVERY)
-        sim->evacuated_run_count += serves_key (sim, i, key);
-    }
-}
-
 #endif
--- a/tests/mesh_sim_messages.h
+++ b/tests/mesh_sim_messages.h
@@ -87,54 +87,6 @@
   feed_node (sim, i, &read);
 }
 
-/* Answer the read of the operator's topic in MESSAGE.  */
-static inline void
-on_read_operator (struct sim *sim, const struct sim_message *message)
-{
-  struct sim_message back = *message;
-
-  if (!reaches_store (sim, message->from))
-    return;
-  back.kind = SIM_EVACUATIONS;
-  back.offset = sim->evacuations->len;
-  send_message (sim, &back, draw_operator_msec (sim, 3, 100));
-}
-
-/* Give the result of the read in MESSAGE to its node: a listing of the newest
-   record of each data centre.  A record without a value may be deleted, and is
-   not listed.  */
-static inline void
-on_evacuations (struct sim *sim, const struct sim_message *message)
-{
-  struct event event = { .kind = EVENT_EVACUATIONS };
-  struct event read
-      = { .kind = EVENT_TOPIC_READ,
-          .u.topic_read = { .topic = MESH_TOPIC_CONFIG, .at_end = TRUE } };
-  struct evacuation listed[SIM_ZONES];
-  guint zone;
-
-  for (zone = 0; zone < SIM_ZONES; zone++)
-    {
-      const struct evacuation *newest = NULL;
-      guint i;
-      for (i = 0; i < message->offset; i++)
-        {
-          const struct evacuation *item
-              = &g_array_index (sim->evacuations, struct evacuation, i);
-          if (strcmp (item->zone, sim_zone_name (zone)) == 0)
-            newest = item;
-        }
-      if (newest != NULL && !newest->is_cancelled)
-        listed[event.u.evacuations.count++] = *newest;
-    }
-  event.u.evacuations.items = listed;
-  event.u.evacuations.is_listing = TRUE;
-  event.u.evacuations.next_offset = message->offset + 1;
-  feed_node (sim, message->from, &event);
-  read.u.topic_read.started_at = message->started_at;
-  feed_node (sim, message->from, &read);
-}
-
 /* Calls between nodes */
 
 /* Deliver the call in MESSAGE to its receiver.  */
