--- a/src/mesh/mesh_records.c
+++ b/src/mesh/mesh_records.c
@@ -56,7 +56,7 @@
       = fleet_state_map (&mesh->fleet, mesh->settings.service);
   struct heartbeat_answer *presumed_answer;
   struct shard_owner owner
-      = { mesh->settings.name, &mesh->grant, NULL, now, 0 };
+      = { mesh->settings.name, &mesh->grant, NULL, now, FALSE, 0 };
 
   if (self == NULL || self->state == MEMBER_DOWN
       || mesh->grant.heartbeat_received)
--- a/tests/mesh_sim.h
+++ b/tests/mesh_sim.h
@@ -2,9 +2,11 @@
 #define TESTS_MESH_SIM_H
 
 #include "tests/mesh_sim_check.h"
+#include "tests/mesh_sim_evacuation.h"
 #include "tests/mesh_sim_messages.h"
 #include "tests/mesh_sim_orders.h"
 #include "tests/mesh_sim_send.h"
+#include "tests/mesh_sim_server.h"
 #include "tests/suite.h"
 
 /* A simulation of a few mesh nodes with their servers, a store and the
@@ -28,6 +30,12 @@
 
   g_snprintf (settings.name, sizeof settings.name, "node-%u", i);
   g_strlcpy (settings.service, SERVICE, sizeof settings.service);
+  if (sim->has_evacuations)
+    {
+      g_strlcpy (settings.zone, sim_zone_name (sim_zone_of (i)),
+                 sizeof settings.zone);
+      settings.evacuate_usec = EVACUATE_USEC;
+    }
   settings.peer_address.port = (guint16)i;
   settings.server_address.port = (guint16)(100 + i);
   settings.incarnation = ((guint64)i << 32) + ++node->process_number;
@@ -70,75 +78,6 @@
   server->next_heartbeat_at = sim->now;
 }
 
-/* Servers */
-
-/* Send a heartbeat of the server of node I.  */
-static inline void
-send_heartbeat (struct sim *sim, guint i)
-{
-  struct sim_server *server = &sim->nodes[i].server;
-  struct heartbeat *heartbeat = g_new0 (struct heartbeat, 1);
-  struct event event = { .kind = EVENT_HEARTBEAT };
-
-  heartbeat->instance = server->instance;
-  g_strlcpy (heartbeat->service, SERVICE, sizeof heartbeat->service);
-  heartbeat->address.port = (guint16)(100 + i);
-  heartbeat->sequence = ++server->heartbeat_number;
-  heartbeat->slots = 4;
-  heartbeat->held_count = server->held_count;
-  memcpy (heartbeat->held_ranges, server->held_ranges,
-          sizeof heartbeat->held_ranges);
-  heartbeat->released_count = server->released_count;
-  memcpy (heartbeat->released_ranges, server->released_ranges,
-          sizeof heartbeat->released_ranges);
-  server->next_heartbeat_at = sim->now + HEARTBEAT_USEC;
-  event.u.heartbeat.heartbeat = heartbeat;
-  feed_node (sim, i, &event);
-  g_free (heartbeat);
-}
-
-/* Return whether ANSWER includes all of RANGE.  */
-static inline gboolean
-answer_covers (const struct heartbeat_answer *answer,
-               const struct key_range *range)
-{
-  guint i;
-
-  for (i = 0; i < answer->range_count; i++)
-    if (answer->ranges[i].first <= range->first
-        && answer->ranges[i].last >= range->last)
-      return TRUE;
-  return FALSE;
-}
-
-/* Deliver the answer to a heartbeat in MESSAGE to the server.  */
-static inline void
-on_heartbeat_answer (struct sim *sim, const struct sim_message *message)
-{
-  struct sim_server *server = &sim->nodes[message->from].server;
-  const struct heartbeat_answer *answer = message->answer;
-  guint i;
-
-  if (!server->is_up || answer == NULL
-      || sim->now - message->started_at > ANSWER_TIMEOUT_USEC)
-    return;
-  server->released_count = 0;
-  if (!answer->renews_grant)
-    return;
-  for (i = 0; i < server->held_count; i++)
-    if (!answer_covers (answer, &server->held_ranges[i]))
-      {
-        server->released_ranges[server->released_count]
-            = server->held_ranges[i];
-        server->released_count++;
-        server->next_heartbeat_at = sim->now + USEC_PER_SEC / 10;
-      }
-  memcpy (server->held_ranges, answer->ranges, sizeof server->held_ranges);
-  server->held_count = answer->range_count;
-  server->held_until
-      = message->started_at + answer->grant_usec + answer->grant_usec / 50;
-}
-
 /* Messages */
 
 /* Deliver MESSAGE to its receiver.  */
@@ -169,6 +108,13 @@
       if (same)
         on_records (sim, message->from, message->offset, message->started_at);
       break;
+    case SIM_READ_OPERATOR:
+      on_read_operator (sim, message);
+      break;
+    case SIM_EVACUATIONS:
+      if (same)
+        on_evacuations (sim, message);
+      break;
     case SIM_CALL:
       on_call (sim, message);
       break;
@@ -239,18 +185,23 @@
         send_heartbeat (sim, i);
       if (node->is_up && g_rand_int_range (sim->random, 0, 12) == 0)
         send_message (sim, &read, draw_msec (sim, 3, 30));
+      if (sim->has_evacuations)
+        follow_operator (sim, i);
       feed_node (sim, i, &tick);
     }
   if (sim->method == GRANT_BY_CALL)
     check_gates (sim);
   else
     check_holders (sim);
+  if (sim->has_evacuations)
+    check_evacuated (sim);
 }
 
 /* Set up a simulation from SEED, with servers that are told their keys by
-   METHOD.  */
+   METHOD, and with an operator who evacuates data centres if
+   HAS_EVACUATIONS.  */
 static inline struct sim *
-sim_new (guint32 seed, enum grant_method method)
+sim_new_with (guint32 seed, enum grant_method method, gboolean has_evacuations)
 {
   struct sim *sim = g_new0 (struct sim, 1);
   guint i;
@@ -261,6 +212,9 @@
   sim->random = g_rand_new_with_seed (seed);
   sim->now = 100 * USEC_PER_SEC;
   sim->method = method;
+  sim->has_evacuations = has_evacuations;
+  sim->operator_random = g_rand_new_with_seed (seed);
+  sim->evacuations = g_array_new (FALSE, TRUE, sizeof (struct evacuation));
   for (i = 0; i < SIM_NODES; i++)
     {
       start_server (sim, i);
@@ -269,6 +223,13 @@
   return sim;
 }
 
+/* Set up a simulation without evacuations.  */
+static inline struct sim *
+sim_new (guint32 seed, enum grant_method method)
+{
+  return sim_new_with (seed, method, FALSE);
+}
+
 /* Free SIM.  */
 static inline void
 sim_free (struct sim *sim)
@@ -296,6 +257,8 @@
   g_array_free (sim->log_times, TRUE);
   g_array_free (sim->messages, TRUE);
   g_rand_free (sim->random);
+  g_rand_free (sim->operator_random);
+  g_array_free (sim->evacuations, TRUE);
   g_free (sim);
 }
 
--- a/tests/test_mesh_random.c
+++ b/tests/test_mesh_random.c
@@ -1,126 +1,48 @@
-#include "mesh/mesh_parts.h"
-#include "tests/mesh_sim.h"
+#include "tests/mesh_sim_failures.h"
 
 #define SEEDS 24u                        /* simulations in a run */
+#define EVACUATION_SEEDS 12u             /* of those with evacuations */
 #define FAILURES_USEC ((gint64)40000000) /* time with failures */
 #define CALM_USEC ((gint64)20000000)     /* time without failures after that */
 #define FAILURE_EVERY_STEPS 150          /* mean steps between failures */
 #define HANDOFF_EVERY_STEPS 60           /* mean steps between handoffs */
-#define ROLL_BACK_EVERY_STEPS 700        /* mean steps between older copies */
+#define EVACUATE_EVERY_STEPS                                                  \
+  500 /* mean steps between evacuations and                                   \
+         their ends */
 
-/* Have node I plan the handoff of a random range to a random node.  */
+/* Have the operator evacuate one of the data centres, or end that.  */
 static void
-add_handoff (struct sim *sim, guint i)
+toggle_evacuation (struct sim *sim)
 {
-  struct sim_node *node = &sim->nodes[i];
-  guint32 first
-      = (guint32)g_rand_int_range (sim->random, 0, (gint32)SHARD_KEY_COUNT);
-  guint32 last = MIN (
-      first + (guint32)g_rand_int_range (sim->random, 0, SHARD_KEY_COUNT / 8),
-      SHARD_KEY_COUNT - 1);
-  char next[NAME_SIZE];
-
-  g_snprintf (next, sizeof next, "node-%d",
-              g_rand_int_range (sim->random, 0, SIM_NODES));
-  if (node->is_up)
-    mesh_handoff_add (&node->mesh, first, last, next, sim->now);
-}
+  guint zone
+      = (guint)g_rand_int_range (sim->operator_random, 0, (gint32)SIM_ZONES);
 
-/* Kill the process that made an append which is still to be carried out late,
-   if there is one, and start it again at once.  */
-static void
-kill_late_writer (struct sim *sim)
-{
-  guint i;
-
-  for (i = 0; i < sim->messages->len; i++)
-    {
-      const struct sim_message *message
-          = &g_array_index (sim->messages, struct sim_message, i);
-      struct sim_node *node = &sim->nodes[message->from];
-      if (message->kind != SIM_APPEND || !message->is_late || !node->is_up
-          || node->process_number != message->process_number)
-        continue;
-      kill_node (sim, message->from);
-      node->restart_at = sim->now + draw_msec (sim, 50, 600);
-      return;
-    }
+  sim_evacuate (sim, zone, sim->evacuated_at[zone] != 0);
 }
 
-/* Let the store be away and come back from a copy that is some seconds old:
-   the records since then are gone, and their offsets are given out again.  */
+/* Have the operator end the last evacuation if all data centres are
+   evacuated: nobody could take keys then.  */
 static void
-roll_back (struct sim *sim)
+end_total_evacuation (struct sim *sim)
 {
-  gint64 copied_at = sim->now - draw_msec (sim, 100, 6000);
+  guint zone;
 
-  while (sim->log->len > 0
-         && g_array_index (sim->log_times, gint64, sim->log->len - 1)
-                > copied_at)
-    {
-      guint last = sim->log->len - 1;
-      fleet_record_clear (
-          &g_array_index (sim->log, struct fleet_record, last));
-      g_array_set_size (sim->log, last);
-      g_array_set_size (sim->log_times, last);
-    }
-  sim->era++;
-  sim->store_back_at = sim->now + draw_msec (sim, 0, 7000);
-}
-
-/* Inject one random failure at node I, or one of the store for all nodes.  */
-static void
-add_failure (struct sim *sim, guint i)
-{
-  struct sim_node *node = &sim->nodes[i];
-
-  switch (g_rand_int_range (sim->random, 0, 10))
-    {
-    case 0:
-      kill_node (sim, i);
-      node->restart_at = sim->now + draw_msec (sim, 300, 9000);
-      break;
-    case 1:
-      node->paused_until = sim->now + draw_msec (sim, 500, 9000);
-      break;
-    case 2:
-      node->isolated = TRUE;
-      node->restored_at = sim->now + draw_msec (sim, 1000, 9000);
-      break;
-    case 3:
-      node->store_unreachable = TRUE;
-      node->restored_at = sim->now + draw_msec (sim, 1000, 9000);
-      break;
-    case 4:
-      node->isolated = node->store_unreachable = TRUE;
-      node->restored_at = sim->now + draw_msec (sim, 1000, 12000);
-      break;
-    case 5:
-      node->server.is_up = FALSE;
-      node->server.next_heartbeat_at = sim->now + draw_msec (sim, 100, 6000);
-      break;
-    case 6:
-      node->server.next_heartbeat_at = sim->now + draw_msec (sim, 900, 5000);
-      break;
-    case 7:
-    case 8:
-      kill_late_writer (sim);
-      break;
-    default:
-      sim->store_back_at = sim->now + draw_msec (sim, 1000, 9000);
-      break;
-    }
+  for (zone = 0; zone < SIM_ZONES; zone++)
+    if (sim->evacuated_at[zone] == 0)
+      return;
+  sim_evacuate (sim, 0, TRUE);
 }
 
-/* Run the simulation of SEED, with servers that are told their keys by METHOD
-   and with failures for FAILURES_USEC and then without; if it ROLLS_BACK, the
-   store comes back from older copies among them.  No key ever has two holders,
-   fences rise, and in the end all keys are held.  */
+/* Run the simulation of SEED, with servers that are told their keys by METHOD,
+   with evacuations if HAS_EVACUATIONS, and with failures for FAILURES_USEC and
+   then without.  No key ever has two holders, fences rise, no evacuated server
+   is served beyond the bound, and in the end all keys are held.  */
 static void
-run_seed (guint32 seed, enum grant_method method, gboolean rolls_back)
+run_seed (guint32 seed, enum grant_method method, gboolean has_evacuations)
 {
-  struct sim *sim = sim_new (seed, method);
+  struct sim *sim = sim_new_with (seed, method, has_evacuations);
   gint64 start = sim->now;
+  guint held;
 
   sim->calm_at = start + FAILURES_USEC;
 
@@ -133,27 +55,37 @@
       if (sim->now < start + FAILURES_USEC
           && g_rand_int_range (sim->random, 0, FAILURE_EVERY_STEPS) == 0)
         add_failure (sim, (guint)g_rand_int_range (sim->random, 0, SIM_NODES));
-      if (rolls_back && sim->now < start + FAILURES_USEC
-          && g_rand_int_range (sim->random, 0, ROLL_BACK_EVERY_STEPS) == 0)
-        roll_back (sim);
+      if (sim->now >= start + FAILURES_USEC)
+        end_total_evacuation (sim);
+      else if (has_evacuations
+               && g_rand_int_range (sim->operator_random, 0,
+                                    EVACUATE_EVERY_STEPS)
+                      == 0)
+        toggle_evacuation (sim);
     }
-  if (sim->two_holder_count + sim->fence_error_count > 0
-      || held_keys (sim) != SHARD_KEY_COUNT)
-    g_printerr ("%s seed %u: two holders %u, fences %u, held %u\n",
+  held = held_keys (sim);
+  if (sim->two_holder_count + sim->fence_error_count + sim->evacuated_run_count
+          > 0
+      || held != SHARD_KEY_COUNT)
+    g_printerr ("%s seed %u%s: two holders %u, fences %u, held %u, beyond an"
+                " evacuation %u\n",
                 method == GRANT_BY_CALL ? "call" : "answer", seed,
-                sim->two_holder_count, sim->fence_error_count,
-                held_keys (sim));
+                has_evacuations ? " with evacuations" : "",
+                sim->two_holder_count, sim->fence_error_count, held,
+                sim->evacuated_run_count);
   CU_ASSERT_EQUAL (sim->two_holder_count, 0);
   CU_ASSERT_EQUAL (sim->fence_error_count, 0);
-  CU_ASSERT_EQUAL (held_keys (sim), SHARD_KEY_COUNT);
+  CU_ASSERT_EQUAL (sim->evacuated_run_count, 0);
+  CU_ASSERT_EQUAL (held, SHARD_KEY_COUNT);
   sim_free (sim);
 }
 
-/* Run one simulation by METHOD for each seed, or only that of MESH_SEED.  The
-   seeds beyond SEEDS guard against two holders of a key after a restart, while
-   an append of the earlier process is carried out late.  */
+/* Run one simulation by METHOD for each seed, or only that of MESH_SEED, with
+   evacuations if HAS_EVACUATIONS.  The seeds beyond SEEDS guard against two
+   holders of a key after a restart, while an append of the earlier process is
+   carried out late.  */
 static void
-run_seeds (enum grant_method method, gboolean rolls_back)
+run_seeds (enum grant_method method, gboolean has_evacuations)
 {
   static const guint32 failed_seeds[] = { 201, 366 };
   const char *only_seed = g_getenv ("MESH_SEED");
@@ -162,13 +94,13 @@
   if (only_seed != NULL)
     {
       run_seed ((guint32)g_ascii_strtoull (only_seed, NULL, 10), method,
-                rolls_back);
+                has_evacuations);
       return;
     }
-  for (seed = 1; seed <= SEEDS; seed++)
-    run_seed (seed, method, rolls_back);
+  for (seed = 1; seed <= (has_evacuations ? EVACUATION_SEEDS : SEEDS); seed++)
+    run_seed (seed, method, has_evacuations);
   for (seed = 0; seed < G_N_ELEMENTS (failed_seeds); seed++)
-    run_seed (failed_seeds[seed], method, rolls_back);
+    run_seed (failed_seeds[seed], method, has_evacuations);
 }
 
 /* Keys are granted by the answers to heartbeats.  */
@@ -185,17 +117,15 @@
   run_seeds (GRANT_BY_CALL, FALSE);
 }
 
-/* Guards against two owners, and fences that fall, after the store came back
-   from an older copy while hosts are lost, cut off and started.  */
+/* Both, while data centres are evacuated and come back.  */
 static void
-test_older_copies_by_answer (void)
+test_evacuations_by_answer (void)
 {
   run_seeds (GRANT_BY_ANSWER, TRUE);
 }
 
-/* The same with keys that are granted by calls.  */
 static void
-test_older_copies_by_call (void)
+test_evacuations_by_call (void)
 {
   run_seeds (GRANT_BY_CALL, TRUE);
 }
@@ -206,8 +136,8 @@
   CU_TestInfo tests[]
       = { { "random failures, keys by answer", test_by_answer },
           { "random failures, keys by call", test_by_call },
-          { "older copies, keys by answer", test_older_copies_by_answer },
-          { "older copies, keys by call", test_older_copies_by_call },
+          { "evacuations, keys by answer", test_evacuations_by_answer },
+          { "evacuations, keys by call", test_evacuations_by_call },
           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_random", tests);
