Load balancing: the member record counts where there is no load report

A node took a peer's slots only from load reports, and from the member record only when it saw a new process. A record that first named no slots and then those of the server's first heartbeat did not count, and a report of no slots from a node that had just started counted forever. Such a peer got no requests, and reports come with answers, so 26 of 81 nodes served nothing of a service in the first seconds.

The record's slots now count where there is no report, where it is older than 3 s, and where it names no slots and is a second old or older than the last change of the record.

Checked: the two new tests of test_mesh_pick fail on the old code; test_mesh_pick, test_peer_state, test_mesh and test_mesh_random pass.

--- a/src/mesh/mesh_pick.c
+++ b/src/mesh/mesh_pick.c
@@ -104,10 +104,10 @@
   return peer_state_cost (&local, &query, now);
 }
 
-/* Return whether MEMBER accepts requests of SERVICE.  */
+/* Return whether MEMBER accepts requests of SERVICE at NOW.  */
 static gboolean
 accepts (struct mesh *mesh, const struct fleet_member *member,
-         const char *service, struct handle h)
+         const char *service, struct handle h, gint64 now)
 {
   const struct peer_state *peer = table_get (&mesh->peers, h);
 
@@ -116,7 +116,7 @@
   if (is_here (mesh, member))
     return !grant_is_leaving (&mesh->grant) && grant_may_run (&mesh->grant)
            && mesh->stop_requested_at == 0;
-  return peer != NULL && !peer->is_leaving && peer->load.slots > 0;
+  return peer != NULL && !peer->is_leaving && peer_state_slots (peer, now) > 0;
 }
 
 /* The servers of a service that may run a request.  */
@@ -141,7 +141,7 @@
       const struct fleet_member *member
           = fleet_state_member_at (&mesh->fleet, h);
       const struct peer_state *peer = table_get (&mesh->peers, h);
-      if (!accepts (mesh, member, request->request.service, h))
+      if (!accepts (mesh, member, request->request.service, h, now))
         continue;
       if (peer != NULL && peer->load.mean_run_usec > 0)
         {
--- a/src/serve/peer_state.c
+++ b/src/serve/peer_state.c
@@ -15,6 +15,11 @@
    then.  */
 #define LOAD_STALE_USEC ((gint64)3000000)
 
+/* A report of no slots is ignored after this time, which is about a heartbeat
+   interval: a process that starts reports none until its server's first
+   heartbeat.  Without requests there are no newer reports.  */
+#define NO_SLOTS_STALE_USEC ((gint64)1000000)
+
 /* A peer that left a request unanswered is assumed to be late for as long as
    that request waited, at most this long.  */
 #define LATE_MAX_USEC ((gint64)1000000)
@@ -58,6 +63,21 @@
   peer->is_watched = watched;
 }
 
+/* Keep the slots that MEMBER, the record of the peer in the store, names.  The
+   record of a process may first name none and later those of its server's
+   first heartbeat.  */
+static void
+record_slots (struct peer_state *peer, const struct fleet_member *member,
+              gint64 now)
+{
+  if (peer->recorded_slots != member->slots
+      || peer->recorded_incarnation != member->incarnation)
+    peer->record_changed_at = now;
+  peer->recorded_slots = member->slots;
+  if (peer->load_reported_at == 0)
+    peer->load.slots = member->slots;
+}
+
 /* Update the state from MEMBER, the record of the peer in the store.  A new
    process is alive and knows nothing of the messages sent to the previous
    one.  */
@@ -65,6 +85,7 @@
 peer_state_on_record (struct peer_state *peer,
                       const struct fleet_member *member, gint64 now)
 {
+  record_slots (peer, member, now);
   if (peer->recorded_incarnation == member->incarnation)
     return;
   if (peer->recorded_incarnation == 0)
@@ -78,8 +99,6 @@
   peer->reported_unresponsive = FALSE;
   peer->is_leaving = FALSE;
   peer->store_lost = FALSE;
-  if (peer->load_reported_at == 0)
-    peer->load.slots = member->slots;
 }
 
 /* Record a message from the peer itself.  */
@@ -127,6 +146,31 @@
       = MAX (peer->late_until, now + MIN (unanswered_usec, LATE_MAX_USEC));
 }
 
+/* Return whether the record of the peer says more of the slots of its server
+   than the load report: there is no report, it is old, or it named no slots
+   and the record has changed since.  */
+static gboolean
+record_outweighs_report (const struct peer_state *peer, gint64 now)
+{
+  gint64 age = now - peer->load_reported_at;
+
+  if (peer->load_reported_at == 0 || age >= LOAD_STALE_USEC)
+    return TRUE;
+  return peer->load.slots == 0
+         && (age >= NO_SLOTS_STALE_USEC
+             || peer->record_changed_at > peer->load_reported_at);
+}
+
+/* Return how many requests the peer's server runs at once, as far as is known
+   at NOW; 0 if it runs none.  */
+guint32
+peer_state_slots (const struct peer_state *peer, gint64 now)
+{
+  if (peer->recorded_slots > 0 && record_outweighs_report (peer, now))
+    return peer->recorded_slots;
+  return peer->load.slots;
+}
+
 /* Return the run time to expect at a server that reported LOAD, for QUERY.  */
 static gint64
 expected_run_usec (const struct load_report *load,
@@ -153,8 +197,9 @@
 estimated_requests (const struct peer_state *peer, gint64 now)
 {
   const struct load_report *load = &peer->load;
+  gint64 slots = peer_state_slots (peer, now);
   gint64 reported = load->running + load->waiting + peer->sent_since_load;
-  gint64 assumed = load->slots / 2 + peer->in_flight;
+  gint64 assumed = slots / 2 + peer->in_flight;
   gint64 age = MIN (now - peer->load_reported_at, LOAD_STALE_USEC);
 
   return (guint32)(reported + (assumed - reported) * age / LOAD_STALE_USEC);
@@ -180,11 +225,12 @@
   const struct load_report *load = &peer->load;
   gint64 run_usec = expected_run_usec (load, query);
   guint32 ahead = estimated_requests (peer, now);
+  guint32 slots = peer_state_slots (peer, now);
   gint64 cost = 0;
 
-  if (load->slots > 0)
-    cost = queueing_usec (run_usec, ahead, load->slots) + run_usec / 2
-           + run_usec * (ahead + 1) / load->slots;
+  if (slots > 0)
+    cost = queueing_usec (run_usec, ahead, slots) + run_usec / 2
+           + run_usec * (ahead + 1) / slots;
   cost += cost * load->failed_permille / 1000 * LOAD_FAILURE_WEIGHT;
   cost += MAX (0, expected_delay (peer, now));
   if (!query->same_zone)
--- a/src/serve/peer_state.h
+++ b/src/serve/peer_state.h
@@ -46,6 +46,9 @@
   gboolean is_unresponsive; /* the peer was unresponsive at the last check */
   struct load_report load;  /* last load report of the peer's backend server */
   gint64 load_reported_at;  /* when that load report came, 0: never */
+  guint32 recorded_slots;   /* slots of the server, by the peer's record */
+  gint64 record_changed_at; /* when the record last named other slots or
+                               another process */
   guint32 sent_since_load;  /* requests forwarded to the peer since its last
                                load report */
   guint32 in_flight; /* requests forwarded to the peer and not answered */
@@ -75,6 +78,7 @@
 void peer_state_on_sent (struct peer_state *peer, gint64 now);
 void peer_state_on_answer (struct peer_state *peer, gint64 now);
 void peer_state_on_abandoned (struct peer_state *peer, gint64 now);
+guint32 peer_state_slots (const struct peer_state *peer, gint64 now);
 gint64 peer_state_cost (const struct peer_state *peer,
                         const struct peer_query *query, gint64 now);
 void peer_state_on_load (struct peer_state *peer,
--- a/tests/test_mesh_pick.c
+++ b/tests/test_mesh_pick.c
@@ -61,12 +61,94 @@
   fixture_free (fixture);
 }
 
+/* Give the node a new record of the other member, whose server has SLOTS.  */
+static void
+record_other (struct fixture *fixture, guint64 incarnation, guint32 slots)
+{
+  struct event event = { .kind = EVENT_FLEET_RECORDS };
+  struct fleet_entry entry = { .offset = fixture->mesh.fleet.applied_offset,
+                               .record.kind = FLEET_MEMBER };
+  struct fleet_member *member = &entry.record.u.member;
+
+  g_strlcpy (member->name, "b", sizeof member->name);
+  g_strlcpy (member->service, OTHER_SERVICE, sizeof member->service);
+  g_strlcpy (member->instance.id, "sb", sizeof member->instance.id);
+  member->incarnation = incarnation;
+  member->slots = slots;
+  fleet_record_set_key (&entry.record);
+  event.u.fleet_records.items = &entry;
+  event.u.fleet_records.count = 1;
+  event.u.fleet_records.next_offset = entry.offset + 1;
+  feed_event (fixture, &event);
+  advance (fixture, 100 * MSEC);
+}
+
+/* Send a gossip message of the other node that names no slots.  */
+static void
+gossip_without_slots (struct fixture *fixture)
+{
+  struct event event = { .kind = EVENT_MESH_CALL };
+  struct mesh_call call = { .kind = MESH_GOSSIP };
+
+  g_strlcpy (call.u.gossip.name, "b", NAME_SIZE);
+  call.u.gossip.incarnation = 77;
+  call.u.gossip.applied_offset = 1;
+  call.u.gossip.config_version = 1;
+  event.u.mesh_call.call = &call;
+  feed_event (fixture, &event);
+}
+
+/* Return whether a request for OTHER_SERVICE is sent to the other node.  */
+static gboolean
+is_forwarded (struct fixture *fixture)
+{
+  send_request (fixture, "/other/x");
+  return find_action (fixture, ACTION_FORWARD) != NULL;
+}
+
+/* The record of a member first names no slots, and the slots of its server's
+   first heartbeat later.  A node that has no load report of it must send it
+   requests by the later record: reports come with the answers to requests.  */
+static void
+test_slots_recorded_late (void)
+{
+  struct fixture *fixture = fixture_start ();
+
+  record_other (fixture, 77, 0);
+  add_services (fixture);
+  read_config_end (fixture);
+  CU_ASSERT_FALSE (is_forwarded (fixture));
+  record_other (fixture, 77, 4);
+  CU_ASSERT_TRUE (is_forwarded (fixture));
+  fixture_free (fixture);
+}
+
+/* A node that has just started reports no slots.  No later report comes from
+   it if it is not a neighbour and gets no requests.  It must be tried once its
+   record names other slots.  */
+static void
+test_report_without_slots (void)
+{
+  struct fixture *fixture = fixture_new ();
+
+  gossip_without_slots (fixture);
+  CU_ASSERT_FALSE (is_forwarded (fixture));
+  advance (fixture, 100 * MSEC);
+  CU_ASSERT_FALSE (is_forwarded (fixture));
+  record_other (fixture, 77, 6);
+  CU_ASSERT_TRUE (is_forwarded (fixture));
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
-  CU_TestInfo tests[] = { { "request waits for a lost owner",
-                            test_request_waits_for_lost_owner },
-                          CU_TEST_INFO_NULL };
+  CU_TestInfo tests[]
+      = { { "request waits for a lost owner",
+            test_request_waits_for_lost_owner },
+          { "slots recorded late", test_slots_recorded_late },
+          { "report without slots", test_report_without_slots },
+          CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_pick", tests);
 }
--- a/tests/test_peer_state.c
+++ b/tests/test_peer_state.c
@@ -101,6 +101,29 @@
                    peer_state_cost (&average, &query, START));
 }
 
+/* A peer that is not a neighbour sends no reports unless it gets requests.  If
+   its last report named no slots, or is old, its record must count, or it
+   would never be tried again.  */
+static void
+test_old_report_without_slots (void)
+{
+  struct peer_state peer = peer_with_load (0, 0);
+  struct fleet_member member = { .incarnation = 7, .slots = 12 };
+  struct load_report none = { 0 };
+
+  peer_state_on_record (&peer, &member, START - 1000 * MSEC);
+  CU_ASSERT_EQUAL (peer_state_slots (&peer, START + 2900 * MSEC), 6);
+  CU_ASSERT_EQUAL (peer_state_slots (&peer, START + 3000 * MSEC), 12);
+  peer_state_on_load (&peer, &none, START);
+  CU_ASSERT_EQUAL (peer_state_slots (&peer, START + 900 * MSEC), 0);
+  CU_ASSERT_EQUAL (peer_state_slots (&peer, START + 1000 * MSEC), 12);
+  member.slots = 8;
+  peer_state_on_record (&peer, &member, START + 300 * MSEC);
+  CU_ASSERT_EQUAL (peer_state_slots (&peer, START + 300 * MSEC), 8);
+  CU_ASSERT_TRUE (peer_state_cost (&peer, &same_zone_query, START + 300 * MSEC)
+                  > 0);
+}
+
 int
 main (void)
 {
@@ -109,6 +132,7 @@
           { "late peer is tried again", test_late_peer_is_tried_again },
           { "load weight falls", test_load_weight_falls },
           { "new server looks fast", test_new_server_looks_fast },
+          { "old report without slots", test_old_report_without_slots },
           CU_TEST_INFO_NULL };
 
   return suite_run ("peer_state", tests);
