Load reports: how long work takes on the server's machine now

The fourth figure of the server's load header was dropped, so that neither the node nor its peers saw a machine that had become slow until the mean of 32 runs showed it.

The figure is decoded, smoothed over 100 ms and compared with its mean over the same number of responses as the mean run times have, so that a slowdown that the mean already shows does not count twice. The run times that the node forecasts with and reports follow that ratio; it loses its weight within 1 s. Demand and the owner's side of moves of keys go by the mean as before: a move takes longer than a slowdown of 0.4 s. Servers that send three figures are handled as before.

--- a/src/decide/server_load.c
+++ b/src/decide/server_load.c
@@ -5,6 +5,27 @@
 #define TRUST_GAIN_PERCENT                                                    \
   10u /* percent of trust that is regained at a time */
 
+/* Time constant by which the reported slowdown is smoothed.  It changes many
+   times a second; a machine that is slow stays so for about 0.4 s.  */
+#define SLOW_SMOOTHING_USEC ((gint64)100000)
+
+/* A report of the slowdown loses its weight linearly in this time.  */
+#define SLOW_LIFETIME_USEC ((gint64)1000000)
+
+/* Window of the mean slowdown in reports: that of the mean run times, which
+   also count one run a response.  */
+#define SLOW_MEAN_WINDOW 32u
+
+/* Bounds of reported slowdowns, in percent.  A figure outside is no measure of
+   a machine that still responds.  */
+#define SLOW_PERCENT_MIN 10u
+#define SLOW_PERCENT_MAX 1000u
+
+/* Bounds of the factor that run times are multiplied by, in thousandths.  */
+#define SLOWDOWN_MIN 250
+#define SLOWDOWN_MAX 4000
+#define SLOWDOWN_NONE 1000
+
 /* Initialise LOAD for a server that has not reported.  */
 void
 server_load_init (struct server_load *load)
@@ -12,6 +33,10 @@
   load->external_slots = 0;
   load->expires_at = 0;
   load->trust_percent = SERVER_LOAD_TRUST_MAX;
+  load->slow_permille = 0;
+  load->slow_mean_permille = 0;
+  load->slow_report_count = 0;
+  load->slow_reported_at = 0;
 }
 
 /* Handle a report of BUSY slots, measured at MEASURED_AT.  At most GIVEN slots
@@ -46,6 +71,47 @@
       = MIN (load->trust_percent + TRUST_GAIN_PERCENT, SERVER_LOAD_TRUST_MAX);
 }
 
+/* Handle a report at NOW that work takes PERCENT of the usual time; 0 if the
+   server does not say.  */
+void
+server_load_on_slowdown (struct server_load *load, guint32 percent, gint64 now)
+{
+  gint64 permille
+      = (gint64)CLAMP (percent, SLOW_PERCENT_MIN, SLOW_PERCENT_MAX) * 10;
+  gint64 elapsed = MAX (0, now - load->slow_reported_at);
+
+  if (percent == 0)
+    return;
+  if (load->slow_report_count == 0)
+    load->slow_permille = permille;
+  load->slow_permille += (permille - load->slow_permille) * elapsed
+                         / (elapsed + SLOW_SMOOTHING_USEC);
+  if (load->slow_report_count < SLOW_MEAN_WINDOW)
+    load->slow_report_count++;
+  load->slow_mean_permille += (permille - load->slow_mean_permille)
+                              / (gint64)load->slow_report_count;
+  load->slow_reported_at = now;
+}
+
+/* Return the factor, in thousandths, by which a run that starts at NOW is
+   expected to take longer than the mean of the latest runs.  */
+guint32
+server_load_slowdown (const struct server_load *load, gint64 now)
+{
+  gint64 remaining = CLAMP (load->slow_reported_at + SLOW_LIFETIME_USEC - now,
+                            0, SLOW_LIFETIME_USEC);
+  gint64 factor;
+
+  if (load->slow_mean_permille <= 0)
+    return SLOWDOWN_NONE;
+  factor
+      = CLAMP (load->slow_permille * SLOWDOWN_NONE / load->slow_mean_permille,
+               SLOWDOWN_MIN, SLOWDOWN_MAX);
+  return (guint32)(SLOWDOWN_NONE
+                   + (factor - SLOWDOWN_NONE) * remaining
+                         / SLOW_LIFETIME_USEC);
+}
+
 /* Return how many slots to withhold at NOW: the reported external slots,
    weighted by the age and trust of the report.  */
 guint32
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -76,7 +76,7 @@
   struct load_report load
       = { .running = mesh->admission.busy_slots,
           .waiting = mesh->admission.queue->len,
-          .mean_run_usec = run_times_route_average (&mesh->run_times),
+          .mean_run_usec = run_times_route_average_now (&mesh->run_times),
           .demand_permille = mesh_demand (mesh),
           .failed_permille = mesh->run_times.failed_permille,
           .warmup_msec
@@ -122,6 +122,7 @@
              struct actions *out)
 {
   mesh_routing_check (mesh, now);
+  mesh_slowdown_step (mesh, now);
   key_rate_decay (&mesh->key_rate, now);
   walk_members (mesh, now, out);
   mesh_gossip_step (mesh, now, out);
@@ -203,6 +204,9 @@
     case EVENT_KEY_ORDER_ENDED:
       mesh_order_ended (mesh, &event->u.key_order_ended, now, out);
       break;
+    case EVENT_SERVER_LOAD:
+      mesh_on_server_load (mesh, &event->u.server_load, now);
+      break;
     case EVENT_DRAIN:
       mesh_stop_begin (mesh, now, out);
       break;
@@ -210,7 +214,6 @@
     case EVENT_LOG_FAILED:
     case EVENT_APPENDED:
     case EVENT_SERVER_UP:
-    case EVENT_SERVER_LOAD:
     case EVENT_SERVER_DOWN:
     case EVENT_PEER_CALL:
     case EVENT_PEER_REPLY:
--- a/src/mesh/mesh_balance.c
+++ b/src/mesh/mesh_balance.c
@@ -203,6 +203,10 @@
 {
   struct load_report load = mesh_load_report (mesh, now);
 
+  /* A machine is slow for a shorter time than a move takes, so a slowdown that
+     the mean run time does not show yet is no cause for a move.  */
+  load.mean_run_usec
+      = MIN (load.mean_run_usec, run_times_route_average (&mesh->run_times));
   if (load.demand_permille < MIN_DEMAND_PERMILLE || load.slots == 0
       || load.mean_run_usec == 0)
     return FALSE;
--- a/src/mesh/mesh_notice.c
+++ b/src/mesh/mesh_notice.c
@@ -47,3 +47,23 @@
             notice->is_leaving, mesh->admission.busy_slots,
             mesh->admission.slots, mesh->admission.queue->len);
 }
+
+/* Let the expected run times follow how slow the machine of the local server
+   is at NOW.  */
+void
+mesh_slowdown_step (struct mesh *mesh, gint64 now)
+{
+  run_times_set_slowdown (
+      &mesh->run_times,
+      server_load_slowdown (&mesh->admission.server_load, now));
+}
+
+/* Process the load that the local server reported in a response.  */
+void
+mesh_on_server_load (struct mesh *mesh, const struct event_server_load *load,
+                     gint64 now)
+{
+  server_load_on_slowdown (&mesh->admission.server_load, load->slow_percent,
+                           load->measured_at);
+  mesh_slowdown_step (mesh, now);
+}
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -61,6 +61,9 @@
 /* What the local backend server says of itself, mesh_notice.c.  */
 void mesh_on_notice (struct mesh *mesh, const struct server_notice *notice,
                      gint64 now, struct actions *out);
+void mesh_on_server_load (struct mesh *mesh,
+                          const struct event_server_load *load, gint64 now);
+void mesh_slowdown_step (struct mesh *mesh, gint64 now);
 
 /* The warm-up of the local backend server, mesh_warmup.c.  */
 void mesh_warmup_step (struct mesh *mesh, gint64 now, struct actions *out);
--- a/src/serve/run_times.c
+++ b/src/serve/run_times.c
@@ -90,6 +90,22 @@
   add_run (&times->route[i], usec);
 }
 
+/* Let runs that start from now on be expected to take PERMILLE thousandths of
+   the average.  */
+void
+run_times_set_slowdown (struct run_times *times, guint32 permille)
+{
+  times->slow_permille = permille;
+}
+
+/* Return how long a run that starts now is expected to take if it takes USEC
+   on average.  */
+static gint64
+expected_now (const struct run_times *times, gint64 usec)
+{
+  return times->slow_permille > 0 ? usec * times->slow_permille / 1000 : usec;
+}
+
 /* Return the average run time over all routes in microseconds, or 0 until
    enough runs have completed: the first to complete are the short ones.  */
 gint64
@@ -130,8 +146,17 @@
   return route_means > 0 ? total / route_means : run_times_mean (times);
 }
 
-/* Return the average run time of requests on ROUTE in microseconds, or the
-   average over all routes if ROUTE has none; 0 if no run has completed.  */
+/* Return what run_times_route_average would be if all runs took as much longer
+   or shorter as those that start now.  */
+gint64
+run_times_route_average_now (const struct run_times *times)
+{
+  return expected_now (times, run_times_route_average (times));
+}
+
+/* Return how long a run on ROUTE that starts now is expected to take, in
+   microseconds: by the average of the route, or by that over all routes if
+   ROUTE has none; 0 if no run has completed.  */
 gint64
 run_times_of_route (const struct run_times *times, guint32 route)
 {
@@ -139,6 +164,6 @@
 
   for (i = 0; i < times->route_count; i++)
     if (times->route[i].route == route)
-      return times->route[i].mean_usec;
-  return times->all_routes.mean_usec;
+      return expected_now (times, times->route[i].mean_usec);
+  return expected_now (times, times->all_routes.mean_usec);
 }
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -100,8 +100,10 @@
 /* The backend server reported its load.  */
 struct event_server_load
 {
-  guint32 busy_slots; /* slots in use */
-  guint32 queued;     /* requests queued inside the server */
+  guint32 busy_slots;   /* slots in use */
+  guint32 queued;       /* requests queued inside the server */
+  guint32 slow_percent; /* how long work takes now, in percent of the usual;
+                           0: the server does not say */
   gint64 measured_at; /* when the load was measured, monotonic microseconds */
 };
 
--- a/tests/test_dialect.c
+++ b/tests/test_dialect.c
@@ -109,6 +109,31 @@
   CU_ASSERT_EQUAL (class.u.attempt_end.outcome, OUTCOME_UNKNOWN);
 }
 
+/* The fourth figure of the load is how long work takes now.  Servers that send
+   three figures must be understood as before.  */
+static void
+test_load (void)
+{
+  struct response_class class;
+
+  class = classify (200, "Request-Id: r-1\r\nServer-Load: 3,2,6,275\r\n");
+  CU_ASSERT_TRUE (class.has_load);
+  CU_ASSERT_EQUAL (class.load.busy_slots, 3);
+  CU_ASSERT_EQUAL (class.load.queued, 2);
+  CU_ASSERT_EQUAL (class.load.slow_percent, 275);
+  class = classify (200, "Request-Id: r-1\r\nServer-Load: 3,2,6\r\n");
+  CU_ASSERT_TRUE (class.has_load);
+  CU_ASSERT_EQUAL (class.load.queued, 2);
+  CU_ASSERT_EQUAL (class.load.slow_percent, 0);
+  class = classify (200, "Request-Id: r-1\r\nServer-Load: 3,2,6,x\r\n");
+  CU_ASSERT_TRUE (class.has_load);
+  CU_ASSERT_EQUAL (class.load.slow_percent, 0);
+  class = classify (200, "Request-Id: r-1\r\nServer-Load: 3,2,6,-5\r\n");
+  CU_ASSERT_EQUAL (class.load.slow_percent, 0);
+  class = classify (200, "Request-Id: r-1\r\nServer-Load: 3,2\r\n");
+  CU_ASSERT_FALSE (class.has_load);
+}
+
 int
 main (void)
 {
@@ -117,6 +142,7 @@
           { "leaving", test_leaving },
           { "refusal of another request is proof", test_refusal },
           { "success without an id is passed on", test_success_without_id },
+          { "load", test_load },
           CU_TEST_INFO_NULL };
 
   return suite_run ("dialect", tests);
