Load balancing: compare servers drawn by capacity, by the age of reports

Nodes chose among all of up to eight servers, or among four drawn alike, by a cost that included half of the run time and took a server without a recent report for half idle. Where reports are old, fast servers got most requests and let them wait, and slow ones got as many draws as fast ones.

src/serve/even_load decides: servers are drawn in proportion to their capacity (four in the own data centre, one elsewhere) and compared by the time that a request waits there and takes from those behind it. A report fades over 6 s into the mean utilisation of the service instead of half; costs that differ by less than 4 ms are decided by chance. A local server without slots no longer costs nothing.

test_even_load replays 81 entry nodes with 29, 8 and 4 servers at 0.5, 0.8 and 0.95. Fewer requests cross zones.

The test "few candidates" of test_placement required that up to eight servers are all compared, which is no longer wanted; it now requires that none is lost while the draw has room, and "weights" checks the proportions of the draw.

Checked: test_even_load, test_placement, test_peer_state, test_mesh_* listed here pass: pick, route, retry, random, node, limit, warmup, leaving, stop.

--- a/src/mesh/mesh_pick.c
+++ b/src/mesh/mesh_pick.c
@@ -1,5 +1,5 @@
 #include "mesh/mesh_parts.h"
-#include "serve/placement.h"
+#include "serve/even_load.h"
 
 /* A shard that changes its owner is held again after about this time, which
    allows for the heartbeats of the two servers and the appends in between.  */
@@ -84,26 +84,6 @@
   return pick;
 }
 
-/* Return the cost of REQUEST at MEMBER.  DEFAULT_RUN_USEC is the run time of a
-   server that reported none.  */
-static gint64
-cost_at (struct mesh *mesh, const struct mesh_request *request,
-         const struct fleet_member *member, struct handle h,
-         gint64 default_run_usec, gint64 now)
-{
-  struct peer_query query
-      = { .same_zone = strcmp (member->zone, mesh->settings.zone) == 0,
-          .body_bytes = request->body_bytes,
-          .default_run_usec = default_run_usec };
-  struct peer_state local = { 0 };
-
-  if (!is_here (mesh, member))
-    return peer_state_cost (table_get (&mesh->peers, h), &query, now);
-  local.load = mesh_load_report (mesh, now);
-  local.load_reported_at = now;
-  return peer_state_cost (&local, &query, now);
-}
-
 /* Return whether MEMBER accepts requests of SERVICE at NOW.  */
 static gboolean
 accepts (struct mesh *mesh, const struct fleet_member *member,
@@ -119,73 +99,59 @@
   return peer != NULL && !peer->is_leaving && peer_state_slots (peer, now) > 0;
 }
 
-/* The servers of a service that may run a request.  */
-struct server_draw
+/* Return the state of the local server in the form that is kept for peers.  */
+static struct peer_state
+local_state (struct mesh *mesh, gint64 now)
 {
-  struct placement placement; /* those that are compared */
-  gint64 run_usec_sum;        /* sum of their reported mean run times */
-  gint64 report_count;        /* servers that reported one */
-};
-
-/* Draw among the members that may run REQUEST at NOW.  */
-static void
-draw_servers (struct mesh *mesh, const struct mesh_request *request,
-              gint64 now, struct server_draw *draw)
+  struct peer_state local
+      = { .load = mesh_load_report (mesh, now), .load_reported_at = now };
+
+  return local;
+}
+
+/* Return the server for REQUEST, chosen among the members that may run it at
+   NOW.  */
+static struct mesh_pick
+pick_server (struct mesh *mesh, const struct mesh_request *request, gint64 now)
 {
+  struct mesh_pick pick = no_member (REASON_NO_SERVER, 0);
   struct handle h = table_next (&mesh->fleet.members, HANDLE_NONE);
+  struct peer_state local = { 0 };
+  struct handle local_member = HANDLE_NONE;
+  struct even_load_choice choice;
+  struct even_load load;
 
-  memset (draw, 0, sizeof *draw);
-  placement_init (&draw->placement, ++mesh->random_count);
+  even_load_init (&load, ++mesh->random_count, now);
   for (; handle_is_set (h); h = table_next (&mesh->fleet.members, h))
     {
       const struct fleet_member *member
           = fleet_state_member_at (&mesh->fleet, h);
-      const struct peer_state *peer = table_get (&mesh->peers, h);
+      struct placement_candidate server
+          = { .member = h, .peer = table_get (&mesh->peers, h) };
       if (!accepts (mesh, member, request->request.service, h, now))
         continue;
-      if (peer != NULL && peer->load.mean_run_usec > 0)
+      if (is_here (mesh, member))
         {
-          draw->run_usec_sum += peer->load.mean_run_usec;
-          draw->report_count++;
+          local = local_state (mesh, now);
+          local_member = h;
+          server.peer = &local;
         }
-      if (is_reachable (mesh, member, h, now) && !was_tried (request, h))
-        placement_offer (&draw->placement, h,
-                         strcmp (member->zone, mesh->settings.zone) == 0);
-    }
-}
-
-/* Return the one of the compared members where REQUEST costs least.  */
-static struct mesh_pick
-pick_cheapest (struct mesh *mesh, const struct mesh_request *request,
-               gint64 now)
-{
-  struct mesh_pick best = no_member (REASON_NO_SERVER, 0);
-  gint64 least_cost = G_MAXINT64;
-  gint64 default_run_usec;
-  struct server_draw draw;
-  guint i;
-
-  draw_servers (mesh, request, now, &draw);
-  default_run_usec
-      = draw.report_count > 0 ? draw.run_usec_sum / draw.report_count : 0;
-  for (i = 0; i < placement_count (&draw.placement); i++)
-    {
-      struct handle h = placement_at (&draw.placement, i);
-      const struct fleet_member *member
-          = fleet_state_member_at (&mesh->fleet, h);
-      gint64 cost = cost_at (mesh, request, member, h, default_run_usec, now);
-      if (cost >= least_cost)
-        continue;
-      least_cost = cost;
-      best.member = h;
-      best.is_local = is_here (mesh, member);
-      best.reason = REASON_NONE;
+      server.is_near = strcmp (member->zone, mesh->settings.zone) == 0;
+      even_load_offer (&load, &server,
+                       is_reachable (mesh, member, h, now)
+                           && !was_tried (request, h));
     }
-  return best;
+  choice = even_load_choose (&load, request->body_bytes);
+  if (!handle_is_set (choice.member))
+    return pick;
+  pick.member = choice.member;
+  pick.is_local = handle_equal (choice.member, local_member);
+  pick.reason = REASON_NONE;
+  return pick;
 }
 
 /* Return where REQUEST is to be sent at NOW: to the owner of its key, or for
-   an unsharded service to the cheapest member.  */
+   an unsharded service to a member that is chosen by its load.  */
 struct mesh_pick
 mesh_pick (struct mesh *mesh, const struct mesh_request *request, gint64 now)
 {
@@ -200,5 +166,5 @@
         return no_member (REASON_NO_KEY, 0);
       return pick_owner (mesh, request, now);
     }
-  return pick_cheapest (mesh, request, now);
+  return pick_server (mesh, request, now);
 }
--- a/src/serve/peer_state.c
+++ b/src/serve/peer_state.c
@@ -11,10 +11,16 @@
 #define ZONE_USEC_PER_KB ((gint64)2500)
 #define BYTES_PER_KB 1024
 
-/* A load report of this age is ignored.  Its weight falls linearly until
-   then.  */
+/* A load report of this age says nothing of the slots any more.  */
 #define LOAD_STALE_USEC ((gint64)3000000)
 
+/* The weight of the number of requests in a load report falls linearly until
+   the report has this age.  What is assumed instead is the same for all
+   servers, so a shorter time makes a node blind to those that are overloaded
+   for seconds: in the replay of test_even_load 1 s and 3 s have longer waits,
+   12 s has the same.  */
+#define LOAD_FADE_USEC ((gint64)6000000)
+
 /* A report of no slots is ignored after this time, which is about a heartbeat
    interval: a process that starts reports none until its server's first
    heartbeat.  Without requests there are no newer reports.  */
@@ -26,6 +32,12 @@
 
 #define RUN_DEFAULT_USEC ((gint64)100000) /* run time if none is known */
 
+/* Share of the slots that are assumed to be taken if nothing is known of any
+   server, thousandths.  */
+#define BUSY_DEFAULT_PERMILLE 500
+
+#define PERMILLE ((gint64)1000)
+
 /* Return the time of the last message from the peer itself, or when this node
    began to wait for one.  */
 gint64
@@ -182,27 +194,49 @@
                                      : RUN_DEFAULT_USEC;
 }
 
-/* Return how long a request waits behind AHEAD others for one of SLOTS, each
-   of which is taken for RUN_USEC.  */
+/* Return how many requests per second the peer's server can run at NOW, by its
+   slots and run time.  DEFAULT_RUN_USEC is the run time if it reported
+   none.  */
+gdouble
+peer_state_capacity (const struct peer_state *peer, gint64 default_run_usec,
+                     gint64 now)
+{
+  struct peer_query query = { .default_run_usec = default_run_usec };
+
+  return (gdouble)MAX (1, peer_state_slots (peer, now)) * G_USEC_PER_SEC
+         / (gdouble)expected_run_usec (&peer->load, &query);
+}
+
+/* Return how long a request waits behind AHEAD thousandths of a request for
+   one of SLOTS, each of which is taken for RUN_USEC.  */
 static gint64
-queueing_usec (gint64 run_usec, guint32 ahead, guint32 slots)
+queueing_usec (gint64 run_usec, gint64 ahead, gint64 slots)
 {
-  return ahead < slots ? 0 : run_usec * (ahead - slots + 1) / slots;
+  gint64 queued = ahead + PERMILLE - slots * PERMILLE;
+
+  return queued < PERMILLE ? 0 : run_usec * queued / (slots * PERMILLE);
 }
 
-/* Return the estimated number of requests at the peer.  Without a recent load
-   report half of the peer's slots are assumed to be busy, besides the requests
-   that this node has sent.  */
-static guint32
-estimated_requests (const struct peer_state *peer, gint64 now)
+/* Return the estimated number of requests at the peer, in thousandths. Without
+   a recent load report as many of the peer's slots as QUERY names are assumed
+   to be taken, besides the requests that this node has sent.  */
+static gint64
+estimated_requests (const struct peer_state *peer,
+                    const struct peer_query *query, gint64 now)
 {
   const struct load_report *load = &peer->load;
   gint64 slots = peer_state_slots (peer, now);
-  gint64 reported = load->running + load->waiting + peer->sent_since_load;
-  gint64 assumed = slots / 2 + peer->in_flight;
-  gint64 age = MIN (now - peer->load_reported_at, LOAD_STALE_USEC);
+  gint64 reported
+      = PERMILLE
+        * ((gint64)load->running + load->waiting + peer->sent_since_load);
+  gint64 busy_permille = query->busy_permille > 0 ? query->busy_permille
+                                                  : BUSY_DEFAULT_PERMILLE;
+  gint64 assumed = slots * busy_permille + PERMILLE * peer->in_flight;
+  gint64 age = peer->load_reported_at != 0
+                   ? MIN (now - peer->load_reported_at, LOAD_FADE_USEC)
+                   : LOAD_FADE_USEC;
 
-  return (guint32)(reported + (assumed - reported) * age / LOAD_STALE_USEC);
+  return reported + (assumed - reported) * age / LOAD_FADE_USEC;
 }
 
 /* Return how late the next answer of the peer is expected to be.  */
@@ -215,22 +249,21 @@
   return MAX (unanswered_usec, peer->late_until - now);
 }
 
-/* Return the estimated cost of a request at the peer, in microseconds: its
-   queueing time and run time, weighted up the busier the server is, and the
-   way there.  */
+/* Return the estimated cost of a request at the peer, in microseconds: the
+   time that it waits, the time that it takes from the requests behind it, and
+   the way there.  The time that it runs itself is no part of it: it would put
+   most requests at the fast servers and let them wait there.  */
 gint64
 peer_state_cost (const struct peer_state *peer, const struct peer_query *query,
                  gint64 now)
 {
   const struct load_report *load = &peer->load;
   gint64 run_usec = expected_run_usec (load, query);
-  guint32 ahead = estimated_requests (peer, now);
-  guint32 slots = peer_state_slots (peer, now);
-  gint64 cost = 0;
+  gint64 ahead = estimated_requests (peer, query, now);
+  gint64 slots = MAX (1, peer_state_slots (peer, now));
+  gint64 cost = queueing_usec (run_usec, ahead, slots)
+                + run_usec * (ahead + PERMILLE) / (slots * PERMILLE);
 
-  if (slots > 0)
-    cost = queueing_usec (run_usec, ahead, slots) + run_usec / 2
-           + run_usec * (ahead + 1) / slots;
   cost += cost * load->failed_permille / 1000 * LOAD_FAILURE_WEIGHT;
   cost += MAX (0, expected_delay (peer, now));
   if (!query->same_zone)
--- a/src/serve/peer_state.h
+++ b/src/serve/peer_state.h
@@ -65,6 +65,8 @@
   gint64 default_run_usec; /* run time to assume at servers that report none,
                               0: not known */
   gint64 body_bytes;       /* length of the request body */
+  gint64 busy_permille;    /* thousandths of a server's slots to assume to be
+                              taken where that is not known; 0: half */
 };
 
 gint64 peer_state_last_message_at (const struct peer_state *peer);
@@ -79,6 +81,8 @@
 void peer_state_on_answer (struct peer_state *peer, gint64 now);
 void peer_state_on_abandoned (struct peer_state *peer, gint64 now);
 guint32 peer_state_slots (const struct peer_state *peer, gint64 now);
+gdouble peer_state_capacity (const struct peer_state *peer,
+                             gint64 default_run_usec, gint64 now);
 gint64 peer_state_cost (const struct peer_state *peer,
                         const struct peer_query *query, gint64 now);
 void peer_state_on_load (struct peer_state *peer,
--- a/src/serve/placement.c
+++ b/src/serve/placement.c
@@ -1,5 +1,6 @@
 #include "serve/placement.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Constants of the finalizer of SplitMix64.  */
@@ -7,6 +8,12 @@
 #define MIX_FIRST G_GUINT64_CONSTANT (0xbf58476d1ce4e5b9)
 #define MIX_SECOND G_GUINT64_CONSTANT (0x94d049bb133111eb)
 
+/* The upper bits of a random number that make up a fraction.  */
+#define FRACTION_SHIFT 11
+#define FRACTION_UNIT                                                         \
+  (1.0 / 9007199254740992.0) /* two to the power of -53                       \
+                              */
+
 /* Return a random number for VALUE.  */
 static guint64
 mix (guint64 value)
@@ -25,6 +32,19 @@
   placement->seed = mix (seed);
 }
 
+/* Return the draw of MEMBER with WEIGHT: an exponentially distributed random
+   number.  That of a candidate is the lowest of all with a probability in
+   proportion to its weight.  */
+static gdouble
+draw_of (const struct placement *placement, struct handle member,
+         gdouble weight)
+{
+  guint64 bits = mix (placement->seed ^ member.bits);
+  gdouble fraction = ((gdouble)(bits >> FRACTION_SHIFT) + 0.5) * FRACTION_UNIT;
+
+  return -log (fraction) / weight;
+}
+
 /* Keep CHOICE among the *COUNT CHOICES if it is one of the MAX with the lowest
    draws.  */
 static void
@@ -46,39 +66,39 @@
     choices[worst] = choice;
 }
 
-/* Offer MEMBER, which is in the own data centre if IS_NEAR, to the draw.  */
+/* Offer CANDIDATE to the draw.  WEIGHT must be greater than 0.  */
 void
-placement_offer (struct placement *placement, struct handle member,
-                 gboolean is_near)
+placement_offer (struct placement *placement,
+                 const struct placement_candidate *candidate, gdouble weight)
 {
   struct placement_choice choice
-      = { member, mix (placement->seed ^ member.bits) };
+      = { *candidate, draw_of (placement, candidate->member, weight) };
 
-  if (placement->offered_count < PLACEMENT_ALL)
-    placement->all[placement->offered_count] = member;
-  placement->offered_count++;
-  if (is_near)
+  if (candidate->is_near)
     keep (placement->near, &placement->near_count, PLACEMENT_NEAR, choice);
   else
     keep (placement->far, &placement->far_count, PLACEMENT_FAR, choice);
 }
 
-/* Return the number of members to be compared.  */
+/* Return the number of candidates to be compared.  */
 guint
 placement_count (const struct placement *placement)
 {
-  if (placement->offered_count <= PLACEMENT_ALL)
-    return placement->offered_count;
   return placement->near_count + placement->far_count;
 }
 
-/* Return the member at INDEX of those to be compared.  */
-struct handle
+/* Return the candidate at INDEX of those to be compared.  */
+const struct placement_candidate *
 placement_at (const struct placement *placement, guint index)
 {
-  if (placement->offered_count <= PLACEMENT_ALL)
-    return placement->all[index];
   return index < placement->near_count
-             ? placement->near[index].member
-             : placement->far[index - placement->near_count].member;
+             ? &placement->near[index].candidate
+             : &placement->far[index - placement->near_count].candidate;
+}
+
+/* Return a random number for MEMBER that does not depend on its draw.  */
+guint32
+placement_random (const struct placement *placement, struct handle member)
+{
+  return (guint32)mix (mix (placement->seed) ^ member.bits);
 }
--- a/src/serve/placement.h
+++ b/src/serve/placement.h
@@ -3,6 +3,8 @@
 
 #include "types/handle.h"
 
+struct peer_state;
+
 /* Which servers of an undivided service are compared for a request.
 
    Load pattern: some 60 servers of a service, a dozen requests a second at
@@ -10,20 +12,30 @@
    older than the time that requests run, and the same at many nodes.  If each
    node takes the best of all, all take the same few fast servers, whose queues
    grow while others are idle.  So each request compares only a few that are
-   drawn at random, more of them in its own data centre since bytes between
-   data centres are expensive.  Of a service with few servers each node has
-   fresh news, and all are compared.  */
+   drawn at random, most of them in its own data centre since bytes between
+   data centres are expensive.
 
-#define PLACEMENT_ALL 8u /* so many candidates are all compared */
+   A server is drawn with a probability in proportion to its weight.  Servers
+   of different speeds that are drawn alike get alike many requests wherever
+   the comparison has nothing to go by, and the slow ones are overloaded.  */
 
-#define PLACEMENT_NEAR 3u /* drawn in the data centre of the entry node */
+#define PLACEMENT_NEAR 4u /* drawn in the data centre of the entry node */
 #define PLACEMENT_FAR 1u  /* drawn elsewhere */
+#define PLACEMENT_MAX (PLACEMENT_NEAR + PLACEMENT_FAR)
+
+/* A server that may be drawn.  */
+struct placement_candidate
+{
+  struct handle member;          /* member of the server's node */
+  const struct peer_state *peer; /* what is known of it */
+  gboolean is_near;              /* it is in the own data centre */
+};
 
 /* A candidate that was drawn.  */
 struct placement_choice
 {
-  struct handle member; /* the candidate */
-  guint64 draw;         /* random number; the lowest are kept */
+  struct placement_candidate candidate;
+  gdouble draw; /* random number; the lowest are kept */
 };
 
 struct placement
@@ -31,17 +43,18 @@
   guint64 seed;                                 /* of the random numbers */
   struct placement_choice near[PLACEMENT_NEAR]; /* in the own data centre */
   struct placement_choice far[PLACEMENT_FAR];   /* elsewhere */
-  struct handle
-      all[PLACEMENT_ALL]; /* the first candidates that were offered */
-  guint offered_count;    /* candidates that were offered */
-  guint near_count;       /* used entries of `near' */
-  guint far_count;        /* used entries of `far' */
+  guint near_count;                             /* used entries of `near' */
+  guint far_count;                              /* used entries of `far' */
 };
 
 void placement_init (struct placement *placement, guint64 seed);
-void placement_offer (struct placement *placement, struct handle member,
-                      gboolean is_near);
+void placement_offer (struct placement *placement,
+                      const struct placement_candidate *candidate,
+                      gdouble weight);
 guint placement_count (const struct placement *placement);
-struct handle placement_at (const struct placement *placement, guint index);
+const struct placement_candidate *
+placement_at (const struct placement *placement, guint index);
+guint32 placement_random (const struct placement *placement,
+                          struct handle member);
 
 #endif
--- /dev/null
+++ b/tests/test_even_load.c
@@ -0,0 +1,191 @@
+#include "serve/even_load.h"
+
+#include "tests/former_choice.h"
+#include "tests/load_replay_run.h"
+#include "tests/suite.h"
+
+/* Replays many entry nodes that choose servers at the same moment by old
+   reports, and compares the choice with the one before it, and with methods
+   that were considered.  */
+
+#define SEEDS 2u
+
+/* Without reports and run times no method knows the speeds of the servers, and
+   the busiest one may be busier by chance.  */
+#define BUSIEST_EQUAL 1.02
+
+static const gdouble few_slow_speeds[] = { 0.7, 0.7, 1.6 };
+static const gdouble spread_speeds[] = { 0.6, 1.0, 1.4 };
+static const gdouble utilisations[] = { 0.5, 0.8, 0.95 };
+static const char *const report_names[] = { "periodic", "answers", "missing" };
+
+/* Return the server that the present method chooses.  */
+static gint
+choose_even_load (struct replay *replay, guint e, guint32 tried)
+{
+  struct even_load load;
+  struct even_load_choice choice;
+  guint s;
+
+  even_load_init (&load, g_rand_int (replay->random), replay->now);
+  for (s = 0; s < replay->setup->servers; s++)
+    {
+      struct placement_candidate server
+          = { .member = handle_make (s, 1),
+              .peer = &replay->peers[e][s],
+              .is_near = replay->servers[s].zone == replay_zone (e) };
+      even_load_offer (&load, &server, (tried >> s & 1) == 0);
+    }
+  choice = even_load_choose (&load, 0);
+  return handle_is_set (choice.member) ? (gint)handle_index (choice.member)
+                                       : -1;
+}
+
+/* Return a server drawn in proportion to its capacity, whatever its load.  */
+static gint
+choose_by_capacity (struct replay *replay, guint e, guint32 tried)
+{
+  gdouble least = G_MAXDOUBLE;
+  gint best = -1;
+  guint s;
+
+  for (s = 0; s < replay->setup->servers; s++)
+    {
+      gdouble draw
+          = replay_exponential (replay, 1)
+            / peer_state_capacity (&replay->peers[e][s], 0, replay->now);
+      if ((tried >> s & 1) != 0 || draw >= least)
+        continue;
+      least = draw;
+      best = (gint)s;
+    }
+  return best;
+}
+
+/* Return the mean of the results of SETUP with CHOOSE over all seeds.  */
+static struct replay_result
+average (const struct replay_case *setup, replay_choose choose)
+{
+  struct replay_result sum = { 0 };
+  guint32 seed;
+
+  for (seed = 1; seed <= SEEDS; seed++)
+    {
+      struct replay_result result = replay_run (setup, choose, seed);
+      sum.busiest += result.busiest / SEEDS;
+      sum.wait_ms += result.wait_ms / SEEDS;
+      sum.wait95_ms += result.wait95_ms / SEEDS;
+      sum.refused += result.refused / SEEDS;
+      sum.crossed += result.crossed / SEEDS;
+    }
+  return sum;
+}
+
+/* Print RESULT of the method NAME.  */
+static void
+print_result (const char *name, const struct replay_result *result)
+{
+  printf (" | %s %.2f %4.0f %4.0f %.3f %.2f", name, result->busiest,
+          result->wait_ms, result->wait95_ms, result->refused,
+          result->crossed);
+}
+
+/* What a method shows over the services and utilisations of one kind of
+   reports.  */
+struct sums
+{
+  gdouble wait_ms;
+  gdouble refused;
+  gdouble crossed;
+  gdouble busiest;
+};
+
+/* Add RESULT to SUMS.  */
+static void
+add_result (struct sums *sums, const struct replay_result *result)
+{
+  sums->wait_ms += result->wait_ms;
+  sums->refused += result->refused;
+  sums->crossed += result->crossed;
+  sums->busiest += result->busiest;
+}
+
+/* Replay services with 29, 8 and 4 servers at all utilisations, with load
+   reports as REPORTS says, and compare the choice with the former one.  */
+static void
+compare (enum replay_reports reports)
+{
+  static const guint sizes[] = { 29, 8, 4 };
+  struct sums former_sums = { 0 };
+  struct sums present_sums = { 0 };
+  struct sums capacity_sums = { 0 };
+  guint i;
+  guint u;
+
+  printf ("\n%s: busiest, wait ms, p95 ms, refused, crossed\n",
+          report_names[reports]);
+  for (i = 0; i < G_N_ELEMENTS (sizes); i++)
+    for (u = 0; u < G_N_ELEMENTS (utilisations); u++)
+      {
+        struct replay_case setup
+            = { .servers = sizes[i],
+                .speeds = sizes[i] > 8 ? few_slow_speeds : spread_speeds,
+                .speed_count = 3,
+                .utilisation = utilisations[u],
+                .reports = reports };
+        struct replay_result former = average (&setup, choose_former);
+        struct replay_result present = average (&setup, choose_even_load);
+        struct replay_result capacity = average (&setup, choose_by_capacity);
+        printf ("%2u servers at %.2f", sizes[i], utilisations[u]);
+        print_result ("former", &former);
+        print_result ("present", &present);
+        print_result ("capacity", &capacity);
+        printf ("\n");
+        add_result (&former_sums, &former);
+        add_result (&present_sums, &present);
+        add_result (&capacity_sums, &capacity);
+      }
+  printf ("all: wait former %.0f present %.0f capacity %.0f\n",
+          former_sums.wait_ms, present_sums.wait_ms, capacity_sums.wait_ms);
+  CU_ASSERT_TRUE (present_sums.wait_ms < former_sums.wait_ms);
+  CU_ASSERT_TRUE (present_sums.wait_ms < capacity_sums.wait_ms);
+  CU_ASSERT_TRUE (present_sums.busiest
+                  < former_sums.busiest
+                        * (reports == REPLAY_MISSING ? BUSIEST_EQUAL : 1));
+  CU_ASSERT_TRUE (present_sums.crossed < former_sums.crossed);
+  CU_ASSERT_TRUE (present_sums.refused <= former_sums.refused + 0.01);
+}
+
+/* Reports up to 1.3 s old.  */
+static void
+test_periodic_reports (void)
+{
+  compare (REPLAY_PERIODIC);
+}
+
+/* Reports that come only with answers: a node hears of most servers once in
+   some seconds.  */
+static void
+test_reports_with_answers (void)
+{
+  compare (REPLAY_ANSWERS);
+}
+
+/* No reports at all, and so no run times.  */
+static void
+test_missing_reports (void)
+{
+  compare (REPLAY_MISSING);
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[]
+      = { { "periodic reports", test_periodic_reports },
+          { "reports with answers", test_reports_with_answers },
+          { "missing reports", test_missing_reports },
+          CU_TEST_INFO_NULL };
+
+  return suite_run ("even_load", tests);
+}
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -88,11 +88,18 @@
 
   placement_init (&placement, g_rand_int (replay->random));
   for (i = 0; i < SERVERS; i++)
-    placement_offer (&placement, handle_make (i, 1), e % ZONES == i % ZONES);
-  best = handle_index (placement_at (&placement, 0));
+    {
+      struct placement_candidate server
+          = { .member = handle_make (i, 1),
+              .is_near = e % ZONES == i % ZONES };
+      placement_offer (&placement, &server,
+                       peer_state_capacity (&replay->news[e * SERVERS + i],
+                                            RUN_USEC, replay->now));
+    }
+  best = handle_index (placement_at (&placement, 0)->member);
   for (i = 1; i < placement_count (&placement); i++)
     {
-      guint s = handle_index (placement_at (&placement, i));
+      guint s = handle_index (placement_at (&placement, i)->member);
       if (cost_seen (replay, e, s) < cost_seen (replay, e, best))
         best = s;
     }
@@ -211,19 +218,51 @@
   CU_ASSERT_TRUE (drawn.waited < all.waited / 4);
 }
 
-/* Few candidates are all compared, each once.  */
+/* Few candidates are all compared, each once: a service with few servers in
+   the own data centre must not lose one of them to the draw.  */
 static void
 test_few (void)
 {
   struct placement placement;
+  guint seen = 0;
   guint i;
 
   placement_init (&placement, 5);
-  for (i = 0; i < 8; i++)
-    placement_offer (&placement, handle_make (i, 1), i == 0);
-  CU_ASSERT_EQUAL (placement_count (&placement), 8);
-  for (i = 0; i < 8; i++)
-    CU_ASSERT_EQUAL (handle_index (placement_at (&placement, i)), i);
+  for (i = 0; i < PLACEMENT_MAX; i++)
+    {
+      struct placement_candidate server
+          = { .member = handle_make (i, 1), .is_near = i < PLACEMENT_NEAR };
+      placement_offer (&placement, &server, 1 + i);
+    }
+  CU_ASSERT_EQUAL (placement_count (&placement), PLACEMENT_MAX);
+  for (i = 0; i < PLACEMENT_MAX; i++)
+    seen |= 1u << handle_index (placement_at (&placement, i)->member);
+  CU_ASSERT_EQUAL (seen, (1u << PLACEMENT_MAX) - 1);
+}
+
+/* Candidates must be drawn in proportion to their weights, or slow servers get
+   as many requests as fast ones.  */
+static void
+test_weights (void)
+{
+  guint drawn[2] = { 0 };
+  guint i;
+  guint k;
+
+  for (i = 0; i < 20000; i++)
+    {
+      struct placement placement;
+      placement_init (&placement, i);
+      for (k = 0; k < 16; k++)
+        {
+          struct placement_candidate server
+              = { .member = handle_make (k, 1), .is_near = FALSE };
+          placement_offer (&placement, &server, k % 2 == 0 ? 1 : 3);
+        }
+      drawn[handle_index (placement_at (&placement, 0)->member) % 2]++;
+    }
+  CU_ASSERT_TRUE (drawn[1] > drawn[0] * 27 / 10);
+  CU_ASSERT_TRUE (drawn[1] < drawn[0] * 33 / 10);
 }
 
 int
@@ -231,6 +270,7 @@
 {
   CU_TestInfo tests[] = { { "old news of many servers", test_old_news },
                           { "few candidates", test_few },
+                          { "weights", test_weights },
                           CU_TEST_INFO_NULL };
 
   return suite_run ("placement", tests);
