Keyed services: owners even out their demand instead of their run times

Owners compared the cost of a request, which below half of the capacity is its run time alone. Slow owners gave their keys away until they were nearly idle, fast ones filled up beyond the others, and equal ones never evened out. The rate of an owner's requests also depended on how long ago the counts were halved: it read 0.67 to 1.33 of the true rate, and nodes halve at different times.

Failures raise the demand that is compared, as before. Demand goes by a run time over some seconds, so that a machine that is slow for 0.4 s loses no keys. Rates account for the time since the counts were halved. The limits on moves and maps are as before; overloaded owners and hot keys are handled as before.

--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -17,6 +17,7 @@
 #include "serve/mesh_request.h"
 #include "serve/peer_state.h"
 #include "serve/run_times.h"
+#include "shard/even_keys.h"
 #include "shard/grant.h"
 #include "shard/key_rate.h"
 #include "types/action.h"
@@ -43,9 +44,10 @@
   struct run_times run_times; /* run times at the local backend server */
   struct run_times answer_times; /* time until callers' requests were answered,
                                     by route */
-  struct key_rate key_rate; /* requests per second for each key owned here */
-  struct ring ring;         /* neighbours that this node calls */
-  struct table peers;       /* struct peer_state, by members' handles */
+  struct key_rate key_rate;   /* requests per second for each key owned here */
+  struct even_keys even_keys; /* mean demand on the server by its keys */
+  struct ring ring;           /* neighbours that this node calls */
+  struct table peers;         /* struct peer_state, by members' handles */
   GHashTable *peers_by_incarnation; /* incarnation to the bits of a handle in
                                        `peers'; may be out of date */
   struct handle next_report;        /* peer after which reports continue */
--- a/src/mesh/mesh_balance.c
+++ b/src/mesh/mesh_balance.c
@@ -27,24 +27,48 @@
    without it does not help.  */
 #define HOT_KEY_DIVISOR 3u
 
-/* Return the demand on the local server in thousandths of its capacity, from
-   the rate of its requests and their mean run time, or from its limit or its
-   rate while it is cold if that is less.  */
-guint32
-mesh_demand (const struct mesh *mesh)
+/* Return the run time by which demand is estimated: a mean over some seconds,
+   as soon as there is one.  A machine that is slow for 0.4 s does not change
+   it much, and the move of its keys would take longer.  */
+static gint64
+demand_run_usec (const struct mesh *mesh)
+{
+  return mesh->even_keys.run_usec > 0 ? mesh->even_keys.run_usec
+                                      : run_times_mean (&mesh->run_times);
+}
+
+/* Return the demand of RATE requests per second on the local server in
+   thousandths of its capacity, from their mean run time, or from its limit or
+   its rate while it is cold if that is less.  */
+static guint32
+demand_of_rate (const struct mesh *mesh, guint32 rate)
 {
   const struct admission *admission = &mesh->admission;
-  guint32 rate = key_rate_total (&mesh->key_rate);
 
   if (admission->slots == 0)
     return 0;
   return MAX (
-      (guint32)((guint64)rate * (guint64)run_times_mean (&mesh->run_times)
+      (guint32)((guint64)rate * (guint64)demand_run_usec (mesh)
                 / ((guint64)admission->slots * USEC_PER_MSEC)),
       MAX (server_limit_demand (&admission->limit, rate),
            warmup_demand (&admission->warmup, rate, mesh->last_event_at)));
 }
 
+/* Return the demand on the local server in thousandths of its capacity, by the
+   present rate of the requests for its keys.  */
+guint32
+mesh_demand (const struct mesh *mesh)
+{
+  return demand_of_rate (mesh, key_rate_total (&mesh->key_rate));
+}
+
+/* Return the demand on the local server by the rate over some seconds.  */
+guint32
+mesh_mean_own_demand (const struct mesh *mesh)
+{
+  return demand_of_rate (mesh, even_keys_rate (&mesh->even_keys));
+}
+
 /* Return whether SHARD is owned by this node and has no next owner yet.  */
 static gboolean
 is_own (const struct mesh *mesh, const struct shard *shard)
@@ -107,6 +131,8 @@
               guint32 first, guint32 last, guint32 rate,
               const struct load_report *load, gint64 now, struct actions *out)
 {
+  guint32 total_rate = key_rate_total (&mesh->key_rate);
+
   mesh_handoff_add (mesh, first, last, receiver->member->name, now);
   mesh_log (out, LOG_EVENT_MESH_BALANCE, receiver->member->name,
             "first=%u last=%u demand=%u run_ms=%" G_GINT64_FORMAT
@@ -116,9 +142,10 @@
             load->mean_run_usec / USEC_PER_MSEC,
             receiver->reported_load.demand_permille,
             receiver->reported_load.mean_run_usec / USEC_PER_MSEC,
-            receiver->unheld_usec / USEC_PER_MSEC, rate,
-            key_rate_total (&mesh->key_rate));
+            receiver->unheld_usec / USEC_PER_MSEC, rate, total_rate);
   key_rate_reset (&mesh->key_rate, first, last);
+  even_keys_moved (&mesh->even_keys,
+                   total_rate - key_rate_total (&mesh->key_rate));
 }
 
 /* Plan the handoff of a hot key that keeps this server busy, whose load is
@@ -137,8 +164,8 @@
   if (rate < MESH_MIN_MOVE_RATE
       || rate < key_rate_total (&mesh->key_rate) / HOT_KEY_DIVISOR)
     return FALSE;
-  receiver = mesh_receiver_choose (mesh, candidates, map, TRUE,
-                                   load->mean_run_usec, rate, now);
+  receiver = mesh_receiver_of_key (mesh, candidates, map, load->mean_run_usec,
+                                   rate, now);
   if (receiver.member == NULL
       || mesh_request_cost (load->mean_run_usec, load->demand_permille,
                             load->failed_permille)
@@ -158,15 +185,15 @@
                 const GArray *candidates, const struct load_report *load,
                 gint64 now, struct actions *out)
 {
-  guint32 total_rate = key_rate_total (&mesh->key_rate);
-  struct mesh_receiver receiver = mesh_receiver_choose (
-      mesh, candidates, map, FALSE, load->mean_run_usec, 0, now);
+  gint64 mean_demand = mesh_mean_demand (mesh, candidates, now);
+  struct mesh_receiver receiver
+      = mesh_receiver_of_range (mesh, candidates, map, mean_demand, now);
   struct key_rate_range range;
   guint32 rate;
 
   if (receiver.member == NULL)
     return FALSE;
-  rate = mesh_rate_to_move (&receiver, load, total_rate);
+  rate = mesh_rate_to_move (mesh, &receiver, load, mean_demand);
   if (rate == 0)
     return FALSE;
   range = find_range (mesh, map, rate);
@@ -225,6 +252,8 @@
   guint32 demand = mesh_demand (mesh);
   guint planned = 0;
 
+  even_keys_update (&mesh->even_keys, key_rate_total (&mesh->key_rate),
+                    run_times_mean (&mesh->run_times), now);
   if (now < mesh->balance_paused_until || is_map_contended (mesh, now)
       || !can_write_map (mesh) || map->shards->len > MAX_SHARDS)
     return;
--- a/src/mesh/mesh_move_rate.c
+++ b/src/mesh/mesh_move_rate.c
@@ -1,16 +1,7 @@
 #include "mesh/mesh_parts.h"
 
-/* Keys are moved only if a request costs here at least this percentage of its
-   cost at the other server.  The bound is higher if this server is merely
-   slow: mean run times differ by chance, and a move takes its keys out of
-   service for about a heartbeat interval.  */
-#define BUSY_COST_PERCENT 130
-#define SLOW_COST_PERCENT 170
-
-/* One move takes away at most half of the requests of this server.  If that is
-   too much for the receiver, the part is halved repeatedly, down to one part
-   in this many.  */
-#define MAX_DIVISOR 16u
+/* A report of this age does not count towards the mean demand.  */
+#define REPORT_USEC ((gint64)6000000)
 
 /* Load pattern: many neighbouring keys of one owner become hot at once and ask
    for the capacity of several servers.  An owner that halves its load with
@@ -39,39 +30,59 @@
   return 0;
 }
 
-/* Return how many of the RATE requests per second of this node, whose load is
-   LOAD, are to move to RECEIVER; 0 if no move is worthwhile.  */
+/* Return the mean demand on the servers of CANDIDATES by their recent reports
+   and on the local one, in thousandths of their capacities.  */
+gint64
+mesh_mean_demand (struct mesh *mesh, const GArray *candidates, gint64 now)
+{
+  gint64 sum = mesh_mean_own_demand (mesh);
+  gint64 count = 1;
+  guint i;
+
+  for (i = 0; i < candidates->len; i++)
+    {
+      const struct candidate *candidate
+          = &g_array_index (candidates, struct candidate, i);
+      const struct peer_state *peer = table_get (
+          &mesh->peers, fleet_state_find (&mesh->fleet, candidate->node_name));
+      if (peer == NULL || peer->load_reported_at == 0
+          || now - peer->load_reported_at >= REPORT_USEC)
+        continue;
+      sum += peer->load.demand_permille;
+      count++;
+    }
+  return sum / count;
+}
+
+/* Return how many requests per second of this node, whose load is LOAD, are to
+   move to RECEIVER, where MEAN_DEMAND is the mean demand of all owners; 0 if
+   no move is worthwhile.  */
 guint32
-mesh_rate_to_move (const struct mesh_receiver *receiver,
-                   const struct load_report *load, guint32 rate)
+mesh_rate_to_move (const struct mesh *mesh,
+                   const struct mesh_receiver *receiver,
+                   const struct load_report *load, gint64 mean_demand)
 {
+  const struct load_report *reported = &receiver->reported_load;
+  guint32 rate = key_rate_total (&mesh->key_rate);
   gint64 run_usec = load->mean_run_usec;
-  gint64 demand_per_rate = mesh_demand_per_rate (load, run_usec);
-  gint64 demand = load->demand_permille;
-  gint64 min_percent
-      = demand >= MESH_BUSY_PERMILLE ? BUSY_COST_PERCENT : SLOW_COST_PERCENT;
-  guint32 divisor;
+  gint64 own_demand = mesh_weighted_demand (mesh_mean_own_demand (mesh),
+                                            load->failed_permille);
+  gint64 demand_per_rate = mesh_demand_per_rate (reported, run_usec);
+  struct even_keys_receiver other
+      = { mesh_weighted_demand (reported->demand_permille,
+                                reported->failed_permille),
+          demand_per_rate };
 
-  if (mesh_request_cost (run_usec, demand, load->failed_permille) * 100
-      < mesh_receiver_cost (receiver, run_usec, 0) * min_percent)
-    return 0;
-  if (demand > MESH_OVERLOAD_PERMILLE)
+  if (load->demand_permille > MESH_OVERLOAD_PERMILLE)
     {
-      guint32 moved = rate_with_room (
-          receiver, mesh_demand_per_rate (&receiver->reported_load, run_usec),
-          rate);
+      guint32 moved = rate_with_room (receiver, demand_per_rate, rate);
       if (moved > 0)
         return moved;
     }
-  for (divisor = 2;
-       divisor <= MAX_DIVISOR && rate / divisor >= MESH_MIN_MOVE_RATE;
-       divisor *= 2)
-    {
-      guint32 moved = rate / divisor;
-      if (mesh_receiver_cost (receiver, run_usec, moved) <= mesh_request_cost (
-              run_usec, demand - moved * demand_per_rate / USEC_PER_MSEC,
-              load->failed_permille))
-        return moved;
-    }
-  return 0;
+  if (!even_keys_has_excess (own_demand, mean_demand))
+    return 0;
+  rate = MIN (rate / 2, even_keys_rate_to_move (
+                            own_demand, mean_demand,
+                            mesh_demand_per_rate (load, run_usec), &other));
+  return rate >= MESH_MIN_MOVE_RATE ? rate : 0;
 }
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -183,19 +183,29 @@
 /* Least rate that is worth a move, requests per second.  */
 #define MESH_MIN_MOVE_RATE 3u
 guint32 mesh_demand (const struct mesh *mesh);
+guint32 mesh_mean_own_demand (const struct mesh *mesh);
 void mesh_balance (struct mesh *mesh, const struct shard_map *map,
                    const GArray *candidates, gint64 now, struct actions *out);
-guint32 mesh_rate_to_move (const struct mesh_receiver *receiver,
-                           const struct load_report *load, guint32 rate);
+guint32 mesh_rate_to_move (const struct mesh *mesh,
+                           const struct mesh_receiver *receiver,
+                           const struct load_report *load, gint64 mean_demand);
+gint64 mesh_mean_demand (struct mesh *mesh, const GArray *candidates,
+                         gint64 now);
 gint64 mesh_request_cost (gint64 run_usec, gint64 demand, guint32 failing);
 gint64 mesh_demand_per_rate (const struct load_report *load,
                              gint64 default_run_usec);
 gint64 mesh_receiver_cost (const struct mesh_receiver *receiver,
                            gint64 default_run_usec, guint32 rate);
-struct mesh_receiver
-mesh_receiver_choose (struct mesh *mesh, const GArray *candidates,
-                      const struct shard_map *map, gboolean all,
-                      gint64 default_run_usec, guint32 rate, gint64 now);
+gint64 mesh_weighted_demand (gint64 demand, guint32 failing);
+struct mesh_receiver mesh_receiver_of_range (struct mesh *mesh,
+                                             const GArray *candidates,
+                                             const struct shard_map *map,
+                                             gint64 mean_demand, gint64 now);
+struct mesh_receiver mesh_receiver_of_key (struct mesh *mesh,
+                                           const GArray *candidates,
+                                           const struct shard_map *map,
+                                           gint64 default_run_usec,
+                                           guint32 rate, gint64 now);
 
 /* Reports on other nodes within gossip messages, mesh_report.c.  */
 void mesh_report_mark (struct peer_state *peer, gint64 now);
--- a/src/mesh/mesh_receiver.c
+++ b/src/mesh/mesh_receiver.c
@@ -29,6 +29,14 @@
   return cost + cost * failing * LOAD_FAILURE_WEIGHT / 1000;
 }
 
+/* Return DEMAND as it counts in a comparison: higher where FAILING thousandths
+   of the attempts fail.  */
+gint64
+mesh_weighted_demand (gint64 demand, guint32 failing)
+{
+  return demand + demand * failing * LOAD_FAILURE_WEIGHT / 1000;
+}
+
 /* Return the demand that one request per second puts on a server, in
    millionths of its capacity.  DEFAULT_RUN_USEC is the run time if the server
    reported none.  */
@@ -128,33 +136,79 @@
   return cost + cost * receiver->unheld_usec / UNHELD_DOUBLES_USEC;
 }
 
-/* Choose the one of CANDIDATES that is to receive keys of MAP with RATE
-   requests per second: the one with the least cost of the move among
-   RANDOM_CHOICES random ones, or among ALL.  The choice is random because
+/* Return what a move of keys to RECEIVER is worth where MEAN_DEMAND is the
+   mean demand of all owners: the demand up to the mean that it has room for,
+   less if the keys have no holder for long.  */
+static gint64
+move_worth (const struct mesh_receiver *receiver, gint64 mean_demand)
+{
+  gint64 room
+      = mean_demand
+        - mesh_weighted_demand (receiver->reported_load.demand_permille,
+                                receiver->reported_load.failed_permille);
+
+  return room * UNHELD_DOUBLES_USEC
+         / (UNHELD_DOUBLES_USEC + receiver->unheld_usec);
+}
+
+/* Return a random index of CANDIDATES.  */
+static guint
+random_start (struct mesh *mesh, const GArray *candidates)
+{
+  return candidates->len > 0
+             ? g_int_hash (&(gint){ (gint)++mesh->random_count }) * 2654435761u
+                   % candidates->len
+             : 0;
+}
+
+/* Choose the one of CANDIDATES that is to receive a range of keys of MAP: the
+   one to which the move is worth most among RANDOM_CHOICES random ones, where
+   MEAN_DEMAND is the mean demand of all owners.  The choice is random because
    nodes that hand off keys at the same time would otherwise all choose the
-   same receiver.  DEFAULT_RUN_USEC is the run time of a server that reported
-   none.  */
+   same receiver.  */
 struct mesh_receiver
-mesh_receiver_choose (struct mesh *mesh, const GArray *candidates,
-                      const struct shard_map *map, gboolean all,
-                      gint64 default_run_usec, guint32 rate, gint64 now)
+mesh_receiver_of_range (struct mesh *mesh, const GArray *candidates,
+                        const struct shard_map *map, gint64 mean_demand,
+                        gint64 now)
 {
   struct mesh_receiver best = { 0 };
-  guint choices_max = all ? candidates->len : RANDOM_CHOICES;
-  guint start = 0;
+  guint start = random_start (mesh, candidates);
   guint drawn = 0;
   guint i;
 
-  if (candidates->len > 0)
-    start = g_int_hash (&(gint){ (gint)++mesh->random_count }) * 2654435761u
-            % candidates->len;
-  for (i = 0; i < candidates->len && drawn < choices_max; i++)
+  for (i = 0; i < candidates->len && drawn < RANDOM_CHOICES; i++)
     {
       struct mesh_receiver receiver;
       if (!may_receive (mesh, candidates, (start + i) % candidates->len, map,
                         now, &receiver))
         continue;
       drawn++;
+      if (best.member == NULL
+          || move_worth (&receiver, mean_demand)
+                 > move_worth (&best, mean_demand))
+        best = receiver;
+    }
+  return best;
+}
+
+/* Choose the one of CANDIDATES that is to receive a single key of MAP with
+   RATE requests per second: the one with the least cost of the move.
+   DEFAULT_RUN_USEC is the run time of a server that reported none.  */
+struct mesh_receiver
+mesh_receiver_of_key (struct mesh *mesh, const GArray *candidates,
+                      const struct shard_map *map, gint64 default_run_usec,
+                      guint32 rate, gint64 now)
+{
+  struct mesh_receiver best = { 0 };
+  guint start = random_start (mesh, candidates);
+  guint i;
+
+  for (i = 0; i < candidates->len; i++)
+    {
+      struct mesh_receiver receiver;
+      if (!may_receive (mesh, candidates, (start + i) % candidates->len, map,
+                        now, &receiver))
+        continue;
       if (best.member == NULL
           || move_cost (&receiver, default_run_usec, rate)
                  < move_cost (&best, default_run_usec, rate))
--- a/src/shard/key_rate.c
+++ b/src/shard/key_rate.c
@@ -3,10 +3,15 @@
 #define KEY_RATE_UNIT 1024u              /* weight of one request */
 #define HALF_LIFE_USEC ((gint64)1000000) /* half-life of the counts */
 
-/* Counts that are halved every second converge to an average of one and a half
-   times the requests of a second.  */
-#define PER_SECOND_NUM 2u
-#define PER_SECOND_DEN 3u
+/* Counts that are halved every second converge to the requests of one second
+   after they were halved, and to those of two seconds before that.  */
+#define FULL_COUNT_MSEC 1000u
+#define MSEC_PER_SEC 1000u
+#define USEC_PER_MSEC 1000
+
+/* Until the counts are halved first, half of a second is assumed to have
+   passed.  */
+#define UNKNOWN_PHASE_MSEC 500u
 
 /* Least and greatest rate of a range, in percent of the wanted rate.  */
 #define RANGE_MIN_PERCENT 50u
@@ -19,6 +24,7 @@
   rates->counts = g_new0 (guint32, SHARD_KEY_COUNT);
   rates->total_count = 0;
   rates->next_decay_at = 0;
+  rates->since_decay_msec = UNKNOWN_PHASE_MSEC;
 }
 
 /* Free the counts.  */
@@ -36,14 +42,20 @@
   rates->total_count += KEY_RATE_UNIT;
 }
 
-/* Halve the counts if that is due at NOW.  */
+/* Halve the counts if that is due at NOW, and note how long ago that was.  */
 void
 key_rate_decay (struct key_rate *rates, gint64 now)
 {
   guint32 key;
 
   if (now < rates->next_decay_at)
-    return;
+    {
+      rates->since_decay_msec
+          = (guint32)((HALF_LIFE_USEC - (rates->next_decay_at - now))
+                      / USEC_PER_MSEC);
+      return;
+    }
+  rates->since_decay_msec = 0;
   rates->next_decay_at = now + HALF_LIFE_USEC;
   if (rates->total_count == 0)
     return;
@@ -55,18 +67,26 @@
     }
 }
 
-/* Convert a count to requests per second.  */
+/* Return the time in which the requests that RATES contains arrived, in
+   milliseconds.  */
+static guint64
+counted_msec (const struct key_rate *rates)
+{
+  return FULL_COUNT_MSEC + rates->since_decay_msec;
+}
+
+/* Convert a count of RATES to requests per second.  */
 static guint64
-rate_of (guint64 count)
+rate_of (const struct key_rate *rates, guint64 count)
 {
-  return count * PER_SECOND_NUM / PER_SECOND_DEN / KEY_RATE_UNIT;
+  return count * MSEC_PER_SEC / counted_msec (rates) / KEY_RATE_UNIT;
 }
 
 /* Return the requests per second for all keys.  */
 guint32
 key_rate_total (const struct key_rate *rates)
 {
-  return (guint32)rate_of (rates->total_count);
+  return (guint32)rate_of (rates, rates->total_count);
 }
 
 /* Clear the counts of the keys FIRST to LAST, which are served elsewhere from
@@ -87,7 +107,7 @@
 guint32
 key_rate_of (const struct key_rate *rates, guint32 key)
 {
-  return (guint32)rate_of (rates->counts[key]);
+  return (guint32)rate_of (rates, rates->counts[key]);
 }
 
 /* Return the key of SHARD with the most requests.  */
@@ -111,8 +131,8 @@
                      guint32 rate)
 {
   struct key_rate_range found = { 1, 0 };
-  guint64 percent_unit
-      = (guint64)rate * KEY_RATE_UNIT * PER_SECOND_DEN / PER_SECOND_NUM / 100;
+  guint64 percent_unit = (guint64)rate * KEY_RATE_UNIT * counted_msec (rates)
+                         / MSEC_PER_SEC / 100;
   guint32 shortest = G_MAXUINT32;
   guint32 left = shard->first;
   guint32 right;
--- a/src/shard/key_rate.h
+++ b/src/shard/key_rate.h
@@ -7,10 +7,12 @@
 
 struct key_rate
 {
-  guint32 *counts;      /* decaying request count of each key, in units of
-                           KEY_RATE_UNIT */
-  guint64 total_count;  /* sum of all counts */
-  gint64 next_decay_at; /* when all counts are halved next */
+  guint32 *counts;          /* decaying request count of each key, in units of
+                               KEY_RATE_UNIT */
+  guint64 total_count;      /* sum of all counts */
+  gint64 next_decay_at;     /* when all counts are halved next */
+  guint32 since_decay_msec; /* time since they were halved, at the last call of
+                               key_rate_decay */
 };
 
 /* A range of keys with about the wanted request rate.  */
