--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -40,6 +40,10 @@
   gboolean is_local;    /* the member is this node */
   enum reason reason;   /* why there is no member */
   gint64 wait_usec; /* time after which there may be a member, 0: not known */
+  guint compared;   /* servers that were compared, 0: a key decided */
+  gint64 cost_usec; /* cost at the member, by which it was chosen */
+  gint64 busy_permille; /* share of the service's slots that is known to be
+                           taken */
 };
 struct mesh_pick mesh_pick (struct mesh *mesh,
                             const struct mesh_request *request, gint64 now);
--- a/src/mesh/mesh_pick.c
+++ b/src/mesh/mesh_pick.c
@@ -42,7 +42,7 @@
 static struct mesh_pick
 no_member (enum reason reason, gint64 wait_usec)
 {
-  struct mesh_pick pick = { HANDLE_NONE, FALSE, reason, wait_usec };
+  struct mesh_pick pick = { .reason = reason, .wait_usec = wait_usec };
 
   return pick;
 }
@@ -147,6 +147,9 @@
   pick.member = choice.member;
   pick.is_local = handle_equal (choice.member, local_member);
   pick.reason = REASON_NONE;
+  pick.compared = choice.compared;
+  pick.cost_usec = choice.cost_usec;
+  pick.busy_permille = choice.busy_permille;
   return pick;
 }
 
--- a/tests/test_mesh_pick.c
+++ b/tests/test_mesh_pick.c
@@ -1,3 +1,4 @@
+#include "mesh/mesh_parts.h"
 #include "tests/mesh_fixture.h"
 
 /* Give the node a map in which "b" owns all keys of OTHER_SERVICE.  */
@@ -98,6 +99,29 @@
   feed_event (fixture, &event);
 }
 
+/* An operator must be able to see why a server was picked: the pick says how
+   many were compared, at what cost it was chosen, and how busy the service is
+   known to be.  */
+static void
+test_pick_says_why (void)
+{
+  struct fixture *fixture = fixture_new ();
+  struct mesh_request request = { 0 };
+  struct mesh_pick pick;
+
+  g_strlcpy (request.request.service, OTHER_SERVICE, NAME_SIZE);
+  pick = mesh_pick (&fixture->mesh, &request, fixture->now);
+  CU_ASSERT_TRUE (handle_is_set (pick.member));
+  CU_ASSERT_FALSE (pick.is_local);
+  CU_ASSERT_EQUAL (pick.compared, 1);
+  CU_ASSERT_TRUE (pick.cost_usec > 0);
+  CU_ASSERT_EQUAL (pick.busy_permille, 0);
+  g_strlcpy (request.request.service, OWN_SERVICE, NAME_SIZE);
+  pick = mesh_pick (&fixture->mesh, &request, fixture->now);
+  CU_ASSERT_TRUE (pick.is_local);
+  fixture_free (fixture);
+}
+
 /* Return whether a request for OTHER_SERVICE is sent to the other node.  */
 static gboolean
 is_forwarded (struct fixture *fixture)
@@ -148,6 +172,7 @@
             test_request_waits_for_lost_owner },
           { "slots recorded late", test_slots_recorded_late },
           { "report without slots", test_report_without_slots },
+          { "pick says why", test_pick_says_why },
           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_pick", tests);
