--- a/src/serve/peer_state.c
+++ b/src/serve/peer_state.c
@@ -4,40 +4,10 @@
    intervals and the time of a call.  */
 #define RESPONSIVE_USEC ((gint64)900000)
 
-/* Cost of crossing a link between zones: its round trip, and a price for each
-   kilobyte, because traffic between zones is expensive.  A request rather
-   waits up to this much longer in its own zone than crosses a link.  */
-#define ZONE_USEC ((gint64)9000)
-#define ZONE_USEC_PER_KB ((gint64)2500)
-#define BYTES_PER_KB 1024
-
-/* A load report of this age says nothing of the slots any more.  */
-#define LOAD_STALE_USEC ((gint64)3000000)
-
-/* The weight of the number of requests in a load report falls linearly until
-   the report has this age.  What is assumed instead is the same for all
-   servers, so a shorter time makes a node blind to those that are overloaded
-   for seconds: in the replay of test_even_load 1 s and 3 s have longer waits,
-   12 s has the same.  */
-#define LOAD_FADE_USEC ((gint64)6000000)
-
-/* A report of no slots is ignored after this time, which is about a heartbeat
-   interval: a process that starts reports none until its server's first
-   heartbeat.  Without requests there are no newer reports.  */
-#define NO_SLOTS_STALE_USEC ((gint64)1000000)
-
 /* A peer that left a request unanswered is assumed to be late for as long as
    that request waited, at most this long.  */
 #define LATE_MAX_USEC ((gint64)1000000)
 
-#define RUN_DEFAULT_USEC ((gint64)100000) /* run time if none is known */
-
-/* Share of the slots that are assumed to be taken if nothing is known of any
-   server, thousandths.  */
-#define BUSY_DEFAULT_PERMILLE 500
-
-#define PERMILLE ((gint64)1000)
-
 /* Return the time of the last message from the peer itself, or when this node
    began to wait for one.  */
 gint64
@@ -158,119 +128,6 @@
       = MAX (peer->late_until, now + MIN (unanswered_usec, LATE_MAX_USEC));
 }
 
-/* Return whether the record of the peer says more of the slots of its server
-   than the load report: there is no report, it is old, or it named no slots
-   and the record has changed since.  */
-static gboolean
-record_outweighs_report (const struct peer_state *peer, gint64 now)
-{
-  gint64 age = now - peer->load_reported_at;
-
-  if (peer->load_reported_at == 0 || age >= LOAD_STALE_USEC)
-    return TRUE;
-  return peer->load.slots == 0
-         && (age >= NO_SLOTS_STALE_USEC
-             || peer->record_changed_at > peer->load_reported_at);
-}
-
-/* Return how many requests the peer's server runs at once, as far as is known
-   at NOW; 0 if it runs none.  */
-guint32
-peer_state_slots (const struct peer_state *peer, gint64 now)
-{
-  if (peer->recorded_slots > 0 && record_outweighs_report (peer, now))
-    return peer->recorded_slots;
-  return peer->load.slots;
-}
-
-/* Return the run time to expect at a server that reported LOAD, for QUERY.  */
-static gint64
-expected_run_usec (const struct load_report *load,
-                   const struct peer_query *query)
-{
-  if (load->mean_run_usec > 0)
-    return load->mean_run_usec;
-  return query->default_run_usec > 0 ? query->default_run_usec
-                                     : RUN_DEFAULT_USEC;
-}
-
-/* Return how many requests per second the peer's server can run at NOW, by its
-   slots and run time.  DEFAULT_RUN_USEC is the run time if it reported
-   none.  */
-gdouble
-peer_state_capacity (const struct peer_state *peer, gint64 default_run_usec,
-                     gint64 now)
-{
-  struct peer_query query = { .default_run_usec = default_run_usec };
-
-  return (gdouble)MAX (1, peer_state_slots (peer, now)) * G_USEC_PER_SEC
-         / (gdouble)expected_run_usec (&peer->load, &query);
-}
-
-/* Return how long a request waits behind AHEAD thousandths of a request for
-   one of SLOTS, each of which is taken for RUN_USEC.  */
-static gint64
-queueing_usec (gint64 run_usec, gint64 ahead, gint64 slots)
-{
-  gint64 queued = ahead + PERMILLE - slots * PERMILLE;
-
-  return queued < PERMILLE ? 0 : run_usec * queued / (slots * PERMILLE);
-}
-
-/* Return the estimated number of requests at the peer, in thousandths. Without
-   a recent load report as many of the peer's slots as QUERY names are assumed
-   to be taken, besides the requests that this node has sent.  */
-static gint64
-estimated_requests (const struct peer_state *peer,
-                    const struct peer_query *query, gint64 now)
-{
-  const struct load_report *load = &peer->load;
-  gint64 slots = peer_state_slots (peer, now);
-  gint64 reported
-      = PERMILLE
-        * ((gint64)load->running + load->waiting + peer->sent_since_load);
-  gint64 busy_permille = query->busy_permille > 0 ? query->busy_permille
-                                                  : BUSY_DEFAULT_PERMILLE;
-  gint64 assumed = slots * busy_permille + PERMILLE * peer->in_flight;
-  gint64 age = peer->load_reported_at != 0
-                   ? MIN (now - peer->load_reported_at, LOAD_FADE_USEC)
-                   : LOAD_FADE_USEC;
-
-  return reported + (assumed - reported) * age / LOAD_FADE_USEC;
-}
-
-/* Return how late the next answer of the peer is expected to be.  */
-static gint64
-expected_delay (const struct peer_state *peer, gint64 now)
-{
-  gint64 unanswered_usec
-      = peer->unanswered_since != 0 ? now - peer->unanswered_since : 0;
-
-  return MAX (unanswered_usec, peer->late_until - now);
-}
-
-/* Return the estimated cost of a request at the peer, in microseconds: the
-   time that it waits, the time that it takes from the requests behind it, and
-   the way there.  The time that it runs itself is no part of it: it would put
-   most requests at the fast servers and let them wait there.  */
-gint64
-peer_state_cost (const struct peer_state *peer, const struct peer_query *query,
-                 gint64 now)
-{
-  const struct load_report *load = &peer->load;
-  gint64 run_usec = expected_run_usec (load, query);
-  gint64 ahead = estimated_requests (peer, query, now);
-  gint64 slots = MAX (1, peer_state_slots (peer, now));
-  gint64 cost = queueing_usec (run_usec, ahead, slots)
-                + run_usec * (ahead + PERMILLE) / (slots * PERMILLE);
-
-  cost += cost * load->failed_permille / 1000 * LOAD_FAILURE_WEIGHT;
-  cost += MAX (0, expected_delay (peer, now));
-  if (!query->same_zone)
-    cost += ZONE_USEC + query->body_bytes * ZONE_USEC_PER_KB / BYTES_PER_KB;
-  return cost;
-}
-
 /* Record the load that the peer reported.  */
 void
 peer_state_on_load (struct peer_state *peer, const struct load_report *load,
--- a/src/serve/placement.h
+++ b/src/serve/placement.h
@@ -19,7 +19,7 @@
    of different speeds that are drawn alike get alike many requests wherever
    the comparison has nothing to go by, and the slow ones are overloaded.  */
 
-#define PLACEMENT_NEAR 4u /* drawn in the data centre of the entry node */
+#define PLACEMENT_NEAR 6u /* drawn in the data centre of the entry node */
 #define PLACEMENT_FAR 1u  /* drawn elsewhere */
 #define PLACEMENT_MAX (PLACEMENT_NEAR + PLACEMENT_FAR)
 
--- a/tests/load_replay_types.h
+++ b/tests/load_replay_types.h
@@ -1,6 +1,7 @@
 #ifndef TESTS_LOAD_REPLAY_TYPES_H
 #define TESTS_LOAD_REPLAY_TYPES_H
 
+#include "decide/server_load.h"
 #include "serve/peer_state.h"
 #include "types/clock.h"
 
@@ -44,6 +45,7 @@
   guint speed_count;
   gdouble utilisation;
   enum replay_reports reports;
+  gboolean names_slowdown; /* servers say how long work takes now */
 };
 
 struct replay_result
@@ -80,7 +82,8 @@
   gint64 next_slow_at;
   gdouble mean_run;
   guint run_count;
-  gdouble work; /* taken in the present window */
+  struct server_load load; /* what the node knows of its server's load */
+  gdouble work;            /* taken in the present window */
 };
 
 enum replay_move_kind
