Load balancing: servers that just reported no slots are tried last

A report of no slots was believed for a second, which is more than some requests may wait: after a start of all nodes, requests for a service with few servers would be refused although its servers had sent their first heartbeats. After a crash, on the other hand, the record names slots for some time.

Such a report is believed for 300 ms; until 3 s the server is drawn and chosen only where no other one has room (a cost of 1 s, a thousandth of its capacity).

Checked: test_peer_state with a new test, test_mesh_pick, test_even_load, test_placement and test_mesh_restart pass.

--- a/src/serve/peer_state_cost.c
+++ b/src/serve/peer_state_cost.c
@@ -19,10 +19,16 @@
    where reports come with answers only; 3 s and 12 s hardly differ.  */
 #define LOAD_FADE_USEC ((gint64)6000000)
 
-/* A report of no slots is ignored after this time, which is about a heartbeat
-   interval: a process that starts reports none until its server's first
-   heartbeat.  Without requests there are no newer reports.  */
-#define NO_SLOTS_STALE_USEC ((gint64)1000000)
+/* A report of no slots is believed for this time.  After it the server is
+   tried if no other one has room: a process that starts reports no slots until
+   its server's first heartbeat, and without requests there are no newer
+   reports.  A shorter time lets requests try servers in vain that are down. */
+#define NO_SLOTS_USEC ((gint64)300000)
+
+/* Added cost of a server whose last report named no slots, and what its
+   capacity is divided by in draws.  */
+#define DOUBT_USEC ((gint64)1000000)
+#define DOUBT_DIVISOR 1000
 
 #define RUN_DEFAULT_USEC ((gint64)100000) /* run time if none is known */
 
@@ -32,19 +38,24 @@
 
 #define PERMILLE ((gint64)1000)
 
-/* Return whether the record of the peer says more of the slots of its server
-   than the load report: there is no report, it is old, or it named no slots
-   and the record has changed since.  */
+/* Return whether the record of the peer alone says how many slots its server
+   has: there is no load report, it is old, or it named no slots and the record
+   has changed since.  */
 static gboolean
-record_outweighs_report (const struct peer_state *peer, gint64 now)
+record_supersedes_report (const struct peer_state *peer, gint64 now)
 {
-  gint64 age = now - peer->load_reported_at;
+  return peer->load_reported_at == 0
+         || now - peer->load_reported_at >= LOAD_STALE_USEC
+         || (peer->load.slots == 0
+             && peer->record_changed_at > peer->load_reported_at);
+}
 
-  if (peer->load_reported_at == 0 || age >= LOAD_STALE_USEC)
-    return TRUE;
-  return peer->load.slots == 0
-         && (age >= NO_SLOTS_STALE_USEC
-             || peer->record_changed_at > peer->load_reported_at);
+/* Return whether the last report of the peer named no slots, and its record
+   does and has not changed since.  */
+static gboolean
+is_doubtful (const struct peer_state *peer, gint64 now)
+{
+  return peer->load.slots == 0 && !record_supersedes_report (peer, now);
 }
 
 /* Return how many requests the peer's server runs at once, as far as is known
@@ -52,9 +63,12 @@
 guint32
 peer_state_slots (const struct peer_state *peer, gint64 now)
 {
-  if (peer->recorded_slots > 0 && record_outweighs_report (peer, now))
-    return peer->recorded_slots;
-  return peer->load.slots;
+  gboolean by_record = record_supersedes_report (peer, now)
+                       || (is_doubtful (peer, now)
+                           && now - peer->load_reported_at >= NO_SLOTS_USEC);
+
+  return by_record && peer->recorded_slots > 0 ? peer->recorded_slots
+                                               : peer->load.slots;
 }
 
 /* Return the run time to expect at a server that reported LOAD, for QUERY.  */
@@ -69,16 +83,18 @@
 }
 
 /* Return how many requests per second the peer's server can run at NOW, by its
-   slots and run time.  DEFAULT_RUN_USEC is the run time if it reported
-   none.  */
+   slots and run time, much less if it is doubtful whether it runs any.
+   DEFAULT_RUN_USEC is the run time if it reported none.  */
 gdouble
 peer_state_capacity (const struct peer_state *peer, gint64 default_run_usec,
                      gint64 now)
 {
   struct peer_query query = { .default_run_usec = default_run_usec };
+  gdouble capacity = (gdouble)MAX (1, peer_state_slots (peer, now))
+                     * G_USEC_PER_SEC
+                     / (gdouble)expected_run_usec (&peer->load, &query);
 
-  return (gdouble)MAX (1, peer_state_slots (peer, now)) * G_USEC_PER_SEC
-         / (gdouble)expected_run_usec (&peer->load, &query);
+  return is_doubtful (peer, now) ? capacity / DOUBT_DIVISOR : capacity;
 }
 
 /* Return how long a request waits behind AHEAD thousandths of a request for
@@ -153,6 +169,8 @@
 
   cost += cost * load->failed_permille / 1000 * LOAD_FAILURE_WEIGHT;
   cost += MAX (0, expected_delay (peer, now));
+  if (is_doubtful (peer, now))
+    cost += DOUBT_USEC;
   if (!query->same_zone)
     cost += ZONE_USEC + query->body_bytes * ZONE_USEC_PER_KB / BYTES_PER_KB;
   return cost;
