Balance of keys: move whole shards where they fit

Each move of a part of a shard adds up to two shards to the map, and beyond 300 no keys are moved.

Checked: test_keys_even with a new test, test_mesh_balance, test_mesh_random and test_mesh_handoff pass.

--- a/src/mesh/mesh_balance.c
+++ b/src/mesh/mesh_balance.c
@@ -77,8 +77,10 @@
          && strcmp (shard->owner, mesh->settings.name) == 0;
 }
 
-/* Return the shortest range of this node's shards in MAP that gets about RATE
-   requests per second; its last key is below its first if there is none.  */
+/* Return the range of this node's shards in MAP that is to move for about RATE
+   requests per second; its last key is below its first if there is none.  A
+   whole shard is preferred, since its move adds no shards to the map, else the
+   shortest range.  */
 static struct key_rate_range
 find_range (const struct mesh *mesh, const struct shard_map *map, guint32 rate)
 {
@@ -91,6 +93,8 @@
       struct key_rate_range range;
       if (!is_own (mesh, shard))
         continue;
+      if (key_rate_matches_shard (&mesh->key_rate, shard, rate))
+        return (struct key_rate_range){ shard->first, shard->last };
       range = key_rate_find_range (&mesh->key_rate, shard, rate);
       if (range.last >= range.first
           && (best.last < best.first
--- a/src/shard/key_rate.c
+++ b/src/shard/key_rate.c
@@ -82,6 +82,13 @@
   return count * MSEC_PER_SEC / counted_msec (rates) / KEY_RATE_UNIT;
 }
 
+/* Return the count of RATE requests per second.  */
+static guint64
+rate_unit (const struct key_rate *rates, guint32 rate)
+{
+  return (guint64)rate * KEY_RATE_UNIT * counted_msec (rates) / MSEC_PER_SEC;
+}
+
 /* Return the requests per second for all keys.  */
 guint32
 key_rate_total (const struct key_rate *rates)
@@ -110,6 +117,22 @@
   return (guint32)rate_of (rates, rates->counts[key]);
 }
 
+/* Return whether SHARD as a whole gets about RATE requests per second, within
+   the bounds for a range.  */
+gboolean
+key_rate_matches_shard (const struct key_rate *rates,
+                        const struct shard *shard, guint32 rate)
+{
+  guint64 percent_unit = rate_unit (rates, rate) / 100;
+  guint64 sum = 0;
+  guint32 key;
+
+  for (key = shard->first; key <= shard->last; key++)
+    sum += rates->counts[key];
+  return sum >= percent_unit * RANGE_MIN_PERCENT
+         && sum <= percent_unit * RANGE_MAX_PERCENT;
+}
+
 /* Return the key of SHARD with the most requests.  */
 guint32
 key_rate_busiest (const struct key_rate *rates, const struct shard *shard)
@@ -131,8 +154,7 @@
                      guint32 rate)
 {
   struct key_rate_range found = { 1, 0 };
-  guint64 percent_unit = (guint64)rate * KEY_RATE_UNIT * counted_msec (rates)
-                         / MSEC_PER_SEC / 100;
+  guint64 percent_unit = rate_unit (rates, rate) / 100;
   guint32 shortest = G_MAXUINT32;
   guint32 left = shard->first;
   guint32 right;
--- a/src/shard/key_rate.h
+++ b/src/shard/key_rate.h
@@ -31,6 +31,8 @@
 guint32 key_rate_busiest (const struct key_rate *rates,
                           const struct shard *shard);
 void key_rate_reset (struct key_rate *rates, guint32 first, guint32 last);
+gboolean key_rate_matches_shard (const struct key_rate *rates,
+                                 const struct shard *shard, guint32 rate);
 struct key_rate_range key_rate_find_range (const struct key_rate *rates,
                                            const struct shard *shard,
                                            guint32 rate);
--- a/tests/keys_replay.h
+++ b/tests/keys_replay.h
@@ -46,6 +46,7 @@
   gdouble busiest_long; /* the same in windows of 5 s */
   guint maps;           /* maps written */
   guint moves;          /* ranges moved */
+  guint shards;         /* shards of the map in the end */
   gdouble unheld;       /* share of the requests whose key had no holder */
 };
 
--- a/tests/keys_replay_run.h
+++ b/tests/keys_replay_run.h
@@ -198,6 +198,7 @@
     }
   result.maps = replay->maps - result.maps;
   result.moves = replay->moves - result.moves;
+  result.shards = replay->map.shards->len;
   result.unheld = (gdouble)replay->unheld / replay->requests;
   for (k = 0; k < KEYS_OWNERS; k++)
     mesh_clear (&replay->owners[k].mesh);
--- a/tests/test_keys_even.c
+++ b/tests/test_keys_even.c
@@ -50,9 +50,10 @@
 static void
 print_result (const char *name, const struct keys_result *result)
 {
-  printf (" %s: busiest %.2f, in 5 s %.2f, maps %u, moves %u, unheld %.4f;",
+  printf (" %s: busiest %.2f, in 5 s %.2f, maps %u, moves %u, unheld %.4f,"
+          " shards %u;",
           name, result->busiest, result->busiest_long, result->maps,
-          result->moves, result->unheld);
+          result->moves, result->unheld, result->shards);
 }
 
 /* Return the mean result over three seeds from second FROM to second TO, with
@@ -73,6 +74,7 @@
       mean.maps += result.maps;
       mean.moves += result.moves;
       mean.unheld += result.unheld / 3;
+      mean.shards = MAX (mean.shards, result.shards);
     }
   mean.maps /= 3;
   mean.moves /= 3;
@@ -99,6 +101,19 @@
   CU_ASSERT_TRUE (later.moves < 50);
 }
 
+/* Each move of a part of a shard adds shards to the map, and beyond 300 no
+   keys are moved: the former code had 302 to 310 after 40 s, and the load
+   stayed uneven.  Whole shards are moved where they fit.  */
+static void
+test_map_stays_small (void)
+{
+  struct keys_result later = keys_replay_run (speeds, 4, 1107, 240, 200, 1);
+
+  print_result ("200 to 240 s", &later);
+  CU_ASSERT_TRUE (later.shards < 200);
+  CU_ASSERT_TRUE (later.busiest_long < 1.42);
+}
+
 /* The same with much to do: 0.65 of the capacity.  */
 static void
 test_high_load (void)
@@ -195,6 +210,7 @@
 main (void)
 {
   CU_TestInfo tests[] = { { "uneven speeds", test_uneven_speeds },
+                          { "map stays small", test_map_stays_small },
                           { "high load", test_high_load },
                           { "equal speeds", test_equal_speeds },
                           { "rate is steady", test_rate_is_steady },
