--- a/src/mesh/mesh_balance.c
+++ b/src/mesh/mesh_balance.c
@@ -27,24 +27,48 @@
    without it does not help.  */
 #define HOT_KEY_DIVISOR 3u
 
-/* Return the demand on the local server in thousandths of its capacity, from
-   the rate of its requests and their mean run time, or from its limit or its
-   rate while it is cold if that is less.  */
-guint32
-mesh_demand (const struct mesh *mesh)
+/* Return the run time by which demand is estimated: a mean over some seconds,
+   as soon as there is one.  A machine that is slow for 0.4 s does not change
+   it much, and the move of its keys would take longer.  */
+static gint64
+demand_run_usec (const struct mesh *mesh)
+{
+  return mesh->even_keys.run_usec > 0 ? mesh->even_keys.run_usec
+                                      : run_times_mean (&mesh->run_times);
+}
+
+/* Return the demand of RATE requests per second on the local server in
+   thousandths of its capacity, from their mean run time, or from its limit or
+   its rate while it is cold if that is less.  */
+static guint32
+demand_of_rate (const struct mesh *mesh, guint32 rate)
 {
   const struct admission *admission = &mesh->admission;
-  guint32 rate = key_rate_total (&mesh->key_rate);
 
   if (admission->slots == 0)
     return 0;
   return MAX (
-      (guint32)((guint64)rate * (guint64)run_times_mean (&mesh->run_times)
+      (guint32)((guint64)rate * (guint64)demand_run_usec (mesh)
                 / ((guint64)admission->slots * USEC_PER_MSEC)),
       MAX (server_limit_demand (&admission->limit, rate),
            warmup_demand (&admission->warmup, rate, mesh->last_event_at)));
 }
 
+/* Return the demand on the local server in thousandths of its capacity, by the
+   present rate of the requests for its keys.  */
+guint32
+mesh_demand (const struct mesh *mesh)
+{
+  return demand_of_rate (mesh, key_rate_total (&mesh->key_rate));
+}
+
+/* Return the demand on the local server by the rate over some seconds.  */
+guint32
+mesh_mean_own_demand (const struct mesh *mesh)
+{
+  return demand_of_rate (mesh, even_keys_rate (&mesh->even_keys));
+}
+
 /* Return whether SHARD is owned by this node and has no next owner yet.  */
 static gboolean
 is_own (const struct mesh *mesh, const struct shard *shard)
@@ -53,8 +77,10 @@
          && strcmp (shard->owner, mesh->settings.name) == 0;
 }
 
-/* Return the shortest range of this node's shards in MAP that gets about RATE
-   requests per second; its last key is below its first if there is none.  */
+/* Return the range of this node's shards in MAP that is to move for about RATE
+   requests per second; its last key is below its first if there is none.  A
+   whole shard is preferred, since its move adds no shards to the map, else the
+   shortest range.  */
 static struct key_rate_range
 find_range (const struct mesh *mesh, const struct shard_map *map, guint32 rate)
 {
@@ -67,6 +93,8 @@
       struct key_rate_range range;
       if (!is_own (mesh, shard))
         continue;
+      if (key_rate_matches_shard (&mesh->key_rate, shard, rate))
+        return (struct key_rate_range){ shard->first, shard->last };
       range = key_rate_find_range (&mesh->key_rate, shard, rate);
       if (range.last >= range.first
           && (best.last < best.first
@@ -100,34 +128,39 @@
 }
 
 /* Plan the handoff of the keys FIRST to LAST, which get RATE requests per
-   second, to RECEIVER.  The keys stop counting towards the load of this
-   server.  */
+   second, to RECEIVER.  LOAD is the load of this server, towards which the
+   keys stop counting, and MEAN_DEMAND the mean demand of all owners.  */
 static void
 plan_handoff (struct mesh *mesh, const struct mesh_receiver *receiver,
               guint32 first, guint32 last, guint32 rate,
-              const struct load_report *load, gint64 now, struct actions *out)
+              const struct load_report *load, gint64 mean_demand, gint64 now,
+              struct actions *out)
 {
+  guint32 total_rate = key_rate_total (&mesh->key_rate);
+
   mesh_handoff_add (mesh, first, last, receiver->member->name, now);
   mesh_log (out, LOG_EVENT_MESH_BALANCE, receiver->member->name,
-            "first=%u last=%u demand=%u run_ms=%" G_GINT64_FORMAT
+            "first=%u last=%u demand=%u own_mean=%u mean=%" G_GINT64_FORMAT
+            " run_ms=%" G_GINT64_FORMAT
             " other=%u other_run_ms=%" G_GINT64_FORMAT
             " gap_ms=%" G_GINT64_FORMAT " rate=%u of=%u",
-            first, last, load->demand_permille,
-            load->mean_run_usec / USEC_PER_MSEC,
+            first, last, load->demand_permille, mesh_mean_own_demand (mesh),
+            mean_demand, load->mean_run_usec / USEC_PER_MSEC,
             receiver->reported_load.demand_permille,
             receiver->reported_load.mean_run_usec / USEC_PER_MSEC,
-            receiver->unheld_usec / USEC_PER_MSEC, rate,
-            key_rate_total (&mesh->key_rate));
+            receiver->unheld_usec / USEC_PER_MSEC, rate, total_rate);
   key_rate_reset (&mesh->key_rate, first, last);
+  even_keys_moved (&mesh->even_keys,
+                   total_rate - key_rate_total (&mesh->key_rate));
 }
 
 /* Plan the handoff of a hot key that keeps this server busy, whose load is
-   LOAD, to a server where its requests cost less.  Return whether a handoff
-   was planned.  */
+   LOAD, to a server where its requests cost less.  MEAN_DEMAND is the mean
+   demand of all owners.  Return whether a handoff was planned.  */
 static gboolean
 hand_off_hot_key (struct mesh *mesh, const struct shard_map *map,
                   const GArray *candidates, const struct load_report *load,
-                  gint64 now, struct actions *out)
+                  gint64 mean_demand, gint64 now, struct actions *out)
 {
   guint32 key = busiest_key (mesh, map);
   guint32 rate
@@ -137,8 +170,8 @@
   if (rate < MESH_MIN_MOVE_RATE
       || rate < key_rate_total (&mesh->key_rate) / HOT_KEY_DIVISOR)
     return FALSE;
-  receiver = mesh_receiver_choose (mesh, candidates, map, TRUE,
-                                   load->mean_run_usec, rate, now);
+  receiver = mesh_receiver_of_key (mesh, candidates, map, load->mean_run_usec,
+                                   rate, now);
   if (receiver.member == NULL
       || mesh_request_cost (load->mean_run_usec, load->demand_permille,
                             load->failed_permille)
@@ -146,34 +179,33 @@
              < mesh_receiver_cost (&receiver, load->mean_run_usec, rate)
                    * HOT_KEY_COST_PERCENT)
     return FALSE;
-  plan_handoff (mesh, &receiver, key, key, rate, load, now, out);
+  plan_handoff (mesh, &receiver, key, key, rate, load, mean_demand, now, out);
   return TRUE;
 }
 
-/* Plan the handoff of a range of keys to a server where its requests cost
-   less, to relieve this server, whose load is LOAD.  Return whether a handoff
-   was planned.  */
+/* Plan the handoff of a range of keys from this server, whose load is LOAD, to
+   one with less demand, if this one has much more than MEAN_DEMAND, the mean
+   of all owners.  Return whether a handoff was planned.  */
 static gboolean
 hand_off_range (struct mesh *mesh, const struct shard_map *map,
                 const GArray *candidates, const struct load_report *load,
-                gint64 now, struct actions *out)
+                gint64 mean_demand, gint64 now, struct actions *out)
 {
-  guint32 total_rate = key_rate_total (&mesh->key_rate);
-  struct mesh_receiver receiver = mesh_receiver_choose (
-      mesh, candidates, map, FALSE, load->mean_run_usec, 0, now);
+  struct mesh_receiver receiver
+      = mesh_receiver_of_range (mesh, candidates, map, mean_demand, now);
   struct key_rate_range range;
   guint32 rate;
 
   if (receiver.member == NULL)
     return FALSE;
-  rate = mesh_rate_to_move (&receiver, load, total_rate);
+  rate = mesh_rate_to_move (mesh, &receiver, load, mean_demand);
   if (rate == 0)
     return FALSE;
   range = find_range (mesh, map, rate);
   if (range.last < range.first)
     return FALSE;
-  plan_handoff (mesh, &receiver, range.first, range.last, rate, load, now,
-                out);
+  plan_handoff (mesh, &receiver, range.first, range.last, rate, load,
+                mean_demand, now, out);
   return TRUE;
 }
 
@@ -202,17 +234,25 @@
           const GArray *candidates, gint64 now, struct actions *out)
 {
   struct load_report load = mesh_load_report (mesh, now);
+  gint64 mean_demand;
 
+  /* A machine is slow for a shorter time than a move takes, so a slowdown that
+     the mean run time does not show yet is no cause for a move.  */
+  load.mean_run_usec
+      = MIN (load.mean_run_usec, run_times_route_average (&mesh->run_times));
   if (load.demand_permille < MIN_DEMAND_PERMILLE || load.slots == 0
       || load.mean_run_usec == 0)
     return FALSE;
+  mean_demand = mesh_mean_demand (mesh, candidates, now);
   return (load.demand_permille >= MESH_BUSY_PERMILLE
-          && hand_off_hot_key (mesh, map, candidates, &load, now, out))
-         || hand_off_range (mesh, map, candidates, &load, now, out);
+          && hand_off_hot_key (mesh, map, candidates, &load, mean_demand, now,
+                               out))
+         || hand_off_range (mesh, map, candidates, &load, mean_demand, now,
+                            out);
 }
 
 /* Plan the handoff of keys that this node owns in MAP to those of CANDIDATES
-   where they cost less.  This is done at a heartbeat, whose answer leaves the
+   with less demand.  This is done at a heartbeat, whose answer leaves the
    keys out, or which is followed by their release.  */
 void
 mesh_balance (struct mesh *mesh, const struct shard_map *map,
@@ -221,6 +261,8 @@
   guint32 demand = mesh_demand (mesh);
   guint planned = 0;
 
+  even_keys_update (&mesh->even_keys, key_rate_total (&mesh->key_rate),
+                    run_times_mean (&mesh->run_times), now);
   if (now < mesh->balance_paused_until || is_map_contended (mesh, now)
       || !can_write_map (mesh) || map->shards->len > MAX_SHARDS)
     return;
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -40,6 +40,10 @@
   gboolean is_local;    /* the member is this node */
   enum reason reason;   /* why there is no member */
   gint64 wait_usec; /* time after which there may be a member, 0: not known */
+  guint compared;   /* servers that were compared, 0: a key decided */
+  gint64 cost_usec; /* cost at the member, by which it was chosen */
+  gint64 busy_permille; /* share of the service's slots that is known to be
+                           taken */
 };
 struct mesh_pick mesh_pick (struct mesh *mesh,
                             const struct mesh_request *request, gint64 now);
@@ -61,6 +65,9 @@
 /* What the local backend server says of itself, mesh_notice.c.  */
 void mesh_on_notice (struct mesh *mesh, const struct server_notice *notice,
                      gint64 now, struct actions *out);
+void mesh_on_server_load (struct mesh *mesh,
+                          const struct event_server_load *load, gint64 now);
+void mesh_slowdown_step (struct mesh *mesh, gint64 now);
 
 /* The warm-up of the local backend server, mesh_warmup.c.  */
 void mesh_warmup_step (struct mesh *mesh, gint64 now, struct actions *out);
@@ -219,19 +226,29 @@
 /* Least rate that is worth a move, requests per second.  */
 #define MESH_MIN_MOVE_RATE 3u
 guint32 mesh_demand (const struct mesh *mesh);
+guint32 mesh_mean_own_demand (const struct mesh *mesh);
 void mesh_balance (struct mesh *mesh, const struct shard_map *map,
                    const GArray *candidates, gint64 now, struct actions *out);
-guint32 mesh_rate_to_move (const struct mesh_receiver *receiver,
-                           const struct load_report *load, guint32 rate);
+guint32 mesh_rate_to_move (const struct mesh *mesh,
+                           const struct mesh_receiver *receiver,
+                           const struct load_report *load, gint64 mean_demand);
+gint64 mesh_mean_demand (struct mesh *mesh, const GArray *candidates,
+                         gint64 now);
 gint64 mesh_request_cost (gint64 run_usec, gint64 demand, guint32 failing);
 gint64 mesh_demand_per_rate (const struct load_report *load,
                              gint64 default_run_usec);
 gint64 mesh_receiver_cost (const struct mesh_receiver *receiver,
                            gint64 default_run_usec, guint32 rate);
-struct mesh_receiver
-mesh_receiver_choose (struct mesh *mesh, const GArray *candidates,
-                      const struct shard_map *map, gboolean all,
-                      gint64 default_run_usec, guint32 rate, gint64 now);
+gint64 mesh_weighted_demand (gint64 demand, guint32 failing);
+struct mesh_receiver mesh_receiver_of_range (struct mesh *mesh,
+                                             const GArray *candidates,
+                                             const struct shard_map *map,
+                                             gint64 mean_demand, gint64 now);
+struct mesh_receiver mesh_receiver_of_key (struct mesh *mesh,
+                                           const GArray *candidates,
+                                           const struct shard_map *map,
+                                           gint64 default_run_usec,
+                                           guint32 rate, gint64 now);
 
 /* Reports on other nodes within gossip messages, mesh_report.c.  */
 void mesh_report_mark (struct peer_state *peer, gint64 now);
--- a/src/serve/peer_state.c
+++ b/src/serve/peer_state.c
@@ -4,23 +4,10 @@
    intervals and the time of a call.  */
 #define RESPONSIVE_USEC ((gint64)900000)
 
-/* Cost of crossing a link between zones: its round trip, and a price for each
-   kilobyte, because traffic between zones is expensive.  A request rather
-   waits up to this much longer in its own zone than crosses a link.  */
-#define ZONE_USEC ((gint64)9000)
-#define ZONE_USEC_PER_KB ((gint64)2500)
-#define BYTES_PER_KB 1024
-
-/* A load report of this age is ignored.  Its weight falls linearly until
-   then.  */
-#define LOAD_STALE_USEC ((gint64)3000000)
-
 /* A peer that left a request unanswered is assumed to be late for as long as
    that request waited, at most this long.  */
 #define LATE_MAX_USEC ((gint64)1000000)
 
-#define RUN_DEFAULT_USEC ((gint64)100000) /* run time if none is known */
-
 /* Return the time of the last message from the peer itself, or when this node
    began to wait for one.  */
 gint64
@@ -58,6 +45,21 @@
   peer->is_watched = watched;
 }
 
+/* Keep the slots that MEMBER, the record of the peer in the store, names.  The
+   record of a process may first name none and later those of its server's
+   first heartbeat.  */
+static void
+record_slots (struct peer_state *peer, const struct fleet_member *member,
+              gint64 now)
+{
+  if (peer->recorded_slots != member->slots
+      || peer->recorded_incarnation != member->incarnation)
+    peer->record_changed_at = now;
+  peer->recorded_slots = member->slots;
+  if (peer->load_reported_at == 0)
+    peer->load.slots = member->slots;
+}
+
 /* Update the state from MEMBER, the record of the peer in the store.  A new
    process is alive and knows nothing of the messages sent to the previous
    one.  */
@@ -65,6 +67,7 @@
 peer_state_on_record (struct peer_state *peer,
                       const struct fleet_member *member, gint64 now)
 {
+  record_slots (peer, member, now);
   if (peer->recorded_incarnation == member->incarnation)
     return;
   if (peer->recorded_incarnation == 0)
@@ -78,8 +81,6 @@
   peer->reported_unresponsive = FALSE;
   peer->is_leaving = FALSE;
   peer->store_lost = FALSE;
-  if (peer->load_reported_at == 0)
-    peer->load.slots = member->slots;
 }
 
 /* Record a message from the peer itself.  */
@@ -127,71 +128,6 @@
       = MAX (peer->late_until, now + MIN (unanswered_usec, LATE_MAX_USEC));
 }
 
-/* Return the run time to expect at a server that reported LOAD, for QUERY.  */
-static gint64
-expected_run_usec (const struct load_report *load,
-                   const struct peer_query *query)
-{
-  if (load->mean_run_usec > 0)
-    return load->mean_run_usec;
-  return query->default_run_usec > 0 ? query->default_run_usec
-                                     : RUN_DEFAULT_USEC;
-}
-
-/* Return how long a request waits behind AHEAD others for one of SLOTS, each
-   of which is taken for RUN_USEC.  */
-static gint64
-queueing_usec (gint64 run_usec, guint32 ahead, guint32 slots)
-{
-  return ahead < slots ? 0 : run_usec * (ahead - slots + 1) / slots;
-}
-
-/* Return the estimated number of requests at the peer.  Without a recent load
-   report half of the peer's slots are assumed to be busy, besides the requests
-   that this node has sent.  */
-static guint32
-estimated_requests (const struct peer_state *peer, gint64 now)
-{
-  const struct load_report *load = &peer->load;
-  gint64 reported = load->running + load->waiting + peer->sent_since_load;
-  gint64 assumed = load->slots / 2 + peer->in_flight;
-  gint64 age = MIN (now - peer->load_reported_at, LOAD_STALE_USEC);
-
-  return (guint32)(reported + (assumed - reported) * age / LOAD_STALE_USEC);
-}
-
-/* Return how late the next answer of the peer is expected to be.  */
-static gint64
-expected_delay (const struct peer_state *peer, gint64 now)
-{
-  gint64 unanswered_usec
-      = peer->unanswered_since != 0 ? now - peer->unanswered_since : 0;
-
-  return MAX (unanswered_usec, peer->late_until - now);
-}
-
-/* Return the estimated cost of a request at the peer, in microseconds: its
-   queueing time and run time, weighted up the busier the server is, and the
-   way there.  */
-gint64
-peer_state_cost (const struct peer_state *peer, const struct peer_query *query,
-                 gint64 now)
-{
-  const struct load_report *load = &peer->load;
-  gint64 run_usec = expected_run_usec (load, query);
-  guint32 ahead = estimated_requests (peer, now);
-  gint64 cost = 0;
-
-  if (load->slots > 0)
-    cost = queueing_usec (run_usec, ahead, load->slots) + run_usec / 2
-           + run_usec * (ahead + 1) / load->slots;
-  cost += cost * load->failed_permille / 1000 * LOAD_FAILURE_WEIGHT;
-  cost += MAX (0, expected_delay (peer, now));
-  if (!query->same_zone)
-    cost += ZONE_USEC + query->body_bytes * ZONE_USEC_PER_KB / BYTES_PER_KB;
-  return cost;
-}
-
 /* Record the load that the peer reported.  */
 void
 peer_state_on_load (struct peer_state *peer, const struct load_report *load,
--- a/src/shard/key_rate.h
+++ b/src/shard/key_rate.h
@@ -7,10 +7,12 @@
 
 struct key_rate
 {
-  guint32 *counts;      /* decaying request count of each key, in units of
-                           KEY_RATE_UNIT */
-  guint64 total_count;  /* sum of all counts */
-  gint64 next_decay_at; /* when all counts are halved next */
+  guint32 *counts;          /* decaying request count of each key, in units of
+                               KEY_RATE_UNIT */
+  guint64 total_count;      /* sum of all counts */
+  gint64 next_decay_at;     /* when all counts are halved next */
+  guint32 since_decay_msec; /* time since they were halved, at the last call of
+                               key_rate_decay */
 };
 
 /* A range of keys with about the wanted request rate.  */
@@ -29,6 +31,8 @@
 guint32 key_rate_busiest (const struct key_rate *rates,
                           const struct shard *shard);
 void key_rate_reset (struct key_rate *rates, guint32 first, guint32 last);
+gboolean key_rate_matches_shard (const struct key_rate *rates,
+                                 const struct shard *shard, guint32 rate);
 struct key_rate_range key_rate_find_range (const struct key_rate *rates,
                                            const struct shard *shard,
                                            guint32 rate);
