Calls are recognised, inherit priority and time, and are tried again

Cause: a request that a running request makes (a call) had the priority of its own route and was refused to its parent as soon as three servers had refused it. A call with 371 ms left was refused by three servers within 11 ms, with forecast waits of 52 to 62 ms, and its parent failed after 70 ms in a slot.

`is_call' goes with a forwarded request, as the last field, which older versions end the message before or ignore. What a server itself refused still needs the retry budget and is not paused. A call that finds no server waits for one as long as it can be answered in time. Log event 604 has call, pauses and parent.

--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -53,6 +53,8 @@
 {
   if (a->priority != b->priority)
     return a->priority < b->priority;
+  if (a->is_call != b->is_call)
+    return a->is_call;
   return a->due_at < b->due_at;
 }
 
@@ -213,6 +215,7 @@
   struct admission_waiter waiter
       = { exchange,
           request->priority,
+          request->is_call,
           request->deadline,
           request->due_at != 0 ? MIN (request->due_at, request->deadline)
                                : request->deadline,
--- a/src/decide/admission.h
+++ b/src/decide/admission.h
@@ -8,15 +8,17 @@
 #include "types/request.h"
 
 /* Admission control of the backend server beside this node: its slots, and a
-   short queue ordered by priority and then by due time, so that requests with
-   much time do not delay those with little.  A request that cannot end within
-   its deadline is refused at once.  */
+   short queue ordered by priority, then calls before others, and then by due
+   time, so that requests with much time do not delay those with little.  A
+   request that cannot end within its deadline is refused at once.  */
 
 /* A request that waits for a slot.  */
 struct admission_waiter
 {
   struct handle exchange; /* the request, as the edge names it */
   enum priority priority; /* the request runs before those of lower priority */
+  gboolean is_call;       /* the request runs before those of equal priority
+                             that no running request waits for */
   gint64 deadline;        /* the request must end by then, monotonic usec */
   gint64 due_at; /* time by which the request should end, monotonic usec; the
                     earliest of equal priority runs first */
--- /dev/null
+++ b/src/mesh/mesh_call.c
@@ -0,0 +1,56 @@
+#include "mesh/mesh_parts.h"
+
+/* Calls: requests that a request which runs at the local backend server makes
+   through this node.  */
+
+/* Return the request that runs at the local server and that the id of REQUEST
+   names as its parent, or NULL.  */
+static const struct mesh_request *
+find_parent (const struct mesh *mesh, const struct request *request)
+{
+  struct handle h;
+
+  if (request->parent_id_length == 0)
+    return NULL;
+  h = table_next (&mesh->requests, HANDLE_NONE);
+  for (; handle_is_set (h); h = table_next (&mesh->requests, h))
+    {
+      const struct mesh_request *parent = table_get (&mesh->requests, h);
+      if (parent->phase == MESH_REQUEST_RUNNING
+          && strlen (parent->request.id) == request->parent_id_length
+          && strncmp (parent->request.id, request->id,
+                      request->parent_id_length)
+                 == 0)
+        return parent;
+    }
+  return NULL;
+}
+
+/* Return the earlier of the due times A and B that lies after NOW; a due time
+   of 0 is not known.  */
+static gint64
+earlier_due_at (gint64 a, gint64 b, gint64 now)
+{
+  if (b <= now)
+    return a;
+  return a == 0 ? b : MIN (a, b);
+}
+
+/* Recognize REQUEST as a call if a request that it may name as its parent runs
+   here, and let it inherit its parent's priority and time: the parent occupies
+   a slot until the call is answered.  The form of the id alone proves nothing,
+   since it is not guaranteed.  */
+void
+mesh_call_recognise (struct mesh *mesh, struct mesh_request *request,
+                     gint64 now)
+{
+  struct request *call = &request->request;
+  const struct mesh_request *parent = find_parent (mesh, call);
+
+  if (parent == NULL)
+    return;
+  call->is_call = TRUE;
+  call->priority = parent->request.priority;
+  call->deadline = MIN (call->deadline, parent->request.deadline);
+  call->due_at = earlier_due_at (call->due_at, parent->request.due_at, now);
+}
--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -46,7 +46,8 @@
       " rank=%d"
       " key=%s from=%s tries=%u took_ms=%" G_GINT64_FORMAT
       " left_ms=%" G_GINT64_FORMAT " retry_ms=%" G_GINT64_FORMAT
-      " tick_ms=%" G_GINT64_FORMAT " config=%" G_GUINT64_FORMAT,
+      " tick_ms=%" G_GINT64_FORMAT " config=%" G_GUINT64_FORMAT
+      " call=%d pauses=%u parent=%.*s",
       outcome_name (outcome), reason_name (reason),
       phase_name (request->phase), request->last_status,
       request->request.service, request->route_name,
@@ -55,7 +56,10 @@
       request->request.attempts, (now - request->arrived_at) / USEC_PER_MSEC,
       (request->request.deadline - now) / USEC_PER_MSEC,
       MAX (0, request->caller_retry_at - now) / USEC_PER_MSEC,
-      (now - mesh->last_tick_at) / USEC_PER_MSEC, mesh_routing_version (mesh));
+      (now - mesh->last_tick_at) / USEC_PER_MSEC, mesh_routing_version (mesh),
+      request->request.is_call, request->pause_count,
+      request->request.is_call ? (int)request->request.parent_id_length : 0,
+      request->request.id);
   table_remove (&mesh->requests, exchange);
 }
 
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -10,6 +10,10 @@
 /* A tick that is later than this shows that the node lags.  */
 #define MESH_LAG_USEC ((gint64)250000)
 
+/* An attempt is not made with less time left than this: the answer would come
+   too late for the caller.  */
+#define MESH_ATTEMPT_MIN_USEC ((gint64)30000)
+
 /* Time in which a process restarts.  */
 #define MESH_RESTART_USEC ((gint64)800000)
 
@@ -28,6 +32,10 @@
 void mesh_route_waiting (struct mesh *mesh, gboolean all, gint64 now,
                          struct actions *out);
 
+/* Calls of requests that run at the local backend server, mesh_call.c.  */
+void mesh_call_recognise (struct mesh *mesh, struct mesh_request *request,
+                          gint64 now);
+
 /* Budgets of retries, mesh_retry_budget.c.  */
 void mesh_add_retry (struct mesh *mesh, const char *service);
 gboolean mesh_spend_retry (struct mesh *mesh,
--- a/src/mesh/mesh_retry.c
+++ b/src/mesh/mesh_retry.c
@@ -1,14 +1,11 @@
 #include "mesh/mesh_parts.h"
+#include "serve/call_retry.h"
 
 /* A request is sent to an owner again after this delay for each attempt that
    was refused or failed, at most RETRY_DELAY_FACTOR_MAX times the delay.  */
 #define RETRY_DELAY_USEC ((gint64)25000)
 #define RETRY_DELAY_FACTOR_MAX 6u
 
-/* An attempt is not made with less time left than this: the answer would come
-   too late for the caller.  */
-#define ATTEMPT_MIN_USEC ((gint64)30000)
-
 /* A request is sent to servers that deny holding its key at most this many
    times.  */
 #define DENIED_ATTEMPTS_MAX 2u
@@ -47,6 +44,63 @@
     }
 }
 
+/* Return whether a node refused a request for REASON before its server got the
+   request, and a server may run it a moment later.  */
+static gboolean
+was_turned_away (enum reason reason)
+{
+  switch (reason)
+    {
+    case REASON_OVERLOAD:
+    case REASON_DEADLINE:
+    case REASON_WARMING_UP:
+    case REASON_SERVER_DOWN:
+    case REASON_DRAINING:
+    case REASON_NO_SERVER:
+    case REASON_EVACUATED:
+      return TRUE;
+    default:
+      return FALSE;
+    }
+}
+
+/* Let the call EXCHANGE, which a node turned away, go on as CALL_RETRY says;
+   refuse it for the reason in EVENT if no attempt can succeed any more.  */
+static void
+retry_call (struct mesh *mesh, struct handle exchange,
+            const struct event_attempt_ended *event, gint64 now,
+            struct actions *out)
+{
+  struct mesh_request *request = table_get (&mesh->requests, exchange);
+  gint64 advice_usec = (gint64)event->retry_after_msec * USEC_PER_MSEC;
+  struct call_refusal refusal = { .left_usec = request->request.deadline - now,
+                                  .need_usec = MESH_ATTEMPT_MIN_USEC,
+                                  .advice_usec = advice_usec,
+                                  .tried_count = request->tried_count,
+                                  .pause_count = request->pause_count };
+  struct call_retry retry;
+
+  refusal.other_is_free
+      = !mesh_is_sharded (mesh, request->request.service)
+        && handle_is_set (mesh_pick (mesh, request, now).member);
+  retry = call_retry_decide (&refusal);
+  switch (retry.action)
+    {
+    case CALL_RETRY_ELSEWHERE:
+      mesh_route_request (mesh, exchange, now, out);
+      break;
+    case CALL_RETRY_PAUSE:
+      request->phase = MESH_REQUEST_WAITING;
+      request->retry_at = now + retry.pause_usec;
+      request->pause_count++;
+      request->tried_count = 0;
+      break;
+    case CALL_RETRY_FAIL:
+      mesh_refuse (mesh, exchange, event->reason, advice_usec, now, out);
+      break;
+    }
+}
+
 /* Retry the request EXCHANGE, whose last attempt did not run, at another node
    or later, or refuse it.  */
 void
@@ -63,10 +117,12 @@
   if (event->reason == REASON_KEY_DENIED)
     request->denied_count++;
   if (request->request.forwarded || !event->body_replayable
-      || left_usec < ATTEMPT_MIN_USEC
+      || left_usec < MESH_ATTEMPT_MIN_USEC
       || request->denied_count >= DENIED_ATTEMPTS_MAX
       || (event->reason == REASON_SHED && !mesh_spend_retry (mesh, request)))
     mesh_refuse (mesh, exchange, event->reason, advice_usec, now, out);
+  else if (request->request.is_call && was_turned_away (event->reason))
+    retry_call (mesh, exchange, event, now, out);
   else if (sharded && may_run_soon (event->reason))
     {
       request->phase = MESH_REQUEST_WAITING;
@@ -129,7 +185,7 @@
          && !request->request.forwarded && event->body_replayable
          && event->reason != REASON_DEADLINE
          && request->reached_count < request->max_attempts
-         && request->request.deadline - now > ATTEMPT_MIN_USEC
+         && request->request.deadline - now > MESH_ATTEMPT_MIN_USEC
          && mesh_spend_retry (mesh, request);
 }
 
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -115,6 +115,22 @@
   action->request = request->request;
 }
 
+/* Return how long REQUEST may still wait for a node.  A call waits as long as
+   it can be answered in time: it fails its parent, which holds a slot, while a
+   refused caller can return.  */
+static gint64
+longest_wait_usec (const struct mesh_request *request, gint64 now)
+{
+  gint64 left_usec = request->request.deadline - now;
+  gint64 wait_until
+      = request->arrived_at
+        + (request->request.deadline - request->arrived_at) / WAIT_DIVISOR;
+
+  if (request->request.is_call)
+    return left_usec - MESH_ATTEMPT_MIN_USEC;
+  return now >= wait_until ? 0 : left_usec / WAIT_DIVISOR;
+}
+
 /* Let REQUEST wait for a node, or refuse it for the reason in PICK.  */
 static void
 wait_or_refuse (struct mesh *mesh, struct handle exchange,
@@ -122,12 +138,10 @@
                 gint64 now, struct actions *out)
 {
   gint64 left_usec = request->request.deadline - now;
-  gint64 wait_until
-      = request->arrived_at
-        + (request->request.deadline - request->arrived_at) / WAIT_DIVISOR;
+  gint64 wait_usec = longest_wait_usec (request, now);
 
-  if (request->request.forwarded || now >= wait_until
-      || pick->wait_usec > left_usec / 2 || pick->reason == REASON_NO_KEY)
+  if (request->request.forwarded || wait_usec <= 0
+      || pick->wait_usec > wait_usec || pick->reason == REASON_NO_KEY)
     {
       mesh_refuse (mesh, exchange, pick->reason, pick->wait_usec, now, out);
       return;
@@ -194,6 +208,7 @@
       return;
     }
   apply_route (mesh, request, route);
+  mesh_call_recognise (mesh, request, now);
   mesh_add_retry (mesh, request->request.service);
   mesh_route_request (mesh, event->exchange, now, out);
 }
@@ -225,6 +240,7 @@
 
   request->request = event->request;
   request->arrived_at = now;
+  request->caller_deadline = event->request.deadline;
   request->max_attempts = 1;
   request->body_bytes = MAX (0, event->body_length);
   if (!event->request.forwarded)
--- a/src/serve/mesh_request.h
+++ b/src/serve/mesh_request.h
@@ -21,18 +21,21 @@
   enum mesh_request_phase phase; /* progress of the request */
   char route_name[NAME_SIZE];    /* name of the route, empty if not known */
   gint64 arrived_at;             /* when the request arrived */
-  gint64 body_bytes;     /* length of the request body, 0 if not known */
-  guint32 max_attempts;  /* servers that the request may reach */
-  guint32 reached_count; /* servers that the request may have reached */
-  gboolean may_have_run; /* an attempt may have been executed */
-  gboolean wait_logged;  /* the wait was logged, or is a wait for a grant */
-  guint32 last_status;   /* HTTP status of the last complete answer, 0: none */
+  gint64 caller_deadline; /* deadline that the caller gave, on this node's
+                             clock */
+  gint64 body_bytes;      /* length of the request body, 0 if not known */
+  guint32 max_attempts;   /* servers that the request may reach */
+  guint32 reached_count;  /* servers that the request may have reached */
+  gboolean may_have_run;  /* an attempt may have been executed */
+  gboolean wait_logged;   /* the wait was logged, or is a wait for a grant */
+  guint32 last_status; /* HTTP status of the last complete answer, 0: none */
   gint64 caller_retry_at; /* when the caller is told to retry, 0: not told */
   gint64 sent_at;         /* when the current attempt began */
   gint64 retry_at;        /* when the request is routed again */
   struct handle sent_to;  /* member that the last attempt went to */
   guint32 denied_count;   /* attempts at servers that denied to hold the
                              key */
+  guint32 pause_count;    /* pauses after refusals, of a call */
   guint32 tried_count;    /* attempts that failed or were refused; may exceed
                              MESH_REQUEST_TRIED_MAX */
 
--- a/src/types/request.h
+++ b/src/types/request.h
@@ -48,6 +48,10 @@
   gint64 expected_run_usec; /* expected run time, microseconds; 0: not known;
                                never sent to other nodes */
   char id[REQUEST_ID_SIZE]; /* request id that the caller chose, or empty */
+  guint32 parent_id_length; /* length of the beginning of `id' that is the id
+                               of the parent if the request is a call; 0: `id'
+                               does not have the form of a call's id; never
+                               sent to other nodes */
   struct stamp stamp;       /* stamp that the request carries */
   guint64 digest; /* digest of method, path and the first bytes of the body */
   gint64 due_at;  /* an answer after this time is late, monotonic microseconds;
@@ -56,8 +60,7 @@
   guint32 attempts;   /* times the request was sent so far */
   gboolean forwarded; /* another node forwarded the request */
   gboolean is_call;   /* a request that is running at a backend server made
-                         this one and waits for its answer; never sent to
-                         other nodes */
+                         this one and waits for its answer */
 };
 
 #endif
--- a/src/wire/wire_forward.c
+++ b/src/wire/wire_forward.c
@@ -39,6 +39,18 @@
          && priority >= PRIORITY_HIGH && priority < PRIORITY_COUNT;
 }
 
+/* XDR filter for whether REQUEST is a call, which is encoded last in a
+   message: versions that do not know it end the message before it, or ignore
+   it.  */
+static bool_t
+wire_is_call (XDR *xdr, struct request *request)
+{
+  if (wire_bool (xdr, &request->is_call))
+    return TRUE;
+  request->is_call = FALSE;
+  return xdr->x_op == XDR_DECODE;
+}
+
 /* XDR filter for struct forward_request.  */
 bool_t
 wire_forward_request (XDR *xdr, void *item)
@@ -55,7 +67,8 @@
          && wire_i64 (xdr, &message->body_length)
          && wire_bytes (xdr, &message->chunk, &message->chunk_length,
                         BODY_QUEUE_BYTES)
-         && wire_bool (xdr, &message->is_last_chunk);
+         && wire_bool (xdr, &message->is_last_chunk)
+         && wire_is_call (xdr, &message->request);
 }
 
 /* XDR filter for struct forward_response_head.  */
