Admission: late requests run behind those that can meet their targets

Cause: a request was refused if its forecast wait was more than half of its time to spare until the target latency, or once it had waited for 40 % of its time. Where a queue formed all the same, it was run in the order of due times, so that requests that had become late took the places of those that could still meet their targets.

Change: decide/wait_rule states when a request completes and when it has to start to meet its target; decide/work_rate measures the work admitted in the last 2 s by class. The order of the queue is priority, calls, what can meet its target, and within that the latest start (target less 1.5 run times). A request that cannot meet its target moves behind those that can, on entry or later. It is refused if it is not forecast to complete: the capacity that is left for it is the slots less the work of the classes that go before it, so that what is overtaken by more than the server can run is refused at once. The queue is examined again at each event. A server whose slots have not become free for a time is expected to need as long again. A request waits at most until its deadline less its run time; the limit of 40 % is gone from the mesh. admission.c is divided into queue, wait and removal. Log events 602 and 606 have call and free.

--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -1,24 +1,15 @@
-#include "decide/admission.h"
+#include "decide/admission_parts.h"
 
 #include <string.h>
 
 #define RETRY_MSEC_MIN 50u /* shortest retry advice */
 
-/* A start that a limit allows is noticed at most this long after it is due,
-   with the next tick.  */
-#define START_DELAY_USEC ((gint64)30000)
-
 /* Until the server has answered it gets one part in this many of its slots,
    at least UNANSWERED_SLOTS_MIN: it may have named a limit to an earlier
    process of this node.  */
 #define UNANSWERED_DIVISOR 4u
 #define UNANSWERED_SLOTS_MIN 2u
 
-/* Share of the spare time before its due time that a request may be expected
-   to spend in the queue.  The share is less than 100 because run times vary
-   around their mean.  */
-#define WAIT_SPARE_PERCENT 50
-
 /* Set up admission for a backend server that has not announced itself.  */
 void
 admission_init (struct admission *admission)
@@ -32,8 +23,10 @@
   memset (&admission->limiter, 0, sizeof admission->limiter);
   server_load_init (&admission->server_load);
   memset (&admission->limit, 0, sizeof admission->limit);
+  memset (&admission->work_rate, 0, sizeof admission->work_rate);
   memset (&admission->warmup, 0, sizeof admission->warmup);
   admission->awaits_answer = FALSE;
+  admission->last_start_at = 0;
   admission->queue
       = g_array_new (FALSE, TRUE, sizeof (struct admission_waiter));
 }
@@ -46,37 +39,11 @@
   admission->queue = NULL;
 }
 
-/* Tell whether A runs before B.  */
-static gboolean
-runs_before (const struct admission_waiter *a,
-             const struct admission_waiter *b)
-{
-  if (a->priority != b->priority)
-    return a->priority < b->priority;
-  if (a->is_call != b->is_call)
-    return a->is_call;
-  return a->due_at < b->due_at;
-}
-
-/* Insert WAITER into the queue at its place in the run order.  */
-static void
-enqueue (struct admission *admission, const struct admission_waiter *waiter)
-{
-  guint at = admission->queue->len;
-
-  while (at > 0
-         && runs_before (waiter,
-                         &g_array_index (admission->queue,
-                                         struct admission_waiter, at - 1)))
-    at--;
-  g_array_insert_vals (admission->queue, at, waiter, 1);
-}
-
 /* Return how many slots may be in use at NOW: less than the server has until
    it has answered, while it warms up, after refusals, and while it is loaded
    by others.  */
-static guint32
-usable_slots (struct admission *admission, gint64 now)
+guint32
+admission_usable_slots (struct admission *admission, gint64 now)
 {
   guint32 slots = limiter_slots (&admission->limiter, admission->slots, now);
 
@@ -91,8 +58,9 @@
 
 /* Return how long a request waits for its start behind AHEAD others under the
    rates that the server takes, in microseconds.  */
-static gint64
-rate_wait_usec (const struct admission *admission, guint32 ahead, gint64 now)
+gint64
+admission_rate_wait_usec (const struct admission *admission, guint32 ahead,
+                          gint64 now)
 {
   return MAX (server_limit_wait_usec (&admission->limit, ahead, now),
               warmup_wait_usec (&admission->warmup, ahead, now));
@@ -103,8 +71,8 @@
 static gboolean
 may_start (struct admission *admission, gint64 now)
 {
-  return admission->busy_slots < usable_slots (admission, now)
-         && rate_wait_usec (admission, 0, now) == 0;
+  return admission->busy_slots < admission_usable_slots (admission, now)
+         && admission_rate_wait_usec (admission, 0, now) == 0;
 }
 
 /* Tell whether a request would run at once.  */
@@ -120,9 +88,10 @@
 admission_retry_msec (struct admission *admission, gint64 now)
 {
   guint32 queued = admission->queue->len;
-  gint64 wait = MAX (limiter_wait_usec (&admission->limiter, queued,
-                                        usable_slots (admission, now)),
-                     server_limit_retry_usec (&admission->limit, queued, now));
+  gint64 wait
+      = MAX (limiter_wait_usec (&admission->limiter, queued,
+                                admission_usable_slots (admission, now)),
+             server_limit_retry_usec (&admission->limit, queued, now));
 
   wait = MAX (wait, warmup_retry_usec (&admission->warmup, queued, now));
   return MAX ((guint32)(wait / USEC_PER_MSEC), RETRY_MSEC_MIN);
@@ -134,66 +103,11 @@
 {
   server_limit_take (&admission->limit, now);
   warmup_take (&admission->warmup, now);
+  admission->last_start_at = now;
   admission->busy_slots++;
   admission->peak_busy = MAX (admission->peak_busy, admission->busy_slots);
 }
 
-/* Estimate how long WAITER waits and runs if it enters the queue at NOW.  */
-static struct admission_forecast
-forecast (struct admission *admission, const struct admission_waiter *waiter,
-          gint64 now)
-{
-  struct admission_forecast forecast = { .run_usec = waiter->run_usec };
-  guint i;
-
-  for (i = 0; i < admission->queue->len; i++)
-    if (!runs_before (waiter, &g_array_index (admission->queue,
-                                              struct admission_waiter, i)))
-      forecast.requests_ahead++;
-  forecast.wait_usec
-      = MAX (limiter_wait_usec (&admission->limiter, forecast.requests_ahead,
-                                usable_slots (admission, now)),
-             rate_wait_usec (admission, forecast.requests_ahead, now));
-  return forecast;
-}
-
-/* Return whether WAITER, behind AHEAD others, starts within its longest wait
-   under the rates that the server takes.  */
-gboolean
-admission_starts_in_time (const struct admission *admission,
-                          const struct admission_waiter *waiter, guint32 ahead,
-                          gint64 now)
-{
-  gint64 wait = rate_wait_usec (admission, ahead, now);
-
-  return wait == 0 || now + wait + START_DELAY_USEC <= waiter->wait_until;
-}
-
-/* Return why WAITER must not enter the queue, or REASON_NONE.  Under overload,
-   a queue of requests that end late would make all later ones late too, so a
-   request is refused if its expected wait is too long.  One request may always
-   wait for a slot, so that the server has no idle ones.  The wait under a
-   limit is certain, so a request that would not start in time is refused at
-   once.  */
-static enum reason
-check_wait (struct admission *admission, const struct admission_waiter *waiter,
-            gint64 now)
-{
-  struct admission_forecast expected = forecast (admission, waiter, now);
-  gint64 spare = waiter->due_at - now - expected.run_usec;
-
-  if (now + expected.wait_usec + expected.run_usec > waiter->deadline)
-    return REASON_DEADLINE;
-  if (!admission_starts_in_time (admission, waiter, expected.requests_ahead,
-                                 now))
-    return warmup_is_cold (&admission->warmup, now) ? REASON_WARMING_UP
-                                                    : REASON_OVERLOAD;
-  if (expected.requests_ahead > 0 && waiter->due_at < waiter->deadline
-      && expected.wait_usec > spare * WAIT_SPARE_PERCENT / 100)
-    return REASON_OVERLOAD;
-  return REASON_NONE;
-}
-
 /* Tell whether the queue is full of requests that run before WAITER.  */
 static gboolean
 queue_is_full (const struct admission *admission,
@@ -201,10 +115,10 @@
 {
   return admission->queue_max == 0
          || (admission->queue->len >= admission->queue_max
-             && !runs_before (waiter,
-                              &g_array_index (admission->queue,
-                                              struct admission_waiter,
-                                              admission->queue->len - 1)));
+             && !admission_runs_before (
+                 waiter,
+                 &g_array_index (admission->queue, struct admission_waiter,
+                                 admission->queue->len - 1)));
 }
 
 /* Return the queue entry of REQUEST at NOW.  */
@@ -212,16 +126,24 @@
 make_waiter (const struct admission *admission, struct handle exchange,
              const struct request *request, gint64 now)
 {
-  struct admission_waiter waiter
-      = { exchange,
-          request->priority,
-          request->is_call,
-          request->deadline,
-          request->due_at != 0 ? MIN (request->due_at, request->deadline)
-                               : request->deadline,
-          now + (request->deadline - now) * admission->max_wait_percent / 100,
-          request->expected_run_usec > 0 ? request->expected_run_usec
-                                         : admission->limiter.mean_run_usec };
+  gint64 run_usec = request->expected_run_usec > 0
+                        ? request->expected_run_usec
+                        : admission->limiter.mean_run_usec;
+  gint64 due_at = request->due_at != 0
+                      ? MIN (request->due_at, request->deadline)
+                      : request->deadline;
+  struct admission_waiter waiter = {
+    .exchange = exchange,
+    .priority = request->priority,
+    .is_call = request->is_call,
+    .deadline = request->deadline,
+    .due_at = due_at,
+    .wait_until
+    = MIN (now + (request->deadline - now) * admission->max_wait_percent / 100,
+           request->deadline - run_usec),
+    .run_usec = run_usec,
+    .start_by = wait_rule_start_by (due_at, run_usec)
+  };
 
   return waiter;
 }
@@ -234,7 +156,7 @@
   struct admission_waiter waiter
       = make_waiter (admission, HANDLE_NONE, request, now);
 
-  return forecast (admission, &waiter, now);
+  return admission_forecast_waiter (admission, &waiter, now);
 }
 
 /* Give REQUEST a slot, queue it, or refuse it and put the reason into
@@ -256,15 +178,18 @@
     return ADMISSION_REFUSE;
   if (admission_has_free_slot (admission, now))
     {
+      work_rate_add (&admission->work_rate, admission_class (&waiter),
+                     waiter.run_usec, now);
       take_slot (admission, now);
       return ADMISSION_RUN;
     }
-  *reason = check_wait (admission, &waiter, now);
+  admission_demote (admission, now);
+  *reason = admission_check_wait (admission, &waiter, now);
   if (*reason == REASON_NONE && queue_is_full (admission, &waiter))
     *reason = REASON_OVERLOAD;
   if (*reason != REASON_NONE)
     return ADMISSION_REFUSE;
-  enqueue (admission, &waiter);
+  admission_enqueue (admission, &waiter, now);
   return ADMISSION_QUEUE;
 }
 
@@ -295,6 +220,7 @@
 {
   if (admission->queue->len == 0 || !may_start (admission, now))
     return FALSE;
+  admission_demote (admission, now);
   *exchange
       = g_array_index (admission->queue, struct admission_waiter, 0).exchange;
   g_array_remove_index (admission->queue, 0);
--- a/src/decide/admission.h
+++ b/src/decide/admission.h
@@ -4,7 +4,9 @@
 #include "decide/limiter.h"
 #include "decide/server_limit.h"
 #include "decide/server_load.h"
+#include "decide/wait_rule.h"
 #include "decide/warmup.h"
+#include "decide/work_rate.h"
 #include "types/request.h"
 
 /* Admission control of the backend server beside this node: its slots, and a
@@ -20,11 +22,15 @@
   gboolean is_call;       /* the request runs before those of equal priority
                              that no running request waits for */
   gint64 deadline;        /* the request must end by then, monotonic usec */
+  gboolean is_late; /* the request is not expected to end by its due time;
+                       those that are run before it */
   gint64 due_at; /* time by which the request should end, monotonic usec; the
                     earliest of equal priority runs first */
   gint64 wait_until; /* the request leaves the queue then at the latest,
                         monotonic usec */
   gint64 run_usec;   /* expected run time, microseconds */
+  gint64 start_by;   /* the request is to start by then to meet its target; the
+                        earliest of one class runs first */
 };
 
 /* Expected course of a request in the queue.  */
@@ -33,6 +39,8 @@
   guint32 requests_ahead; /* queued requests that run before this one */
   gint64 wait_usec;       /* time until the request has a slot, microseconds */
   gint64 run_usec;        /* expected run time after that, microseconds */
+  gint64 free_milli;      /* thousandths of a slot that requests which go
+                             before it leave free */
 };
 
 struct admission
@@ -51,6 +59,8 @@
   struct server_load server_load; /* load that the server reports */
   struct server_limit limit;      /* limit that the server names */
   struct warmup warmup;           /* rate limit while the server is cold */
+  struct work_rate work_rate;     /* work that was admitted recently */
+  gint64 last_start_at; /* when a request was last given a slot, 0: none was */
   gboolean awaits_answer; /* no answer of the server has come yet that would
                              name its limit */
   GArray *queue;          /* struct admission_waiter, in run order */
--- a/src/decide/admission_remove.c
+++ b/src/decide/admission_remove.c
@@ -19,30 +19,6 @@
   return TRUE;
 }
 
-/* Remove the last request from the queue that would not start within its
-   longest wait under the rates that the server takes, and put it into
-   EXCHANGE.  Return FALSE if there is none.  */
-gboolean
-admission_evict_late (struct admission *admission, gint64 now,
-                      struct handle *exchange)
-{
-  guint i;
-
-  if (!admission->limit.is_named && !warmup_is_cold (&admission->warmup, now))
-    return FALSE;
-  for (i = admission->queue->len; i > 0; i--)
-    {
-      const struct admission_waiter *waiter
-          = &g_array_index (admission->queue, struct admission_waiter, i - 1);
-      if (admission_starts_in_time (admission, waiter, i - 1, now))
-        continue;
-      *exchange = waiter->exchange;
-      g_array_remove_index (admission->queue, i - 1);
-      return TRUE;
-    }
-  return FALSE;
-}
-
 /* Remove one request that has waited for its longest time from the queue, and
    put it into EXCHANGE.  Return FALSE if there is none.  */
 gboolean
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -1,9 +1,5 @@
 #include "mesh/mesh_parts.h"
 
-/* A request waits for a slot for at most this share of the time to its
-   deadline.  A request that is refused then can still be retried in time.  */
-#define MAX_WAIT_PERCENT 40u
-
 /* Time between walks over all members, for each of them, so that the work of a
    tick does not grow with the fleet; and the longest time.  */
 #define WALK_USEC_PER_MEMBER ((gint64)500)
@@ -23,7 +19,6 @@
   grant_init (&mesh->grant, settings->grant_method,
               now + settings->max_grant_usec);
   admission_init (&mesh->admission);
-  mesh->admission.max_wait_percent = MAX_WAIT_PERCENT;
   mesh->admission.awaits_answer = TRUE;
   warmup_init (&mesh->admission.warmup, now);
   key_rate_init (&mesh->key_rate);
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -100,12 +100,13 @@
   mesh_log (out, id, request->request.id,
             "reason=%s rank=%d busy=%u/%u waiting=%u ahead=%u"
             " wait_ms=%" G_GINT64_FORMAT " run_ms=%" G_GINT64_FORMAT
-            " left_ms=%" G_GINT64_FORMAT,
+            " left_ms=%" G_GINT64_FORMAT " call=%d free=%" G_GINT64_FORMAT,
             reason, (int)request->request.priority, mesh->admission.busy_slots,
             mesh->admission.slots, mesh->admission.queue->len,
             forecast->requests_ahead, forecast->wait_usec / USEC_PER_MSEC,
             forecast->run_usec / USEC_PER_MSEC,
-            (request->request.deadline - now) / USEC_PER_MSEC);
+            (request->request.deadline - now) / USEC_PER_MSEC,
+            request->request.is_call, forecast->free_milli);
 }
 
 /* Refuse the request that lost its place in the queue, if one did.  */
