Retry-After spreads refused callers, within a third of their time

Cause: each refused caller was told the time until the next free slot, all of them the same one, and came back to a full server.

Change: decide/retry_spread gives callers times one after the other at the rate at which there is capacity for their priority (the forecast wait, then one run time for each slot that higher classes leave). A caller of lower priority comes after those of higher priority that were told before. Where no capacity is in sight within a third of the time that the caller has left, it is told a time in the later half of that third, higher priority first, spread by the golden ratio. The entry node bounds every advice by a third of the time that the caller itself gave; a time that lies after the caller's deadline (a key without an owner, a server's own rate) is told as it is, since the caller would return in vain. Rates that a server takes keep their own advice.

--- a/src/decide/admission.c
+++ b/src/decide/admission.c
@@ -23,6 +23,7 @@
   memset (&admission->limiter, 0, sizeof admission->limiter);
   server_load_init (&admission->server_load);
   memset (&admission->limit, 0, sizeof admission->limit);
+  memset (&admission->retry_spread, 0, sizeof admission->retry_spread);
   memset (&admission->work_rate, 0, sizeof admission->work_rate);
   memset (&admission->warmup, 0, sizeof admission->warmup);
   admission->awaits_answer = FALSE;
@@ -159,6 +160,34 @@
   return admission_forecast_waiter (admission, &waiter, now);
 }
 
+/* Return after how long the caller of REQUEST, which is refused at NOW, is to
+   return, in microseconds: spread over the time in which there is capacity for
+   its priority, within a third of the time that it has left.  A rate that the
+   server takes gives later times, which are certain.  */
+gint64
+admission_retry_usec (struct admission *admission,
+                      const struct request *request, gint64 now)
+{
+  struct admission_waiter waiter
+      = make_waiter (admission, HANDLE_NONE, request, now);
+  struct admission_forecast expected
+      = admission_forecast_waiter (admission, &waiter, now);
+  guint32 queued = admission->queue->len;
+  struct retry_query query
+      = { .priority = request->priority,
+          .wait_usec = expected.wait_usec,
+          .limit_usec = retry_spread_limit_usec (request->deadline - now) };
+  gint64 rate_usec
+      = MAX (server_limit_retry_usec (&admission->limit, queued, now),
+             warmup_retry_usec (&admission->warmup, queued, now));
+
+  if (rate_usec > 0)
+    return rate_usec;
+  if (expected.free_milli > 0)
+    query.interval_usec = expected.run_usec * 1000 / expected.free_milli;
+  return retry_spread_next_usec (&admission->retry_spread, &query, now);
+}
+
 /* Give REQUEST a slot, queue it, or refuse it and put the reason into
    REASON.  */
 enum admission_result
--- a/src/decide/admission.h
+++ b/src/decide/admission.h
@@ -2,6 +2,7 @@
 #define BAMBOOTALLY_ADMISSION_H
 
 #include "decide/limiter.h"
+#include "decide/retry_spread.h"
 #include "decide/server_limit.h"
 #include "decide/server_load.h"
 #include "decide/wait_rule.h"
@@ -56,10 +57,11 @@
   guint32 max_wait_percent;
   /* measured run times; limits slots after a start and refusals */
   struct limiter limiter;
-  struct server_load server_load; /* load that the server reports */
-  struct server_limit limit;      /* limit that the server names */
-  struct warmup warmup;           /* rate limit while the server is cold */
-  struct work_rate work_rate;     /* work that was admitted recently */
+  struct server_load server_load;   /* load that the server reports */
+  struct server_limit limit;        /* limit that the server names */
+  struct warmup warmup;             /* rate limit while the server is cold */
+  struct work_rate work_rate;       /* work that was admitted recently */
+  struct retry_spread retry_spread; /* when refused callers are to return */
   gint64 last_start_at; /* when a request was last given a slot, 0: none was */
   gboolean awaits_answer; /* no answer of the server has come yet that would
                              name its limit */
@@ -86,6 +88,8 @@
 void admission_on_shed (struct admission *admission, gint64 now);
 gboolean admission_has_free_slot (struct admission *admission, gint64 now);
 guint32 admission_retry_msec (struct admission *admission, gint64 now);
+gint64 admission_retry_usec (struct admission *admission,
+                             const struct request *request, gint64 now);
 struct admission_forecast admission_forecast (struct admission *admission,
                                               const struct request *request,
                                               gint64 now);
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -109,16 +109,29 @@
             request->request.is_call, forecast->free_milli);
 }
 
+/* Return after how many milliseconds the caller of REQUEST, which is refused
+   at NOW, is to return.  */
+static guint32
+retry_msec (struct mesh *mesh, const struct mesh_request *request, gint64 now)
+{
+  return (
+      guint32)(admission_retry_usec (&mesh->admission, &request->request, now)
+               / USEC_PER_MSEC);
+}
+
 /* Refuse the request that lost its place in the queue, if one did.  */
 static void
 refuse_displaced (struct mesh *mesh, gint64 now, struct actions *out)
 {
   struct handle displaced;
+  const struct mesh_request *request;
 
-  if (admission_evict (&mesh->admission, &displaced)
-      && table_get (&mesh->requests, displaced) != NULL)
+  if (!admission_evict (&mesh->admission, &displaced))
+    return;
+  request = table_get (&mesh->requests, displaced);
+  if (request != NULL)
     mesh_reject_here (mesh, displaced, REASON_OVERLOAD,
-                      admission_retry_msec (&mesh->admission, now), now, out);
+                      retry_msec (mesh, request, now), now, out);
 }
 
 /* Run or queue the request EXCHANGE, or refuse it, as the admission queue
@@ -150,8 +163,7 @@
       log_queue (mesh, LOG_EVENT_MESH_REFUSE, request, reason_name (reason),
                  &forecast, now, out);
       mesh_reject_here (mesh, exchange, reason,
-                        admission_retry_msec (&mesh->admission, now), now,
-                        out);
+                        retry_msec (mesh, request, now), now, out);
       break;
     }
 }
@@ -230,18 +242,20 @@
   return reason;
 }
 
-/* Refuse the requests in the queue that would not start in time under the
-   limit that the server names.  */
+/* Refuse the requests in the queue that are not expected to complete any
+   more.  */
 static void
 refuse_late (struct mesh *mesh, gint64 now, struct actions *out)
 {
   struct handle late;
 
   while (admission_evict_late (&mesh->admission, now, &late))
-    if (table_get (&mesh->requests, late) != NULL)
-      mesh_reject_here (mesh, late, REASON_OVERLOAD,
-                        admission_retry_msec (&mesh->admission, now), now,
-                        out);
+    {
+      const struct mesh_request *request = table_get (&mesh->requests, late);
+      if (request != NULL)
+        mesh_reject_here (mesh, late, REASON_OVERLOAD,
+                          retry_msec (mesh, request, now), now, out);
+    }
 }
 
 /* Give the free slots to requests in the queue.  */
--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -81,9 +81,24 @@
   mesh_remove_request (mesh, exchange, outcome, reason, now, out);
 }
 
-/* End the request EXCHANGE, whose last attempt did not run, for REASON.  The
-   caller is told to retry after RETRY_USEC, or after RETRY_UNKNOWN_USEC if
-   that is 0.  */
+/* Return what the caller of REQUEST is told if there may be capacity after
+   RETRY_USEC: that time, but no longer than callers wait.  Where it is certain
+   that there is none before the deadline, the caller is told so, since it
+   would return in vain.  */
+static gint64
+advice_usec (const struct mesh_request *request, gint64 retry_usec, gint64 now)
+{
+  gint64 left_usec = request->caller_deadline - now;
+
+  if (request->request.forwarded || left_usec <= 0 || retry_usec >= left_usec)
+    return MAX (retry_usec, RETRY_MIN_USEC);
+  return MIN (MAX (retry_usec, RETRY_MIN_USEC),
+              MAX (retry_spread_limit_usec (left_usec), USEC_PER_MSEC));
+}
+
+/* End the request EXCHANGE, whose last attempt did not run, for REASON.  There
+   may be capacity for it after RETRY_USEC, RETRY_UNKNOWN_USEC if that is
+   0.  */
 void
 mesh_refuse (struct mesh *mesh, struct handle exchange, enum reason reason,
              gint64 retry_usec, gint64 now, struct actions *out)
@@ -91,10 +106,11 @@
   const struct mesh_request *request = table_get (&mesh->requests, exchange);
 
   if (retry_usec == 0)
-    retry_usec = RETRY_UNKNOWN_USEC;
+    retry_usec = MIN (RETRY_UNKNOWN_USEC,
+                      MAX (request->caller_deadline - now - 1, 1));
   mesh_answer (mesh, exchange,
                request->may_have_run ? OUTCOME_UNKNOWN : OUTCOME_NOT_RUN,
-               reason, MAX (retry_usec, RETRY_MIN_USEC), now, out);
+               reason, advice_usec (request, retry_usec, now), now, out);
 }
 
 /* Events */
@@ -243,11 +259,14 @@
   struct handle h;
 
   while (admission_expire (&mesh->admission, now, &h))
-    if (table_get (&mesh->requests, h) != NULL)
-      mesh_refuse (mesh, h, REASON_OVERLOAD,
-                   (gint64)admission_retry_msec (&mesh->admission, now)
-                       * USEC_PER_MSEC,
-                   now, out);
+    {
+      const struct mesh_request *request = table_get (&mesh->requests, h);
+      if (request != NULL)
+        mesh_refuse (
+            mesh, h, REASON_OVERLOAD,
+            admission_retry_usec (&mesh->admission, &request->request, now),
+            now, out);
+    }
   h = table_next (&mesh->requests, HANDLE_NONE);
   for (; handle_is_set (h); h = table_next (&mesh->requests, h))
     {
--- a/tests/admission_replay.h
+++ b/tests/admission_replay.h
@@ -1,11 +1,7 @@
 #ifndef TESTS_ADMISSION_REPLAY_H
 #define TESTS_ADMISSION_REPLAY_H
 
-#include "decide/admission.h"
-#include "serve/call_retry.h"
-#include "serve/run_times.h"
-
-#include <math.h>
+#include "tests/admission_replay_random.h"
 
 /* Replays a load at the admission control of one server, without a network.
    The server has 6 slots.  Requests have a mean run time of 140 ms with a
@@ -16,86 +12,6 @@
    serve/call_retry decides.  A new request that is refused does not come
    back.  */
 
-#define REPLAY_SLOTS 6u
-#define REPLAY_QUEUE (REPLAY_SLOTS * 4)
-#define REPLAY_START ((gint64)1000000000)
-#define REPLAY_MSEC ((gint64)1000)
-#define REPLAY_STEP (1 * REPLAY_MSEC)
-#define REPLAY_ITEMS 512u
-#define REPLAY_CALL_SHARE 0.12 /* share of the capacity that calls ask for */
-#define REPLAY_CALL_WAIT_MIN (30 * REPLAY_MSEC)
-
-/* The kinds of requests; a call of priority P has the kind 3 + P.  */
-#define REPLAY_KINDS 6u
-
-/* Results for one kind.  */
-struct replay_result
-{
-  guint sent;       /* requests, or calls */
-  guint on_time;    /* ended within the target */
-  guint late;       /* ended after the target, within the deadline */
-  guint refused;    /* refused, for good */
-  guint in_vain;    /* refused after a wait, or ended after the deadline */
-  gint64 vain_usec; /* time that those waited or ran */
-};
-
-/* One request or call in the replay.  */
-struct replay_item
-{
-  gboolean used;               /* the entry is in use */
-  guint kind;                  /* index of its kind */
-  gint64 arrived_at;           /* when it arrived first */
-  gint64 deadline;             /* when its caller gives up */
-  gint64 due_at;               /* its target */
-  gint64 run_usec;             /* how long it will run */
-  gint64 started_at;           /* when it got a slot, 0: it has none */
-  gint64 again_at;             /* when it is sent again, 0: it is not */
-  struct call_refusal refusal; /* what a call knows of its refusals */
-};
-
-/* A load: shares of the capacity, by time.  */
-struct replay_load
-{
-  double load;       /* offered work as a share of the capacity */
-  double burst_load; /* the same during the burst */
-  gint64 burst_at;   /* when a burst begins, from the start; 0: none */
-  gint64 burst_usec; /* length of the burst */
-  gint64 usec;       /* length of the replay */
-  double share[3];   /* shares of the priorities in new requests */
-};
-
-struct replay
-{
-  struct admission admission;
-  struct run_times run_times;
-  struct replay_item items[REPLAY_ITEMS];
-  struct replay_result results[REPLAY_KINDS];
-  GRand *random;
-  gint64 now;
-  double next_at[2]; /* when the next request and the next call arrive */
-  double busy_usec;  /* slot time used */
-};
-
-/* Return a sample of the exponential distribution with mean MEAN.  */
-static inline double
-replay_exponential (struct replay *replay, double mean)
-{
-  return -mean * log (1 - g_rand_double (replay->random));
-}
-
-/* Return a sample of the log-normal distribution with mean MEAN and the
-   standard deviation SIGMA of the logarithm.  */
-static inline double
-replay_run (struct replay *replay, double mean, double sigma)
-{
-  double normal = -6;
-  guint i;
-
-  for (i = 0; i < 12; i++)
-    normal += g_rand_double (replay->random);
-  return mean * exp (sigma * normal - sigma * sigma / 2);
-}
-
 /* Return the number of the route of KIND.  */
 static inline guint32
 replay_route (guint kind)
@@ -118,6 +34,45 @@
   item->used = FALSE;
 }
 
+/* Return the request of ITEM.  */
+static inline struct request
+replay_request (const struct replay *replay, const struct replay_item *item)
+{
+  struct request request
+      = { .priority = (enum priority) (item->kind % 3),
+          .is_call = item->kind >= 3,
+          .deadline = item->deadline,
+          .due_at = item->seen_due_at,
+          .expected_run_usec = run_times_of_route (
+              &replay->run_times, replay_route (item->kind)) };
+
+  return request;
+}
+
+/* Let the caller of ITEM, a new request that was refused, return if it has the
+   time.  A caller waits for at most a third of the time that it has left, and
+   then has a target from its first attempt still.  */
+static inline void
+replay_return_caller (struct replay *replay, struct replay_item *item)
+{
+  struct request request = replay_request (replay, item);
+  gint64 advice
+      = replay->returns == REPLAY_RETURN_NEXT
+            ? (gint64)admission_retry_msec (&replay->admission, replay->now)
+                  * REPLAY_MSEC
+            : admission_retry_usec (&replay->admission, &request, replay->now);
+
+  advice = MAX (advice, 10 * REPLAY_MSEC);
+  if (advice > (item->deadline - replay->now) / 3
+      || item->deadline - replay->now < 100 * REPLAY_MSEC)
+    replay_fail (replay, item);
+  else
+    {
+      item->again_at = replay->now + advice;
+      item->seen_due_at = item->again_at + REPLAY_TARGET;
+    }
+}
+
 /* Process the refusal of ITEM by the node.  */
 static inline void
 replay_refused (struct replay *replay, struct replay_item *item)
@@ -126,7 +81,10 @@
 
   if (item->kind < 3)
     {
-      replay_fail (replay, item);
+      if (replay->returns == REPLAY_RETURN_NEVER)
+        replay_fail (replay, item);
+      else
+        replay_return_caller (replay, item);
       return;
     }
   item->refusal.left_usec = item->deadline - replay->now;
@@ -164,16 +122,11 @@
 {
   struct replay_item *item = &replay->items[index];
   struct handle h = { index };
-  struct request request
-      = { .priority = (enum priority) (item->kind % 3),
-          .is_call = item->kind >= 3,
-          .deadline = item->deadline,
-          .due_at = item->due_at,
-          .expected_run_usec = run_times_of_route (
-              &replay->run_times, replay_route (item->kind)) };
+  struct request request = replay_request (replay, item);
   enum reason reason;
 
   item->again_at = 0;
+  replay->results[item->kind].tries++;
   switch (admission_request (&replay->admission, h, &request, replay->now,
                              &reason))
     {
@@ -199,7 +152,8 @@
   guint i = 1;
 
   item.deadline = replay->now + (is_call ? 400 : 2500) * REPLAY_MSEC;
-  item.due_at = replay->now + (is_call ? 120 : 600) * REPLAY_MSEC;
+  item.due_at = replay->now + (is_call ? 120 * REPLAY_MSEC : REPLAY_TARGET);
+  item.seen_due_at = item.due_at;
   item.run_usec = (gint64)(is_call ? replay_run (replay, 30000, 0.5)
                                    : replay_run (replay, 140000, 0.95));
   while (replay->items[i].used)
@@ -275,6 +229,17 @@
     }
 }
 
+/* Draw the priority of a request of LOAD.  */
+static inline guint
+replay_priority (struct replay *replay, const struct replay_load *load)
+{
+  double draw = g_rand_double (replay->random);
+
+  if (draw < load->share[0])
+    return 0;
+  return draw < load->share[0] + load->share[1] ? 1 : 2;
+}
+
 /* Let the requests and calls arrive that are due by now, under LOAD.  */
 static inline void
 replay_step_arrivals (struct replay *replay, const struct replay_load *load)
@@ -290,19 +255,13 @@
 
   while (replay->next_at[0] <= (double)replay->now)
     {
-      double draw = g_rand_double (replay->random);
-      guint priority = draw < load->share[0]                    ? 0
-                       : draw < load->share[0] + load->share[1] ? 1
-                                                                : 2;
+      guint priority = replay_priority (replay, load);
       replay->next_at[0] += replay_exponential (replay, request_gap);
       replay_arrive (replay, priority);
     }
   while (replay->next_at[1] <= (double)replay->now)
     {
-      double draw = g_rand_double (replay->random);
-      guint priority = draw < load->share[0]                    ? 0
-                       : draw < load->share[0] + load->share[1] ? 1
-                                                                : 2;
+      guint priority = replay_priority (replay, load);
       replay->next_at[1] += replay_exponential (replay, call_gap);
       replay_arrive (replay, 3 + priority);
     }
@@ -321,6 +280,7 @@
   admission_init (&replay->admission);
   admission_set_slots (&replay->admission, REPLAY_SLOTS, REPLAY_QUEUE);
   replay->admission.max_wait_percent = max_wait_percent;
+  replay->returns = load->returns;
   replay->random = g_rand_new_with_seed (seed);
   replay->next_at[0] = replay->next_at[1] = (double)REPLAY_START;
   for (replay->now = REPLAY_START; replay->now < REPLAY_START + load->usec;
@@ -336,6 +296,7 @@
     }
   for (i = 0; i < REPLAY_KINDS; i++)
     {
+      results[i].tries += replay->results[i].tries;
       results[i].sent += replay->results[i].sent;
       results[i].on_time += replay->results[i].on_time;
       results[i].late += replay->results[i].late;
