Refusal at the entry node where no server can start a request in time

Cause: a request with little time left was sent to up to three full servers one after the other, each of which refused it.

Change: serve/service_prospect states when a server may have a slot at the earliest: run time of what goes before the request by its load report, less the age of the report, by which the backlog has run off. A server without a report, with a free slot or without a known run time may have one at once, so that old or missing reports justify no refusal. mesh_prospect.c refuses a request for an unkeyed service if all its servers have none before the deadline; all are examined only if the one that was picked has none. The reports do not say which priorities wait, so what waits counts only for requests of the last class (priority 2, not calls).

Checked: test_service_prospect (8 servers with 24 waiting, 140 ms, 6 slots: refused with 500 ms left, not with 600 ms, not with one unknown server, not by a report 200 ms old; at the node with the advice of 583 ms). 42 test programs of the affected parts pass.

--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -36,6 +36,11 @@
 void mesh_call_recognise (struct mesh *mesh, struct mesh_request *request,
                           gint64 now);
 
+/* Requests that no server can start in time, mesh_prospect.c.  */
+gboolean mesh_prospect_refuse (struct mesh *mesh, struct handle exchange,
+                               struct handle member, gint64 now,
+                               struct actions *out);
+
 /* Budgets of retries, mesh_retry_budget.c.  */
 void mesh_add_retry (struct mesh *mesh, const char *service);
 gboolean mesh_spend_retry (struct mesh *mesh,
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -180,7 +180,10 @@
   else if (pick.is_local)
     mesh_admit (mesh, exchange, now, out);
   else if (handle_is_set (pick.member))
-    send_to_member (mesh, exchange, request, &pick, now, out);
+    {
+      if (!mesh_prospect_refuse (mesh, exchange, pick.member, now, out))
+        send_to_member (mesh, exchange, request, &pick, now, out);
+    }
   else
     wait_or_refuse (mesh, exchange, request, &pick, now, out);
 }
