--- a/tests/admission_replay.h
+++ b/tests/admission_replay.h
@@ -229,17 +229,6 @@
     }
 }
 
-/* Draw the priority of a request of LOAD.  */
-static inline guint
-replay_priority (struct replay *replay, const struct replay_load *load)
-{
-  double draw = g_rand_double (replay->random);
-
-  if (draw < load->share[0])
-    return 0;
-  return draw < load->share[0] + load->share[1] ? 1 : 2;
-}
-
 /* Let the requests and calls arrive that are due by now, under LOAD.  */
 static inline void
 replay_step_arrivals (struct replay *replay, const struct replay_load *load)
--- a/tests/admission_replay_random.h
+++ b/tests/admission_replay_random.h
@@ -27,4 +27,15 @@
   return mean * exp (sigma * normal - sigma * sigma / 2);
 }
 
+/* Draw the priority of a request of LOAD.  */
+static inline guint
+replay_priority (struct replay *replay, const struct replay_load *load)
+{
+  double draw = g_rand_double (replay->random);
+
+  if (draw < load->share[0])
+    return 0;
+  return draw < load->share[0] + load->share[1] ? 1 : 2;
+}
+
 #endif
