--- a/tests/keys_replay.h
+++ b/tests/keys_replay.h
@@ -23,6 +23,8 @@
 #define KEYS_SLOW_USEC (400 * MSEC)
 #define KEYS_SLOW_GAP_USEC 3600000.0
 #define KEYS_SLOW_FACTOR 3.0
+#define KEYS_CHANGED_OWNER 5u /* owner whose speed may change */
+#define KEYS_CHANGE_USEC (30 * USEC_PER_SEC)
 
 /* An owner of keys.  */
 struct keys_owner
@@ -47,7 +49,9 @@
   guint maps;           /* maps written */
   guint moves;          /* ranges moved */
   guint shards;         /* shards of the map in the end */
-  gdouble unheld;       /* share of the requests whose key had no holder */
+  gdouble changed; /* work of the owner whose speed changed in multiples of
+                      the mean, in windows of 5 s */
+  gdouble unheld;  /* share of the requests whose key had no holder */
 };
 
 struct keys_replay
--- a/tests/keys_replay_run.h
+++ b/tests/keys_replay_run.h
@@ -137,11 +137,26 @@
   return sum > 0 ? most * KEYS_OWNERS / sum : 0;
 }
 
+/* Return the work of the owner whose speed changed in multiples of the mean,
+   in the present long window.  */
+static inline gdouble
+keys_share (const struct keys_replay *replay)
+{
+  gdouble sum = 0;
+  guint k;
+
+  for (k = 0; k < KEYS_OWNERS; k++)
+    sum += replay->owners[k].work_long;
+  return replay->owners[KEYS_CHANGED_OWNER].work_long * KEYS_OWNERS / sum;
+}
+
 /* Replay SECONDS with RATE requests a second, to owners of SPEEDS in turn, and
-   return what is seen after the first SETTLED seconds.  */
+   return what is seen after the first SETTLED seconds.  The speed of one owner
+   changes to SPEED_CHANGE of what it was on the way.  */
 static inline struct keys_result
 keys_replay_run (const gdouble *speeds, guint speed_count, guint rate,
-                 guint seconds, guint settled, guint32 seed)
+                 guint seconds, guint settled, gdouble speed_change,
+                 guint32 seed)
 {
   struct keys_replay *replay = g_new0 (struct keys_replay, 1);
   struct keys_result result = { 0 };
@@ -173,6 +188,8 @@
   keys_init_map (replay);
   for (; second < seconds; replay->now += KEYS_STEP_USEC)
     {
+      if (replay->now == start + KEYS_CHANGE_USEC)
+        replay->owners[KEYS_CHANGED_OWNER].speed *= speed_change;
       for (; next_request <= (gdouble)replay->now;
            next_request += keys_exponential (replay, 1e6 / rate))
         keys_request (replay);
@@ -192,6 +209,8 @@
         }
       result.busiest
           += keys_close_window (replay, FALSE) / (seconds - settled);
+      if ((second - settled) % 5 == 0)
+        result.changed += keys_share (replay) / ((seconds - settled) / 5);
       if ((second - settled) % 5 == 0)
         result.busiest_long
             += keys_close_window (replay, TRUE) / ((seconds - settled) / 5);
--- a/tests/test_even_load.c
+++ b/tests/test_even_load.c
@@ -192,6 +192,84 @@
   compare (REPLAY_ANSWERS, TRUE);
 }
 
+/* Return a peer whose server has 6 slots and reported now that TAKEN requests
+   are there, each of which runs for 100 ms.  */
+static struct peer_state
+peer_with (guint32 taken)
+{
+  struct peer_state peer = { 0 };
+  struct load_report load = { .running = MIN (taken, 6),
+                              .waiting = taken > 6 ? taken - 6 : 0,
+                              .slots = 6,
+                              .mean_run_usec = 100 * USEC_PER_MSEC };
+
+  peer_state_on_load (&peer, &load, USEC_PER_SEC);
+  return peer;
+}
+
+/* Servers that a request was refused at must not be chosen again, but what
+   they reported counts towards what is known of the service.  */
+static void
+test_excluded_servers (void)
+{
+  struct peer_state half = peer_with (3);
+  struct peer_state full = peer_with (10);
+  struct placement_candidate first
+      = { .member = handle_make (1, 1), .peer = &half, .is_near = TRUE };
+  struct placement_candidate second
+      = { .member = handle_make (2, 1), .peer = &full, .is_near = TRUE };
+  struct even_load_choice choice;
+  struct even_load load;
+
+  even_load_init (&load, 1, USEC_PER_SEC);
+  CU_ASSERT_FALSE (handle_is_set (even_load_choose (&load, 0).member));
+  even_load_offer (&load, &first, FALSE);
+  CU_ASSERT_FALSE (handle_is_set (even_load_choose (&load, 0).member));
+  even_load_offer (&load, &second, TRUE);
+  choice = even_load_choose (&load, 0);
+  CU_ASSERT_TRUE (handle_equal (choice.member, second.member));
+  CU_ASSERT_EQUAL (choice.compared, 1);
+  CU_ASSERT_EQUAL (choice.busy_permille, 750);
+}
+
+/* Return how many of 1,000 requests with BODY_BYTES go to the server in the
+   own data centre, where TAKEN requests are; the one elsewhere is idle.  */
+static guint
+near_of_thousand (guint32 taken, gint64 body_bytes)
+{
+  struct peer_state near_peer = peer_with (taken);
+  struct peer_state far_peer = peer_with (0);
+  struct placement_candidate near_server
+      = { .member = handle_make (1, 1), .peer = &near_peer, .is_near = TRUE };
+  struct placement_candidate far_server
+      = { .member = handle_make (2, 1), .peer = &far_peer, .is_near = FALSE };
+  guint count = 0;
+  guint i;
+
+  for (i = 0; i < 1000; i++)
+    {
+      struct even_load load;
+      even_load_init (&load, i, USEC_PER_SEC);
+      even_load_offer (&load, &near_server, TRUE);
+      even_load_offer (&load, &far_server, TRUE);
+      if (handle_equal (even_load_choose (&load, body_bytes).member,
+                        near_server.member))
+        count++;
+    }
+  return count;
+}
+
+/* Bytes between data centres are expensive: requests stay in the own one while
+   its servers are not much busier, the longer the larger they are.  */
+static void
+test_own_data_centre_first (void)
+{
+  CU_ASSERT_EQUAL (near_of_thousand (0, 0), 1000);
+  CU_ASSERT_EQUAL (near_of_thousand (4, 100 * 1024), 1000);
+  CU_ASSERT_EQUAL (near_of_thousand (8, 100 * 1024), 1000);
+  CU_ASSERT_EQUAL (near_of_thousand (8, 0), 0);
+}
+
 int
 main (void)
 {
@@ -200,6 +278,8 @@
           { "reports with answers", test_reports_with_answers },
           { "missing reports", test_missing_reports },
           { "slowdown named", test_slowdown_named },
+          { "excluded servers", test_excluded_servers },
+          { "own data centre first", test_own_data_centre_first },
           CU_TEST_INFO_NULL };
 
   return suite_run ("even_load", tests);
--- a/tests/test_keys_even.c
+++ b/tests/test_keys_even.c
@@ -68,7 +68,7 @@
   for (seed = 1; seed <= 3; seed++)
     {
       struct keys_result result
-          = keys_replay_run (speed, count, rate, to, from, seed);
+          = keys_replay_run (speed, count, rate, to, from, 1, seed);
       mean.busiest += result.busiest / 3;
       mean.busiest_long += result.busiest_long / 3;
       mean.maps += result.maps;
@@ -107,13 +107,28 @@
 static void
 test_map_stays_small (void)
 {
-  struct keys_result later = keys_replay_run (speeds, 4, 1107, 240, 200, 1);
+  struct keys_result later = keys_replay_run (speeds, 4, 1107, 240, 200, 1, 1);
 
   print_result ("200 to 240 s", &later);
   CU_ASSERT_TRUE (later.shards < 200);
   CU_ASSERT_TRUE (later.busiest_long < 1.42);
 }
 
+/* A server that becomes half as fast and stays so must lose keys, and one that
+   becomes twice as fast must get some.  */
+static void
+test_speed_changes (void)
+{
+  struct keys_result slower
+      = keys_replay_run (speeds, 4, 1107, 60, 40, 0.5, 1);
+  struct keys_result faster = keys_replay_run (speeds, 4, 1107, 60, 40, 2, 1);
+
+  printf (" half speed: %.2f of the mean, double speed: %.2f\n",
+          slower.changed, faster.changed);
+  CU_ASSERT_TRUE (slower.changed < 1.35);
+  CU_ASSERT_TRUE (faster.changed > 0.5);
+}
+
 /* The same with much to do: 0.65 of the capacity.  */
 static void
 test_high_load (void)
@@ -211,6 +226,7 @@
 {
   CU_TestInfo tests[] = { { "uneven speeds", test_uneven_speeds },
                           { "map stays small", test_map_stays_small },
+                          { "speed changes", test_speed_changes },
                           { "high load", test_high_load },
                           { "equal speeds", test_equal_speeds },
                           { "rate is steady", test_rate_is_steady },
