--- a/tests/test_even_load.c
+++ b/tests/test_even_load.c
@@ -9,6 +9,8 @@
    that were considered.  */
 
 #define SEEDS 4u
+#define REPORTED_RUN_USEC ((gint64)100000)
+#define LARGE_BODY ((gint64)102400)
 
 /* The sums of the shares that are refused differ by this much by chance; the
    means over 24 seeds do not differ.  */
@@ -201,7 +203,7 @@
   struct load_report load = { .running = MIN (taken, 6),
                               .waiting = taken > 6 ? taken - 6 : 0,
                               .slots = 6,
-                              .mean_run_usec = 100 * USEC_PER_MSEC };
+                              .mean_run_usec = REPORTED_RUN_USEC };
 
   peer_state_on_load (&peer, &load, USEC_PER_SEC);
   return peer;
@@ -265,8 +267,8 @@
 test_own_data_centre_first (void)
 {
   CU_ASSERT_EQUAL (near_of_thousand (0, 0), 1000);
-  CU_ASSERT_EQUAL (near_of_thousand (4, 100 * 1024), 1000);
-  CU_ASSERT_EQUAL (near_of_thousand (8, 100 * 1024), 1000);
+  CU_ASSERT_EQUAL (near_of_thousand (4, LARGE_BODY), 1000);
+  CU_ASSERT_EQUAL (near_of_thousand (8, LARGE_BODY), 1000);
   CU_ASSERT_EQUAL (near_of_thousand (8, 0), 0);
 }
 
