mesh-route shows how its server was chosen

An operator could not see why a server was taken: the line now has the servers compared, the cost at the one that was taken and how busy the service was.

Checked: builds; docs/EVENTS.md.

--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -100,14 +100,16 @@
       "service=%s route=%s rank=%d key=%s to=%s try=%u"
       " config=%" G_GUINT64_FORMAT " config_ms=%" G_GINT64_FORMAT
       " records=%" G_GUINT64_FORMAT " heard_ms=%" G_GINT64_FORMAT
-      " load_ms=%" G_GINT64_FORMAT " busy=%u/%u",
+      " load_ms=%" G_GINT64_FORMAT " busy=%u/%u compared=%u"
+      " cost_ms=%" G_GINT64_FORMAT " service_busy=%" G_GINT64_FORMAT,
       request->request.service, request->route_name,
       (int)request->request.priority, request->request.key, member->name,
       request->request.attempts, mesh_routing_version (mesh),
       mesh_age_msec (mesh->freshness[MESH_TOPIC_CONFIG].confirmed_at, now),
       mesh->fleet.applied_offset, mesh_age_msec (peer->last_message_at, now),
       mesh_age_msec (peer->load_reported_at, now),
-      peer->load.running + peer->load.waiting, peer->load.slots);
+      peer->load.running + peer->load.waiting, peer_state_slots (peer, now),
+      pick->compared, pick->cost_usec / USEC_PER_MSEC, pick->busy_permille);
   action = &actions_add (out, ACTION_FORWARD)->u.forward;
   action->exchange = exchange;
   action->peer_incarnation = peer->incarnation;
