--- a/src/edge/mesh_config.c
+++ b/src/edge/mesh_config.c
@@ -11,6 +11,9 @@
 #define CONFIG_APPLY_USEC_DEFAULT ((gint64)2000000)
 /* Time between the request to stop and the kill.  */
 #define STOP_GRACE_USEC_DEFAULT ((gint64)6000000)
+#define MEMORY_MB_DEFAULT 160     /* memory of the smallest host */
+#define DESCRIPTORS_DEFAULT 4100u /* descriptors on the smallest host */
+#define BYTES_PER_MB ((guint64)1048576)
 
 static const struct ini_field config_fields[] = {
   { "node", "host", INI_NAME, TRUE, 0, 0, NULL },
@@ -29,12 +32,14 @@
   { "bounds", "drain-ms", INI_DECIMAL, FALSE, 0, 0, NULL },
   { "bounds", "config-apply-ms", INI_DECIMAL, FALSE, 0, 0, NULL },
   { "bounds", "grace-seconds", INI_DECIMAL, FALSE, 0, 0, NULL },
+  { "limits", "memory-mb", INI_NUMBER, FALSE, 1, 1048576, NULL },
+  { "limits", "max-fds", INI_NUMBER, FALSE, 1, 1048576, NULL },
   { "journal", "level", INI_CHOICE, FALSE, 0, 0, "error|info|debug" },
 };
 
 static const struct ini_schema config_schema
     = { config_fields, G_N_ELEMENTS (config_fields), "",
-        "node|listen|server|store|bounds|journal" };
+        "node|listen|server|store|bounds|limits|journal" };
 
 /* Read the section listen: the addresses that the node listens on.  */
 static void
@@ -95,6 +100,14 @@
           = ini_duration_usec (ini, section, "grace-seconds", USEC_PER_SEC,
                                STOP_GRACE_USEC_DEFAULT);
     }
+  else if (strcmp (section->kind, "limits") == 0)
+    {
+      config->memory_bytes
+          = (guint64)ini_number (ini, section, "memory-mb", MEMORY_MB_DEFAULT)
+            * BYTES_PER_MB;
+      config->descriptors_max
+          = (guint)ini_number (ini, section, "max-fds", DESCRIPTORS_DEFAULT);
+    }
   else if (strcmp (section->kind, "journal") == 0)
     ini_copy (ini, section, "level", config->log_level,
               sizeof config->log_level);
@@ -106,6 +119,8 @@
 {
   memset (config, 0, sizeof *config);
   g_strlcpy (config->log_level, "info", sizeof config->log_level);
+  config->memory_bytes = MEMORY_MB_DEFAULT * BYTES_PER_MB;
+  config->descriptors_max = DESCRIPTORS_DEFAULT;
   config->mesh.max_grant_usec = MAX_GRANT_USEC_DEFAULT;
   config->mesh.drain_limit_usec = DRAIN_LIMIT_USEC_DEFAULT;
   config->mesh.config_apply_usec = CONFIG_APPLY_USEC_DEFAULT;
--- a/src/edge/mesh_config.h
+++ b/src/edge/mesh_config.h
@@ -15,7 +15,9 @@
   struct address ready_address;   /* where the platform checks readiness */
   struct address metrics_address; /* where metrics are served */
   struct address store_address;   /* the platform's store service */
-  char log_level[NAME_SIZE];      /* lowest level of logged events */
+  guint64 memory_bytes;      /* memory that the process may use, in bytes */
+  guint descriptors_max;     /* descriptors that the process may have open */
+  char log_level[NAME_SIZE]; /* lowest level of logged events */
 };
 
 enum err mesh_config_read (struct mesh_config *config, const char *file,
--- a/tests/test_mesh_config.c
+++ b/tests/test_mesh_config.c
@@ -53,6 +53,28 @@
   CU_ASSERT_EQUAL (config.mesh.grant_method, GRANT_BY_CALL);
 }
 
+/* The limits of the host come from the section limits; without it they are
+   those of the smallest host.  */
+static void
+test_limits (void)
+{
+  struct mesh_config config;
+  guint errors;
+
+  CU_ASSERT_EQUAL (read_settings (&config, "", &errors), ERR_NONE);
+  CU_ASSERT_EQUAL (config.memory_bytes, 160u * 1048576u);
+  CU_ASSERT_EQUAL (config.descriptors_max, 4100);
+  CU_ASSERT_EQUAL (
+      read_settings (&config, "[limits]\nmemory-mb = 512\nmax-fds = 8192\n",
+                     &errors),
+      ERR_NONE);
+  CU_ASSERT_EQUAL (config.memory_bytes, 512u * 1048576u);
+  CU_ASSERT_EQUAL (config.descriptors_max, 8192);
+  CU_ASSERT_EQUAL (
+      read_settings (&config, "[limits]\nmemory-mb = much\n", &errors),
+      ERR_INVALID);
+}
+
 /* An unknown way of granting keys is an error.  */
 static void
 test_unknown (void)
@@ -70,6 +92,7 @@
 {
   CU_TestInfo tests[] = { { "known ways of granting keys", test_known },
                           { "an unknown one", test_unknown },
+                          { "limits of the host", test_limits },
                           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_config", tests);
