A response that a server breaks off does not look complete

Cause: a response without length counted as complete when its connection ended in order, also while the upload was written: a server whose process ends closes in order, and resets only what arrives later. Statuses above 599 were passed on.

Change: a body that ends with its connection is complete only if the whole request was written and acknowledged. An end behind which bytes of ours were not acknowledged is ERR_IO. A status outside 100 to 599 is not valid (ERR_MALFORMED).

--- a/src/edge/conn.c
+++ b/src/edge/conn.c
@@ -48,8 +48,8 @@
 
 /* Return whether the socket of CONN has bytes that were sent and that the
    other end has not acknowledged.  FALSE if the system cannot tell.  */
-static gboolean
-has_undelivered (const struct conn *conn)
+gboolean
+conn_has_undelivered (const struct conn *conn)
 {
   int count = 0;
 
@@ -79,7 +79,7 @@
 void
 conn_abort (struct conn *conn)
 {
-  if (has_undelivered (conn))
+  if (conn_has_undelivered (conn))
     conn_reset (conn);
   else
     conn_close (conn);
--- a/src/edge/conn.h
+++ b/src/edge/conn.h
@@ -23,7 +23,9 @@
 {
   enum conn_event_kind kind;
   enum err code; /* with CONN_CLOSED: ERR_CLOSED if the other end closed it in
-                    order, ERR_IO after a failed read or send, ERR_REFUSED if
+                    order, with all that was sent acknowledged; ERR_IO after
+                    a failed read or send, or with bytes sent that the other
+                    end does not read any more; ERR_REFUSED if
                     it could not be established */
 };
 
@@ -58,6 +60,7 @@
 void conn_set_callback (struct conn *conn, conn_event_fn *fn, gpointer data);
 void conn_send (struct conn *conn, const guint8 *bytes, gsize length);
 gsize conn_unsent (const struct conn *conn);
+gboolean conn_has_undelivered (const struct conn *conn);
 gboolean conn_withdraw (struct conn *conn, guint64 position, gsize length);
 void conn_consume (struct conn *conn, gsize length);
 void conn_pause (struct conn *conn, gboolean paused);
--- a/src/edge/conn_io.c
+++ b/src/edge/conn_io.c
@@ -45,7 +45,8 @@
       g_error_free (error);
       return TRUE;
     }
-  conn_fail (conn, count == 0 ? ERR_CLOSED : ERR_IO);
+  conn_fail (conn,
+             count == 0 && !conn_has_undelivered (conn) ? ERR_CLOSED : ERR_IO);
   g_clear_error (&error);
   return FALSE;
 }
--- a/src/edge/http.c
+++ b/src/edge/http.c
@@ -32,6 +32,21 @@
   fn (&event, data);
 }
 
+/* Return how a call ends whose connection has ended with CODE.  A body that
+   ends with its connection is complete if that ended in order and the whole
+   request had been written: a server that ends before it has read the request
+   may have been stopped within its response.  */
+static enum err
+code_at_close (const struct http_call *call, enum err code)
+{
+  if (!call->has_head || call->skip_response)
+    return code;
+  return call->framing.kind == HTTP_BY_CLOSE && code == ERR_CLOSED
+                 && call->request_complete && conn_unsent (call->conn) == 0
+             ? ERR_NONE
+             : ERR_TRUNCATED;
+}
+
 /* Handle an event of the connection of a call.  */
 static void
 on_call_event (struct conn *conn, const struct conn_event *event,
@@ -66,11 +81,7 @@
       call->on_event (&reported, call->data);
       break;
     case CONN_CLOSED:
-      code = event->code;
-      if (call->has_head && !call->skip_response)
-        code = call->framing.kind == HTTP_BY_CLOSE && event->code == ERR_CLOSED
-                   ? ERR_NONE
-                   : ERR_TRUNCATED;
+      code = code_at_close (call, event->code);
       call->keep_alive = FALSE;
       end_call (call, code);
       break;
--- a/src/edge/http_head.c
+++ b/src/edge/http_head.c
@@ -5,6 +5,8 @@
 #include <string.h>
 
 #define ABSOLUTE_PREFIX "http://" /* of a target with its authority */
+#define STATUS_MIN 100u           /* lowest status of a response */
+#define STATUS_MAX 599u           /* highest one */
 
 /* Finding and checking */
 
@@ -185,15 +187,16 @@
 
 /* Parse the head of a response, of LENGTH bytes as found by
    http_head_find_end, into HEADERS, VERSION and STATUS.  ERR_MALFORMED: it is
-   not valid.  */
+   not valid, or the status is outside 100 to 599 (RFC 9110, section 15).  */
 enum err
 http_head_parse_response (const guint8 *bytes, gsize length,
                           SoupMessageHeaders *headers,
                           SoupHTTPVersion *version, guint *status)
 {
-  return soup_headers_parse_response ((const char *)bytes,
-                                      (int)(length - HTTP_LINE_END_BYTES),
-                                      headers, version, status, NULL)
-             ? ERR_NONE
-             : ERR_MALFORMED;
+  if (!soup_headers_parse_response ((const char *)bytes,
+                                    (int)(length - HTTP_LINE_END_BYTES),
+                                    headers, version, status, NULL))
+    return ERR_MALFORMED;
+  return *status >= STATUS_MIN && *status <= STATUS_MAX ? ERR_NONE
+                                                        : ERR_MALFORMED;
 }
