Buffers give their memory back

Cause: a GByteArray keeps the memory of its longest content. Each read took 64 KiB for its bytes, and an unread response of 60 kB was kept up to four times: in the response body, in the bytes to be given to the connection, in the send buffer, and as what was left of the buffer that it had been read into.

Change: reads go through one buffer of the process; buffers are freed when their last byte is consumed (edge/buffer); what is passed on of a response is discarded, since responses are not replayed.

--- a/src/edge/body.c
+++ b/src/edge/body.c
@@ -1,5 +1,7 @@
 #include "edge/body.h"
 
+#include "edge/buffer.h"
+
 /* Initialize an empty body.  */
 void
 body_init (struct body *body)
@@ -26,7 +28,7 @@
 {
   if (body->read_offset == 0)
     return;
-  g_byte_array_remove_range (body->bytes, 0, (guint)body->read_offset);
+  buffer_consume (body->bytes, body->read_offset);
   body->read_offset = 0;
   body->replayable = FALSE;
 }
@@ -81,6 +83,15 @@
     discard_consumed (body);
 }
 
+/* Mark COUNT more bytes as consumed, and discard all that was consumed: the
+   body is not replayed.  */
+void
+body_pass_on (struct body *body, gsize count)
+{
+  body->read_offset += count;
+  discard_consumed (body);
+}
+
 /* Return TRUE if at least BODY_QUEUE_BYTES are buffered and not consumed.  */
 gboolean
 body_is_full (const struct body *body)
--- a/src/edge/body.h
+++ b/src/edge/body.h
@@ -26,6 +26,7 @@
 gsize body_remaining (const struct body *body);
 const guint8 *body_data (const struct body *body);
 void body_consume (struct body *body, gsize count);
+void body_pass_on (struct body *body, gsize count);
 gboolean body_is_full (const struct body *body);
 gboolean body_is_consumed (const struct body *body);
 gboolean body_rewind (struct body *body);
--- a/src/edge/conn.c
+++ b/src/edge/conn.c
@@ -1,5 +1,6 @@
 #include "edge/conn.h"
 
+#include "edge/buffer.h"
 #include "edge/conn_io.h"
 #include "edge/inet.h"
 
@@ -216,8 +217,7 @@
 void
 conn_consume (struct conn *conn, gsize length)
 {
-  if (length > 0)
-    g_byte_array_remove_range (conn->receive_buffer, 0, (guint)length);
+  buffer_consume (conn->receive_buffer, length);
 }
 
 /* Stop reading if PAUSED is true, else resume.  */
--- a/src/edge/conn_io.c
+++ b/src/edge/conn_io.c
@@ -1,24 +1,24 @@
 #include "edge/conn_io.h"
 
+#include "edge/buffer.h"
+
 #define READ_BYTES 65536 /* bytes read at a time */
 
 /* Most reads at a time on a connection that reads all that has arrived.  */
 #define READS_MAX 16
 
-/* Read up to READ_BYTES from the socket into the receive buffer.  Return their
-   number, 0 at the end of the stream, or -1 with ERROR set.  */
+/* Read up to READ_BYTES from the socket into the receive buffer, which takes
+   no more memory than what has arrived.  Return their number, 0 at the end of
+   the stream, or -1 with ERROR set.  */
 static gssize
 receive (struct conn *conn, GError **error)
 {
-  guint before = conn->receive_buffer->len;
-  gssize count;
+  static guint8 bytes[READ_BYTES]; /* one thread reads */
+  gssize count = g_socket_receive (conn->socket, (char *)bytes, sizeof bytes,
+                                   NULL, error);
 
-  g_byte_array_set_size (conn->receive_buffer, before + READ_BYTES);
-  count = g_socket_receive (conn->socket,
-                            (char *)conn->receive_buffer->data + before,
-                            READ_BYTES, NULL, error);
-  g_byte_array_set_size (conn->receive_buffer,
-                         before + (count > 0 ? (guint)count : 0u));
+  if (count > 0)
+    g_byte_array_append (conn->receive_buffer, bytes, (guint)count);
   return count;
 }
 
@@ -80,7 +80,7 @@
       conn->any_sent = TRUE;
       conn->sent_bytes += (gsize)count;
     }
-  g_byte_array_set_size (conn->send_buffer, 0);
+  buffer_clear (conn->send_buffer);
   conn->sent_bytes = 0;
   conn_set_poll_events (conn, conn->poll_events & ~POLLER_OUT);
   return TRUE;
--- a/src/edge/http_server_write.c
+++ b/src/edge/http_server_write.c
@@ -1,3 +1,4 @@
+#include "edge/buffer.h"
 #include "edge/http_server_conn.h"
 
 #include <string.h>
@@ -82,7 +83,7 @@
 {
   if (c->out->len > 0)
     conn_send (c->conn, c->out->data, c->out->len);
-  g_byte_array_set_size (c->out, 0);
+  buffer_clear (c->out);
 }
 
 /* Send what was written of the response to REQUEST.  */
--- a/src/edge/source_caller.c
+++ b/src/edge/source_caller.c
@@ -38,7 +38,7 @@
   struct handle request = exchange->source.u.caller.request;
   struct body *body = &exchange->response_body;
 
-  body_consume (body, http_server_write (callers, request, body_data (body),
+  body_pass_on (body, http_server_write (callers, request, body_data (body),
                                          body_remaining (body)));
   if (body_is_consumed (body))
     return http_server_finish (callers, request);
--- a/src/edge/source_peer.c
+++ b/src/edge/source_peer.c
@@ -55,7 +55,7 @@
 static void
 on_bytes_sent (struct exchange *exchange, guint32 count, gboolean end)
 {
-  body_consume (&exchange->response_body, count);
+  body_pass_on (&exchange->response_body, count);
   exchange->source.u.peer.end_sent = end;
   if (exchange->target.kind == TARGET_SERVER
       && !body_is_full (&exchange->response_body))
