A byte budget for the process

Cause: memory and descriptors had limits for each connection only, and none for the process.

Change: edge/byte_budget decides, without sockets, who may hold how much: connections of callers, requests of other nodes, and other connections. edge/held_bytes counts buffers, bodies, held responses, connections and requests there, and performs the decisions. Beyond six eighths of the budget who is above its share is not read and begins no request (REASON_MEMORY, not run); beyond seven eighths the holder that holds most is closed, first among those whose reader has not read for a second; connections are accepted as descriptors allow, with a part kept for servers, nodes and the store. While half of the budget is free, responses are buffered beyond 64 KiB, so that a slow reader leaves the server. The budget is two thirds of what [limits] memory-mb leaves besides 16 MB. Event 640, metrics held_bytes and held_bytes_limit. bambootallyd has no limit, as before.

--- a/src/edge/body.c
+++ b/src/edge/body.c
@@ -1,6 +1,7 @@
 #include "edge/body.h"
 
 #include "edge/buffer.h"
+#include "edge/held_bytes.h"
 
 /* Initialize an empty body.  */
 void
@@ -12,22 +13,45 @@
   body->replayable = TRUE;
   body->appended_bytes = 0;
   body->dropped_bytes = 0;
+  body->holder = HANDLE_NONE;
 }
 
 /* Free the buffer of BODY.  */
 void
 body_clear (struct body *body)
 {
+  held_bytes_charge (body->holder, -(gint64)body->bytes->len);
   g_byte_array_unref (body->bytes);
   body->bytes = NULL;
 }
 
+/* Empty BODY, for another one that the same holder counts.  */
+void
+body_reset (struct body *body)
+{
+  struct handle holder = body->holder;
+
+  body_clear (body);
+  body_init (body);
+  body->holder = holder;
+}
+
+/* Have HOLDER count the buffered bytes of BODY.  */
+void
+body_set_holder (struct body *body, struct handle holder)
+{
+  held_bytes_charge (body->holder, -(gint64)body->bytes->len);
+  body->holder = holder;
+  held_bytes_charge (holder, (gint64)body->bytes->len);
+}
+
 /* Discard the bytes that were consumed; the body cannot be replayed after.  */
 static void
 discard_consumed (struct body *body)
 {
   if (body->read_offset == 0)
     return;
+  held_bytes_charge (body->holder, -(gint64)body->read_offset);
   buffer_consume (body->bytes, body->read_offset);
   body->read_offset = 0;
   body->replayable = FALSE;
@@ -41,6 +65,7 @@
   if (body->bytes->len + count > BODY_QUEUE_BYTES)
     discard_consumed (body);
   g_byte_array_append (body->bytes, bytes, (guint)count);
+  held_bytes_charge (body->holder, (gint64)count);
   body->appended_bytes += count;
 }
 
--- a/src/edge/body.h
+++ b/src/edge/body.h
@@ -1,7 +1,9 @@
 #ifndef BAMBOOTALLY_BODY_H
 #define BAMBOOTALLY_BODY_H
 
+#include "types/handle.h"
 #include "types/limits.h"
+
 #include <glib.h>
 
 /* Buffer for a request or response body in transit, limited to
@@ -16,10 +18,13 @@
   gboolean replayable;  /* the first byte of the body is still in the buffer */
   guint64 appended_bytes; /* bytes appended so far */
   guint64 dropped_bytes;  /* bytes dropped so far */
+  struct handle holder;   /* what counts the buffered bytes, or HANDLE_NONE */
 };
 
 void body_init (struct body *body);
 void body_clear (struct body *body);
+void body_reset (struct body *body);
+void body_set_holder (struct body *body, struct handle holder);
 void body_append (struct body *body, const guint8 *bytes, gsize count);
 void body_drop (struct body *body, gsize count);
 gboolean body_is_cut (const struct body *body);
--- a/src/edge/conn.c
+++ b/src/edge/conn.c
@@ -2,6 +2,7 @@
 
 #include "edge/buffer.h"
 #include "edge/conn_io.h"
+#include "edge/held_bytes.h"
 #include "edge/inet.h"
 
 #include <errno.h>
@@ -33,6 +34,7 @@
     return;
   conn_set_poll_events (conn, 0);
   poller_remove (conn->poll_handle);
+  held_bytes_remove (conn->holder);
   g_socket_close (conn->socket, NULL);
   g_clear_object (&conn->socket);
 }
@@ -118,6 +120,7 @@
   conn->data = data;
   if (socket != NULL)
     {
+      conn->holder = held_bytes_add (BYTE_HOLDER_OTHER, conn);
       g_socket_set_blocking (socket, FALSE);
       g_socket_set_option (socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
     }
@@ -188,6 +191,7 @@
   if (length == 0)
     return;
   g_byte_array_append (conn->send_buffer, bytes, (guint)length);
+  conn_count (conn);
   conn_set_poll_events (conn, conn->poll_events | POLLER_OUT);
 }
 
@@ -203,6 +207,7 @@
   g_byte_array_remove_range (conn->send_buffer,
                              (guint)(position - buffer_start), (guint)length);
   conn->queued_bytes -= length;
+  conn_count (conn);
   return TRUE;
 }
 
@@ -218,18 +223,13 @@
 conn_consume (struct conn *conn, gsize length)
 {
   buffer_consume (conn->receive_buffer, length);
+  conn_count (conn);
 }
 
 /* Stop reading if PAUSED is true, else resume.  */
 void
 conn_pause (struct conn *conn, gboolean paused)
 {
-  guint32 other = conn->poll_events & ~(POLLER_IN | POLLER_HANGUP);
-
   conn->read_paused = paused;
-  if (!paused && conn->connected)
-    conn_set_poll_events (conn, other | POLLER_IN);
-  else
-    conn_set_poll_events (conn,
-                          other | (conn->watches_hangup ? POLLER_HANGUP : 0));
+  conn_poll_reading (conn);
 }
--- a/src/edge/conn.h
+++ b/src/edge/conn.h
@@ -50,6 +50,10 @@
                                  reading is suspended */
   gboolean reads_all;         /* all that has arrived is read before it is
                                  reported, up to a limit */
+  gboolean held_back;         /* reading is stopped by the byte budget */
+  struct handle holder;       /* what counts the bytes of the connection */
+  gsize counted_bytes;        /* bytes that it counts in the buffers */
+  gsize other_bytes;          /* bytes that the owner holds for it */
   gboolean any_sent;          /* at least one byte was sent */
   conn_event_fn *on_event;    /* receives the events */
   gpointer data;              /* passed to the callback */
@@ -64,6 +68,10 @@
 gboolean conn_withdraw (struct conn *conn, guint64 position, gsize length);
 void conn_consume (struct conn *conn, gsize length);
 void conn_pause (struct conn *conn, gboolean paused);
+void conn_hold (struct conn *conn, gsize other_bytes);
+void conn_of_caller (struct conn *conn);
+void conn_resume (struct conn *conn);
+void conn_drop (struct conn *conn);
 void conn_watch_hangup (struct conn *conn);
 gboolean conn_has_hung_up (const struct conn *conn);
 void conn_report_first (struct conn *conn, gboolean is_first);
--- a/src/edge/conn_io.c
+++ b/src/edge/conn_io.c
@@ -1,6 +1,7 @@
 #include "edge/conn_io.h"
 
 #include "edge/buffer.h"
+#include "edge/held_bytes.h"
 
 #define READ_BYTES 65536 /* bytes read at a time */
 
@@ -19,6 +20,7 @@
 
   if (count > 0)
     g_byte_array_append (conn->receive_buffer, bytes, (guint)count);
+  conn_count (conn);
   return count;
 }
 
@@ -29,14 +31,23 @@
 read_socket (struct conn *conn)
 {
   GError *error = NULL;
-  gssize count = receive (conn, &error);
-  gssize more = count;
+  gssize count;
+  gssize more;
   int reads = 1;
 
+  if (!held_bytes_may_read (conn->holder))
+    {
+      conn->held_back = TRUE;
+      held_bytes_stop (conn->holder);
+      conn_poll_reading (conn);
+      return TRUE;
+    }
+  count = more = receive (conn, &error);
   while (conn->reads_all && more == READ_BYTES && reads++ < READS_MAX)
     more = receive (conn, NULL);
   if (count > 0)
     {
+      held_bytes_moved (conn->holder);
       conn_notify (conn, CONN_RECEIVED, ERR_NONE);
       return TRUE;
     }
@@ -59,6 +70,7 @@
   GError *error = NULL;
   gssize count;
 
+  held_bytes_moved (conn->holder);
   while (conn->sent_bytes < conn->send_buffer->len)
     {
       count = g_socket_send (
@@ -82,6 +94,7 @@
     }
   buffer_clear (conn->send_buffer);
   conn->sent_bytes = 0;
+  conn_count (conn);
   conn_set_poll_events (conn, conn->poll_events & ~POLLER_OUT);
   return TRUE;
 }
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -1,5 +1,6 @@
 #include "edge/exchange.h"
 
+#include "edge/held_bytes.h"
 #include "edge/proxy.h"
 #include "wire/wire_forward.h"
 
@@ -47,9 +48,11 @@
         struct stream_key key = { exchange->source.u.peer.link.bits,
                                   exchange->source.u.peer.stream };
         g_hash_table_remove (exchange->proxy->streams, &key);
+        held_bytes_remove (exchange->holder);
       }
       break;
     }
+  held_bytes_charge (exchange->holder, -BYTES_PER_REQUEST);
   body_clear (&exchange->request_body);
   body_clear (&exchange->response_body);
   g_clear_pointer (&exchange->request_headers, soup_message_headers_unref);
@@ -179,8 +182,7 @@
       exchange_attempt_ended (exchange, OUTCOME_NOT_RUN, REASON_BODY_LOST);
       return FALSE;
     }
-  body_clear (&exchange->response_body);
-  body_init (&exchange->response_body);
+  body_reset (&exchange->response_body);
   g_clear_pointer (&exchange->response.headers, soup_message_headers_unref);
   exchange->has_response = FALSE;
   exchange->response.has_caller_fields = FALSE;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -112,14 +112,16 @@
 
 struct exchange
 {
-  struct proxy *proxy;                 /* data path of this process */
-  struct handle self;                  /* handle of this exchange */
-  struct source source;                /* origin of the request */
-  struct target target;                /* destination of the attempt */
-  struct request request;              /* properties used for routing */
-  char *method;                        /* HTTP method */
-  char *host_header;                   /* Host header of the caller, or NULL */
-  char *request_target;                /* path and query */
+  struct proxy *proxy;    /* data path of this process */
+  struct handle self;     /* handle of this exchange */
+  struct handle holder;   /* what counts its bytes: the caller's connection, or
+                             the request of the other node */
+  struct source source;   /* origin of the request */
+  struct target target;   /* destination of the attempt */
+  struct request request; /* properties used for routing */
+  char *method;           /* HTTP method */
+  char *host_header;      /* Host header of the caller, or NULL */
+  char *request_target;   /* path and query */
   SoupMessageHeaders *request_headers; /* headers to forward */
   gint64 request_length;         /* request body size in bytes, -1 unknown */
   struct body request_body;      /* request body */
@@ -136,6 +138,12 @@
 void exchange_body_ended (struct exchange *exchange, enum body_end end);
 void exchange_disconnected (struct exchange *exchange, enum body_end end);
 
+/* The byte budget.  */
+void exchange_set_holder (struct exchange *exchange, struct handle holder);
+gboolean exchange_takes_more (const struct exchange *exchange);
+void exchange_passed_on (struct exchange *exchange);
+void exchange_drop (gpointer exchange);
+
 /* Request path, towards the target.  */
 void exchange_run (struct proxy *proxy, const struct action_run *action);
 void exchange_forward (struct proxy *proxy,
--- a/src/edge/exchange_answer.c
+++ b/src/edge/exchange_answer.c
@@ -12,8 +12,7 @@
   g_clear_pointer (&head->headers, soup_message_headers_unref);
   head->headers = soup_message_headers_new (SOUP_MESSAGE_HEADERS_MULTIPART);
   head->has_caller_fields = FALSE;
-  body_clear (&exchange->response_body);
-  body_init (&exchange->response_body);
+  body_reset (&exchange->response_body);
   dialect_fill_error (&exchange->proxy->dialect, exchange, action);
   exchange->response_body.is_complete = TRUE;
   exchange->has_response = TRUE;
--- a/src/edge/http_listener.c
+++ b/src/edge/http_listener.c
@@ -1,5 +1,6 @@
 #include "edge/http_listener.h"
 
+#include "edge/held_bytes.h"
 #include "edge/http_server_conn.h"
 #include "edge/poller.h"
 #include "types/clock.h"
@@ -10,8 +11,16 @@
    stays readable, and would wake the loop again and again.  */
 #define ACCEPT_PAUSE_USEC ((gint64)100000)
 
-/* Accept connections until none waits, ACCEPTS_MAX were accepted, or an error
-   occurs.  */
+/* Accept no connections until ACCEPT_PAUSE_USEC have passed.  */
+static void
+pause_accepting (struct http_listener *listener)
+{
+  poller_set_events (listener->poll_handle, 0);
+  listener->resume_at = clock_usec () + ACCEPT_PAUSE_USEC;
+}
+
+/* Accept connections until none waits, ACCEPTS_MAX were accepted, there is no
+   room for more, or an error occurs.  */
 static void
 on_ready (guint32 ready, gpointer data)
 {
@@ -22,7 +31,13 @@
   (void)ready;
   for (i = 0; i < ACCEPTS_MAX; i++)
     {
-      GSocket *socket = g_socket_accept (listener->socket, NULL, &error);
+      GSocket *socket;
+      if (listener->server->is_bounded && !held_bytes_may_accept ())
+        {
+          pause_accepting (listener);
+          return;
+        }
+      socket = g_socket_accept (listener->socket, NULL, &error);
       if (socket == NULL)
         break;
       http_server_conn_add (listener->server, socket);
@@ -31,8 +46,7 @@
       && !g_error_matches (error, G_IO_ERROR, G_IO_ERROR_WOULD_BLOCK))
     {
       g_warning ("accept: %s", error->message);
-      poller_set_events (listener->poll_handle, 0);
-      listener->resume_at = clock_usec () + ACCEPT_PAUSE_USEC;
+      pause_accepting (listener);
     }
   g_clear_error (&error);
 }
--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -46,6 +46,8 @@
   c->keep_alive = TRUE;
   c->out = g_byte_array_new ();
   c->conn = conn_adopt (socket, on_conn_event, c);
+  if (server->is_bounded)
+    conn_of_caller (c->conn);
   conn_watch_hangup (c->conn);
 }
 
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -68,6 +68,8 @@
   struct table conns;       /* struct http_server_conn */
   struct table requests;    /* struct http_server_request */
   GPtrArray *listeners;     /* struct http_listener: where it listens */
+  gboolean is_bounded;      /* connections may be held back, left waiting and
+                               closed for lack of room */
   http_server_fn *on_event; /* receives the events */
   http_server_ahead_fn *may_run_ahead; /* which requests run at the same time,
                                           NULL: none */
@@ -91,6 +93,8 @@
 /* A request.  */
 void http_server_set_user (struct http_server *server, struct handle request,
                            struct handle user);
+struct handle http_server_holder (struct http_server *server,
+                                  struct handle request);
 gboolean http_server_has_left (struct http_server *server,
                                struct handle request);
 void http_server_pause (struct http_server *server, struct handle request,
--- a/src/edge/http_server_request.c
+++ b/src/edge/http_server_request.c
@@ -82,6 +82,7 @@
   if (r->held != NULL)
     {
       c->held_bytes -= r->held->len;
+      conn_hold (c->conn, c->held_bytes);
       g_byte_array_unref (r->held);
     }
   http_head_clear (&r->head);
@@ -134,6 +135,16 @@
     r->user = user;
 }
 
+/* Return what counts the bytes of the connection of REQUEST.  */
+struct handle
+http_server_holder (struct http_server *server, struct handle request)
+{
+  const struct http_server_request *r
+      = http_server_request_of (server, request);
+
+  return r != NULL ? http_server_request_conn (r)->conn->holder : HANDLE_NONE;
+}
+
 /* Return whether the caller of REQUEST has closed its connection, perhaps
    behind bytes that were not read.  */
 gboolean
--- a/src/edge/http_server_turn.c
+++ b/src/edge/http_server_turn.c
@@ -70,6 +70,7 @@
   if (r->held == NULL)
     return;
   c->held_bytes -= r->held->len;
+  conn_hold (c->conn, c->held_bytes);
   conn_send (c->conn, r->held->data, r->held->len);
   g_clear_pointer (&r->held, g_byte_array_unref);
 }
--- a/src/edge/http_server_write.c
+++ b/src/edge/http_server_write.c
@@ -24,6 +24,7 @@
         r->held = g_byte_array_new ();
       to = r->held;
       c->held_bytes += count;
+      conn_hold (c->conn, c->held_bytes);
     }
   g_byte_array_append (to, (const guint8 *)bytes, (guint)count);
 }
--- a/src/edge/link_call.c
+++ b/src/edge/link_call.c
@@ -1,3 +1,4 @@
+#include "edge/held_bytes.h"
 #include "edge/link_table.h"
 
 /* A retired connection on which nothing arrives for this long is closed.  Two
@@ -113,7 +114,8 @@
   bytes = g_byte_array_new ();
   rpc_write_reply (bytes, xid, code, filter, item);
   conn_send (link->conn, bytes->data, bytes->len);
-  if (conn_unsent (link->conn) > UNREAD_REPLIES_MAX)
+  if (conn_unsent (link->conn) > UNREAD_REPLIES_MAX
+      || !held_bytes_may_queue (link->conn->holder))
     conn_pause (link->conn, TRUE);
   g_byte_array_unref (bytes);
 }
--- a/src/edge/mesh_front.c
+++ b/src/edge/mesh_front.c
@@ -29,6 +29,7 @@
 mesh_front_init (struct mesh_node *node)
 {
   http_server_init (&node->proxy.callers, on_caller, node);
+  node->proxy.callers.is_bounded = TRUE;
   http_server_run_ahead (&node->proxy.callers, may_run_ahead);
   return http_server_listen (&node->proxy.callers,
                              node->config.caller_address);
--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -1,5 +1,6 @@
 #include "edge/mesh_node.h"
 
+#include "edge/held_bytes.h"
 #include "edge/journal.h"
 #include "mesh/mesh_parts.h"
 #include "types/clock.h"
@@ -79,6 +80,8 @@
             (gint64)node->proxy.callers.ahead_count);
   add_line (text, "calls_not_valid",
             (gint64)node->control_api.http_server.refused_count);
+  add_line (text, "held_bytes", (gint64)held_bytes_state ().held);
+  add_line (text, "held_bytes_limit", (gint64)held_bytes_state ().limit);
   add_line (text, "requests_in_hand", mesh->requests.count);
   add_line (text, "gate_running", mesh->admission.busy_slots);
   add_line (text, "gate_waiting", mesh->admission.queue->len);
--- a/src/edge/mesh_node.c
+++ b/src/edge/mesh_node.c
@@ -1,5 +1,6 @@
 #include "edge/mesh_node.h"
 
+#include "edge/held_bytes.h"
 #include "edge/journal.h"
 #include "types/clock.h"
 
@@ -206,6 +207,7 @@
   latency_init (&node->server_latency);
   latency_init (&node->queue_latency);
   latency_init (&node->tick_latency);
+  held_bytes_limit (config->memory_bytes, config->descriptors_max);
   mesh_init (&node->mesh, &node->config.mesh, clock_usec ());
   code = init_proxy (node);
   init_store (node);
--- a/src/edge/mesh_node.h
+++ b/src/edge/mesh_node.h
@@ -46,6 +46,7 @@
   GQueue *deferred_events;       /* struct event: arose while another was
                                     handled */
   gboolean is_processing;        /* an event is being handled */
+  gboolean memory_short;         /* the log has told that a limit is reached */
   guint tick_timer;              /* source id of the timer, 0: none */
   struct quiet_turn quiet_turn;  /* tick that no input follows */
 };
@@ -71,6 +72,7 @@
                                  gsize length, guint64 version);
 void mesh_node_on_config (const struct topic_reader_event *event,
                           gpointer data);
+void mesh_node_watch_memory (struct mesh_node *node);
 char *mesh_node_metrics (gpointer data);
 void mesh_node_log (struct mesh_node *node, const struct log_event *log_event);
 
--- a/src/edge/mesh_node_tick.c
+++ b/src/edge/mesh_node_tick.c
@@ -52,6 +52,7 @@
   gint64 now = clock_usec ();
 
   latency_add (&node->tick_latency, now - node->mesh.last_tick_at);
+  mesh_node_watch_memory (node);
   proxy_expire (&node->proxy, now);
   control_api_expire (&node->control_api, now);
   if (mesh_node_reads_fleet (node))
--- a/src/edge/proxy.c
+++ b/src/edge/proxy.c
@@ -1,5 +1,7 @@
 #include "edge/proxy.h"
 
+#include "edge/held_bytes.h"
+
 #include <string.h>
 
 /* Streams */
@@ -126,6 +128,7 @@
   proxy->arrivals = g_array_new (FALSE, FALSE, sizeof (struct handle));
   proxy->server_calls = g_hash_table_new (NULL, NULL);
   http_init (&proxy->http);
+  held_bytes_on_close (exchange_drop);
   return links_init (&proxy->links, peers, on_link_event, proxy);
 }
 
--- a/src/edge/source_caller.c
+++ b/src/edge/source_caller.c
@@ -1,10 +1,15 @@
 #include "edge/exchange.h"
 
 #include "edge/headers.h"
+#include "edge/held_bytes.h"
 #include "edge/proxy.h"
 
 #include <string.h>
 
+/* Advice to a caller whose request was refused for lack of memory: what does
+   not move is closed after a second.  */
+#define MEMORY_RETRY_MSEC 1000u
+
 /* The response */
 
 /* Write the head of the response.  A node that is leaving asks callers to
@@ -70,7 +75,7 @@
     return;
   if (write_body (exchange))
     exchange_remove (exchange);
-  else if (body_is_full (&exchange->response_body))
+  else if (!exchange_takes_more (exchange))
     return;
   else if (exchange->target.kind == TARGET_SERVER)
     http_pause (&proxy->http, exchange->target.u.server.call, FALSE);
@@ -80,13 +85,16 @@
 
 /* Start and end */
 
-/* End a request that cannot be routed, with REASON.  */
+/* End a request that cannot be taken on, with REASON.  */
 static void
 end_unrouted (struct exchange *exchange, enum reason reason)
 {
-  struct action_answer action = { .exchange = exchange->self,
-                                  .outcome = OUTCOME_NOT_RUN,
-                                  .reason = reason };
+  struct action_answer action
+      = { .exchange = exchange->self,
+          .outcome = OUTCOME_NOT_RUN,
+          .reason = reason,
+          .retry_after_msec
+          = reason == REASON_MEMORY ? MEMORY_RETRY_MSEC : 0 };
 
   exchange_answer (exchange->proxy, &action);
 }
@@ -104,11 +112,15 @@
   proxy->counters.caller_requests++;
   caller->request = event->request;
   http_server_set_user (&proxy->callers, event->request, exchange->self);
+  exchange_set_holder (exchange,
+                       http_server_holder (&proxy->callers, event->request));
   exchange->method = g_strdup (event->head->method);
   exchange->request_target = g_strdup (event->head->target);
   exchange->request_length = event->body_length;
   reason = dialect_parse_request (&proxy->dialect, exchange,
                                   event->head->headers);
+  if (reason == REASON_NONE && !held_bytes_may_begin (exchange->holder))
+    reason = REASON_MEMORY;
   if (reason != REASON_NONE)
     {
       caller->submitted = TRUE;
--- a/src/edge/source_peer.c
+++ b/src/edge/source_peer.c
@@ -2,6 +2,7 @@
 #include "types/clock.h"
 
 #include "edge/headers.h"
+#include "edge/held_bytes.h"
 #include "edge/proxy.h"
 #include "wire/wire_forward.h"
 
@@ -57,8 +58,8 @@
 {
   body_pass_on (&exchange->response_body, count);
   exchange->source.u.peer.end_sent = end;
-  if (exchange->target.kind == TARGET_SERVER
-      && !body_is_full (&exchange->response_body))
+  exchange_passed_on (exchange);
+  if (exchange->target.kind == TARGET_SERVER && exchange_takes_more (exchange))
     http_pause (&exchange->proxy->http, exchange->target.u.server.call, FALSE);
 }
 
@@ -171,6 +172,8 @@
   exchange->request_length = forward->body_length;
   body_append (&exchange->request_body, forward->chunk, forward->chunk_length);
   exchange->request_body.is_complete = forward->is_last_chunk;
+  exchange_set_holder (exchange,
+                       held_bytes_add (BYTE_HOLDER_STREAM, exchange));
   g_hash_table_insert (proxy->streams, g_memdup2 (&key, sizeof key),
                        GUINT_TO_POINTER (exchange->self.bits));
   proxy->counters.peer_requests++;
@@ -178,24 +181,6 @@
   g_array_append_val (proxy->arrivals, exchange->self);
 }
 
-/* Submit the requests that have arrived and were not cancelled meanwhile.  */
-void
-source_peer_submit_arrivals (struct proxy *proxy)
-{
-  guint i;
-
-  for (i = 0; i < proxy->arrivals->len; i++)
-    {
-      struct exchange *exchange = exchange_get (
-          proxy, g_array_index (proxy->arrivals, struct handle, i));
-      if (exchange != NULL)
-        exchange_submit (exchange);
-      else
-        proxy->counters.cancelled_before_start++;
-    }
-  g_array_set_size (proxy->arrivals, 0);
-}
-
 /* Handle RPC_FORWARD_REQUEST: a peer forwards a request.  It is refused unless
    it is meant for this incarnation of the node.  */
 void
@@ -212,7 +197,10 @@
                    NULL);
       return;
     }
-  if (forward.target_incarnation != proxy->self_incarnation)
+  if (!held_bytes_may_begin (HANDLE_NONE))
+    error.reason = REASON_MEMORY;
+  if (error.reason == REASON_MEMORY
+      || forward.target_incarnation != proxy->self_incarnation)
     reply_error (proxy, event->link, event->xid, &error);
   else
     add_arrival (proxy, event, &forward);
@@ -285,18 +273,3 @@
     exchange_disconnected (exchange, BODY_END_BROKEN_OFF);
   links_reply (&proxy->links, event->link, event->xid, ERR_NONE, NULL, NULL);
 }
-
-/* Cancel all requests of a peer whose connection has ended.  */
-void
-source_peer_on_closed (struct proxy *proxy, struct handle link)
-{
-  struct handle h = table_next (&proxy->exchanges, HANDLE_NONE);
-
-  for (; handle_is_set (h); h = table_next (&proxy->exchanges, h))
-    {
-      struct exchange *exchange = exchange_get (proxy, h);
-      if (exchange->source.kind == SOURCE_PEER
-          && handle_equal (exchange->source.u.peer.link, link))
-        exchange_disconnected (exchange, BODY_END_BROKEN_OFF);
-    }
-}
--- a/src/edge/target_peer.c
+++ b/src/edge/target_peer.c
@@ -102,7 +102,7 @@
   struct link_tag tag = attempt_tag (exchange);
 
   if (exchange->target.kind != TARGET_PEER || !exchange->target.has_head
-      || peer->read_pending || body_is_full (&exchange->response_body))
+      || peer->read_pending || !exchange_takes_more (exchange))
     return;
   peer->read_pending = links_call_on (
       &exchange->proxy->links, peer->link, RPC_READ_RESPONSE,
--- a/src/edge/target_server.c
+++ b/src/edge/target_server.c
@@ -135,7 +135,8 @@
       if (!body_is_full (&exchange->response_body))
         break;
       exchange->has_response = TRUE;
-      http_pause (&proxy->http, event->call, TRUE);
+      if (!exchange_takes_more (exchange))
+        http_pause (&proxy->http, event->call, TRUE);
       break;
     case HTTP_BATCH_END:
       exchange_pump_response (exchange);
