--- a/tests/test_source_peer.c
+++ b/tests/test_source_peer.c
@@ -9,21 +9,32 @@
 /* The forwarding node.  */
 struct sender
 {
-  struct links links;  /* its connections */
-  struct address to;   /* the node under test */
-  guint64 incarnation; /* incarnation of that node */
-  guint64 last_stream; /* id of the last forwarded request */
-  guint replies;       /* replies to forwarded requests */
+  struct links links;   /* its connections */
+  struct address to;    /* the node under test */
+  guint64 incarnation;  /* incarnation of that node */
+  guint64 last_stream;  /* id of the last forwarded request */
+  guint replies;        /* replies to forwarded requests */
+  enum outcome outcome; /* outcome in the last one */
+  enum reason reason;   /* its reason */
 };
 
-/* Count a reply to a forwarded request.  */
+/* Record a reply to a forwarded request.  */
 static void
 on_sender (const struct link_event *event, gpointer data)
 {
   struct sender *sender = data;
-
-  if (event->kind == LINK_REPLY && event->procedure == RPC_FORWARD_REQUEST)
-    sender->replies++;
+  struct forward_response_head head = { 0 };
+
+  if (event->kind != LINK_REPLY || event->procedure != RPC_FORWARD_REQUEST)
+    return;
+  sender->replies++;
+  if (wire_decode (wire_forward_response_head, &head, event->bytes,
+                   event->length)
+      != ERR_NONE)
+    return;
+  sender->outcome = head.outcome;
+  sender->reason = head.reason;
+  xdr_free ((xdrproc_t)wire_forward_response_head, (char *)&head);
 }
 
 /* Start the forwarding node beside BENCH.  */
@@ -176,6 +187,35 @@
   bench_stop (&bench);
 }
 
+/* Guards against a request that is dropped for lack of memory without a word,
+   or with a word that it was not run while it runs.  */
+static void
+test_dropped (void)
+{
+  struct bench bench;
+  struct sender sender;
+  struct proxy *proxy = &bench.node.proxy;
+  struct handle h;
+
+  bench_start (&bench, NULL);
+  sender_init (&sender, &bench);
+  forward (&sender, 0);
+  run_until (&bench.requests);
+  h = table_next (&proxy->exchanges, HANDLE_NONE);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (exchange_get (proxy, h));
+  exchange_drop (exchange_get (proxy, h));
+  CU_ASSERT_EQUAL (proxy->exchanges.count, 0);
+  CU_ASSERT_EQUAL (bench.node.core.admission.busy_slots, 0);
+  run_until (&sender.replies);
+  run_until (&bench.closed_connections);
+  CU_ASSERT_EQUAL (sender.replies, 1);
+  CU_ASSERT_EQUAL (sender.outcome, OUTCOME_UNKNOWN);
+  CU_ASSERT_EQUAL (sender.reason, REASON_MEMORY);
+  CU_ASSERT_EQUAL (bench.closed_connections, 1);
+  links_clear (&sender.links);
+  bench_stop (&bench);
+}
+
 int
 main (void)
 {
@@ -183,6 +223,7 @@
       = { { "cancelled before it was read", test_cancelled_before_read },
           { "cancelled behind a backlog", test_cancelled_behind_backlog },
           { "cancelled while it waits", test_cancelled_while_waiting },
+          { "dropped for lack of memory", test_dropped },
           CU_TEST_INFO_NULL };
 
   return suite_run ("source peer", tests);
