--- a/tests/test_byte_budget.c
+++ b/tests/test_byte_budget.c
@@ -4,7 +4,7 @@
 /* Who may hold how many bytes, without sockets.  */
 
 #define LIMIT ((guint64)8000000) /* an eighth is 1,000,000 */
-#define EIGHTH 1000000
+#define EIGHTH ((gint64)1000000)
 #define SECOND ((gint64)1000000)
 
 /* Add a holder of KIND with BYTES that has moved at the time 0.  */
