--- a/src/edge/conn.c
+++ b/src/edge/conn.c
@@ -1,6 +1,8 @@
 #include "edge/conn.h"
 
+#include "edge/buffer.h"
 #include "edge/conn_io.h"
+#include "edge/held_bytes.h"
 #include "edge/inet.h"
 
 #include <errno.h>
@@ -32,6 +34,7 @@
     return;
   conn_set_poll_events (conn, 0);
   poller_remove (conn->poll_handle);
+  held_bytes_remove (conn->holder);
   g_socket_close (conn->socket, NULL);
   g_clear_object (&conn->socket);
 }
@@ -48,8 +51,8 @@
 
 /* Return whether the socket of CONN has bytes that were sent and that the
    other end has not acknowledged.  FALSE if the system cannot tell.  */
-static gboolean
-has_undelivered (const struct conn *conn)
+gboolean
+conn_has_undelivered (const struct conn *conn)
 {
   int count = 0;
 
@@ -79,7 +82,7 @@
 void
 conn_abort (struct conn *conn)
 {
-  if (has_undelivered (conn))
+  if (conn_has_undelivered (conn))
     conn_reset (conn);
   else
     conn_close (conn);
@@ -117,6 +120,7 @@
   conn->data = data;
   if (socket != NULL)
     {
+      conn->holder = held_bytes_add (BYTE_HOLDER_OTHER, conn);
       g_socket_set_blocking (socket, FALSE);
       g_socket_set_option (socket, IPPROTO_TCP, TCP_NODELAY, 1, NULL);
     }
@@ -187,6 +191,7 @@
   if (length == 0)
     return;
   g_byte_array_append (conn->send_buffer, bytes, (guint)length);
+  conn_count (conn);
   conn_set_poll_events (conn, conn->poll_events | POLLER_OUT);
 }
 
@@ -202,6 +207,7 @@
   g_byte_array_remove_range (conn->send_buffer,
                              (guint)(position - buffer_start), (guint)length);
   conn->queued_bytes -= length;
+  conn_count (conn);
   return TRUE;
 }
 
@@ -216,20 +222,14 @@
 void
 conn_consume (struct conn *conn, gsize length)
 {
-  if (length > 0)
-    g_byte_array_remove_range (conn->receive_buffer, 0, (guint)length);
+  buffer_consume (conn->receive_buffer, length);
+  conn_count (conn);
 }
 
 /* Stop reading if PAUSED is true, else resume.  */
 void
 conn_pause (struct conn *conn, gboolean paused)
 {
-  guint32 other = conn->poll_events & ~(POLLER_IN | POLLER_HANGUP);
-
   conn->read_paused = paused;
-  if (!paused && conn->connected)
-    conn_set_poll_events (conn, other | POLLER_IN);
-  else
-    conn_set_poll_events (conn,
-                          other | (conn->watches_hangup ? POLLER_HANGUP : 0));
+  conn_poll_reading (conn);
 }
--- a/src/edge/conn_io.c
+++ b/src/edge/conn_io.c
@@ -1,24 +1,26 @@
 #include "edge/conn_io.h"
 
+#include "edge/buffer.h"
+#include "edge/held_bytes.h"
+
 #define READ_BYTES 65536 /* bytes read at a time */
 
 /* Most reads at a time on a connection that reads all that has arrived.  */
 #define READS_MAX 16
 
-/* Read up to READ_BYTES from the socket into the receive buffer.  Return their
-   number, 0 at the end of the stream, or -1 with ERROR set.  */
+/* Read up to READ_BYTES from the socket into the receive buffer, which takes
+   no more memory than what has arrived.  Return their number, 0 at the end of
+   the stream, or -1 with ERROR set.  */
 static gssize
 receive (struct conn *conn, GError **error)
 {
-  guint before = conn->receive_buffer->len;
-  gssize count;
+  static guint8 bytes[READ_BYTES]; /* one thread reads */
+  gssize count = g_socket_receive (conn->socket, (char *)bytes, sizeof bytes,
+                                   NULL, error);
 
-  g_byte_array_set_size (conn->receive_buffer, before + READ_BYTES);
-  count = g_socket_receive (conn->socket,
-                            (char *)conn->receive_buffer->data + before,
-                            READ_BYTES, NULL, error);
-  g_byte_array_set_size (conn->receive_buffer,
-                         before + (count > 0 ? (guint)count : 0u));
+  if (count > 0)
+    g_byte_array_append (conn->receive_buffer, bytes, (guint)count);
+  conn_count (conn);
   return count;
 }
 
@@ -29,14 +31,23 @@
 read_socket (struct conn *conn)
 {
   GError *error = NULL;
-  gssize count = receive (conn, &error);
-  gssize more = count;
+  gssize count;
+  gssize more;
   int reads = 1;
 
+  if (!held_bytes_may_read (conn->holder))
+    {
+      conn->held_back = TRUE;
+      held_bytes_stop (conn->holder);
+      conn_poll_reading (conn);
+      return TRUE;
+    }
+  count = more = receive (conn, &error);
   while (conn->reads_all && more == READ_BYTES && reads++ < READS_MAX)
     more = receive (conn, NULL);
   if (count > 0)
     {
+      held_bytes_moved (conn->holder);
       conn_notify (conn, CONN_RECEIVED, ERR_NONE);
       return TRUE;
     }
@@ -45,7 +56,8 @@
       g_error_free (error);
       return TRUE;
     }
-  conn_fail (conn, count == 0 ? ERR_CLOSED : ERR_IO);
+  conn_fail (conn,
+             count == 0 && !conn_has_undelivered (conn) ? ERR_CLOSED : ERR_IO);
   g_clear_error (&error);
   return FALSE;
 }
@@ -58,6 +70,7 @@
   GError *error = NULL;
   gssize count;
 
+  held_bytes_moved (conn->holder);
   while (conn->sent_bytes < conn->send_buffer->len)
     {
       count = g_socket_send (
@@ -79,8 +92,9 @@
       conn->any_sent = TRUE;
       conn->sent_bytes += (gsize)count;
     }
-  g_byte_array_set_size (conn->send_buffer, 0);
+  buffer_clear (conn->send_buffer);
   conn->sent_bytes = 0;
+  conn_count (conn);
   conn_set_poll_events (conn, conn->poll_events & ~POLLER_OUT);
   return TRUE;
 }
--- a/src/edge/http_server_write.c
+++ b/src/edge/http_server_write.c
@@ -1,3 +1,4 @@
+#include "edge/buffer.h"
 #include "edge/http_server_conn.h"
 
 #include <string.h>
@@ -23,6 +24,7 @@
         r->held = g_byte_array_new ();
       to = r->held;
       c->held_bytes += count;
+      conn_hold (c->conn, c->held_bytes);
     }
   g_byte_array_append (to, (const guint8 *)bytes, (guint)count);
 }
@@ -82,7 +84,7 @@
 {
   if (c->out->len > 0)
     conn_send (c->conn, c->out->data, c->out->len);
-  g_byte_array_set_size (c->out, 0);
+  buffer_clear (c->out);
 }
 
 /* Send what was written of the response to REQUEST.  */
