A call is not put behind the priority of its own route

Cause: calls of priority 2 parents took that priority in place of their route's 1, waited behind new requests of priority 1 and held their parents' slots meanwhile.

Change: a call inherits its parent's priority only where that is higher.

--- a/src/mesh/mesh_call.c
+++ b/src/mesh/mesh_call.c
@@ -37,9 +37,10 @@
 }
 
 /* Recognize REQUEST as a call if a request that it may name as its parent runs
-   here, and let it inherit its parent's priority and time: the parent occupies
-   a slot until the call is answered.  The form of the id alone proves nothing,
-   since it is not guaranteed.  */
+   here, and let it inherit its parent's priority, if that is higher than that
+   of its own route, and its time: the parent occupies a slot until the call is
+   answered.  The form of the id alone proves nothing, since it is not
+   guaranteed.  */
 void
 mesh_call_recognise (struct mesh *mesh, struct mesh_request *request,
                      gint64 now)
@@ -50,7 +51,7 @@
   if (parent == NULL)
     return;
   call->is_call = TRUE;
-  call->priority = parent->request.priority;
+  call->priority = MIN (call->priority, parent->request.priority);
   call->deadline = MIN (call->deadline, parent->request.deadline);
   call->due_at = earlier_due_at (call->due_at, parent->request.due_at, now);
 }
--- a/tests/test_mesh_call.c
+++ b/tests/test_mesh_call.c
@@ -104,6 +104,23 @@
   fixture_free (fixture);
 }
 
+/* Guards against a call that is put behind requests of the priority that its
+   own route has, since its parent's is lower: its parent holds a slot until it
+   is answered.  */
+static void
+test_lower_parent (void)
+{
+  struct fixture *fixture = fixture_new ();
+  struct request call;
+
+  run_parent (fixture, PRIORITY_LOW, 1000);
+  send_with_id (fixture, "/other/x", "p.1", 1, 400);
+  call = forwarded (fixture);
+  CU_ASSERT_TRUE (call.is_call);
+  CU_ASSERT_EQUAL (call.priority, PRIORITY_NORMAL);
+  fixture_free (fixture);
+}
+
 /* Guards against callers that gain priority by the form of an id: it counts
    only while a request with the parent's id runs here.  */
 static void
@@ -216,6 +233,7 @@
   CU_TestInfo tests[]
       = { { "a call inherits priority and time", test_call_inherits },
           { "a call is logged", test_call_is_logged },
+          { "lower parent", test_lower_parent },
           { "no such parent", test_no_such_parent },
           { "a refused call returns", test_refused_call_returns },
           { "a call spends the budget", test_call_spends_budget },
