Tests: the bound of evacuations in the settings

Cause: no test read `[bounds] evacuate-ms`.

Change: test_mesh_config reads it, and settings without it or with an empty line in its place.

--- a/tests/test_mesh_config.c
+++ b/tests/test_mesh_config.c
@@ -65,11 +65,32 @@
   CU_ASSERT_EQUAL (errors, 1);
 }
 
+/* Guards against a bound of evacuations that is missing where the platform
+   sets none: the line is left out of the settings then, or empty.  */
+static void
+test_evacuate_bound (void)
+{
+  struct mesh_config config;
+  guint errors;
+
+  CU_ASSERT_EQUAL (read_settings (&config, "", &errors), ERR_NONE);
+  CU_ASSERT_EQUAL (config.mesh.evacuate_usec, 5000000);
+  CU_ASSERT_EQUAL (
+      read_settings (&config, "[bounds]\n\ndrain-ms = 2000\n", &errors),
+      ERR_NONE);
+  CU_ASSERT_EQUAL (config.mesh.evacuate_usec, 5000000);
+  CU_ASSERT_EQUAL (
+      read_settings (&config, "[bounds]\nevacuate-ms = 3500\n", &errors),
+      ERR_NONE);
+  CU_ASSERT_EQUAL (config.mesh.evacuate_usec, 3500000);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = { { "known ways of granting keys", test_known },
                           { "an unknown one", test_unknown },
+                          { "bound of evacuations", test_evacuate_bound },
                           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_config", tests);
