Evacuation: a new instance of a server gives its keys up at once

Cause: an owner whose server started again before its turn to release passed all its keys to one server, which got twice its share. Its new instance holds no keys that could be served until then.

Change: the turn ends with a new instance, so the keys are divided.

--- a/src/mesh/mesh_heartbeat.c
+++ b/src/mesh/mesh_heartbeat.c
@@ -134,6 +134,8 @@
       memset (&mesh->run_times, 0, sizeof mesh->run_times);
       memset (&mesh->server_notice, 0, sizeof mesh->server_notice);
       memset (&mesh->admission.limit, 0, sizeof mesh->admission.limit);
+      /* It holds no keys that could be served until their turn.  */
+      mesh->release_keys_at = MIN (mesh->release_keys_at, now);
     }
   answer = g_new0 (struct heartbeat_answer, 1);
   if (change != GRANT_OUTDATED)
--- a/tests/test_mesh_evacuation_keys.c
+++ b/tests/test_mesh_evacuation_keys.c
@@ -234,6 +234,24 @@
   check_lost_hosts (GRANT_BY_CALL);
 }
 
+/* Guards against a server that gets all keys of an owner whose server starts
+   again before its turn to release them.  */
+static void
+test_new_instance (void)
+{
+  struct sim *sim = start (1, GRANT_BY_CALL);
+  struct observation seen = { 0 };
+
+  sim_evacuate (sim, LEAVING, FALSE);
+  run (sim, 200 * MSEC, &seen);
+  start_server (sim, SIM_NODES - SIM_ZONES);
+  run (sim, 8000 * MSEC, &seen);
+  CU_ASSERT_TRUE (seen.most_keys
+                  <= SHARD_KEY_COUNT / STAYING_NODES + ROUNDING_KEYS);
+  CU_ASSERT_EQUAL (keys_in (sim, LEAVING), 0);
+  finish (sim);
+}
+
 /* Guards against keys that are given up although no server may take them, and
    against requests for them that are served.  */
 static void
@@ -260,6 +278,7 @@
                                  { "back in service", test_back },
                                  { "silent store", test_silent_store },
                                  { "lost hosts", test_lost_hosts },
+                                 { "new instance", test_new_instance },
                                  { "all evacuated", test_all_evacuated },
                                  CU_TEST_INFO_NULL };
 
