A map that is ahead of the store does not prolong its owner's session

Cause: after the store came back from an older copy, an owner whose session was live goes on granting its keys by what it alone knows. Reads of the new era prolonged its session while its append of that map did not succeed, and after the settling time another node, which does not know that map, assigned the keys. test_mesh_era, seed 1019, keys by answer: 337416 keys seen with two holders.

Change: mesh_session_confirm does not confirm the session while the map of the node's service is ahead of the store, so that the grants end within the settling time. In era 0 no map is ever ahead.

Checked: test_mesh_era with seed 1019 and, as a new failure, a store that refuses a node's appends after each older copy; test_mesh_random, test_store_era.

--- a/src/mesh/mesh_gossip.c
+++ b/src/mesh/mesh_gossip.c
@@ -229,8 +229,8 @@
   mesh_routing_on_gossip (mesh, gossip, peer->gossip_sent_at);
   if (gossip->confirmed_age_usec >= 0 && mesh->initial_read_done
       && mesh->fleet.applied_offset >= gossip->applied_offset)
-    freshness_confirm (&mesh->freshness[MESH_TOPIC_FLEET],
-                       peer->gossip_sent_at - gossip->confirmed_age_usec, 0);
+    mesh_session_confirm (
+        mesh, peer->gossip_sent_at - gossip->confirmed_age_usec, 0);
 }
 
 /* Process a reply of another node, or the failure of the call.  */
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -198,6 +198,8 @@
                         struct actions *out);
 void mesh_propose (struct mesh *mesh, struct fleet_record *record,
                    guint64 expected_end, gint64 now, struct actions *out);
+void mesh_session_confirm (struct mesh *mesh, gint64 started_at,
+                           guint64 source);
 gint64 mesh_session_usec (const struct mesh *mesh, gint64 now);
 void mesh_session_step (struct mesh *mesh, gint64 now, struct actions *out);
 void mesh_store_answers (struct mesh *mesh, gboolean answers, gint64 now,
--- a/src/mesh/mesh_records.c
+++ b/src/mesh/mesh_records.c
@@ -159,8 +159,7 @@
   fleet_state_advance (&mesh->fleet, event->next_offset);
   mesh_unconfirmed_resolve (mesh);
   if (event->at_end && event->next_offset >= mesh->fleet.applied_offset)
-    freshness_confirm (&mesh->freshness[MESH_TOPIC_FLEET], event->started_at,
-                       mesh->settings.incarnation);
+    mesh_session_confirm (mesh, event->started_at, mesh->settings.incarnation);
   if (event->complete && !mesh->initial_read_done)
     {
       mesh->initial_read_done = TRUE;
--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -104,8 +104,8 @@
   entry.record = mesh->proposal.record;
   event.next_offset = offset == mesh->fleet.applied_offset ? offset + 1 : 0;
   if (event.next_offset != 0 && !mesh->proposal.sent_to_peer)
-    freshness_confirm (&mesh->freshness[MESH_TOPIC_FLEET],
-                       mesh->proposal.started_at, mesh->settings.incarnation);
+    mesh_session_confirm (mesh, mesh->proposal.started_at,
+                          mesh->settings.incarnation);
   mesh_apply_records (mesh, &event, now, out);
 }
 
@@ -153,6 +153,20 @@
 
 /* Session */
 
+/* Record that a read by the process SOURCE, which began at STARTED_AT, showed
+   nothing newer than this node's copy.  It does not prolong the session while
+   this node knows more of its service's keys than the store: a node that does
+   not know that may take the keys over once the era has settled.  */
+void
+mesh_session_confirm (struct mesh *mesh, gint64 started_at, guint64 source)
+{
+  const struct shard_map *map
+      = fleet_state_map (&mesh->fleet, mesh->settings.service);
+
+  if (map == NULL || !map->is_ahead)
+    freshness_confirm (&mesh->freshness[MESH_TOPIC_FLEET], started_at, source);
+}
+
 /* Return how long this process may grant keys and plan for all nodes at NOW,
    in microseconds; 0 if it may not.  An earlier process of this node may have
    given keys away in a map whose append is carried out late.  So a process
--- a/tests/mesh_sim_messages.h
+++ b/tests/mesh_sim_messages.h
@@ -18,7 +18,9 @@
                               .serial = message->serial };
   guint via = message->to != 0 ? message->to : message->from;
 
-  if (!message->is_late && !reaches_store (sim, via))
+  if (!message->is_late
+      && (!reaches_store (sim, via)
+          || sim->now < sim->nodes[message->from].no_append_until))
     back.code = ERR_UNAVAILABLE;
   else if (message->offset != APPEND_UNCONDITIONAL
            && store_offset_raw (message->offset) != sim->log->len)
--- a/tests/mesh_sim_types.h
+++ b/tests/mesh_sim_types.h
@@ -111,9 +111,11 @@
   gint64 paused_until;        /* time until which the process is paused */
   gint64 restart_at;          /* time of the next start of the process */
   gint64 restored_at;         /* time at which the connections are restored */
-  guint64 read_offset;        /* records below this offset were read */
-  gint64 disturbed_at;        /* last time at which the process or a connection
-                                 failed */
+  gint64 no_append_until; /* the store refuses its appends until then, though
+                             it answers its reads */
+  guint64 read_offset;    /* records below this offset were read */
+  gint64 disturbed_at;    /* last time at which the process or a connection
+                             failed */
 };
 
 struct sim
--- a/tests/test_mesh_era.c
+++ b/tests/test_mesh_era.c
@@ -38,10 +38,21 @@
   return g_rand_int_range (sim->random, 0, steps) == 0;
 }
 
+/* Have the store refuse the appends of node I for some seconds, though it
+   answers its reads.  Drawn apart, so that the other failures of a seed stay
+   the same.  */
+static void
+refuse_appends (struct sim *sim, guint i)
+{
+  sim->nodes[i].no_append_until
+      = sim->now + draw_operator_msec (sim, 1000, 12000);
+}
+
 /* Run the simulation of SEED, with servers that are told their keys by METHOD,
-   with failures and older copies for FAILURES_USEC and then without.  */
+   with failures and older copies for FAILURES_USEC and then without.  If
+   REFUSES, the store refuses a node's appends after each older copy.  */
 static void
-run_seed (guint32 seed, enum grant_method method)
+run_seed (guint32 seed, enum grant_method method, gboolean refuses)
 {
   struct sim *sim = sim_new (seed, method);
   gint64 start = sim->now;
@@ -57,7 +68,12 @@
       if (draw_event (sim, FAILURE_EVERY_STEPS))
         add_failure (sim, (guint)g_rand_int_range (sim->random, 0, SIM_NODES));
       if (draw_event (sim, ROLL_BACK_EVERY_STEPS))
-        roll_back (sim);
+        {
+          roll_back (sim);
+          if (refuses)
+            refuse_appends (sim, (guint)g_rand_int_range (sim->operator_random,
+                                                          0, SIM_NODES));
+        }
     }
   if (sim->two_holder_count + sim->fence_error_count > 0
       || held_keys (sim) != SHARD_KEY_COUNT)
@@ -73,23 +89,25 @@
 
 /* Run one simulation by METHOD for each seed, or only that of MESH_SEED.  Seed
    439 guards against an append that the new end of the topic lets through
-   while its writer still grants the keys.  */
+   while its writer still grants the keys; 1019 against an owner that goes on
+   granting by a map that it alone knows and cannot append.  */
 static void
-run_seeds (enum grant_method method)
+run_seeds (enum grant_method method, gboolean refuses)
 {
-  static const guint32 failed_seeds[] = { 439 };
+  static const guint32 failed_seeds[] = { 439, 1019 };
   const char *only_seed = g_getenv ("MESH_SEED");
   guint32 seed;
 
   if (only_seed != NULL)
     {
-      run_seed ((guint32)g_ascii_strtoull (only_seed, NULL, 10), method);
+      run_seed ((guint32)g_ascii_strtoull (only_seed, NULL, 10), method,
+                refuses);
       return;
     }
   for (seed = 1; seed <= SEEDS; seed++)
-    run_seed (seed, method);
+    run_seed (seed, method, refuses);
   for (seed = 0; seed < G_N_ELEMENTS (failed_seeds); seed++)
-    run_seed (failed_seeds[seed], method);
+    run_seed (failed_seeds[seed], method, refuses);
 }
 
 /* Guards against two owners, and fences that fall, after the store came back
@@ -98,22 +116,33 @@
 static void
 test_by_answer (void)
 {
-  run_seeds (GRANT_BY_ANSWER);
+  run_seeds (GRANT_BY_ANSWER, FALSE);
 }
 
 /* The same with keys that are granted by calls.  */
 static void
 test_by_call (void)
 {
-  run_seeds (GRANT_BY_CALL);
+  run_seeds (GRANT_BY_CALL, FALSE);
+}
+
+/* Guards against an owner that cannot write what it alone knows again, while
+   the others take the store's copy for all there is.  */
+static void
+test_refused_appends (void)
+{
+  run_seeds (GRANT_BY_ANSWER, TRUE);
+  run_seeds (GRANT_BY_CALL, TRUE);
 }
 
 int
 main (void)
 {
-  CU_TestInfo tests[] = { { "older copies, keys by answer", test_by_answer },
-                          { "older copies, keys by call", test_by_call },
-                          CU_TEST_INFO_NULL };
+  CU_TestInfo tests[]
+      = { { "older copies, keys by answer", test_by_answer },
+          { "older copies, keys by call", test_by_call },
+          { "older copies, refused appends", test_refused_appends },
+          CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_era", tests);
 }
