Keys that two maps give to different owners under one fence are free

Cause: the first maps of two nodes are made from the same state, so their shards have the same fences. One was appended in one era of the store, the other late in the next one, where the topic ended at its condition again.

Change: map_merge frees keys that both maps give to different owners under the same fence, so that they are assigned under a fence of the era. The case of an equal fence in test_loss_of_an_earlier_holder had two owners by oversight and now has one, as a loss has.

--- a/src/fleet/map_merge.c
+++ b/src/fleet/map_merge.c
@@ -1,5 +1,7 @@
 #include "fleet/map_merge.h"
 
+#include <string.h>
+
 /* Return whether A is a later state than B of the same keys.  A loss says
    something only of the holder under the same fence.  Between two states with
    the same numbers lies at most a release.  */
@@ -13,6 +15,31 @@
   return a->state == SHARD_FREE && b->state != SHARD_FREE;
 }
 
+/* Return whether A and B give the same keys to two owners under the same
+   fence: two maps were made from the same one, and both were appended, in
+   different eras.  */
+static gboolean
+is_conflict (const struct shard *a, const struct shard *b)
+{
+  return a->fence == b->fence && strcmp (a->owner, b->owner) != 0;
+}
+
+/* Return the later state of OLD, which is known, and NEW, which is stored.
+   Keys that both give to different owners are free, so that the next owner
+   gets them under a fence above that of either.  */
+static struct shard
+merge_shard (const struct shard *old, const struct shard *new)
+{
+  struct shard shard = is_later (old, new) ? *old : *new;
+
+  if (!is_conflict (old, new))
+    return shard;
+  shard.state = SHARD_FREE;
+  shard.next_owner[0] = '\0';
+  shard.handover_token[0] = '\0';
+  return shard;
+}
+
 /* Set MERGED to the later state of each key in KNOWN, the map that this node
    knows, and STORED, the store's record; the caller clears it.  MERGED is
    ahead of the store if it has anything from KNOWN.  */
@@ -32,8 +59,10 @@
     {
       const struct shard *old = shard_map_at (known, k);
       const struct shard *new = shard_map_at (stored, i);
-      struct shard shard = is_later (old, new) ? *old : *new;
-      merged->is_ahead = merged->is_ahead || is_later (old, new);
+      struct shard shard = merge_shard (old, new);
+      merged->is_ahead
+          = merged->is_ahead || is_later (old, new)
+            || (is_conflict (old, new) && new->state != SHARD_FREE);
       shard.first = first;
       shard.last = MIN (old->last, new->last);
       first = shard.last + 1;
--- a/tests/test_map_merge.c
+++ b/tests/test_map_merge.c
@@ -67,6 +67,7 @@
   CU_ASSERT_FALSE (merged.is_ahead);
   shard_map_clear (&merged);
   shard_map_at (&stored, 0)->fence = 4;
+  g_strlcpy (shard_map_at (&stored, 0)->owner, "a", NAME_SIZE);
   map_merge (&known, &stored, &merged);
   CU_ASSERT_EQUAL (shard_map_at (&merged, 0)->state, SHARD_LOST);
   CU_ASSERT_TRUE (merged.is_ahead);
@@ -99,6 +100,30 @@
   shard_map_clear (&merged);
 }
 
+/* Guards against keys that go to another owner under the fence of the one
+   before: two maps with the same fences were appended in different eras.  */
+static void
+test_two_owners (void)
+{
+  struct shard_map known;
+  struct shard_map stored;
+  struct shard_map merged;
+
+  make_map (&known, "a", 4);
+  make_map (&stored, "b", 4);
+  map_merge (&known, &stored, &merged);
+  CU_ASSERT_EQUAL (shard_map_at (&merged, 0)->state, SHARD_FREE);
+  CU_ASSERT_TRUE (merged.is_ahead);
+  shard_map_clear (&merged);
+  shard_map_at (&stored, 0)->state = SHARD_FREE;
+  map_merge (&known, &stored, &merged);
+  CU_ASSERT_EQUAL (shard_map_at (&merged, 0)->state, SHARD_FREE);
+  CU_ASSERT_FALSE (merged.is_ahead);
+  shard_map_clear (&known);
+  shard_map_clear (&stored);
+  shard_map_clear (&merged);
+}
+
 int
 main (void)
 {
@@ -106,6 +131,7 @@
       = { { "higher fence", test_higher_fence },
           { "loss of an earlier holder", test_loss_of_an_earlier_holder },
           { "release", test_release },
+          { "two owners", test_two_owners },
           CU_TEST_INFO_NULL };
 
   return suite_run ("map_merge", tests);
