Parts of a request's way can be asked for without taking it

Cause: an explanation of where a request would go needs the same decisions as the request itself, but they exist only inside functions that also change the state of the mesh.

Change: mesh_pick_obstacle says what keeps requests from a server, mesh_pick_compare which servers are compared for a given random number, even_load_cost what each of them costs, mesh_admit_check why a request does not enter the queue of the local server, and mesh_route_apply what a route sets. table_copy and routing_copy copy what a request changes. The decisions are the same as before.

Checked: test_mesh_pick, test_even_load, test_mesh_admit, test_mesh_evacuation, test_mesh_weights, test_mesh_retry, test_mesh_random, test_table, test_mesh_route and test_mesh_warmup pass.

--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -179,8 +179,8 @@
 /* Return whether REQUEST, for a key that the server does not hold, is to wait
    for the grant.  */
 static gboolean
-awaits_grant (const struct mesh *mesh, const struct mesh_request *request,
-              gint64 now)
+grant_may_come (const struct mesh *mesh, const struct mesh_request *request,
+                gint64 now)
 {
   return is_assigned_here (mesh, request->request.service,
                            request->request.slice)
@@ -201,6 +201,24 @@
     key_rate_add (&mesh->key_rate, request->request.slice);
 }
 
+/* Return why REQUEST does not enter the queue of the local server at NOW, or
+   REASON_NONE.  AWAITS_GRANT tells whether it is to wait because the server is
+   about to be granted its key.  */
+enum reason
+mesh_admit_check (const struct mesh *mesh, const struct mesh_request *request,
+                  gint64 now, gboolean *awaits_grant)
+{
+  enum reason reason = refusal_reason (mesh, request, now);
+
+  *awaits_grant = FALSE;
+  if (reason != REASON_NONE
+      || !mesh_is_sharded (mesh, request->request.service)
+      || grant_covers_key (&mesh->grant, request->request.slice, now))
+    return reason;
+  *awaits_grant = grant_may_come (mesh, request, now);
+  return REASON_NOT_OWNER;
+}
+
 /* Run the request EXCHANGE at the local backend server, queue it or refuse it.
    A request for a key that the server is about to be granted waits for the
    grant.  */
@@ -209,22 +227,17 @@
             struct actions *out)
 {
   struct mesh_request *request = table_get (&mesh->requests, exchange);
-  enum reason reason = refusal_reason (mesh, request, now);
+  gboolean awaits_grant;
+  enum reason reason = mesh_admit_check (mesh, request, now, &awaits_grant);
 
   count_key (mesh, request, now);
-  if (reason == REASON_NONE && mesh_is_sharded (mesh, request->request.service)
-      && !grant_covers_key (&mesh->grant, request->request.slice, now))
+  if (awaits_grant)
     {
-      if (awaits_grant (mesh, request, now))
-        {
-          request->phase = MESH_REQUEST_WAITING;
-          request->wait_logged = TRUE;
-          request->retry_at = now + GRANT_RECHECK_USEC;
-          return;
-        }
-      reason = REASON_NOT_OWNER;
+      request->phase = MESH_REQUEST_WAITING;
+      request->wait_logged = TRUE;
+      request->retry_at = now + GRANT_RECHECK_USEC;
     }
-  if (reason != REASON_NONE)
+  else if (reason != REASON_NONE)
     mesh_reject_here (mesh, exchange, reason,
                       mesh_evacuation_retry_msec (reason), now, out);
   else
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -2,6 +2,8 @@
 #define BAMBOOTALLY_MESH_PARTS_H
 
 #include "mesh/mesh.h"
+#include "mesh/mesh_comparison.h"
+#include "mesh/mesh_obstacle.h"
 #include "mesh/mesh_receiver.h"
 #include "shard/shard_reconcile.h"
 
@@ -27,6 +29,8 @@
 /* Requests that enter at this node, mesh_route.c.  */
 void mesh_route_arrived (struct mesh *mesh, const struct event_request *event,
                          gint64 now, struct actions *out);
+void mesh_route_apply (const struct mesh *mesh, struct mesh_request *request,
+                       struct route *route);
 void mesh_route_request (struct mesh *mesh, struct handle exchange, gint64 now,
                          struct actions *out);
 void mesh_route_waiting (struct mesh *mesh, gboolean all, gint64 now,
@@ -60,9 +64,18 @@
 };
 struct mesh_pick mesh_pick (struct mesh *mesh,
                             const struct mesh_request *request, gint64 now);
+enum mesh_obstacle mesh_pick_obstacle (struct mesh *mesh,
+                                       const struct fleet_member *member,
+                                       struct handle h, gint64 now);
+void mesh_pick_compare (struct mesh *mesh, const struct mesh_request *request,
+                        guint64 seed, gint64 now,
+                        struct mesh_comparison *comparison);
 
 /* Admission to the local backend server, mesh_admit.c.  */
 gboolean mesh_is_sharded (const struct mesh *mesh, const char *service);
+enum reason mesh_admit_check (const struct mesh *mesh,
+                              const struct mesh_request *request, gint64 now,
+                              gboolean *awaits_grant);
 void mesh_admit (struct mesh *mesh, struct handle exchange, gint64 now,
                  struct actions *out);
 void mesh_admit_queued (struct mesh *mesh, gint64 now, struct actions *out);
--- a/src/mesh/mesh_pick.c
+++ b/src/mesh/mesh_pick.c
@@ -1,5 +1,4 @@
 #include "mesh/mesh_parts.h"
-#include "serve/even_load.h"
 
 /* A shard that changes its owner is held again after about this time, which
    allows for the heartbeats of the two servers and the appends in between.  */
@@ -24,17 +23,21 @@
   return strcmp (member->name, mesh->settings.name) == 0;
 }
 
-/* Return whether requests may be sent to MEMBER now.  */
-static gboolean
-is_reachable (struct mesh *mesh, const struct fleet_member *member,
-              struct handle h, gint64 now)
+/* Return why requests cannot be sent to MEMBER now, or MESH_OBSTACLE_NONE.  */
+static enum mesh_obstacle
+link_obstacle (struct mesh *mesh, const struct fleet_member *member,
+               struct handle h, gint64 now)
 {
   const struct peer_state *peer = table_get (&mesh->peers, h);
 
   if (is_here (mesh, member))
-    return TRUE;
-  return peer != NULL && peer_state_is_responsive (peer, now)
-         && breaker_allows (&peer->breaker, now);
+    return MESH_OBSTACLE_NONE;
+  if (peer == NULL)
+    return MESH_OBSTACLE_UNKNOWN;
+  if (!peer_state_is_responsive (peer, now))
+    return MESH_OBSTACLE_UNRESPONSIVE;
+  return breaker_allows (&peer->breaker, now) ? MESH_OBSTACLE_NONE
+                                              : MESH_OBSTACLE_BREAKER;
 }
 
 /* Return a pick without a member, for REASON.  WAIT_USEC is the time after
@@ -78,7 +81,7 @@
     return no_member (REASON_NO_OWNER, 0);
   if (!mesh_evacuation_serves_keys (mesh, member, now))
     return no_member (REASON_NO_OWNER, HANDOVER_USEC);
-  if (!is_reachable (mesh, member, pick.member, now))
+  if (link_obstacle (mesh, member, pick.member, now) != MESH_OBSTACLE_NONE)
     return no_member (REASON_PEER_LOST, mesh_is_lost (mesh, pick.member, now)
                                             ? SESSION_WAIT_USEC + HANDOVER_USEC
                                             : 0);
@@ -86,20 +89,41 @@
   return pick;
 }
 
-/* Return whether MEMBER accepts requests of SERVICE at NOW.  */
-static gboolean
-accepts (struct mesh *mesh, const struct fleet_member *member,
-         const char *service, struct handle h, gint64 now)
+/* Return why MEMBER accepts no requests at NOW, or MESH_OBSTACLE_NONE.  */
+static enum mesh_obstacle
+server_obstacle (struct mesh *mesh, const struct fleet_member *member,
+                 struct handle h, gint64 now)
 {
   const struct peer_state *peer = table_get (&mesh->peers, h);
 
-  if (strcmp (member->service, service) != 0 || member->state != MEMBER_READY
-      || mesh_is_evacuated (mesh, member))
-    return FALSE;
+  if (member->state != MEMBER_READY)
+    return MESH_OBSTACLE_NOT_READY;
+  if (mesh_is_evacuated (mesh, member))
+    return MESH_OBSTACLE_EVACUATED;
   if (is_here (mesh, member))
-    return !grant_is_leaving (&mesh->grant) && grant_may_run (&mesh->grant)
-           && mesh->stop_requested_at == 0;
-  return peer != NULL && !peer->is_leaving && peer_state_slots (peer, now) > 0;
+    {
+      if (grant_is_leaving (&mesh->grant) || mesh->stop_requested_at != 0)
+        return MESH_OBSTACLE_LEAVING;
+      return grant_may_run (&mesh->grant) ? MESH_OBSTACLE_NONE
+                                          : MESH_OBSTACLE_NO_SLOTS;
+    }
+  if (peer == NULL)
+    return MESH_OBSTACLE_UNKNOWN;
+  if (peer->is_leaving)
+    return MESH_OBSTACLE_LEAVING;
+  return peer_state_slots (peer, now) > 0 ? MESH_OBSTACLE_NONE
+                                          : MESH_OBSTACLE_NO_SLOTS;
+}
+
+/* Return what keeps requests from MEMBER at NOW, or MESH_OBSTACLE_NONE.  */
+enum mesh_obstacle
+mesh_pick_obstacle (struct mesh *mesh, const struct fleet_member *member,
+                    struct handle h, gint64 now)
+{
+  enum mesh_obstacle obstacle = server_obstacle (mesh, member, h, now);
+
+  return obstacle != MESH_OBSTACLE_NONE ? obstacle
+                                        : link_obstacle (mesh, member, h, now);
 }
 
 /* Return the state of the local server in the form that is kept for peers.  */
@@ -112,43 +136,55 @@
   return local;
 }
 
-/* Return the server for REQUEST, chosen among the members that may run it at
-   NOW.  */
-static struct mesh_pick
-pick_server (struct mesh *mesh, const struct mesh_request *request, gint64 now)
+/* Put into COMPARISON the servers among which one is chosen for REQUEST at
+   NOW. Those that are compared are drawn by SEED.  */
+void
+mesh_pick_compare (struct mesh *mesh, const struct mesh_request *request,
+                   guint64 seed, gint64 now,
+                   struct mesh_comparison *comparison)
 {
-  struct mesh_pick pick = no_member (REASON_NO_SERVER, 0);
   struct handle h = table_next (&mesh->fleet.members, HANDLE_NONE);
-  struct peer_state local = { 0 };
-  struct handle local_member = HANDLE_NONE;
-  struct even_load_choice choice;
-  struct even_load load;
 
-  even_load_init (&load, ++mesh->random_count, now);
+  comparison->local_member = HANDLE_NONE;
+  even_load_init (&comparison->load, seed, now);
   for (; handle_is_set (h); h = table_next (&mesh->fleet.members, h))
     {
       const struct fleet_member *member
           = fleet_state_member_at (&mesh->fleet, h);
       struct placement_candidate server
           = { .member = h, .peer = table_get (&mesh->peers, h) };
-      if (!accepts (mesh, member, request->request.service, h, now))
+      if (strcmp (member->service, request->request.service) != 0
+          || server_obstacle (mesh, member, h, now) != MESH_OBSTACLE_NONE)
         continue;
       if (is_here (mesh, member))
         {
-          local = local_state (mesh, now);
-          local_member = h;
-          server.peer = &local;
+          comparison->local = local_state (mesh, now);
+          comparison->local_member = h;
+          server.peer = &comparison->local;
         }
       server.is_near = strcmp (member->zone, mesh->settings.zone) == 0;
-      even_load_offer (&load, &server,
-                       is_reachable (mesh, member, h, now)
+      even_load_offer (&comparison->load, &server,
+                       link_obstacle (mesh, member, h, now)
+                               == MESH_OBSTACLE_NONE
                            && !was_tried (request, h));
     }
-  choice = even_load_choose (&load, request->body_bytes);
+}
+
+/* Return the server for REQUEST, chosen among the members that may run it at
+   NOW.  */
+static struct mesh_pick
+pick_server (struct mesh *mesh, const struct mesh_request *request, gint64 now)
+{
+  struct mesh_pick pick = no_member (REASON_NO_SERVER, 0);
+  struct mesh_comparison comparison;
+  struct even_load_choice choice;
+
+  mesh_pick_compare (mesh, request, ++mesh->random_count, now, &comparison);
+  choice = even_load_choose (&comparison.load, request->body_bytes);
   if (!handle_is_set (choice.member))
     return pick;
   pick.member = choice.member;
-  pick.is_local = handle_equal (choice.member, local_member);
+  pick.is_local = handle_equal (choice.member, comparison.local_member);
   pick.reason = REASON_NONE;
   pick.compared = choice.compared;
   pick.cost_usec = choice.cost_usec;
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -21,10 +21,11 @@
              : 0;
 }
 
-/* Set the fields of REQUEST that depend on ROUTE.  */
-static void
-apply_route (const struct mesh *mesh, struct mesh_request *request,
-             struct route *route)
+/* Set the fields of REQUEST that depend on ROUTE, and advance the weights of
+   ROUTE.  */
+void
+mesh_route_apply (const struct mesh *mesh, struct mesh_request *request,
+                  struct route *route)
 {
   struct request *message = &request->request;
 
@@ -213,7 +214,7 @@
       refuse_no_route (mesh, event->exchange, event, now, out);
       return;
     }
-  apply_route (mesh, request, route);
+  mesh_route_apply (mesh, request, route);
   mesh_call_recognise (mesh, request, now);
   mesh_add_retry (mesh, request->request.service);
   mesh_route_request (mesh, event->exchange, now, out);
--- a/src/serve/even_load.c
+++ b/src/serve/even_load.c
@@ -59,6 +59,30 @@
         peer_state_capacity (server->peer, mean_run_usec (load), load->now));
 }
 
+/* Return the share of the slots of the service that is taken by recent
+   reports, in thousandths; 0 if it is not known.  */
+static gint64
+busy_permille (const struct even_load *load)
+{
+  return load->slots_sum > 0 ? load->taken_sum * 1000 / load->slots_sum : 0;
+}
+
+/* Return the cost of a request with BODY_BYTES at the server INDEX of those
+   that were drawn, by which the servers are compared.  */
+gint64
+even_load_cost (const struct even_load *load, guint index, gint64 body_bytes)
+{
+  const struct placement_candidate *server
+      = placement_at (&load->placement, index);
+  struct peer_query query = { .same_zone = server->is_near,
+                              .body_bytes = body_bytes,
+                              .default_run_usec = mean_run_usec (load),
+                              .busy_permille = busy_permille (load) };
+
+  return peer_state_cost (server->peer, &query, load->now)
+         + placement_random (&load->placement, server->member) % TIE_USEC;
+}
+
 /* Return the one of the servers that were drawn where a request with
    BODY_BYTES costs least.  */
 struct even_load_choice
@@ -67,26 +91,17 @@
   struct even_load_choice best
       = { .member = HANDLE_NONE,
           .cost_usec = G_MAXINT64,
+          .busy_permille = busy_permille (load),
           .compared = placement_count (&load->placement) };
   guint i;
 
-  if (load->slots_sum > 0)
-    best.busy_permille = load->taken_sum * 1000 / load->slots_sum;
   for (i = 0; i < best.compared; i++)
     {
-      const struct placement_candidate *server
-          = placement_at (&load->placement, i);
-      struct peer_query query = { .same_zone = server->is_near,
-                                  .body_bytes = body_bytes,
-                                  .default_run_usec = mean_run_usec (load),
-                                  .busy_permille = best.busy_permille };
-      gint64 cost
-          = peer_state_cost (server->peer, &query, load->now)
-            + placement_random (&load->placement, server->member) % TIE_USEC;
+      gint64 cost = even_load_cost (load, i, body_bytes);
       if (cost >= best.cost_usec)
         continue;
       best.cost_usec = cost;
-      best.member = server->member;
+      best.member = placement_at (&load->placement, i)->member;
     }
   return best;
 }
--- a/src/serve/even_load.h
+++ b/src/serve/even_load.h
@@ -41,6 +41,8 @@
 void even_load_offer (struct even_load *load,
                       const struct placement_candidate *server,
                       gboolean may_take);
+gint64 even_load_cost (const struct even_load *load, guint index,
+                       gint64 body_bytes);
 struct even_load_choice even_load_choose (const struct even_load *load,
                                           gint64 body_bytes);
 
--- a/src/types/routing.c
+++ b/src/types/routing.c
@@ -15,6 +15,22 @@
   return routing;
 }
 
+/* Return a copy of ROUTING, or NULL if ROUTING is NULL.  Free it with
+   routing_free.  */
+struct routing *
+routing_copy (const struct routing *routing)
+{
+  struct routing *copy;
+
+  if (routing == NULL)
+    return NULL;
+  copy = g_new0 (struct routing, 1);
+  copy->version = routing->version;
+  copy->routes = g_array_copy (routing->routes);
+  copy->services = g_array_copy (routing->services);
+  return copy;
+}
+
 /* Free ROUTING, which may be NULL.  */
 void
 routing_free (struct routing *routing)
--- a/src/types/routing.h
+++ b/src/types/routing.h
@@ -14,6 +14,7 @@
 };
 
 struct routing *routing_new (guint64 version);
+struct routing *routing_copy (const struct routing *routing);
 void routing_free (struct routing *routing);
 void routing_add_route (struct routing *routing, const struct route *route);
 struct route *routing_match (const struct routing *routing, const char *host,
--- a/src/types/table.c
+++ b/src/types/table.c
@@ -61,6 +61,26 @@
   memset (table, 0, sizeof *table);
 }
 
+/* Set up TO as a copy of FROM, in which the items have the same handles.  What
+   the items own is not copied.  */
+void
+table_copy (struct table *to, const struct table *from)
+{
+  gsize block_size = from->cell_size * TABLE_BLOCK;
+  guint i;
+
+  table_init (to, from->item_size);
+  for (i = 0; i < from->blocks->len; i++)
+    g_ptr_array_add (
+        to->blocks,
+        g_memdup2 (g_ptr_array_index (from->blocks, i), block_size));
+  g_array_append_vals (to->free_rows, from->free_rows->data,
+                       from->free_rows->len);
+  to->row_count = from->row_count;
+  to->count = from->count;
+  to->is_mirror = from->is_mirror;
+}
+
 /* Add a zeroed item and return its handle.  A table may not grow beyond 2^22
    rows; that is a bug, and aborts the program.  */
 struct handle
--- a/src/types/table.h
+++ b/src/types/table.h
@@ -20,6 +20,7 @@
 
 void table_init (struct table *table, gsize item_size);
 void table_clear (struct table *table);
+void table_copy (struct table *to, const struct table *from);
 struct handle table_add (struct table *table);
 void *table_mirror (struct table *table, struct handle h);
 void *table_get (const struct table *table, struct handle h);
