A node of a mesh explains where a request would go

Cause: an operator of a mesh sees from the log where a request went, but cannot ask where one would go now, or why. The explain command of bambootallyd has no counterpart.

Change: the metrics address of bambootally_mesh answers /explain with the route that matches, the service that its weights choose next, the shard and the owner of the key or the servers that are compared with their figures, what admission to the local server would do, and what becomes of the request with its Retry-After. mesh_explain takes the decisions on copies of what a request changes (mesh_trial), by the functions that decide on requests, so that no second set of rules has to be kept equal. The command explain-request HOST TARGET of bambootally prints the answer.

--- a/src/bin/bambootally.c
+++ b/src/bin/bambootally.c
@@ -10,6 +10,15 @@
 
 #define TIMEOUT_DEFAULT_SEC 10
 
+/* Keys of options without a letter.  */
+enum option_key
+{
+  OPTION_KEY = 256,
+  OPTION_METHOD,
+  OPTION_DEADLINE,
+  OPTION_BODY
+};
+
 const char *argp_program_version = "bambootally 0.1";
 
 static const struct argp_option options[] = {
@@ -20,6 +29,11 @@
   { "json", 'j', NULL, 0, "Machine-readable output", 0 },
   { "yes", 'y', NULL, 0, "Confirm the risk of the command", 0 },
   { "timeout", 't', "SECONDS", 0, "Timeout of the whole command (10)", 0 },
+  { NULL, 0, NULL, 0, "The request of explain-request:", 1 },
+  { "key", OPTION_KEY, "KEY", 0, "Its key", 1 },
+  { "method", OPTION_METHOD, "METHOD", 0, "Its method (GET)", 1 },
+  { "deadline-ms", OPTION_DEADLINE, "N", 0, "Its deadline (30000)", 1 },
+  { "body-bytes", OPTION_BODY, "N", 0, "Length of its body (0)", 1 },
   { 0 }
 };
 
@@ -38,6 +52,7 @@
   { "publish", 2, TRUE, TRUE, tool_publish },
   { "status", 1, TRUE, FALSE, tool_status },
   { "explain", 3, TRUE, FALSE, tool_explain },
+  { "explain-request", 3, TRUE, FALSE, tool_explain_request },
   { "counters", 1, TRUE, FALSE, tool_counters },
   { "drain", 1, TRUE, FALSE, tool_drain },
   { "log", 1, FALSE, TRUE, tool_log },
@@ -74,6 +89,18 @@
     case 't':
       tool->timeout_usec = strtoll (arg, NULL, 10) * G_USEC_PER_SEC;
       return 0;
+    case OPTION_KEY:
+      tool->key = arg;
+      return 0;
+    case OPTION_METHOD:
+      tool->method = arg;
+      return 0;
+    case OPTION_DEADLINE:
+      tool->deadline_msec = arg;
+      return 0;
+    case OPTION_BODY:
+      tool->body_bytes = arg;
+      return 0;
     case ARGP_KEY_ARG:
       if (tool->arg_count >= G_N_ELEMENTS (tool->args))
         argp_usage (state);
@@ -90,9 +117,12 @@
   static const struct argp argp = {
     options,
     parse_option,
-    "check FILE\npublish FILE\nstatus\nexplain SERVICE KEY\ncounters\ndrain\n"
-    "log\ndigest\ndeclare-dead NODE",
+    "check FILE\npublish FILE\nstatus\nexplain SERVICE KEY\n"
+    "explain-request HOST TARGET\ncounters\ndrain\nlog\ndigest\ndeclare-dead "
+    "NODE",
     "Check and publish configurations, and query nodes.\v"
+    "explain-request queries a node of a mesh at its metrics address; the "
+    "others query bambootallyd.  "
     "Exit status: 0 success, 2 usage, 3 invalid configuration, 4 "
     "conflict, 5 node or log unreachable, 6 not found, 7 indeterminate, "
     "8 views differ.",
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -4,7 +4,6 @@
 #include "wire/wire_forward.h"
 
 #include <string.h>
-#include <xxhash.h>
 
 /* Lifetime */
 
@@ -60,24 +59,6 @@
   table_remove (&exchange->proxy->exchanges, exchange->self);
 }
 
-/* Return the digest of a request: its method, path and body.  The body is left
-   out if it is forwarded before it was received completely, as with a long
-   request.  */
-static guint64
-compute_digest (const struct exchange *exchange)
-{
-  guint64 digest = XXH3_64bits (exchange->method, strlen (exchange->method));
-
-  digest = XXH3_64bits_withSeed (exchange->request_target,
-                                 strlen (exchange->request_target), digest);
-  if (!exchange->request_body.is_complete
-      || body_remaining (&exchange->request_body) == 0)
-    return digest;
-  return XXH3_64bits_withSeed (body_data (&exchange->request_body),
-                               body_remaining (&exchange->request_body),
-                               digest);
-}
-
 /* Submit a request to the core for a decision.  Only the node that received it
    from a caller computes its digest; the other nodes use the digest that was
    forwarded.  */
@@ -87,7 +68,7 @@
   struct event event = { .kind = EVENT_REQUEST };
 
   if (exchange->source.kind == SOURCE_CALLER)
-    exchange->request.digest = compute_digest (exchange);
+    exchange->request.digest = exchange_digest (exchange);
 
   event.u.request.exchange = exchange->self;
   event.u.request.request = exchange->request;
--- a/src/edge/mesh_node.c
+++ b/src/edge/mesh_node.c
@@ -188,7 +188,8 @@
                 const char *file)
 {
   const struct control_api_handlers handlers
-      = { on_control_event, is_ready, mesh_node_metrics, node };
+      = { on_control_event, is_ready, mesh_node_metrics, mesh_node_explain,
+          node };
   enum err code;
 
   memset (node, 0, sizeof *node);
--- a/src/edge/mesh_node.h
+++ b/src/edge/mesh_node.h
@@ -74,6 +74,7 @@
 void mesh_node_on_config (const struct topic_reader_event *event,
                           gpointer data);
 char *mesh_node_metrics (gpointer data);
+char *mesh_node_explain (const char *query, gpointer data);
 void mesh_node_log (struct mesh_node *node, const struct log_event *log_event);
 
 #endif
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -64,6 +64,9 @@
 };
 struct mesh_pick mesh_pick (struct mesh *mesh,
                             const struct mesh_request *request, gint64 now);
+enum mesh_obstacle mesh_pick_link_obstacle (struct mesh *mesh,
+                                            const struct fleet_member *member,
+                                            struct handle h, gint64 now);
 enum mesh_obstacle mesh_pick_obstacle (struct mesh *mesh,
                                        const struct fleet_member *member,
                                        struct handle h, gint64 now);
--- a/src/mesh/mesh_pick.c
+++ b/src/mesh/mesh_pick.c
@@ -24,9 +24,9 @@
 }
 
 /* Return why requests cannot be sent to MEMBER now, or MESH_OBSTACLE_NONE.  */
-static enum mesh_obstacle
-link_obstacle (struct mesh *mesh, const struct fleet_member *member,
-               struct handle h, gint64 now)
+enum mesh_obstacle
+mesh_pick_link_obstacle (struct mesh *mesh, const struct fleet_member *member,
+                         struct handle h, gint64 now)
 {
   const struct peer_state *peer = table_get (&mesh->peers, h);
 
@@ -81,7 +81,8 @@
     return no_member (REASON_NO_OWNER, 0);
   if (!mesh_evacuation_serves_keys (mesh, member, now))
     return no_member (REASON_NO_OWNER, HANDOVER_USEC);
-  if (link_obstacle (mesh, member, pick.member, now) != MESH_OBSTACLE_NONE)
+  if (mesh_pick_link_obstacle (mesh, member, pick.member, now)
+      != MESH_OBSTACLE_NONE)
     return no_member (REASON_PEER_LOST, mesh_is_lost (mesh, pick.member, now)
                                             ? SESSION_WAIT_USEC + HANDOVER_USEC
                                             : 0);
@@ -122,8 +123,9 @@
 {
   enum mesh_obstacle obstacle = server_obstacle (mesh, member, h, now);
 
-  return obstacle != MESH_OBSTACLE_NONE ? obstacle
-                                        : link_obstacle (mesh, member, h, now);
+  return obstacle != MESH_OBSTACLE_NONE
+             ? obstacle
+             : mesh_pick_link_obstacle (mesh, member, h, now);
 }
 
 /* Return the state of the local server in the form that is kept for peers.  */
@@ -164,7 +166,7 @@
         }
       server.is_near = strcmp (member->zone, mesh->settings.zone) == 0;
       even_load_offer (&comparison->load, &server,
-                       link_obstacle (mesh, member, h, now)
+                       mesh_pick_link_obstacle (mesh, member, h, now)
                                == MESH_OBSTACLE_NONE
                            && !was_tried (request, h));
     }
--- a/src/tool/tool.c
+++ b/src/tool/tool.c
@@ -208,11 +208,11 @@
     printf ("%s%s", text, g_str_has_suffix (text, "\n") ? "" : "\n");
 }
 
-/* Sends METHOD TARGET to the queried node and prints its response.  Returns
-   the exit status.  */
+/* Sends METHOD TARGET to the queried node and prints its response by PRINT.
+   Returns the exit status.  */
 int
-tool_print_response (const struct tool *tool, const char *method,
-                     const char *target)
+tool_print_response_by (const struct tool *tool, const char *method,
+                        const char *target, tool_print_fn *print)
 {
   struct tool_response response;
   int status = TOOL_OK;
@@ -235,7 +235,16 @@
       status = TOOL_USAGE;
     }
   else
-    print_body (tool, response.body->str);
+    print (tool, response.body->str);
   tool_response_clear (&response);
   return status;
 }
+
+/* Sends METHOD TARGET to the queried node and prints its response.  Returns
+   the exit status.  */
+int
+tool_print_response (const struct tool *tool, const char *method,
+                     const char *target)
+{
+  return tool_print_response_by (tool, method, target, print_body);
+}
--- a/src/tool/tool.h
+++ b/src/tool/tool.h
@@ -30,6 +30,10 @@
   gint64 timeout_usec;        /* timeout of the whole command */
   const char *args[3];        /* the command and its arguments */
   guint arg_count;            /* used entries of `args' */
+  const char *key;            /* key of the request to explain, or NULL */
+  const char *method;         /* its method, or NULL */
+  const char *deadline_msec;  /* its deadline in milliseconds, or NULL */
+  const char *body_bytes;     /* length of its body, or NULL */
 };
 
 /* An HTTP response.  */
@@ -46,10 +50,14 @@
   char *config_history;  /* header Config-Past, NULL: missing */
 };
 
+/* Prints the text of a response.  */
+typedef void tool_print_fn (const struct tool *tool, const char *text);
+
 int tool_check (const struct tool *tool);
 int tool_publish (const struct tool *tool);
 int tool_status (const struct tool *tool);
 int tool_explain (const struct tool *tool);
+int tool_explain_request (const struct tool *tool);
 int tool_drain (const struct tool *tool);
 int tool_counters (const struct tool *tool);
 int tool_log (const struct tool *tool);
@@ -67,5 +75,7 @@
                        enum err code);
 int tool_print_response (const struct tool *tool, const char *method,
                          const char *target);
+int tool_print_response_by (const struct tool *tool, const char *method,
+                            const char *target, tool_print_fn *print);
 
 #endif
--- a/tests/test_control_api.c
+++ b/tests/test_control_api.c
@@ -52,6 +52,19 @@
   return g_strdup ("");
 }
 
+/* The node explains one query, which it counts as an event, and takes all
+   others for malformed.  */
+static char *
+explain (const char *query, gpointer data)
+{
+  struct stage *stage = data;
+
+  if (strcmp (query, "host=h&target=%2Fx%3Fy") != 0)
+    return NULL;
+  stage->events++;
+  return g_strdup ("{}");
+}
+
 /* Send more unless much is queued already.  */
 static void
 send_more (struct stage *stage, struct conn *conn)
@@ -91,7 +104,7 @@
 stage_init (struct stage *stage)
 {
   const struct control_api_handlers handlers
-      = { on_event, is_ready, metrics, stage };
+      = { on_event, is_ready, metrics, explain, stage };
   struct address any = { LOCAL, 0 };
 
   memset (stage, 0, sizeof *stage);
@@ -201,6 +214,21 @@
     }
 }
 
+/* Guards against an explanation whose query is lost or decoded too early: the
+   target of the request has a query of its own.  */
+static void
+test_explain (void)
+{
+  CU_ASSERT_EQUAL (
+      count_events ("GET /explain?host=h&target=%2Fx%3Fy HTTP/1.1\r\n"
+                    "Host: a\r\n\r\n",
+                    RAW_END_COUNT),
+      1);
+  CU_ASSERT_EQUAL (
+      count_events ("GET /explain HTTP/1.1\r\nHost: a\r\n\r\n", RAW_END_COUNT),
+      0);
+}
+
 int
 main (void)
 {
@@ -208,6 +236,7 @@
       = { { "heartbeat without end", test_endless },
           { "deregistration broken off", test_broken_off },
           { "deregistration smuggled", test_smuggled },
+          { "explanation", test_explain },
           CU_TEST_INFO_NULL };
 
   return suite_run ("control_api", tests);
