Explanations show the local server's load also where it is not offered

Change: the local server's figures come from its load report in every case; admission is left out where the key is missing; the tool prints 'sent to'. A process about to exit explains a request as kept for draining.

--- a/src/mesh/mesh_explain.c
+++ b/src/mesh/mesh_explain.c
@@ -89,6 +89,8 @@
                  gint64 now, struct mesh_explanation *explanation)
 {
   struct handle h = table_next (&trial->fleet.members, HANDLE_NONE);
+  struct peer_state local
+      = { .load = mesh_load_report (trial, now), .load_reported_at = now };
   struct mesh_comparison comparison;
   struct even_load_choice choice;
 
@@ -110,8 +112,8 @@
       server.obstacle = mesh_pick_obstacle (trial, member, h, now);
       server.is_local = strcmp (member->name, trial->settings.name) == 0;
       server.is_near = strcmp (member->zone, trial->settings.zone) == 0;
-      if (handle_equal (h, comparison.local_member))
-        peer = &comparison.local;
+      if (server.is_local)
+        peer = &local;
       if (peer != NULL)
         set_figures (&server, peer, now);
       set_drawn (&server, h, &comparison, request->body_bytes);
@@ -168,8 +170,10 @@
   pick = mesh_pick (trial, request, now);
   explanation->reason = pick.reason;
   explanation->has_admission
-      = pick.is_local
-        || strcmp (request->request.service, trial->settings.service) == 0;
+      = pick.reason != REASON_NO_KEY
+        && (pick.is_local
+            || strcmp (request->request.service, trial->settings.service)
+                   == 0);
   if (explanation->has_admission)
     explain_admission (trial, request, now, &explanation->admission);
 }
@@ -245,7 +249,9 @@
   actions_clear (&actions);
   if (explanation->end == MESH_EXPLAINED_WAITS
       && explanation->reason == REASON_NONE)
-    explanation->reason = explanation->admission.reason;
+    explanation->reason = trial->exit_requested
+                              ? REASON_DRAINING
+                              : explanation->admission.reason;
 }
 
 /* Explain in EXPLANATION what MESH would do with the request of QUERY if it
--- a/src/tool/tool_explain_request.c
+++ b/src/tool/tool_explain_request.c
@@ -51,7 +51,9 @@
 {
   printf ("outcome    %s", text_of (root, "outcome"));
   if (text_of (root, "to")[0] != '\0')
-    printf (" at %s", text_of (root, "to"));
+    printf (" %s %s",
+            g_strcmp0 (text_of (root, "outcome"), "sent") == 0 ? "to" : "at",
+            text_of (root, "to"));
   if (g_strcmp0 (text_of (root, "reason"), "none") != 0)
     printf (", %s", text_of (root, "reason"));
   if (number_of (root, "retry_after_ms") > 0)
