--- a/src/edge/mesh_node.h
+++ b/src/edge/mesh_node.h
@@ -76,6 +76,7 @@
                           gpointer data);
 void mesh_node_watch_memory (struct mesh_node *node);
 char *mesh_node_metrics (gpointer data);
+char *mesh_node_explain (const char *query, gpointer data);
 void mesh_node_log (struct mesh_node *node, const struct log_event *log_event);
 
 #endif
