Admission: a queued request does not wait behind a slot that is free

Cause: the queue is examined for requests that will not complete right after a slot has become free and before it is given away. The forecast still counted one mean run until the next slot, so that a request with less than that to spare was refused although it would have started at once and completed.

Change: no time is counted until the next slot while one is free.

Checked: test_admission (new case 'free slot', failed before), test_wait_rule, test_call_chain, test_retry_spread, test_mesh_call, test_mesh_retry_after.

--- a/src/decide/admission_wait.c
+++ b/src/decide/admission_wait.c
@@ -17,15 +17,17 @@
                                    admission_class (waiter));
 }
 
-/* Return the run time to count for what runs now until a slot is free.  */
+/* Return the run time to count for what runs now until a slot is free; 0 if
+   one is free.  The queue is examined before the slot that has become free is
+   given to it.  */
 static gint64
 next_slot_usec (const struct admission *admission, guint32 slots, gint64 now)
 {
   gint64 since_start_usec
-      = admission->busy_slots >= slots && admission->last_start_at != 0
-            ? now - admission->last_start_at
-            : 0;
+      = admission->last_start_at != 0 ? now - admission->last_start_at : 0;
 
+  if (admission->busy_slots < slots)
+    return 0;
   return wait_rule_next_slot_usec (admission->limiter.mean_run_usec, slots,
                                    since_start_usec);
 }
--- a/tests/test_admission.c
+++ b/tests/test_admission.c
@@ -249,6 +249,34 @@
   admission_clear (&admission);
 }
 
+/* Guards against a request that is refused as too late at the moment when a
+   slot becomes free for it: nothing is ahead of it any more, so it ends in
+   time.  */
+static void
+test_free_slot (void)
+{
+  struct admission admission;
+  struct handle waiting = { 1 };
+  struct handle next = HANDLE_NONE;
+  struct request request = { .priority = PRIORITY_NORMAL,
+                             .expected_run_usec = 100 * MSEC,
+                             .deadline = START + 250 * MSEC };
+  enum reason reason;
+
+  set_up (&admission, 1, 8);
+  admission.limiter.mean_run_usec = 100 * MSEC;
+  request_slot (&admission, 9, PRIORITY_NORMAL, START + 900 * MSEC, &reason);
+  CU_ASSERT_EQUAL (
+      admission_request (&admission, waiting, &request, START, &reason),
+      ADMISSION_QUEUE);
+  admission_release (&admission);
+  CU_ASSERT_FALSE (
+      admission_evict_late (&admission, START + 120 * MSEC, &next));
+  CU_ASSERT_TRUE (admission_next (&admission, START + 120 * MSEC, &next));
+  CU_ASSERT_EQUAL (next.bits, waiting.bits);
+  admission_clear (&admission);
+}
+
 int
 main (void)
 {
@@ -257,6 +285,7 @@
           { "due first", test_due_first },
           { "early refusal", test_early_refusal },
           { "bounds", test_bounds },
+          { "free slot", test_free_slot },
           { "slow start", test_slow_start },
           { "shed", test_shed },
           { "report ages", test_report_ages },
