Admission at the entry node: servers of evacuated data centres do not count

Cause: a request for which all servers are known to be full is refused at its entry node. Servers of evacuated data centres counted as well; without recent load reports they seemed to have room, so that nothing was refused there during an evacuation, when capacity is short.

Change: they are left out.

Checked: test_mesh_evacuation (new case 'prospect', failed before).

--- a/src/mesh/mesh_prospect.c
+++ b/src/mesh/mesh_prospect.c
@@ -50,7 +50,7 @@
 /* Return when any server of the service of REQUEST, which would be sent to
    MEMBER, may have a slot, if that is known to be after the request's
    deadline; otherwise 0.  All servers are examined only if MEMBER has none in
-   time.  */
+   time; those of evacuated data centres get no requests.  */
 static gint64
 hopeless_usec (struct mesh *mesh, const struct mesh_request *request,
                struct handle member, gint64 now)
@@ -74,7 +74,7 @@
       const struct fleet_member *other
           = fleet_state_member_at (&mesh->fleet, h);
       if (strcmp (other->service, request->request.service) == 0
-          && other->state == MEMBER_READY)
+          && other->state == MEMBER_READY && !mesh_is_evacuated (mesh, other))
         add_member (mesh, other, h, request, now, &prospect);
     }
   return service_prospect_is_hopeless (&prospect, left_usec)
--- a/tests/test_mesh_evacuation.c
+++ b/tests/test_mesh_evacuation.c
@@ -229,12 +229,59 @@
   fixture_free (fixture);
 }
 
+/* Give the node the record of the member "c" of OTHER_SERVICE in ZONE.  */
+static void
+add_third_member (struct fixture *fixture, const char *zone)
+{
+  struct event event = { .kind = EVENT_FLEET_RECORDS };
+  struct fleet_entry entry = { .offset = fixture->mesh.fleet.applied_offset,
+                               .record.kind = FLEET_MEMBER };
+  struct fleet_member *member = &entry.record.u.member;
+
+  g_strlcpy (member->name, "c", sizeof member->name);
+  g_strlcpy (member->zone, zone, sizeof member->zone);
+  g_strlcpy (member->service, OTHER_SERVICE, sizeof member->service);
+  g_strlcpy (member->instance.id, "sc", sizeof member->instance.id);
+  member->incarnation = 78;
+  member->slots = 4;
+  fleet_record_set_key (&entry.record);
+  event.u.fleet_records.items = &entry;
+  event.u.fleet_records.count = 1;
+  event.u.fleet_records.next_offset = entry.offset + 1;
+  event.u.fleet_records.complete = TRUE;
+  feed_event (fixture, &event);
+}
+
+/* Guards against a request that is sent to a server known to be full for
+   longer than the request has, since a server that is evacuated, and so has
+   no recent load report, counts as one that may have room.  */
+static void
+test_prospect (void)
+{
+  struct fixture *fixture = evacuation_fixture ();
+  struct peer_state *full;
+
+  set_other_zone (fixture, OWN_ZONE);
+  add_third_member (fixture, OTHER_ZONE);
+  read_evacuation (fixture, OTHER_ZONE, 10, FALSE);
+  full = table_get (&fixture->mesh.peers,
+                    fleet_state_find (&fixture->mesh.fleet, "b"));
+  full->load.running = full->load.slots = 4;
+  full->load.mean_run_usec = 5000 * MSEC;
+  full->load_reported_at = fixture->now;
+  send_request (fixture, "/other/x");
+  CU_ASSERT_EQUAL (refusal (fixture), REASON_OVERLOAD);
+  CU_ASSERT_PTR_NULL (find_action (fixture, ACTION_FORWARD));
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
   static CU_TestInfo tests[] = { { "pick", test_pick },
                                  { "server elsewhere", test_elsewhere },
                                  { "forwarded request", test_forwarded },
+                                 { "prospect", test_prospect },
                                  { "queue", test_queue },
                                  { "held key", test_held_key },
                                  { "owner", test_owner },
