Evacuation: a process that stood still serves on where no bound is set

Cause: the settings of a process had 5 s where they did not name evacuate-ms. In deployments that evacuate no data centre, a process that had stood still while its copy of the configuration was 4 s old refused its server's requests for up to 1.5 s; it served them before there were evacuations.

Change: the setting is 0 where it is not named. The 5 s then apply to evacuations that are read, but a process that stood still does not wait.

--- a/src/edge/mesh_config.c
+++ b/src/edge/mesh_config.c
@@ -9,9 +9,6 @@
 #define DRAIN_LIMIT_USEC_DEFAULT ((gint64)2000000)
 /* Time in which a configuration comes into force everywhere.  */
 #define CONFIG_APPLY_USEC_DEFAULT ((gint64)2000000)
-/* Time in which the evacuation of a data centre comes into force everywhere.
- */
-#define EVACUATE_USEC_DEFAULT ((gint64)5000000)
 /* Time between the request to stop and the kill.  */
 #define STOP_GRACE_USEC_DEFAULT ((gint64)6000000)
 
@@ -95,8 +92,8 @@
       mesh->config_apply_usec
           = ini_duration_usec (ini, section, "config-apply-ms", USEC_PER_MSEC,
                                CONFIG_APPLY_USEC_DEFAULT);
-      mesh->evacuate_usec = ini_duration_usec (
-          ini, section, "evacuate-ms", USEC_PER_MSEC, EVACUATE_USEC_DEFAULT);
+      mesh->evacuate_usec
+          = ini_duration_usec (ini, section, "evacuate-ms", USEC_PER_MSEC, 0);
       mesh->stop_grace_usec
           = ini_duration_usec (ini, section, "grace-seconds", USEC_PER_SEC,
                                STOP_GRACE_USEC_DEFAULT);
@@ -115,7 +112,6 @@
   config->mesh.max_grant_usec = MAX_GRANT_USEC_DEFAULT;
   config->mesh.drain_limit_usec = DRAIN_LIMIT_USEC_DEFAULT;
   config->mesh.config_apply_usec = CONFIG_APPLY_USEC_DEFAULT;
-  config->mesh.evacuate_usec = EVACUATE_USEC_DEFAULT;
   config->mesh.stop_grace_usec = STOP_GRACE_USEC_DEFAULT;
 }
 
--- a/src/mesh/mesh_evacuation.c
+++ b/src/mesh/mesh_evacuation.c
@@ -5,6 +5,9 @@
 /* Evacuation of data centres: the set in force at this node, and its effect on
    requests.  */
 
+/* Time in which an evacuation is in force if the settings do not say.  */
+#define EVACUATE_USEC_DEFAULT ((gint64)5000000)
+
 /* Requests start at an evacuated server until this long before the time by
    which the evacuation has to be in force.  The margin covers the way to the
    server and a tick that is late.  */
@@ -34,8 +37,12 @@
 static gint64
 serve_until (const struct mesh *mesh)
 {
-  return mesh->freshness[MESH_TOPIC_CONFIG].confirmed_at
-         + mesh->settings.evacuate_usec - SERVE_MARGIN_USEC;
+  gint64 bound_usec = mesh->settings.evacuate_usec > 0
+                          ? mesh->settings.evacuate_usec
+                          : EVACUATE_USEC_DEFAULT;
+
+  return mesh->freshness[MESH_TOPIC_CONFIG].confirmed_at + bound_usec
+         - SERVE_MARGIN_USEC;
 }
 
 /* Return whether MEMBER's server may not be selected, since its data centre is
@@ -64,7 +71,8 @@
 
 /* Return whether this process stood still lately and does not know whether its
    data centre was evacuated meanwhile: its copy is older than the time in
-   which an evacuation is in force.  */
+   which an evacuation is in force.  Deployments whose settings do not name
+   that time go on as they did before there were evacuations.  */
 static gboolean
 may_have_missed (const struct mesh *mesh, gint64 now)
 {
--- a/src/mesh/mesh_settings.h
+++ b/src/mesh/mesh_settings.h
@@ -27,7 +27,7 @@
                                after the store acknowledged it */
   gint64 evacuate_usec;     /* the evacuation of a data centre is in force
                                everywhere this long after the store
-                               acknowledged it; 0: no bound is set */
+                               acknowledged it; 0: the settings do not say */
   gint64 stop_grace_usec;   /* a process is killed this long after it was asked
                                to stop */
 };
--- a/tests/test_mesh_config.c
+++ b/tests/test_mesh_config.c
@@ -65,11 +65,30 @@
   CU_ASSERT_EQUAL (errors, 1);
 }
 
+/* Guards against a rule of evacuations that applies where the settings do not
+   name the time in which they are in force.  */
+static void
+test_evacuation (void)
+{
+  struct mesh_config config;
+  guint errors;
+
+  CU_ASSERT_EQUAL (
+      read_settings (&config, "[bounds]\ndrain-ms = 2000\n", &errors),
+      ERR_NONE);
+  CU_ASSERT_EQUAL (config.mesh.evacuate_usec, 0);
+  CU_ASSERT_EQUAL (
+      read_settings (&config, "[bounds]\nevacuate-ms = 5000\n", &errors),
+      ERR_NONE);
+  CU_ASSERT_EQUAL (config.mesh.evacuate_usec, 5000000);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[] = { { "known ways of granting keys", test_known },
                           { "an unknown one", test_unknown },
+                          { "evacuation", test_evacuation },
                           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_config", tests);
