Evacuation: a request that was refused as evacuated goes to another data centre

Cause: a node that has not heard of an evacuation prefers servers of its own data centre. Its requests used up their three attempts there, although the first refusal says that the data centre is evacuated, and were refused while servers elsewhere had room.

Change: servers in the data centre of the member that refused are left out. A call that pauses after refusals considers them again.

--- a/src/mesh/mesh_pick.c
+++ b/src/mesh/mesh_pick.c
@@ -17,6 +17,18 @@
   return FALSE;
 }
 
+/* Return whether REQUEST was refused since the data centre of MEMBER is
+   evacuated, which this node may not have heard yet.  */
+static gboolean
+is_told_evacuated (const struct mesh *mesh, const struct mesh_request *request,
+                   const struct fleet_member *member)
+{
+  const struct fleet_member *refused
+      = fleet_state_member_at (&mesh->fleet, request->evacuated_at);
+
+  return refused != NULL && strcmp (refused->zone, member->zone) == 0;
+}
+
 /* Return whether MEMBER is this node.  */
 static gboolean
 is_here (const struct mesh *mesh, const struct fleet_member *member)
@@ -142,7 +154,8 @@
       server.is_near = strcmp (member->zone, mesh->settings.zone) == 0;
       even_load_offer (&load, &server,
                        is_reachable (mesh, member, h, now)
-                           && !was_tried (request, h));
+                           && !was_tried (request, h)
+                           && !is_told_evacuated (mesh, request, member));
     }
   choice = even_load_choose (&load, request->body_bytes);
   if (!handle_is_set (choice.member))
--- a/src/mesh/mesh_retry.c
+++ b/src/mesh/mesh_retry.c
@@ -101,6 +101,7 @@
       request->retry_at = now + retry.pause_usec;
       request->pause_count++;
       request->tried_count = 0;
+      request->evacuated_at = HANDLE_NONE;
       break;
     case CALL_RETRY_FAIL:
       mesh_refuse (mesh, exchange, event->reason, advice_usec, now, out);
@@ -123,6 +124,8 @@
   exclude_last (request);
   if (event->reason == REASON_KEY_DENIED)
     request->denied_count++;
+  if (event->reason == REASON_EVACUATED)
+    request->evacuated_at = request->sent_to;
   if (request->request.forwarded || !event->body_replayable
       || left_usec < MESH_ATTEMPT_MIN_USEC
       || request->denied_count >= DENIED_ATTEMPTS_MAX
--- a/src/serve/mesh_request.h
+++ b/src/serve/mesh_request.h
@@ -33,11 +33,13 @@
   gint64 sent_at;         /* when the current attempt began */
   gint64 retry_at;        /* when the request is routed again */
   struct handle sent_to;  /* member that the last attempt went to */
-  guint32 denied_count;   /* attempts at servers that denied to hold the
-                             key */
-  guint32 pause_count;    /* pauses after refusals, of a call */
-  guint32 tried_count;    /* attempts that failed or were refused; may exceed
-                             MESH_REQUEST_TRIED_MAX */
+  struct handle evacuated_at; /* member that refused the request since its data
+                                 centre is evacuated, HANDLE_NONE: none did */
+  guint32 denied_count;       /* attempts at servers that denied to hold the
+                                 key */
+  guint32 pause_count;        /* pauses after refusals, of a call */
+  guint32 tried_count; /* attempts that failed or were refused; may exceed
+                          MESH_REQUEST_TRIED_MAX */
 
   /* First members that refused the request or failed to answer it.  */
   struct handle tried_members[MESH_REQUEST_TRIED_MAX];
