Calls: the parent is looked for among the requests that run here

Cause: for each request whose id has the form of a call's id, the node walked all of its requests, also those that wait or are at other nodes.

Change: the handles of the requests that were sent to the local server are kept, and those that have ended are dropped when the next one is sent.

--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -26,6 +26,7 @@
   mesh->peers_by_incarnation
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
   table_init (&mesh->requests, sizeof (struct mesh_request));
+  mesh->running = g_array_new (FALSE, TRUE, sizeof (struct handle));
   mesh->retry_budgets
       = g_array_new (FALSE, TRUE, sizeof (struct mesh_retry_budget));
   mesh->unconfirmed
@@ -48,6 +49,7 @@
   table_clear (&mesh->peers);
   g_hash_table_destroy (mesh->peers_by_incarnation);
   table_clear (&mesh->requests);
+  g_array_free (mesh->running, TRUE);
   g_array_free (mesh->retry_budgets, TRUE);
   g_array_free (mesh->unconfirmed, TRUE);
   g_array_free (mesh->handoffs, TRUE);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -56,8 +56,10 @@
   GHashTable *peers_by_incarnation; /* incarnation to the bits of a handle in
                                        `peers'; may be out of date */
   struct handle next_report;        /* peer after which reports continue */
-  struct table requests;    /* struct mesh_request, by exchanges' handles */
-  GArray *retry_budgets;    /* struct mesh_retry_budget */
+  struct table requests; /* struct mesh_request, by exchanges' handles */
+  GArray *running;       /* struct handle, requests that were sent to the local
+                            server; some may have ended */
+  GArray *retry_budgets; /* struct mesh_retry_budget */
   struct suspects suspects; /* digests of lost requests */
   GArray *crash_reports;    /* guint64, digests that have yet to be proposed as
                                suspects */
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -71,6 +71,7 @@
   struct action_run *action;
 
   request->phase = MESH_REQUEST_RUNNING;
+  mesh_call_add_parent (mesh, exchange);
   request->sent_at = now;
   mesh_log (out, LOG_EVENT_MESH_RUN, request->request.id,
             "server=%s key=%s rank=%d waited_ms=%" G_GINT64_FORMAT
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -35,6 +35,7 @@
 /* Calls of requests that run at the local backend server, mesh_call.c.  */
 void mesh_call_recognise (struct mesh *mesh, struct mesh_request *request,
                           gint64 now);
+void mesh_call_add_parent (struct mesh *mesh, struct handle exchange);
 
 /* Requests that no server can start in time, mesh_prospect.c.  */
 gboolean mesh_prospect_refuse (struct mesh *mesh, struct handle exchange,
--- a/tests/test_mesh_call.c
+++ b/tests/test_mesh_call.c
@@ -104,6 +104,27 @@
   fixture_free (fixture);
 }
 
+/* Guards against a search for the parent of each call among all requests that
+   ever ran, or that wait: a node has thousands of them when callers send many
+   on each connection.  */
+static void
+test_few_parents (void)
+{
+  struct fixture *fixture = fixture_new ();
+  guint i;
+
+  for (i = 0; i < 100; i++)
+    end_attempt (fixture, run_parent (fixture, PRIORITY_HIGH, 300),
+                 OUTCOME_DONE, REASON_NONE);
+  run_parent (fixture, PRIORITY_HIGH, 300);
+  for (i = 0; i < 100; i++)
+    send_with_id (fixture, "/other/x", "q", 0, 400);
+  CU_ASSERT_EQUAL (fixture->mesh.running->len, 1);
+  send_with_id (fixture, "/other/x", "p.1", 1, 400);
+  CU_ASSERT_TRUE (forwarded (fixture).is_call);
+  fixture_free (fixture);
+}
+
 /* Guards against callers that gain priority by the form of an id: it counts
    only while a request with the parent's id runs here.  */
 static void
@@ -216,6 +237,7 @@
   CU_TestInfo tests[]
       = { { "a call inherits priority and time", test_call_inherits },
           { "a call is logged", test_call_is_logged },
+          { "few parents are compared", test_few_parents },
           { "no such parent", test_no_such_parent },
           { "a refused call returns", test_refused_call_returns },
           { "a call spends the budget", test_call_spends_budget },
