Retry-After: a moment with little capacity does not count for minutes

Cause: the time between two refused callers is the run time at the rate that is left for them, which may be a thousandth of a slot. The next time then lay minutes ahead, and until it passed all callers of that priority and of lower ones were told times as if no capacity were in sight. It can occur where a route's runs are much longer than the mean, or where a slot is free.

Change: the time between callers counts up to the longest that one waits.

Checked: test_retry_spread (new case, failed before; the figures of the burst are unchanged), test_mesh_retry_after, test_admission.

--- a/src/decide/retry_spread.c
+++ b/src/decide/retry_spread.c
@@ -32,17 +32,19 @@
 }
 
 /* Return after how long the caller of QUERY, which is refused at NOW, is to
-   return, in microseconds.  */
+   return, in microseconds.  The time between two callers counts up to the
+   longest that one waits: there may be more capacity by then.  */
 gint64
 retry_spread_next_usec (struct retry_spread *spread,
                         const struct retry_query *query, gint64 now)
 {
   gint64 at = MAX (now + query->wait_usec, spread->next_at[query->priority]);
+  gint64 interval_usec = MIN (query->interval_usec, query->limit_usec);
   guint i;
 
   if (at - now > query->limit_usec)
     return fallback_usec (spread, query->priority, query->limit_usec);
   for (i = query->priority; i < PRIORITY_COUNT; i++)
-    spread->next_at[i] = MAX (spread->next_at[i], at) + query->interval_usec;
+    spread->next_at[i] = MAX (spread->next_at[i], at) + interval_usec;
   return at - now;
 }
--- a/tests/test_retry_spread.c
+++ b/tests/test_retry_spread.c
@@ -58,6 +58,18 @@
   CU_ASSERT_EQUAL (advise (&spread, PRIORITY_LOW, 10, 1, -5), 0);
 }
 
+/* Guards against a moment with almost no capacity that counts for minutes: the
+   time that it leaves between callers would keep all later ones from times
+   that are near.  */
+static void
+test_short_of_capacity (void)
+{
+  struct retry_spread spread = { 0 };
+
+  CU_ASSERT_EQUAL (advise (&spread, PRIORITY_LOW, 100, 140000, 2400), 100);
+  CU_ASSERT_EQUAL (spread.next_at[PRIORITY_LOW], NOW + 900 * REPLAY_MSEC);
+}
+
 /* What a replay of a burst shows, for each new request.  */
 struct burst
 {
@@ -126,6 +138,7 @@
 {
   CU_TestInfo tests[] = { { "order", test_order },
                           { "limit", test_limit },
+                          { "short of capacity", test_short_of_capacity },
                           { "burst", test_burst },
                           CU_TEST_INFO_NULL };
 
