A refusal for lack of time shows that its node answers

Cause: the circuit breaker of a node ignored all ends of attempts for the deadline, also refusals by that node, which is the reason that admission control gives for most refusals under overload. A breaker that was open got no result from its probes and let one request a second through until one was served, and failures before and after such refusals counted as consecutive.

Change: only a deadline that passed without an answer is ignored.

Checked: test_mesh_retry (new case, failed before), test_mesh_pick, test_mesh_call.

--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -135,7 +135,8 @@
       peer_state_on_message (peer, now);
       peer_state_on_load (peer, &event->load, now);
     }
-  if (event->reason == REASON_DEADLINE || event->reason == REASON_BODY_LOST)
+  if ((event->reason == REASON_DEADLINE && !has_report)
+      || event->reason == REASON_BODY_LOST)
     return;
   breaker_on_result (&peer->breaker,
                      event->reason == REASON_PEER_LOST ? BREAKER_FAILURE
--- a/tests/test_mesh_retry.c
+++ b/tests/test_mesh_retry.c
@@ -197,6 +197,31 @@
   fixture_free (fixture);
 }
 
+/* Guards against a node that counts as unreachable though it answers: it
+   refuses what would not complete before its deadline.  Without an answer the
+   deadline says nothing of the node.  */
+static void
+test_refusal_closes_breaker (void)
+{
+  struct fixture *fixture = fixture_new ();
+  struct peer_state *peer = table_get (
+      &fixture->mesh.peers, fleet_state_find (&fixture->mesh.fleet, "b"));
+  struct event event = { .kind = EVENT_ATTEMPT_ENDED };
+
+  peer->breaker.state = BREAKER_OPEN;
+  peer->breaker.consecutive_failures = 5;
+  event.u.attempt_ended.exchange = send_request (fixture, "/other/x");
+  event.u.attempt_ended.outcome = OUTCOME_UNKNOWN;
+  event.u.attempt_ended.reason = REASON_DEADLINE;
+  feed_event (fixture, &event);
+  CU_ASSERT_EQUAL (peer->breaker.state, BREAKER_HALF_OPEN);
+  peer->breaker.blocked_until = 0;
+  end_attempt (fixture, send_request (fixture, "/other/x"), OUTCOME_NOT_RUN,
+               REASON_DEADLINE);
+  CU_ASSERT_EQUAL (peer->breaker.state, BREAKER_CLOSED);
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
@@ -206,6 +231,7 @@
           { "shedding uses the budget", test_shed_uses_budget },
           { "server error retried", test_server_error_retried },
           { "own server is full", test_own_server_is_full },
+          { "refusal closes the breaker", test_refusal_closes_breaker },
           { "body lost", test_body_lost },
           CU_TEST_INFO_NULL };
 
