--- a/src/mesh/mesh_pick.c
+++ b/src/mesh/mesh_pick.c
@@ -16,6 +16,18 @@
   return FALSE;
 }
 
+/* Return whether REQUEST was refused since the data centre of MEMBER is
+   evacuated, which this node may not have heard yet.  */
+static gboolean
+is_told_evacuated (const struct mesh *mesh, const struct mesh_request *request,
+                   const struct fleet_member *member)
+{
+  const struct fleet_member *refused
+      = fleet_state_member_at (&mesh->fleet, request->evacuated_at);
+
+  return refused != NULL && strcmp (refused->zone, member->zone) == 0;
+}
+
 /* Return whether MEMBER is this node.  */
 static gboolean
 is_here (const struct mesh *mesh, const struct fleet_member *member)
@@ -168,7 +180,8 @@
       even_load_offer (&comparison->load, &server,
                        mesh_pick_link_obstacle (mesh, member, h, now)
                                == MESH_OBSTACLE_NONE
-                           && !was_tried (request, h));
+                           && !was_tried (request, h)
+                           && !is_told_evacuated (mesh, request, member));
     }
 }
 
