--- a/tests/test_byte_budget.c
+++ b/tests/test_byte_budget.c
@@ -119,7 +119,7 @@
   byte_budget_init (&budget, LIMIT, 0);
   for (i = 0; i < 1000; i++)
     head = add_unread (&budget, 6200);
-  byte_budget_charge (&budget, head, 2 * 16384);
+  byte_budget_charge (&budget, head, (gint64)2 * 16384);
   CU_ASSERT_TRUE (byte_budget_is_short (&budget));
   CU_ASSERT_TRUE (byte_budget_may_read (&budget, head));
   byte_budget_clear (&budget);
