--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -45,6 +45,8 @@
   gboolean chunk_pending; /* an RPC_FORWARD_CHUNK waits for room */
   guint32 chunk_xid;      /* xid of the last RPC_FORWARD_CHUNK */
   gboolean end_sent;      /* the end of the response was sent */
+  gint64 bytes_sent;      /* bytes of the response body that were sent */
+  gboolean is_queued; /* the next part of the response waits for the link */
 };
 
 struct source
@@ -183,5 +185,10 @@
 void source_peer_resume (struct exchange *exchange);
 void source_peer_fail (struct exchange *exchange,
                        const struct action_answer *action);
+gboolean source_peer_is_long (const struct exchange *exchange);
+gboolean source_peer_may_send (struct exchange *exchange);
+gsize source_peer_part (const struct exchange *exchange);
+void source_peer_sent (struct exchange *exchange, gsize bytes);
+void source_peer_send_long (struct proxy *proxy, gint64 now);
 
 #endif
--- a/src/edge/mesh_config.c
+++ b/src/edge/mesh_config.c
@@ -38,6 +38,7 @@
   { "bounds", "grace-seconds", INI_DECIMAL, FALSE, 0, 0, NULL },
   { "limits", "memory-mb", INI_NUMBER, FALSE, 1, 1048576, NULL },
   { "limits", "max-fds", INI_NUMBER, FALSE, 1, 1048576, NULL },
+  { "limits", "link-mbps", INI_DECIMAL, FALSE, 0, 0, NULL },
   { "journal", "level", INI_CHOICE, FALSE, 0, 0, "error|info|debug" },
 };
 
@@ -113,6 +114,8 @@
             * BYTES_PER_MB;
       config->descriptors_max
           = (guint)ini_number (ini, section, "max-fds", DESCRIPTORS_DEFAULT);
+      config->link_mbit_per_s
+          = (guint)ini_duration_usec (ini, section, "link-mbps", 1, 0);
     }
   else if (strcmp (section->kind, "journal") == 0)
     ini_copy (ini, section, "level", config->log_level,
--- a/src/edge/mesh_config.h
+++ b/src/edge/mesh_config.h
@@ -17,6 +17,7 @@
   struct address store_address;   /* the platform's store service */
   guint64 memory_bytes;      /* memory that the process may use, in bytes */
   guint descriptors_max;     /* descriptors that the process may have open */
+  guint link_mbit_per_s;     /* rate of the host's link; 0: not known */
   char log_level[NAME_SIZE]; /* lowest level of logged events */
 };
 
--- a/src/edge/mesh_node.c
+++ b/src/edge/mesh_node.c
@@ -212,6 +212,7 @@
   held_bytes_limit (config->memory_bytes, config->descriptors_max);
   mesh_init (&node->mesh, &node->config.mesh, clock_usec ());
   code = init_proxy (node);
+  link_rate_set (&node->proxy.link_rate, config->link_mbit_per_s);
   init_store (node);
   key_orders_init (&node->key_orders, &node->proxy.http,
                    node->proxy.server_address, on_key_order, node);
--- a/src/edge/proxy.c
+++ b/src/edge/proxy.c
@@ -126,6 +126,7 @@
   proxy->streams
       = g_hash_table_new_full (stream_hash, stream_equal, g_free, NULL);
   proxy->arrivals = g_array_new (FALSE, FALSE, sizeof (struct handle));
+  proxy->long_responses = g_array_new (FALSE, FALSE, sizeof (struct handle));
   proxy->server_calls = g_hash_table_new (NULL, NULL);
   http_init (&proxy->http);
   held_bytes_on_close (exchange_drop);
@@ -146,17 +147,20 @@
   table_clear (&proxy->exchanges);
   g_hash_table_destroy (proxy->streams);
   g_array_free (proxy->arrivals, TRUE);
+  g_array_free (proxy->long_responses, TRUE);
   g_hash_table_destroy (proxy->server_calls);
 }
 
-/* End the HTTP calls and RPCs whose deadline is at or before NOW, and close
-   the connections of callers that are due to be closed.  */
+/* End the HTTP calls and RPCs whose deadline is at or before NOW, close the
+   connections of callers that are due to be closed, and send the parts of long
+   responses that are due.  */
 void
 proxy_expire (struct proxy *proxy, gint64 now)
 {
   http_expire (&proxy->http, now);
   http_server_expire (&proxy->callers, now);
   links_expire (&proxy->links, now);
+  source_peer_send_long (proxy, now);
 }
 
 /* Return the number of exchanges in progress and of replies not sent.  */
--- a/src/edge/proxy.h
+++ b/src/edge/proxy.h
@@ -1,6 +1,7 @@
 #ifndef BAMBOOTALLY_PROXY_H
 #define BAMBOOTALLY_PROXY_H
 
+#include "decide/link_rate.h"
 #include "edge/counters.h"
 #include "edge/dialect.h"
 #include "edge/exchange.h"
@@ -31,7 +32,11 @@
   GHashTable *streams;        /* struct stream_key to exchange handle */
   GArray *arrivals; /* struct handle: exchanges of forwarded requests that are
                        to be submitted at the end of the batch */
-  GHashTable *server_calls;      /* HTTP call handle to exchange handle */
+  struct link_rate link_rate; /* what long responses to other nodes may take */
+  GArray *long_responses;   /* struct handle: exchanges whose next part of the
+                               response waits for the link */
+  gboolean sends_long;      /* the parts that wait are being sent */
+  GHashTable *server_calls; /* HTTP call handle to exchange handle */
   struct address server_address; /* address of the backend server */
   guint64 self_incarnation;      /* incarnation of this node */
   guint64 last_stream_id;        /* id of the last outgoing stream */
--- a/src/edge/source_peer.c
+++ b/src/edge/source_peer.c
@@ -38,13 +38,13 @@
                &head);
 }
 
-/* Get the next bytes of the response body, at most BODY_QUEUE_BYTES.  END is
+/* Get the next bytes of the response body, at most one part.  END is
    set to TRUE if they are the last ones.  Return their number.  */
 static guint32
 next_chunk (struct exchange *exchange, guint8 **bytes, gboolean *end)
 {
-  gsize count
-      = MIN (body_remaining (&exchange->response_body), BODY_QUEUE_BYTES);
+  gsize count = MIN (body_remaining (&exchange->response_body),
+                     source_peer_part (exchange));
 
   *bytes = (guint8 *)body_data (&exchange->response_body);
   *end = exchange->response_body.is_complete
@@ -56,6 +56,7 @@
 static void
 on_bytes_sent (struct exchange *exchange, guint32 count, gboolean end)
 {
+  source_peer_sent (exchange, count);
   body_pass_on (&exchange->response_body, count);
   exchange->source.u.peer.end_sent = end;
   exchange_passed_on (exchange);
@@ -63,8 +64,8 @@
     http_pause (&exchange->proxy->http, exchange->target.u.server.call, FALSE);
 }
 
-/* Reply to RPC_FORWARD_REQUEST with the head and the first bytes of the
-   response.  */
+/* Reply to RPC_FORWARD_REQUEST with the head and, unless it is long, the first
+   bytes of the response.  */
 static void
 reply_head (struct exchange *exchange)
 {
@@ -110,7 +111,8 @@
     reply_head (exchange);
   else if (peer->read_pending
            && (body_remaining (&exchange->response_body) > 0
-               || exchange->response_body.is_complete))
+               || exchange->response_body.is_complete)
+           && source_peer_may_send (exchange))
     reply_chunk (exchange);
   if (peer->end_sent)
     exchange_remove (exchange);
--- a/tests/test_mesh_config.c
+++ b/tests/test_mesh_config.c
@@ -64,12 +64,14 @@
   CU_ASSERT_EQUAL (read_settings (&config, "", &errors), ERR_NONE);
   CU_ASSERT_EQUAL (config.memory_bytes, (guint64)160 * 1048576);
   CU_ASSERT_EQUAL (config.descriptors_max, 4100);
-  CU_ASSERT_EQUAL (
-      read_settings (&config, "[limits]\nmemory-mb = 512\nmax-fds = 8192\n",
-                     &errors),
-      ERR_NONE);
+  CU_ASSERT_EQUAL (read_settings (&config,
+                                  "[limits]\nmemory-mb = 512\nmax-fds = 8192\n"
+                                  "link-mbps = 10.0\n",
+                                  &errors),
+                   ERR_NONE);
   CU_ASSERT_EQUAL (config.memory_bytes, (guint64)512 * 1048576);
   CU_ASSERT_EQUAL (config.descriptors_max, 8192);
+  CU_ASSERT_EQUAL (config.link_mbit_per_s, 10);
   CU_ASSERT_EQUAL (
       read_settings (&config, "[limits]\nmemory-mb = much\n", &errors),
       ERR_INVALID);
