--- a/src/mesh/mesh_explain.c
+++ b/src/mesh/mesh_explain.c
@@ -70,7 +70,7 @@
 set_drawn (struct mesh_explained_server *server, struct handle h,
            const struct mesh_comparison *comparison, gint64 body_bytes)
 {
-  const struct placement *placement = &comparison->load.placement;
+  const struct server_placement *placement = &comparison->load.placement;
   guint i;
 
   for (i = 0; i < placement_count (placement); i++)
--- a/src/serve/even_load.h
+++ b/src/serve/even_load.h
@@ -19,12 +19,12 @@
 
 struct even_load
 {
-  gint64 now;                 /* time of the choice */
-  struct placement placement; /* draw of the servers to compare */
-  gint64 run_usec_sum;        /* sum of the reported run times */
-  gint64 run_count;           /* servers that reported one */
-  gint64 taken_sum;           /* slots that are taken, by recent reports */
-  gint64 slots_sum;           /* slots of the servers with recent reports */
+  gint64 now;                        /* time of the choice */
+  struct server_placement placement; /* draw of the servers to compare */
+  gint64 run_usec_sum;               /* sum of the reported run times */
+  gint64 run_count;                  /* servers that reported one */
+  gint64 taken_sum; /* slots that are taken, by recent reports */
+  gint64 slots_sum; /* slots of the servers with recent reports */
 };
 
 /* The server that was chosen, and what for.  */
--- a/src/serve/placement.c
+++ b/src/serve/placement.c
@@ -26,7 +26,7 @@
 
 /* Begin a draw.  Draws with the same SEED have the same result.  */
 void
-placement_init (struct placement *placement, guint64 seed)
+placement_init (struct server_placement *placement, guint64 seed)
 {
   memset (placement, 0, sizeof *placement);
   placement->seed = mix (seed);
@@ -36,7 +36,7 @@
    number.  That of a candidate is the lowest of all with a probability in
    proportion to its weight.  */
 static gdouble
-draw_of (const struct placement *placement, struct handle member,
+draw_of (const struct server_placement *placement, struct handle member,
          gdouble weight)
 {
   guint64 bits = mix (placement->seed ^ member.bits);
@@ -68,7 +68,7 @@
 
 /* Offer CANDIDATE to the draw.  WEIGHT must be greater than 0.  */
 void
-placement_offer (struct placement *placement,
+placement_offer (struct server_placement *placement,
                  const struct placement_candidate *candidate, gdouble weight)
 {
   struct placement_choice choice
@@ -82,14 +82,14 @@
 
 /* Return the number of candidates to be compared.  */
 guint
-placement_count (const struct placement *placement)
+placement_count (const struct server_placement *placement)
 {
   return placement->near_count + placement->far_count;
 }
 
 /* Return the candidate at INDEX of those to be compared.  */
 const struct placement_candidate *
-placement_at (const struct placement *placement, guint index)
+placement_at (const struct server_placement *placement, guint index)
 {
   return index < placement->near_count
              ? &placement->near[index].candidate
@@ -98,7 +98,8 @@
 
 /* Return a random number for MEMBER that does not depend on its draw.  */
 guint32
-placement_random (const struct placement *placement, struct handle member)
+placement_random (const struct server_placement *placement,
+                  struct handle member)
 {
   return (guint32)mix (mix (placement->seed) ^ member.bits);
 }
--- a/src/serve/placement.h
+++ b/src/serve/placement.h
@@ -38,7 +38,7 @@
   gdouble draw; /* random number; the lowest are kept */
 };
 
-struct placement
+struct server_placement
 {
   guint64 seed;                                 /* of the random numbers */
   struct placement_choice near[PLACEMENT_NEAR]; /* in the own data centre */
@@ -47,14 +47,14 @@
   guint far_count;                              /* used entries of `far' */
 };
 
-void placement_init (struct placement *placement, guint64 seed);
-void placement_offer (struct placement *placement,
+void placement_init (struct server_placement *placement, guint64 seed);
+void placement_offer (struct server_placement *placement,
                       const struct placement_candidate *candidate,
                       gdouble weight);
-guint placement_count (const struct placement *placement);
+guint placement_count (const struct server_placement *placement);
 const struct placement_candidate *
-placement_at (const struct placement *placement, guint index);
-guint32 placement_random (const struct placement *placement,
+placement_at (const struct server_placement *placement, guint index);
+guint32 placement_random (const struct server_placement *placement,
                           struct handle member);
 
 #endif
--- a/tests/test_placement.c
+++ b/tests/test_placement.c
@@ -82,7 +82,7 @@
 static guint
 choose_drawn (const struct replay *replay, guint e)
 {
-  struct placement placement;
+  struct server_placement placement;
   guint best;
   guint i;
 
@@ -223,7 +223,7 @@
 static void
 test_few (void)
 {
-  struct placement placement;
+  struct server_placement placement;
   guint seen = 0;
   guint i;
 
@@ -251,7 +251,7 @@
 
   for (i = 0; i < 20000; i++)
     {
-      struct placement placement;
+      struct server_placement placement;
       placement_init (&placement, i);
       for (k = 0; k < 16; k++)
         {
