mesh_parts.h does not bring in the placement of servers

Cause: src/serve/placement.h and src/decide/place.h both name a struct placement.

Change: mesh_parts.h declares struct mesh_comparison only; the two files that use it include its header.

Checked: all programs and tests compile; test_mesh_explain, test_mesh_node_explain and test_mesh_pick pass.

--- a/src/mesh/mesh_explain.c
+++ b/src/mesh/mesh_explain.c
@@ -1,5 +1,6 @@
 #include "mesh/mesh_explanation.h"
 
+#include "mesh/mesh_comparison.h"
 #include "mesh/mesh_parts.h"
 #include "mesh/mesh_trial.h"
 
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -2,7 +2,6 @@
 #define BAMBOOTALLY_MESH_PARTS_H
 
 #include "mesh/mesh.h"
-#include "mesh/mesh_comparison.h"
 #include "mesh/mesh_obstacle.h"
 #include "mesh/mesh_receiver.h"
 #include "shard/shard_reconcile.h"
@@ -51,6 +50,7 @@
                            const struct mesh_request *request);
 
 /* The node that a request is sent to, mesh_pick.c.  */
+struct mesh_comparison;
 struct mesh_pick
 {
   struct handle member; /* member to send to, HANDLE_NONE: there is none */
--- a/src/mesh/mesh_pick.c
+++ b/src/mesh/mesh_pick.c
@@ -1,3 +1,4 @@
+#include "mesh/mesh_comparison.h"
 #include "mesh/mesh_parts.h"
 
 /* A shard that changes its owner is held again after about this time, which
