--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -102,6 +102,7 @@
             (gint64)node->control_api.http_server.refused_count);
   add_line (text, "held_bytes", (gint64)held_bytes_state ().held);
   add_line (text, "held_bytes_limit", (gint64)held_bytes_state ().limit);
+  add_line (text, "link_waiting", node->proxy.long_responses->len);
   add_line (text, "requests_in_hand", mesh->requests.count);
   add_line (text, "gate_running", mesh->admission.busy_slots);
   add_line (text, "gate_waiting", mesh->admission.queue->len);
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -290,12 +290,10 @@
       if (request != NULL)
         reason = queued_refusal_reason (mesh, request, now);
       if (request != NULL && reason == REASON_NONE)
-        {
-          run (mesh, next, now, out);
-          continue;
-        }
-      admission_give_back (&mesh->admission);
-      if (request != NULL)
+        run (mesh, next, now, out);
+      else
+        admission_give_back (&mesh->admission);
+      if (reason != REASON_NONE)
         mesh_reject_here (mesh, next, reason, 0, now, out);
     }
 }
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -2,7 +2,7 @@
 #define BAMBOOTALLY_EVENT_H
 
 #include "types/body_end.h"
-#include "types/evacuation.h"
+#include "types/event_evacuations.h"
 #include "types/heartbeat.h"
 #include "types/key_order_result.h"
 #include "types/mesh_msg.h"
@@ -209,17 +209,6 @@
   gint64 started_at; /* when the read began, monotonic microseconds */
 };
 
-/* Records of the operator's topic were read.  */
-struct event_evacuations
-{
-  const struct evacuation *items; /* those that concern evacuations, in the
-                                     order of their offsets unless
-                                     `is_listing' */
-  guint32 count;                  /* number of items */
-  gboolean is_listing; /* the items are the newest records of all keys */
-  guint64 next_offset; /* all records below this offset are now known */
-};
-
 /* A read of a topic ended; what it brought was passed on before.  */
 struct event_topic_read
 {
