--- a/src/edge/conn.c
+++ b/src/edge/conn.c
@@ -61,10 +61,10 @@
          && count > 0;
 }
 
-/* Close CONN like conn_close, and reset the connection: what was not delivered
-   is dropped, and the other end does not take what it has got for whole.  */
+/* Have CONN reset when it is closed: what the system has not delivered is
+   dropped then, and the other end does not take what it has got for whole.  */
 void
-conn_reset (struct conn *conn)
+conn_discard (struct conn *conn)
 {
   struct linger drop = { .l_onoff = 1, .l_linger = 0 };
 
@@ -73,6 +73,13 @@
                      &drop, sizeof drop)
              != 0)
     g_warning ("SO_LINGER: %s", g_strerror (errno));
+}
+
+/* Close CONN like conn_close, and reset the connection.  */
+void
+conn_reset (struct conn *conn)
+{
+  conn_discard (conn);
   conn_close (conn);
 }
 
--- a/src/edge/conn.h
+++ b/src/edge/conn.h
@@ -77,6 +77,7 @@
 void conn_report_first (struct conn *conn, gboolean is_first);
 void conn_end_sending (struct conn *conn);
 void conn_close (struct conn *conn);
+void conn_discard (struct conn *conn);
 void conn_reset (struct conn *conn);
 void conn_abort (struct conn *conn);
 void conn_unref (struct conn *conn);
--- a/src/edge/conn_held.c
+++ b/src/edge/conn_held.c
@@ -57,18 +57,10 @@
   conn_poll_reading (conn);
 }
 
-/* Reset CONN for lack of room, and report CONN_CLOSED.  A reset also drops
-   what the system holds for the connection, and its other end does not take a
-   response that was begun for whole.  */
+/* Reset CONN for lack of room, and report CONN_CLOSED.  */
 void
 conn_drop (struct conn *conn)
 {
-  struct linger drop = { .l_onoff = 1, .l_linger = 0 };
-
-  if (conn->socket != NULL
-      && setsockopt (g_socket_get_fd (conn->socket), SOL_SOCKET, SO_LINGER,
-                     &drop, sizeof drop)
-             != 0)
-    g_warning ("SO_LINGER: %s", g_strerror (errno));
+  conn_discard (conn);
   conn_fail (conn, ERR_IO);
 }
