Soak: cold servers, and a store that comes back from an older copy

The servers of the divided service say in their heartbeats how long they are cold, after a start and at random moments, and its row of the configuration has cold-start-s and cold-per-s. The checker reports more than cold-per-s x 1.5 + 8 requests in one second to a server whose node was told that it is cold. The store stand-in names Store-Era, answers 410 to reads beyond a topic's end, and comes back from a copy up to 6 s old in a new era; the operator writes the configuration and the evacuation again up to 1.5 s later.

--- a/soak/bin/soak.c
+++ b/soak/bin/soak.c
@@ -165,12 +165,13 @@
   if (served * 100 < sent * FINAL_SERVED_PERCENT)
     soak_checker_violation (checker, "requests are served after the faults",
                             "");
-  g_print ("soak: seed %u: %u faults, %u evacuations, %u requests: %u served, "
+  g_print ("soak: seed %u: %u faults, %u evacuations, %u older copies, %u "
+           "requests: %u served, "
            "%u refused, "
            "%u failed; %u broken off; at the end %u of %u; violations: %u\n",
            seed, run->cluster.injected_fault_count,
-           run->cluster.evacuation.count, checker->sent_count,
-           checker->served_count, checker->refused_count,
+           run->cluster.evacuation.count, run->cluster.rollback.count,
+           checker->sent_count, checker->served_count, checker->refused_count,
            checker->failed_count, checker->broken_count, served, sent,
            checker->violation_count);
   return checker->violation_count > 0 ? EXIT_FAILURE : EXIT_SUCCESS;
--- a/soak/soak_cluster.c
+++ b/soak/soak_cluster.c
@@ -1,4 +1,5 @@
 #include "soak/soak_cluster.h"
+#include "soak/soak_config.h"
 #include "soak/soak_owners.h"
 
 #include "platform/config.h"
@@ -16,16 +17,6 @@
   ((gint64)500000)           /* what a relay has held up has arrived by then */
 #define LOOPBACK 0x7f000001u /* 127.0.0.1 */
 
-/* The configuration: one service that is divided by key and one that is
-   not.  */
-#define CONFIG                                                                \
-  "{\"version\":\"r1\",\"services\":{\"columns\":[\"name\",\"sharded\"],"     \
-  "\"rows\":[[\"own\",true],[\"other\",false]]},\"routes\":{\"columns\":"     \
-  "[\"name\",\"host\",\"path-prefix\",\"route-type\",\"service\","            \
-  "\"priority\",\"timeout-ms\",\"max-attempts\"],\"rows\":"                   \
-  "[[\"a\",\"soak\",\"/own/\",\"idempotent\",\"own\",1,1500,2],"              \
-  "[\"b\",\"soak\",\"/once/\",\"non_idempotent\",\"other\",1,1500,1]]}}"
-
 /* Start and stop */
 
 /* Return the address of PORT on loopback.  */
@@ -109,10 +100,12 @@
   soak_checker_init (&cluster->checker);
   cluster->random = g_rand_new_with_seed (seed);
   soak_evacuation_init (&cluster->evacuation, seed);
+  soak_rollback_init (&cluster->rollback, seed);
+  cluster->cold_random = g_rand_new_with_seed (seed);
   if (!soak_store_init (&cluster->store, loopback_address (port)))
     return FALSE;
   soak_store_put (&cluster->store, STORE_TOPIC_CONFIG, PLATFORM_CONFIG_KEY,
-                  CONFIG);
+                  SOAK_CONFIG);
   for (i = 0; i < nodes; i++, cluster->host_count++)
     if (!start_host (cluster, i, port + STORE_PORTS + i * PORTS_PER_HOST,
                      program, port))
@@ -141,6 +134,8 @@
   soak_checker_clear (&cluster->checker);
   g_rand_free (cluster->random);
   soak_evacuation_clear (&cluster->evacuation);
+  soak_rollback_clear (&cluster->rollback);
+  g_rand_free (cluster->cold_random);
 }
 
 /* Return a random time from MIN_MSEC to MAX_MSEC milliseconds after NOW.  */
@@ -197,6 +192,7 @@
       host->server_heal_at = random_time (cluster, now, 200, 3000);
       soak_limit_excuse (&host->server.limit, host->server_heal_at);
       host->server.held_up_until = host->server_heal_at + HELD_UP_USEC;
+      soak_cold_excuse (&host->server.cold, host->server.held_up_until);
       break;
     case 6:
       soak_server_begin_instance (&host->server);
@@ -215,15 +211,6 @@
     }
 }
 
-/* Let the operator evacuate a data centre now and then if MAY_BEGIN, and end
-   that when its time has come.  */
-void
-soak_cluster_operate (struct soak_cluster *cluster, gboolean may_begin,
-                      gint64 now)
-{
-  soak_evacuation_step (&cluster->evacuation, &cluster->store, may_begin, now);
-}
-
 /* End all active faults at the next step, which is at the time NOW or later.
  */
 void
--- a/soak/soak_cluster.h
+++ b/soak/soak_cluster.h
@@ -3,6 +3,7 @@
 
 #include "soak/soak_node.h"
 #include "soak/soak_relay.h"
+#include "soak/soak_rollback.h"
 #include "soak/soak_server.h"
 #include "soak/soak_store.h"
 
@@ -30,6 +31,9 @@
   struct soak_store store;  /* simulated store of the platform */
   gint64 store_heal_at;     /* the store is normal from then, monotonic usec */
   struct soak_evacuation evacuation; /* evacuations by the operator */
+  struct soak_rollback rollback;     /* older copies of the store */
+  GRand *cold_random; /* draws servers that become cold; the faults are drawn
+                         by others */
   struct http http_client;     /* HTTP client for requests and heartbeats */
   struct soak_checker checker; /* checks of the guarantees */
   GRand *random;               /* generator for faults and requests */
--- a/soak/soak_evacuation.c
+++ b/soak/soak_evacuation.c
@@ -84,6 +84,30 @@
     begin (evacuation, store, now);
 }
 
+/* Process that the store came back from a copy made at COPIED_AT, and that the
+   operator writes again at REWRITE_AT: a record that is lost is not in force
+   until then.  */
+void
+soak_evacuation_on_rollback (struct soak_evacuation *evacuation,
+                             gint64 copied_at, gint64 rewrite_at)
+{
+  if (evacuation->acked_at > copied_at)
+    evacuation->acked_at = rewrite_at;
+}
+
+/* Write the last record again at NOW, as the operator does after a rollback of
+   the store.  */
+void
+soak_evacuation_rewrite (struct soak_evacuation *evacuation,
+                         struct soak_store *store, gint64 now)
+{
+  if (evacuation->count == 0)
+    return;
+  write_record (evacuation, store, evacuation->acked_at != 0 ? "{}" : "");
+  if (evacuation->acked_at > now)
+    evacuation->acked_at = now;
+}
+
 /* Check the request ID, which arrived at a server in data centre ZONE at the
    time NOW.  Until EXCUSED_UNTIL requests may have been held up on their way
    to the server.  */
--- a/soak/soak_evacuation.h
+++ b/soak/soak_evacuation.h
@@ -29,6 +29,10 @@
                            gint64 now);
 void soak_evacuation_end (struct soak_evacuation *evacuation,
                           struct soak_store *store);
+void soak_evacuation_on_rollback (struct soak_evacuation *evacuation,
+                                  gint64 copied_at, gint64 rewrite_at);
+void soak_evacuation_rewrite (struct soak_evacuation *evacuation,
+                              struct soak_store *store, gint64 now);
 void soak_evacuation_on_arrival (const struct soak_evacuation *evacuation,
                                  struct soak_checker *checker, guint zone,
                                  gint64 excused_until, const char *id,
--- a/soak/soak_heartbeat.c
+++ b/soak/soak_heartbeat.c
@@ -112,7 +112,10 @@
       server->heartbeat_pending = FALSE;
       if (event->code == ERR_NONE
           && server->heartbeat_status == SOUP_STATUS_OK)
-        read_answer (server);
+        {
+          soak_cold_on_answered (&server->cold, clock_usec ());
+          read_answer (server);
+        }
       soak_server_schedule_heartbeat (server, server->released_range_count > 0
                                                   ? EARLY_HEARTBEAT_MSEC
                                                   : HEARTBEAT_MSEC);
@@ -167,9 +170,11 @@
       text,
       "{\"address\":\"%s\",\"born\":%" G_GINT64_FORMAT
       ",\"info\":{\"service\":\"%s\",\"slots\":%d},\"status\":{\"state\":"
-      "\"ready\",\"seq\":%" G_GUINT64_FORMAT ",\"cold-left-ms\":0}",
+      "\"ready\",\"seq\":%" G_GUINT64_FORMAT
+      ",\"cold-left-ms\":%" G_GINT64_FORMAT "}",
       address_text, server->instance.started_at_msec, server->service,
-      SLOT_COUNT, ++server->heartbeat_seq);
+      SLOT_COUNT, ++server->heartbeat_seq,
+      soak_cold_tell_msec (&server->cold, server->heartbeat_sent_at));
   add_ranges (text, "holds", server->held_ranges, server->held_range_count,
               FALSE);
   add_ranges (text, "freed", server->released_ranges,
--- a/soak/soak_server.c
+++ b/soak/soak_server.c
@@ -141,6 +141,8 @@
       return;
     }
   soak_limit_on_arrival (&server->limit, server->checker, clock_usec ());
+  soak_cold_on_arrival (&server->cold, server->checker, server->instance.id,
+                        clock_usec ());
   soak_evacuation_on_arrival (server->evacuation, server->checker,
                               server->zone, server->held_up_until,
                               id != NULL ? id : "", clock_usec ());
@@ -215,6 +217,8 @@
   server->held_until = 0;
   soak_orders_reset (&server->orders);
   soak_limit_set (&server->limit, 0, 0);
+  if (server->sharded)
+    soak_cold_begin (&server->cold, clock_usec ());
   if (!server->heartbeat_pending)
     soak_server_schedule_heartbeat (server, FIRST_HEARTBEAT_MSEC);
 }
@@ -230,6 +234,7 @@
   server->checker = checker;
   server->heartbeat_answer = g_byte_array_new ();
   soak_limit_init (&server->limit);
+  soak_cold_init (&server->cold);
   soak_orders_init (&server->orders);
   table_init (&server->runs, sizeof (struct soak_run));
   http_server_init (&server->http_server, on_request, server);
@@ -248,5 +253,6 @@
   http_server_clear (&server->http_server);
   g_byte_array_unref (server->heartbeat_answer);
   soak_limit_clear (&server->limit);
+  soak_cold_clear (&server->cold);
   soak_orders_clear (&server->orders);
 }
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -4,6 +4,7 @@
 #include "edge/http.h"
 #include "edge/http_server.h"
 #include "soak/soak_checker.h"
+#include "soak/soak_cold.h"
 #include "soak/soak_evacuation.h"
 #include "soak/soak_limit.h"
 #include "soak/soak_orders.h"
@@ -26,6 +27,7 @@
   enum grant_method method;  /* how the server is told its keys */
   struct soak_orders orders; /* its keys if that is by calls */
   struct soak_limit limit;   /* limit that the server names */
+  struct soak_cold cold;     /* its warm-up; only of a divided service */
   const struct soak_evacuation *evacuation; /* the data centre that is
                                                evacuated */
   guint zone;           /* number of the server's data centre */
--- a/soak/soak_store.c
+++ b/soak/soak_store.c
@@ -17,21 +17,17 @@
   guint timeout_timer;        /* event source that ends the wait, or 0 */
 };
 
-/* Records */
+/* Answers */
 
-/* Return the records of the topic NAME, which is created if it does not
-   exist.  */
-static GPtrArray *
-topic_records (struct soak_store *store, const char *name)
+/* Name the era of the store in the answer MESSAGE.  */
+static void
+name_era (const struct soak_store *store, SoupServerMessage *message)
 {
-  GPtrArray *records = g_hash_table_lookup (store->topics, name);
+  char text[24];
 
-  if (records == NULL)
-    {
-      records = g_ptr_array_new_with_free_func ((GDestroyNotify)g_bytes_unref);
-      g_hash_table_insert (store->topics, g_strdup (name), records);
-    }
-  return records;
+  g_snprintf (text, sizeof text, "%" G_GUINT64_FORMAT, store->era);
+  soup_message_headers_replace (
+      soup_server_message_get_response_headers (message), "Store-Era", text);
 }
 
 /* Waiting reads */
@@ -53,7 +49,11 @@
 static void
 end_read (struct soak_waiting_read *read)
 {
-  soak_answer_records (read->message, read->records, read->from_offset);
+  name_era (read->store, read->message);
+  if (read->from_offset > read->records->len)
+    soup_server_message_set_status (read->message, SOUP_STATUS_GONE, NULL);
+  else
+    soak_answer_records (read->message, read->records, read->from_offset);
   soup_server_message_unpause (read->message);
   g_ptr_array_remove (read->store->waiting_reads, read);
 }
@@ -123,7 +123,7 @@
       memcpy (&record_length, position, sizeof record_length);
       record_length = MIN (GUINT32_FROM_BE (record_length),
                            (guint32)(bytes_left - LENGTH_BYTES));
-      g_ptr_array_add (records,
+      soak_topics_add (&store->topics, records,
                        g_bytes_new (position + LENGTH_BYTES, record_length));
       position += LENGTH_BYTES + record_length;
       bytes_left -= LENGTH_BYTES + record_length;
@@ -137,7 +137,7 @@
 }
 
 /* Answer a read of RECORDS, at once or when there is a record at its offset or
-   the wait expires.  */
+   the wait expires; with status 410 if the topic ends before its offset.  */
 static void
 handle_read (struct soak_store *store, SoupServerMessage *message,
              GHashTable *query, GPtrArray *records)
@@ -146,6 +146,11 @@
   guint wait_msec = (guint)query_number (query, "wait-ms", 0);
   struct soak_waiting_read *read;
 
+  if (from > records->len)
+    {
+      soup_server_message_set_status (message, SOUP_STATUS_GONE, NULL);
+      return;
+    }
   if (from < records->len || wait_msec == 0)
     {
       soak_answer_records (message, records, from);
@@ -175,10 +180,12 @@
 {
   struct soak_store *store = data;
   const char *name = query != NULL ? g_hash_table_lookup (query, "topic") : "";
-  GPtrArray *records = topic_records (store, name != NULL ? name : "");
+  GPtrArray *records
+      = soak_topics_records (&store->topics, name != NULL ? name : "");
   gboolean append = strcmp (path, "/api/log-append") == 0;
 
   (void)server;
+  name_era (store, message);
   if (store->mode == SOAK_STORE_UNAVAILABLE)
     soup_server_message_set_status (message, SOUP_STATUS_SERVICE_UNAVAILABLE,
                                     NULL);
@@ -204,17 +211,29 @@
 soak_store_put (struct soak_store *store, const char *topic, const char *key,
                 const char *value)
 {
-  GPtrArray *records = topic_records (store, topic);
+  GPtrArray *records = soak_topics_records (&store->topics, topic);
   GByteArray *bytes = g_byte_array_new ();
   guint8 length = (guint8)strlen (key);
 
   g_byte_array_append (bytes, &length, 1);
   g_byte_array_append (bytes, (const guint8 *)key, length);
   g_byte_array_append (bytes, (const guint8 *)value, (guint)strlen (value));
-  g_ptr_array_add (records, g_byte_array_free_to_bytes (bytes));
+  soak_topics_add (&store->topics, records,
+                   g_byte_array_free_to_bytes (bytes));
   answer_waiting_reads (store, records);
 }
 
+/* Have STORE begin a new era with the records that it had at COPIED_AT.  The
+   reads that wait are answered.  */
+void
+soak_store_roll_back (struct soak_store *store, gint64 copied_at)
+{
+  soak_topics_roll_back (&store->topics, copied_at);
+  store->era++;
+  while (store->waiting_reads->len > 0)
+    end_read (g_ptr_array_index (store->waiting_reads, 0));
+}
+
 /* Start a store that listens on LISTEN_ADDRESS.  Return FALSE if
    LISTEN_ADDRESS cannot be listened on.  */
 gboolean
@@ -224,8 +243,7 @@
   GSocket *socket = conn_listen (listen_address, &code);
 
   memset (store, 0, sizeof *store);
-  store->topics = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                         (GDestroyNotify)g_ptr_array_unref);
+  soak_topics_init (&store->topics);
   store->waiting_reads = g_ptr_array_new_with_free_func (read_free);
   store->http_server = soup_server_new (NULL, NULL);
   soup_server_add_handler (store->http_server, NULL, on_call, store, NULL);
@@ -240,5 +258,5 @@
   g_ptr_array_free (store->waiting_reads, TRUE);
   soup_server_disconnect (store->http_server);
   g_object_unref (store->http_server);
-  g_hash_table_destroy (store->topics);
+  soak_topics_clear (&store->topics);
 }
--- a/soak/soak_store.h
+++ b/soak/soak_store.h
@@ -1,6 +1,7 @@
 #ifndef SOAK_STORE_H
 #define SOAK_STORE_H
 
+#include "soak/soak_topics.h"
 #include "types/address.h"
 
 #include <libsoup/soup.h>
@@ -22,8 +23,9 @@
 {
   SoupServer *http_server;   /* HTTP server of the store */
   enum soak_store_mode mode; /* treatment of calls */
-  GHashTable *topics;        /* name to GPtrArray of GBytes: keyed records */
-  GPtrArray *waiting_reads;  /* struct soak_waiting_read */
+  struct soak_topics topics; /* the records */
+  guint64 era; /* how often the store came back from an older copy */
+  GPtrArray *waiting_reads; /* struct soak_waiting_read */
 };
 
 gboolean soak_store_init (struct soak_store *store,
@@ -31,5 +33,6 @@
 void soak_store_clear (struct soak_store *store);
 void soak_store_put (struct soak_store *store, const char *topic,
                      const char *key, const char *value);
+void soak_store_roll_back (struct soak_store *store, gint64 copied_at);
 
 #endif
