A node that knew no map waits with keys of an earlier era

Change: where no map was known before, only keys that were assigned in this era are granted until the era has settled.

--- a/src/mesh/mesh_era.c
+++ b/src/mesh/mesh_era.c
@@ -159,7 +159,8 @@
 
 /* Return whether SHARD, which this node owns, may be granted: not under a
    fence that may have been passed by one that is lost, and while the era
-   settles only if this node owned it before.  An append of the last era that
+   settles only if this node owned it before, or, where it knew no map before,
+   if it was assigned in this era.  An append of the last era that
    failed may have been carried out in this one, while the owner that wrote it
    still grants the keys.  */
 static gboolean
@@ -169,8 +170,10 @@
 
   if (shard->fence < mesh->min_fence)
     return FALSE;
-  if (mesh_era_is_settled (mesh, now) || mesh->era_map.shards == NULL)
+  if (mesh_era_is_settled (mesh, now))
     return TRUE;
+  if (mesh->era_map.shards == NULL)
+    return shard->fence >= store_era_first_fence (mesh->era);
   before = shard_map_find (&mesh->era_map, shard->first);
   return is_own (mesh, before) && before->fence == shard->fence;
 }
