A held response that breaks off is replaced by an error

To cut it off closed the caller's connection, and the responses behind it were lost though their requests had run. Long responses are begun with their first part, so that fewer are begun that miss their deadline.

--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -170,6 +170,7 @@
                              const struct http_server_event *event);
 void source_caller_received (struct exchange *exchange);
 void source_caller_pump (struct exchange *exchange);
+gboolean source_caller_take_back (struct exchange *exchange);
 void source_caller_resume (struct exchange *exchange);
 void source_caller_detach (struct exchange *exchange);
 void caller_body_got_bytes (struct exchange *exchange, const guint8 *bytes,
--- a/src/edge/exchange_answer.c
+++ b/src/edge/exchange_answer.c
@@ -19,8 +19,9 @@
 }
 
 /* End an exchange with the outcome in ACTION, decided by the core.  A response
-   that has been started is cut off, so that the source never takes it for a
-   complete one.  */
+   of which some was sent is cut off, so that the source never takes it for a
+   complete one.  One that waits for its turn on the caller's connection is
+   replaced: to cut it off would also lose the responses behind it.  */
 void
 exchange_answer (struct proxy *proxy, const struct action_answer *action)
 {
@@ -34,7 +35,7 @@
   switch (exchange->source.kind)
     {
     case SOURCE_CALLER:
-      if (exchange->has_response)
+      if (exchange->has_response && !source_caller_take_back (exchange))
         exchange_remove (exchange);
       else
         {
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -105,6 +105,8 @@
 gsize http_server_write (struct http_server *server, struct handle request,
                          const guint8 *bytes, gsize count);
 void http_server_flush (struct http_server *server, struct handle request);
+gboolean http_server_take_back (struct http_server *server,
+                                struct handle request);
 gboolean http_server_finish (struct http_server *server,
                              struct handle request);
 gboolean http_server_is_full (struct http_server *server,
--- a/src/edge/http_server_write.c
+++ b/src/edge/http_server_write.c
@@ -29,6 +29,27 @@
   g_byte_array_append (to, (const guint8 *)bytes, (guint)count);
 }
 
+/* Drop what was written of the response to REQUEST, so that another response
+   can be written.  Return FALSE if some of it may have been sent.  */
+gboolean
+http_server_take_back (struct http_server *server, struct handle request)
+{
+  struct http_server_request *r = http_server_request_of (server, request);
+  struct http_server_conn *c;
+
+  if (r == NULL || r->has_turn)
+    return FALSE;
+  c = http_server_request_conn (r);
+  if (r->held != NULL)
+    {
+      c->held_bytes -= r->held->len;
+      conn_hold (c->conn, c->held_bytes);
+    }
+  g_clear_pointer (&r->held, g_byte_array_unref);
+  r->reply = HTTP_REPLY_NONE;
+  return TRUE;
+}
+
 /* Return the number of bytes that can be added to the response to R now,
    besides their framing.  */
 static gsize
--- a/src/edge/source_caller.c
+++ b/src/edge/source_caller.c
@@ -83,6 +83,20 @@
     target_peer_read (exchange);
 }
 
+/* Take back what was written of the response.  Return FALSE if some of it may
+   have been sent.  */
+gboolean
+source_caller_take_back (struct exchange *exchange)
+{
+  struct source_caller *caller = &exchange->source.u.caller;
+
+  if (caller->head_sent
+      && !http_server_take_back (&exchange->proxy->callers, caller->request))
+    return FALSE;
+  caller->head_sent = FALSE;
+  return TRUE;
+}
+
 /* Start and end */
 
 /* End a request that cannot be taken on, with REASON.  */
--- a/src/edge/source_peer.c
+++ b/src/edge/source_peer.c
@@ -64,8 +64,8 @@
     http_pause (&exchange->proxy->http, exchange->target.u.server.call, FALSE);
 }
 
-/* Reply to RPC_FORWARD_REQUEST with the head and, unless it is long, the first
-   bytes of the response.  */
+/* Reply to RPC_FORWARD_REQUEST with the head and the first bytes of the
+   response.  */
 static void
 reply_head (struct exchange *exchange)
 {
@@ -108,7 +108,10 @@
   struct source_peer *peer = &exchange->source.u.peer;
 
   if (exchange->has_response && !peer->head_sent)
-    reply_head (exchange);
+    {
+      if (source_peer_may_send (exchange))
+        reply_head (exchange);
+    }
   else if (peer->read_pending
            && (body_remaining (&exchange->response_body) > 0
                || exchange->response_body.is_complete)
--- a/src/edge/source_peer_long.c
+++ b/src/edge/source_peer_long.c
@@ -24,14 +24,11 @@
 }
 
 /* Return how many bytes of the response of EXCHANGE may be sent in one
-   message.  The head of a long one is sent without any, so that it does not
-   wait for the link.  */
+   message.  */
 gsize
 source_peer_part (const struct exchange *exchange)
 {
-  if (!source_peer_is_long (exchange))
-    return BODY_QUEUE_BYTES;
-  return exchange->source.u.peer.head_sent ? PART_BYTES : 0;
+  return source_peer_is_long (exchange) ? PART_BYTES : BODY_QUEUE_BYTES;
 }
 
 /* Count BYTES of the response of EXCHANGE that were sent.  */
@@ -44,7 +41,9 @@
 }
 
 /* Return whether the next part of the response of EXCHANGE may be sent now.
-   If not, it waits, and is sent by source_peer_send_long.  */
+   If not, it waits, and is sent by source_peer_send_long.  The head goes with
+   the first part: a response that is not begun by its deadline ends with an
+   error, one that is begun costs the caller its connection.  */
 gboolean
 source_peer_may_send (struct exchange *exchange)
 {
--- a/tests/test_ahead_body.c
+++ b/tests/test_ahead_body.c
@@ -188,36 +188,40 @@
 }
 
 /* Guards against a response that breaks off while a part of it is held, and is
-   sent in part or as whole: the caller gets the one before it, and the end of
-   the connection.  */
+   sent in part or as whole, and against a connection that is closed for it,
+   which loses the responses behind it: the caller gets an error in its
+   place.  */
 static void
 test_breaks_off_held (void)
 {
   struct bench bench;
   GString *text = g_string_new (NULL);
-  int caller = start (&bench, GET ("/pay/1") GET ("/pay/2"), 2);
+  int caller = start (&bench, GET ("/pay/1") GET ("/pay/2") GET ("/pay/3"), 3);
   struct conn *second = find_conn (&bench, "/pay/2");
   gint64 deadline;
-  gboolean closed = FALSE;
 
   bench.response = "Content-Length: 10\r\n\r\nsecond";
   send_response (&bench, second);
+  bench.response = "Content-Length: 5\r\n\r\nthird";
+  send_response (&bench, find_conn (&bench, "/pay/3"));
   run_on ();
   g_ptr_array_remove_fast (bench.connections, second);
   conn_close (second);
   run_on ();
-  CU_ASSERT_EQUAL (bench.node.proxy.exchanges.count, 1);
   bench.response = "Content-Length: 5\r\n\r\nfirst";
   send_response (&bench, find_conn (&bench, "/pay/1"));
   deadline = clock_usec () + CASE_USEC;
-  while (!closed && clock_usec () < deadline)
+  while (raw_count_responses (text) < 3 && clock_usec () < deadline)
     {
       g_main_context_iteration (NULL, FALSE);
-      closed = raw_receive (caller, text);
+      raw_receive (caller, text);
     }
-  CU_ASSERT_TRUE (closed);
-  CU_ASSERT_EQUAL (raw_count_responses (text), 1);
-  CU_ASSERT_TRUE (g_str_has_suffix (text->str, "\r\n\r\nfirst"));
+  run_on ();
+  raw_receive (caller, text);
+  CU_ASSERT_EQUAL (raw_count_responses (text), 3);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text->str, "\r\n\r\nfirstHTTP/1.1 504 "));
+  CU_ASSERT_PTR_NULL (strstr (text->str, "second"));
+  CU_ASSERT_TRUE (g_str_has_suffix (text->str, "\r\n\r\nthird"));
   CU_ASSERT_EQUAL (bench.node.proxy.exchanges.count, 0);
   CU_ASSERT_EQUAL (bench.node.core.admission.busy_slots, 0);
   close (caller);
