Keys gained by a map of an older era get a fence of the new one

Two eras began within 5 s. Keys that a node had not granted yet, since the first had not settled, were kept as its own at the second and granted at once, under a fence that another owner had held. Once an era had settled, keys gained by an older map were also granted under that map's fence.

Change: the map that is kept at a new era leaves out what could not be granted. mesh_era_renew assigns gained keys of an older fence again after the settling time; they are not granted before.

--- a/src/mesh/mesh_era.c
+++ b/src/mesh/mesh_era.c
@@ -47,16 +47,22 @@
   g_array_set_size (mesh->unconfirmed, 0);
 }
 
-/* Keep the map by which the server was granted its keys so far.  */
+/* Keep the map by which the server was granted its keys so far; keys that
+   waited for an earlier era to settle were not granted.  */
 static void
-keep_map (struct mesh *mesh)
+keep_map (struct mesh *mesh, gint64 now)
 {
   const struct shard_map *known
       = fleet_state_map (&mesh->fleet, mesh->settings.service);
+  struct shard_map kept = { .shards = NULL };
 
-  shard_map_clear (&mesh->era_map);
   if (known != NULL)
-    shard_map_copy (&mesh->era_map, known);
+    {
+      shard_map_copy (&kept, known);
+      mesh_era_exclude (mesh, &kept, now);
+    }
+  shard_map_clear (&mesh->era_map);
+  mesh->era_map = kept;
 }
 
 /* Process the era of the records in EVENT before they are applied.  What the
@@ -78,15 +84,17 @@
             " keeps_grants=%d",
             era, mesh->era, store_offset_raw (event->next_offset),
             store_offset_raw (mesh->fleet.applied_offset), keeps_grants);
+  if (!is_first)
+    {
+      free_unconfirmed (mesh);
+      keep_map (mesh, now);
+    }
   mesh->era = era;
   mesh->era_known_at = now;
   if (!keeps_grants)
     mesh->min_fence = store_era_first_fence (era);
-  if (is_first)
-    return;
-  free_unconfirmed (mesh);
-  keep_map (mesh);
-  mesh->era_settles_at = now + SETTLE_ERA_USEC;
+  if (!is_first)
+    mesh->era_settles_at = now + SETTLE_ERA_USEC;
 }
 
 /* Let a process that has read the fleet's topic for the first time settle: the
@@ -157,27 +165,76 @@
          && strcmp (shard->owner, mesh->settings.name) == 0;
 }
 
-/* Return whether SHARD, which this node owns, may be granted: not under a
-   fence that may have been passed by one that is lost, and while the era
-   settles only if this node owned it before, or, where it knew no map before,
-   if it was assigned in this era.  An append of the last era that
-   failed may have been carried out in this one, while the owner that wrote it
-   still grants the keys.  */
+/* Return whether this node owned SHARD under the same fence before the
+   era.  */
 static gboolean
-is_grantable (const struct mesh *mesh, const struct shard *shard, gint64 now)
+was_own (const struct mesh *mesh, const struct shard *shard)
 {
   const struct shard *before;
 
-  if (shard->fence < mesh->min_fence)
-    return FALSE;
-  if (mesh_era_is_settled (mesh, now))
-    return TRUE;
   if (mesh->era_map.shards == NULL)
-    return shard->fence >= store_era_first_fence (mesh->era);
+    return FALSE;
   before = shard_map_find (&mesh->era_map, shard->first);
   return is_own (mesh, before) && before->fence == shard->fence;
 }
 
+/* Return whether SHARD, which this node owns, may be granted.  A fence of an
+   older era may have been passed by one that is lost, unless this node held
+   the keys under it.  An append of the last era that failed may have been
+   carried out in this one, while the owner that wrote it still grants the
+   keys; so what is gained waits until the era has settled.  */
+static gboolean
+is_grantable (const struct mesh *mesh, const struct shard *shard, gint64 now)
+{
+  if (shard->fence < mesh->min_fence)
+    return FALSE;
+  if (was_own (mesh, shard))
+    return TRUE;
+  return shard->fence >= store_era_first_fence (mesh->era)
+         && (mesh_era_is_settled (mesh, now) || mesh->era_map.shards == NULL);
+}
+
+/* Split the shards of MAP where those of the map before the era begin.  */
+static void
+split_as_before (const struct mesh *mesh, struct shard_map *map)
+{
+  guint i;
+
+  for (i = 0; mesh->era_map.shards != NULL && i < mesh->era_map.shards->len;
+       i++)
+    shard_map_split (map, shard_map_at (&mesh->era_map, i)->first);
+}
+
+/* Assign the shards of MAP, a copy, that this node owns and may not grant to
+   it under a fence of this era, or mark them as free if it is not among the
+   CANDIDATES.  Return whether there were any.  */
+gboolean
+mesh_era_renew (const struct mesh *mesh, struct shard_map *map,
+                const GArray *candidates, gint64 now)
+{
+  const struct candidate *self
+      = shard_find_candidate (candidates, mesh->settings.name);
+  gboolean changed = FALSE;
+  guint i;
+
+  if (mesh->era == 0 || !mesh->grant.heartbeat_received)
+    return FALSE;
+  split_as_before (mesh, map);
+  for (i = 0; i < map->shards->len; i++)
+    {
+      struct shard *shard = shard_map_at (map, i);
+      if (!is_own (mesh, shard) || shard->fence < mesh->min_fence
+          || is_grantable (mesh, shard, now))
+        continue;
+      if (self != NULL)
+        shard_assign (map, shard, self, "");
+      else
+        shard->state = SHARD_FREE;
+      changed = TRUE;
+    }
+  return changed;
+}
+
 /* Mark as free the shards of MAP, a copy, that this node owns and may not
    grant.  */
 void
@@ -187,9 +244,7 @@
 
   if (mesh->era == 0)
     return;
-  for (i = 0; mesh->era_map.shards != NULL && i < mesh->era_map.shards->len;
-       i++)
-    shard_map_split (map, shard_map_at (&mesh->era_map, i)->first);
+  split_as_before (mesh, map);
   for (i = 0; i < map->shards->len; i++)
     {
       struct shard *shard = shard_map_at (map, i);
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -189,6 +189,8 @@
                         const struct shard_map *map);
 gboolean mesh_era_propose (struct mesh *mesh, gboolean is_planner, gint64 now,
                            struct actions *out);
+gboolean mesh_era_renew (const struct mesh *mesh, struct shard_map *map,
+                         const GArray *candidates, gint64 now);
 void mesh_era_exclude (const struct mesh *mesh, struct shard_map *map,
                        gint64 now);
 
--- a/src/mesh/mesh_plan.c
+++ b/src/mesh/mesh_plan.c
@@ -102,7 +102,8 @@
   owner.candidates = candidates;
   mesh_era_copy_map (mesh, &map, known);
   mesh_handoffs_apply (mesh, &map, candidates, now);
-  changed = shard_reconcile (&map, &owner);
+  changed = mesh_era_renew (mesh, &map, candidates, now);
+  changed = shard_reconcile (&map, &owner) || changed;
   if (changed)
     propose_map (mesh, &map, now, out);
   else
