--- a/src/edge/source_peer.c
+++ b/src/edge/source_peer.c
@@ -100,6 +100,20 @@
   on_bytes_sent (exchange, chunk.chunk_length, chunk.is_last_chunk);
 }
 
+/* Return whether there is something of the response to send: its head, or a
+   part that the peer waits for.  */
+static gboolean
+has_part (const struct exchange *exchange)
+{
+  const struct source_peer *peer = &exchange->source.u.peer;
+
+  if (!peer->head_sent)
+    return exchange->has_response;
+  return peer->read_pending
+         && (body_remaining (&exchange->response_body) > 0
+             || exchange->response_body.is_complete);
+}
+
 /* Forward the buffered part of the response.  The exchange is removed once the
    end was sent.  */
 void
@@ -107,16 +121,13 @@
 {
   struct source_peer *peer = &exchange->source.u.peer;
 
-  if (exchange->has_response && !peer->head_sent)
+  if (has_part (exchange) && source_peer_may_send (exchange))
     {
-      if (source_peer_may_send (exchange))
+      if (peer->head_sent)
+        reply_chunk (exchange);
+      else
         reply_head (exchange);
     }
-  else if (peer->read_pending
-           && (body_remaining (&exchange->response_body) > 0
-               || exchange->response_body.is_complete)
-           && source_peer_may_send (exchange))
-    reply_chunk (exchange);
   if (peer->end_sent)
     exchange_remove (exchange);
 }
