One way to drop a held response; is_long stays in its file

The end of a request and the take-back of its response each counted the held bytes down on their own.

--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -188,7 +188,6 @@
 void source_peer_resume (struct exchange *exchange);
 void source_peer_fail (struct exchange *exchange,
                        const struct action_answer *action);
-gboolean source_peer_is_long (const struct exchange *exchange);
 gboolean source_peer_may_send (struct exchange *exchange);
 gsize source_peer_part (const struct exchange *exchange);
 void source_peer_sent (struct exchange *exchange, gsize bytes);
--- a/src/edge/http_server_request.c
+++ b/src/edge/http_server_request.c
@@ -70,6 +70,19 @@
   return r;
 }
 
+/* Drop what is held of the response to R.  */
+void
+http_server_request_drop_held (struct http_server_request *r)
+{
+  struct http_server_conn *c = http_server_request_conn (r);
+
+  if (r->held == NULL)
+    return;
+  c->held_bytes -= r->held->len;
+  conn_hold (c->conn, c->held_bytes);
+  g_clear_pointer (&r->held, g_byte_array_unref);
+}
+
 /* Remove R from its connection; its handle is stale then.  */
 void
 http_server_request_remove (struct http_server_request *r)
@@ -79,12 +92,7 @@
 
   for (c->request_count--; i < c->request_count; i++)
     c->requests[i] = c->requests[i + 1];
-  if (r->held != NULL)
-    {
-      c->held_bytes -= r->held->len;
-      conn_hold (c->conn, c->held_bytes);
-      g_byte_array_unref (r->held);
-    }
+  http_server_request_drop_held (r);
   http_head_clear (&r->head);
   table_remove (&r->server->requests, r->self);
 }
--- a/src/edge/http_server_request.h
+++ b/src/edge/http_server_request.h
@@ -43,6 +43,7 @@
 gboolean http_server_request_is_last (const struct http_server_request *r);
 gboolean http_server_request_write_head (struct http_server_request *r,
                                          const char *bytes, gsize count);
+void http_server_request_drop_held (struct http_server_request *r);
 void http_server_request_remove (struct http_server_request *r);
 void http_server_request_notify (struct http_server_request *r,
                                  enum http_server_event_kind kind);
--- a/src/edge/http_server_write.c
+++ b/src/edge/http_server_write.c
@@ -35,17 +35,10 @@
 http_server_take_back (struct http_server *server, struct handle request)
 {
   struct http_server_request *r = http_server_request_of (server, request);
-  struct http_server_conn *c;
 
   if (r == NULL || r->has_turn)
     return FALSE;
-  c = http_server_request_conn (r);
-  if (r->held != NULL)
-    {
-      c->held_bytes -= r->held->len;
-      conn_hold (c->conn, c->held_bytes);
-    }
-  g_clear_pointer (&r->held, g_byte_array_unref);
+  http_server_request_drop_held (r);
   r->reply = HTTP_REPLY_NONE;
   return TRUE;
 }
--- a/src/edge/source_peer_long.c
+++ b/src/edge/source_peer_long.c
@@ -15,8 +15,8 @@
 
 /* Return whether the response of EXCHANGE is sent in parts at the rate of the
    link.  */
-gboolean
-source_peer_is_long (const struct exchange *exchange)
+static gboolean
+is_long (const struct exchange *exchange)
 {
   return exchange->proxy->link_rate.bytes_per_s > 0
          && (exchange->response.body_length < 0
@@ -28,7 +28,7 @@
 gsize
 source_peer_part (const struct exchange *exchange)
 {
-  return source_peer_is_long (exchange) ? PART_BYTES : BODY_QUEUE_BYTES;
+  return is_long (exchange) ? PART_BYTES : BODY_QUEUE_BYTES;
 }
 
 /* Count BYTES of the response of EXCHANGE that were sent.  */
@@ -36,7 +36,7 @@
 source_peer_sent (struct exchange *exchange, gsize bytes)
 {
   exchange->source.u.peer.bytes_sent += (gint64)bytes;
-  if (source_peer_is_long (exchange))
+  if (is_long (exchange))
     link_rate_take (&exchange->proxy->link_rate, bytes, clock_usec ());
 }
 
@@ -49,7 +49,7 @@
 {
   struct proxy *proxy = exchange->proxy;
 
-  if (!source_peer_is_long (exchange))
+  if (!is_long (exchange))
     return TRUE;
   if (exchange->source.u.peer.is_queued)
     return FALSE;
