review/6: an entry without a value ends processes

A record of another writer in the system's topic, with a key that has no slash and no value, ends the nodes that pass it on by SIGSEGV.

The other cases move up by one number, since the gravest stands first, and the crashing request at a quiet service, the least of them, is no case of its own any more; its program and arguments stay.

--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
-# A heartbeat of another writer, with fields missing, at one node.
-exec sh "$(dirname "$0")/../rig-2/run.sh" 9 foreign
+# A version with a long host name moves a route.
+exec sh "$(dirname "$0")/../rig-2/run.sh" 9 config
--- a/review/rig-2/rig.h
+++ b/review/rig-2/rig.h
@@ -100,6 +100,8 @@
 bool rig_wait_ready (int timeout_ms);
 void rig_start_node (struct node *node);
 void rig_put_config (const char *config);
+void rig_put (const char *topic, const char *key, const char *value,
+              size_t length);
 
 /* Send a request to PORT on a connection of its own and return the status, 0
    if there was no answer.  */
