--- a/review/rig-2/download.c
+++ b/review/rig-2/download.c
@@ -115,12 +115,13 @@
   return NULL;
 }
 
-/* With the argument "term" the process is asked to stop, as in a planned
-   restart, and killed after the grace.  */
+/* The node beside the server is killed; with the argument "term" it is asked
+   to stop, as in a planned restart, and with "stop" it stands still for 4 s.
+ */
 int
 main (int argc, char **argv)
 {
-  bool planned = argc > 1 && strcmp (argv[1], "term") == 0;
+  const char *how = argc > 1 ? argv[1] : "kill";
   static const char *const services[NODES]
       = { "wuno96b", "wuno96b", "wuno96b", "wuno96b", "huvo11a" };
   static const bool sharded[NODES];
@@ -138,8 +139,17 @@
   for (i = 0; i < CLIENTS; i++)
     pthread_create (&threads[i], NULL, client, (void *)(intptr_t)i);
   sleep_ms (KILL_MS);
-  if (rig.trouble)
+  if (rig.trouble && strcmp (how, "stop") == 0)
     {
+      record ("node 4: its process gets SIGSTOP");
+      kill (owner->pid, SIGSTOP);
+      sleep_ms (4000);
+      kill (owner->pid, SIGCONT);
+      record ("node 4: its process goes on");
+    }
+  else if (rig.trouble)
+    {
+      bool planned = strcmp (how, "term") == 0;
       record ("node 4: its process gets SIG%s", planned ? "TERM" : "KILL");
       kill (owner->pid, planned ? SIGTERM : SIGKILL);
       waitpid (owner->pid, NULL, 0);
