--- a/review/rig-2/download.c
+++ b/review/rig-2/download.c
@@ -116,7 +116,7 @@
 }
 
 /* The node beside the server is killed; with the argument "term" it is asked
-   to stop, as in a planned restart, and with "stop" it stands still for 4 s.
+   to stop, as in a planned restart, and with "stop" it stands still for 3.5 s.
  */
 int
 main (int argc, char **argv)
@@ -143,7 +143,7 @@
     {
       record ("node 4: its process gets SIGSTOP");
       kill (owner->pid, SIGSTOP);
-      sleep_ms (4000);
+      sleep_ms (3500);
       kill (owner->pid, SIGCONT);
       record ("node 4: its process goes on");
     }
