config: a row that cannot be used costs itself, not the version

The log has "what=configuration outcome=skipped" at every node and no fetched configuration, so neither the store nor the way between nodes cuts it.

Change: routes own their texts and shares, of any length and number; weights are numbers with or without a fraction. A row or field that cannot be used is left out, counted (config_faults) and logged once a version with its place. Where its host and path are known, requests of such a row are refused at once as not run (bad-route), so that no shorter prefix takes them.

Tests set the weight 1 where they had left it at 0, which now means no requests.

--- a/bench/bench_mesh.c
+++ b/bench/bench_mesh.c
@@ -113,15 +113,20 @@
   event.u.routing.routing = routing_new (1);
   for (i = 0; i < SERVICES; i++)
     {
+      char prefix[NAME_SIZE];
+      char name[NAME_SIZE];
+      struct route_share share = { .service = name, .weight = 1 };
       struct route route = { .host = "h",
+                             .path_prefix = prefix,
                              .run_class = RUN_IDEMPOTENT,
                              .timeout_usec = (gint64)10 * USEC_PER_SEC,
                              .max_attempts = 2,
-                             .share_count = 1 };
+                             .share_count = 1,
+                             .shares = &share };
       struct route_service service = { .sharded = i == 0 };
-      g_snprintf (route.path_prefix, sizeof route.path_prefix, "/%u/", i);
-      g_snprintf (route.shares[0].service, NAME_SIZE, "service-%u", i);
-      g_snprintf (service.name, sizeof service.name, "service-%u", i);
+      g_snprintf (prefix, sizeof prefix, "/%u/", i);
+      g_snprintf (name, sizeof name, "service-%u", i);
+      g_strlcpy (service.name, name, sizeof service.name);
       routing_add_route (event.u.routing.routing, &route);
       g_array_append_val (event.u.routing.routing->services, service);
     }
--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -80,6 +80,9 @@
   g_free (counters);
   add_line (text, "config_version",
             mesh->routing != NULL ? (gint64)mesh->routing->version : 0);
+  add_line (text, "config_faults",
+            mesh->routing != NULL ? mesh->routing->fault_count : 0);
+  add_line (text, "config_unreadable", node->config_skipped);
   add_line (
       text, "config_age_ms",
       mesh_age_msec (mesh->freshness[MESH_TOPIC_CONFIG].confirmed_at, now));
--- a/src/mesh/mesh_explain.c
+++ b/src/mesh/mesh_explain.c
@@ -159,7 +159,9 @@
   struct mesh_pick pick;
 
   explanation->has_route = TRUE;
-  explanation->route = *route;
+  route_copy (&explanation->route, route);
+  if (route->is_unusable)
+    return;
   mesh_route_apply (trial, request, route);
   g_strlcpy (explanation->service, request->request.service,
              sizeof explanation->service);
--- a/src/mesh/mesh_explanation.c
+++ b/src/mesh/mesh_explanation.c
@@ -6,6 +6,7 @@
 {
   g_array_free (explanation->servers, TRUE);
   explanation->servers = NULL;
+  route_clear (&explanation->route);
 }
 
 /* Return the name of END.  */
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -214,6 +214,11 @@
       refuse_no_route (mesh, event->exchange, event, now, out);
       return;
     }
+  if (route->is_unusable)
+    {
+      mesh_refuse (mesh, event->exchange, REASON_BAD_ROUTE, 0, now, out);
+      return;
+    }
   mesh_route_apply (mesh, request, route);
   mesh_call_recognise (mesh, request, now);
   mesh_add_retry (mesh, request->request.service);
--- a/src/mesh/mesh_routing.c
+++ b/src/mesh/mesh_routing.c
@@ -84,6 +84,17 @@
   return mesh_member_name (mesh, mesh_peer_of (mesh, source));
 }
 
+/* Log that parts of ROUTING could not be used, if there are any.  */
+static void
+log_faults (const struct routing *routing, struct actions *out)
+{
+  if (routing->fault_count > 0)
+    mesh_log (out, LOG_EVENT_MESH_BAD_INPUT, routing->first_fault,
+              "what=configuration version=%" G_GUINT64_FORMAT
+              " faults=%u outcome=in-part",
+              routing->version, routing->fault_count);
+}
+
 /* Put the configuration in EVENT into force, unless it is not newer than the
    one in force.  */
 void
@@ -105,6 +116,7 @@
       routing_free (routing);
       return;
     }
+  log_faults (routing, out);
   routing_free (mesh->routing);
   mesh->routing = routing;
   mesh_plan_step (mesh, now, out);
--- a/src/types/reason.c
+++ b/src/types/reason.c
@@ -11,7 +11,7 @@
         "refused-grant", "caller-gone", "no-server",   "crossed",
         "bad-request",   "hops",        "garbled",     "no-config",
         "misdirected",   "shed",        "key-denied",  "body-lost",
-        "evacuated",     "warming-up",  "memory" };
+        "evacuated",     "warming-up",  "memory",      "bad-route" };
 
 /* Return the name of REASON, as sent to callers in Bambootally-Reason.  */
 const char *
--- a/src/types/reason.h
+++ b/src/types/reason.h
@@ -36,7 +36,9 @@
   REASON_EVACUATED = 28,  /* the server's data centre is evacuated */
   REASON_WARMING_UP = 29, /* the server is cold and at its rate limit */
   REASON_MEMORY = 30,     /* the process has reached its memory limit */
-  REASON_COUNT = 31       /* number of reasons */
+  REASON_BAD_ROUTE = 31,  /* the configuration does not say where requests of
+                             the route go */
+  REASON_COUNT = 32       /* number of reasons */
 };
 
 const char *reason_name (enum reason reason);
--- a/src/types/route.h
+++ b/src/types/route.h
@@ -6,31 +6,37 @@
 /* A route: selects requests by host and path, and splits them over
    services.  */
 
-#define ROUTE_SHARES_MAX 8u /* services that one route may be split over */
-
 /* The share of a route that goes to one service.  */
 struct route_share
 {
-  char service[NAME_SIZE]; /* name of the service */
-  guint32 weight;        /* weight relative to the other shares of the route */
-  gint64 current_weight; /* weight that smooth weighted round robin has
+  const char *service;   /* name of the service */
+  double weight;         /* weight relative to the other shares of the route */
+  double current_weight; /* weight that smooth weighted round robin has
                             accumulated */
 };
 
+/* The routes of a configuration own their texts and shares; others borrow
+   them.  */
 struct route
 {
-  char name[NAME_SIZE]; /* name of the route */
-  guint32 number; /* hash of host and path prefix, the same on all nodes */
-  char host[NAME_SIZE];        /* host name in the requests of callers */
-  char path_prefix[PATH_SIZE]; /* prefix of matching paths */
-  enum run_class run_class;    /* whether requests may be run again */
-  enum priority priority;      /* priority of requests when slots are short */
+  const char *name; /* name of the route */
+  guint32 number;   /* hash of host and path prefix, the same on all nodes */
+  const char *host; /* host name in the requests of callers */
+  const char *path_prefix;  /* prefix of matching paths */
+  gboolean is_unusable;     /* its requests are refused: where they go could
+                               not be read, or no share has a weight */
+  enum run_class run_class; /* whether requests may be run again */
+  enum priority priority;   /* priority of requests when slots are short */
   gint64 timeout_usec; /* time limit of a request, microseconds; 0: none */
   gint64 target_latency_usec; /* an answer that takes longer is late,
                                  microseconds; 0: not known */
   guint32 max_attempts;       /* servers that one request may be sent to */
   guint32 share_count;        /* entries in shares */
-  struct route_share shares[ROUTE_SHARES_MAX];
+  struct route_share *shares;
 };
 
+void route_copy (struct route *to, const struct route *from);
+void route_clear (struct route *route);
+const char *route_next_service (struct route *route);
+
 #endif
--- a/src/types/routing.c
+++ b/src/types/routing.c
@@ -3,6 +3,16 @@
 #include <string.h>
 #include <xxhash.h>
 
+/* Create an empty array of routes that owns what its routes hold.  */
+static GArray *
+new_routes (void)
+{
+  GArray *routes = g_array_new (FALSE, TRUE, sizeof (struct route));
+
+  g_array_set_clear_func (routes, (GDestroyNotify)route_clear);
+  return routes;
+}
+
 /* Create an empty configuration of VERSION.  Free it with routing_free.  */
 struct routing *
 routing_new (guint64 version)
@@ -10,7 +20,7 @@
   struct routing *routing = g_new0 (struct routing, 1);
 
   routing->version = version;
-  routing->routes = g_array_new (FALSE, TRUE, sizeof (struct route));
+  routing->routes = new_routes ();
   routing->services = g_array_new (FALSE, TRUE, sizeof (struct route_service));
   return routing;
 }
@@ -21,12 +31,17 @@
 routing_copy (const struct routing *routing)
 {
   struct routing *copy;
+  guint i;
 
   if (routing == NULL)
     return NULL;
   copy = g_new0 (struct routing, 1);
-  copy->version = routing->version;
-  copy->routes = g_array_copy (routing->routes);
+  *copy = *routing;
+  copy->routes = new_routes ();
+  g_array_set_size (copy->routes, routing->routes->len);
+  for (i = 0; i < routing->routes->len; i++)
+    route_copy (&g_array_index (copy->routes, struct route, i),
+                &g_array_index (routing->routes, struct route, i));
   copy->services = g_array_copy (routing->services);
   return copy;
 }
@@ -42,6 +57,18 @@
   g_free (routing);
 }
 
+/* Count a fault in ROW of TABLE, the first row being 0, and keep the place of
+   the first fault.  COLUMN is an empty text if the whole row is at fault.  */
+void
+routing_add_fault (struct routing *routing, const char *table, guint row,
+                   const char *column)
+{
+  if (routing->fault_count++ == 0)
+    g_snprintf (routing->first_fault, sizeof routing->first_fault,
+                "%s[%u]%s%s", table, row, column[0] != '\0' ? "." : "",
+                column);
+}
+
 /* Hash HOST and PREFIX to the number of their route.  */
 static guint32
 hash_route (const char *host, const char *prefix)
@@ -56,6 +83,7 @@
 routing_add_route (struct routing *routing, const struct route *route)
 {
   gsize length = strlen (route->path_prefix);
+  struct route copy;
   guint index = 0;
 
   while (
@@ -64,9 +92,9 @@
              g_array_index (routing->routes, struct route, index).path_prefix)
              >= length)
     index++;
-  g_array_insert_vals (routing->routes, index, route, 1);
-  g_array_index (routing->routes, struct route, index).number
-      = hash_route (route->host, route->path_prefix);
+  route_copy (&copy, route);
+  copy.number = hash_route (route->host, route->path_prefix);
+  g_array_insert_vals (routing->routes, index, &copy, 1);
 }
 
 /* Return the route of HOST with the longest prefix of TARGET, or NULL.  */
@@ -117,25 +145,3 @@
     }
   return NULL;
 }
-
-/* Choose the service for the next request of ROUTE by smooth weighted round
-   robin: each share gains its weight, and the share with the highest sum is
-   chosen and gives back the total.  */
-const char *
-route_next_service (struct route *route)
-{
-  struct route_share *best = &route->shares[0];
-  gint64 total = 0;
-  guint i;
-
-  for (i = 0; i < route->share_count; i++)
-    {
-      struct route_share *share = &route->shares[i];
-      share->current_weight += share->weight;
-      total += share->weight;
-      if (share->current_weight > best->current_weight)
-        best = share;
-    }
-  best->current_weight -= total;
-  return best->service;
-}
--- a/tests/explain_stage.h
+++ b/tests/explain_stage.h
@@ -89,6 +89,7 @@
   for (i = 0; i < entry.record.u.map.shards->len; i++)
     {
       struct shard *shard = shard_map_at (&entry.record.u.map, i);
+      char owner[NAME_SIZE];
       shard->fence = 10 + i;
       shard->state = (enum shard_state)stage_random (stage, 3);
       if (stage_chance (stage, 60))
@@ -96,8 +97,11 @@
       if (stage_chance (stage, 25))
         g_strlcpy (shard->owner, "a", sizeof shard->owner);
       else
-        g_snprintf (shard->owner, sizeof shard->owner, "m%u",
-                    stage_random (stage, STAGE_MEMBERS + 1));
+        {
+          g_snprintf (owner, sizeof owner, "m%u",
+                      stage_random (stage, STAGE_MEMBERS + 1));
+          g_strlcpy (shard->owner, owner, sizeof shard->owner);
+        }
     }
   stage_record (stage, &entry);
 }
@@ -120,27 +124,23 @@
   g_array_append_val (routing->services, own);
   for (i = 0; i <= G_N_ELEMENTS (services); i++)
     {
-      struct route route = { .host = "h",
+      gboolean is_mixed = i == G_N_ELEMENTS (services);
+      const char *name = is_mixed ? "mixed" : services[i];
+      struct route_share shares[]
+          = { { .service = is_mixed ? OWN_SERVICE : name, .weight = 3 },
+              { .service = OTHER_SERVICE, .weight = 2 } };
+      char prefix[NAME_SIZE];
+      struct route route = { .name = name,
+                             .host = "h",
+                             .path_prefix = prefix,
                              .run_class = RUN_IDEMPOTENT,
                              .priority = (enum priority) (i % PRIORITY_COUNT),
                              .timeout_usec = 1000 * MSEC,
                              .target_latency_usec = 300 * MSEC,
                              .max_attempts = 2,
-                             .share_count = 1 };
-      gboolean is_mixed = i == G_N_ELEMENTS (services);
-      g_strlcpy (route.shares[0].service, is_mixed ? OWN_SERVICE : services[i],
-                 NAME_SIZE);
-      route.shares[0].weight = 3;
-      if (is_mixed)
-        {
-          route.share_count = 2;
-          g_strlcpy (route.shares[1].service, OTHER_SERVICE, NAME_SIZE);
-          route.shares[1].weight = 2;
-        }
-      g_snprintf (route.path_prefix, sizeof route.path_prefix, "/%s/",
-                  is_mixed ? "mixed" : services[i]);
-      g_strlcpy (route.name, is_mixed ? "mixed" : services[i],
-                 sizeof route.name);
+                             .share_count = is_mixed ? 2 : 1,
+                             .shares = shares };
+      g_snprintf (prefix, sizeof prefix, "/%s/", name);
       routing_add_route (routing, &route);
     }
   event.u.routing.routing = routing;
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -47,22 +47,23 @@
 {
   struct event event = { .kind = EVENT_ROUTING };
   struct routing *routing = routing_new (1);
+  struct route_share share = { .service = OWN_SERVICE, .weight = 1 };
   struct route route = { .host = "h",
                          .path_prefix = "/own/",
                          .run_class = RUN_IDEMPOTENT,
                          .priority = PRIORITY_NORMAL,
                          .timeout_usec = 1000 * MSEC,
                          .max_attempts = 2,
-                         .share_count = 1 };
+                         .share_count = 1,
+                         .shares = &share };
 
-  g_strlcpy (route.shares[0].service, OWN_SERVICE, NAME_SIZE);
   routing_add_route (routing, &route);
   route.run_class = RUN_ONCE;
-  g_strlcpy (route.path_prefix, "/once/", sizeof route.path_prefix);
+  route.path_prefix = "/once/";
   routing_add_route (routing, &route);
   route.run_class = RUN_IDEMPOTENT;
-  g_strlcpy (route.path_prefix, "/other/", sizeof route.path_prefix);
-  g_strlcpy (route.shares[0].service, OTHER_SERVICE, NAME_SIZE);
+  route.path_prefix = "/other/";
+  share.service = OTHER_SERVICE;
   routing_add_route (routing, &route);
   event.u.routing.routing = routing;
   feed_event (fixture, &event);
--- a/tests/mesh_node_stage.h
+++ b/tests/mesh_node_stage.h
@@ -35,6 +35,8 @@
   struct mesh_node node;              /* the node */
   struct links other;                 /* connections of the other node */
   guint runs;                         /* requests that the other node ran */
+  char last_service[NAME_SIZE];       /* service of the last of them */
+  char last_id[REQUEST_ID_SIZE];      /* its id */
   gboolean holds_requests;            /* the other node answers none by
                                          itself */
   GArray *held;                       /* struct held_forward: what it got and
@@ -59,6 +61,22 @@
   g_array_append_val (stage->held, held);
 }
 
+/* Note the service and the id of a request that the node forwarded.  */
+static inline void
+note_forward (struct stage *stage, const struct link_event *event)
+{
+  struct forward_request forward = { 0 };
+
+  if (wire_decode (wire_forward_request, &forward, event->bytes, event->length)
+      == ERR_NONE)
+    {
+      g_strlcpy (stage->last_service, forward.request.service,
+                 sizeof stage->last_service);
+      g_strlcpy (stage->last_id, forward.request.id, sizeof stage->last_id);
+    }
+  xdr_free ((xdrproc_t)wire_forward_request, (char *)&forward);
+}
+
 /* Answer a request that the node forwarded.  */
 static inline void
 answer_forward (struct stage *stage, const struct link_event *event)
@@ -73,6 +91,7 @@
                                         .is_last_chunk = TRUE };
 
   stage->runs++;
+  note_forward (stage, event);
   if (stage->holds_requests)
     {
       hold_forward (stage, event);
@@ -159,17 +178,18 @@
                         .u.topic_read = { .topic = MESH_TOPIC_CONFIG,
                                           .at_end = TRUE,
                                           .started_at = clock_usec () } };
+  struct route_share share = { .service = "other", .weight = 1 };
   struct route route = { .host = "h",
                          .path_prefix = "/other/",
                          .run_class = RUN_ONCE,
                          .timeout_usec = CASE_USEC,
                          .max_attempts = 1,
-                         .share_count = 1 };
+                         .share_count = 1,
+                         .shares = &share };
 
   event.u.routing.routing = routing_new (1);
-  g_strlcpy (route.shares[0].service, "other", NAME_SIZE);
   routing_add_route (event.u.routing.routing, &route);
-  g_strlcpy (route.path_prefix, "/read/", sizeof route.path_prefix);
+  route.path_prefix = "/read/";
   route.run_class = RUN_IDEMPOTENT;
   routing_add_route (event.u.routing.routing, &route);
   mesh_node_handle_event (node, &event);
--- a/tests/mesh_state_bytes.h
+++ b/tests/mesh_state_bytes.h
@@ -39,6 +39,13 @@
   add_bytes (bytes, &index_size, sizeof index_size);
   add_bytes (bytes, mesh->routing->routes->data,
              mesh->routing->routes->len * sizeof (struct route));
+  for (i = 0; i < mesh->routing->routes->len; i++)
+    {
+      const struct route *route
+          = &g_array_index (mesh->routing->routes, struct route, i);
+      add_bytes (bytes, route->shares,
+                 route->share_count * sizeof *route->shares);
+    }
   add_bytes (bytes, mesh->retry_budgets->data,
              mesh->retry_budgets->len * sizeof (struct mesh_retry_budget));
   add_bytes (bytes, mesh->admission.queue->data,
--- a/tests/test_mesh_admit.c
+++ b/tests/test_mesh_admit.c
@@ -132,13 +132,16 @@
 
   for (i = 0; i < count; i++)
     {
+      char prefix[NAME_SIZE];
+      struct route_share share = { .service = OWN_SERVICE, .weight = 1 };
       struct route route = { .host = "h",
+                             .path_prefix = prefix,
                              .target_latency_usec = kinds[i].target_usec,
-                             .share_count = 1 };
-      g_snprintf (route.path_prefix, sizeof route.path_prefix, "/kind/%u/", i);
-      g_strlcpy (route.shares[0].service, OWN_SERVICE, NAME_SIZE);
+                             .share_count = 1,
+                             .shares = &share };
+      g_snprintf (prefix, sizeof prefix, "/kind/%u/", i);
       routing_add_route (routing, &route);
-      kinds[i].route = routing_match (routing, "h", route.path_prefix)->number;
+      kinds[i].route = routing_match (routing, "h", prefix)->number;
     }
   event.u.routing.routing = routing;
   feed_event (fixture, &event);
--- a/tests/test_mesh_orders.c
+++ b/tests/test_mesh_orders.c
@@ -8,14 +8,15 @@
 divide_service (struct fixture *fixture)
 {
   struct event event = { .kind = EVENT_ROUTING };
+  struct route_share share = { .service = OWN_SERVICE, .weight = 1 };
   struct route route = { .host = "h",
                          .path_prefix = "/own/",
                          .run_class = RUN_IDEMPOTENT,
                          .max_attempts = 2,
-                         .share_count = 1 };
+                         .share_count = 1,
+                         .shares = &share };
   struct route_service service = { .name = OWN_SERVICE, .sharded = TRUE };
 
-  g_strlcpy (route.shares[0].service, OWN_SERVICE, NAME_SIZE);
   event.u.routing.routing = routing_new (2);
   routing_add_route (event.u.routing.routing, &route);
   g_array_append_val (event.u.routing.routing->services, service);
--- a/tests/test_mesh_pick.c
+++ b/tests/test_mesh_pick.c
@@ -10,12 +10,13 @@
   struct fleet_entry entry = { .offset = fixture->mesh.fleet.applied_offset,
                                .record.kind = FLEET_MAP };
   struct routing *routing = routing_new (2);
-  struct route route
-      = { .host = "h", .path_prefix = "/other/", .share_count = 1 };
+  struct route_share share = { .service = OTHER_SERVICE, .weight = 1 };
+  struct route route = {
+    .host = "h", .path_prefix = "/other/", .share_count = 1, .shares = &share
+  };
   struct route_service service = { .name = OTHER_SERVICE, .sharded = TRUE };
   struct shard *shard;
 
-  g_strlcpy (route.shares[0].service, OTHER_SERVICE, NAME_SIZE);
   routing_add_route (routing, &route);
   g_array_append_val (routing->services, service);
   routes.u.routing.routing = routing;
--- a/tests/test_mesh_weights.c
+++ b/tests/test_mesh_weights.c
@@ -20,18 +20,18 @@
 {
   struct event event = { .kind = EVENT_ROUTING };
   struct routing *routing = routing_new (2);
+  struct route_share shares[]
+      = { { .service = OWN_SERVICE, .weight = OWN_WEIGHT },
+          { .service = OTHER_SERVICE, .weight = OTHER_WEIGHT } };
   struct route route = { .host = "h",
                          .path_prefix = "/",
                          .run_class = RUN_IDEMPOTENT,
                          .priority = PRIORITY_NORMAL,
                          .timeout_usec = 1000 * MSEC,
                          .max_attempts = 2,
-                         .share_count = 2 };
+                         .share_count = G_N_ELEMENTS (shares),
+                         .shares = shares };
 
-  g_strlcpy (route.shares[0].service, OWN_SERVICE, NAME_SIZE);
-  route.shares[0].weight = OWN_WEIGHT;
-  g_strlcpy (route.shares[1].service, OTHER_SERVICE, NAME_SIZE);
-  route.shares[1].weight = OTHER_WEIGHT;
   routing_add_route (routing, &route);
   event.u.routing.routing = routing;
   feed_event (fixture, &event);
--- a/tests/test_service_prospect.c
+++ b/tests/test_service_prospect.c
@@ -78,12 +78,13 @@
   struct event event = { .kind = EVENT_REQUEST };
   struct event routes = { .kind = EVENT_ROUTING };
   struct routing *routing = routing_new (fixture->mesh.routing->version + 1);
+  struct route_share share = { .service = OTHER_SERVICE, .weight = 1 };
   struct route route = { .host = "h",
                          .path_prefix = "/other/",
                          .priority = priority,
-                         .share_count = 1 };
+                         .share_count = 1,
+                         .shares = &share };
 
-  g_strlcpy (route.shares[0].service, OTHER_SERVICE, NAME_SIZE);
   routing_add_route (routing, &route);
   routes.u.routing.routing = routing;
   feed_event (fixture, &routes);
