names: up to 255 bytes on their whole way

Cause: NAME_SIZE of 64 cut short what the wider reader of routes lets in. A node whose host, data centre or service had a name of 64 bytes or more did not start, heartbeats with such names were refused, so that the server counted as gone, and a request with an id of 64 bytes was answered 400. Record keys had 127 bytes, so longer names of two hosts would have shared a record, and log lines cut names at 95 and 383 bytes.

Change: names and request ids have up to 255 bytes, in messages, records, logs and explanations. A name that does not fit into a key of the store stands there by its digest.

--- a/bench/bench_mesh.c
+++ b/bench/bench_mesh.c
@@ -66,7 +66,7 @@
       shard->state = SHARD_HELD;
       shard->instance = member.instance;
       shard->fence = map.next_fence++;
-      g_strlcpy (shard->owner, member.name, sizeof shard->owner);
+      shard->owner = g_intern_string (member.name);
     }
   return map;
 }
--- a/soak/soak_caller.c
+++ b/soak/soak_caller.c
@@ -1,4 +1,5 @@
 #include "soak/soak_caller.h"
+#include "soak/soak_config.h"
 
 #include "types/clock.h"
 
@@ -113,7 +114,7 @@
   g_strlcpy (caller->request_id, parameters->request_id,
              sizeof caller->request_id);
   g_snprintf (key, sizeof key, "%u", parameters->shard_key);
-  soup_message_headers_append (headers, "Host", "soak");
+  soup_message_headers_append (headers, "Host", SOAK_HOST_HEADER);
   soup_message_headers_append (headers, "Request-Id", parameters->request_id);
   soup_message_headers_append (headers, "Deadline-Ms", DEADLINE_MSEC);
   if (!parameters->at_most_once)
--- a/soak/soak_cluster.c
+++ b/soak/soak_cluster.c
@@ -34,7 +34,8 @@
 {
   struct soak_host *host = &cluster->hosts[i];
   char *text = g_strdup_printf (
-      "[node]\nhost = soak-%u\nzone = zone-%u\nservice = %s\n[listen]\n"
+      "[node]\nhost = soak-%u" SOAK_NAME_END "\nzone = zone-%u" SOAK_NAME_END
+      "\nservice = %s\n[listen]\n"
       "callers = 127.0.0.1:%u\ncontrol = 127.0.0.1:%u\n"
       "ready = 127.0.0.1:%u\nmetrics = 127.0.0.1:%u\n"
       "peers = 127.0.0.1:%u\n[server]\naddress = 127.0.0.1:%u\n"
@@ -64,8 +65,11 @@
   server->method = cluster->method;
   server->evacuation = &cluster->evacuation;
   server->zone = i % SOAK_ZONES;
-  g_strlcpy (server->service, server->sharded ? "own" : "other", NAME_SIZE);
-  g_snprintf (server->instance.id, sizeof server->instance.id, "s-%u", i);
+  g_strlcpy (server->service,
+             server->sharded ? SOAK_SHARDED_SERVICE : SOAK_OTHER_SERVICE,
+             sizeof server->service);
+  g_snprintf (server->instance.id, sizeof server->instance.id,
+              "s-%u" SOAK_NAME_END, i);
   server->instance.started_at_msec = 1000;
   server->announced_address = loopback_address (port + 6);
   server->control_address = loopback_address (port + 1);
--- a/soak/soak_evacuation.c
+++ b/soak/soak_evacuation.c
@@ -1,4 +1,5 @@
 #include "soak/soak_evacuation.h"
+#include "soak/soak_config.h"
 
 #include "platform/evacuation.h"
 #include "platform/store.h"
@@ -36,8 +37,8 @@
 {
   char key[NAME_SIZE];
 
-  g_snprintf (key, sizeof key, "%szone-%u", PLATFORM_EVACUATION_PREFIX,
-              evacuation->zone);
+  g_snprintf (key, sizeof key, "%szone-%u" SOAK_NAME_END,
+              PLATFORM_EVACUATION_PREFIX, evacuation->zone);
   soak_store_put (store, STORE_TOPIC_CONFIG, key, value);
 }
 
--- a/soak/soak_pipeline.c
+++ b/soak/soak_pipeline.c
@@ -2,6 +2,7 @@
 
 #include "edge/http_head.h"
 #include "soak/soak_caller.h"
+#include "soak/soak_config.h"
 #include "types/clock.h"
 
 #include <string.h>
@@ -145,12 +146,12 @@
 static void
 add_request (GString *text, const struct soak_pipeline_request *request)
 {
-  g_string_append_printf (text,
-                          "%s HTTP/1.1\r\nHost: soak\r\nRequest-Id: %s\r\n"
-                          "Deadline-Ms: " DEADLINE_MSEC "\r\n",
-                          request->at_most_once ? "POST /once/x"
-                                                : "GET /own/x",
-                          request->request_id);
+  g_string_append_printf (
+      text,
+      "%s HTTP/1.1\r\nHost: " SOAK_HOST_HEADER "\r\nRequest-Id: %s\r\n"
+      "Deadline-Ms: " DEADLINE_MSEC "\r\n",
+      request->at_most_once ? "POST /once/x" : "GET /own/x",
+      request->request_id);
   if (request->at_most_once)
     g_string_append_printf (text, "Content-Length: %zu\r\n\r\n%s",
                             strlen (SOAK_ONCE_BODY), SOAK_ONCE_BODY);
--- a/src/fleet/fleet_rebuild.c
+++ b/src/fleet/fleet_rebuild.c
@@ -19,7 +19,7 @@
   memset (record, 0, sizeof *record);
   g_strlcpy (record->key, key, sizeof record->key);
   record->kind = FLEET_TOMBSTONE;
-  if (g_str_has_prefix (key, "suspect/"))
+  if (g_str_has_prefix (key, FLEET_SUSPECT_PREFIX))
     {
       record->kind = FLEET_SUSPECT;
       record->u.suspect.digest = g_ascii_strtoull (name, NULL, 16);
@@ -30,12 +30,12 @@
   member = fleet_state_member_named (fleet, name);
   map = fleet_state_map (fleet, name);
   stored = fleet_state_stored_map (fleet, name);
-  if (g_str_has_prefix (key, "member/") && member != NULL)
+  if (g_str_has_prefix (key, FLEET_MEMBER_PREFIX) && member != NULL)
     {
       record->kind = FLEET_MEMBER;
       record->u.member = *member;
     }
-  else if (g_str_has_prefix (key, "map/") && map != NULL)
+  else if (g_str_has_prefix (key, FLEET_MAP_PREFIX) && map != NULL)
     {
       record->kind = FLEET_MAP_PATCH;
       if (stored == NULL && with_patches
--- a/src/fleet/fleet_state.c
+++ b/src/fleet/fleet_state.c
@@ -42,12 +42,14 @@
 
 /* Look up */
 
-/* Return the handle of the member called NAME, or HANDLE_NONE.  */
+/* Return the handle of the member called NAME, or whose key has NAME, or
+   HANDLE_NONE.  */
 struct handle
 fleet_state_find (const struct fleet_state *fleet, const char *name)
 {
-  struct handle h = { GPOINTER_TO_UINT (
-      g_hash_table_lookup (fleet->handles_by_name, name)) };
+  char buffer[FLEET_KEY_SIZE];
+  struct handle h = { GPOINTER_TO_UINT (g_hash_table_lookup (
+      fleet->handles_by_name, fleet_key_name (name, buffer))) };
 
   return h;
 }
@@ -66,16 +68,20 @@
   return fleet_state_member_at (fleet, fleet_state_find (fleet, name));
 }
 
-/* Return the one of MAPS that is of SERVICE, or NULL.  */
+/* Return the one of MAPS that is of SERVICE, or whose key has SERVICE, or
+   NULL.  */
 static struct shard_map *
 find_map (const GPtrArray *maps, const char *service)
 {
+  char wanted_buffer[FLEET_KEY_SIZE];
+  char buffer[FLEET_KEY_SIZE];
+  const char *wanted = fleet_key_name (service, wanted_buffer);
   guint i;
 
   for (i = 0; i < maps->len; i++)
     {
       struct shard_map *map = g_ptr_array_index (maps, i);
-      if (strcmp (map->service, service) == 0)
+      if (strcmp (fleet_key_name (map->service, buffer), wanted) == 0)
         return map;
     }
   return NULL;
@@ -120,6 +126,7 @@
 apply_member (struct fleet_state *fleet, const struct fleet_member *member,
               guint64 offset)
 {
+  char buffer[FLEET_KEY_SIZE];
   struct handle h = fleet_state_find (fleet, member->name);
   struct fleet_member *known = table_get (&fleet->members, h);
 
@@ -128,7 +135,8 @@
       h = table_add (&fleet->members);
       fleet->member_change_count++;
       known = table_get (&fleet->members, h);
-      g_hash_table_insert (fleet->handles_by_name, g_strdup (member->name),
+      g_hash_table_insert (fleet->handles_by_name,
+                           g_strdup (fleet_key_name (member->name, buffer)),
                            GUINT_TO_POINTER (h.bits));
     }
   *known = *member;
@@ -178,16 +186,17 @@
 static void
 remove_key (struct fleet_state *fleet, const char *key)
 {
+  const char *name = key + strlen (FLEET_MEMBER_PREFIX);
   struct handle h;
 
-  if (!g_str_has_prefix (key, "member/"))
+  if (!g_str_has_prefix (key, FLEET_MEMBER_PREFIX))
     return;
-  h = fleet_state_find (fleet, key + strlen ("member/"));
+  h = fleet_state_find (fleet, name);
   if (!handle_is_set (h))
     return;
   table_remove (&fleet->members, h);
   fleet->member_change_count++;
-  g_hash_table_remove (fleet->handles_by_name, key + strlen ("member/"));
+  g_hash_table_remove (fleet->handles_by_name, name);
 }
 
 /* Apply ENTRY at NOW.  Return FALSE if a later record with its key is known,
--- a/src/fleet/fleet_state.h
+++ b/src/fleet/fleet_state.h
@@ -13,7 +13,8 @@
 struct fleet_state
 {
   struct table members;        /* struct fleet_member */
-  GHashTable *handles_by_name; /* name of a member to the bits of its handle */
+  GHashTable *handles_by_name; /* name of a member, as it stands in keys, to
+                                  the bits of its handle */
   GPtrArray *shard_maps;       /* struct shard_map */
   GPtrArray *stored_maps;      /* struct shard_map: the store's records of the
                                   maps that are ahead of them */
--- a/src/fleet/map_merge.c
+++ b/src/fleet/map_merge.c
@@ -35,7 +35,7 @@
   if (!is_conflict (old, new))
     return shard;
   shard.state = SHARD_FREE;
-  shard.next_owner[0] = '\0';
+  shard.next_owner = "";
   shard.handover_token[0] = '\0';
   return shard;
 }
--- a/src/mesh/mesh_handoff.c
+++ b/src/mesh/mesh_handoff.c
@@ -55,8 +55,7 @@
           || strcmp (shard->owner, mesh->settings.name) != 0)
         continue;
       if (shard->next_owner[0] == '\0')
-        g_strlcpy (shard->next_owner, handoff->new_owner,
-                   sizeof shard->next_owner);
+        shard->next_owner = g_intern_string (handoff->new_owner);
       any = any || strcmp (shard->next_owner, handoff->new_owner) == 0;
     }
   return any;
--- a/src/mesh/mesh_plan.c
+++ b/src/mesh/mesh_plan.c
@@ -73,7 +73,7 @@
       shard->state = SHARD_LOST;
       shard->loss_id = map->next_fence++;
       shard->state_seen_at = now;
-      shard->next_owner[0] = '\0';
+      shard->next_owner = "";
       changed = TRUE;
     }
   return changed;
@@ -196,11 +196,13 @@
           = fleet_state_member_at (&mesh->fleet, h);
       const struct peer_state *peer = table_get (&mesh->peers, h);
       struct fleet_record record = { .kind = FLEET_TOMBSTONE };
+      char buffer[FLEET_KEY_SIZE];
       if (peer == NULL || !peer->is_unresponsive
           || now - peer_state_last_reported_at (peer) < DROP_MEMBER_USEC
           || owns_any (mesh, member->name))
         continue;
-      g_snprintf (record.key, sizeof record.key, "member/%s", member->name);
+      g_snprintf (record.key, sizeof record.key, FLEET_MEMBER_PREFIX "%s",
+                  fleet_key_name (member->name, buffer));
       mesh_propose (mesh, &record, mesh->fleet.applied_offset, now, out);
       return TRUE;
     }
--- a/src/shard/shard_place.c
+++ b/src/shard/shard_place.c
@@ -115,11 +115,11 @@
 
   g_strlcpy (token_copy, token, sizeof token_copy);
   shard->state = SHARD_HELD;
-  g_strlcpy (shard->owner, candidate->node_name, sizeof shard->owner);
+  shard->owner = g_intern_string (candidate->node_name);
   shard->instance = candidate->instance;
   shard->fence = map->next_fence++;
   g_strlcpy (shard->handover_token, token_copy, sizeof shard->handover_token);
-  shard->next_owner[0] = '\0';
+  shard->next_owner = "";
 }
 
 /* Return whether SHARD may be assigned: it is free, or was lost before
@@ -186,8 +186,7 @@
       if ((gint64)shard_key_count (shard) > surplus)
         shard_map_split (map, shard->first + (guint32)surplus);
       shard = shard_map_at (map, i);
-      g_strlcpy (shard->next_owner, candidate->node_name,
-                 sizeof shard->next_owner);
+      shard->next_owner = g_intern_string (candidate->node_name);
       wanted -= shard_key_count (shard);
       changed = TRUE;
     }
--- a/src/shard/shard_reconcile.c
+++ b/src/shard/shard_reconcile.c
@@ -66,7 +66,7 @@
     }
   shard->state = SHARD_FREE;
   g_strlcpy (shard->handover_token, token, sizeof shard->handover_token);
-  shard->next_owner[0] = '\0';
+  shard->next_owner = "";
 }
 
 /* Assign SHARD, which was given up though this node is to keep it, to this
@@ -166,7 +166,7 @@
     return renew_fence (map, shard, owner);
   if (shard->next_owner[0] == '\0')
     return FALSE;
-  shard->next_owner[0] = '\0';
+  shard->next_owner = "";
   return TRUE;
 }
 
--- a/src/types/fleet_record.h
+++ b/src/types/fleet_record.h
@@ -9,8 +9,16 @@
    the newest record of each key, so each record is the complete state of its
    key.  */
 
-#define FLEET_KEY_SIZE 128u           /* bytes in a key, with the final zero */
-#define FLEET_RECORD_BYTES_MAX 65536u /* bytes in an encoded record */
+/* Bytes in a key, with the final zero: the store gives the length of a key in
+   one byte.  */
+#define FLEET_KEY_SIZE 256u
+/* Bytes in an encoded record: what the store takes in one record, less the key
+   and its length.  */
+#define FLEET_RECORD_BYTES_MAX (RECORD_BYTES_MAX - FLEET_KEY_SIZE)
+
+#define FLEET_MEMBER_PREFIX "member/"
+#define FLEET_MAP_PREFIX "map/"
+#define FLEET_SUSPECT_PREFIX "suspect/"
 
 enum fleet_record_kind
 {
@@ -41,6 +49,7 @@
   struct fleet_record record;
 };
 
+const char *fleet_key_name (const char *name, char buffer[FLEET_KEY_SIZE]);
 void fleet_record_set_key (struct fleet_record *record);
 void fleet_record_clear (struct fleet_record *record);
 
--- a/src/types/heartbeat.h
+++ b/src/types/heartbeat.h
@@ -17,7 +17,7 @@
   /* fence that the range is held under; 0: the range is released */
   guint64 fence;
   /* token that the previous holder passes to the next one, or empty */
-  char handover_token[NAME_SIZE];
+  char handover_token[HANDOVER_TOKEN_SIZE];
 };
 
 struct heartbeat
--- a/src/types/key_order.h
+++ b/src/types/key_order.h
@@ -18,13 +18,13 @@
 struct key_order
 {
   enum key_order_kind kind;
-  guint32 first;                  /* lowest key of the range */
-  guint32 last;                   /* highest key of the range */
-  guint64 fence;                  /* fencing token of the call */
-  gint64 granted_until;           /* grant: end of the grant, monotonic usec */
-  char handover_token[NAME_SIZE]; /* grant: token of the previous holder, or
-                                     empty */
-  char server[NAME_SIZE];         /* id of the server that is meant */
+  guint32 first;        /* lowest key of the range */
+  guint32 last;         /* highest key of the range */
+  guint64 fence;        /* fencing token of the call */
+  gint64 granted_until; /* grant: end of the grant, monotonic usec */
+  char handover_token[HANDOVER_TOKEN_SIZE]; /* grant: token of the previous
+                                     holder, or empty */
+  char server[NAME_SIZE]; /* id of the server that is meant */
 };
 
 #endif
--- a/src/types/log_event.h
+++ b/src/types/log_event.h
@@ -90,8 +90,10 @@
   LOG_EVENT_MESH_MEMORY = 640  /* a memory limit was reached, or left */
 };
 
-#define LOG_EVENT_DETAIL_SIZE 384u /* bytes of details */
-#define LOG_EVENT_TEXT_SIZE 96u    /* bytes in the text field of an event */
+#define LOG_EVENT_DETAIL_SIZE                                                 \
+  1536u                          /* bytes of details: four names and some     \
+                                    numbers */
+#define LOG_EVENT_TEXT_SIZE 256u /* bytes in the text field of an event */
 
 /* A log event with its fields; fields that are zero or empty are not
    written.  */
--- a/src/types/shard.h
+++ b/src/types/shard.h
@@ -20,12 +20,14 @@
   guint32 first;                   /* lowest key of the range */
   guint32 last;                    /* highest key of the range */
   enum shard_state state;          /* whether the range is held */
-  char owner[NAME_SIZE];           /* node beside the holder, or empty */
+  const char *owner;               /* node beside the holder, or an empty
+                                      text; interned, as maps are copied */
   struct server_instance instance; /* server instance that holds the range */
   guint64 fence; /* fencing token, higher for each new holder of a key */
-  char handover_token[NAME_SIZE]; /* previous holder's token for the handover,
-                                     or empty */
-  char next_owner[NAME_SIZE]; /* node that receives the range next, or empty */
+  char handover_token[HANDOVER_TOKEN_SIZE]; /* previous holder's token for the
+                                     handover, or empty */
+  const char *next_owner; /* node that receives the range next, or an empty
+                             text; interned */
   guint64 loss_id; /* set from next_fence each time that the shard is lost, so
                       that two losses can be told apart */
   guint64 changed_at;   /* offset of the record that brought the shard, as far
--- a/src/types/shard_map.c
+++ b/src/types/shard_map.c
@@ -4,7 +4,8 @@
 void
 shard_map_init (struct shard_map *map, const char *service)
 {
-  struct shard all = { .last = SHARD_KEY_COUNT - 1 };
+  struct shard all
+      = { .last = SHARD_KEY_COUNT - 1, .owner = "", .next_owner = "" };
 
   memset (map, 0, sizeof *map);
   g_strlcpy (map->service, service, sizeof map->service);
--- a/src/wire/wire.c
+++ b/src/wire/wire.c
@@ -14,6 +14,21 @@
   return xdr_string (xdr, &at, (u_int)size - 1);
 }
 
+/* XDR filter for a name that is kept as an interned text.  */
+bool_t
+wire_interned_name (XDR *xdr, const char **name)
+{
+  char buffer[NAME_SIZE];
+
+  if (xdr->x_op == XDR_ENCODE)
+    g_strlcpy (buffer, *name, sizeof buffer);
+  if (!wire_fixed_string (xdr, buffer, sizeof buffer))
+    return FALSE;
+  if (xdr->x_op == XDR_DECODE)
+    *name = g_intern_string (buffer);
+  return TRUE;
+}
+
 /* XDR filter for a text of at most MAX bytes.  Decoding allocates it with
    malloc.  */
 bool_t
--- a/src/wire/wire.h
+++ b/src/wire/wire.h
@@ -15,6 +15,7 @@
 typedef bool_t wire_filter (XDR *xdr, void *item);
 
 bool_t wire_fixed_string (XDR *xdr, char *text, gsize size);
+bool_t wire_interned_name (XDR *xdr, const char **name);
 bool_t wire_string (XDR *xdr, char **text, guint max);
 bool_t wire_bytes (XDR *xdr, guint8 **bytes, guint32 *length, guint max);
 bool_t wire_bool (XDR *xdr, gboolean *flag);
--- a/src/wire/wire_fleet.c
+++ b/src/wire/wire_fleet.c
@@ -37,13 +37,12 @@
   enum_t state = (enum_t)shard->state;
 
   if (!xdr_uint32_t (xdr, &shard->first) || !xdr_uint32_t (xdr, &shard->last)
-      || !xdr_enum (xdr, &state)
-      || !wire_fixed_string (xdr, shard->owner, sizeof shard->owner)
+      || !xdr_enum (xdr, &state) || !wire_interned_name (xdr, &shard->owner)
       || !wire_instance (xdr, &shard->instance)
       || !wire_u64 (xdr, &shard->fence) || !wire_u64 (xdr, &shard->loss_id)
       || !wire_fixed_string (xdr, shard->handover_token,
                              sizeof shard->handover_token)
-      || !wire_fixed_string (xdr, shard->next_owner, sizeof shard->next_owner))
+      || !wire_interned_name (xdr, &shard->next_owner))
     return FALSE;
   shard->state = (enum shard_state)state;
   return state >= SHARD_FREE && state <= SHARD_LOST;
--- a/tests/evacuation_fixture.h
+++ b/tests/evacuation_fixture.h
@@ -107,7 +107,7 @@
   shard = shard_map_at (&entry.record.u.map, 0);
   shard->state = SHARD_HELD;
   shard->fence = entry.record.u.map.next_fence++;
-  g_strlcpy (shard->owner, owner, sizeof shard->owner);
+  shard->owner = g_intern_string (owner);
   shard->instance
       = fleet_state_member_named (&fixture->mesh.fleet, owner)->instance;
   fleet_record_set_key (&entry.record);
--- a/tests/explain_stage.h
+++ b/tests/explain_stage.h
@@ -95,12 +95,12 @@
       if (stage_chance (stage, 60))
         shard->state = SHARD_HELD;
       if (stage_chance (stage, 25))
-        g_strlcpy (shard->owner, "a", sizeof shard->owner);
+        shard->owner = "a";
       else
         {
           g_snprintf (owner, sizeof owner, "m%u",
                       stage_random (stage, STAGE_MEMBERS + 1));
-          g_strlcpy (shard->owner, owner, sizeof shard->owner);
+          shard->owner = g_intern_string (owner);
         }
     }
   stage_record (stage, &entry);
--- a/tests/keys_replay.h
+++ b/tests/keys_replay.h
@@ -139,8 +139,7 @@
       struct shard *shard = shard_map_at (&replay->map, i);
       shard->state = SHARD_HELD;
       shard->fence = i + 1;
-      keys_name (i, shard->owner);
-      keys_name (i, shard->instance.id);
+      shard->owner = g_intern_string (keys_name (i, shard->instance.id));
       memset (&replay->owner_of[shard->first], (int)i,
               shard_key_count (shard));
     }
--- a/tests/keys_replay_run.h
+++ b/tests/keys_replay_run.h
@@ -44,7 +44,7 @@
       struct shard *shard = shard_map_at (map, i);
       if (shard->first < handoff->first_key || shard->last > handoff->last_key)
         continue;
-      g_strlcpy (shard->owner, handoff->new_owner, sizeof shard->owner);
+      shard->owner = g_intern_string (handoff->new_owner);
       g_strlcpy (shard->instance.id, handoff->new_owner,
                  sizeof shard->instance.id);
       shard->fence = map->next_fence;
--- a/tests/mesh_sim_orders.h
+++ b/tests/mesh_sim_orders.h
@@ -128,8 +128,8 @@
   event.u.key_order_ended.serial = message->serial;
   event.u.key_order_ended.order = message->order;
   event.u.key_order_ended.code = message->code;
-  g_snprintf (event.u.key_order_ended.handover_token, NAME_SIZE, "t%u",
-              message->order.first);
+  g_snprintf (event.u.key_order_ended.handover_token, HANDOVER_TOKEN_SIZE,
+              "t%u", message->order.first);
   feed_node (sim, message->from, &event);
 }
 
--- /dev/null
+++ b/tests/test_limits.c
@@ -0,0 +1,147 @@
+#include "fleet/fleet_state.h"
+#include "tests/suite.h"
+#include "types/ini.h"
+#include "wire/wire_fleet.h"
+
+#include <string.h>
+
+/* Limits of our own, from one below to one above: what is valid passes whole,
+   and what exceeds a limit costs nothing but itself.  */
+
+#define DNS_NAME_MAX 253u /* bytes in a DNS name */
+
+/* Write LENGTH letters and the number N, in five digits, to BUFFER.  */
+static const char *
+name_of (char *buffer, gsize length, guint n)
+{
+  memset (buffer, 'x', length);
+  g_snprintf (buffer + length - 5, 6, "%05u", n);
+  return buffer;
+}
+
+/* Fill ENTRY, a member at OFFSET, all of whose names have LENGTH bytes.  */
+static void
+fill_member (struct fleet_entry *entry, gsize length, guint64 offset)
+{
+  struct fleet_member *member = &entry->record.u.member;
+  guint number = (guint)offset;
+
+  memset (entry, 0, sizeof *entry);
+  entry->offset = offset;
+  entry->record.kind = FLEET_MEMBER;
+  name_of (member->name, length, number);
+  name_of (member->zone, length, 1);
+  name_of (member->service, length, 2);
+  name_of (member->instance.id, length, 3);
+  fleet_record_set_key (&entry->record);
+}
+
+/* Guards against hosts whose records overwrite each other, or that cannot be
+   removed, since their names differ only behind what fits into a key: names of
+   any valid length have keys of their own.  */
+static void
+test_member_names (void)
+{
+  gsize length;
+
+  CU_ASSERT_TRUE (NAME_SIZE > DNS_NAME_MAX);
+  for (length = 60; length < NAME_SIZE; length++)
+    {
+      struct fleet_entry entries[2];
+      struct fleet_entry decoded = { 0 };
+      struct fleet_state fleet;
+      GByteArray *bytes;
+      guint i;
+      fleet_state_init (&fleet);
+      for (i = 0; i < G_N_ELEMENTS (entries); i++)
+        {
+          fill_member (&entries[i], length, i);
+          CU_ASSERT_TRUE (fleet_state_apply (&fleet, &entries[i], 0));
+        }
+      CU_ASSERT_EQUAL (fleet.members.count, 2);
+      bytes = wire_fleet_encode (&entries[1].record);
+      CU_ASSERT_PTR_NOT_NULL_FATAL (bytes);
+      CU_ASSERT_EQUAL (wire_fleet_decode (&decoded.record,
+                                          entries[1].record.key, bytes->data,
+                                          bytes->len),
+                       ERR_NONE);
+      CU_ASSERT_STRING_EQUAL (decoded.record.u.member.service,
+                              entries[1].record.u.member.service);
+      g_byte_array_unref (bytes);
+      decoded.offset = 2;
+      decoded.record.kind = FLEET_TOMBSTONE;
+      CU_ASSERT_TRUE (fleet_state_apply (&fleet, &decoded, 0));
+      CU_ASSERT_EQUAL (fleet.members.count, 1);
+      CU_ASSERT_PTR_NOT_NULL (
+          fleet_state_member_named (&fleet, entries[0].record.u.member.name));
+      fleet_state_clear (&fleet);
+    }
+}
+
+/* Guards against a host that passes on a deletion in place of a record, since
+   the name does not stand in the key.  */
+static void
+test_records_since (void)
+{
+  struct fleet_entry entry;
+  struct fleet_state fleet;
+  GArray *entries;
+
+  fill_member (&entry, NAME_SIZE - 1, 1);
+  fleet_state_init (&fleet);
+  fleet_state_apply (&fleet, &entry, 0);
+  entries = fleet_state_since (&fleet, 0, FALSE);
+  CU_ASSERT_EQUAL_FATAL (entries->len, 1);
+  CU_ASSERT_EQUAL (g_array_index (entries, struct fleet_entry, 0).record.kind,
+                   FLEET_MEMBER);
+  g_array_free (entries, TRUE);
+  fleet_state_clear (&fleet);
+}
+
+/* Return how many faults a file with a section called NAME has.  */
+static guint
+count_ini_faults (const char *name)
+{
+  static const struct ini_field fields[]
+      = { { "node", "host", INI_NAME, TRUE, 0, 0, NULL } };
+  static const struct ini_schema schema = { fields, 1, "", "node" };
+  GArray *errors = g_array_new (FALSE, TRUE, sizeof (struct config_error));
+  char *text = g_strdup_printf ("[node]\nhost = %s\n", name);
+  struct ini ini = { 0 };
+  guint faults;
+
+  ini_read (&ini, "f", text, &schema, errors);
+  faults = errors->len;
+  ini_clear (&ini);
+  g_array_free (errors, TRUE);
+  g_free (text);
+  return faults;
+}
+
+/* Guards against a node that does not start since its host has a long
+   name.  */
+static void
+test_settings_names (void)
+{
+  gsize length;
+
+  for (length = 62; length <= NAME_SIZE; length++)
+    {
+      char name[NAME_SIZE + 1];
+      CU_ASSERT_EQUAL (count_ini_faults (name_of (name, length, 1)),
+                       length < NAME_SIZE ? 0u : 1u);
+    }
+}
+
+int
+main (void)
+{
+  CU_TestInfo tests[]
+      = { { "hosts with long names share a record", test_member_names },
+          { "record with a long name is passed on as deleted",
+            test_records_since },
+          { "settings with a long name are refused", test_settings_names },
+          CU_TEST_INFO_NULL };
+
+  return suite_run ("limits", tests);
+}
--- a/tests/test_map_merge.c
+++ b/tests/test_map_merge.c
@@ -18,7 +18,7 @@
   shard = shard_map_at (map, 0);
   shard->state = SHARD_HELD;
   shard->fence = fence;
-  g_strlcpy (shard->owner, owner, sizeof shard->owner);
+  shard->owner = g_intern_string (owner);
   map->next_fence = fence + 1;
 }
 
@@ -34,7 +34,7 @@
   make_map (&known, "a", 4);
   shard_map_split (&known, MIDDLE);
   shard_map_at (&known, 1)->fence = 7;
-  g_strlcpy (shard_map_at (&known, 1)->owner, "b", NAME_SIZE);
+  shard_map_at (&known, 1)->owner = "b";
   known.next_fence = 8;
   make_map (&stored, "c", 5);
   map_merge (&known, &stored, &merged);
@@ -67,7 +67,7 @@
   CU_ASSERT_FALSE (merged.is_ahead);
   shard_map_clear (&merged);
   shard_map_at (&stored, 0)->fence = 4;
-  g_strlcpy (shard_map_at (&stored, 0)->owner, "a", NAME_SIZE);
+  shard_map_at (&stored, 0)->owner = "a";
   map_merge (&known, &stored, &merged);
   CU_ASSERT_EQUAL (shard_map_at (&merged, 0)->state, SHARD_LOST);
   CU_ASSERT_TRUE (merged.is_ahead);
--- a/tests/test_map_patch.c
+++ b/tests/test_map_patch.c
@@ -22,9 +22,11 @@
   for (i = 0; i < map.shards->len; i++)
     {
       struct shard *shard = shard_map_at (&map, i);
+      char owner[NAME_SIZE];
       shard->state = SHARD_HELD;
       shard->fence = map.next_fence++;
-      g_snprintf (shard->owner, sizeof shard->owner, "host-with-a-name-%u", i);
+      g_snprintf (owner, sizeof owner, "host-with-a-name-%u", i);
+      shard->owner = g_intern_string (owner);
       g_snprintf (shard->instance.id, sizeof shard->instance.id, "server-%u",
                   i);
     }
@@ -103,12 +105,14 @@
   for (i = 0; i < map->shards->len; i++)
     {
       struct shard *shard = shard_map_at (map, i);
+      char owner[NAME_SIZE];
       if (shard->first < first || shard->last > last)
         continue;
       shard->state = (enum shard_state)g_rand_int_range (random, 0, 3);
       shard->fence = map->next_fence++;
-      g_snprintf (shard->owner, sizeof shard->owner, "host-%d",
+      g_snprintf (owner, sizeof owner, "host-%d",
                   g_rand_int_range (random, 0, OWNERS));
+      shard->owner = g_intern_string (owner);
     }
   if (g_rand_int_range (random, 0, 4) == 0)
     for (i = 0; i < map->shards->len; i++)
@@ -158,7 +162,7 @@
   fleet_state_init (&fetcher);
   apply (&reader, &map, 0);
   whole = fetch (&fetcher, &reader, TRUE);
-  g_strlcpy (shard_map_at (&map, 17)->owner, "another", NAME_SIZE);
+  shard_map_at (&map, 17)->owner = "another";
   shard_map_at (&map, 17)->fence = map.next_fence++;
   apply (&reader, &map, 1);
   CU_ASSERT_TRUE (fetch (&fetcher, &reader, TRUE) < whole / 50);
--- a/tests/test_mesh_balance.c
+++ b/tests/test_mesh_balance.c
@@ -41,7 +41,7 @@
   shard->state = SHARD_HELD;
   shard->fence = 1;
   shard->instance = fixture->mesh.grant.instance;
-  g_strlcpy (shard->owner, "a", sizeof shard->owner);
+  shard->owner = "a";
   fleet_record_set_key (&entries[OTHERS].record);
   event.u.fleet_records.items = entries;
   event.u.fleet_records.count = OTHERS + 1;
--- a/tests/test_mesh_handoff.c
+++ b/tests/test_mesh_handoff.c
@@ -10,7 +10,7 @@
   shard_map_init (map, OWN_SERVICE);
   shard = shard_map_at (map, 0);
   shard->state = SHARD_HELD;
-  g_strlcpy (shard->owner, fixture->mesh.settings.name, sizeof shard->owner);
+  shard->owner = g_intern_string (fixture->mesh.settings.name);
 }
 
 /* Return the candidates "a" and "b".  */
@@ -70,7 +70,7 @@
                        fixture->now + 60000 * MSEC);
   CU_ASSERT_EQUAL (fixture->mesh.handoffs->len, 0);
   mesh_handoff_add (&fixture->mesh, 10, 19, "b", fixture->now);
-  g_strlcpy (shard_map_at (&map, 0)->owner, "b", NAME_SIZE);
+  shard_map_at (&map, 0)->owner = "b";
   mesh_handoffs_apply (&fixture->mesh, &map, candidates, fixture->now);
   CU_ASSERT_EQUAL (fixture->mesh.handoffs->len, 0);
   shard_map_clear (&map);
--- a/tests/test_mesh_orders.c
+++ b/tests/test_mesh_orders.c
@@ -39,7 +39,7 @@
   shard->state = SHARD_HELD;
   shard->fence = 3;
   shard->instance = fixture->mesh.grant.instance;
-  g_strlcpy (shard->owner, "a", sizeof shard->owner);
+  shard->owner = "a";
   fleet_record_set_key (&entry.record);
   event.u.fleet_records.items = &entry;
   event.u.fleet_records.count = 1;
--- a/tests/test_mesh_pick.c
+++ b/tests/test_mesh_pick.c
@@ -24,7 +24,7 @@
   shard_map_init (&entry.record.u.map, OTHER_SERVICE);
   shard = shard_map_at (&entry.record.u.map, 0);
   shard->state = SHARD_HELD;
-  g_strlcpy (shard->owner, "b", sizeof shard->owner);
+  shard->owner = "b";
   fleet_record_set_key (&entry.record);
   map.u.fleet_records.items = &entry;
   map.u.fleet_records.count = 1;
--- a/tests/test_mesh_restart.c
+++ b/tests/test_mesh_restart.c
@@ -47,7 +47,7 @@
   shard->state = SHARD_HELD;
   shard->fence = offset + 1;
   entry->record.u.map.next_fence = offset + 2;
-  g_strlcpy (shard->owner, owner, sizeof shard->owner);
+  shard->owner = g_intern_string (owner);
   g_strlcpy (shard->instance.id, owner[0] == 'a' ? "sa" : "sb",
              sizeof shard->instance.id);
   shard->instance.started_at_msec = 5;
--- a/tests/test_shard_map.c
+++ b/tests/test_shard_map.c
@@ -140,7 +140,7 @@
   grant_on_answered (&grant, answer, SECOND);
   shard = shard_map_at (&map, 0);
   CU_ASSERT_STRING_EQUAL_FATAL (shard->owner, "a");
-  g_strlcpy (shard->next_owner, "b", sizeof shard->next_owner);
+  shard->next_owner = "b";
   CU_ASSERT_FALSE (shard_reconcile (&map, &owner));
   shard_ranges_to_hold (&map, &owner, answer);
   CU_ASSERT_EQUAL (answer->range_count, 0);
