records: a map that is too large is not stored as a deletion

Cause, found while walking the limits: wire_fleet_encode returns NULL for a record over its limit, and append_own took NULL for a tombstone. Relayed through another node, the same NULL ended the process.

A map is split only as far as its record fits, with its longest names.

--- a/src/edge/mesh_node.h
+++ b/src/edge/mesh_node.h
@@ -42,15 +42,16 @@
                                     start of its run */
   struct latency tick_latency;   /* time between ticks; more than TICK_MSEC
                                     where the loop lags */
-  guint64 failed_server_runs;    /* runs that ended with an unknown outcome
-                                    or a 5xx status */
-  GHashTable *log_event_counts;  /* counts by enum log_event_id */
-  GQueue *deferred_events;       /* struct event: arose while another was
-                                    handled */
-  gboolean is_processing;        /* an event is being handled */
-  gboolean memory_short;         /* the log has told that a limit is reached */
-  guint tick_timer;              /* source id of the timer, 0: none */
-  struct quiet_turn quiet_turn;  /* tick that no input follows */
+  guint64 oversize_records;     /* records that were too large for the store */
+  guint64 failed_server_runs;   /* runs that ended with an unknown outcome
+                                   or a 5xx status */
+  GHashTable *log_event_counts; /* counts by enum log_event_id */
+  GQueue *deferred_events;      /* struct event: arose while another was
+                                   handled */
+  gboolean is_processing;       /* an event is being handled */
+  gboolean memory_short;        /* the log has told that a limit is reached */
+  guint tick_timer;             /* source id of the timer, 0: none */
+  struct quiet_turn quiet_turn; /* tick that no input follows */
 };
 
 enum err mesh_node_init (struct mesh_node *node,
--- a/src/edge/mesh_node_perform.c
+++ b/src/edge/mesh_node_perform.c
@@ -39,22 +39,47 @@
   g_free (job);
 }
 
+/* Encode RECORD, a tombstone as no bytes.  Return NULL if RECORD is too large
+   for the store; it must not be mistaken for a tombstone.  */
+static GByteArray *
+encode_record (const struct fleet_record *record)
+{
+  return record->kind == FLEET_TOMBSTONE ? g_byte_array_new ()
+                                         : wire_fleet_encode (record);
+}
+
+/* Report to the decision logic that the append SERIAL was not made, since its
+   record is too large for the store.  */
+static void
+report_too_large (struct mesh_node *node, guint64 serial)
+{
+  struct event event = { .kind = EVENT_STORE_APPENDED };
+
+  node->oversize_records++;
+  event.u.store_appended.serial = serial;
+  event.u.store_appended.code = ERR_TOO_LARGE;
+  mesh_node_handle_event (node, &event);
+}
+
 /* Append a record of this node to the fleet topic.  */
 static void
 append_own (struct mesh_node *node, const struct action_store_append *action)
 {
-  struct append_job *job = g_new0 (struct append_job, 1);
-  GByteArray *bytes = action->record.kind == FLEET_TOMBSTONE
-                          ? NULL
-                          : wire_fleet_encode (&action->record);
+  GByteArray *bytes = encode_record (&action->record);
+  struct append_job *job;
 
+  if (bytes == NULL)
+    {
+      report_too_large (node, action->serial);
+      return;
+    }
+  job = g_new0 (struct append_job, 1);
   job->node = node;
   job->serial = action->serial;
   node->proxy.counters.appends_sent++;
   store_append (&node->store, STORE_TOPIC_FLEET, action->expected_end,
                 action->record.key, bytes, on_appended, job);
-  if (bytes != NULL)
-    g_byte_array_unref (bytes);
+  g_byte_array_unref (bytes);
 }
 
 /* Append a record to the fleet topic for another node, which gets the result
@@ -99,10 +124,13 @@
                           .user_value = MESH_APPEND,
                           .user_handle = action->member };
   struct mesh_call call = { .kind = MESH_APPEND };
-  GByteArray *bytes = action->record.kind == FLEET_TOMBSTONE
-                          ? g_byte_array_new ()
-                          : wire_fleet_encode (&action->record);
+  GByteArray *bytes = encode_record (&action->record);
 
+  if (bytes == NULL)
+    {
+      report_too_large (node, action->serial);
+      return;
+    }
   call.u.append.expected_end = action->expected_end;
   g_strlcpy (call.u.append.key, action->record.key, sizeof call.u.append.key);
   call.u.append.bytes = bytes->data;
--- a/src/mesh/mesh_store.c
+++ b/src/mesh/mesh_store.c
@@ -142,8 +142,8 @@
       apply_proposed (mesh, event->offset, now, out);
       read_up_to_own (mesh, now, out);
     }
-  else if (event->code != ERR_CONFLICT && !proposal->sent_to_peer
-           && append_by_peer (mesh, now, out))
+  else if (event->code != ERR_CONFLICT && event->code != ERR_TOO_LARGE
+           && !proposal->sent_to_peer && append_by_peer (mesh, now, out))
     return;
   proposal->is_pending = FALSE;
   fleet_record_clear (&proposal->record);
--- a/src/types/shard_map.c
+++ b/src/types/shard_map.c
@@ -1,5 +1,16 @@
 #include "types/shard_map.h"
 
+#define SHARD_NUMBER_BYTES 40u /* encoded numbers of a shard */
+/* Encoded bytes of TEXT with its length, in multiples of four.  */
+#define TEXT_BYTES(text) (((gsize)4 + strlen (text) + 3) / 4 * 4)
+/* Encoded bytes of the shards of a map; its record holds a key, the name of
+   the service and some numbers besides.  */
+#define MAP_BYTES_MAX (RECORD_BYTES_MAX - 4 * NAME_SIZE)
+/* So many shards fit, whatever the names are.  */
+#define SHARDS_WITH_ANY_NAMES                                                 \
+  (MAP_BYTES_MAX                                                              \
+   / (SHARD_NUMBER_BYTES + 3 * (4 + NAME_SIZE) + 4 + HANDOVER_TOKEN_SIZE))
+
 /* Set up MAP as one free shard that covers all keys.  */
 void
 shard_map_init (struct shard_map *map, const char *service)
@@ -63,8 +74,35 @@
   return shard_map_at (map, low);
 }
 
+/* Return the bytes that SHARD takes in a record: numbers, and four texts with
+   their lengths, in multiples of four.  */
+static gsize
+encoded_size (const struct shard *shard)
+{
+  return SHARD_NUMBER_BYTES + TEXT_BYTES (shard->owner)
+         + TEXT_BYTES (shard->instance.id) + TEXT_BYTES (shard->handover_token)
+         + TEXT_BYTES (shard->next_owner);
+}
+
+/* Return how many shards MAP may have, so that its record fits into the store
+   also when all shards are as long as the longest one.  */
+static guint
+max_shards (const struct shard_map *map)
+{
+  gsize longest = 1;
+  guint i;
+
+  if (map->shards->len < SHARDS_WITH_ANY_NAMES)
+    return SHARDS_MAX;
+  for (i = 0; i < map->shards->len; i++)
+    longest = MAX (longest, encoded_size (shard_map_at (map, i)));
+  return (guint)MIN (SHARDS_MAX, MAP_BYTES_MAX / longest);
+}
+
 /* Split the shard that contains FIRST, so that a shard begins at FIRST.  Do
-   nothing if one does already, or if the map has SHARDS_MAX shards.  */
+   nothing if one does already, or if the map has as many shards as it may
+   have.
+   */
 void
 shard_map_split (struct shard_map *map, guint32 first)
 {
@@ -72,7 +110,7 @@
   struct shard right;
   guint index;
 
-  if (first >= SHARD_KEY_COUNT || map->shards->len >= SHARDS_MAX)
+  if (first >= SHARD_KEY_COUNT || map->shards->len >= max_shards (map))
     return;
   left = shard_map_find (map, first);
   if (left->first == first)
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -98,6 +98,48 @@
   fleet_state_clear (&fleet);
 }
 
+/* Return how many shards a map gets that is split as often as it may be, with
+   names of LENGTH bytes, and check that its record is not too large.  */
+static guint
+split_fully (gsize length)
+{
+  struct fleet_record record = { .kind = FLEET_MAP };
+  struct shard_map *map = &record.u.map;
+  char owner[NAME_SIZE];
+  GByteArray *bytes;
+  guint shards;
+  guint32 first;
+
+  shard_map_init (map, "s");
+  shard_map_at (map, 0)->owner = name_of (owner, length, 1);
+  shard_map_at (map, 0)->next_owner = owner;
+  name_of (shard_map_at (map, 0)->instance.id, length, 2);
+  name_of (shard_map_at (map, 0)->handover_token,
+           MIN (length, HANDOVER_TOKEN_SIZE - 1), 3);
+  for (first = 64; first < SHARD_KEY_COUNT; first += 64)
+    shard_map_split (map, first);
+  shards = map->shards->len;
+  fleet_record_set_key (&record);
+  bytes = wire_fleet_encode (&record);
+  CU_ASSERT_PTR_NOT_NULL (bytes);
+  if (bytes != NULL)
+    g_byte_array_unref (bytes);
+  fleet_record_clear (&record);
+  return shards;
+}
+
+/* Guards against a map that grows until the store cannot take it.  */
+static void
+test_map_size (void)
+{
+  gsize length;
+
+  CU_ASSERT_EQUAL (split_fully (20), SHARDS_MAX);
+  CU_ASSERT_EQUAL (split_fully (63), SHARDS_MAX);
+  for (length = 64; length < NAME_SIZE; length++)
+    CU_ASSERT_TRUE (split_fully (length) >= 200);
+}
+
 /* Return how many faults a file with a section called NAME has.  */
 static guint
 count_ini_faults (const char *name)
@@ -140,6 +182,7 @@
       = { { "hosts with long names share a record", test_member_names },
           { "record with a long name is passed on as deleted",
             test_records_since },
+          { "map outgrows the store", test_map_size },
           { "settings with a long name are refused", test_settings_names },
           CU_TEST_INFO_NULL };
 
