heartbeats: any number of ranges, and long handover tokens

Cause: a heartbeat with over 128 held or released ranges, or with one handover token of 64 bytes or more, was refused as a whole: its server counts as gone. A server may still run requests of ranges that it gave up, so there is no bound on their number. Long tokens pushed ranges out of an answer, which the server then had to release.

Change: a heartbeat lists as many ranges as fit into its body. A token that is too long costs the warmth of its range and is logged. An answer leaves out tokens before ranges.

--- a/soak/soak_heartbeat.c
+++ b/soak/soak_heartbeat.c
@@ -29,7 +29,7 @@
 static guint32
 read_ranges (JsonArray *list, struct key_range *ranges)
 {
-  guint32 count = MIN (json_array_get_length (list), HEARTBEAT_RANGES_MAX);
+  guint32 count = MIN (json_array_get_length (list), ANSWER_RANGES_MAX);
   guint32 i;
 
   for (i = 0; i < count; i++)
@@ -80,7 +80,7 @@
 {
   JsonParser *parser = json_fields_parse (server->heartbeat_answer->data,
                                           server->heartbeat_answer->len);
-  struct key_range ranges[HEARTBEAT_RANGES_MAX] = { 0 };
+  struct key_range ranges[ANSWER_RANGES_MAX] = { 0 };
   JsonArray *list;
   gint64 hold_msec;
 
--- a/soak/soak_server.h
+++ b/soak/soak_server.h
@@ -37,10 +37,10 @@
   guint64 heartbeat_seq;    /* number of the instance's last heartbeat */
   guint32 held_range_count; /* length of held_ranges */
   /* key ranges that the node has granted */
-  struct key_range held_ranges[HEARTBEAT_RANGES_MAX];
+  struct key_range held_ranges[ANSWER_RANGES_MAX];
   guint32 released_range_count; /* length of released_ranges */
   /* key ranges that the next heartbeat reports as released */
-  struct key_range released_ranges[HEARTBEAT_RANGES_MAX];
+  struct key_range released_ranges[ANSWER_RANGES_MAX];
   gint64 held_until;          /* expiry of all held ranges, monotonic usec */
   gint64 heartbeat_sent_at;   /* time of the last heartbeat, monotonic usec */
   gboolean heartbeat_pending; /* a heartbeat is in flight */
--- a/src/mesh/mesh_heartbeat.c
+++ b/src/mesh/mesh_heartbeat.c
@@ -126,6 +126,10 @@
       answer_code (event->call_id, ERR_INVALID, out);
       return;
     }
+  if (heartbeat->unusable_tokens > 0)
+    mesh_log (out, LOG_EVENT_MESH_BAD_INPUT, heartbeat->instance.id,
+              "what=beat reason=long-token tokens=%u outcome=in-part",
+              heartbeat->unusable_tokens);
   if (server_instance_is_set (&mesh->grant.instance)
       && heartbeat->instance.started_at_msec
              > mesh->grant.instance.started_at_msec
--- a/src/shard/answer_grants.c
+++ b/src/shard/answer_grants.c
@@ -12,8 +12,7 @@
 answer_grants_init (struct answer_grants *answers)
 {
   memset (answers, 0, sizeof *answers);
-  answers->held_ranges = g_new0 (struct key_range, HEARTBEAT_RANGES_MAX);
-  answers->granted_ranges = g_new0 (struct key_range, HEARTBEAT_RANGES_MAX);
+  answers->granted_ranges = g_new0 (struct key_range, ANSWER_RANGES_MAX);
   answers->released_ranges
       = g_array_new (FALSE, TRUE, sizeof (struct key_range));
 }
@@ -53,9 +52,11 @@
 {
   guint i;
 
+  g_free (answers->held_ranges);
   answers->held_count = heartbeat->held_count;
-  memcpy (answers->held_ranges, heartbeat->held_ranges,
-          heartbeat->held_count * sizeof *answers->held_ranges);
+  answers->held_ranges
+      = g_memdup2 (heartbeat->held_ranges,
+                   heartbeat->held_count * sizeof *answers->held_ranges);
   for (i = 0; i < heartbeat->released_count; i++)
     keep_token (answers, &heartbeat->released_ranges[i]);
 }
--- a/src/shard/shard_reconcile.c
+++ b/src/shard/shard_reconcile.c
@@ -237,7 +237,7 @@
       previous->last = shard->last;
       return;
     }
-  if (answer->range_count >= HEARTBEAT_RANGES_MAX)
+  if (answer->range_count >= ANSWER_RANGES_MAX)
     return;
   range = &answer->ranges[answer->range_count++];
   range->first = shard->first;
--- a/src/types/heartbeat.h
+++ b/src/types/heartbeat.h
@@ -5,9 +5,11 @@
 #include "types/shard.h"
 
 /* The heartbeat that a backend server sends at intervals, and the answer,
-   which lists the key ranges that the server may hold.  */
+   which lists the key ranges that the server may hold.  A heartbeat lists as
+   many ranges as the server has: it may still run requests of ranges that the
+   answer does not list any more.  */
 
-#define HEARTBEAT_RANGES_MAX 128u /* key ranges in one heartbeat or answer */
+#define ANSWER_RANGES_MAX 128u /* key ranges in one answer */
 
 /* A range of keys of a sharded service.  */
 struct key_range
@@ -31,10 +33,11 @@
   gint64 warmup_usec; /* microseconds until the server is warm */
   guint32 held_count; /* entries in held_ranges: ranges that the server holds,
                          or still runs requests of */
-  struct key_range held_ranges[HEARTBEAT_RANGES_MAX];
+  struct key_range *held_ranges;
   guint32 released_count; /* entries in released_ranges: ranges released since
                              the last answered heartbeat */
-  struct key_range released_ranges[HEARTBEAT_RANGES_MAX];
+  struct key_range *released_ranges;
+  guint32 unusable_tokens; /* handover tokens that are too long to be kept */
 };
 
 /* The answer to a heartbeat.  */
@@ -46,7 +49,9 @@
                         on, microseconds */
   guint32 range_count; /* entries in ranges, which lists all ranges that the
                           server may hold */
-  struct key_range ranges[HEARTBEAT_RANGES_MAX];
+  struct key_range ranges[ANSWER_RANGES_MAX];
 };
 
+void heartbeat_clear (struct heartbeat *heartbeat);
+
 #endif
--- a/tests/mesh_sim_server.h
+++ b/tests/mesh_sim_server.h
@@ -19,14 +19,15 @@
   heartbeat->sequence = ++server->heartbeat_number;
   heartbeat->slots = 4;
   heartbeat->held_count = server->held_count;
-  memcpy (heartbeat->held_ranges, server->held_ranges,
-          sizeof heartbeat->held_ranges);
+  heartbeat->held_ranges
+      = g_memdup2 (server->held_ranges, sizeof server->held_ranges);
   heartbeat->released_count = server->released_count;
-  memcpy (heartbeat->released_ranges, server->released_ranges,
-          sizeof heartbeat->released_ranges);
+  heartbeat->released_ranges
+      = g_memdup2 (server->released_ranges, sizeof server->released_ranges);
   server->next_heartbeat_at = sim->now + HEARTBEAT_USEC;
   event.u.heartbeat.heartbeat = heartbeat;
   feed_node (sim, i, &event);
+  heartbeat_clear (heartbeat);
   g_free (heartbeat);
 }
 
--- a/tests/mesh_sim_types.h
+++ b/tests/mesh_sim_types.h
@@ -87,11 +87,11 @@
   guint64 heartbeat_number;        /* number of the last heartbeat */
   gint64 next_heartbeat_at; /* time of the next heartbeat, or of the restart */
   gint64 held_until;        /* time at which the held ranges expire */
-  struct key_range held_ranges[HEARTBEAT_RANGES_MAX]; /* held ranges */
+  struct key_range held_ranges[ANSWER_RANGES_MAX]; /* held ranges */
   guint32 held_count; /* used entries of `held_ranges' */
 
   /* Released ranges that the next heartbeat reports.  */
-  struct key_range released_ranges[HEARTBEAT_RANGES_MAX];
+  struct key_range released_ranges[ANSWER_RANGES_MAX];
   guint32 released_count; /* used entries of `released_ranges' */
 
   /* Servers that are granted keys by calls, by key.  */
--- a/tests/test_grant.c
+++ b/tests/test_grant.c
@@ -19,6 +19,7 @@
   if (last >= first)
     {
       heartbeat->held_count = 1;
+      heartbeat->held_ranges = g_new0 (struct key_range, 1);
       heartbeat->held_ranges[0].first = first;
       heartbeat->held_ranges[0].last = last;
       heartbeat->held_ranges[0].fence = 1;
@@ -32,6 +33,7 @@
 {
   enum grant_change change = grant_on_heartbeat (grant, heartbeat, now);
 
+  heartbeat_clear (heartbeat);
   g_free (heartbeat);
   return change;
 }
@@ -144,6 +146,7 @@
   grant_range (&grant, 10, 20, 3 * SECOND, SECOND);
   CU_ASSERT_FALSE (grant_is_released (&grant, &shard, SECOND, &token));
   heartbeat->released_count = 1;
+  heartbeat->released_ranges = g_new0 (struct key_range, 1);
   heartbeat->released_ranges[0].last = 9;
   g_strlcpy (heartbeat->released_ranges[0].handover_token, "t",
              sizeof heartbeat->released_ranges[0].handover_token);
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -1,4 +1,6 @@
 #include "fleet/fleet_state.h"
+#include "platform/heartbeat.h"
+#include "shard/answer_grants.h"
 #include "tests/suite.h"
 #include "types/ini.h"
 #include "wire/wire_fleet.h"
@@ -140,6 +142,118 @@
     CU_ASSERT_TRUE (split_fully (length) >= 200);
 }
 
+/* Return what the reader says of a heartbeat of the server ID of SERVICE with
+   COUNT held ranges, and as many released ones with TOKEN.  */
+static enum err
+read_heartbeat (const char *id, const char *service, guint count,
+                const char *token, struct heartbeat *heartbeat)
+{
+  GString *text = g_string_new ("{\"born\":1,\"address\":\"10.1.0.8:80\",");
+  enum err code;
+  guint i;
+
+  g_string_append_printf (text,
+                          "\"info\":{\"service\":\"%s\",\"slots\":6},"
+                          "\"status\":{\"state\":\"ready\",\"seq\":4}",
+                          service);
+  g_string_append (text, ",\"holds\":[");
+  for (i = 0; i < count; i++)
+    g_string_append_printf (text, "%s[%u,%u,7]", i > 0 ? "," : "", i, i);
+  g_string_append (text, "],\"freed\":[");
+  for (i = 0; i < count; i++)
+    g_string_append_printf (text, "%s[%u,%u,\"%s\"]", i > 0 ? "," : "",
+                            i + count, i + count, token);
+  g_string_append (text, "]}");
+  code = platform_heartbeat_read (id, (const guint8 *)text->str, text->len,
+                                  heartbeat);
+  g_string_free (text, TRUE);
+  return code;
+}
+
+/* Guards against a server that counts as gone because its heartbeat lists many
+   ranges.  */
+static void
+test_heartbeat_ranges (void)
+{
+  static const guint counts[] = { 0, 1, 127, 128, 129, 5000 };
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (counts); i++)
+    {
+      struct heartbeat heartbeat;
+      struct answer_grants answers;
+      struct shard last = { .first = counts[i] - 1, .last = counts[i] - 1 };
+      CU_ASSERT_EQUAL (read_heartbeat ("s", "s", counts[i], "t", &heartbeat),
+                       ERR_NONE);
+      CU_ASSERT_EQUAL (heartbeat.held_count, counts[i]);
+      CU_ASSERT_EQUAL (heartbeat.released_count, counts[i]);
+      answer_grants_init (&answers);
+      answer_grants_on_heartbeat (&answers, &heartbeat);
+      if (counts[i] > 0)
+        CU_ASSERT_TRUE (answer_grants_hold (&answers, &last));
+      answer_grants_clear (&answers);
+      heartbeat_clear (&heartbeat);
+    }
+}
+
+/* Guards against a heartbeat that is lost with one text in it: names may be as
+   long as NAME_SIZE allows, and a longer handover token costs the warmth of
+   its range only.  */
+static void
+test_heartbeat_texts (void)
+{
+  gsize length;
+
+  for (length = 62; length <= NAME_SIZE; length++)
+    {
+      struct heartbeat heartbeat;
+      gboolean fits = length < NAME_SIZE;
+      gboolean token_fits = length < HANDOVER_TOKEN_SIZE;
+      char text[NAME_SIZE + 1];
+      name_of (text, length, 1);
+      CU_ASSERT_EQUAL (read_heartbeat ("s", "s", 1, text, &heartbeat),
+                       ERR_NONE);
+      CU_ASSERT_EQUAL (heartbeat.unusable_tokens, token_fits ? 0u : 1u);
+      CU_ASSERT_STRING_EQUAL (heartbeat.released_ranges[0].handover_token,
+                              token_fits ? text : "");
+      heartbeat_clear (&heartbeat);
+      CU_ASSERT_EQUAL (read_heartbeat (text, text, 0, "", &heartbeat),
+                       fits ? ERR_NONE : ERR_MALFORMED);
+      if (fits)
+        CU_ASSERT_STRING_EQUAL (heartbeat.service, text);
+      heartbeat_clear (&heartbeat);
+    }
+}
+
+/* Guards against ranges that are left out of an answer, and so have to be
+   released, for the sake of long handover tokens.  */
+static void
+test_answer_tokens (void)
+{
+  struct heartbeat_answer *answer = g_new0 (struct heartbeat_answer, 1);
+  char *text;
+  guint rows = 0;
+  const char *at;
+  guint i;
+
+  answer->renews_grant = TRUE;
+  answer->range_count = ANSWER_RANGES_MAX;
+  for (i = 0; i < ANSWER_RANGES_MAX; i++)
+    {
+      answer->ranges[i].first = answer->ranges[i].last = 60000 + i;
+      answer->ranges[i].fence = 1000 + i;
+      name_of (answer->ranges[i].handover_token, HANDOVER_TOKEN_SIZE - 1, i);
+    }
+  text = platform_heartbeat_answer (answer);
+  CU_ASSERT_TRUE (strlen (text) <= 4096);
+  for (at = strstr (text, "[6"); at != NULL; at = strstr (at + 1, "[6"))
+    rows++;
+  CU_ASSERT_EQUAL (rows, ANSWER_RANGES_MAX);
+  CU_ASSERT_PTR_NOT_NULL (strstr (text, answer->ranges[0].handover_token));
+  g_free (text);
+  g_free (answer);
+}
+
 /* Return how many faults a file with a section called NAME has.  */
 static guint
 count_ini_faults (const char *name)
@@ -183,6 +297,9 @@
           { "record with a long name is passed on as deleted",
             test_records_since },
           { "map outgrows the store", test_map_size },
+          { "heartbeat with many ranges is refused", test_heartbeat_ranges },
+          { "heartbeat with a long text is refused", test_heartbeat_texts },
+          { "tokens push ranges out of an answer", test_answer_tokens },
           { "settings with a long name are refused", test_settings_names },
           CU_TEST_INFO_NULL };
 
--- a/tests/test_platform_read.c
+++ b/tests/test_platform_read.c
@@ -96,6 +96,7 @@
   CU_ASSERT_EQUAL (heartbeat.held_ranges[0].fence, 3);
   CU_ASSERT_EQUAL (heartbeat.released_count, 1);
   CU_ASSERT_STRING_EQUAL (heartbeat.released_ranges[0].handover_token, "t");
+  heartbeat_clear (&heartbeat);
 }
 
 /* Malformed heartbeats are rejected.  */
@@ -122,7 +123,10 @@
   guint i;
 
   for (i = 0; i < G_N_ELEMENTS (texts); i++)
-    CU_ASSERT_EQUAL (read_heartbeat (texts[i], &heartbeat), ERR_MALFORMED);
+    {
+      CU_ASSERT_EQUAL (read_heartbeat (texts[i], &heartbeat), ERR_MALFORMED);
+      heartbeat_clear (&heartbeat);
+    }
 }
 
 /* An answer lists the ranges to hold, or is empty if it renews nothing.  */
--- a/tests/test_shard_map.c
+++ b/tests/test_shard_map.c
@@ -147,6 +147,7 @@
   grant_on_answered (&grant, answer, SECOND);
   heartbeat->sequence = 2;
   heartbeat->released_count = 1;
+  heartbeat->released_ranges = g_new0 (struct key_range, 1);
   heartbeat->released_ranges[0].last = shard->last;
   g_strlcpy (heartbeat->released_ranges[0].handover_token, "t",
              sizeof heartbeat->released_ranges[0].handover_token);
