--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -57,6 +57,7 @@
   const struct evacuated_zones *zones = &mesh->evacuations.zones;
   guint32 i;
 
+  add_line (text, "evacuations_dropped", mesh->evacuations.dropped_count);
   g_string_append_printf (text, "evacuated{zone=\"%s\"} %d\n",
                           mesh->settings.zone,
                           mesh_evacuation_is_local (mesh));
--- a/src/fleet/evacuations.c
+++ b/src/fleet/evacuations.c
@@ -14,10 +14,11 @@
   return zones->count;
 }
 
-/* Add ZONE to ZONES, or remove it if it IS_CANCELLED.  A set that is full
-   takes no further name; a deployment has far fewer data centres.  */
+/* Add ZONE to ZONES, which are to be those of EVACUATIONS, or remove it if it
+   IS_CANCELLED.  A set that is full takes no further name; it is counted.  */
 static void
-apply (struct evacuated_zones *zones, const char *zone, gboolean is_cancelled)
+apply (struct evacuations *evacuations, struct evacuated_zones *zones,
+       const char *zone, gboolean is_cancelled)
 {
   guint32 i = index_of (zones, zone);
 
@@ -25,10 +26,12 @@
     {
       zones->count--;
       if (i < zones->count)
-        memcpy (zones->names[i], zones->names[zones->count], NAME_SIZE);
+        zones->names[i] = zones->names[zones->count];
     }
   else if (!is_cancelled && i == zones->count && i < EVACUATED_ZONES_MAX)
-    g_strlcpy (zones->names[zones->count++], zone, NAME_SIZE);
+    zones->names[zones->count++] = g_intern_string (zone);
+  else if (!is_cancelled && i == zones->count)
+    evacuations->dropped_count++;
 }
 
 /* Return whether ZONES takes more of the operator's topic into account than
@@ -88,7 +91,7 @@
     zones.count = 0;
   for (i = 0; i < count; i++)
     if (is_listing || items[i].offset >= evacuations->zones.offset)
-      apply (&zones, items[i].zone, items[i].is_cancelled);
+      apply (evacuations, &zones, items[i].zone, items[i].is_cancelled);
   zones.offset = next_offset;
   return evacuations_adopt (evacuations, &zones, serve_until);
 }
--- a/src/fleet/evacuations.h
+++ b/src/fleet/evacuations.h
@@ -14,6 +14,8 @@
   gint64 serve_until[EVACUATED_ZONES_MAX]; /* requests that servers there have
                                               accepted, or for keys that they
                                               hold, may start until then */
+  guint32 dropped_count;  /* names that the set, which was full, did not
+                             take */
   guint64 changed_offset; /* offset of the set in which a name was added or
                              removed last, 0: none ever was */
 };
--- a/src/mesh/mesh_evacuation.c
+++ b/src/mesh/mesh_evacuation.c
@@ -199,11 +199,16 @@
                             struct actions *out)
 {
   gboolean was_local = mesh_evacuation_is_local (mesh);
+  guint32 dropped_before = mesh->evacuations.dropped_count;
 
   if (evacuations_read (&mesh->evacuations, event->items, event->count,
                         event->is_listing, event->next_offset,
                         serve_until (mesh)))
     on_change (mesh, was_local, "store", now, out);
+  if (mesh->evacuations.dropped_count != dropped_before)
+    mesh_log (out, LOG_EVENT_MESH_BAD_INPUT, mesh->settings.name,
+              "what=evacuation reason=full dropped=%u outcome=skipped",
+              mesh->evacuations.dropped_count - dropped_before);
 }
 
 /* Process the set in GOSSIP.  */
--- a/src/wire/wire_mesh.c
+++ b/src/wire/wire_mesh.c
@@ -64,7 +64,7 @@
   if (!xdr_uint32_t (xdr, &zones->count) || zones->count > EVACUATED_ZONES_MAX)
     return FALSE;
   for (i = 0; i < zones->count; i++)
-    if (!wire_fixed_string (xdr, zones->names[i], NAME_SIZE))
+    if (!wire_interned_name (xdr, &zones->names[i]))
       return FALSE;
   return TRUE;
 }
--- a/tests/test_evacuations.c
+++ b/tests/test_evacuations.c
@@ -39,7 +39,7 @@
   struct evacuated_zones zones = { .offset = offset };
 
   if (zone != NULL)
-    g_strlcpy (zones.names[zones.count++], zone, NAME_SIZE);
+    zones.names[zones.count++] = zone;
   return zones;
 }
 
@@ -153,7 +153,7 @@
   CU_ASSERT_EQUAL (evacuations_serve_until (&evacuations, "z1"), G_MAXINT64);
   evacuations_adopt (&evacuations, &set, 100);
   set = zones_of (3, "z0");
-  g_strlcpy (set.names[set.count++], "z1", NAME_SIZE);
+  set.names[set.count++] = "z1";
   evacuations_adopt (&evacuations, &set, 200);
   CU_ASSERT_EQUAL (evacuations_serve_until (&evacuations, "z1"), 100);
   CU_ASSERT_EQUAL (evacuations_serve_until (&evacuations, "z0"), 200);
@@ -178,6 +178,7 @@
       read_one (&evacuations, name, i, FALSE);
     }
   CU_ASSERT_EQUAL (evacuations.zones.count, EVACUATED_ZONES_MAX);
+  CU_ASSERT_EQUAL (evacuations.dropped_count, EVACUATED_ZONES_MAX);
   CU_ASSERT_TRUE (evacuations_include (&evacuations, "z0"));
 }
 
--- a/tests/test_limits.c
+++ b/tests/test_limits.c
@@ -1,9 +1,11 @@
+#include "fleet/evacuations.h"
 #include "fleet/fleet_state.h"
 #include "platform/heartbeat.h"
 #include "shard/answer_grants.h"
 #include "tests/suite.h"
 #include "types/ini.h"
 #include "wire/wire_fleet.h"
+#include "wire/wire_mesh.h"
 
 #include <string.h>
 
@@ -254,6 +256,42 @@
   g_free (answer);
 }
 
+/* Guards against an evacuation that is not carried out since there are others:
+   a set takes EVACUATED_ZONES_MAX data centres with names of any valid length,
+   passes whole between nodes, and counts what it does not take.  */
+static void
+test_evacuated_zones (void)
+{
+  struct evacuations evacuations = { 0 };
+  struct mesh_call call = { .kind = MESH_GOSSIP };
+  struct mesh_call decoded = { 0 };
+  GByteArray *bytes;
+  guint i;
+
+  for (i = 0; i <= EVACUATED_ZONES_MAX; i++)
+    {
+      struct evacuation item = { .offset = i };
+      name_of (item.zone, i == 0 ? 5 : 200, i);
+      evacuations_read (&evacuations, &item, 1, FALSE, i + 1, 0);
+      CU_ASSERT_EQUAL (evacuations_include (&evacuations, item.zone),
+                       i < EVACUATED_ZONES_MAX);
+      CU_ASSERT_EQUAL (evacuations.dropped_count,
+                       i < EVACUATED_ZONES_MAX ? 0u : 1u);
+    }
+  call.u.gossip.evacuated = evacuations.zones;
+  bytes = wire_encode (wire_mesh_call, &call, MESH_BLOB_BYTES_MAX);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (bytes);
+  CU_ASSERT_EQUAL (
+      wire_decode (wire_mesh_call, &decoded, bytes->data, bytes->len),
+      ERR_NONE);
+  CU_ASSERT_EQUAL_FATAL (decoded.u.gossip.evacuated.count,
+                         EVACUATED_ZONES_MAX);
+  for (i = 0; i < EVACUATED_ZONES_MAX; i++)
+    CU_ASSERT_STRING_EQUAL (decoded.u.gossip.evacuated.names[i],
+                            evacuations.zones.names[i]);
+  g_byte_array_unref (bytes);
+}
+
 /* Return how many faults a file with a section called NAME has.  */
 static guint
 count_ini_faults (const char *name)
@@ -300,6 +338,7 @@
           { "heartbeat with many ranges is refused", test_heartbeat_ranges },
           { "heartbeat with a long text is refused", test_heartbeat_texts },
           { "tokens push ranges out of an answer", test_answer_tokens },
+          { "evacuation is dropped", test_evacuated_zones },
           { "settings with a long name are refused", test_settings_names },
           CU_TEST_INFO_NULL };
 
--- a/tests/test_mesh_evacuation_gossip.c
+++ b/tests/test_mesh_evacuation_gossip.c
@@ -69,7 +69,7 @@
   g_strlcpy (call.u.gossip.name, "b", NAME_SIZE);
   call.u.gossip.evacuated.offset = 9;
   call.u.gossip.evacuated.count = 1;
-  g_strlcpy (call.u.gossip.evacuated.names[0], OWN_ZONE, NAME_SIZE);
+  call.u.gossip.evacuated.names[0] = OWN_ZONE;
   event.u.mesh_call.call = &call;
   feed_event (fixture, &event);
   CU_ASSERT_TRUE (mesh_evacuation_is_local (&fixture->mesh));
--- a/tests/test_wire_mesh.c
+++ b/tests/test_wire_mesh.c
@@ -35,7 +35,7 @@
   gossip->load.warmup_msec = 1700;
   gossip->evacuated.offset = 21;
   gossip->evacuated.count = 1;
-  g_strlcpy (gossip->evacuated.names[0], "z1", NAME_SIZE);
+  gossip->evacuated.names[0] = "z1";
   gossip->report_count = 1;
   gossip->reports[0].incarnation = 8;
   gossip->reports[0].age_msec = 300;
