links: a request that was held up is not taken for a new one

Servers got requests up to 6 s after their callers had left (GONE).

Cause: a forwarded request carries the time left, counted anew by the node that reads it. A link that is cut delivers what was sent at the beginning of the cut up to its own length after its end.

Change: a forwarded request says when it was sent, and the receiver takes what it took longer than the fastest message of late from the time left. One whose time has passed is refused as not run; one that was held up for 400 ms is submitted 50 ms later, so that its cancellation is read first. Older versions ignore the time, and send none.

Measured: test_source_peer fails in two tests if the delay counts as 0, and passes now.

--- a/src/edge/counters.c
+++ b/src/edge/counters.c
@@ -19,6 +19,7 @@
   add_line (text, "left_before_read", counters->left_before_read);
   add_line (text, "from_peers", counters->peer_requests);
   add_line (text, "cancelled_before_start", counters->cancelled_before_start);
+  add_line (text, "expired_on_link", counters->expired_on_link);
   add_line (text, "run", counters->server_runs);
   add_line (text, "forwarded", counters->forwarded_attempts);
   add_line (text, "retried", counters->retried_attempts);
--- a/src/edge/counters.h
+++ b/src/edge/counters.h
@@ -16,9 +16,11 @@
   guint64 peer_requests;    /* requests that other nodes forwarded here */
   guint64 cancelled_before_start; /* of these, cancelled before they were
                                      submitted */
-  guint64 server_runs;            /* runs started at the local server */
-  guint64 forwarded_attempts;     /* attempts forwarded to other nodes */
-  guint64 retried_attempts;       /* attempts after a request's first */
+  guint64 expired_on_link; /* requests that other nodes forwarded here, held up
+                              on the way until their deadline */
+  guint64 server_runs;     /* runs started at the local server */
+  guint64 forwarded_attempts; /* attempts forwarded to other nodes */
+  guint64 retried_attempts;   /* attempts after a request's first */
   guint64 refused_by_reason[REASON_COUNT]; /* by enum reason */
   guint64 ended_by_outcome[3];             /* requests, by enum outcome */
   guint64 request_bytes;                   /* bytes of request bodies */
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -39,6 +39,8 @@
   struct handle link;     /* connection to that node */
   guint64 stream;         /* id of the stream, chosen by that node */
   guint32 forward_xid;    /* xid of the RPC_FORWARD_REQUEST */
+  gint64 submit_at;       /* when the request is submitted, monotonic usec; 0:
+                             at the end of the batch that it came with */
   gboolean head_sent;     /* the response head was sent */
   gboolean read_pending;  /* an RPC_READ_RESPONSE waits for bytes */
   guint32 read_xid;       /* xid of the last RPC_READ_RESPONSE */
@@ -177,7 +179,7 @@
                             gsize count);
 void source_peer_on_forward (struct proxy *proxy,
                              const struct link_event *event);
-void source_peer_submit_arrivals (struct proxy *proxy);
+void source_peer_submit_arrivals (struct proxy *proxy, gint64 now);
 void source_peer_on_chunk (struct proxy *proxy,
                            const struct link_event *event);
 void source_peer_on_read (struct proxy *proxy, const struct link_event *event);
--- a/src/edge/link.h
+++ b/src/edge/link.h
@@ -3,6 +3,7 @@
 
 #include "edge/conn.h"
 #include "types/table.h"
+#include "types/transit.h"
 #include "wire/wire_rpc.h"
 
 /* ONC RPC between nodes on the main loop: one connection to each peer, with
@@ -66,6 +67,7 @@
   struct conn *conn;           /* TCP connection */
   GHashTable *pending_calls;   /* struct link_call by xid: not answered yet */
   guint32 last_xid;            /* xid of the last call made */
+  struct transit transit;      /* delay of the requests that the peer sent */
   gboolean is_retired;         /* new calls use another connection */
   gint64 expires_at; /* if retired: time at which the connection is closed
                         unless a message arrives earlier, monotonic usec; 0: a
@@ -97,6 +99,8 @@
                          enum rpc_procedure procedure, guint64 serial);
 void links_reply (struct links *links, struct handle link, guint32 xid,
                   enum err code, wire_filter *filter, const void *item);
+gint64 links_delay_usec (struct links *links, struct handle link,
+                         gint64 sent_at, gint64 now);
 guint32 links_unsent_count (const struct links *links);
 void links_expire (struct links *links, gint64 now);
 void links_retire (struct links *links, struct address to, gint64 now);
--- a/src/edge/link_call.c
+++ b/src/edge/link_call.c
@@ -172,6 +172,20 @@
     }
 }
 
+/* Return how long a message that arrived on the connection H at NOW was held
+   up, microseconds.  It was sent at SENT_AT on the peer's clock; 0: that is
+   not known.  */
+gint64
+links_delay_usec (struct links *links, struct handle h, gint64 sent_at,
+                  gint64 now)
+{
+  struct link *link = table_get (&links->link_table, h);
+
+  if (link == NULL || sent_at == 0)
+    return 0;
+  return transit_delay_usec (&link->transit, sent_at, now);
+}
+
 /* Return how many accepted connections have unsent replies.  */
 guint32
 links_unsent_count (const struct links *links)
--- a/src/edge/proxy.c
+++ b/src/edge/proxy.c
@@ -1,5 +1,7 @@
 #include "edge/proxy.h"
 
+#include "types/clock.h"
+
 #include "edge/held_bytes.h"
 
 #include <string.h>
@@ -97,7 +99,7 @@
       dispatch_reply (proxy, event);
       break;
     case LINK_BATCH_END:
-      source_peer_submit_arrivals (proxy);
+      source_peer_submit_arrivals (proxy, clock_usec ());
       break;
     case LINK_CLOSED:
       source_peer_on_closed (proxy, event->link);
@@ -160,6 +162,7 @@
   http_expire (&proxy->http, now);
   http_server_expire (&proxy->callers, now);
   links_expire (&proxy->links, now);
+  source_peer_submit_arrivals (proxy, now);
   source_peer_send_long (proxy, now);
 }
 
--- a/src/edge/source_peer.c
+++ b/src/edge/source_peer.c
@@ -8,6 +8,13 @@
 
 #include <string.h>
 
+/* A request that its link has held up for this long is stale: its caller may
+   have left meanwhile.  */
+#define STALE_USEC ((gint64)400000)
+/* A stale request is submitted this long after its arrival, unless its
+   cancellation arrives by then.  */
+#define SETTLE_USEC ((gint64)50000)
+
 /* Return the exchange of STREAM on the connection LINK, or NULL.  */
 static struct exchange *
 find_stream (struct proxy *proxy, struct handle link, guint64 stream)
@@ -166,12 +173,13 @@
 
 /* RPCs */
 
-/* Create an exchange for the request in FORWARD, sent by a peer.  It is
-   submitted at the end of the batch, since its cancellation may have arrived
-   with it.  */
+/* Create an exchange for the request in FORWARD, sent by a peer, which was
+   held up for DELAY_USEC.  It is submitted at the end of the batch, since its
+   cancellation may have arrived with it; if it was held up for long, so was
+   its cancellation, which may take a little longer.  */
 static void
 add_arrival (struct proxy *proxy, const struct link_event *event,
-             const struct forward_request *forward)
+             const struct forward_request *forward, gint64 delay_usec)
 {
   struct exchange *exchange = exchange_add (proxy, SOURCE_PEER);
   struct stream_key key = { event->link.bits, forward->stream };
@@ -181,7 +189,8 @@
   exchange->source.u.peer.forward_xid = event->xid;
   exchange->request = forward->request;
   exchange->request.forwarded = TRUE;
-  exchange->request.deadline += clock_usec ();
+  exchange->source.u.peer.submit_at
+      = delay_usec >= STALE_USEC ? clock_usec () + SETTLE_USEC : 0;
   exchange->method = g_strdup (forward->method);
   exchange->request_target = g_strdup (forward->target);
   exchange->request_headers = headers_parse (forward->headers);
@@ -198,13 +207,16 @@
 }
 
 /* Handle RPC_FORWARD_REQUEST: a peer forwards a request.  It is refused unless
-   it is meant for this incarnation of the node.  */
+   it is meant for this incarnation of the node, and if it was held up on the
+   link until its deadline.  */
 void
 source_peer_on_forward (struct proxy *proxy, const struct link_event *event)
 {
   struct forward_request forward = { 0 };
   struct action_answer error
-      = { .outcome = OUTCOME_NOT_RUN, .reason = REASON_PEER_LOST };
+      = { .outcome = OUTCOME_NOT_RUN, .reason = REASON_NONE };
+  gint64 now = clock_usec ();
+  gint64 delay_usec;
 
   if (wire_decode (wire_forward_request, &forward, event->bytes, event->length)
       != ERR_NONE)
@@ -213,13 +225,21 @@
                    NULL);
       return;
     }
+  delay_usec
+      = links_delay_usec (&proxy->links, event->link, forward.sent_at, now);
+  forward.request.deadline += now - delay_usec;
   if (!held_bytes_may_begin (HANDLE_NONE))
     error.reason = REASON_MEMORY;
-  if (error.reason == REASON_MEMORY
-      || forward.target_incarnation != proxy->self_incarnation)
+  else if (forward.target_incarnation != proxy->self_incarnation)
+    error.reason = REASON_PEER_LOST;
+  else if (delay_usec > 0 && forward.request.deadline <= now)
+    error.reason = REASON_DEADLINE;
+  if (error.reason == REASON_DEADLINE)
+    proxy->counters.expired_on_link++;
+  if (error.reason != REASON_NONE)
     reply_error (proxy, event->link, event->xid, &error);
   else
-    add_arrival (proxy, event, &forward);
+    add_arrival (proxy, event, &forward, delay_usec);
   xdr_free ((xdrproc_t)wire_forward_request, (char *)&forward);
 }
 
--- a/src/edge/source_peer_batch.c
+++ b/src/edge/source_peer_batch.c
@@ -5,22 +5,26 @@
 /* What follows the RPCs of a peer that arrived together, and the end of its
    connection.  */
 
-/* Submit the requests that have arrived and were not cancelled meanwhile.  */
+/* Submit the requests that have arrived, were not cancelled meanwhile, and are
+   due at NOW.  Those that are submitted may bring more requests.  */
 void
-source_peer_submit_arrivals (struct proxy *proxy)
+source_peer_submit_arrivals (struct proxy *proxy, gint64 now)
 {
+  guint kept = 0;
   guint i;
 
   for (i = 0; i < proxy->arrivals->len; i++)
     {
-      struct exchange *exchange = exchange_get (
-          proxy, g_array_index (proxy->arrivals, struct handle, i));
-      if (exchange != NULL)
-        exchange_submit (exchange);
-      else
+      struct handle h = g_array_index (proxy->arrivals, struct handle, i);
+      struct exchange *exchange = exchange_get (proxy, h);
+      if (exchange == NULL)
         proxy->counters.cancelled_before_start++;
+      else if (exchange->source.u.peer.submit_at > now)
+        g_array_index (proxy->arrivals, struct handle, kept++) = h;
+      else
+        exchange_submit (exchange);
     }
-  g_array_set_size (proxy->arrivals, 0);
+  g_array_set_size (proxy->arrivals, kept);
 }
 
 /* Cancel all requests of a peer whose connection has ended.  */
--- a/src/edge/target_peer.c
+++ b/src/edge/target_peer.c
@@ -51,7 +51,8 @@
   forward.stream = proxy->last_stream_id;
   forward.target_incarnation = action->peer_incarnation;
   forward.request = action->request;
-  forward.request.deadline -= clock_usec ();
+  forward.sent_at = clock_usec ();
+  forward.request.deadline -= forward.sent_at;
   forward.fence = action->fence;
   forward.method = exchange->method;
   forward.target = exchange->request_target;
--- a/src/types/forward_msg.h
+++ b/src/types/forward_msg.h
@@ -23,6 +23,8 @@
   guint32 chunk_length;   /* length of chunk, bytes */
   guint8 *chunk;          /* first bytes of the body */
   gboolean is_last_chunk; /* the body ends with this chunk */
+  gint64 sent_at;         /* when the message was queued, microseconds on the
+                             sender's clock; 0: not known */
 };
 
 /* The head of the answer, or how the request ended without an answer.  */
--- a/src/wire/wire_forward.c
+++ b/src/wire/wire_forward.c
@@ -51,6 +51,18 @@
   return xdr->x_op == XDR_DECODE;
 }
 
+/* XDR filter for when MESSAGE was sent, which is encoded behind whether it is
+   a call: versions that do not know it end the message before it, or ignore
+   it.  */
+static bool_t
+wire_sent_at (XDR *xdr, struct forward_request *message)
+{
+  if (wire_i64 (xdr, &message->sent_at))
+    return TRUE;
+  message->sent_at = 0;
+  return xdr->x_op == XDR_DECODE;
+}
+
 /* XDR filter for struct forward_request.  */
 bool_t
 wire_forward_request (XDR *xdr, void *item)
@@ -68,7 +80,8 @@
          && wire_bytes (xdr, &message->chunk, &message->chunk_length,
                         BODY_QUEUE_BYTES)
          && wire_bool (xdr, &message->is_last_chunk)
-         && wire_is_call (xdr, &message->request);
+         && wire_is_call (xdr, &message->request)
+         && wire_sent_at (xdr, message);
 }
 
 /* XDR filter for struct forward_response_head.  */
--- a/tests/test_source_peer.c
+++ b/tests/test_source_peer.c
@@ -4,6 +4,8 @@
 
 /* Requests that another node forwards and cancels.  */
 
+/* What the first message, to which the others are compared, may take.  */
+#define SLACK_USEC ((gint64)200000)
 #define FILLER_CALLS 3u /* forwarded requests that fill one read */
 
 /* The forwarding node.  */
@@ -50,9 +52,10 @@
                          ERR_NONE);
 }
 
-/* Forward a request with a body of COUNT bytes.  Return its stream.  */
+/* Forward a request with a body of COUNT bytes, which says that it was sent
+   DELAY_USEC ago.  Return its stream.  */
 static guint64
-forward (struct sender *sender, guint32 count)
+forward_late (struct sender *sender, guint32 count, gint64 delay_usec)
 {
   static guint8 bytes[BODY_QUEUE_BYTES];
   struct link_tag tag = { 0 };
@@ -65,7 +68,8 @@
           .body_length = count,
           .chunk_length = count,
           .chunk = bytes,
-          .is_last_chunk = TRUE };
+          .is_last_chunk = TRUE,
+          .sent_at = clock_usec () - delay_usec };
 
   g_strlcpy (message.request.service, "pay", sizeof message.request.service);
   message.request.priority = PRIORITY_NORMAL;
@@ -75,6 +79,13 @@
   return message.stream;
 }
 
+/* Forward a request with a body of COUNT bytes.  Return its stream.  */
+static guint64
+forward (struct sender *sender, guint32 count)
+{
+  return forward_late (sender, count, 0);
+}
+
 /* Cancel the forwarded request STREAM.  */
 static void
 cancel (struct sender *sender, guint64 stream)
@@ -187,6 +198,60 @@
   bench_stop (&bench);
 }
 
+/* Guards against a request that is started for a caller that had left while
+   the link held it up: its deadline has passed since it was sent, though it
+   says that time is left.  */
+static void
+test_expired_on_link (void)
+{
+  struct bench bench;
+  struct sender sender;
+
+  start_served (&bench, &sender);
+  sender.replies = 0;
+  forward_late (&sender, 0, CASE_USEC + SLACK_USEC);
+  run_until (&sender.replies);
+  run_ready ();
+  CU_ASSERT_EQUAL (sender.outcome, OUTCOME_NOT_RUN);
+  CU_ASSERT_EQUAL (sender.reason, REASON_DEADLINE);
+  CU_ASSERT_EQUAL (bench.requests, 1);
+  CU_ASSERT_EQUAL (bench.node.proxy.counters.expired_on_link, 1);
+  links_clear (&sender.links);
+  bench_stop (&bench);
+}
+
+/* Guards against a request that the link held up and that is started before
+   its cancellation, which the link held up too, is read.  Without one it is
+   started, with the time that is left of it.  */
+static void
+test_cancelled_on_link (void)
+{
+  struct bench bench;
+  struct sender sender;
+  guint64 stream;
+  struct handle h;
+  gint64 until;
+
+  start_served (&bench, &sender);
+  stream = forward_late (&sender, 0, CASE_USEC / 2 + SLACK_USEC);
+  until = clock_usec () + USEC_PER_SEC;
+  while (bench.node.proxy.exchanges.count == 0 && clock_usec () < until)
+    g_main_context_iteration (NULL, FALSE);
+  h = table_next (&bench.node.proxy.exchanges, HANDLE_NONE);
+  CU_ASSERT_PTR_NOT_NULL_FATAL (exchange_get (&bench.node.proxy, h));
+  CU_ASSERT_TRUE (exchange_get (&bench.node.proxy, h)->request.deadline
+                  <= clock_usec () + CASE_USEC / 2);
+  run_ready ();
+  cancel (&sender, stream);
+  sender.replies = 0;
+  forward_late (&sender, 0, CASE_USEC / 2);
+  run_until (&sender.replies);
+  CU_ASSERT_EQUAL (sender.outcome, OUTCOME_DONE);
+  CU_ASSERT_EQUAL (bench.requests, 2);
+  links_clear (&sender.links);
+  bench_stop (&bench);
+}
+
 /* Guards against a request that is dropped for lack of memory without a word,
    or with a word that it was not run while it runs.  */
 static void
@@ -223,6 +288,8 @@
       = { { "cancelled before it was read", test_cancelled_before_read },
           { "cancelled behind a backlog", test_cancelled_behind_backlog },
           { "cancelled while it waits", test_cancelled_while_waiting },
+          { "expired while the link held it up", test_expired_on_link },
+          { "cancelled while the link held it up", test_cancelled_on_link },
           { "dropped for lack of memory", test_dropped },
           CU_TEST_INFO_NULL };
 
--- a/tests/test_wire_forward.c
+++ b/tests/test_wire_forward.c
@@ -3,7 +3,8 @@
 
 #include <string.h>
 
-#define CALL_BYTES 4u /* encoded length of whether a request is a call */
+#define CALL_BYTES 4u    /* encoded length of whether a request is a call */
+#define SENT_AT_BYTES 8u /* encoded bytes of when it was sent */
 
 /* A forwarded request is the same after encoding and decoding.  */
 static void
@@ -25,6 +26,7 @@
   sent.request.run_class = RUN_ONCE;
   sent.request.deadline = 1500000;
   sent.request.is_call = TRUE;
+  sent.sent_at = 123456;
   sent.fence.offset = 21;
   bytes = wire_encode (wire_forward_request, &sent, 65536);
   CU_ASSERT_PTR_NOT_NULL_FATAL (bytes);
@@ -41,23 +43,25 @@
   CU_ASSERT_STRING_EQUAL (decoded.request.service, "enquiry-desk");
   CU_ASSERT_STRING_EQUAL (decoded.headers, "A: b\r\n");
   CU_ASSERT_TRUE (decoded.is_last_chunk);
+  CU_ASSERT_EQUAL (decoded.sent_at, 123456);
   xdr_free ((xdrproc_t)wire_forward_request, (char *)&decoded);
   g_byte_array_unref (bytes);
 }
 
 /* Truncated bytes cannot be decoded, wherever they are cut, except where a
-   message of a version that does not know calls ends.  */
+   message of a version ends that does not know calls, or when it was sent.  */
 static void
 test_request_cut_short (void)
 {
   struct forward_request sent = { .method = (char *)"GET",
                                   .target = (char *)"/",
                                   .headers = (char *)"",
-                                  .request.is_call = TRUE };
+                                  .request.is_call = TRUE,
+                                  .sent_at = 7 };
   GByteArray *bytes = wire_encode (wire_forward_request, &sent, 65536);
   guint length;
 
-  for (length = 0; length < bytes->len - CALL_BYTES; length++)
+  for (length = 0; length < bytes->len - CALL_BYTES - SENT_AT_BYTES; length++)
     {
       struct forward_request decoded = { 0 };
       CU_ASSERT_EQUAL (
@@ -66,11 +70,14 @@
     }
   for (; length < bytes->len; length++)
     {
-      struct forward_request decoded = { .request.is_call = TRUE };
+      struct forward_request decoded
+          = { .request.is_call = TRUE, .sent_at = 9 };
+      gboolean knows_calls = length >= bytes->len - SENT_AT_BYTES;
       CU_ASSERT_EQUAL (
           wire_decode (wire_forward_request, &decoded, bytes->data, length),
           ERR_NONE);
-      CU_ASSERT_FALSE (decoded.request.is_call);
+      CU_ASSERT_EQUAL (decoded.request.is_call, knows_calls);
+      CU_ASSERT_EQUAL (decoded.sent_at, 0);
       xdr_free ((xdrproc_t)wire_forward_request, (char *)&decoded);
     }
   g_byte_array_unref (bytes);
