--- a/src/shard/key_lease.h
+++ b/src/shard/key_lease.h
@@ -16,12 +16,12 @@
 
 struct key_lease
 {
-  guint32 first;                            /* lowest key of the range */
-  guint32 last;                             /* highest key of the range */
-  guint64 fence;                            /* fence in the shard map */
-  enum key_lease_state state;               /* progress */
-  char handover_token[HANDOVER_TOKEN_SIZE]; /* passed with grants; once
-                                     released, the token for the next holder */
+  guint32 first;              /* lowest key of the range */
+  guint32 last;               /* highest key of the range */
+  guint64 fence;              /* fence in the shard map */
+  enum key_lease_state state; /* progress */
+  /* passed with grants; once released, the token for the next holder */
+  char handover_token[HANDOVER_TOKEN_SIZE];
   gint64 requests_until; /* requests may be sent until then */
   guint64 order_serial;  /* order on its way, 0: none */
   gint64 order_until;    /* end of the grant of that order */
--- a/src/types/key_order.h
+++ b/src/types/key_order.h
@@ -22,8 +22,8 @@
   guint32 last;         /* highest key of the range */
   guint64 fence;        /* fencing token of the call */
   gint64 granted_until; /* grant: end of the grant, monotonic usec */
-  char handover_token[HANDOVER_TOKEN_SIZE]; /* grant: token of the previous
-                                     holder, or empty */
+  /* grant: token of the previous holder, or empty */
+  char handover_token[HANDOVER_TOKEN_SIZE];
   char server[NAME_SIZE]; /* id of the server that is meant */
 };
 
--- a/src/types/key_order_result.h
+++ b/src/types/key_order_result.h
@@ -15,8 +15,8 @@
                              ERR_REFUSED: the call was not sent; ERR_INVALID:
                              it was rejected; ERR_INDETERMINATE: it may have
                              been executed */
-  char handover_token[HANDOVER_TOKEN_SIZE]; /* release: token for the next
-                                               holder */
+  /* release: token for the next holder */
+  char handover_token[HANDOVER_TOKEN_SIZE];
 };
 
 #endif
--- a/src/types/limits.h
+++ b/src/types/limits.h
@@ -3,13 +3,11 @@
 
 /* Limits and sizes shared by several modules.  */
 
-#define NAME_SIZE                                                             \
-  256u /* bytes in a name, with the final zero; a DNS name                    \
-          has up to 253 characters */
-#define HANDOVER_TOKEN_SIZE                                                   \
-  64u                        /* bytes in a handover token, with the final     \
-                                zero */
-#define KEY_SIZE 128u        /* bytes in a key, with the final zero */
+/* Bytes in a name, with the final zero; a DNS name has up to 253
+   characters.  */
+#define NAME_SIZE 256u
+#define HANDOVER_TOKEN_SIZE 64u /* bytes in a token, with the final zero */
+#define KEY_SIZE 128u           /* bytes in a key, with the final zero */
 #define REQUEST_ID_SIZE 256u /* bytes in a request id, with the final zero */
 #define PATH_SIZE 1024u      /* bytes in the path of a request */
 #define WITNESS_MAX 5u       /* witnesses of one node */
--- a/src/types/log_event.h
+++ b/src/types/log_event.h
@@ -90,9 +90,8 @@
   LOG_EVENT_MESH_MEMORY = 640  /* a memory limit was reached, or left */
 };
 
-#define LOG_EVENT_DETAIL_SIZE                                                 \
-  1536u                          /* bytes of details: four names and some     \
-                                    numbers */
+/* Bytes of details: four names and some numbers.  */
+#define LOG_EVENT_DETAIL_SIZE 1536u
 #define LOG_EVENT_TEXT_SIZE 256u /* bytes in the text field of an event */
 
 /* A log event with its fields; fields that are zero or empty are not
--- a/src/types/shard.h
+++ b/src/types/shard.h
@@ -24,8 +24,8 @@
                                       text; interned, as maps are copied */
   struct server_instance instance; /* server instance that holds the range */
   guint64 fence; /* fencing token, higher for each new holder of a key */
-  char handover_token[HANDOVER_TOKEN_SIZE]; /* previous holder's token for the
-                                     handover, or empty */
+  /* previous holder's token for the handover, or empty */
+  char handover_token[HANDOVER_TOKEN_SIZE];
   const char *next_owner; /* node that receives the range next, or an empty
                              text; interned */
   guint64 loss_id; /* set from next_fence each time that the shard is lost, so
