test_long_names: request ids from one below to one above the limit

Change: ids of 62 to 1000 bytes are sent to a node; those of up to 255 bytes reach the next node whole, and a longer one costs its own request only.

--- a/tests/test_long_names.c
+++ b/tests/test_long_names.c
@@ -69,15 +69,16 @@
   mesh_node_handle_event (&stage->node, &records);
 }
 
-/* Send a request for TARGET at the host of NAMES.  Return the status of the
-   answer.  */
+/* Send a request for TARGET at the host of NAMES under ID.  Return the status
+   of the answer.  */
 static int
-status_of (struct stage *stage, const struct names *names, const char *target)
+status_of (struct stage *stage, const struct names *names, const char *target,
+           const char *id)
 {
   GSocket *caller = connect_to (http_server_port (&stage->node.proxy.callers));
   char *text = g_strdup_printf ("GET %s HTTP/1.1\r\nHost: %s\r\n" NAME_ID
                                 ": %s\r\n" NAME_DEADLINE ": 2000\r\n\r\n",
-                                target, names->host, names->member);
+                                target, names->host, id);
   int status;
 
   send_text (caller, text);
@@ -128,7 +129,7 @@
   journal_set_output (&output);
   stage_init (&stage);
   teach_names (&stage, &names);
-  CU_ASSERT_EQUAL (status_of (&stage, &names, "/x"), 200);
+  CU_ASSERT_EQUAL (status_of (&stage, &names, "/x", names.member), 200);
   CU_ASSERT_EQUAL (stage.runs, 1);
   CU_ASSERT_STRING_EQUAL (stage.last_service, names.service);
   CU_ASSERT_STRING_EQUAL (stage.last_id, names.member);
@@ -153,6 +154,31 @@
   close (ends[1]);
 }
 
+/* Guards against a request that is refused, or cut, for its long id.  An id
+   that is too long costs its own request only.  */
+static void
+test_request_ids (void)
+{
+  static const gsize lengths[] = { 62, 63, 64, 254, 255, 256, 1000, 64 };
+  struct stage stage;
+  struct names names;
+  guint i;
+
+  stage_init (&stage);
+  teach_names (&stage, &names);
+  for (i = 0; i < G_N_ELEMENTS (lengths); i++)
+    {
+      gboolean fits = lengths[i] < REQUEST_ID_SIZE;
+      char *id = g_strnfill (lengths[i], 'i');
+      CU_ASSERT_EQUAL (status_of (&stage, &names, "/x", id), fits ? 200 : 400);
+      if (fits)
+        CU_ASSERT_STRING_EQUAL (stage.last_id, id);
+      g_free (id);
+    }
+  CU_ASSERT_EQUAL (stage.runs, 6);
+  stage_clear (&stage);
+}
+
 /* Guards against requests of a route that cannot be used: they are refused at
    once, are not served by a route with a shorter prefix, and the node says
    so.  */
@@ -166,7 +192,7 @@
 
   stage_init (&stage);
   teach_names (&stage, &names);
-  CU_ASSERT_EQUAL (status_of (&stage, &names, "/bad/x"), 503);
+  CU_ASSERT_EQUAL (status_of (&stage, &names, "/bad/x", "1"), 503);
   CU_ASSERT_EQUAL (stage.runs, 0);
   query = g_strdup_printf ("host=%s&target=%%2Fbad%%2Fx", names.host);
   text = mesh_node_explain (query, &stage.node);
@@ -184,6 +210,7 @@
 main (void)
 {
   CU_TestInfo tests[] = { { "long names are cut", test_whole_way },
+                          { "request id is refused", test_request_ids },
                           { "unusable route", test_unusable_route },
                           CU_TEST_INFO_NULL };
 
