test_shard_map: free the ranges of its heartbeat

Cause: since a heartbeat owns its ranges, and this test freed only the heartbeat.

Change: the test clears the heartbeat.

Checked: the test under the address sanitizer.

--- a/tests/test_shard_map.c
+++ b/tests/test_shard_map.c
@@ -160,6 +160,7 @@
   shard_map_clear (&map);
   g_array_free (candidates, TRUE);
   g_free (answer);
+  heartbeat_clear (heartbeat);
   g_free (heartbeat);
 }
 
