--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,6 +1,6 @@
-"""Case 11, rule ROUTE.  A backend of one service falls silent; later its
-address goes to a backend of another service, beside the same node.  Requests
-that waited at that node for the first backend must not run at the second."""
+"""Case 11, rule ROUTE.  Two backends of one service fall silent; later their
+addresses go to backends of another service, beside the same nodes.  Requests
+that waited at those nodes for the first backends must not run at the second."""
 
 import os, sys
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), '..', 'lab-3'))
@@ -11,7 +11,8 @@
 TIMEOUT_MS = 6000      # timeout of its route
 REUSE_AFTER_S = 2.0    # bound of the deployment
 SLOTS = 4
-SENDS_PER_S = 16       # the three backends complete 12 a second
+SENDS_PER_S = 32       # the six backends complete 24 a second
+SILENT = 2             # of the six backends
 
 
 class Silent(Backend):
@@ -51,7 +52,7 @@
                    route('r-ledger', '/ledger/', 'collections')],
                   [service('plan-records'), service('collections')])
     nodes = [Node(lab, 'side-%d' % i, 'z1', s, store, beat_ms=870)
-             for i, s in enumerate(['plan-records'] * 3 + ['collections'] * 3)]
+             for i, s in enumerate(['plan-records'] * 6 + ['collections'] * 3)]
     for n in nodes:
         await n.start()
     backends = [Silent(lab, n, n.values['service'], work_s=WORK_S, slots=SLOTS) for n in nodes]
@@ -77,14 +78,15 @@
     sender = asyncio.ensure_future(load())
     await asyncio.sleep(5)
     if trouble():
-        old = backends[0]
-        old.fall_silent()
+        for old in backends[:SILENT]:
+            old.fall_silent()
         await asyncio.sleep(REUSE_AFTER_S + 0.25)
-        await old.stop()                      # what is left of it is reset
-        node = nodes[0]
-        node.values['service'] = 'collections'   # the settings name the new service
-        node.write_settings()
-        await Backend(lab, node, 'collections', work_s=WORK_S, slots=SLOTS).start()
+        for old in backends[:SILENT]:
+            await old.stop()                  # what is left of it is reset
+            node = old.node
+            node.values['service'] = 'collections'   # the settings name the new service
+            node.write_settings()
+            await Backend(lab, node, 'collections', work_s=WORK_S, slots=SLOTS).start()
     await asyncio.sleep(6)
     sender.cancel()
     if pending:
--- a/review/lab-3/lab.py
+++ b/review/lab-3/lab.py
@@ -12,8 +12,11 @@
 HOST = '127.%d.%d.%d' % (random.randrange(1, 255), random.randrange(256), random.randrange(1, 255))
 
 
+TAKEN = set()
+
+
 def free_ports(count):
-    """Ports below those that the system gives to outgoing connections."""
+    """Ports below those that the system gives to outgoing connections, each once."""
     import socket
     ports = []
     while len(ports) < count:
@@ -23,7 +26,8 @@
                 s.bind((HOST, port))
             except OSError:
                 continue
-        if port not in ports:
+        if port not in TAKEN:
+            TAKEN.add(port)
             ports.append(port)
     return ports
 
