--- a/review/11/case.py
+++ b/review/11/case.py
@@ -15,25 +15,6 @@
 SILENT = 2             # of the six backends
 
 
-class Silent(Backend):
-    """A backend that can fall silent: it accepts and reads, and says nothing."""
-    dark = False
-
-    async def handle(self, *a):
-        if self.dark:
-            return await asyncio.sleep(1000)
-        await super().handle(*a)
-
-    def reply(self, *a):
-        if not self.dark:
-            super().reply(*a)
-
-    def fall_silent(self):
-        self.dark = True
-        self.task.cancel()
-        self.lab.log('silent', id=self.id, service=self.service)
-
-
 def route(name, prefix, service):
     return dict(name=name, host='plans.example', service=service,
                 **{'path-prefix': prefix, 'route-type': 'idempotent', 'timeout-ms': TIMEOUT_MS,
--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,6 +1,6 @@
-"""Case 12, rule RECOVER.  Backends of a service that is divided by key crash for
-good, one after the other; the address of each goes to a backend of another
-service.  Empty backends of the first service are added.  Its keys must be served
+"""Case 12, rule RECOVER.  Backends of a service that is divided by key fall
+silent for good, one after the other; the address of each goes to a backend of
+another service.  Empty backends of the first service are added.  Its keys must be served
 again."""
 
 import os, sys
@@ -34,7 +34,7 @@
     async def machine(name, what):
         node = Node(lab, name, 'malioboro', what, store, beat_ms=BEAT_MS)
         await node.start()
-        backend = Backend(lab, node, what, sharded=what == 'menu', work_s=0.06, slots=6)
+        backend = Silent(lab, node, what, sharded=what == 'menu', work_s=0.06, slots=6)
         await backend.start()
         return backend
 
@@ -72,8 +72,9 @@
             phase['name'] = 'before-last'
             await asyncio.sleep(6)
         phase['name'] = 'during'
-        await old.stop()
+        old.fall_silent()
         await asyncio.sleep(REUSE_AFTER_S + 0.2)
+        await old.stop()                      # what is left of it is reset
         if REUSE:
             node = old.node
             node.values['service'] = 'kasir'
--- a/review/lab-3/lab.py
+++ b/review/lab-3/lab.py
@@ -415,6 +415,25 @@
         self.reply(writer, 200, {'Request-Id': rid, 'Server-Stamp': self.id + '.' + rid}, b'ok ' + rid.encode())
 
 
+class Silent(Backend):
+    """A backend that can fall silent: it accepts and reads, and says nothing."""
+    dark = False
+
+    async def handle(self, *a):
+        if self.dark:
+            return await asyncio.sleep(1000)
+        await super().handle(*a)
+
+    def reply(self, *a):
+        if not self.dark:
+            super().reply(*a)
+
+    def fall_silent(self):
+        self.dark = True
+        self.task.cancel()
+        self.lab.log('silent', id=self.id, service=self.service)
+
+
 class Client:
     """Sends requests to a node, each on a connection of its own."""
 
