--- a/review/13/case.py
+++ b/review/13/case.py
@@ -11,7 +11,7 @@
 DEADLINE_MS = 3000         # of its clients
 WORK_S = 0.082             # its mean work
 CLIENTS = 10
-AHEAD = 4                  # requests that a client sends behind the first one
+AHEAD = 8                  # requests that a client sends behind the first one
 GAP_S = 0.05               # time between the requests of a client
 READ_PER_S = 300000        # bytes a second that a client reads, once it has sent them
 
