--- a/review/12/case.py
+++ b/review/12/case.py
@@ -8,7 +8,7 @@
 
 WORK_S = 2.2           # mean work of plan-history
 DOWN_S = 3.9           # a crashed backend is back after this
-CRASHES = [0.8, 1.7]   # moments of the crashes after the first request on the added route
+CRASHES = [1.0, 1.8]   # moments of the crashes after the first request on the added route
 CALM_S = 12.0          # after the backends are back, before anything is counted
 COUNT_S = 10.0
 PATH = '/statement/current'
@@ -72,11 +72,11 @@
             t.add_done_callback(pending.discard)
             await asyncio.sleep(1 / per_s)
 
-    senders = [asyncio.ensure_future(load('first', '/history/x', 40))]
+    senders = [asyncio.ensure_future(load('first', '/history/x', 60))]
     await asyncio.sleep(3)
     store.publish([first, added], services)
     await asyncio.sleep(4)
-    senders.append(asyncio.ensure_future(load('added', PATH, 12)))
+    senders.append(asyncio.ensure_future(load('added', PATH, 16)))
     start, crashes = lab.now(), []
     for at, backend in zip(CRASHES, backends):
         await asyncio.sleep(max(0, start + at - lab.now()))
