mesh: requests run only at a server of their service

Cause: requests that waited at a node were given to the server that announced itself there next, whatever its service, and named it as the expected one. In the log of a node the server of collections begins at 853.839, and requests for plan-records that had waited for 424 ms run there in the same millisecond. Ruled out by waited_ms: a wrong choice of the entry node.

Change: the service of the request is compared with that of the server when a request enters the queue and when it leaves it.

--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -46,6 +46,8 @@
 {
   const struct grant *grant = &mesh->grant;
 
+  if (!mesh_serves (mesh, request))
+    return REASON_OTHER_SERVICE;
   if (!server_instance_is_set (&grant->instance) || grant->presumed_dead)
     return REASON_SERVER_DOWN;
   /* A request with a key waits here for the server's first heartbeat.  */
@@ -74,11 +76,11 @@
   mesh_call_add_parent (mesh, exchange);
   request->sent_at = now;
   mesh_log (out, LOG_EVENT_MESH_RUN, request->request.id,
-            "server=%s key=%s rank=%d waited_ms=%" G_GINT64_FORMAT
+            "server=%s service=%s key=%s rank=%d waited_ms=%" G_GINT64_FORMAT
             " left_ms=%" G_GINT64_FORMAT
             " busy=%u/%u beat_ms=%" G_GINT64_FORMAT,
-            mesh->grant.instance.id, request->request.key,
-            (int)request->request.priority,
+            mesh->grant.instance.id, mesh->settings.service,
+            request->request.key, (int)request->request.priority,
             (now - request->arrived_at) / USEC_PER_MSEC,
             (request->request.deadline - now) / USEC_PER_MSEC,
             mesh->admission.busy_slots, mesh->admission.slots,
--- a/src/mesh/mesh_heartbeat.c
+++ b/src/mesh/mesh_heartbeat.c
@@ -147,8 +147,7 @@
   answer = g_new0 (struct heartbeat_answer, 1);
   if (change != GRANT_OUTDATED)
     {
-      g_strlcpy (mesh->settings.service, heartbeat->service,
-                 sizeof mesh->settings.service);
+      mesh_set_service (mesh, heartbeat->service, now, out);
       admission_set_slots (&mesh->admission, heartbeat->slots,
                            QUEUE_PER_SLOT * heartbeat->slots);
       mesh_warmup_on_heartbeat (mesh, heartbeat->warmup_usec, now, out);
--- a/src/mesh/mesh_request_parts.h
+++ b/src/mesh/mesh_request_parts.h
@@ -57,6 +57,12 @@
                         guint64 seed, gint64 now,
                         struct mesh_comparison *comparison);
 
+/* The service of the local backend server, mesh_service.c.  */
+gboolean mesh_serves (const struct mesh *mesh,
+                      const struct mesh_request *request);
+void mesh_set_service (struct mesh *mesh, const char *service, gint64 now,
+                       struct actions *out);
+
 /* Admission to the local backend server, mesh_admit.c.  */
 gboolean mesh_is_sharded (const struct mesh *mesh, const char *service);
 enum reason mesh_admit_check (const struct mesh *mesh,
--- a/src/mesh/mesh_retry.c
+++ b/src/mesh/mesh_retry.c
@@ -39,6 +39,7 @@
     case REASON_SHED:
     case REASON_KEY_DENIED:
     case REASON_EVACUATED:
+    case REASON_OTHER_SERVICE:
       return TRUE;
     default:
       return FALSE;
@@ -59,6 +60,7 @@
     case REASON_DRAINING:
     case REASON_NO_SERVER:
     case REASON_EVACUATED:
+    case REASON_OTHER_SERVICE:
       return TRUE;
     default:
       return FALSE;
--- a/src/types/reason.c
+++ b/src/types/reason.c
@@ -3,15 +3,15 @@
 #include <string.h>
 
 /* Names, indexed by enum reason.  */
-static const char *const reason_names[REASON_COUNT]
-    = { "none",          "no-rule",     "no-key",      "no-owner",
-        "not-owner",     "lease",       "overload",    "deadline",
-        "server-down",   "peer-lost",   "draining",    "no-stamp",
-        "old-stamp",     "duplicate",   "quarantined", "truncated",
-        "refused-grant", "caller-gone", "no-server",   "crossed",
-        "bad-request",   "hops",        "garbled",     "no-config",
-        "misdirected",   "shed",        "key-denied",  "body-lost",
-        "evacuated",     "warming-up",  "memory",      "bad-route" };
+static const char *const reason_names[REASON_COUNT] = {
+  "none",        "no-rule",       "no-key",       "no-owner",    "not-owner",
+  "lease",       "overload",      "deadline",     "server-down", "peer-lost",
+  "draining",    "no-stamp",      "old-stamp",    "duplicate",   "quarantined",
+  "truncated",   "refused-grant", "caller-gone",  "no-server",   "crossed",
+  "bad-request", "hops",          "garbled",      "no-config",   "misdirected",
+  "shed",        "key-denied",    "body-lost",    "evacuated",   "warming-up",
+  "memory",      "bad-route",     "other-service"
+};
 
 /* Return the name of REASON, as sent to callers in Bambootally-Reason.  */
 const char *
--- a/src/types/reason.h
+++ b/src/types/reason.h
@@ -38,7 +38,8 @@
   REASON_MEMORY = 30,     /* the process has reached its memory limit */
   REASON_BAD_ROUTE = 31,  /* the configuration does not say where requests of
                              the route go */
-  REASON_COUNT = 32       /* number of reasons */
+  REASON_OTHER_SERVICE = 32, /* the server here is of another service */
+  REASON_COUNT = 33          /* number of reasons */
 };
 
 const char *reason_name (enum reason reason);
