mesh: keys of a server that was replaced by one of another service

Cause: a node changes only the shards of its present service, and the planner marks only those of owners that are not heard. A node that goes on beside a server of another service is neither. The planner's log has no changed map after the replacement, and no silent owner.

Change: the planner also marks shards whose owner's record names another service as lost. They are given away after the usual term.

Measured: the new case of test_mesh_plan failed before.

--- a/src/mesh/mesh_plan.c
+++ b/src/mesh/mesh_plan.c
@@ -55,7 +55,20 @@
   mesh_propose (mesh, &record, mesh->fleet.applied_offset, now, out);
 }
 
-/* Mark the shards of MAP whose owners are lost.  Return whether there is
+/* Return whether the owner of SHARD, a shard of SERVICE, is lost, or has a
+   server of another service now, which it grants no keys of SERVICE.  */
+static gboolean
+is_owner_gone (struct mesh *mesh, const struct shard *shard,
+               const char *service, gint64 now)
+{
+  struct handle h = fleet_state_find (&mesh->fleet, shard->owner);
+  const struct fleet_member *owner = fleet_state_member_at (&mesh->fleet, h);
+
+  return (owner != NULL && strcmp (owner->service, service) != 0)
+         || mesh_is_lost (mesh, h, now);
+}
+
+/* Mark the shards of MAP whose owners are gone.  Return whether there is
    any.  */
 static gboolean
 mark_lost (struct mesh *mesh, struct shard_map *map, gint64 now)
@@ -67,8 +80,7 @@
     {
       struct shard *shard = shard_map_at (map, i);
       if (shard->state != SHARD_HELD
-          || !mesh_is_lost (
-              mesh, fleet_state_find (&mesh->fleet, shard->owner), now))
+          || !is_owner_gone (mesh, shard, map->service, now))
         continue;
       shard->state = SHARD_LOST;
       shard->loss_id = map->next_fence++;
--- a/tests/test_mesh_plan.c
+++ b/tests/test_mesh_plan.c
@@ -1,7 +1,7 @@
 #include "mesh/mesh_parts.h"
 #include "tests/mesh_fixture.h"
 
-/* Which node proposes the maps.  */
+/* Which node proposes the maps, and what of them.  */
 
 /* Return a node "a" whose service is divided and has no map yet.  */
 static struct fixture *
@@ -76,12 +76,71 @@
   fixture_free (fixture);
 }
 
+/* Give the node the record of a member "b" that serves SERVICE.  */
+static void
+record_other (struct fixture *fixture, const char *service, guint64 offset)
+{
+  struct event event = { .kind = EVENT_FLEET_RECORDS };
+  struct fleet_entry entry = { .offset = offset };
+  struct fleet_member *member = &entry.record.u.member;
+
+  entry.record.kind = FLEET_MEMBER;
+  g_strlcpy (member->name, "b", sizeof member->name);
+  g_strlcpy (member->service, service, sizeof member->service);
+  g_strlcpy (member->instance.id, "sb", sizeof member->instance.id);
+  member->incarnation = 77;
+  member->slots = 4;
+  fleet_record_set_key (&entry.record);
+  event.u.fleet_records.items = &entry;
+  event.u.fleet_records.count = 1;
+  event.u.fleet_records.next_offset = offset + 1;
+  feed_event (fixture, &event);
+}
+
+/* Keys whose owner serves another service now are marked lost, though the
+   owner is heard: nobody else would ever give them a holder again.  */
+static void
+test_keys_of_replaced_owner (void)
+{
+  struct fixture *fixture = start_without_map ();
+  struct mesh *mesh = &fixture->mesh;
+  struct fleet_entry entry = { .offset = 60, .record.kind = FLEET_MAP };
+  struct event event = { .kind = EVENT_FLEET_RECORDS };
+  gboolean is_marked = FALSE;
+  guint i;
+
+  shard_map_init (&entry.record.u.map, OWN_SERVICE);
+  shard_map_at (&entry.record.u.map, 0)->state = SHARD_HELD;
+  shard_map_at (&entry.record.u.map, 0)->owner = "b";
+  fleet_record_set_key (&entry.record);
+  event.u.fleet_records.items = &entry;
+  event.u.fleet_records.count = 1;
+  event.u.fleet_records.next_offset = 61;
+  feed_event (fixture, &event);
+  fleet_record_clear (&entry.record);
+  record_other (fixture, OTHER_SERVICE, 61);
+  for (i = 0; i < 40 && !is_marked; i++)
+    {
+      gossip_from_other (fixture);
+      freshness_confirm (&mesh->freshness[MESH_TOPIC_FLEET], fixture->now, 0);
+      advance (fixture, 50 * MSEC);
+      is_marked = mesh->proposal.is_pending
+                  && mesh->proposal.record.kind == FLEET_MAP
+                  && shard_map_at (&mesh->proposal.record.u.map, 0)->state
+                         == SHARD_LOST;
+    }
+  CU_ASSERT_TRUE (is_marked);
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
-  CU_TestInfo tests[] = { { "another node reads", test_other_reads },
-                          { "nobody reads", test_nobody_reads },
-                          CU_TEST_INFO_NULL };
+  CU_TestInfo tests[]
+      = { { "another node reads", test_other_reads },
+          { "nobody reads", test_nobody_reads },
+          { "owner of another service", test_keys_of_replaced_owner },
+          CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_plan", tests);
 }
