http: a last answer is not cut by a reset behind it

Cause: a connection that is to be closed was closed one second after all bytes were with the system, which may not have delivered them by then. With bytes of the caller unread that is a reset, and drops them. The reset comes 1.0 s after the sending half ends, long before the process does; without requests behind there is none.

Change: the second counts from when the caller has taken the answer, as the system tells, with limits for callers that do not go on. No connection is closed with unread bytes while sent ones are undelivered; those are dropped first. A process that stops waits for such callers within its grace. What is sent after the whole answer was taken is left unread, as before.

--- a/src/edge/conn.c
+++ b/src/edge/conn.c
@@ -13,6 +13,9 @@
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
+#define DROP_BYTES 65536u  /* unread bytes that are dropped at a time */
+#define DROP_READS_MAX 16u /* most reads of such bytes */
+
 /* Lifetime */
 
 /* Release a reference; the connection is freed with the last one.  */
@@ -26,7 +29,43 @@
   g_free (conn);
 }
 
-/* Unregister the socket from the poller and close it.  */
+/* Return the number of bytes that were sent on CONN and that the other end has
+   not acknowledged; 0 if the system cannot tell.  */
+gsize
+conn_undelivered (const struct conn *conn)
+{
+  int count = 0;
+
+  if (conn->socket == NULL
+      || ioctl (g_socket_get_fd (conn->socket), SIOCOUTQ, &count) != 0)
+    return 0;
+  return (gsize)MAX (0, count);
+}
+
+/* Return whether the socket of CONN has bytes that were sent and that the
+   other end has not acknowledged.  FALSE if the system cannot tell.  */
+gboolean
+conn_has_undelivered (const struct conn *conn)
+{
+  return conn_undelivered (conn) > 0;
+}
+
+/* Read and drop what has arrived on CONN: closing a socket with unread bytes
+   resets the connection, and the other end loses what it has not read.  */
+static void
+drop_unread (struct conn *conn)
+{
+  static char bytes[DROP_BYTES];
+  guint reads = 0;
+
+  while (reads++ < DROP_READS_MAX
+         && g_socket_receive (conn->socket, bytes, sizeof bytes, NULL, NULL)
+                > 0)
+    continue;
+}
+
+/* Unregister the socket from the poller and close it.  What was sent is
+   delivered after that, unless it is to be discarded.  */
 static void
 close_socket (struct conn *conn)
 {
@@ -35,6 +74,8 @@
   conn_set_poll_events (conn, 0);
   poller_remove (conn->poll_handle);
   held_bytes_remove (conn->holder);
+  if (!conn->is_discarded && conn_has_undelivered (conn))
+    drop_unread (conn);
   g_socket_close (conn->socket, NULL);
   g_clear_object (&conn->socket);
 }
@@ -49,18 +90,6 @@
   conn_unref (conn);
 }
 
-/* Return whether the socket of CONN has bytes that were sent and that the
-   other end has not acknowledged.  FALSE if the system cannot tell.  */
-gboolean
-conn_has_undelivered (const struct conn *conn)
-{
-  int count = 0;
-
-  return conn->socket != NULL
-         && ioctl (g_socket_get_fd (conn->socket), SIOCOUTQ, &count) == 0
-         && count > 0;
-}
-
 /* Have CONN reset when it is closed: what the system has not delivered is
    dropped then, and the other end does not take what it has got for whole.  */
 void
@@ -68,6 +97,7 @@
 {
   struct linger drop = { .l_onoff = 1, .l_linger = 0 };
 
+  conn->is_discarded = TRUE;
   if (conn->socket != NULL
       && setsockopt (g_socket_get_fd (conn->socket), SOL_SOCKET, SO_LINGER,
                      &drop, sizeof drop)
--- a/src/edge/conn.h
+++ b/src/edge/conn.h
@@ -55,6 +55,7 @@
   gsize counted_bytes;        /* bytes that it counts in the buffers */
   gsize other_bytes;          /* bytes that the owner holds for it */
   gboolean any_sent;          /* at least one byte was sent */
+  gboolean is_discarded;      /* what was not delivered is dropped */
   conn_event_fn *on_event;    /* receives the events */
   gpointer data;              /* passed to the callback */
 };
@@ -64,6 +65,7 @@
 void conn_set_callback (struct conn *conn, conn_event_fn *fn, gpointer data);
 void conn_send (struct conn *conn, const guint8 *bytes, gsize length);
 gsize conn_unsent (const struct conn *conn);
+gsize conn_undelivered (const struct conn *conn);
 gboolean conn_has_undelivered (const struct conn *conn);
 gboolean conn_withdraw (struct conn *conn, guint64 position, gsize length);
 void conn_consume (struct conn *conn, gsize length);
--- a/src/edge/http_server.c
+++ b/src/edge/http_server.c
@@ -169,6 +169,20 @@
   memset (server, 0, sizeof *server);
 }
 
+/* Return how many callers have not taken all of a response behind which their
+   connection is closed.  */
+guint
+http_server_owed_count (const struct http_server *server)
+{
+  struct handle h = table_next (&server->conns, HANDLE_NONE);
+  guint count = 0;
+
+  for (; handle_is_set (h); h = table_next (&server->conns, h))
+    if (http_server_conn_owes (table_get (&server->conns, h)))
+      count++;
+  return count;
+}
+
 /* Close the connections that are due to be closed at NOW, and accept again
    where that had failed.  */
 void
@@ -183,7 +197,7 @@
   for (; handle_is_set (h); h = table_next (&server->conns, h))
     {
       struct http_server_conn *c = table_get (&server->conns, h);
-      if (c->close_at != 0 && c->close_at <= now)
+      if (c->close_at != 0 && http_server_conn_linger (c, now))
         http_server_conn_free (c);
     }
   for (i = 0; i < server->listeners->len; i++)
--- a/src/edge/http_server.h
+++ b/src/edge/http_server.h
@@ -88,6 +88,7 @@
 enum err http_server_listen (struct http_server *server, struct address at);
 guint16 http_server_port (const struct http_server *server);
 void http_server_clear (struct http_server *server);
+guint http_server_owed_count (const struct http_server *server);
 void http_server_expire (struct http_server *server, gint64 now);
 
 /* A request.  */
--- a/src/edge/http_server_conn.h
+++ b/src/edge/http_server_conn.h
@@ -62,6 +62,12 @@
                               responses, 0: none */
   gint64 close_at;         /* when the connection is closed at last, monotonic
                               usec; 0: not decided */
+  gint64 linger_until;     /* `close_at' is not put off beyond this time */
+  gint64 checked_at;       /* when progress was checked last */
+  gsize undelivered_bytes; /* sent bytes that the caller had not acknowledged
+                              when that was checked last */
+  guint64 dropped_bytes;   /* bytes that were read and dropped */
+  guint64 dropped_before;  /* the same when that was checked last */
 };
 
 void http_server_conn_add (struct http_server *server, GSocket *socket);
@@ -85,6 +91,8 @@
 
 /* Refusals and the end, http_server_close.c.  */
 void http_server_conn_close_soon (struct http_server_conn *c);
+gboolean http_server_conn_linger (struct http_server_conn *c, gint64 now);
+gboolean http_server_conn_owes (const struct http_server_conn *c);
 void http_server_conn_refuse_head (struct http_server_conn *c, enum err code);
 void http_server_conn_refuse_body (struct http_server_conn *c, enum err code);
 void http_server_conn_send_refusal (struct http_server_conn *c, enum err code);
--- a/src/edge/http_server_read.c
+++ b/src/edge/http_server_read.c
@@ -236,6 +236,7 @@
     case HTTP_INPUT_UNREAD:
       return FALSE;
     case HTTP_INPUT_DROPPED:
+      c->dropped_bytes += c->conn->receive_buffer->len - c->parsed_bytes;
       c->parsed_bytes = c->conn->receive_buffer->len;
       return FALSE;
     }
--- a/src/edge/proxy.c
+++ b/src/edge/proxy.c
@@ -166,9 +166,11 @@
   source_peer_send_long (proxy, now);
 }
 
-/* Return the number of exchanges in progress and of replies not sent.  */
+/* Return the number of exchanges in progress, of replies not sent, and of
+   callers that still take a last response.  */
 guint32
 proxy_pending_count (const struct proxy *proxy)
 {
-  return proxy->exchanges.count + links_unsent_count (&proxy->links);
+  return proxy->exchanges.count + links_unsent_count (&proxy->links)
+         + http_server_owed_count (&proxy->callers);
 }
