mesh: a record that counts a probe is not taken for a second report

Change: a record overwrites a report only if the count of probes is the same too, and the era of the store.

Measured: test_mesh_quarantine, "simultaneous reports", fails without it.

--- a/src/mesh/mesh_crash_report.h
+++ b/src/mesh/mesh_crash_report.h
@@ -1,7 +1,7 @@
 #ifndef BAMBOOTALLY_MESH_CRASH_REPORT_H
 #define BAMBOOTALLY_MESH_CRASH_REPORT_H
 
-#include <glib.h>
+#include "types/fleet_suspect.h"
 
 /* A record by which this node reported that a request crashed a server.  */
 
@@ -9,9 +9,8 @@
 
 struct mesh_crash_report
 {
-  guint64 digest;      /* digest of the request, 0: none */
-  guint32 crash_count; /* crashes by the record */
-  guint64 offset;      /* offset of the record */
+  struct fleet_suspect suspect; /* the record; digest 0: none */
+  guint64 offset;               /* its offset */
 };
 
 #endif
--- a/src/mesh/mesh_quarantine.c
+++ b/src/mesh/mesh_quarantine.c
@@ -88,30 +88,38 @@
     report_losses (mesh, now);
 }
 
-/* Report the crash of REPORT, a record of this node, again: a record with the
-   same count was written over it by a node that did not know of this crash. */
+/* Return whether OTHER at OFFSET was written over REPORT, a record of this
+   node, by a node that did not know of that crash: it has the same counts.  A
+   new era repeats records.  */
+static gboolean
+overwrites (const struct fleet_suspect *other, guint64 offset,
+            const struct mesh_crash_report *report)
+{
+  return report->suspect.digest == other->digest
+         && report->suspect.crash_count == other->crash_count
+         && report->suspect.probe_count == other->probe_count
+         && report->offset < offset
+         && store_offset_era (report->offset) == store_offset_era (offset);
+}
+
+/* Report the crash of REPORT, which was overwritten, again.  */
 static void
 report_again (struct mesh *mesh, struct mesh_crash_report *report)
 {
-  g_array_append_val (mesh->crash_reports, report->digest);
-  report->digest = 0;
+  g_array_append_val (mesh->crash_reports, report->suspect.digest);
+  report->suspect.digest = 0;
 }
 
 /* Process ENTRY, the record of a suspect, which was applied.  */
 void
 mesh_quarantine_on_record (struct mesh *mesh, const struct fleet_entry *entry)
 {
-  const struct fleet_suspect *suspect = &entry->record.u.suspect;
   guint i;
 
   for (i = 0; i < MESH_CRASH_REPORTS_MAX; i++)
-    {
-      struct mesh_crash_report *own = &mesh->own_reports[i];
-      if (own->digest == suspect->digest
-          && own->crash_count == suspect->crash_count
-          && own->offset < entry->offset)
-        report_again (mesh, own);
-    }
+    if (overwrites (&entry->record.u.suspect, entry->offset,
+                    &mesh->own_reports[i]))
+      report_again (mesh, &mesh->own_reports[i]);
 }
 
 /* Process the append of SUSPECT, a record of this node, at OFFSET.  */
@@ -122,13 +130,13 @@
   struct mesh_crash_report *own = &mesh->own_reports[mesh->next_own_report];
   const struct quarantine_entry *known
       = quarantine_find (&mesh->fleet.quarantine, suspect->digest);
+  guint64 known_offset
+      = fleet_state_offset (&mesh->fleet, mesh->proposal.record.key);
 
-  own->digest = suspect->digest;
-  own->crash_count = suspect->crash_count;
+  own->suspect = *suspect;
   own->offset = offset;
   mesh->next_own_report = (mesh->next_own_report + 1) % MESH_CRASH_REPORTS_MAX;
-  if (known != NULL && known->suspect.crash_count == suspect->crash_count
-      && fleet_state_offset (&mesh->fleet, mesh->proposal.record.key) > offset)
+  if (known != NULL && overwrites (&known->suspect, known_offset, own))
     report_again (mesh, own);
 }
 
--- a/tests/test_mesh_quarantine.c
+++ b/tests/test_mesh_quarantine.c
@@ -136,7 +136,7 @@
 }
 
 /* Two nodes that report at the same time write the same count; the earlier one
-   reports again.  */
+   reports again.  A record that counts a probe is no report.  */
 static void
 test_simultaneous_reports (void)
 {
@@ -151,6 +151,12 @@
   confirm_proposals (fixture);
   CU_ASSERT_EQUAL (crashes_of (fixture, DIGEST), 3);
   fixture_free (fixture);
+  fixture = fixture_new ();
+  crash (fixture, DIGEST, TRUE, 100 * MSEC);
+  record_suspect (fixture, 1, 1);
+  confirm_proposals (fixture);
+  CU_ASSERT_EQUAL (crashes_of (fixture, DIGEST), 1);
+  fixture_free (fixture);
 }
 
 /* Guards against a verdict that no proof ends: a good run at the local server
