digest: caller, host and service tell requests apart

Cause: the digest was made of method, path and body, and a digest that had run well at a node was not reported there. The log has each end of a server (outcome=dead) and no proposal of a suspect after it.

Change: types/request_digest makes the digest of method, path, host, caller, service and body, with the head in its upper half. The service is added once the request is routed, and explained requests are known by the same marks.

--- a/src/edge/dialect.c
+++ b/src/edge/dialect.c
@@ -2,6 +2,21 @@
 
 #include "edge/exchange.h"
 
+/* Return the service whose host requests enter at, NULL if servers are not
+   told that.  */
+const char *
+dialect_caller (const struct dialect *dialect)
+{
+  switch (dialect->kind)
+    {
+    case DIALECT_OWN:
+      return NULL;
+    case DIALECT_PLATFORM:
+      return dialect->u.platform.caller_service;
+    }
+  return NULL;
+}
+
 /* Fill in the properties of a request that routing needs, from its HEADERS.
    Return the reason why it cannot be routed, or REASON_NONE.  */
 enum reason
--- a/src/edge/dialect.h
+++ b/src/edge/dialect.h
@@ -28,6 +28,7 @@
   } u;
 };
 
+const char *dialect_caller (const struct dialect *dialect);
 enum reason dialect_parse_request (const struct dialect *dialect,
                                    struct exchange *exchange,
                                    SoupMessageHeaders *headers);
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -2,6 +2,7 @@
 
 #include "edge/held_bytes.h"
 #include "edge/proxy.h"
+#include "types/request_digest.h"
 #include "wire/wire_forward.h"
 
 #include <string.h>
@@ -62,6 +63,23 @@
   table_remove (&exchange->proxy->exchanges, exchange->self);
 }
 
+/* Set the digest of the request of EXCHANGE from a caller.  The body is left
+   out if it is forwarded before it was received completely.  */
+static void
+set_digest (struct exchange *exchange)
+{
+  const struct body *body = &exchange->request_body;
+  struct request *request = &exchange->request;
+
+  request->head_digest = request_digest_of_head (
+      exchange->method, exchange->request_target, exchange->host_header,
+      dialect_caller (&exchange->proxy->dialect));
+  request_digest_set_body (
+      request,
+      request_digest_of_body (body_data (body),
+                              body->is_complete ? body_remaining (body) : 0));
+}
+
 /* Submit a request to the core for a decision.  Only the node that received it
    from a caller computes its digest; the other nodes use the digest that was
    forwarded.  */
@@ -71,7 +89,7 @@
   struct event event = { .kind = EVENT_REQUEST };
 
   if (exchange->source.kind == SOURCE_CALLER)
-    exchange->request.digest = exchange_digest (exchange);
+    set_digest (exchange);
 
   event.u.request.exchange = exchange->self;
   event.u.request.request = exchange->request;
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -139,8 +139,6 @@
 struct exchange *exchange_get (const struct proxy *proxy, struct handle h);
 void exchange_remove (struct exchange *exchange);
 void exchange_submit (struct exchange *exchange);
-guint64 exchange_digest (const struct exchange *exchange);
-guint64 exchange_head_digest (const char *method, const char *target);
 void exchange_body_ended (struct exchange *exchange, enum body_end end);
 void exchange_disconnected (struct exchange *exchange, enum body_end end);
 
--- a/src/edge/mesh_node_explain.c
+++ b/src/edge/mesh_node_explain.c
@@ -30,6 +30,7 @@
   struct mesh_explain_query query
       = { .host = g_hash_table_lookup (form, "host"),
           .target = g_hash_table_lookup (form, "target"),
+          .method = method != NULL ? method : "GET",
           .key = "" };
   struct mesh_explanation explanation;
   guint64 deadline_msec = DEADLINE_DEFAULT_MSEC;
@@ -41,8 +42,6 @@
 
   if (query.host == NULL || query.target == NULL)
     return NULL;
-  query.digest
-      = exchange_head_digest (method != NULL ? method : "GET", query.target);
   if (!read_number (form, "key", 10, KEY_MAX, &key)
       || !read_number (form, "deadline-ms", 10, G_MAXUINT32, &deadline_msec)
       || !read_number (form, "body-bytes", 10, G_MAXUINT32, &body_bytes)
--- a/src/mesh/mesh_explain.c
+++ b/src/mesh/mesh_explain.c
@@ -3,13 +3,15 @@
 #include "mesh/mesh_comparison.h"
 #include "mesh/mesh_parts.h"
 #include "mesh/mesh_trial.h"
+#include "types/request_digest.h"
 
 /* Explanations of where requests would go.  All decisions are taken on copies
    of the mesh, by the functions that decide on requests.  */
 
-/* Return the request that QUERY describes, as it arrives at NOW.  */
+/* Return the request that QUERY describes, as it arrives at MESH at NOW.  */
 static struct mesh_request
-arriving_request (const struct mesh_explain_query *query, gint64 now)
+arriving_request (const struct mesh *mesh,
+                  const struct mesh_explain_query *query, gint64 now)
 {
   struct mesh_request request = { .arrived_at = now,
                                   .caller_deadline = query->deadline,
@@ -17,6 +19,13 @@
 
   request.request.deadline = query->deadline;
   request.request.digest = query->digest;
+  if (query->digest == 0)
+    {
+      request.request.head_digest = request_digest_of_head (
+          query->method, query->target, query->host, mesh->settings.service);
+      request_digest_set_body (&request.request,
+                               request_digest_of_body ("", 0));
+    }
   request.request.slice = query->key_number;
   g_strlcpy (request.request.key, query->key, sizeof request.request.key);
   return request;
@@ -247,7 +256,7 @@
   struct actions actions;
   guint i;
 
-  event.u.request.request = arriving_request (query, now).request;
+  event.u.request.request = arriving_request (trial, query, now).request;
   event.u.request.exchange = exchange;
   event.u.request.host = query->host;
   event.u.request.target = query->target;
@@ -274,7 +283,7 @@
 mesh_explain (const struct mesh *mesh, const struct mesh_explain_query *query,
               gint64 now, struct mesh_explanation *explanation)
 {
-  struct mesh_request request = arriving_request (query, now);
+  struct mesh_request request = arriving_request (mesh, query, now);
   struct routing *routing;
   struct route *route;
   struct mesh trial;
--- a/src/mesh/mesh_explain_query.h
+++ b/src/mesh/mesh_explain_query.h
@@ -11,7 +11,9 @@
   const char *target; /* path and query of the request */
   const char *key;    /* its key in decimal, or empty */
   guint32 key_number; /* its key, 0 if it has none */
-  guint64 digest;     /* digest of the request */
+  const char *method; /* its method */
+  guint64 digest;     /* digest of the request, 0: that of its head and no
+                         body */
   gint64 deadline;    /* deadline of its caller, monotonic usec */
   gint64 body_bytes;  /* length of its body */
 };
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -1,4 +1,5 @@
 #include "mesh/mesh_parts.h"
+#include "types/request_digest.h"
 
 #define ROUTE_RECHECK_USEC ((gint64)25000) /* between checks for an owner */
 
@@ -31,6 +32,7 @@
 
   g_strlcpy (message->service, route_next_service (route),
              sizeof message->service);
+  request_digest_set_service (message);
   g_strlcpy (request->route_name, route->name, sizeof request->route_name);
   message->run_class = route->run_class;
   message->priority = route->priority;
--- a/src/types/request.h
+++ b/src/types/request.h
@@ -53,9 +53,13 @@
                                does not have the form of a call's id; never
                                sent to other nodes */
   struct stamp stamp;       /* stamp that the request carries */
-  guint64 digest; /* digest of method, path and the first bytes of the body */
-  gint64 due_at;  /* an answer after this time is late, monotonic microseconds;
-                     0: not known; never sent to other nodes */
+  guint64 digest;           /* digest of head and body, 0: not known; see
+                               types/request_digest.h */
+  guint64 head_digest;      /* digest of the head alone, 0: not known */
+  guint64 body_digest;      /* digest of the body */
+  gboolean has_body_digest; /* the body is whole, and its digest known */
+  gint64 due_at; /* an answer after this time is late, monotonic microseconds;
+                    0: not known; never sent to other nodes */
   gint64 deadline;    /* when the request times out, monotonic microseconds */
   guint32 attempts;   /* times the request was sent so far */
   gboolean forwarded; /* another node forwarded the request */
