uploads: known by their bodies, also when those pass through

Change: the body is hashed as it passes, at the entry node and beside the server, and a request has no digest before its last byte. An upload whose head is that of a request in quarantine is routed once it is whole, up to 64 KiB; of a longer one the last byte is withheld until its digest is known.

--- a/src/edge/caller_body.c
+++ b/src/edge/caller_body.c
@@ -29,7 +29,7 @@
       return;
     }
   proxy->counters.request_bytes += count;
-  body_append (&exchange->request_body, bytes, count);
+  exchange_append_request (exchange, bytes, count);
   if (!body_is_full (&exchange->request_body) || exchange->has_response)
     return;
   caller->body_paused = TRUE;
@@ -69,6 +69,10 @@
   if (caller->submitted)
     {
       exchange_body_ended (exchange, BODY_END_WHOLE);
+      exchange = exchange_get (proxy, self);
+      if (exchange == NULL)
+        return;
+      exchange->withholds_end = FALSE;
       exchange_pump_request (exchange);
     }
   else
--- a/src/edge/exchange.c
+++ b/src/edge/exchange.c
@@ -53,6 +53,7 @@
       break;
     }
   held_bytes_charge (exchange->holder, -BYTES_PER_REQUEST);
+  exchange_digest_clear (exchange);
   body_clear (&exchange->request_body);
   body_clear (&exchange->response_body);
   g_clear_pointer (&exchange->request_headers, soup_message_headers_unref);
@@ -63,8 +64,8 @@
   table_remove (&exchange->proxy->exchanges, exchange->self);
 }
 
-/* Set the digest of the request of EXCHANGE from a caller.  The body is left
-   out if it is forwarded before it was received completely.  */
+/* Set the digest of the request of EXCHANGE from a caller, or begin to compute
+   it if its body is not whole.  */
 static void
 set_digest (struct exchange *exchange)
 {
@@ -74,10 +75,12 @@
   request->head_digest = request_digest_of_head (
       exchange->method, exchange->request_target, exchange->host_header,
       dialect_caller (&exchange->proxy->dialect));
-  request_digest_set_body (
-      request,
-      request_digest_of_body (body_data (body),
-                              body->is_complete ? body_remaining (body) : 0));
+  if (body->is_complete)
+    request_digest_set_body (
+        request,
+        request_digest_of_body (body_data (body), body_remaining (body)));
+  else
+    exchange_digest_begin (exchange);
 }
 
 /* Submit a request to the core for a decision.  Only the node that received it
@@ -107,6 +110,9 @@
   struct event event = { .kind = EVENT_BODY_ENDED };
   const struct body *body = &exchange->request_body;
 
+  exchange_digest_end (exchange);
+  event.u.body_ended.has_digest = exchange->request.has_body_digest;
+  event.u.body_ended.digest = exchange->request.body_digest;
   event.u.body_ended.exchange = exchange->self;
   event.u.body_ended.end = end;
   event.u.body_ended.stated_bytes = exchange->request_length;
@@ -199,6 +205,15 @@
     target_abort (exchange);
 }
 
+/* Return how many buffered bytes of the request body may be sent.  */
+gsize
+exchange_sendable (const struct exchange *exchange)
+{
+  gsize left = body_remaining (&exchange->request_body);
+
+  return exchange->withholds_end && left > 0 ? left - 1 : left;
+}
+
 /* Forward the buffered part of the request body to the target, and let the
    source send more if there is room.  */
 void
--- a/src/edge/exchange.h
+++ b/src/edge/exchange.h
@@ -10,6 +10,8 @@
 #include "types/forward_msg.h"
 #include "types/server_notice.h"
 
+#include <xxhash.h>
+
 struct proxy;
 
 /* A request in transit through this process, with its source, its target, and
@@ -129,6 +131,10 @@
   SoupMessageHeaders *request_headers; /* headers to forward */
   gint64 request_length;         /* request body size in bytes, -1 unknown */
   struct body request_body;      /* request body */
+  XXH3_state_t *body_hash;       /* hash of the request body so far, NULL: not
+                                    computed */
+  gboolean withholds_end;        /* the last byte of the request body is not
+                                    sent yet */
   struct body response_body;     /* response body */
   struct response_head response; /* response head */
   gboolean has_response;         /* the response head is ready to be sent */
@@ -139,6 +145,11 @@
 struct exchange *exchange_get (const struct proxy *proxy, struct handle h);
 void exchange_remove (struct exchange *exchange);
 void exchange_submit (struct exchange *exchange);
+void exchange_digest_begin (struct exchange *exchange);
+void exchange_append_request (struct exchange *exchange, const guint8 *bytes,
+                              gsize count);
+void exchange_digest_end (struct exchange *exchange);
+void exchange_digest_clear (struct exchange *exchange);
 void exchange_body_ended (struct exchange *exchange, enum body_end end);
 void exchange_disconnected (struct exchange *exchange, enum body_end end);
 
@@ -153,6 +164,7 @@
 void exchange_forward (struct proxy *proxy,
                        const struct action_forward *action);
 void exchange_cancel (struct proxy *proxy, struct handle h);
+gsize exchange_sendable (const struct exchange *exchange);
 gboolean exchange_begin_attempt (struct exchange *exchange);
 void exchange_pump_request (struct exchange *exchange);
 void exchange_attempt_ended (struct exchange *exchange, enum outcome outcome,
--- a/src/edge/source_peer.c
+++ b/src/edge/source_peer.c
@@ -197,6 +197,10 @@
   exchange->request_length = forward->body_length;
   body_append (&exchange->request_body, forward->chunk, forward->chunk_length);
   exchange->request_body.is_complete = forward->is_last_chunk;
+  if (exchange->request.digest == 0 && exchange->request.head_digest != 0)
+    exchange_digest_begin (exchange);
+  if (forward->is_last_chunk)
+    exchange_digest_end (exchange);
   exchange_set_holder (exchange,
                        held_bytes_add (BYTE_HOLDER_STREAM, exchange));
   g_hash_table_insert (proxy->streams, g_memdup2 (&key, sizeof key),
@@ -261,7 +265,7 @@
   else
     {
       proxy->counters.request_bytes += chunk.chunk_length;
-      body_append (&exchange->request_body, chunk.chunk, chunk.chunk_length);
+      exchange_append_request (exchange, chunk.chunk, chunk.chunk_length);
       exchange->request_body.is_complete = chunk.is_last_chunk;
       if (chunk.is_last_chunk)
         exchange_body_ended (exchange, BODY_END_WHOLE);
--- a/src/edge/target_peer.c
+++ b/src/edge/target_peer.c
@@ -12,8 +12,7 @@
 static guint32
 next_chunk (struct exchange *exchange, guint8 **bytes, gboolean *end)
 {
-  gsize count
-      = MIN (body_remaining (&exchange->request_body), BODY_CHUNK_BYTES);
+  gsize count = MIN (exchange_sendable (exchange), BODY_CHUNK_BYTES);
 
   *bytes = (guint8 *)body_data (&exchange->request_body);
   *end = exchange->request_body.is_complete
@@ -46,6 +45,7 @@
   memset (&exchange->response.stamp, 0, sizeof exchange->response.stamp);
   exchange->response.owner_address = action->caller_address;
   exchange->request.deadline = action->request.deadline;
+  exchange->withholds_end = action->withholds_end;
   exchange->target.kind = TARGET_PEER;
   exchange->target.u.peer.stream = ++proxy->last_stream_id;
   forward.stream = proxy->last_stream_id;
@@ -79,8 +79,8 @@
   struct link_tag tag = attempt_tag (exchange);
 
   if (peer->chunk_pending || peer->end_sent
-      || (body_remaining (&exchange->request_body) == 0
-          && (!exchange->request_body.is_complete
+      || (exchange_sendable (exchange) == 0
+          && (!exchange->request_body.is_complete || exchange->withholds_end
               || body_is_cut (&exchange->request_body))))
     return;
   chunk.chunk_length
--- a/src/edge/target_server.c
+++ b/src/edge/target_server.c
@@ -169,6 +169,7 @@
   request.deadline = action->deadline;
   exchange->response.stamp = action->stamp;
   exchange->response.owner_address = (struct address){ 0, 0 };
+  exchange->withholds_end = action->withholds_end;
   exchange->target.kind = TARGET_SERVER;
   exchange->target.u.server.attempt_id = action->attempt_id;
   g_strlcpy (exchange->target.u.server.expected_server, action->server,
@@ -188,7 +189,7 @@
 {
   struct http *http = &exchange->proxy->http;
   struct handle call = exchange->target.u.server.call;
-  gsize left = body_remaining (&exchange->request_body);
+  gsize left = exchange_sendable (exchange);
 
   if (left > 0 && http_unsent (http, call) < BODY_QUEUE_BYTES)
     {
--- a/src/fleet/quarantine.c
+++ b/src/fleet/quarantine.c
@@ -1,5 +1,7 @@
 #include "fleet/quarantine.h"
 
+#include "types/request_digest.h"
+
 #define SECOND_USEC ((gint64)1000000)
 #define MINUTE_USEC (60 * SECOND_USEC)
 #define HOUR_USEC (60 * MINUTE_USEC)
@@ -83,6 +85,25 @@
   return entry != NULL && is_held (entry);
 }
 
+/* Return whether any request that is held back has the head HEAD_DIGEST.  */
+gboolean
+quarantine_holds_head (const struct quarantine *quarantine,
+                       guint64 head_digest)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, quarantine->entries);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct quarantine_entry *entry = value;
+      if (is_held (entry)
+          && request_digest_has_head (entry->suspect.digest, head_digest))
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* Return how many digests are held back.  */
 guint
 quarantine_held_count (const struct quarantine *quarantine)
--- a/src/fleet/quarantine.h
+++ b/src/fleet/quarantine.h
@@ -33,6 +33,8 @@
 quarantine_find (const struct quarantine *quarantine, guint64 digest);
 gboolean quarantine_holds (const struct quarantine *quarantine,
                            guint64 digest);
+gboolean quarantine_holds_head (const struct quarantine *quarantine,
+                                guint64 head_digest);
 guint quarantine_held_count (const struct quarantine *quarantine);
 gint64 quarantine_probe_at (const struct quarantine_entry *entry);
 void quarantine_on_completed (struct quarantine *quarantine, guint64 digest,
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -194,7 +194,7 @@
       mesh_attempt_ended (mesh, &event->u.attempt_ended, now, out);
       break;
     case EVENT_BODY_ENDED:
-      mesh_body_ended (mesh, &event->u.body_ended, out);
+      mesh_body_ended (mesh, &event->u.body_ended, now, out);
       break;
     case EVENT_DISCONNECTED:
       mesh_disconnected (mesh, event->u.disconnected.exchange, now, out);
--- a/src/mesh/mesh_admit.c
+++ b/src/mesh/mesh_admit.c
@@ -90,6 +90,8 @@
   action->attempt_id = ++mesh->last_attempt_id;
   action->deadline = request->request.deadline;
   g_strlcpy (action->server, mesh->grant.instance.id, sizeof action->server);
+  action->withholds_end
+      = request->withholds_end && request->request.digest == 0;
 }
 
 /* Log that REQUEST waits or is refused for REASON, with the expected wait from
--- a/src/mesh/mesh_end.c
+++ b/src/mesh/mesh_end.c
@@ -1,4 +1,5 @@
 #include "mesh/mesh_parts.h"
+#include "types/request_digest.h"
 
 #define RETRY_MIN_USEC ((gint64)50000)      /* shortest retry advice */
 #define RETRY_UNKNOWN_USEC ((gint64)250000) /* if the wait is not known */
@@ -210,13 +211,12 @@
   return "";
 }
 
-/* Log the end of a request body.  */
+/* Process the end of a request body.  */
 void
 mesh_body_ended (struct mesh *mesh, const struct event_body_ended *event,
-                 struct actions *out)
+                 gint64 now, struct actions *out)
 {
-  const struct mesh_request *request
-      = table_get (&mesh->requests, event->exchange);
+  struct mesh_request *request = table_get (&mesh->requests, event->exchange);
 
   if (request == NULL)
     return;
@@ -227,6 +227,10 @@
             event->stated_bytes, event->dropped_bytes,
             phase_name (request->phase),
             request->request.forwarded ? "node" : "caller");
+  if (!event->has_digest)
+    return;
+  request_digest_set_body (&request->request, event->digest);
+  mesh_quarantine_on_body (mesh, event->exchange, now, out);
 }
 
 /* Cancel the work for EXCHANGE, whose caller or sending node has
--- a/src/mesh/mesh_request_parts.h
+++ b/src/mesh/mesh_request_parts.h
@@ -44,6 +44,8 @@
                                       struct actions *out);
 gboolean mesh_quarantine_propose_common (struct mesh *mesh, gint64 now,
                                          struct actions *out);
+void mesh_quarantine_on_body (struct mesh *mesh, struct handle exchange,
+                              gint64 now, struct actions *out);
 gboolean mesh_quarantine_stops (struct mesh *mesh, struct handle exchange,
                                 gint64 now, struct actions *out);
 
@@ -152,7 +154,7 @@
                          const struct event_attempt_ended *event, gint64 now,
                          struct actions *out);
 void mesh_body_ended (struct mesh *mesh, const struct event_body_ended *event,
-                      struct actions *out);
+                      gint64 now, struct actions *out);
 void mesh_disconnected (struct mesh *mesh, struct handle exchange, gint64 now,
                         struct actions *out);
 void mesh_refuse (struct mesh *mesh, struct handle exchange,
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -118,6 +118,8 @@
   action->peer_incarnation = peer->incarnation;
   action->address = member->peer_address;
   action->request = request->request;
+  action->withholds_end
+      = request->withholds_end && request->request.digest == 0;
 }
 
 /* Return how long REQUEST may still wait for a node.  A call waits as long as
--- a/src/serve/mesh_request.h
+++ b/src/serve/mesh_request.h
@@ -27,10 +27,13 @@
   guint32 max_attempts;   /* servers that the request may reach */
   guint32 reached_count;  /* servers that the request may have reached */
   gboolean may_have_run;  /* an attempt may have been executed */
-  gboolean is_probe;      /* the request is let through though requests with its
-                             digest are held back */
+  gboolean is_probe;    /* the request is let through though requests with its
+                           digest are held back */
+  gboolean awaits_body; /* the request is routed once its body is whole */
+  gboolean withholds_end;   /* the last byte of its body is sent once the
+                               digest of the body is known */
   gboolean is_loss_counted; /* it was counted as lost with the server */
-  gboolean wait_logged;   /* the wait was logged, or is a wait for a grant */
+  gboolean wait_logged;     /* the wait was logged, or is a wait for a grant */
   guint32 last_status; /* HTTP status of the last complete answer, 0: none */
   gint64 caller_retry_at; /* when the caller is told to retry, 0: not told */
   gint64 sent_at;         /* when the current attempt began */
--- a/src/types/action.h
+++ b/src/types/action.h
@@ -72,6 +72,8 @@
   struct address caller_address; /* address for callers, sent as a hint */
   struct request request;        /* request to send */
   struct fence fence;            /* highest fence known to this node */
+  gboolean withholds_end;        /* the last byte of the body is not sent
+                                    before it is known that the body ended */
 };
 
 /* Send a request to the backend server.  */
@@ -84,6 +86,8 @@
   gint64 deadline;        /* when the attempt times out, monotonic usec */
   struct stamp stamp;     /* stamp to return to the caller */
   char server[NAME_SIZE]; /* name of the intended server, empty for any */
+  gboolean withholds_end; /* the last byte of the body is not sent before it is
+                             known that the body ended */
 };
 
 /* End a request with an outcome.  */
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -159,6 +159,8 @@
   gint64 stated_bytes;    /* bytes that the sender stated, -1: none stated */
   guint64 received_bytes; /* bytes that were received */
   guint64 dropped_bytes;  /* of these, bytes that were dropped */
+  gboolean has_digest;    /* the body is whole, and its digest known */
+  guint64 digest;         /* digest of the body */
 };
 
 /* Another node called.  */
--- a/src/wire/wire_forward.c
+++ b/src/wire/wire_forward.c
@@ -39,9 +39,9 @@
          && priority >= PRIORITY_HIGH && priority < PRIORITY_COUNT;
 }
 
-/* XDR filter for whether REQUEST is a call, which is encoded last in a
-   message: versions that do not know it end the message before it, or ignore
-   it.  */
+/* XDR filter for whether REQUEST is a call, which is encoded behind all that
+   is required: versions that do not know it end the message before it, or
+   ignore it.  */
 static bool_t
 wire_is_call (XDR *xdr, struct request *request)
 {
@@ -63,6 +63,17 @@
   return xdr->x_op == XDR_DECODE;
 }
 
+/* XDR filter for the digest of the head of REQUEST, which is encoded last:
+   versions that do not know it end the message before it, or ignore it.  */
+static bool_t
+wire_head_digest (XDR *xdr, struct request *request)
+{
+  if (wire_u64 (xdr, &request->head_digest))
+    return TRUE;
+  request->head_digest = 0;
+  return xdr->x_op == XDR_DECODE;
+}
+
 /* XDR filter for struct forward_request.  */
 bool_t
 wire_forward_request (XDR *xdr, void *item)
@@ -81,7 +92,8 @@
                         BODY_QUEUE_BYTES)
          && wire_bool (xdr, &message->is_last_chunk)
          && wire_is_call (xdr, &message->request)
-         && wire_sent_at (xdr, message);
+         && wire_sent_at (xdr, message)
+         && wire_head_digest (xdr, &message->request);
 }
 
 /* XDR filter for struct forward_response_head.  */
--- a/tests/test_mesh_quarantine.c
+++ b/tests/test_mesh_quarantine.c
@@ -1,5 +1,6 @@
 #include "mesh/mesh_parts.h"
 #include "tests/mesh_fixture.h"
+#include "types/request_digest.h"
 
 /* A node beside servers that crash, and which requests it refuses for that. */
 
@@ -256,6 +257,95 @@
   fixture_free (fixture);
 }
 
+/* Send an upload to TARGET of which only the head is there, with BODY_LENGTH,
+   -1 if it does not say.  */
+static struct handle
+send_upload (struct fixture *fixture, const char *target, gint64 body_length)
+{
+  struct event event = { .kind = EVENT_REQUEST };
+
+  event.u.request.exchange = handle_make (++fixture->last_exchange, 1);
+  event.u.request.request.head_digest
+      = request_digest_of_head ("POST", target, "h", OWN_SERVICE);
+  event.u.request.request.deadline = fixture->now + 5000 * MSEC;
+  event.u.request.host = "h";
+  event.u.request.target = target;
+  event.u.request.body_length = body_length;
+  feed_event (fixture, &event);
+  return event.u.request.exchange;
+}
+
+/* End the body of EXCHANGE, which is TEXT.  */
+static void
+end_body (struct fixture *fixture, struct handle exchange, const char *text)
+{
+  struct event event = { .kind = EVENT_BODY_ENDED };
+
+  event.u.body_ended.exchange = exchange;
+  event.u.body_ended.end = BODY_END_WHOLE;
+  event.u.body_ended.has_digest = TRUE;
+  event.u.body_ended.digest = request_digest_of_body (text, strlen (text));
+  feed_event (fixture, &event);
+}
+
+/* Have two servers crash on uploads to "/own/x" with the body "bad".  */
+static void
+crash_on_upload (struct fixture *fixture)
+{
+  guint i;
+
+  for (i = 0; i < 2; i++)
+    {
+      struct handle exchange = send_upload (fixture, "/own/x", -1);
+      end_body (fixture, exchange, "bad");
+      end_attempt (fixture, exchange, OUTCOME_UNKNOWN, REASON_SERVER_DOWN);
+      start_server (fixture, 200 + i);
+    }
+}
+
+/* Guards against uploads of one path that are all taken for the one that
+   crashes servers: by its body, that one alone is kept from them, whether its
+   length is known, too long to be kept, or not stated.  */
+static void
+test_upload (void)
+{
+  static const gint64 lengths[]
+      = { 30000, BODY_QUEUE_BYTES - 1, BODY_QUEUE_BYTES, 1 << 20, -1 };
+  guint i;
+
+  for (i = 0; i < G_N_ELEMENTS (lengths); i++)
+    {
+      struct fixture *fixture = fixture_new ();
+      gboolean is_kept = lengths[i] > 0 && lengths[i] < BODY_QUEUE_BYTES;
+      const struct action *run;
+      struct handle upload;
+      crash_on_upload (fixture);
+
+      upload = send_upload (fixture, "/own/x", lengths[i]);
+      run = find_action (fixture, ACTION_RUN);
+      CU_ASSERT_EQUAL (run == NULL, is_kept);
+      CU_ASSERT_TRUE (run == NULL || run->u.run.withholds_end);
+      end_body (fixture, upload, "good");
+      CU_ASSERT_PTR_NULL (find_action (fixture, ACTION_ANSWER));
+      CU_ASSERT_EQUAL (find_action (fixture, ACTION_RUN) != NULL, is_kept);
+      end_with_status (fixture, upload, 200);
+
+      upload = send_upload (fixture, "/own/x", lengths[i]);
+      end_body (fixture, upload, "bad");
+      CU_ASSERT_EQUAL (answered_for (fixture, upload), REASON_QUARANTINED);
+      CU_ASSERT_EQUAL (find_action (fixture, ACTION_CANCEL) == NULL, is_kept);
+      CU_ASSERT_EQUAL (find_action (fixture, ACTION_ANSWER)->u.answer.outcome,
+                       is_kept ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN);
+      CU_ASSERT_EQUAL (fixture->mesh.admission.busy_slots, 0);
+
+      upload = send_upload (fixture, "/own/y", lengths[i]);
+      run = find_action (fixture, ACTION_RUN);
+      CU_ASSERT_PTR_NOT_NULL (run);
+      CU_ASSERT_FALSE (run != NULL && run->u.run.withholds_end);
+      fixture_free (fixture);
+    }
+}
+
 int
 main (void)
 {
@@ -266,6 +356,7 @@
           { "simultaneous reports", test_simultaneous_reports },
           { "good run", test_good_run },
           { "probe", test_probe },
+          { "upload", test_upload },
           { "probe without the store", test_probe_without_store },
           CU_TEST_INFO_NULL };
 
--- a/tests/test_wire_forward.c
+++ b/tests/test_wire_forward.c
@@ -5,6 +5,7 @@
 
 #define CALL_BYTES 4u    /* encoded length of whether a request is a call */
 #define SENT_AT_BYTES 8u /* encoded bytes of when it was sent */
+#define HEAD_BYTES 8u    /* encoded bytes of the digest of its head */
 
 /* A forwarded request is the same after encoding and decoding.  */
 static void
@@ -26,6 +27,7 @@
   sent.request.run_class = RUN_ONCE;
   sent.request.deadline = 1500000;
   sent.request.is_call = TRUE;
+  sent.request.head_digest = 321;
   sent.sent_at = 123456;
   sent.fence.offset = 21;
   bytes = wire_encode (wire_forward_request, &sent, 65536);
@@ -44,12 +46,14 @@
   CU_ASSERT_STRING_EQUAL (decoded.headers, "A: b\r\n");
   CU_ASSERT_TRUE (decoded.is_last_chunk);
   CU_ASSERT_EQUAL (decoded.sent_at, 123456);
+  CU_ASSERT_EQUAL (decoded.request.head_digest, 321);
   xdr_free ((xdrproc_t)wire_forward_request, (char *)&decoded);
   g_byte_array_unref (bytes);
 }
 
 /* Truncated bytes cannot be decoded, wherever they are cut, except where a
-   message of a version ends that does not know calls, or when it was sent.  */
+   message of a version ends that does not know calls, when it was sent, or
+   the digest of its head.  */
 static void
 test_request_cut_short (void)
 {
@@ -57,11 +61,13 @@
                                   .target = (char *)"/",
                                   .headers = (char *)"",
                                   .request.is_call = TRUE,
+                                  .request.head_digest = 11,
                                   .sent_at = 7 };
   GByteArray *bytes = wire_encode (wire_forward_request, &sent, 65536);
   guint length;
 
-  for (length = 0; length < bytes->len - CALL_BYTES - SENT_AT_BYTES; length++)
+  for (length = 0;
+       length < bytes->len - CALL_BYTES - SENT_AT_BYTES - HEAD_BYTES; length++)
     {
       struct forward_request decoded = { 0 };
       CU_ASSERT_EQUAL (
@@ -70,14 +76,17 @@
     }
   for (; length < bytes->len; length++)
     {
-      struct forward_request decoded
-          = { .request.is_call = TRUE, .sent_at = 9 };
-      gboolean knows_calls = length >= bytes->len - SENT_AT_BYTES;
+      struct forward_request decoded = { .request.is_call = TRUE,
+                                         .request.head_digest = 5,
+                                         .sent_at = 9 };
+      gboolean knows_calls = length >= bytes->len - SENT_AT_BYTES - HEAD_BYTES;
+      gboolean knows_time = length >= bytes->len - HEAD_BYTES;
       CU_ASSERT_EQUAL (
           wire_decode (wire_forward_request, &decoded, bytes->data, length),
           ERR_NONE);
       CU_ASSERT_EQUAL (decoded.request.is_call, knows_calls);
-      CU_ASSERT_EQUAL (decoded.sent_at, 0);
+      CU_ASSERT_EQUAL (decoded.sent_at, knows_time ? 7 : 0);
+      CU_ASSERT_EQUAL (decoded.request.head_digest, 0);
       xdr_free ((xdrproc_t)wire_forward_request, (char *)&decoded);
     }
   g_byte_array_unref (bytes);
