--- a/tests/test_http_server_linger.c
+++ b/tests/test_http_server_linger.c
@@ -152,8 +152,8 @@
   now = clock_usec ();
   if (stage_conn (&stage) != NULL && stage_conn (&stage)->close_at != 0)
     CU_ASSERT_EQUAL (http_server_owed_count (&stage.server), 1);
-  http_server_expire (&stage.server, now + 60 * G_USEC_PER_SEC);
-  http_server_expire (&stage.server, now + 120 * G_USEC_PER_SEC);
+  http_server_expire (&stage.server, now + (gint64)60 * G_USEC_PER_SEC);
+  http_server_expire (&stage.server, now + (gint64)120 * G_USEC_PER_SEC);
   CU_ASSERT_EQUAL (http_server_owed_count (&stage.server), 0);
   stage_close (&stage);
 }
--- a/tests/test_mesh_quarantine.c
+++ b/tests/test_mesh_quarantine.c
@@ -338,7 +338,7 @@
                        is_kept ? OUTCOME_NOT_RUN : OUTCOME_UNKNOWN);
       CU_ASSERT_EQUAL (fixture->mesh.admission.busy_slots, 0);
 
-      upload = send_upload (fixture, "/own/y", lengths[i]);
+      send_upload (fixture, "/own/y", lengths[i]);
       run = find_action (fixture, ACTION_RUN);
       CU_ASSERT_PTR_NOT_NULL (run);
       CU_ASSERT_FALSE (run != NULL && run->u.run.withholds_end);
--- a/tests/test_quarantine.c
+++ b/tests/test_quarantine.c
@@ -6,6 +6,7 @@
    what counts as evidence, and when a verdict ends.  */
 
 #define SECOND ((gint64)1000000)
+#define HOUR (3600 * SECOND)
 #define START (1000 * SECOND)
 #define DIGEST 17u
 #define OTHER 18u
@@ -130,7 +131,7 @@
 
   quarantine_init (&quarantine);
   apply (&quarantine, crashes, probes, START);
-  for (now = START; now < START + hours * 3600 * SECOND; now += SECOND)
+  for (now = START; now < START + (gint64)hours * HOUR; now += SECOND)
     {
       if (now < quarantine_probe_at (quarantine_find (&quarantine, DIGEST)))
         continue;
@@ -166,7 +167,7 @@
 test_expiry (void)
 {
   struct quarantine quarantine;
-  gint64 day = 24 * 3600 * SECOND;
+  gint64 day = 24 * HOUR;
 
   quarantine_init (&quarantine);
   apply (&quarantine, 1, 0, START);
