--- a/src/mesh/mesh_request_parts.h
+++ b/src/mesh/mesh_request_parts.h
@@ -27,7 +27,8 @@
                                struct handle member, gint64 now,
                                struct actions *out);
 
-/* Requests that crash servers, mesh_quarantine.c.  */
+/* Requests that crash servers, mesh_crash_report.c, mesh_suspect.c and
+   mesh_quarantine.c.  */
 void mesh_quarantine_on_server_ended (struct mesh *mesh, gint64 now);
 void mesh_quarantine_on_lost (struct mesh *mesh,
                               const struct mesh_request *request, gint64 now);
