--- a/src/fleet/quarantine.c
+++ b/src/fleet/quarantine.c
@@ -53,7 +53,6 @@
     {
       entry = g_new0 (struct quarantine_entry, 1);
       entry->suspect.digest = record->digest;
-      entry->since = now;
       g_hash_table_insert (quarantine->entries, &entry->suspect.digest, entry);
     }
   known = &entry->suspect;
--- a/src/fleet/quarantine.h
+++ b/src/fleet/quarantine.h
@@ -19,9 +19,9 @@
 struct quarantine_entry
 {
   struct fleet_suspect suspect; /* the newest record */
-  gint64 since;        /* when the first record of the digest was applied */
-  gint64 changed_at;   /* when the newest record was applied */
-  gint64 completed_at; /* last run that ended well here since, 0: none did */
+  gint64 changed_at;            /* when the newest record was applied */
+  gint64 completed_at; /* last run that ended well here since the first
+                          record was applied, 0: none did */
 };
 
 void quarantine_init (struct quarantine *quarantine);
