--- a/src/edge/mesh_metrics.c
+++ b/src/edge/mesh_metrics.c
@@ -87,6 +87,8 @@
   add_line (
       text, "config_age_ms",
       mesh_age_msec (mesh->freshness[MESH_TOPIC_CONFIG].confirmed_at, now));
+  add_line (text, "config_newest_known", (gint64)mesh->newest_config.version);
+  add_line (text, "config_behind_ms", mesh_behind_msec (mesh, now));
   g_string_append_printf (text, "config_source{node=\"%s\"} 1\n",
                           mesh_routing_source (mesh));
   add_evacuations (text, mesh);
--- a/src/edge/mesh_node_link.c
+++ b/src/edge/mesh_node_link.c
@@ -99,6 +99,7 @@
 {
   struct event event = { .kind = EVENT_MESH_REPLY };
   struct mesh_reply reply = { 0 };
+  gint64 received_at = clock_usec ();
 
   if (link_event->code != ERR_NONE
       || wire_decode (wire_mesh_reply, &reply, link_event->bytes,
@@ -115,6 +116,7 @@
   event.u.mesh_reply.serial = link_event->tag.serial;
   event.u.mesh_reply.member = link_event->tag.user_handle;
   event.u.mesh_reply.reply = &reply;
+  event.u.mesh_reply.received_at = received_at;
   mesh_node_handle_event (node, &event);
   xdr_free ((xdrproc_t)wire_mesh_reply, (char *)&reply);
 }
--- a/src/mesh/mesh.c
+++ b/src/mesh/mesh.c
@@ -120,6 +120,7 @@
              struct actions *out)
 {
   mesh_routing_check (mesh, now);
+  mesh_newest_step (mesh, now, out);
   mesh_slowdown_step (mesh, now);
   mesh_quarantine_step (mesh, now);
   key_rate_decay (&mesh->key_rate, now);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -11,6 +11,7 @@
 #include "fleet/session.h"
 #include "mesh/mesh_crash_report.h"
 #include "mesh/mesh_handoff.h"
+#include "mesh/mesh_newest_config.h"
 #include "mesh/mesh_probe.h"
 #include "mesh/mesh_proposal.h"
 #include "mesh/mesh_retry_budget.h"
@@ -90,9 +91,8 @@
   gint64 next_balance_at; /* shards are not balanced between members before
                              this time */
   gint64 last_fetch_at;   /* last fetch of records from a peer */
-  guint64 config_fetch_serial; /* fetch that is to bring a configuration, 0:
-                                  none is on its way */
-  gint64 config_fetch_alone_until; /* no other fetch asks for one until then */
+  struct mesh_config_fetch config_fetch; /* latest fetch of a configuration */
+  struct mesh_newest_config newest_config; /* newest one that is known of */
   gboolean fetch_deferred; /* a fetch follows soon after the last one */
   struct handle deferred_fetch_member; /* member to fetch from then */
   gboolean refuses_patches; /* the last patch of a map did not fit; the next
--- a/src/mesh/mesh_fetch.c
+++ b/src/mesh/mesh_fetch.c
@@ -33,8 +33,8 @@
 static gboolean
 is_fetching_config (const struct mesh *mesh, gint64 now)
 {
-  return mesh->config_fetch_serial != 0
-         && now < mesh->config_fetch_alone_until;
+  return mesh->config_fetch.serial != 0
+         && now < mesh->config_fetch.alone_until;
 }
 
 /* Fetch the records and the configuration that this node lacks from the node
@@ -61,11 +61,17 @@
     }
   else
     {
+      const struct peer_state *peer = table_get (&mesh->peers, h);
       gint64 until = now + CONFIG_FETCH_TIMEOUT_USEC;
       action = mesh_add_call (mesh, h, from, until, out);
       action->call.u.fetch.config_version = mesh_routing_version (mesh);
-      mesh->config_fetch_serial = action->serial;
-      mesh->config_fetch_alone_until = now + CONFIG_FETCH_ALONE_USEC;
+      mesh->config_fetch = (struct mesh_config_fetch){
+        .serial = action->serial,
+        .source = peer != NULL ? peer->incarnation : 0,
+        .version = mesh_routing_version (mesh),
+        .sent_at = now,
+        .alone_until = now + CONFIG_FETCH_ALONE_USEC
+      };
     }
   action->call.kind = MESH_FETCH;
   action->call.u.fetch.applied_offset = mesh->fleet.applied_offset;
@@ -108,10 +114,34 @@
     mesh_fetch_if_behind (mesh, h, member->peer_address, now, out);
 }
 
-/* Process the end of the fetch SERIAL, with or without a reply.  */
+/* Log the end of the latest fetch of a configuration, as EVENT says.  */
+static void
+log_fetch (struct mesh *mesh, const struct event_mesh_reply *event, gint64 now,
+           struct actions *out)
+{
+  const struct mesh_config_fetch *fetch = &mesh->config_fetch;
+  const struct mesh_fetch_reply *brought = &event->reply->u.fetch;
+  gboolean has_reply = event->reply->code == ERR_NONE;
+
+  mesh_log (out, LOG_EVENT_MESH_FETCH, mesh_process_name (mesh, fetch->source),
+            "outcome=%s had=%" G_GUINT64_FORMAT " version=%" G_GUINT64_FORMAT
+            " bytes=%u took_ms=%" G_GINT64_FORMAT " read_ms=%" G_GINT64_FORMAT
+            " behind_ms=%" G_GINT64_FORMAT,
+            err_name (event->reply->code), fetch->version,
+            has_reply ? brought->config_version : 0,
+            has_reply ? brought->config_length : 0,
+            mesh_age_msec (fetch->sent_at, event->received_at),
+            mesh_age_msec (event->received_at, now),
+            mesh_behind_msec (mesh, now));
+}
+
+/* Process the end of a fetch, with or without a reply.  */
 void
-mesh_fetch_ended (struct mesh *mesh, guint64 serial)
+mesh_fetch_ended (struct mesh *mesh, const struct event_mesh_reply *event,
+                  gint64 now, struct actions *out)
 {
-  if (serial == mesh->config_fetch_serial)
-    mesh->config_fetch_serial = 0;
+  if (event->serial != mesh->config_fetch.serial)
+    return;
+  log_fetch (mesh, event, now, out);
+  mesh->config_fetch.serial = 0;
 }
--- a/src/mesh/mesh_gossip.c
+++ b/src/mesh/mesh_gossip.c
@@ -129,6 +129,7 @@
 {
   struct peer_state *peer = table_get (&mesh->peers, h);
 
+  mesh_newest_heard (mesh, gossip->config_version, gossip->incarnation, now);
   if (peer != NULL)
     peer->evacuations_offset = gossip->evacuated.offset;
   mesh_evacuation_on_gossip (mesh, gossip, now, out);
@@ -251,7 +252,7 @@
       mesh_append_ended (mesh, &stored, now, out);
       break;
     case MESH_FETCH:
-      mesh_fetch_ended (mesh, event->serial);
+      mesh_fetch_ended (mesh, event, now, out);
       break;
     }
 }
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -157,12 +157,20 @@
 gboolean mesh_routing_is_recent (const struct mesh *mesh, gint64 now);
 void mesh_routing_check (struct mesh *mesh, gint64 now);
 struct routing *mesh_routing_usable (const struct mesh *mesh);
+const char *mesh_process_name (struct mesh *mesh, guint64 process);
 const char *mesh_routing_source (struct mesh *mesh);
 void mesh_routing_apply (struct mesh *mesh, const struct event_routing *event,
                          gint64 now, struct actions *out);
 void mesh_routing_on_gossip (struct mesh *mesh, const struct gossip *gossip,
                              gint64 sent_at);
 
+/* Configurations newer than the one in force, mesh_newest_config.c.  */
+void mesh_newest_heard (struct mesh *mesh, guint64 version, guint64 source,
+                        gint64 now);
+void mesh_newest_applied (struct mesh *mesh, gint64 now, struct actions *out);
+void mesh_newest_step (struct mesh *mesh, gint64 now, struct actions *out);
+gint64 mesh_behind_msec (const struct mesh *mesh, gint64 now);
+
 /* Reads of the topics, mesh_read.c.  */
 gboolean mesh_read_leaves (const struct mesh *mesh, gint64 now);
 void mesh_read_start (struct mesh *mesh, enum mesh_topic topic, gint64 now,
@@ -200,7 +208,8 @@
 void mesh_fetch_if_behind (struct mesh *mesh, struct handle h,
                            struct address from, gint64 now,
                            struct actions *out);
-void mesh_fetch_ended (struct mesh *mesh, guint64 serial);
+void mesh_fetch_ended (struct mesh *mesh, const struct event_mesh_reply *event,
+                       gint64 now, struct actions *out);
 void mesh_fetch_step (struct mesh *mesh, gint64 now, struct actions *out);
 
 /* Gossip and detection of failed nodes, mesh_gossip.c and mesh_liveness.c.  */
--- a/src/mesh/mesh_route.c
+++ b/src/mesh/mesh_route.c
@@ -71,11 +71,12 @@
   mesh_log (
       out, LOG_EVENT_MESH_NO_ROUTE, event->request.id,
       "reason=%s config=%" G_GUINT64_FORMAT " config_ms=%" G_GINT64_FORMAT
-      " source=%s reads=%d"
+      " behind_ms=%" G_GINT64_FORMAT " source=%s reads=%d"
       " session_age_ms=%" G_GINT64_FORMAT " tick_ms=%" G_GINT64_FORMAT,
       reason_name (reason), mesh_routing_version (mesh),
       mesh_age_msec (mesh->freshness[MESH_TOPIC_CONFIG].confirmed_at, now),
-      mesh_routing_source (mesh), mesh_reads_config (mesh, now),
+      mesh_behind_msec (mesh, now), mesh_routing_source (mesh),
+      mesh_reads_config (mesh, now),
       mesh_age_msec (mesh->freshness[MESH_TOPIC_FLEET].confirmed_at, now),
       (now - mesh->last_tick_at) / USEC_PER_MSEC);
   mesh_refuse (mesh, exchange, reason, 0, now, out);
@@ -102,14 +103,16 @@
       out, LOG_EVENT_MESH_ROUTE, request->request.id,
       "service=%s route=%s rank=%d key=%s to=%s try=%u"
       " config=%" G_GUINT64_FORMAT " config_ms=%" G_GINT64_FORMAT
-      " records=%" G_GUINT64_FORMAT " heard_ms=%" G_GINT64_FORMAT
-      " load_ms=%" G_GINT64_FORMAT " busy=%u/%u compared=%u"
+      " behind_ms=%" G_GINT64_FORMAT " records=%" G_GUINT64_FORMAT
+      " heard_ms=%" G_GINT64_FORMAT " load_ms=%" G_GINT64_FORMAT
+      " busy=%u/%u compared=%u"
       " cost_ms=%" G_GINT64_FORMAT " service_busy=%" G_GINT64_FORMAT,
       request->request.service, request->route_name,
       (int)request->request.priority, request->request.key, member->name,
       request->request.attempts, mesh_routing_version (mesh),
       mesh_age_msec (mesh->freshness[MESH_TOPIC_CONFIG].confirmed_at, now),
-      mesh->fleet.applied_offset, mesh_age_msec (peer->last_message_at, now),
+      mesh_behind_msec (mesh, now), mesh->fleet.applied_offset,
+      mesh_age_msec (peer->last_message_at, now),
       mesh_age_msec (peer->load_reported_at, now),
       peer->load.running + peer->load.waiting, peer_state_slots (peer, now),
       pick->compared, pick->cost_usec / USEC_PER_MSEC, pick->busy_permille);
--- a/src/mesh/mesh_routing.c
+++ b/src/mesh/mesh_routing.c
@@ -73,15 +73,20 @@
   return mesh->config_usable ? mesh->routing : NULL;
 }
 
+/* Return the name of the node that runs PROCESS, or an empty text.  */
+const char *
+mesh_process_name (struct mesh *mesh, guint64 process)
+{
+  if (process == mesh->settings.incarnation)
+    return mesh->settings.name;
+  return mesh_member_name (mesh, mesh_peer_of (mesh, process));
+}
+
 /* Return the name of the node that made this read, or an empty text.  */
 const char *
 mesh_routing_source (struct mesh *mesh)
 {
-  guint64 source = mesh->freshness[MESH_TOPIC_CONFIG].source;
-
-  if (source == mesh->settings.incarnation)
-    return mesh->settings.name;
-  return mesh_member_name (mesh, mesh_peer_of (mesh, source));
+  return mesh_process_name (mesh, mesh->freshness[MESH_TOPIC_CONFIG].source);
 }
 
 /* Log that parts of ROUTING could not be used, if there are any.  */
@@ -119,6 +124,7 @@
   log_faults (routing, out);
   routing_free (mesh->routing);
   mesh->routing = routing;
+  mesh_newest_applied (mesh, now, out);
   mesh_plan_step (mesh, now, out);
 }
 
--- a/src/types/event.h
+++ b/src/types/event.h
@@ -259,6 +259,8 @@
   guint64 serial;                 /* id of the call */
   struct handle member;           /* member that was called */
   const struct mesh_reply *reply; /* result, an error if no reply came */
+  gint64
+      received_at; /* when the reply came, before its contents were applied */
 };
 
 /* An event with its data.  */
--- a/src/types/log_event.c
+++ b/src/types/log_event.c
@@ -78,6 +78,8 @@
   { LOG_EVENT_MESH_WARMUP, "mesh-warmup" },
   { LOG_EVENT_MESH_ERA, "mesh-era" },
   { LOG_EVENT_MESH_MEMORY, "mesh-memory" },
+  { LOG_EVENT_MESH_FETCH, "mesh-fetch" },
+  { LOG_EVENT_MESH_BEHIND, "mesh-behind" },
 };
 
 /* Return the name of event ID, as listed in docs/EVENTS.md.  */
--- a/src/types/log_event.h
+++ b/src/types/log_event.h
@@ -87,7 +87,10 @@
                                       changed */
   LOG_EVENT_MESH_WARMUP = 638, /* the server became cold, or is warm again */
   LOG_EVENT_MESH_ERA = 639,    /* the store came back from an older copy */
-  LOG_EVENT_MESH_MEMORY = 640  /* a memory limit was reached, or left */
+  LOG_EVENT_MESH_MEMORY = 640, /* a memory limit was reached, or left */
+  LOG_EVENT_MESH_FETCH = 641,  /* a fetch of a configuration has ended */
+  LOG_EVENT_MESH_BEHIND = 642  /* a newer configuration is known of for long,
+                                  force, or in force at last */
 };
 
 /* Bytes of details: four names and some numbers.  */
