--- a/src/mesh/mesh_fetch.c
+++ b/src/mesh/mesh_fetch.c
@@ -37,6 +37,45 @@
          && now < mesh->config_fetch.alone_until;
 }
 
+/* Return whether the member H may have a newer configuration than this node.
+   Nothing is known of a node that is no member yet.  */
+static gboolean
+may_have_newer_config (const struct mesh *mesh, struct handle h)
+{
+  const struct peer_state *peer = table_get (&mesh->peers, h);
+
+  return peer == NULL || peer->config_version > mesh_routing_version (mesh);
+}
+
+/* Note that the call SERIAL asks the member H for a configuration.  */
+static void
+start_config_fetch (struct mesh *mesh, struct handle h, guint64 serial,
+                    gint64 now)
+{
+  const struct peer_state *peer = table_get (&mesh->peers, h);
+
+  mesh->config_fetch = (struct mesh_config_fetch){
+    .serial = serial,
+    .member = h,
+    .source = peer != NULL ? peer->incarnation : 0,
+    .version = mesh_routing_version (mesh),
+    .sent_at = now,
+    .alone_until = now + CONFIG_FETCH_ALONE_USEC
+  };
+}
+
+/* Remember to fetch from the member H soon.  A node that has a newer
+   configuration is not displaced by one that is ahead by records only.  */
+static void
+defer_fetch (struct mesh *mesh, struct handle h)
+{
+  if (mesh->fetch_deferred && !may_have_newer_config (mesh, h)
+      && may_have_newer_config (mesh, mesh->deferred_fetch_member))
+    return;
+  mesh->fetch_deferred = TRUE;
+  mesh->deferred_fetch_member = h;
+}
+
 /* Fetch the records and the configuration that this node lacks from the node
    at FROM.  H is the handle of that node, if it is a known member.  For a
    while only one fetch asks for a configuration: each node that has a newer
@@ -47,31 +86,24 @@
 {
   struct action_mesh_call *action;
 
-  mesh->fetch_deferred = now - mesh->last_fetch_at < FETCH_INTERVAL_USEC;
-  if (mesh->fetch_deferred)
+  if (now - mesh->last_fetch_at < FETCH_INTERVAL_USEC)
     {
-      mesh->deferred_fetch_member = h;
+      defer_fetch (mesh, h);
       return;
     }
+  mesh->fetch_deferred = FALSE;
   mesh->last_fetch_at = now;
-  if (is_fetching_config (mesh, now))
+  if (is_fetching_config (mesh, now) || !may_have_newer_config (mesh, h))
     {
       action = mesh_add_call (mesh, h, from, now + FETCH_TIMEOUT_USEC, out);
       action->call.u.fetch.config_version = FETCH_NO_CONFIG;
     }
   else
     {
-      const struct peer_state *peer = table_get (&mesh->peers, h);
       gint64 until = now + CONFIG_FETCH_TIMEOUT_USEC;
       action = mesh_add_call (mesh, h, from, until, out);
       action->call.u.fetch.config_version = mesh_routing_version (mesh);
-      mesh->config_fetch = (struct mesh_config_fetch){
-        .serial = action->serial,
-        .source = peer != NULL ? peer->incarnation : 0,
-        .version = mesh_routing_version (mesh),
-        .sent_at = now,
-        .alone_until = now + CONFIG_FETCH_ALONE_USEC
-      };
+      start_config_fetch (mesh, h, action->serial, now);
     }
   action->call.kind = MESH_FETCH;
   action->call.u.fetch.applied_offset = mesh->fleet.applied_offset;
@@ -100,16 +132,57 @@
     mesh_fetch (mesh, h, from, now, out);
 }
 
-/* Make the fetch that was deferred, if it is due and still needed.  */
+/* Return the member to ask next for a newer configuration, in turns, beginning
+   after the one that was asked last; HANDLE_NONE if no responsive one is known
+   to have one.  */
+static struct handle
+next_config_member (struct mesh *mesh, gint64 now)
+{
+  struct handle h = mesh->config_fetch.member;
+  guint32 left = mesh->peers.count;
+
+  if (table_get (&mesh->peers, h) == NULL)
+    h = HANDLE_NONE;
+  for (; left > 0; left--)
+    {
+      const struct peer_state *peer;
+      h = table_next (&mesh->peers, h);
+      if (!handle_is_set (h))
+        h = table_next (&mesh->peers, HANDLE_NONE);
+      peer = table_get (&mesh->peers, h);
+      if (peer->config_version > mesh_routing_version (mesh)
+          && peer_state_is_responsive (peer, now))
+        return h;
+    }
+  return HANDLE_NONE;
+}
+
+/* Return whether the latest fetch of a configuration was sent some time ago
+   and has not brought this node up to date.  */
+static gboolean
+is_config_overdue (const struct mesh *mesh, gint64 now)
+{
+  return mesh->newest_config.behind_since != 0
+         && mesh->config_fetch.alone_until != 0
+         && now >= mesh->config_fetch.alone_until;
+}
+
+/* Make the fetch that was deferred, if it is due and still needed, or ask
+   another node for a configuration that is overdue.  */
 void
 mesh_fetch_step (struct mesh *mesh, gint64 now, struct actions *out)
 {
-  struct handle h = mesh->deferred_fetch_member;
-  const struct fleet_member *member = fleet_state_member_at (&mesh->fleet, h);
+  struct handle h = HANDLE_NONE;
+  const struct fleet_member *member;
 
-  if (!mesh->fetch_deferred || now - mesh->last_fetch_at < FETCH_INTERVAL_USEC)
+  if (now - mesh->last_fetch_at < FETCH_INTERVAL_USEC)
     return;
+  if (mesh->fetch_deferred)
+    h = mesh->deferred_fetch_member;
+  else if (is_config_overdue (mesh, now))
+    h = next_config_member (mesh, now);
   mesh->fetch_deferred = FALSE;
+  member = fleet_state_member_at (&mesh->fleet, h);
   if (member != NULL && table_get (&mesh->peers, h) != NULL)
     mesh_fetch_if_behind (mesh, h, member->peer_address, now, out);
 }
--- a/src/mesh/mesh_newest_config.h
+++ b/src/mesh/mesh_newest_config.h
@@ -1,7 +1,7 @@
 #ifndef BAMBOOTALLY_MESH_NEWEST_CONFIG_H
 #define BAMBOOTALLY_MESH_NEWEST_CONFIG_H
 
-#include <glib.h>
+#include "types/handle.h"
 
 /* What a node knows of configurations newer than the one in force.  */
 
@@ -19,11 +19,12 @@
 /* The latest fetch that is to bring a configuration.  */
 struct mesh_config_fetch
 {
-  guint64 serial;     /* serial of the call, 0: none is on its way */
-  guint64 source;     /* process that was asked, 0: not known */
-  guint64 version;    /* version in force here when it was sent */
-  gint64 sent_at;     /* when it was sent */
-  gint64 alone_until; /* no other fetch asks for one until then */
+  guint64 serial;       /* serial of the call, 0: none is on its way */
+  struct handle member; /* member that was asked */
+  guint64 source;       /* process that was asked, 0: not known */
+  guint64 version;      /* version in force here when it was sent */
+  gint64 sent_at;       /* when it was sent */
+  gint64 alone_until;   /* no other fetch asks for one until then */
 };
 
 #endif
--- a/tests/test_mesh_fetch.c
+++ b/tests/test_mesh_fetch.c
@@ -5,21 +5,12 @@
 
 #define NEWER_VERSION 5u
 
-/* Send gossip of the other node, which has a newer configuration.  Return the
-   fetch that the node makes then, or NULL.  */
+/* Return the fetch among the actions of FIXTURE, or NULL.  */
 static const struct action_mesh_call *
-hear_newer (struct fixture *fixture)
+find_fetch (const struct fixture *fixture)
 {
-  struct event event = { .kind = EVENT_MESH_CALL };
-  struct mesh_call call = { .kind = MESH_GOSSIP };
   guint i;
 
-  g_strlcpy (call.u.gossip.name, "b", NAME_SIZE);
-  call.u.gossip.incarnation = 77;
-  call.u.gossip.applied_offset = fixture->mesh.fleet.applied_offset;
-  call.u.gossip.config_version = NEWER_VERSION;
-  event.u.mesh_call.call = &call;
-  feed_event (fixture, &event);
   for (i = 0; i < fixture->actions.items->len; i++)
     {
       const struct action *action = actions_at (&fixture->actions, i);
@@ -30,6 +21,34 @@
   return NULL;
 }
 
+/* Send gossip of the node NAME, which has applied the records below OFFSET and
+   has the configuration VERSION.  Return the fetch that the node makes then,
+   or NULL.  */
+static const struct action_mesh_call *
+hear (struct fixture *fixture, const char *name, guint64 offset,
+      guint64 version)
+{
+  struct event event = { .kind = EVENT_MESH_CALL };
+  struct mesh_call call = { .kind = MESH_GOSSIP };
+
+  g_strlcpy (call.u.gossip.name, name, NAME_SIZE);
+  call.u.gossip.incarnation = 77;
+  call.u.gossip.applied_offset = offset;
+  call.u.gossip.config_version = version;
+  event.u.mesh_call.call = &call;
+  feed_event (fixture, &event);
+  return find_fetch (fixture);
+}
+
+/* Send gossip of the other node, which has a newer configuration.  Return the
+   fetch that the node makes then, or NULL.  */
+static const struct action_mesh_call *
+hear_newer (struct fixture *fixture)
+{
+  return hear (fixture, "b", fixture->mesh.fleet.applied_offset,
+               NEWER_VERSION);
+}
+
 /* Return whether the node asks for a configuration when it hears of a newer
    one.  Store the serial of its fetch at SERIAL.  */
 static gboolean
@@ -91,12 +110,57 @@
   fixture_free (fixture);
 }
 
+/* Guards against a late configuration beside many new records: a fetch from a
+   node that is ahead by records only does not hold back the one from a node
+   that has a newer configuration.  */
+static void
+test_records_do_not_hold_back (void)
+{
+  struct fixture *fixture = start_behind ();
+  const struct action_mesh_call *fetch;
+  guint64 serial;
+
+  fetch = hear (fixture, "b", fixture->mesh.fleet.applied_offset + 9,
+                mesh_routing_version (&fixture->mesh));
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fetch);
+  CU_ASSERT_EQUAL (fetch->call.u.fetch.config_version, FETCH_NO_CONFIG);
+  fixture->now += 110 * MSEC;
+  CU_ASSERT_TRUE (asks_for_config (fixture, &serial));
+  fixture_free (fixture);
+}
+
+/* Guards against a node that waits for the next message of one that is ahead:
+   a fetch that is not answered in time is followed by another one.  */
+static void
+test_fetches_again_by_itself (void)
+{
+  struct fixture *fixture = start_behind ();
+  const struct action_mesh_call *fetch = NULL;
+  struct event tick = { .kind = EVENT_TICK };
+  gint64 until;
+  guint64 serial;
+
+  CU_ASSERT_TRUE (asks_for_config (fixture, &serial));
+  until = fixture->now + 600 * MSEC;
+  while (fetch == NULL && fixture->now < until)
+    {
+      fixture->now += 25 * MSEC;
+      feed_event (fixture, &tick);
+      fetch = find_fetch (fixture);
+    }
+  CU_ASSERT_PTR_NOT_NULL_FATAL (fetch);
+  CU_ASSERT_TRUE (fetch->call.u.fetch.config_version < NEWER_VERSION);
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
   CU_TestInfo tests[]
       = { { "one configuration at a time", test_one_config_at_a_time },
           { "asks again", test_asks_again },
+          { "records do not hold back", test_records_do_not_hold_back },
+          { "fetches again by itself", test_fetches_again_by_itself },
           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_fetch", tests);
