--- a/src/types/route.h
+++ b/src/types/route.h
@@ -23,6 +23,7 @@
   guint32 number;   /* hash of host and path prefix, the same on all nodes */
   const char *host; /* host name in the requests of callers */
   const char *path_prefix;  /* prefix of matching paths */
+  gsize prefix_length;      /* its length, set by routing_add_route */
   gboolean is_unusable;     /* its requests are refused: where they go could
                                not be read, or no share has a weight */
   enum run_class run_class; /* whether requests may be run again */
--- a/src/types/routing.c
+++ b/src/types/routing.c
@@ -78,40 +78,36 @@
   return (guint32)XXH3_64bits_withSeed (prefix, strlen (prefix), digest);
 }
 
-/* Add a copy of ROUTE to ROUTING, keeping longer prefixes first.  */
+/* Add a copy of ROUTE to ROUTING.  */
 void
 routing_add_route (struct routing *routing, const struct route *route)
 {
-  gsize length = strlen (route->path_prefix);
   struct route copy;
-  guint index = 0;
-
-  while (
-      index < routing->routes->len
-      && strlen (
-             g_array_index (routing->routes, struct route, index).path_prefix)
-             >= length)
-    index++;
+
   route_copy (&copy, route);
   copy.number = hash_route (route->host, route->path_prefix);
-  g_array_insert_vals (routing->routes, index, &copy, 1);
+  copy.prefix_length = strlen (route->path_prefix);
+  g_array_append_val (routing->routes, copy);
 }
 
-/* Return the route of HOST with the longest prefix of TARGET, or NULL.  */
+/* Return the route of HOST with the longest prefix of TARGET, the first one
+   that was added if there are several, or NULL.  */
 struct route *
 routing_match (const struct routing *routing, const char *host,
                const char *target)
 {
+  struct route *best = NULL;
   guint i;
 
   for (i = 0; host != NULL && i < routing->routes->len; i++)
     {
       struct route *route = &g_array_index (routing->routes, struct route, i);
-      if (g_str_has_prefix (target, route->path_prefix)
+      if ((best == NULL || route->prefix_length > best->prefix_length)
+          && strncmp (target, route->path_prefix, route->prefix_length) == 0
           && g_ascii_strcasecmp (host, route->host) == 0)
-        return route;
+        best = route;
     }
-  return NULL;
+  return best;
 }
 
 /* Return the route with NUMBER, or NULL.  */
--- a/src/types/routing.h
+++ b/src/types/routing.h
@@ -11,7 +11,7 @@
 struct routing
 {
   guint64 version;     /* version number; later versions are higher */
-  GArray *routes;      /* struct route, longest prefix first */
+  GArray *routes;      /* struct route */
   GArray *services;    /* struct route_service */
   guint32 fault_count; /* rows and fields of the version that could not be
                           used */
