--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -91,7 +91,8 @@
   gint64 next_balance_at; /* shards are not balanced between members before
                              this time */
   gint64 last_fetch_at;   /* last fetch of records from a peer */
-  struct mesh_config_fetch config_fetch; /* latest fetch of a configuration */
+  struct mesh_config_fetch config_fetches[MESH_CONFIG_FETCHES]; /* ring */
+  guint32 config_fetch_count; /* fetches of a configuration so far */
   struct mesh_newest_config newest_config; /* newest one that is known of */
   gboolean fetch_deferred; /* a fetch follows soon after the last one */
   struct handle deferred_fetch_member; /* member to fetch from then */
--- a/src/mesh/mesh_fetch.c
+++ b/src/mesh/mesh_fetch.c
@@ -6,8 +6,9 @@
 #define FETCH_AFTER_USEC ((gint64)150000)
 #define FETCH_INTERVAL_USEC ((gint64)100000) /* between fetches */
 #define FETCH_TIMEOUT_USEC ((gint64)900000)  /* until a fetch fails */
-/* The same of a fetch that brings a configuration, which is long.  */
-#define CONFIG_FETCH_TIMEOUT_USEC ((gint64)1400000)
+/* The same of a fetch that brings a configuration, which is long: an answer
+   that a busy link holds up is still of use.  */
+#define CONFIG_FETCH_TIMEOUT_USEC ((gint64)6000000)
 /* Until another node is asked for the configuration too: the first one may
    have stopped.  */
 #define CONFIG_FETCH_ALONE_USEC ((gint64)400000)
@@ -28,13 +29,21 @@
   return action;
 }
 
+/* Return the latest fetch that is to bring a configuration.  */
+const struct mesh_config_fetch *
+mesh_latest_config_fetch (const struct mesh *mesh)
+{
+  return &mesh->config_fetches[mesh->config_fetch_count % MESH_CONFIG_FETCHES];
+}
+
 /* Return whether a fetch is on its way that was sent not long ago and is to
    bring a configuration.  */
 static gboolean
 is_fetching_config (const struct mesh *mesh, gint64 now)
 {
-  return mesh->config_fetch.serial != 0
-         && now < mesh->config_fetch.alone_until;
+  const struct mesh_config_fetch *latest = mesh_latest_config_fetch (mesh);
+
+  return latest->serial != 0 && now < latest->alone_until;
 }
 
 /* Return whether the member H may have a newer configuration than this node.
@@ -54,14 +63,16 @@
 {
   const struct peer_state *peer = table_get (&mesh->peers, h);
 
-  mesh->config_fetch = (struct mesh_config_fetch){
-    .serial = serial,
-    .member = h,
-    .source = peer != NULL ? peer->incarnation : 0,
-    .version = mesh_routing_version (mesh),
-    .sent_at = now,
-    .alone_until = now + CONFIG_FETCH_ALONE_USEC
-  };
+  mesh->config_fetch_count++;
+  mesh->config_fetches[mesh->config_fetch_count % MESH_CONFIG_FETCHES]
+      = (struct mesh_config_fetch){ .serial = serial,
+                                    .member = h,
+                                    .source
+                                    = peer != NULL ? peer->incarnation : 0,
+                                    .version = mesh_routing_version (mesh),
+                                    .sent_at = now,
+                                    .alone_until
+                                    = now + CONFIG_FETCH_ALONE_USEC };
 }
 
 /* Remember to fetch from the member H soon.  A node that has a newer
@@ -139,7 +150,7 @@
 static struct handle
 next_config_member (struct mesh *mesh, gint64 now)
 {
-  struct handle h = mesh->config_fetch.member;
+  struct handle h = mesh_latest_config_fetch (mesh)->member;
   guint32 left = mesh->peers.count;
 
   if (table_get (&mesh->peers, h) == NULL)
@@ -163,9 +174,10 @@
 static gboolean
 is_config_overdue (const struct mesh *mesh, gint64 now)
 {
-  return mesh->newest_config.behind_since != 0
-         && mesh->config_fetch.alone_until != 0
-         && now >= mesh->config_fetch.alone_until;
+  const struct mesh_config_fetch *latest = mesh_latest_config_fetch (mesh);
+
+  return mesh->newest_config.behind_since != 0 && latest->alone_until != 0
+         && now >= latest->alone_until;
 }
 
 /* Make the fetch that was deferred, if it is due and still needed, or ask
@@ -188,12 +200,12 @@
     mesh_fetch_if_behind (mesh, h, member->peer_address, now, out);
 }
 
-/* Log the end of the latest fetch of a configuration, as EVENT says.  */
+/* Log the end of FETCH, as EVENT says.  */
 static void
-log_fetch (struct mesh *mesh, const struct event_mesh_reply *event, gint64 now,
+log_fetch (struct mesh *mesh, const struct mesh_config_fetch *fetch,
+           const struct event_mesh_reply *event, gint64 now,
            struct actions *out)
 {
-  const struct mesh_config_fetch *fetch = &mesh->config_fetch;
   const struct mesh_fetch_reply *brought = &event->reply->u.fetch;
   gboolean has_reply = event->reply->code == ERR_NONE;
 
@@ -214,8 +226,14 @@
 mesh_fetch_ended (struct mesh *mesh, const struct event_mesh_reply *event,
                   gint64 now, struct actions *out)
 {
-  if (event->serial != mesh->config_fetch.serial)
-    return;
-  log_fetch (mesh, event, now, out);
-  mesh->config_fetch.serial = 0;
+  guint i;
+
+  for (i = 0; i < MESH_CONFIG_FETCHES; i++)
+    {
+      struct mesh_config_fetch *fetch = &mesh->config_fetches[i];
+      if (fetch->serial != event->serial)
+        continue;
+      log_fetch (mesh, fetch, event, now, out);
+      fetch->serial = 0;
+    }
 }
--- a/src/mesh/mesh_newest_config.c
+++ b/src/mesh/mesh_newest_config.c
@@ -29,7 +29,7 @@
             struct actions *out)
 {
   const struct mesh_newest_config *newest = &mesh->newest_config;
-  const struct mesh_config_fetch *fetch = &mesh->config_fetch;
+  const struct mesh_config_fetch *fetch = mesh_latest_config_fetch (mesh);
 
   mesh_log (
       out, LOG_EVENT_MESH_BEHIND, mesh_process_name (mesh, newest->source),
--- a/src/mesh/mesh_newest_config.h
+++ b/src/mesh/mesh_newest_config.h
@@ -16,10 +16,13 @@
   gboolean is_logged;  /* the log says that this node is behind */
 };
 
-/* The latest fetch that is to bring a configuration.  */
+#define MESH_CONFIG_FETCHES 16u /* latest fetches that are kept */
+
+/* A fetch that is to bring a configuration.  */
 struct mesh_config_fetch
 {
-  guint64 serial;       /* serial of the call, 0: none is on its way */
+  guint64 serial;       /* serial of the call, 0: it has ended, or
+                           there was none */
   struct handle member; /* member that was asked */
   guint64 source;       /* process that was asked, 0: not known */
   guint64 version;      /* version in force here when it was sent */
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -208,6 +208,8 @@
 void mesh_fetch_if_behind (struct mesh *mesh, struct handle h,
                            struct address from, gint64 now,
                            struct actions *out);
+const struct mesh_config_fetch *
+mesh_latest_config_fetch (const struct mesh *mesh);
 void mesh_fetch_ended (struct mesh *mesh, const struct event_mesh_reply *event,
                        gint64 now, struct actions *out);
 void mesh_fetch_step (struct mesh *mesh, gint64 now, struct actions *out);
--- a/tests/reading_sim_messages.h
+++ b/tests/reading_sim_messages.h
@@ -11,6 +11,7 @@
 reading_perform (struct reading_sim *sim, guint i,
                  const struct actions *actions)
 {
+  gint64 delay = NODE_DELAY_USEC + sim->nodes[i].send_delay_usec;
   guint a;
 
   for (a = 0; a < actions->items->len; a++)
@@ -29,7 +30,7 @@
           message.serial = action->u.mesh_call.serial;
           message.member = action->u.mesh_call.member;
           message.call = action->u.mesh_call.call;
-          reading_send (sim, &message, NODE_DELAY_USEC);
+          reading_send (sim, &message, delay);
           message.kind = READING_TIMEOUT;
           reading_send (sim, &message,
                         action->u.mesh_call.deadline - sim->now);
@@ -39,7 +40,7 @@
           message.to = action->u.mesh_reply.link.bits;
           message.serial = action->u.mesh_reply.xid;
           message.reply = action->u.mesh_reply.reply;
-          reading_send (sim, &message, NODE_DELAY_USEC);
+          reading_send (sim, &message, delay);
           break;
         default:
           break;
@@ -102,7 +103,7 @@
                  const struct reading_message *message)
 {
   struct reading_node *to = &sim->nodes[message->to];
-  gint64 delay = NODE_DELAY_USEC;
+  gint64 delay = NODE_DELAY_USEC + to->send_delay_usec;
   struct event event = { .kind = EVENT_MESH_CALL };
   struct reading_message back = { .kind = READING_FETCHED,
                                   .from = message->from,
--- a/tests/reading_sim_store.h
+++ b/tests/reading_sim_store.h
@@ -169,7 +169,7 @@
 reading_read (struct reading_sim *sim, guint i, enum mesh_topic topic)
 {
   struct reading_node *node = &sim->nodes[i];
-  gint64 delay = sim->store_delay_usec;
+  gint64 delay = sim->store_delay_usec + node->send_delay_usec;
   struct reading_message message = { .kind = READING_RESULT,
                                      .from = i,
                                      .process = node->process,
--- a/tests/reading_sim_types.h
+++ b/tests/reading_sim_types.h
@@ -85,6 +85,7 @@
   gboolean is_deaf;             /* nothing passes to it from other nodes */
   gint64 frozen_until;          /* the process stands still until then */
   gint64 disturbed_at;          /* last time at which it was not in touch */
+  gint64 send_delay_usec;       /* what it sends waits so long at its link */
   gint64 sends_until;           /* its link is sending until then */
   gint64 receives_until;        /* its link is receiving until then */
   gint64 parses_until;          /* it reads a configuration until then */
--- a/tests/test_mesh_reading.c
+++ b/tests/test_mesh_reading.c
@@ -177,6 +177,19 @@
   reading_check_in_force (sim);
 }
 
+/* Guards against a node that gets no version any more since what it sends
+   waits at its link, as behind long answers to callers: its fetches are
+   answered late, but they are answered.  */
+static void
+test_slow_sender (void)
+{
+  struct reading_sim *sim = reading_sim_new ();
+
+  sim->nodes[LAST_NODE].send_delay_usec = 1500 * MSEC;
+  reading_write_series (sim, 6, 3000 * MSEC);
+  reading_check_in_force (sim);
+}
+
 /* Draw another change of how the store serves the nodes, or a trouble of one
    of them.  The last node is always served and in touch.  */
 static void
@@ -258,6 +271,7 @@
           { "outage", test_outage },
           { "store back", test_store_back },
           { "long versions", test_long_versions },
+          { "slow sender", test_slow_sender },
           { "long versions, readers killed",
             test_long_versions_readers_killed },
           { "random", test_random },
