--- a/tests/test_mesh_reading.c
+++ b/tests/test_mesh_reading.c
@@ -185,7 +185,7 @@
 {
   struct reading_sim *sim = reading_sim_new ();
 
-  sim->nodes[LAST_NODE].send_delay_usec = 1500 * MSEC;
+  sim->nodes[LAST_NODE].send_delay_usec = 2000 * MSEC;
   reading_write_series (sim, 6, 3000 * MSEC);
   reading_check_in_force (sim);
 }
