--- a/tests/test_mesh_fetch.c
+++ b/tests/test_mesh_fetch.c
@@ -122,8 +122,8 @@
 
   fetch = hear (fixture, "b", fixture->mesh.fleet.applied_offset + 9,
                 mesh_routing_version (&fixture->mesh));
-  CU_ASSERT_PTR_NOT_NULL_FATAL (fetch);
-  CU_ASSERT_EQUAL (fetch->call.u.fetch.config_version, FETCH_NO_CONFIG);
+  CU_ASSERT_TRUE (fetch != NULL
+                  && fetch->call.u.fetch.config_version == FETCH_NO_CONFIG);
   fixture->now += 110 * MSEC;
   CU_ASSERT_TRUE (asks_for_config (fixture, &serial));
   fixture_free (fixture);
@@ -148,8 +148,8 @@
       feed_event (fixture, &tick);
       fetch = find_fetch (fixture);
     }
-  CU_ASSERT_PTR_NOT_NULL_FATAL (fetch);
-  CU_ASSERT_TRUE (fetch->call.u.fetch.config_version < NEWER_VERSION);
+  CU_ASSERT_TRUE (fetch != NULL
+                  && fetch->call.u.fetch.config_version < NEWER_VERSION);
   fixture_free (fixture);
 }
 
--- a/tests/test_wire_deflate.c
+++ b/tests/test_wire_deflate.c
@@ -15,8 +15,9 @@
   GByteArray *deflated = wire_deflate (text, length);
   GByteArray *plain;
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (deflated);
-  CU_ASSERT_TRUE (deflated->len <= length);
+  CU_ASSERT_TRUE (deflated != NULL && deflated->len <= length);
+  if (deflated == NULL)
+    return NULL;
   plain = wire_inflate (deflated->data, deflated->len - cut, plain_length);
   g_byte_array_unref (deflated);
   return plain;
@@ -30,10 +31,9 @@
   GByteArray *plain
       = round_trip ((const guint8 *)text->str, text->len, text->len, 0);
 
-  CU_ASSERT_PTR_NOT_NULL_FATAL (plain);
-  CU_ASSERT_EQUAL (plain->len, text->len);
-  CU_ASSERT_EQUAL (memcmp (plain->data, text->str, text->len), 0);
-  g_byte_array_unref (plain);
+  CU_ASSERT_TRUE (plain != NULL && plain->len == text->len
+                  && memcmp (plain->data, text->str, text->len) == 0);
+  g_clear_pointer (&plain, g_byte_array_unref);
   g_string_free (text, TRUE);
 }
 
