--- a/tests/test_mesh_reading.c
+++ b/tests/test_mesh_reading.c
@@ -228,10 +228,11 @@
     }
 }
 
-/* Random changes and versions, from the seeds 1 to READING_SEEDS; 12 if that
-   is not set.  */
+/* Play random changes and versions, from the seeds 1 to READING_SEEDS; 12 if
+   that is not set.  Versions have ROUTES routes, and nodes slow links and
+   processors; 0: neither length nor speed counts.  */
 static void
-test_random (void)
+run_random (guint routes)
 {
   const char *text = g_getenv ("READING_SEEDS");
   guint32 seeds
@@ -243,6 +244,8 @@
       struct reading_sim *sim = reading_sim_new ();
       GRand *random = g_rand_new_with_seed (seed);
       guint k;
+      if (routes > 0)
+        set_routes (sim, routes);
       for (k = 0; k < 40; k++)
         {
           if (g_rand_int_range (random, 0, 2) == 0)
@@ -258,6 +261,20 @@
     }
 }
 
+/* Random changes and short versions.  */
+static void
+test_random (void)
+{
+  run_random (0);
+}
+
+/* Random changes and long versions.  */
+static void
+test_random_long (void)
+{
+  run_random (1400);
+}
+
 int
 main (void)
 {
@@ -275,6 +292,7 @@
           { "long versions, readers killed",
             test_long_versions_readers_killed },
           { "random", test_random },
+          { "random, long versions", test_random_long },
           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_reading", tests);
