--- a/src/mesh/mesh_fetch.c
+++ b/src/mesh/mesh_fetch.c
@@ -9,6 +9,8 @@
 /* The same of a fetch that brings a configuration, which is long: an answer
    that a busy link holds up is still of use.  */
 #define CONFIG_FETCH_TIMEOUT_USEC ((gint64)6000000)
+/* Until a node that has not answered is asked again.  */
+#define CONFIG_FETCH_REPEAT_USEC ((gint64)1400000)
 /* Until another node is asked for the configuration too: the first one may
    have stopped.  */
 #define CONFIG_FETCH_ALONE_USEC ((gint64)400000)
@@ -46,6 +48,23 @@
   return latest->serial != 0 && now < latest->alone_until;
 }
 
+/* Return whether the member H was asked for a configuration a short time ago
+   and has not answered yet.  */
+static gboolean
+is_asked_for_config (const struct mesh *mesh, struct handle h, gint64 now)
+{
+  guint i;
+
+  for (i = 0; i < MESH_CONFIG_FETCHES; i++)
+    {
+      const struct mesh_config_fetch *fetch = &mesh->config_fetches[i];
+      if (fetch->serial != 0 && handle_equal (fetch->member, h)
+          && now - fetch->sent_at < CONFIG_FETCH_REPEAT_USEC)
+        return TRUE;
+    }
+  return FALSE;
+}
+
 /* Return whether the member H may have a newer configuration than this node.
    Nothing is known of a node that is no member yet.  */
 static gboolean
@@ -56,6 +75,17 @@
   return peer == NULL || peer->config_version > mesh_routing_version (mesh);
 }
 
+/* Return whether a fetch from the member H is to ask for a configuration.  For
+   a while only one does: each node that has a newer one would send it in full,
+   and slow links would carry nothing else.  A member that has yet to answer
+   may have stopped, and does not take the place of others.  */
+static gboolean
+asks_for_config (const struct mesh *mesh, struct handle h, gint64 now)
+{
+  return !is_fetching_config (mesh, now) && may_have_newer_config (mesh, h)
+         && !(handle_is_set (h) && is_asked_for_config (mesh, h, now));
+}
+
 /* Note that the call SERIAL asks the member H for a configuration.  */
 static void
 start_config_fetch (struct mesh *mesh, struct handle h, guint64 serial,
@@ -88,9 +118,7 @@
 }
 
 /* Fetch the records and the configuration that this node lacks from the node
-   at FROM.  H is the handle of that node, if it is a known member.  For a
-   while only one fetch asks for a configuration: each node that has a newer
-   one would send it in full, and slow links would carry nothing else.  */
+   at FROM.  H is the handle of that node, if it is a known member.  */
 void
 mesh_fetch (struct mesh *mesh, struct handle h, struct address from,
             gint64 now, struct actions *out)
@@ -104,7 +132,7 @@
     }
   mesh->fetch_deferred = FALSE;
   mesh->last_fetch_at = now;
-  if (is_fetching_config (mesh, now) || !may_have_newer_config (mesh, h))
+  if (!asks_for_config (mesh, h, now))
     {
       action = mesh_add_call (mesh, h, from, now + FETCH_TIMEOUT_USEC, out);
       action->call.u.fetch.config_version = FETCH_NO_CONFIG;
@@ -144,29 +172,27 @@
     mesh_fetch (mesh, h, from, now, out);
 }
 
-/* Return the member to ask next for a newer configuration, in turns, beginning
-   after the one that was asked last; HANDLE_NONE if no responsive one is known
-   to have one.  */
+/* Return the member to ask next for a newer configuration: of those that have
+   one the one that was heard last, since the others may have stopped;
+   HANDLE_NONE if there is none.  */
 static struct handle
-next_config_member (struct mesh *mesh, gint64 now)
+next_config_member (const struct mesh *mesh, gint64 now)
 {
-  struct handle h = mesh_latest_config_fetch (mesh)->member;
-  guint32 left = mesh->peers.count;
+  struct handle h = table_next (&mesh->peers, HANDLE_NONE);
+  struct handle best = HANDLE_NONE;
+  gint64 best_heard_at = 0;
 
-  if (table_get (&mesh->peers, h) == NULL)
-    h = HANDLE_NONE;
-  for (; left > 0; left--)
+  for (; handle_is_set (h); h = table_next (&mesh->peers, h))
     {
-      const struct peer_state *peer;
-      h = table_next (&mesh->peers, h);
-      if (!handle_is_set (h))
-        h = table_next (&mesh->peers, HANDLE_NONE);
-      peer = table_get (&mesh->peers, h);
-      if (peer->config_version > mesh_routing_version (mesh)
-          && peer_state_is_responsive (peer, now))
-        return h;
+      const struct peer_state *peer = table_get (&mesh->peers, h);
+      if (peer->config_version <= mesh_routing_version (mesh)
+          || peer->last_message_at <= best_heard_at
+          || is_asked_for_config (mesh, h, now))
+        continue;
+      best = h;
+      best_heard_at = peer->last_message_at;
     }
-  return HANDLE_NONE;
+  return best;
 }
 
 /* Return whether the latest fetch of a configuration was sent some time ago
--- a/tests/test_mesh_fetch.c
+++ b/tests/test_mesh_fetch.c
@@ -129,25 +129,87 @@
   fixture_free (fixture);
 }
 
-/* Guards against a node that waits for the next message of one that is ahead:
-   a fetch that is not answered in time is followed by another one.  */
+/* Give the node the record of a third member, "c".  */
 static void
-test_fetches_again_by_itself (void)
+add_third_member (struct fixture *fixture)
+{
+  struct event event = { .kind = EVENT_FLEET_RECORDS };
+  guint64 offset = fixture->mesh.fleet.applied_offset;
+  struct fleet_entry entry = { .offset = offset, .record.kind = FLEET_MEMBER };
+  struct fleet_member *member = &entry.record.u.member;
+
+  g_strlcpy (member->name, "c", sizeof member->name);
+  member->incarnation = 78;
+  fleet_record_set_key (&entry.record);
+  event.u.fleet_records.items = &entry;
+  event.u.fleet_records.count = 1;
+  event.u.fleet_records.next_offset = offset + 1;
+  event.u.fleet_records.complete = TRUE;
+  feed_event (fixture, &event);
+}
+
+/* Return the fetch of a configuration that the node makes within USEC without
+   any message, or NULL.  */
+static const struct action_mesh_call *
+fetch_by_itself (struct fixture *fixture, gint64 usec)
 {
-  struct fixture *fixture = start_behind ();
-  const struct action_mesh_call *fetch = NULL;
   struct event tick = { .kind = EVENT_TICK };
-  gint64 until;
-  guint64 serial;
+  gint64 until = fixture->now + usec;
 
-  CU_ASSERT_TRUE (asks_for_config (fixture, &serial));
-  until = fixture->now + 600 * MSEC;
-  while (fetch == NULL && fixture->now < until)
+  while (fixture->now < until)
     {
+      const struct action_mesh_call *fetch;
       fixture->now += 25 * MSEC;
       feed_event (fixture, &tick);
       fetch = find_fetch (fixture);
+      if (fetch != NULL && fetch->call.u.fetch.config_version < NEWER_VERSION)
+        return fetch;
     }
+  return NULL;
+}
+
+/* Guards against a node that waits for the next message of one that is ahead:
+   after a fetch that is not answered the other node that is ahead is asked,
+   and then the first one again.  */
+static void
+test_fetches_again_by_itself (void)
+{
+  struct fixture *fixture = start_behind ();
+  const struct action_mesh_call *fetch;
+  struct handle first;
+  guint64 serial;
+
+  add_third_member (fixture);
+  CU_ASSERT_TRUE (asks_for_config (fixture, &serial));
+  first = fleet_state_find (&fixture->mesh.fleet, "b");
+  fixture->now += 10 * MSEC;
+  hear (fixture, "c", fixture->mesh.fleet.applied_offset, NEWER_VERSION);
+  fetch = fetch_by_itself (fixture, 600 * MSEC);
+  CU_ASSERT_TRUE (fetch != NULL && !handle_equal (fetch->member, first));
+  fetch = fetch_by_itself (fixture, 1500 * MSEC);
+  CU_ASSERT_TRUE (fetch != NULL && handle_equal (fetch->member, first));
+  fixture_free (fixture);
+}
+
+/* Guards against a node that speaks and does not answer, as behind a link that
+   carries one way only, and is asked in place of others: it is not asked
+   again at its next message, and one that comes to be ahead is asked at once.
+ */
+static void
+test_unanswered_leaves_room (void)
+{
+  struct fixture *fixture = start_behind ();
+  const struct action_mesh_call *fetch;
+  guint64 offset;
+  guint64 serial;
+
+  add_third_member (fixture);
+  offset = fixture->mesh.fleet.applied_offset;
+  CU_ASSERT_TRUE (asks_for_config (fixture, &serial));
+  fixture->now += 500 * MSEC;
+  CU_ASSERT_FALSE (asks_for_config (fixture, &serial));
+  fixture->now += 110 * MSEC;
+  fetch = hear (fixture, "c", offset, NEWER_VERSION);
   CU_ASSERT_TRUE (fetch != NULL
                   && fetch->call.u.fetch.config_version < NEWER_VERSION);
   fixture_free (fixture);
@@ -161,6 +223,7 @@
           { "asks again", test_asks_again },
           { "records do not hold back", test_records_do_not_hold_back },
           { "fetches again by itself", test_fetches_again_by_itself },
+          { "unanswered leaves room", test_unanswered_leaves_room },
           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_fetch", tests);
