--- a/src/mesh/mesh_read.c
+++ b/src/mesh/mesh_read.c
@@ -22,6 +22,10 @@
 #define FLEET_STALE_USEC ((gint64)2200000)
 #define CONFIG_STALE_USEC ((gint64)1800000)
 
+/* A node that has known of a newer configuration for this long, and has not
+   got it from those that have it, reads for itself.  */
+#define BEHIND_USEC ((gint64)1000000)
+
 /* A node that the store did not answer tries again after this, though others
    read for it: what it takes part in depends on whether the store answers
    it.  */
@@ -139,6 +143,19 @@
          || age >= stale_usec + mesh_duty_try_delay (mesh, READING_FLEET, now);
 }
 
+/* Return whether this node is to read the operator's topic since it has not
+   got a newer configuration from other nodes.  */
+static gboolean
+is_due_by_lag (struct mesh *mesh, gint64 now)
+{
+  gint64 behind_since = mesh->newest_config.behind_since;
+
+  return behind_since != 0
+         && now - behind_since
+                >= BEHIND_USEC
+                       + mesh_duty_try_delay (mesh, READING_FLEET, now);
+}
+
 /* Return whether this node is to read TOPIC now.  */
 static gboolean
 is_due (struct mesh *mesh, enum mesh_topic topic, gint64 now)
@@ -154,6 +171,7 @@
     if (reading_slot_topic (slot) == topic && is_due_by_duty (mesh, slot, now))
       return TRUE;
   return is_due_by_age (mesh, topic, now)
+         || (topic == MESH_TOPIC_CONFIG && is_due_by_lag (mesh, now))
          || (topic == MESH_TOPIC_FLEET && mesh->store_lost
              && now - attempt->started_at >= LOST_INTERVAL_USEC);
 }
--- a/tests/test_mesh_fetch.c
+++ b/tests/test_mesh_fetch.c
@@ -215,6 +215,58 @@
   fixture_free (fixture);
 }
 
+/* Tell the node that the other one, which has a newer configuration, reads the
+   topics for all nodes; its read number ROUND was just answered.  */
+static void
+hear_reader (struct fixture *fixture, guint32 round)
+{
+  struct event event = { .kind = EVENT_MESH_CALL };
+  struct mesh_call call = { .kind = MESH_GOSSIP };
+  guint slot;
+
+  g_strlcpy (call.u.gossip.name, "b", NAME_SIZE);
+  call.u.gossip.incarnation = 77;
+  call.u.gossip.applied_offset = fixture->mesh.fleet.applied_offset;
+  call.u.gossip.config_version = NEWER_VERSION;
+  for (slot = 0; slot < READING_SLOTS; slot++)
+    call.u.gossip.claims[slot]
+        = (struct reading_claim){ .reader = 77, .round = round };
+  event.u.mesh_call.call = &call;
+  feed_event (fixture, &event);
+}
+
+/* Guards against a node that goes on without a version that it knows of: if
+   those that have it do not answer, the node reads the store itself, though
+   another one holds the duty of that and its own copy is not old.  */
+static void
+test_reads_when_behind (void)
+{
+  struct fixture *fixture = fixture_new ();
+  struct event tick = { .kind = EVENT_TICK };
+  gint64 until = fixture->now + 1500 * MSEC;
+  gboolean reads = FALSE;
+  guint32 round = 1;
+
+  read_config_end (fixture);
+  while (!reads && fixture->now < until)
+    {
+      guint i;
+      hear_reader (fixture, round++);
+      fixture->now += 25 * MSEC;
+      feed_event (fixture, &tick);
+      for (i = 0; i < fixture->actions.items->len; i++)
+        {
+          const struct action *action = actions_at (&fixture->actions, i);
+          reads = reads
+                  || (action->kind == ACTION_READ_TOPIC
+                      && action->u.read_topic.topic == MESH_TOPIC_CONFIG);
+        }
+    }
+  CU_ASSERT_TRUE (reads);
+  CU_ASSERT_TRUE (until - fixture->now <= 500 * MSEC);
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
@@ -224,6 +276,7 @@
           { "records do not hold back", test_records_do_not_hold_back },
           { "fetches again by itself", test_fetches_again_by_itself },
           { "unanswered leaves room", test_unanswered_leaves_room },
+          { "reads when behind", test_reads_when_behind },
           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_fetch", tests);
