--- a/src/mesh/mesh_newest_config.c
+++ b/src/mesh/mesh_newest_config.c
@@ -62,6 +62,24 @@
   newest->behind_since = 0;
 }
 
+/* Note that a read of the store, which began at STARTED_AT, showed nothing
+   newer than the version in force.  A version that was heard of before is not
+   in the store, such as after its return from an older copy.  */
+void
+mesh_newest_confirmed (struct mesh *mesh, gint64 started_at, gint64 now,
+                       struct actions *out)
+{
+  struct mesh_newest_config *newest = &mesh->newest_config;
+
+  if (newest->behind_since == 0 || started_at <= newest->heard_at)
+    return;
+  if (newest->is_logged)
+    log_behind (mesh, "not-in-store", now, out);
+  newest->version = mesh_routing_version (mesh);
+  newest->is_logged = FALSE;
+  newest->behind_since = 0;
+}
+
 /* Log once that this node has been behind for BEHIND_LOG_USEC.  */
 void
 mesh_newest_step (struct mesh *mesh, gint64 now, struct actions *out)
--- a/src/mesh/mesh_parts.h
+++ b/src/mesh/mesh_parts.h
@@ -168,6 +168,8 @@
 void mesh_newest_heard (struct mesh *mesh, guint64 version, guint64 source,
                         gint64 now);
 void mesh_newest_applied (struct mesh *mesh, gint64 now, struct actions *out);
+void mesh_newest_confirmed (struct mesh *mesh, gint64 started_at, gint64 now,
+                            struct actions *out);
 void mesh_newest_step (struct mesh *mesh, gint64 now, struct actions *out);
 gint64 mesh_behind_msec (const struct mesh *mesh, gint64 now);
 
--- a/src/mesh/mesh_read.c
+++ b/src/mesh/mesh_read.c
@@ -25,6 +25,7 @@
 /* A node that has known of a newer configuration for this long, and has not
    got it from those that have it, reads for itself.  */
 #define BEHIND_USEC ((gint64)1000000)
+#define BEHIND_INTERVAL_USEC ((gint64)2000000) /* between such reads */
 
 /* A node that the store did not answer tries again after this, though others
    read for it: what it takes part in depends on whether the store answers
@@ -92,6 +93,7 @@
     {
       freshness_confirm (&mesh->freshness[MESH_TOPIC_CONFIG],
                          event->started_at, mesh->settings.incarnation);
+      mesh_newest_confirmed (mesh, event->started_at, now, out);
       mesh_routing_check (mesh, now);
     }
   if (event->topic == MESH_TOPIC_FLEET)
@@ -144,13 +146,15 @@
 }
 
 /* Return whether this node is to read the operator's topic since it has not
-   got a newer configuration from other nodes.  */
+   got a newer configuration from other nodes.  What another node tells of may
+   not be in the store, so such reads are rare.  */
 static gboolean
 is_due_by_lag (struct mesh *mesh, gint64 now)
 {
   gint64 behind_since = mesh->newest_config.behind_since;
+  gint64 read_at = mesh->read_attempts[MESH_TOPIC_CONFIG].started_at;
 
-  return behind_since != 0
+  return behind_since != 0 && now - read_at >= BEHIND_INTERVAL_USEC
          && now - behind_since
                 >= BEHIND_USEC
                        + mesh_duty_try_delay (mesh, READING_FLEET, now);
--- a/tests/test_mesh_fetch.c
+++ b/tests/test_mesh_fetch.c
@@ -267,6 +267,40 @@
   fixture_free (fixture);
 }
 
+/* Guards against calls to the store without end: another node tells of a
+   version that the store does not have, and does not send it.  */
+static void
+test_version_not_in_store (void)
+{
+  struct fixture *fixture = fixture_new ();
+  struct event tick = { .kind = EVENT_TICK };
+  gint64 until = fixture->now + 10000 * MSEC;
+  guint reads = 0;
+  guint32 round = 1;
+
+  while (fixture->now < until)
+    {
+      gboolean asked = FALSE;
+      guint i;
+      hear_reader (fixture, round++);
+      fixture->now += 25 * MSEC;
+      feed_event (fixture, &tick);
+      for (i = 0; i < fixture->actions.items->len; i++)
+        {
+          const struct action *action = actions_at (&fixture->actions, i);
+          asked = asked
+                  || (action->kind == ACTION_READ_TOPIC
+                      && action->u.read_topic.topic == MESH_TOPIC_CONFIG);
+        }
+      reads += asked;
+      if (asked)
+        read_config_end (fixture);
+    }
+  CU_ASSERT_TRUE (reads >= 1);
+  CU_ASSERT_TRUE (reads <= 6);
+  fixture_free (fixture);
+}
+
 int
 main (void)
 {
@@ -277,6 +311,7 @@
           { "fetches again by itself", test_fetches_again_by_itself },
           { "unanswered leaves room", test_unanswered_leaves_room },
           { "reads when behind", test_reads_when_behind },
+          { "version not in the store", test_version_not_in_store },
           CU_TEST_INFO_NULL };
 
   return suite_run ("mesh_fetch", tests);
