mesh: one way to end the lag behind a newer configuration

mesh_newest_applied and mesh_newest_confirmed ended it by the same lines; three tests set up the same node.

--- a/src/mesh/mesh_newest_config.c
+++ b/src/mesh/mesh_newest_config.c
@@ -44,6 +44,21 @@
       fetch->serial != 0 ? mesh_age_msec (fetch->sent_at, now) : -1);
 }
 
+/* Note that no version newer than the one in force is known of any more; log
+   OUTCOME if the log has told that one was.  */
+static void
+end_lag (struct mesh *mesh, const char *outcome, gint64 now,
+         struct actions *out)
+{
+  struct mesh_newest_config *newest = &mesh->newest_config;
+
+  if (newest->is_logged)
+    log_behind (mesh, outcome, now, out);
+  newest->version = mesh_routing_version (mesh);
+  newest->is_logged = FALSE;
+  newest->behind_since = 0;
+}
+
 /* Note that the version in force has changed at NOW.  */
 void
 mesh_newest_applied (struct mesh *mesh, gint64 now, struct actions *out)
@@ -56,10 +71,7 @@
       newest->behind_since = MAX (newest->behind_since, newest->heard_at);
       return;
     }
-  if (newest->is_logged)
-    log_behind (mesh, "caught-up", now, out);
-  newest->is_logged = FALSE;
-  newest->behind_since = 0;
+  end_lag (mesh, "caught-up", now, out);
 }
 
 /* Note that a read of the store, which began at STARTED_AT, showed nothing
@@ -69,15 +81,10 @@
 mesh_newest_confirmed (struct mesh *mesh, gint64 started_at, gint64 now,
                        struct actions *out)
 {
-  struct mesh_newest_config *newest = &mesh->newest_config;
+  const struct mesh_newest_config *newest = &mesh->newest_config;
 
-  if (newest->behind_since == 0 || started_at <= newest->heard_at)
-    return;
-  if (newest->is_logged)
-    log_behind (mesh, "not-in-store", now, out);
-  newest->version = mesh_routing_version (mesh);
-  newest->is_logged = FALSE;
-  newest->behind_since = 0;
+  if (newest->behind_since != 0 && started_at > newest->heard_at)
+    end_lag (mesh, "not-in-store", now, out);
 }
 
 /* Log once that this node has been behind for BEHIND_LOG_USEC.  */
--- a/tests/test_mesh_node_topics.c
+++ b/tests/test_mesh_node_topics.c
@@ -105,6 +105,21 @@
   stage_clear (&stage);
 }
 
+/* Initialize STAGE, whose node has read version 2 with COUNT routes.  Return
+   the length of its text.  */
+static gsize
+stage_with_routes (struct stage *stage, guint count)
+{
+  GString *text = config_text (count);
+  gsize length = text->len;
+
+  stage_init (stage);
+  CU_ASSERT_TRUE (mesh_node_apply_config (
+      &stage->node, (const guint8 *)text->str, length, 0));
+  g_string_free (text, TRUE);
+  return length;
+}
+
 /* Return what NODE tells of its configuration in the reply to a fetch.  */
 static struct mesh_fetch_reply
 fill_reply (struct mesh_node *node, gboolean accepts_deflate)
@@ -121,28 +136,25 @@
 static void
 test_compressed_config (void)
 {
-  GString *text = config_text (1400);
-  const guint8 *bytes = (const guint8 *)text->str;
+  gsize length;
   struct mesh_fetch_reply reply;
   struct stage stage;
   struct stage other;
 
-  stage_init (&stage);
+  length = stage_with_routes (&stage, 1400);
   stage_init (&other);
-  CU_ASSERT_TRUE (mesh_node_apply_config (&stage.node, bytes, text->len, 0));
   reply = fill_reply (&stage.node, FALSE);
-  CU_ASSERT_EQUAL (reply.config_length, text->len);
+  CU_ASSERT_EQUAL (reply.config_length, length);
   CU_ASSERT_EQUAL (reply.config_plain_length, 0);
   reply = fill_reply (&stage.node, TRUE);
   CU_ASSERT_EQUAL (reply.config_version, 2);
-  CU_ASSERT_TRUE (reply.config_length < text->len / 2);
-  CU_ASSERT_EQUAL (reply.config_plain_length, text->len);
+  CU_ASSERT_TRUE (reply.config_length < length / 2);
+  CU_ASSERT_EQUAL (reply.config_plain_length, length);
   CU_ASSERT_TRUE (mesh_node_take_config (&other.node, &reply));
   CU_ASSERT_EQUAL (mesh_routing_version (&other.node.mesh), 2);
-  CU_ASSERT_EQUAL (fill_reply (&other.node, FALSE).config_length, text->len);
+  CU_ASSERT_EQUAL (fill_reply (&other.node, FALSE).config_length, length);
   stage_clear (&other);
   stage_clear (&stage);
-  g_string_free (text, TRUE);
 }
 
 /* Guards against bytes of another node that are believed: of another version
@@ -151,16 +163,13 @@
 static void
 test_false_compressed_config (void)
 {
-  GString *text = config_text (1400);
-  const guint8 *bytes = (const guint8 *)text->str;
   struct mesh_fetch_reply reply;
   struct stage stage;
   struct stage other;
   guint i;
 
-  stage_init (&stage);
+  stage_with_routes (&stage, 1400);
   stage_init (&other);
-  CU_ASSERT_TRUE (mesh_node_apply_config (&stage.node, bytes, text->len, 0));
   for (i = 0; i < 4; i++)
     {
       reply = fill_reply (&stage.node, TRUE);
@@ -174,7 +183,6 @@
   CU_ASSERT_EQUAL (mesh_routing_version (&other.node.mesh), 1);
   stage_clear (&other);
   stage_clear (&stage);
-  g_string_free (text, TRUE);
 }
 
 /* Guards against a node that gets no records from another one since the
@@ -182,18 +190,13 @@
 static void
 test_config_too_long (void)
 {
-  GString *text = config_text (16000);
-  const guint8 *bytes = (const guint8 *)text->str;
   struct stage stage;
 
-  CU_ASSERT_TRUE_FATAL (text->len > MESH_BLOB_BYTES_MAX);
-  stage_init (&stage);
-  CU_ASSERT_TRUE (mesh_node_apply_config (&stage.node, bytes, text->len, 0));
+  CU_ASSERT_TRUE (stage_with_routes (&stage, 16000) > MESH_BLOB_BYTES_MAX);
   CU_ASSERT_EQUAL (fill_reply (&stage.node, FALSE).config_version, 0);
   CU_ASSERT_EQUAL (stage.node.oversize_configs, 1);
   CU_ASSERT_EQUAL (fill_reply (&stage.node, TRUE).config_version, 2);
   stage_clear (&stage);
-  g_string_free (text, TRUE);
 }
 
 /* Have the node read a record with KEY of the operator's topic, as READ
